Add the design and the workspace skeleton

Cause: the system needs a map of its modules, state owners and messages before several people can build it at once. Change: docs/design.md; shared types in acaciabank-protocol (ids, verdicts, refusal reasons, settings, HTTP shapes, Cap'n Proto schema with its generated code); the daemon's modules with their signatures, bodies to follow. Conclusion: formatter, linter and tests pass; nothing is served yet.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Crate root.
--- /dev/null
+++ b/crates/daemon/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Operators' HTTP interface, metrics and health.
--- /dev/null
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -0,0 +1,123 @@
+//! Attempts at targets, verdicts, streams and the buffer of answers.
+
+use std::time;
+
+use acaciabank_protocol::{ids, reason, wire};
+use bytes::Bytes;
+
+use crate::{config, process};
+
+/// What a caller asked for, after the checks of the entry.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Id given by this daemon.
+    pub id: ids::RequestId,
+    /// Team of the caller.
+    pub team: ids::TeamId,
+    /// Urgency.
+    pub priority: wire::Priority,
+    /// Time by which the answer must be complete.
+    pub deadline: time::Instant,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Hash of method, path and body; equal for a resend.
+    pub fingerprint: u64,
+    /// Kind of work.
+    pub work: RequestWork,
+    /// Configuration that the request runs on.
+    pub config: std::sync::Arc<config::ConfigVersion>,
+}
+
+/// Kind of work.
+#[derive(Clone, Debug)]
+pub enum RequestWork {
+    /// A completion by a model.
+    Completion {
+        /// Model.
+        model: ids::ModelId,
+        /// Path at the engine: `/v1/completions` or `/v1/chat/completions`.
+        path: &'static str,
+        /// Prompt text; messages joined for a chat.
+        prompt: String,
+        /// Tokens to generate at most.
+        max_tokens: u32,
+        /// Whether the caller wants a stream.
+        stream: bool,
+        /// The caller's body, whole.
+        body: serde_json::Map<String, serde_json::Value>,
+    },
+    /// A call to a plain service.
+    Service {
+        /// Service.
+        service: ids::ServiceId,
+        /// Method.
+        method: http::Method,
+        /// Path and query below the service, starting with `/`.
+        path_and_query: String,
+        /// End-to-end headers.
+        headers: http::HeaderMap,
+        /// Body.
+        body: Bytes,
+    },
+}
+
+/// Head of an answer; its body follows through a channel.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    /// HTTP status.
+    pub status: http::StatusCode,
+    /// End-to-end headers.
+    pub headers: http::HeaderMap,
+    /// Target that answered.
+    pub target: Option<ids::TargetId>,
+    /// Body parts in order. A refusal after the head ends a stream with an error event.
+    pub body: tokio::sync::mpsc::Receiver<Result<Bytes, reason::Refusal>>,
+}
+
+/// Runs a request to its end: admission, routing, attempts, resume. Returns when the head of the
+/// answer is known. The request goes on in a task of its own when the caller leaves, if it is not
+/// idempotent or its answer is buffered.
+///
+/// # Errors
+///
+/// A refusal with its truthful verdict.
+pub async fn dispatch(
+    _state: &process::SharedState,
+    _request: CallerRequest,
+) -> Result<CallerAnswer, reason::Refusal> {
+    Err(reason::Refusal::not_run(
+        reason::RefusalReason::NoTarget,
+        "no target",
+    ))
+}
+
+/// Answers kept for late callers, bounded in bytes and lifetime.
+#[derive(Debug, Default)]
+pub struct AnswerBuffer {}
+
+/// What the buffer knows of a request.
+#[derive(Clone, Debug)]
+pub enum BufferedAnswer {
+    /// Nothing.
+    Unknown,
+    /// Still running.
+    Running,
+    /// Belongs to another team.
+    Forbidden,
+    /// The whole answer.
+    Done {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content_type: String,
+        /// Body.
+        body: Bytes,
+    },
+}
+
+impl AnswerBuffer {
+    /// Looks a request up for a team.
+    pub fn find(&self, _request: &ids::RequestId, _team: &ids::TeamId) -> BufferedAnswer {
+        BufferedAnswer::Unknown
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,24 @@
+//! The daemon of acaciabank: accepts callers' requests, chooses targets, keeps the promises about
+//! repetition and authority, and shares state with the other daemons.
+//!
+//! The request path reads snapshots and atomics only; everything that waits for the platform or for
+//! other daemons runs in tasks of its own. [`run`] is the whole program:
+//!
+//! ```no_run
+//! let arguments = ["--settings", "settings.json"].map(std::ffi::OsString::from);
+//! std::process::exit(acaciabank_daemon::run(&arguments));
+//! ```
+
+pub mod admin;
+pub mod authority;
+pub mod config;
+pub mod dispatch;
+pub mod entry;
+pub mod once;
+pub mod peer;
+pub mod process;
+pub mod table;
+pub mod target;
+pub mod telemetry;
+
+pub use process::{ProcessState, run};
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,8 @@
+//! The program `acaciabankd`.
+
+use std::{env, ffi, process};
+
+fn main() {
+    let arguments: Vec<ffi::OsString> = env::args_os().skip(1).collect();
+    process::exit(acaciabank_daemon::run(&arguments));
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Structured logs and metric names.
--- /dev/null
+++ b/crates/protocol/src/settings/mod.rs
@@ -0,0 +1,30 @@
+//! Settings of a daemon: what belongs to the process and the deployment it starts from.
+//!
+//! A settings file is one JSON object with the members `process` and `deployment`. The
+//! deployment is versioned: the first daemon that finds no configuration in the table stores the
+//! deployment of its settings as version 1; from then on the table's version counts.
+
+mod check;
+mod deployment;
+mod process;
+
+pub use check::{Problem, check, parse};
+pub use deployment::{
+    Adaptation, Deployment, EngineEntry, EngineRole, FencingSupport, HostEntry, ModelEntry,
+    NeverRepeat, OperatorEntry, PlannerPolicy, Policy, RegionEntry, RoutingPolicy, Rules,
+    ServiceEntry, ServiceInstance, TeamEntry, UrgentRule, ZoneDistance,
+};
+pub use process::{LimitSettings, LogSettings, PeerEntry, ProcessSettings, TableSettings};
+pub use process::{LogLevel, TimerSettings, TlsSettings};
+
+use crate::value_type;
+
+value_type!(
+    /// A whole settings file.
+    pub struct Settings {
+        /// What belongs to this process.
+        pub process: ProcessSettings,
+        /// The deployment to start from.
+        pub deployment: Deployment,
+    }
+);
