Check settings whole before anything starts

Cause: a daemon that starts with a faulty inventory fails later, in places that do not name the fault. Change: names, references, addresses, keys, rules and ranges are checked; a fault gives the JSON path, the value and what is allowed.

--- a/crates/protocol/src/settings/mod.rs
+++ b/crates/protocol/src/settings/mod.rs
@@ -6,9 +6,11 @@
 
 mod check;
 mod deployment;
+mod fleet;
 mod process;
+mod ranges;
 
-pub use check::{Problem, check, parse};
+pub use check::{Problem, check, check_deployment, parse, parse_deployment};
 pub use deployment::{
     Adaptation, Deployment, EngineEntry, EngineRole, FencingSupport, HostEntry, ModelEntry,
     NeverRepeat, OperatorEntry, PlannerPolicy, Policy, RegionEntry, RoutingPolicy, Rules,
