Add the command line for callers and operators

Cause: operators need to check settings, read the state and change the deployment; callers need addresses and completions from a shell.

--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,42 @@
+//! Commands.
+
+mod caller;
+mod check;
+mod config;
+mod operator;
+
+use crate::{arguments::Options, error::Result};
+
+/// Runs one command.
+pub(crate) async fn execute(options: Options) -> Result<()> {
+    match options {
+        Options::Check { file } => check::check(&file),
+        Options::Status { endpoint } => operator::status(&endpoint).await,
+        Options::Targets { endpoint } => operator::targets(&endpoint).await,
+        Options::Config(command) => config::execute(command).await,
+        Options::Drain { endpoint, target } => operator::drain(&endpoint, &target, true).await,
+        Options::Undrain { endpoint, target } => operator::drain(&endpoint, &target, false).await,
+        Options::Requests { endpoint } => operator::requests(&endpoint).await,
+        Options::Keys(command) => operator::keys(command).await,
+        Options::LogLevel { endpoint, level } => operator::log_level(&endpoint, &level).await,
+        Options::Addresses {
+            caller_endpoint,
+            zone,
+        } => caller::addresses(&caller_endpoint, zone.as_deref()).await,
+        Options::Complete {
+            caller_endpoint,
+            model,
+            max_tokens,
+            idempotency_key,
+            prompt,
+        } => {
+            let completion = caller::CompletionCall {
+                model,
+                max_tokens,
+                idempotency_key,
+                prompt,
+            };
+            caller::complete(&caller_endpoint, &completion).await
+        }
+    }
+}
