Add the load tool and the comparison plot

Cause: goodput through shifts can only be compared when the same requests arrive at the same times whatever the system does. Change: acaciabank load draws open-loop arrivals from a seed before the run and counts latencies from the planned arrival; text, JSON and an SVG comparison. Retries and role changes of the system are read from its counters.

--- a/crates/cli/src/arguments/mod.rs
+++ b/crates/cli/src/arguments/mod.rs
@@ -120,6 +120,32 @@
     },
 }
 
+/// A load run.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct LoadCall {
+    /// Callers' address of a daemon; may be given more than once
+    #[bpaf(long, argument("ADDR"), some("at least one address is needed"))]
+    pub(crate) caller: Vec<String>,
+    /// Operators' address of a daemon, to count retries and role changes; may be given more than once
+    #[bpaf(long, argument("ADDR"), many)]
+    pub(crate) admin: Vec<String>,
+    /// Availability zone of the callers
+    #[bpaf(long, argument("ZONE"), optional)]
+    pub(crate) zone: Option<String>,
+    /// Seed of the arrivals
+    #[bpaf(long, argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+    /// Name of the run in the report
+    #[bpaf(long, argument("NAME"), fallback("load".to_owned()))]
+    pub(crate) name: String,
+    /// Prints JSON in place of text
+    #[bpaf(long)]
+    pub(crate) json: bool,
+    /// Script of the run
+    #[bpaf(positional("SCRIPT"))]
+    pub(crate) script: path::PathBuf,
+}
+
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 /// Runs and inspects acaciabank, a serving system for a fixed fleet of model engines.
@@ -191,6 +217,19 @@
         #[bpaf(long, argument("ZONE"), optional)]
         zone: Option<String>,
     },
+    /// Runs a scripted mix against a running system and reports what callers saw
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_call))] LoadCall),
+    /// Compares saved reports of load runs in one SVG picture
+    #[bpaf(command)]
+    Plot {
+        /// Picture to write
+        #[bpaf(long, argument("FILE"))]
+        svg: path::PathBuf,
+        /// Reports written by `acaciabank load --json`
+        #[bpaf(positional("REPORT"), some("at least one report is needed"))]
+        reports: Vec<path::PathBuf>,
+    },
     /// Sends one completion and prints its text
     #[bpaf(command)]
     Complete {
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod check;
 mod config;
+mod load;
 mod operator;
 
 use crate::{arguments::Options, error::Result};
@@ -23,6 +24,8 @@
             caller_endpoint,
             zone,
         } => caller::addresses(&caller_endpoint, zone.as_deref()).await,
+        Options::Load(call) => load::load(call).await,
+        Options::Plot { svg, reports } => load::plot(&svg, &reports),
         Options::Complete {
             caller_endpoint,
             model,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod command;
 mod error;
+pub mod load;
 mod output;
 
 pub use arguments::help_text;
--- /dev/null
+++ b/crates/cli/src/load/mod.rs
@@ -0,0 +1,21 @@
+//! Load tool: scripted mixes with open-loop arrivals, measured as callers see them.
+//!
+//! A script is a list of phases; each has a rate and a weighted mix of request shapes. Arrivals are
+//! drawn from a seed before the run starts, so the same seed gives the same requests at the same
+//! offsets whatever the system does. Latencies count from the planned arrival, so that a stalled
+//! system cannot hide its delay by slowing the load down.
+
+mod directory;
+mod measure;
+mod plot;
+mod runner;
+mod schedule;
+mod script;
+mod stream;
+
+pub use directory::AddressDirectory;
+pub use measure::{LatencySummary, LoadReport, RequestOutcome};
+pub use plot::write_comparison;
+pub use runner::{RunOptions, run};
+pub use schedule::{PlannedRequest, plan};
+pub use script::{LoadPhase, LoadScript, RequestShape, TokenRange};
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -22,7 +22,11 @@
 
 fn assert_one_line(output: &process::Output, parts: &[&str]) {
     let text = String::from_utf8_lossy(&output.stderr);
-    assert_eq!(text.trim_end().lines().count(), 1, "one line expected: {text}");
+    assert_eq!(
+        text.trim_end().lines().count(),
+        1,
+        "one line expected: {text}"
+    );
     for part in parts {
         assert!(text.contains(part), "`{part}` expected in: {text}");
     }
@@ -44,7 +48,10 @@
     let file = temporary_file("slots.json", &document.to_string());
     let output = acaciabank(&["check", file.to_str().expect("UTF-8 path")]);
     assert_eq!(output.status.code(), Some(2));
-    assert_one_line(&output, &["deployment.engines[2].slots", ": 0;", "from 1 to 100000"]);
+    assert_one_line(
+        &output,
+        &["deployment.engines[2].slots", ": 0;", "from 1 to 100000"],
+    );
 }
 
 /// Guards against a panic or an endless message on a truncated or missing file.
