--- /dev/null
+++ b/crates/cli/tests/docs.rs
@@ -0,0 +1,96 @@
+//! Keeps the settings reference and the command help in the pages equal to the code's.
+
+use acaciabank_protocol::settings;
+
+const SETTINGS_PAGE: &str = include_str!("../../../docs/settings.md");
+const COMMANDS_PAGE: &str = include_str!("../../../docs/commands.md");
+
+const COMMANDS: &[&[&str]] = &[
+    &[],
+    &["check"],
+    &["status"],
+    &["targets"],
+    &["config"],
+    &["config", "get"],
+    &["config", "set"],
+    &["config", "watch"],
+    &["config", "history"],
+    &["config", "diff"],
+    &["drain"],
+    &["undrain"],
+    &["requests"],
+    &["keys"],
+    &["keys", "get"],
+    &["keys", "resolve"],
+    &["log-level"],
+    &["addresses"],
+    &["load"],
+    &["plot"],
+    &["complete"],
+];
+
+fn defaults() -> serde_json::Value {
+    let table = serde_json::json!({"address": "127.0.0.1:1"});
+    let table: settings::TableSettings = serde_json::from_value(table).expect("a table");
+    serde_json::json!({
+        "process.table": table,
+        "process.limits": settings::LimitSettings::default(),
+        "process.timers": settings::TimerSettings::default(),
+        "deployment.policy.adaptation": settings::Adaptation::default(),
+    })
+}
+
+/// Guards against a reference that gives another default or range than the code.
+#[test]
+fn settings_reference_matches_the_code() {
+    let defaults = defaults();
+    let mut missing = Vec::new();
+    for rule in settings::FIELD_RANGES {
+        let default = &defaults[rule.object][rule.field];
+        assert!(
+            !default.is_null(),
+            "{}.{} has no default",
+            rule.object,
+            rule.field
+        );
+        let row = format!(
+            "| `{}` | {default} | {} to {} |",
+            rule.field, rule.least, rule.most
+        );
+        if !SETTINGS_PAGE.contains(&row) {
+            missing.push(row);
+        }
+    }
+    assert!(
+        missing.is_empty(),
+        "rows missing in docs/settings.md:\n{}",
+        missing.join("\n")
+    );
+}
+
+/// Guards against numbers that were added to the settings without a range and a row.
+#[test]
+fn every_number_with_a_default_has_a_range() {
+    for (object, fields) in defaults().as_object().expect("an object") {
+        for (field, value) in fields.as_object().expect("an object") {
+            let known = settings::FIELD_RANGES
+                .iter()
+                .any(|rule| rule.object == object && rule.field == field);
+            assert!(known || !value.is_u64(), "{object}.{field} has no range");
+        }
+    }
+}
+
+/// Guards against help texts in the page that the program no longer prints.
+#[test]
+fn command_help_in_the_page_matches_the_program() {
+    for command in COMMANDS {
+        let help = acaciabank_cli::help_text(command);
+        assert!(!help.is_empty(), "{command:?} has no help");
+        let block = format!("```text\n{}\n```", help.trim_end());
+        assert!(
+            COMMANDS_PAGE.contains(&block),
+            "docs/commands.md lacks the help of {command:?}:\n{block}"
+        );
+    }
+}
--- a/crates/protocol/src/settings/mod.rs
+++ b/crates/protocol/src/settings/mod.rs
@@ -18,6 +18,7 @@
 };
 pub use process::{LimitSettings, LogSettings, PeerEntry, ProcessSettings, TableSettings};
 pub use process::{LogLevel, TimerSettings, TlsSettings};
+pub use ranges::{FIELD_RANGES, FieldRange};
 
 use crate::value_type;
 
--- a/crates/protocol/src/settings/ranges.rs
+++ b/crates/protocol/src/settings/ranges.rs
@@ -4,8 +4,120 @@
 
 /// Longest interval or timeout that the settings take, in milliseconds: one day.
 const MAX_INTERVAL_MS: u64 = 86_400_000;
-/// Rows that the table service takes in one transaction.
-const MAX_TRANSACTION_ROWS: u64 = 100;
+
+/// Allowed range of one number in the settings; both ends belong to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FieldRange {
+    /// Object that holds the number.
+    pub object: &'static str,
+    /// Name of the number.
+    pub field: &'static str,
+    /// Least value.
+    pub least: u64,
+    /// Greatest value.
+    pub most: u64,
+}
+
+const fn range(object: &'static str, field: &'static str, least: u64, most: u64) -> FieldRange {
+    FieldRange {
+        object,
+        field,
+        least,
+        most,
+    }
+}
+
+/// Ranges of every number that has a default. The settings reference is checked against it.
+pub const FIELD_RANGES: &[FieldRange] = &[
+    range("process.table", "timeout_ms", 10, 60_000),
+    // The table service takes at most 100 rows in a transaction.
+    range("process.table", "batch_rows", 1, 100),
+    range("process.table", "batch_wait_ms", 0, 1_000),
+    range("process.limits", "max_body_bytes", 1 << 10, 1 << 30),
+    // The HTTP library needs a read buffer of at least 8 KiB to read a head.
+    range("process.limits", "max_header_bytes", 8 << 10, 1 << 20),
+    range("process.limits", "max_connections", 1, 1_000_000),
+    range("process.limits", "max_queued_requests", 0, 1_000_000),
+    range("process.limits", "max_attempts", 1, 16),
+    range("process.limits", "retry_percent", 0, 100),
+    range("process.limits", "answer_buffer_bytes", 0, 1 << 34),
+    range("process.limits", "worker_threads", 0, 256),
+    range("process.timers", "gossip_interval_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "suspect_after_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "dead_after_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "lease_ttl_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "lease_renewal_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "lease_margin_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "target_poll_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "target_backoff_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "host_list_poll_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "config_poll_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "connect_timeout_ms", 1, MAX_INTERVAL_MS),
+    range(
+        "process.timers",
+        "first_byte_timeout_ms",
+        1,
+        MAX_INTERVAL_MS,
+    ),
+    range("process.timers", "idle_timeout_ms", 1, MAX_INTERVAL_MS),
+    range(
+        "process.timers",
+        "default_request_timeout_ms",
+        1,
+        MAX_INTERVAL_MS,
+    ),
+    range("process.timers", "address_lifetime_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "answer_lifetime_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "shutdown_deadline_ms", 1, MAX_INTERVAL_MS),
+    range(
+        "deployment.policy.adaptation",
+        "switch_cost_ms",
+        0,
+        MAX_INTERVAL_MS,
+    ),
+    range(
+        "deployment.policy.adaptation",
+        "min_dwell_ms",
+        0,
+        MAX_INTERVAL_MS,
+    ),
+    range(
+        "deployment.policy.adaptation",
+        "horizon_ms",
+        1,
+        MAX_INTERVAL_MS,
+    ),
+    range(
+        "deployment.policy.adaptation",
+        "min_gain_percent",
+        100,
+        10_000,
+    ),
+    range(
+        "deployment.policy.adaptation",
+        "max_concurrent_changes",
+        1,
+        100,
+    ),
+    range(
+        "deployment.policy.adaptation",
+        "threshold_percent",
+        101,
+        10_000,
+    ),
+];
+
+/// Checks every number of a serialized object against the ranges of that object.
+fn check_object<T: serde::Serialize>(object: &str, settings: &T) -> Result<(), Problem> {
+    let values = serde_json::to_value(settings).expect("settings have text keys");
+    for rule in FIELD_RANGES.iter().filter(|rule| rule.object == object) {
+        let value = values[rule.field]
+            .as_u64()
+            .expect("ranges name unsigned numbers");
+        check_range(rule.field, value, rule.least, rule.most)?;
+    }
+    Ok(())
+}
 
 fn check_range(path: &str, value: u64, least: u64, most: u64) -> Result<(), Problem> {
     if (least..=most).contains(&value) {
@@ -22,81 +134,17 @@
     if table.name.is_empty() {
         return Err(Problem::new("name", "\"\"", "must not be empty"));
     }
-    check_range("timeout_ms", table.timeout_ms, 10, 60_000)?;
-    check_range(
-        "batch_rows",
-        table.batch_rows as u64,
-        1,
-        MAX_TRANSACTION_ROWS,
-    )?;
-    check_range("batch_wait_ms", table.batch_wait_ms, 0, 1_000)
+    check_object("process.table", table)
 }
 
 pub(super) fn check_limits(limits: &LimitSettings) -> Result<(), Problem> {
-    check_range(
-        "max_body_bytes",
-        limits.max_body_bytes as u64,
-        1_024,
-        1 << 30,
-    )?;
-    // hyper needs a read buffer of at least 8 KiB to read a head.
-    check_range(
-        "max_header_bytes",
-        limits.max_header_bytes as u64,
-        8 << 10,
-        1 << 20,
-    )?;
-    check_range(
-        "max_connections",
-        limits.max_connections as u64,
-        1,
-        1_000_000,
-    )?;
-    check_range(
-        "max_queued_requests",
-        limits.max_queued_requests as u64,
-        0,
-        1_000_000,
-    )?;
-    check_range("max_attempts", u64::from(limits.max_attempts), 1, 16)?;
-    check_range("retry_percent", u64::from(limits.retry_percent), 0, 100)?;
-    check_range(
-        "answer_buffer_bytes",
-        limits.answer_buffer_bytes as u64,
-        0,
-        1 << 34,
-    )?;
-    check_range("worker_threads", limits.worker_threads as u64, 0, 256)
+    check_object("process.limits", limits)
 }
 
 pub(super) fn check_timers(timers: &TimerSettings) -> Result<(), Problem> {
-    let intervals = [
-        ("gossip_interval_ms", timers.gossip_interval_ms),
-        ("suspect_after_ms", timers.suspect_after_ms),
-        ("dead_after_ms", timers.dead_after_ms),
-        ("lease_ttl_ms", timers.lease_ttl_ms),
-        ("lease_renewal_ms", timers.lease_renewal_ms),
-        ("lease_margin_ms", timers.lease_margin_ms),
-        ("target_poll_ms", timers.target_poll_ms),
-        ("target_backoff_ms", timers.target_backoff_ms),
-        ("host_list_poll_ms", timers.host_list_poll_ms),
-        ("config_poll_ms", timers.config_poll_ms),
-        ("connect_timeout_ms", timers.connect_timeout_ms),
-        ("first_byte_timeout_ms", timers.first_byte_timeout_ms),
-        ("idle_timeout_ms", timers.idle_timeout_ms),
-        (
-            "default_request_timeout_ms",
-            timers.default_request_timeout_ms,
-        ),
-        ("address_lifetime_ms", timers.address_lifetime_ms),
-        ("answer_lifetime_ms", timers.answer_lifetime_ms),
-        ("shutdown_deadline_ms", timers.shutdown_deadline_ms),
-    ];
-    for (path, value) in intervals {
-        check_range(path, value, 1, MAX_INTERVAL_MS)?;
-    }
+    check_object("process.timers", timers)?;
     // Two gossip rounds may be lost before a live daemon is taken for silent.
-    let least = timers.gossip_interval_ms.saturating_mul(2);
+    let least = timers.gossip_interval_ms * 2;
     check_range(
         "suspect_after_ms",
         timers.suspect_after_ms,
@@ -110,34 +158,10 @@
         MAX_INTERVAL_MS,
     )?;
     // A holder must be able to renew before the time at which it stops acting.
-    let least = timers
-        .lease_renewal_ms
-        .saturating_add(timers.lease_margin_ms)
-        .saturating_add(1);
+    let least = timers.lease_renewal_ms + timers.lease_margin_ms + 1;
     check_range("lease_ttl_ms", timers.lease_ttl_ms, least, MAX_INTERVAL_MS)
 }
 
 pub(super) fn check_adaptation(adaptation: &Adaptation) -> Result<(), Problem> {
-    check_range(
-        "switch_cost_ms",
-        adaptation.switch_cost_ms,
-        0,
-        MAX_INTERVAL_MS,
-    )?;
-    check_range("min_dwell_ms", adaptation.min_dwell_ms, 0, MAX_INTERVAL_MS)?;
-    check_range("horizon_ms", adaptation.horizon_ms, 1, MAX_INTERVAL_MS)?;
-    check_range(
-        "min_gain_percent",
-        u64::from(adaptation.min_gain_percent),
-        100,
-        10_000,
-    )?;
-    let changes = u64::from(adaptation.max_concurrent_changes);
-    check_range("max_concurrent_changes", changes, 1, 100)?;
-    check_range(
-        "threshold_percent",
-        u64::from(adaptation.threshold_percent),
-        101,
-        10_000,
-    )
+    check_object("deployment.policy.adaptation", adaptation)
 }
