Add process start, shutdown, telemetry and the callers' listener

Cause: the daemon modules process, telemetry and entry were stubs. ProcessState gains a constructor. The registry of running requests and the look-up tables of a configuration version live in entry::EntryState, so ProcessState keeps its fields.

--- /dev/null
+++ b/crates/daemon/src/entry/access.rs
@@ -0,0 +1,283 @@
+//! Look-up tables of one configuration version: keys, models, services and rules.
+
+use std::{collections::HashMap, sync};
+
+use acaciabank_protocol::{
+    ids,
+    reason::{Refusal, RefusalReason},
+    settings::Deployment,
+    wire::Priority,
+};
+use hyper::{HeaderMap, Method, header};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use super::parse;
+use crate::config;
+
+/// Team of callers when no teams are configured.
+pub const DEFAULT_TEAM: &str = "default";
+/// Operator when no operators are configured.
+pub const LOCAL_OPERATOR: &str = "local";
+
+type KeyDigest = [u8; 32];
+
+/// Names by the SHA-256 of their keys.
+#[derive(Debug, Default)]
+pub struct KeyLookup {
+    buckets: HashMap<u64, Vec<(KeyDigest, usize)>>,
+}
+
+impl KeyLookup {
+    /// Adds a key given as 64 hexadecimal digits; tells whether it can be read.
+    pub fn insert(&mut self, key_sha256: &str, owner: usize) -> bool {
+        let Some(digest) = parse::parse_digest(key_sha256) else {
+            return false;
+        };
+        let bucket = self.buckets.entry(bucket_of(&digest)).or_default();
+        bucket.push((digest, owner));
+        true
+    }
+
+    /// The owner of a key. Only the hash of the key selects the bucket, and digests are compared
+    /// in constant time, so that response times tell nothing about stored keys.
+    pub fn find(&self, key: &str) -> Option<usize> {
+        let digest: KeyDigest = Sha256::digest(key.as_bytes()).into();
+        let bucket = self.buckets.get(&bucket_of(&digest))?;
+        let mut found = None;
+        for (known, owner) in bucket {
+            if bool::from(known[..].ct_eq(&digest[..])) {
+                found = Some(*owner);
+            }
+        }
+        found
+    }
+}
+
+fn bucket_of(digest: &KeyDigest) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(first)
+}
+
+/// Subject of a request, as rules see it.
+#[derive(Clone, Copy, Debug)]
+pub enum WorkSubject<'request> {
+    /// A completion.
+    Model(&'request ids::ModelId),
+    /// A call to a service.
+    Service {
+        /// Service.
+        service: &'request ids::ServiceId,
+        /// Method.
+        method: &'request Method,
+        /// Path below the service, without query.
+        path: &'request str,
+    },
+}
+
+/// A configuration version with its look-up tables.
+#[derive(Debug)]
+pub struct AccessTable {
+    /// The configuration.
+    pub config: sync::Arc<config::ConfigVersion>,
+    team_keys: KeyLookup,
+    operator_keys: KeyLookup,
+    teams: HashMap<ids::TeamId, usize>,
+    models: HashMap<ids::ModelId, usize>,
+    services: HashMap<ids::ServiceId, usize>,
+}
+
+impl AccessTable {
+    /// Builds the tables of a version.
+    pub fn new(config: sync::Arc<config::ConfigVersion>) -> Self {
+        let deployment = &config.deployment;
+        let mut team_keys = KeyLookup::default();
+        let mut operator_keys = KeyLookup::default();
+        for (position, team) in deployment.teams.iter().enumerate() {
+            for key in &team.key_sha256 {
+                if !team_keys.insert(key, position) {
+                    log::warn!(team = team.name.as_str(); "key_sha256 is not 64 hex digits");
+                }
+            }
+        }
+        for (position, operator) in deployment.operators.iter().enumerate() {
+            for key in &operator.key_sha256 {
+                if !operator_keys.insert(key, position) {
+                    log::warn!(operator = operator.name.as_str(); "key_sha256 is not 64 hex digits");
+                }
+            }
+        }
+        Self {
+            team_keys,
+            operator_keys,
+            teams: positions(deployment.teams.iter().map(|team| &team.name)),
+            models: positions(deployment.models.iter().map(|model| &model.name)),
+            services: positions(deployment.services.iter().map(|service| &service.name)),
+            config,
+        }
+    }
+
+    fn deployment(&self) -> &Deployment {
+        &self.config.deployment
+    }
+
+    /// The team of a request.
+    ///
+    /// # Errors
+    ///
+    /// `unauthorized` when teams are configured and the key belongs to none.
+    pub fn team(&self, headers: &HeaderMap) -> Result<ids::TeamId, Refusal> {
+        if self.deployment().teams.is_empty() {
+            return Ok(ids::TeamId::from(DEFAULT_TEAM));
+        }
+        let position = bearer_key(headers).and_then(|key| self.team_keys.find(key));
+        let position = position.ok_or_else(unauthorized)?;
+        Ok(self.deployment().teams[position].name.clone())
+    }
+
+    /// The operator of a request.
+    ///
+    /// # Errors
+    ///
+    /// `unauthorized` when operators are configured and the key belongs to none.
+    pub fn operator(&self, headers: &HeaderMap) -> Result<String, Refusal> {
+        if self.deployment().operators.is_empty() {
+            return Ok(LOCAL_OPERATOR.to_owned());
+        }
+        let position = bearer_key(headers).and_then(|key| self.operator_keys.find(key));
+        let position = position.ok_or_else(unauthorized)?;
+        Ok(self.deployment().operators[position].name.clone())
+    }
+
+    /// The model of a request that names `model` or `model:adapter`.
+    ///
+    /// # Errors
+    ///
+    /// `unknown_model`.
+    pub fn model(&self, name: &str) -> Result<ids::ModelId, Refusal> {
+        if let Some((model, _)) = self.models.get_key_value(name) {
+            return Ok(model.clone());
+        }
+        let known = name.rsplit_once(':').and_then(|(model, adapter)| {
+            let position = *self.models.get(model)?;
+            let entry = &self.deployment().models[position];
+            let has_adapter = entry.adapters.iter().any(|known| known == adapter);
+            has_adapter.then(|| entry.name.clone())
+        });
+        known.ok_or_else(|| {
+            let message = format!("no model {name:?} in the inventory");
+            Refusal::not_run(RefusalReason::UnknownModel, message)
+        })
+    }
+
+    /// The service of the given name.
+    ///
+    /// # Errors
+    ///
+    /// `unknown_service`.
+    pub fn service(&self, name: &str) -> Result<ids::ServiceId, Refusal> {
+        let known = self.services.get_key_value(name);
+        known.map(|(service, _)| service.clone()).ok_or_else(|| {
+            let message = format!("no service {name:?} in the inventory");
+            Refusal::not_run(RefusalReason::UnknownService, message)
+        })
+    }
+
+    /// Urgency of a request: a rule that makes it urgent counts more than its header.
+    ///
+    /// # Errors
+    ///
+    /// `forbidden` when the header says urgent and the team may not.
+    pub fn priority(
+        &self,
+        asked: Option<Priority>,
+        team: &ids::TeamId,
+        subject: WorkSubject<'_>,
+    ) -> Result<Priority, Refusal> {
+        let rules = &self.deployment().rules.urgent;
+        let is_urgent = rules.iter().any(|rule| {
+            let (model, service) = match subject {
+                WorkSubject::Model(model) => (Some(model), None),
+                WorkSubject::Service { service, .. } => (None, Some(service)),
+            };
+            rule.team.as_ref().is_none_or(|wanted| wanted == team)
+                && rule
+                    .model
+                    .as_ref()
+                    .is_none_or(|wanted| Some(wanted) == model)
+                && rule
+                    .service
+                    .as_ref()
+                    .is_none_or(|wanted| Some(wanted) == service)
+        });
+        if is_urgent {
+            return Ok(Priority::Urgent);
+        }
+        let entry = self.teams.get(team).map(|at| &self.deployment().teams[*at]);
+        if asked == Some(Priority::Urgent) && entry.is_some_and(|team| !team.urgent_allowed) {
+            let message = format!("team {team} may not send urgent requests");
+            return Err(Refusal::not_run(RefusalReason::Forbidden, message));
+        }
+        Ok(asked.unwrap_or_default())
+    }
+
+    /// Whether the rules say that a request must never be repeated.
+    pub fn is_never_repeat(&self, subject: WorkSubject<'_>) -> bool {
+        let rules = &self.deployment().rules.never_repeat;
+        rules.iter().any(|rule| match subject {
+            WorkSubject::Model(model) => {
+                // A rule with a path or a service speaks of service calls only.
+                rule.service.is_none()
+                    && rule.path_prefix.is_none()
+                    && rule.model.as_ref().is_none_or(|wanted| wanted == model)
+                    && rule
+                        .method
+                        .as_ref()
+                        .is_none_or(|m| m.eq_ignore_ascii_case("POST"))
+            }
+            WorkSubject::Service {
+                service,
+                method,
+                path,
+            } => {
+                let has_path = |prefix: &String| {
+                    // An instance may treat `/a//b` or `/%61/b` like `/a/b`; such forms must not
+                    // evade the rule.
+                    path.starts_with(prefix.as_str())
+                        || parse::normalize_path(path).starts_with(prefix.as_str())
+                };
+                rule.model.is_none()
+                    && rule.service.as_ref().is_none_or(|wanted| wanted == service)
+                    && rule
+                        .method
+                        .as_ref()
+                        .is_none_or(|wanted| wanted.eq_ignore_ascii_case(method.as_str()))
+                    && rule.path_prefix.as_ref().is_none_or(has_path)
+            }
+        })
+    }
+}
+
+fn positions<'table, Id>(names: impl Iterator<Item = &'table Id>) -> HashMap<Id, usize>
+where
+    Id: Clone + Eq + std::hash::Hash + 'table,
+{
+    names
+        .enumerate()
+        .map(|(position, name)| (name.clone(), position))
+        .collect()
+}
+
+/// The key of the header `authorization: Bearer KEY`.
+pub fn bearer_key(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then_some(key.trim_matches(' '))
+}
+
+fn unauthorized() -> Refusal {
+    Refusal::not_run(RefusalReason::Unauthorized, "no valid key")
+}
--- /dev/null
+++ b/crates/daemon/src/entry/answers.rs
@@ -0,0 +1,92 @@
+//! `GET /v1/models` and `GET /v1/requests/{request_id}`.
+
+use std::sync;
+
+use acaciabank_protocol::{
+    ids,
+    reason::{Refusal, RefusalReason},
+    verdict::Verdict,
+};
+use hyper::{StatusCode, header};
+use serde_json::json;
+
+use super::{EntryState, RequestScope, reply};
+use crate::{dispatch::BufferedAnswer, peer::RemoteAnswer, process::listener::Reply};
+
+/// Models and adapters of the inventory in the form of common model servers.
+pub(super) fn models(scope: &RequestScope) -> Reply {
+    let mut data = Vec::new();
+    for model in &scope.config().deployment.models {
+        data.push(json!({"id": model.name, "object": "model"}));
+        for adapter in &model.adapters {
+            let name = format!("{}:{adapter}", model.name);
+            data.push(json!({"id": name, "object": "model", "parent": model.name}));
+        }
+    }
+    reply::json(StatusCode::OK, &json!({"object": "list", "data": data}))
+}
+
+/// The answer of an earlier request of the same team.
+pub(super) async fn find(
+    entry: &sync::Arc<EntryState>,
+    scope: &RequestScope,
+    wanted: &str,
+) -> Result<Reply, Refusal> {
+    let wanted = ids::RequestId::from(wanted);
+    let state = &entry.state;
+    let daemon = wanted.daemon().map(ids::DaemonId::from);
+    let daemon = daemon.ok_or_else(not_found)?;
+    let answer = if daemon == state.settings.daemon {
+        match state.answers.find(&wanted, &scope.team) {
+            BufferedAnswer::Unknown => RemoteAnswer::Unknown,
+            BufferedAnswer::Running => RemoteAnswer::Running,
+            BufferedAnswer::Forbidden => RemoteAnswer::Forbidden,
+            BufferedAnswer::Done {
+                status,
+                content_type,
+                body,
+            } => RemoteAnswer::Done {
+                status,
+                content_type,
+                body,
+            },
+        }
+    } else {
+        let fetched = state.peers.fetch_answer(&daemon, &wanted, &scope.team);
+        fetched.await.map_err(|error| {
+            let message = format!("the daemon that ran the request cannot be asked: {error}");
+            unknown_outcome(RefusalReason::NotReady, message)
+        })?
+    };
+    match answer {
+        RemoteAnswer::Unknown | RemoteAnswer::Forbidden => Err(not_found()),
+        RemoteAnswer::Running => Ok(running(&wanted)),
+        RemoteAnswer::Done {
+            status,
+            content_type,
+            body,
+        } => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            Ok(reply::with_type(status, &content_type, body))
+        }
+    }
+}
+
+fn running(wanted: &ids::RequestId) -> Reply {
+    let body = json!({"request_id": wanted, "state": "running"});
+    let mut reply = reply::json(StatusCode::ACCEPTED, &body);
+    reply.headers_mut().insert(header::RETRY_AFTER, 1.into());
+    reply
+}
+
+/// The same answer for an unknown id and for another team's id, so that ids cannot be probed.
+fn not_found() -> Refusal {
+    let message = "no answer under this request id for this team";
+    unknown_outcome(RefusalReason::NotFound, message)
+}
+
+/// A failed look-up says nothing about the request that was asked for, so its verdict must not
+/// be `not_run`.
+fn unknown_outcome(reason: RefusalReason, message: impl Into<String>) -> Refusal {
+    Refusal::with_verdict(reason, Verdict::MayHaveRun, message)
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -1,1 +1,140 @@
 //! Listener for callers: keys, addresses, completions, service calls, answers by request id.
+
+pub mod access;
+pub mod addresses;
+mod answers;
+pub mod parse;
+pub mod reply;
+pub mod running;
+mod work;
+
+use std::{sync, time};
+
+use acaciabank_protocol::{
+    ids,
+    reason::{Refusal, RefusalReason},
+};
+use arc_swap::ArcSwapOption;
+use hyper::{Method, Request, body::Incoming};
+
+use crate::{
+    config,
+    process::{SharedState, listener::Reply},
+};
+
+/// What the entry shares between its connections and with the operators' interface.
+pub struct EntryState {
+    /// State of the process.
+    pub state: SharedState,
+    /// Requests that run now.
+    pub running: sync::Arc<running::RunningRegistry>,
+    access: ArcSwapOption<access::AccessTable>,
+}
+
+impl EntryState {
+    /// State without requests.
+    pub fn new(state: SharedState) -> Self {
+        Self {
+            state,
+            running: sync::Arc::default(),
+            access: ArcSwapOption::empty(),
+        }
+    }
+
+    /// Configuration in force with its look-up tables, which are built once for each version.
+    ///
+    /// # Errors
+    ///
+    /// `not_ready` before a configuration is learned.
+    pub fn access(&self) -> Result<sync::Arc<access::AccessTable>, Refusal> {
+        let Some(config) = self.state.config.current() else {
+            return Err(Refusal::not_run(
+                RefusalReason::NotReady,
+                "no configuration learned yet",
+            ));
+        };
+        if let Some(table) = self.access.load_full()
+            && table.config.version == config.version
+        {
+            return Ok(table);
+        }
+        let table = sync::Arc::new(access::AccessTable::new(config));
+        self.access.store(Some(sync::Arc::clone(&table)));
+        Ok(table)
+    }
+}
+
+/// What is known of a request when its head has been read.
+struct RequestScope {
+    id: ids::RequestId,
+    team: ids::TeamId,
+    access: sync::Arc<access::AccessTable>,
+    arrival: time::Instant,
+}
+
+impl RequestScope {
+    fn config(&self) -> &sync::Arc<config::ConfigVersion> {
+        &self.access.config
+    }
+}
+
+/// Answers one request of a caller.
+pub async fn handle(entry: sync::Arc<EntryState>, request: Request<Incoming>) -> Reply {
+    let id = new_request_id(&entry.state.settings.daemon);
+    match route(&entry, &id, request).await {
+        Ok(reply) => reply,
+        Err(refusal) => {
+            log::debug!(
+                request_id = id.as_str(), reason = refusal.reason.as_str();
+                "refused: {}", refusal.message
+            );
+            reply::refusal(&refusal, &id, entry.state.config.version())
+        }
+    }
+}
+
+fn new_request_id(daemon: &ids::DaemonId) -> ids::RequestId {
+    ids::RequestId::new(format!("{daemon}-{:032x}", rand::random::<u128>()))
+}
+
+async fn route(
+    entry: &sync::Arc<EntryState>,
+    id: &ids::RequestId,
+    request: Request<Incoming>,
+) -> Result<Reply, Refusal> {
+    let limits = &entry.state.settings.limits;
+    parse::check_head_size(request.uri(), request.headers(), limits.max_header_bytes)?;
+    let path = request.uri().path().to_owned();
+    if request.method() == Method::GET && path == "/v1/addresses" {
+        return Ok(addresses::reply(&entry.state, &request));
+    }
+    let access = entry.access()?;
+    let team = access.team(request.headers())?;
+    let scope = RequestScope {
+        id: id.clone(),
+        team,
+        access,
+        arrival: time::Instant::now(),
+    };
+    if path.starts_with("/services/") {
+        return work::run_service(entry, scope, request).await;
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::POST, parse::COMPLETIONS_PATH) => {
+            work::run_completion(entry, scope, parse::COMPLETIONS_PATH, request).await
+        }
+        (&Method::POST, parse::CHAT_PATH) => {
+            work::run_completion(entry, scope, parse::CHAT_PATH, request).await
+        }
+        (&Method::GET, "/v1/models") => Ok(answers::models(&scope)),
+        (&Method::GET, path) => match path.strip_prefix("/v1/requests/") {
+            Some(wanted) => answers::find(entry, &scope, wanted).await,
+            None => Err(no_such_path()),
+        },
+        _ => Err(no_such_path()),
+    }
+}
+
+fn no_such_path() -> Refusal {
+    Refusal::not_run(RefusalReason::NotFound, "no such path or method")
+}
--- /dev/null
+++ b/crates/daemon/src/entry/work.rs
@@ -0,0 +1,254 @@
+//! Completions and service calls: checks, dispatch, answer.
+
+use std::{sync, time};
+
+use acaciabank_protocol::{
+    reason::{Refusal, RefusalReason},
+    wire::Priority,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{HeaderMap, Method, Request, body::Incoming, header};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{
+    EntryState, RequestScope,
+    access::WorkSubject,
+    parse, reply,
+    reply::StreamEnd,
+    running::{RunningGuard, RunningRequest},
+};
+use crate::{
+    dispatch::{self, CallerAnswer, CallerRequest, RequestWork},
+    once,
+    process::listener::Reply,
+    telemetry::names,
+};
+
+/// What the head of a request says about its run.
+struct RunTerms {
+    priority: Option<Priority>,
+    deadline: time::Instant,
+    key: Option<String>,
+}
+
+impl RunTerms {
+    fn parse(entry: &EntryState, scope: &RequestScope, head: &HeaderMap) -> Result<Self, Refusal> {
+        let default_ms = entry.state.settings.timers.default_request_timeout_ms;
+        Ok(Self {
+            priority: parse::parse_priority(head)?,
+            deadline: parse::parse_deadline(head, scope.arrival, default_ms)?,
+            key: parse::parse_idempotency_key(head)?,
+        })
+    }
+}
+
+/// Runs a completion.
+pub(super) async fn run_completion(
+    entry: &sync::Arc<EntryState>,
+    scope: RequestScope,
+    path: &'static str,
+    request: Request<Incoming>,
+) -> Result<Reply, Refusal> {
+    let (head, body) = request.into_parts();
+    let terms = RunTerms::parse(entry, &scope, &head.headers)?;
+    let bytes = read_body(entry, &terms, &head.headers, body).await?;
+    let fields = parse::parse_completion(path, &bytes)?;
+    let model = scope.access.model(&fields.model)?;
+    let fingerprint = fingerprint(&Method::POST, path, &bytes);
+    let end = match fields.stream {
+        true => StreamEnd::ErrorEvent,
+        false => StreamEnd::Abort,
+    };
+    let subject = WorkSubject::Model(&model);
+    let priority = check_rules(&scope, &terms, subject)?;
+    let work = RequestWork::Completion {
+        model: model.clone(),
+        path,
+        prompt: fields.prompt,
+        max_tokens: fields.max_tokens,
+        stream: fields.stream,
+        body: fields.body,
+    };
+    let name = format!("model {model}");
+    run(entry, scope, terms, priority, fingerprint, work, name, end).await
+}
+
+/// Runs a service call.
+pub(super) async fn run_service(
+    entry: &sync::Arc<EntryState>,
+    scope: RequestScope,
+    request: Request<Incoming>,
+) -> Result<Reply, Refusal> {
+    let (head, body) = request.into_parts();
+    let terms = RunTerms::parse(entry, &scope, &head.headers)?;
+    let Some((service, path)) = parse::split_service_path(head.uri.path()) else {
+        return Err(parse::bad_request(
+            "path: /services/{service}/{path} is required",
+        ));
+    };
+    let service = scope.access.service(service)?;
+    let subject = WorkSubject::Service {
+        service: &service,
+        method: &head.method,
+        path,
+    };
+    let priority = check_rules(&scope, &terms, subject)?;
+    let bytes = read_body(entry, &terms, &head.headers, body).await?;
+    let path_and_query = match head.uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    let whole_path = format!("/services/{service}{path_and_query}");
+    let fingerprint = fingerprint(&head.method, &whole_path, &bytes);
+    let work = RequestWork::Service {
+        service: service.clone(),
+        method: head.method,
+        path_and_query,
+        headers: end_to_end_headers(head.headers),
+        body: bytes,
+    };
+    let name = format!("service {service}");
+    let end = StreamEnd::Abort;
+    run(entry, scope, terms, priority, fingerprint, work, name, end).await
+}
+
+/// Applies the rules; returns the priority.
+fn check_rules(
+    scope: &RequestScope,
+    terms: &RunTerms,
+    subject: WorkSubject<'_>,
+) -> Result<Priority, Refusal> {
+    let priority = scope
+        .access
+        .priority(terms.priority, &scope.team, subject)?;
+    if terms.key.is_none() && scope.access.is_never_repeat(subject) {
+        return Err(Refusal::not_run(
+            RefusalReason::KeyRequired,
+            "the rules say that this request must never be repeated: send an idempotency-key",
+        ));
+    }
+    Ok(priority)
+}
+
+#[allow(clippy::too_many_arguments)]
+async fn run(
+    entry: &sync::Arc<EntryState>,
+    scope: RequestScope,
+    terms: RunTerms,
+    priority: Priority,
+    fingerprint: u64,
+    work: RequestWork,
+    name: String,
+    end: StreamEnd,
+) -> Result<Reply, Refusal> {
+    let guard = register(entry, &scope, priority, name);
+    let version = scope.config().version;
+    let id = scope.id.clone();
+    let request = CallerRequest {
+        id: scope.id,
+        team: scope.team,
+        priority,
+        deadline: terms.deadline,
+        idempotent: terms.key.is_none(),
+        fingerprint,
+        work,
+        config: sync::Arc::clone(&scope.access.config),
+    };
+    let answer = start(entry, terms.key, request).await?;
+    // An engine's error answer to a request for a stream is not a stream.
+    let is_events = content_type(&answer.headers).starts_with("text/event-stream");
+    let end = if is_events { end } else { StreamEnd::Abort };
+    Ok(reply::stream(answer, &id, version, end, guard))
+}
+
+async fn start(
+    entry: &EntryState,
+    key: Option<String>,
+    request: CallerRequest,
+) -> Result<CallerAnswer, Refusal> {
+    match key {
+        Some(key) => once::run_keyed(&entry.state, &key, request).await,
+        None => dispatch::dispatch(&entry.state, request).await,
+    }
+}
+
+fn register(
+    entry: &EntryState,
+    scope: &RequestScope,
+    priority: Priority,
+    work: String,
+) -> RunningGuard {
+    let label = match priority {
+        Priority::Urgent => "urgent",
+        Priority::Normal => "normal",
+        Priority::Batch => "batch",
+    };
+    metrics::counter!(names::REQUESTS, "priority" => label).increment(1);
+    entry.running.insert(RunningRequest {
+        id: scope.id.clone(),
+        team: scope.team.clone(),
+        priority,
+        work,
+        arrival: scope.arrival,
+    })
+}
+
+fn content_type(headers: &HeaderMap) -> &str {
+    let value = headers.get(header::CONTENT_TYPE);
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
+/// Reads a body within `max_body_bytes` and the request's deadline.
+async fn read_body(
+    entry: &EntryState,
+    terms: &RunTerms,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<Bytes, Refusal> {
+    let limit = entry.state.settings.limits.max_body_bytes;
+    let too_large = || {
+        let message = format!("body is over the limit of {limit} bytes");
+        Refusal::not_run(RefusalReason::BodyTooLarge, message)
+    };
+    let announced = headers.get(header::CONTENT_LENGTH);
+    let announced = announced.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    if announced.is_some_and(|length| length > limit as u64) {
+        return Err(too_large());
+    }
+    let collect = Limited::new(body, limit).collect();
+    let collected = tokio::time::timeout_at(terms.deadline.into(), collect).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => Err(parse::bad_request(format!("body: {error}"))),
+        Err(_) => Err(Refusal::not_run(
+            RefusalReason::DeadlinePassed,
+            "the deadline passed before the body was complete",
+        )),
+    }
+}
+
+/// Hash of method, path and body, each with its length so that parts cannot shift.
+fn fingerprint(method: &Method, path: &str, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in [method.as_str().as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
+/// Headers for a service. The caller's key is for this system and is not passed on.
+fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
+    reply::remove_hop_by_hop(&mut headers);
+    for name in [
+        header::AUTHORIZATION,
+        header::HOST,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+    ] {
+        headers.remove(name);
+    }
+    headers
+}
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -1,7 +1,12 @@
 //! Start, readiness, signals and graceful shutdown of the process.
 
+pub mod listener;
+mod shutdown;
+mod startup;
+pub mod tls;
+
 use std::{
-    ffi, sync,
+    sync,
     sync::atomic::{AtomicU8, Ordering},
 };
 
@@ -9,6 +14,8 @@
 
 use crate::{config, dispatch, once, peer, table, target};
 
+pub use startup::run;
+
 /// What lives as long as the process. Shared by every task.
 pub struct ProcessState {
     /// Settings of this process.
@@ -31,6 +38,23 @@
     pub answers: dispatch::AnswerBuffer,
 }
 
+impl ProcessState {
+    /// State of a process that has not started any task yet.
+    pub fn new(settings: settings::ProcessSettings) -> Self {
+        Self {
+            boot_id: rand::random(),
+            phase: PhaseCell::default(),
+            config: config::ConfigStore::default(),
+            targets: target::TargetRegistry::default(),
+            peers: peer::PeerHandle::default(),
+            table: table::TableClient::new(settings.table.clone()),
+            once: once::KeyCoordinator::default(),
+            answers: dispatch::AnswerBuffer::default(),
+            settings,
+        }
+    }
+}
+
 /// Phase of life of a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -67,8 +91,3 @@
 
 /// The state as tasks share it.
 pub type SharedState = sync::Arc<ProcessState>;
-
-/// Runs the daemon with the given command-line arguments; returns the exit status.
-pub fn run(_arguments: &[ffi::OsString]) -> i32 {
-    2
-}
--- /dev/null
+++ b/crates/daemon/src/process/startup.rs
@@ -0,0 +1,208 @@
+//! Command line, settings file, listeners and start of all tasks.
+
+use std::{ffi, fs, io, net, path, sync};
+
+use acaciabank_protocol::settings::{self, Settings};
+use bpaf::Parser;
+use tokio::{net::TcpListener, runtime, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Phase, ProcessState, SharedState,
+    listener::{self, ListenerOptions},
+    shutdown,
+    tls::TlsAcceptorCell,
+};
+use crate::{admin, authority, config, entry, peer, target, telemetry};
+
+const EXIT_CANNOT_START: i32 = 1;
+const EXIT_BAD_SETTINGS: i32 = 2;
+/// Operators' connections at most; they are few, and a monitoring system opens some more.
+const MAX_ADMIN_CONNECTIONS: usize = 256;
+/// Bounds the time for which blocked tasks hold back the end of the process.
+const RUNTIME_STOP_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
+/// Interval of the metric recorder's upkeep, which bounds the memory of its histograms.
+const METRICS_UPKEEP: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Why the daemon did not start.
+pub(super) struct StartError {
+    status: i32,
+    message: String,
+}
+
+fn cannot_start(message: impl Into<String>) -> StartError {
+    StartError {
+        status: EXIT_CANNOT_START,
+        message: message.into(),
+    }
+}
+
+/// Runs the daemon with the given command-line arguments; returns the exit status.
+pub fn run(arguments: &[ffi::OsString]) -> i32 {
+    let path = match parse_arguments(arguments) {
+        Ok(path) => path,
+        Err(failure) => {
+            failure.print_message(100);
+            return match failure {
+                bpaf::ParseFailure::Stderr(_) => EXIT_BAD_SETTINGS,
+                _ => 0,
+            };
+        }
+    };
+    let result = read_settings(&path).and_then(run_settings);
+    match result {
+        Ok(()) => 0,
+        Err(error) => {
+            eprintln!("acaciabankd: {}", error.message);
+            error.status
+        }
+    }
+}
+
+fn parse_arguments(arguments: &[ffi::OsString]) -> Result<path::PathBuf, bpaf::ParseFailure> {
+    bpaf::long("settings")
+        .help("Settings file (JSON)")
+        .argument::<path::PathBuf>("FILE")
+        .to_options()
+        .descr("Daemon of acaciabank")
+        .version(env!("CARGO_PKG_VERSION"))
+        .run_inner(bpaf::Args::from(arguments).set_name("acaciabankd"))
+}
+
+fn read_settings(path: &path::Path) -> Result<Settings, StartError> {
+    let bad = |message| StartError {
+        status: EXIT_BAD_SETTINGS,
+        message,
+    };
+    let text = fs::read_to_string(path)
+        .map_err(|error| bad(format!("settings file {}: {error}", path.display())))?;
+    settings::parse(&text)
+        .map_err(|problem| bad(format!("settings file {}: {problem}", path.display())))
+}
+
+fn run_settings(settings: Settings) -> Result<(), StartError> {
+    telemetry::logging::install(&settings.process.log).map_err(cannot_start)?;
+    telemetry::install_metrics();
+    let workers = match settings.process.limits.worker_threads {
+        0 => std::thread::available_parallelism().map_or(2, usize::from),
+        count => count,
+    };
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(workers)
+        .enable_all()
+        .build()
+        .map_err(|error| cannot_start(format!("runtime: {error}")))?;
+    let result = runtime.block_on(run_daemon(settings));
+    runtime.shutdown_timeout(RUNTIME_STOP_TIMEOUT);
+    result
+}
+
+async fn run_daemon(mut settings: Settings) -> Result<(), StartError> {
+    let process = &mut settings.process;
+    let tls = process.tls.as_ref().map(TlsAcceptorCell::load);
+    let tls = tls.transpose().map_err(cannot_start)?;
+    let caller = bind("caller_address", &mut process.caller_address)?;
+    let admin = bind("admin_address", &mut process.admin_address)?;
+    let peer = bind("peer_address", &mut process.peer_address)?;
+    let caller = TcpListener::from_std(caller).map_err(|error| cannot_start(error.to_string()))?;
+    let admin = TcpListener::from_std(admin).map_err(|error| cannot_start(error.to_string()))?;
+    let signals = shutdown::SignalStreams::new()
+        .map_err(|error| cannot_start(format!("signal handlers: {error}")))?;
+
+    let state = sync::Arc::new(ProcessState::new(settings.process));
+    let entry = sync::Arc::new(entry::EntryState::new(sync::Arc::clone(&state)));
+    tokio::spawn(follow_configuration(sync::Arc::clone(&state)));
+    tokio::spawn(config::run(sync::Arc::clone(&state), settings.deployment));
+    tokio::spawn(target::run(sync::Arc::clone(&state)));
+    peer::start(sync::Arc::clone(&state), peer);
+    tokio::spawn(authority::run(sync::Arc::clone(&state)));
+    tokio::spawn(run_metrics_upkeep());
+
+    let stop = CancellationToken::new();
+    let servers = start_servers(&entry, caller, admin, tls.as_ref(), &stop);
+    log_start(&state);
+    shutdown::run(entry, servers, stop, signals, tls).await;
+    Ok(())
+}
+
+/// Binds a listener and replaces port 0 by the port that the kernel chose.
+fn bind(name: &str, address: &mut net::SocketAddr) -> Result<net::TcpListener, StartError> {
+    let bound = || -> io::Result<(net::TcpListener, net::SocketAddr)> {
+        let listener = net::TcpListener::bind(*address)?;
+        listener.set_nonblocking(true)?;
+        let local = listener.local_addr()?;
+        Ok((listener, local))
+    };
+    let (listener, local) =
+        bound().map_err(|error| cannot_start(format!("{name} {address}: {error}")))?;
+    *address = local;
+    Ok(listener)
+}
+
+fn start_servers(
+    entry: &sync::Arc<entry::EntryState>,
+    caller: TcpListener,
+    admin: TcpListener,
+    tls: Option<&TlsAcceptorCell>,
+    stop: &CancellationToken,
+) -> JoinHandle<()> {
+    let limits = &entry.state.settings.limits;
+    let caller_options = ListenerOptions {
+        name: "caller",
+        max_connections: limits.max_connections,
+        max_header_bytes: limits.max_header_bytes,
+        tls: tls.cloned(),
+        stop: stop.clone(),
+    };
+    // The operators' listener serves until the process ends, so that a drain can be watched.
+    let admin_options = ListenerOptions {
+        name: "admin",
+        max_connections: MAX_ADMIN_CONNECTIONS,
+        stop: CancellationToken::new(),
+        ..caller_options.clone()
+    };
+    let state = sync::Arc::clone(entry);
+    tokio::spawn(listener::serve(admin, admin_options, move |request| {
+        admin::handle(sync::Arc::clone(&state), request)
+    }));
+    let state = sync::Arc::clone(entry);
+    tokio::spawn(listener::serve(caller, caller_options, move |request| {
+        entry::handle(sync::Arc::clone(&state), request)
+    }))
+}
+
+async fn follow_configuration(state: SharedState) {
+    let mut changed = state.config.subscribe();
+    while state.config.current().is_none() {
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+    state.phase.advance(Phase::Ready);
+    state.peers.announce();
+    log::info!(version = state.config.version(); "ready: a configuration is in force");
+}
+
+async fn run_metrics_upkeep() {
+    let mut interval = tokio::time::interval(METRICS_UPKEEP);
+    loop {
+        interval.tick().await;
+        telemetry::install_metrics().run_upkeep();
+    }
+}
+
+fn log_start(state: &ProcessState) {
+    let settings = &state.settings;
+    log::info!(
+        daemon = settings.daemon.as_str(),
+        boot_id = state.boot_id,
+        caller_address:% = settings.caller_address,
+        admin_address:% = settings.admin_address,
+        peer_address:% = settings.peer_address,
+        tls = settings.tls.is_some();
+        "started: callers at {}, operators at {}, daemons at {}",
+        settings.caller_address,
+        settings.admin_address,
+        settings.peer_address
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/logging.rs
@@ -0,0 +1,73 @@
+//! Log lines as JSON objects, one a line.
+
+use std::time;
+
+use acaciabank_protocol::settings::{LogLevel, LogSettings};
+use log::kv;
+use serde_json::{Map, Value};
+
+/// Starts the log. A second call in the same process returns an error.
+///
+/// # Errors
+///
+/// Returns a message when the file cannot be opened or a logger is already set.
+pub fn install(settings: &LogSettings) -> Result<(), String> {
+    let dispatch = fern::Dispatch::new()
+        .level(log::LevelFilter::Trace)
+        .format(|out, _message, record| out.finish(format_args!("{}", format_record(record))));
+    let dispatch = match &settings.file {
+        None => dispatch.chain(std::io::stderr()),
+        Some(path) => {
+            let file = fern::log_file(path)
+                .map_err(|error| format!("log file {}: {error}", path.display()))?;
+            dispatch.chain(file)
+        }
+    };
+    dispatch.apply().map_err(|error| error.to_string())?;
+    set_level(settings.level);
+    Ok(())
+}
+
+/// Changes the least severe level that is written.
+pub fn set_level(level: LogLevel) {
+    log::set_max_level(match level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+        LogLevel::Trace => log::LevelFilter::Trace,
+    });
+}
+
+/// One record as a JSON object without a line break.
+pub fn format_record(record: &log::Record<'_>) -> Value {
+    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let unix_ms = now.map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let mut fields = FieldCollector(Map::new());
+    // The collector never fails.
+    let _ = record.key_values().visit(&mut fields);
+    let mut line = fields.0;
+    line.insert("timestamp_ms".to_owned(), unix_ms.into());
+    line.insert("level".to_owned(), record.level().as_str().into());
+    line.insert("target".to_owned(), record.target().into());
+    line.insert("message".to_owned(), record.args().to_string().into());
+    Value::Object(line)
+}
+
+struct FieldCollector(Map<String, Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for FieldCollector {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let json = if let Some(number) = value.to_u64() {
+            number.into()
+        } else if let Some(number) = value.to_i64() {
+            number.into()
+        } else if let Some(flag) = value.to_bool() {
+            flag.into()
+        } else {
+            value.to_string().into()
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
