Close kept-alive connections during the drain and name every answer

Cause: a caller with a kept-alive connection could send a request just when the end of the listener window closed it. Answers without dispatch had no x-request-id. Change: answers carry connection: close while the daemon drains, so that callers move before the window ends. Every answer of the callers' listener carries x-request-id and x-config-version. The retries of a drain no longer end in unreachable!. Conclusion: the drain test checks the header.

--- a/crates/daemon/src/admin/config_routes.rs
+++ b/crates/daemon/src/admin/config_routes.rs
@@ -58,7 +58,9 @@
     drained: bool,
 ) -> Result<Reply, Refusal> {
     let target = ids::TargetId::from(target);
-    for attempt in 1..=DRAIN_ATTEMPTS {
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
         let config = in_force(scope)?;
         let mut deployment = config.deployment.clone();
         if !has_target(&deployment, &target) {
@@ -76,13 +78,12 @@
         let proposed = config::propose(state, config.version, &scope.operator, deployment).await;
         match proposed {
             Ok(version) => return Ok(accepted(version)),
-            Err(ProposeError::Conflict { version, .. }) if attempt < DRAIN_ATTEMPTS => {
+            Err(ProposeError::Conflict { version, .. }) if attempts < DRAIN_ATTEMPTS => {
                 wait_for_version(scope, version.saturating_sub(1), DRAIN_RETRY_WAIT).await;
             }
             Err(error) => return propose_failure(error),
         }
     }
-    unreachable!("the last attempt returns")
 }
 
 fn has_target(deployment: &Deployment, target: &ids::TargetId) -> bool {
--- a/crates/daemon/src/entry/answers.rs
+++ b/crates/daemon/src/entry/answers.rs
@@ -67,7 +67,10 @@
             body,
         } => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-            Ok(reply::with_type(status, &content_type, body))
+            let mut reply = reply::with_type(status, &content_type, body);
+            let version = scope.config().version;
+            reply::add_identity(reply.headers_mut(), &wanted, version);
+            Ok(reply)
         }
     }
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -15,11 +15,11 @@
     reason::{Refusal, RefusalReason},
 };
 use arc_swap::ArcSwapOption;
-use hyper::{Method, Request, body::Incoming};
+use hyper::{Method, Request, body::Incoming, header};
 
 use crate::{
     config,
-    process::{SharedState, listener::Reply},
+    process::{Phase, SharedState, listener::Reply},
 };
 
 /// What the entry shares between its connections and with the operators' interface.
@@ -81,16 +81,27 @@
 /// Answers one request of a caller.
 pub async fn handle(entry: sync::Arc<EntryState>, request: Request<Incoming>) -> Reply {
     let id = new_request_id(&entry.state.settings.daemon);
-    match route(&entry, &id, request).await {
-        Ok(reply) => reply,
+    let version = entry.state.config.version();
+    let mut reply = match route(&entry, &id, request).await {
+        Ok(mut reply) => {
+            reply::add_identity(reply.headers_mut(), &id, version);
+            reply
+        }
         Err(refusal) => {
             log::debug!(
                 request_id = id.as_str(), reason = refusal.reason.as_str();
                 "refused: {}", refusal.message
             );
-            reply::refusal(&refusal, &id, entry.state.config.version())
+            reply::refusal(&refusal, &id, version)
         }
+    };
+    if entry.state.phase.get() >= Phase::Draining {
+        // Callers leave a kept-alive connection now, before the end of the listener window closes
+        // it while their next request is on the way.
+        let value = header::HeaderValue::from_static("close");
+        reply.headers_mut().insert(header::CONNECTION, value);
     }
+    reply
 }
 
 fn new_request_id(daemon: &ids::DaemonId) -> ids::RequestId {
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -156,6 +156,13 @@
     headers.remove("keep-alive");
 }
 
+/// Adds the request id and the configuration version unless the answer already states them.
+pub(super) fn add_identity(headers: &mut HeaderMap, request: &ids::RequestId, version: u64) {
+    if !headers.contains_key(REQUEST_ID_HEADER) {
+        set_identity(headers, request, version);
+    }
+}
+
 fn set_identity(headers: &mut HeaderMap, request: &ids::RequestId, version: u64) {
     set_header(headers, REQUEST_ID_HEADER, request.as_str());
     headers.insert(CONFIG_VERSION_HEADER, version.into());
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -55,8 +55,8 @@
     }
 }
 
-/// Phase of life of a daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Phase of life of a daemon, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// No configuration learned yet.
     Joining,
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -130,6 +130,7 @@
     wait_for_line(&mut daemon.log, "draining");
     let answer = call(daemon.caller, "GET", "/v1/addresses", &[], "").await;
     assert_eq!(answer.0, 200);
+    assert_eq!(answer.1["connection"], "close");
     let ready = call(daemon.admin, "GET", "/readyz", &[], "").await;
     assert!(String::from_utf8_lossy(&ready.2).contains("draining"));
     let line = wait_for_line(&mut daemon.log, "all requests finished");
