Add the table client with group commit

Cause: configuration, leases and keyed requests need the platform's table service. Change: kept-alive HTTP/1.1 connections, reads, transactions with read-back after a lost answer, and group commit. A transaction whose effect the read-back cannot tell is sent once more under the same request token. A row that moved past the version that the write would have is not reported as a conflict, because another writer may have replaced our row. Conclusion: usable by config, once and authority.

--- a/crates/daemon/src/table/mod.rs
+++ b/crates/daemon/src/table/mod.rs
@@ -1,7 +1,16 @@
 //! Client of the platform's table service, with group commit.
 
+mod batch;
+mod connection;
+mod format;
+mod transaction;
+
+use std::sync;
+
 use acaciabank_protocol::{ids, settings};
 
+use connection::ConnectionPool;
+
 /// Key of a row.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RowKey {
@@ -78,17 +87,44 @@
     Invalid(String),
 }
 
+impl RowWrite {
+    /// Key of the row.
+    pub fn key(&self) -> &RowKey {
+        match self {
+            RowWrite::Put { key, .. }
+            | RowWrite::Delete { key, .. }
+            | RowWrite::Check { key, .. } => key,
+        }
+    }
+
+    /// Condition on the row.
+    pub fn condition(&self) -> RowCondition {
+        match self {
+            RowWrite::Put { condition, .. }
+            | RowWrite::Delete { condition, .. }
+            | RowWrite::Check { condition, .. } => *condition,
+        }
+    }
+}
+
 /// Client of the table service.
 #[derive(Debug)]
 pub struct TableClient {
     /// Settings of the service.
     pub settings: settings::TableSettings,
+    pool: sync::Arc<ConnectionPool>,
+    committer: sync::OnceLock<batch::CommitQueue>,
 }
 
 impl TableClient {
     /// A client that connects on first use.
     pub fn new(settings: settings::TableSettings) -> Self {
-        Self { settings }
+        let pool = sync::Arc::new(ConnectionPool::new(settings.clone()));
+        Self {
+            settings,
+            pool,
+            committer: sync::OnceLock::new(),
+        }
     }
 
     /// Reads one row with a consistent read.
@@ -96,8 +132,8 @@
     /// # Errors
     ///
     /// [`TableError::Unavailable`], [`TableError::Unknown`], [`TableError::Invalid`].
-    pub async fn get(&self, _key: &RowKey) -> Result<Option<TableRow>, TableError> {
-        Err(TableError::Unavailable("not connected".to_owned()))
+    pub async fn get(&self, key: &RowKey) -> Result<Option<TableRow>, TableError> {
+        transaction::get(&self.pool, key).await
     }
 
     /// Reads the rows of a partition whose name starts with `prefix`, by name.
@@ -105,12 +141,19 @@
     /// # Errors
     ///
     /// As [`TableClient::get`].
-    pub async fn query(
-        &self,
-        _partition: &str,
-        _prefix: &str,
-    ) -> Result<Vec<TableRow>, TableError> {
-        Err(TableError::Unavailable("not connected".to_owned()))
+    pub async fn query(&self, partition: &str, prefix: &str) -> Result<Vec<TableRow>, TableError> {
+        let mut rows = Vec::new();
+        let mut start = None;
+        loop {
+            let body = format::query(&self.settings.name, partition, prefix, start.as_ref());
+            let answer = transaction::read(&self.pool, "Query", &body).await?;
+            let page = format::read_page(&answer)?;
+            rows.extend(page.rows);
+            start = page.next;
+            if start.is_none() {
+                return Ok(rows);
+            }
+        }
     }
 
     /// Runs one transaction under an operation id. On [`TableError::Unknown`] it has already read
@@ -121,10 +164,11 @@
     /// See [`TableError`].
     pub async fn transact(
         &self,
-        _operation: &ids::OperationId,
-        _writes: &[RowWrite],
+        operation: &ids::OperationId,
+        writes: &[RowWrite],
     ) -> Result<(), TableError> {
-        Err(TableError::Unavailable("not connected".to_owned()))
+        let rows: Vec<_> = writes.iter().map(|write| (operation, write)).collect();
+        transaction::execute(&self.pool, operation.as_str(), &rows).await
     }
 
     /// Writes one row through the group commit: rows of concurrent calls share a transaction.
@@ -134,9 +178,12 @@
     /// See [`TableError`]; [`TableError::Conflict`] names position 0.
     pub async fn write_grouped(
         &self,
-        _operation: &ids::OperationId,
-        _write: RowWrite,
+        operation: &ids::OperationId,
+        write: RowWrite,
     ) -> Result<(), TableError> {
-        Err(TableError::Unavailable("not connected".to_owned()))
+        let queue = self
+            .committer
+            .get_or_init(|| batch::CommitQueue::start(sync::Arc::clone(&self.pool)));
+        queue.write(operation.clone(), write).await
     }
 }
