Add the configuration and the RPC thread between daemons

Change: config: compare-and-set of config/current together with its history row, first version from the table or from the other daemons, poll with jitter; the history is read by buckets of 100 versions, so its cost does not grow with the number of changes. peer: one thread with a LocalSet, one outgoing connection a peer bound to the daemon's own IP address, a time limit on every call, backoff after failures, byte, message and CPU counters. A pause of this process extends the silence limits of the others, because it would see them all dead when it resumes. Tests of table, config and peer share one fake table and one test binary. Conclusion: first usable version.

--- a/crates/core/src/member/view.rs
+++ b/crates/core/src/member/view.rs
@@ -221,9 +221,9 @@
 
     /// Extends every silence limit by a time in which this process did not run. Without it a
     /// daemon that resumes after a pause would take all others for dead.
-    pub fn extend(&mut self, pause: time::Duration) {
+    pub fn extend(&mut self, pause: time::Duration, now: time::Instant) {
         for known in self.others.values_mut() {
-            known.advanced_at += pause;
+            known.advanced_at = now.min(known.advanced_at + pause);
         }
     }
 
--- a/crates/core/tests/member.rs
+++ b/crates/core/tests/member.rs
@@ -108,8 +108,9 @@
     assert_eq!(table.liveness(&name, at(11_000)), Some(Liveness::Dead));
     assert_eq!(table.apply(entry("b", 3, 0), at(11_000)), Applied::Changed);
     assert_eq!(table.liveness(&name, at(11_000)), Some(Liveness::Alive));
-    table.extend(Duration::from_secs(20));
+    table.extend(Duration::from_secs(20), at(32_000));
     assert_eq!(table.liveness(&name, at(32_000)), Some(Liveness::Alive));
+    assert_eq!(table.liveness(&name, at(34_000)), Some(Liveness::Suspect));
 }
 
 /// Guards against a former run of this daemon replacing the entry of the present one.
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -1,12 +1,15 @@
 //! The versioned deployment: store, compare-and-set, spread.
 
+mod follow;
+mod stored;
+
 use std::sync;
 
 use acaciabank_protocol::settings;
 use arc_swap::ArcSwapOption;
 use tokio::sync::watch;
 
-use crate::process;
+use crate::{process, table};
 
 /// One version of the deployment.
 #[derive(Debug)]
@@ -102,12 +105,63 @@
 ///
 /// See [`ProposeError`].
 pub async fn propose(
-    _state: &process::ProcessState,
-    _expected: u64,
-    _operator: &str,
-    _deployment: settings::Deployment,
+    state: &process::ProcessState,
+    expected: u64,
+    operator: &str,
+    deployment: settings::Deployment,
 ) -> Result<u64, ProposeError> {
-    Err(ProposeError::Unavailable("not connected".to_owned()))
+    validate(state, &deployment).map_err(ProposeError::Invalid)?;
+    let config = ConfigVersion {
+        version: expected + 1,
+        operator: operator.to_owned(),
+        deployment,
+    };
+    let error = match stored::write(&state.table, &config).await {
+        Ok(()) => {
+            log::info!("configuration {} by {operator} accepted", config.version);
+            state.config.apply(config);
+            state.peers.announce();
+            return Ok(expected + 1);
+        }
+        Err(error) => error,
+    };
+    Err(match error {
+        table::TableError::Conflict(_) => name_winner(state).await,
+        table::TableError::Unavailable(text) => ProposeError::Unavailable(text),
+        // An unreadable answer does not prove that nothing was written.
+        table::TableError::Unknown(text) | table::TableError::Invalid(text) => {
+            ProposeError::Unknown(text)
+        }
+    })
+}
+
+/// The version that a proposal lost against. The proposal itself had no effect, so a failed read
+/// falls back to the version that this daemon knows.
+async fn name_winner(state: &process::ProcessState) -> ProposeError {
+    let (version, operator) = match stored::read(&state.table).await {
+        Ok(Some(config)) => {
+            let named = (config.version, config.operator.clone());
+            state.config.apply(config);
+            state.peers.announce();
+            named
+        }
+        _ => match state.config.current() {
+            Some(config) => (config.version, config.operator.clone()),
+            None => (0, "unknown".to_owned()),
+        },
+    };
+    ProposeError::Conflict { version, operator }
+}
+
+/// Checks a deployment as part of this daemon's settings.
+fn validate(
+    state: &process::ProcessState,
+    deployment: &settings::Deployment,
+) -> Result<(), settings::Problem> {
+    settings::check(&settings::Settings {
+        process: state.settings.clone(),
+        deployment: deployment.clone(),
+    })
 }
 
 /// Versions kept in the history, newest first, at most `limit`.
@@ -116,12 +170,15 @@
 ///
 /// Returns the table's error.
 pub async fn history(
-    _state: &process::ProcessState,
-    _limit: usize,
-) -> Result<Vec<ConfigVersion>, crate::table::TableError> {
-    Ok(Vec::new())
+    state: &process::ProcessState,
+    limit: usize,
+) -> Result<Vec<ConfigVersion>, table::TableError> {
+    stored::read_history(&state.table, limit).await
 }
 
 /// Learns the first version, then follows the table until the process leaves. `initial` is the
 /// deployment of the settings, stored as version 1 when the table has none.
-pub async fn run(_state: process::SharedState, _initial: settings::Deployment) {}
+pub async fn run(state: process::SharedState, initial: settings::Deployment) {
+    follow::learn_first(&state, &initial).await;
+    follow::follow_table(&state).await;
+}
--- /dev/null
+++ b/crates/daemon/src/config/stored.rs
@@ -0,0 +1,109 @@
+//! Rows of the configuration in the table.
+
+use acaciabank_protocol::{ids, settings};
+
+use super::ConfigVersion;
+use crate::table::{RowCondition, RowKey, RowWrite, TableClient, TableError, TableRow};
+
+const PARTITION: &str = "config";
+
+/// Versions whose history rows share the leading digits of their names; one query reads them.
+const VERSIONS_IN_BUCKET: u64 = 100;
+
+/// Operator of the version that comes from the settings.
+pub(super) const SETTINGS_OPERATOR: &str = "settings";
+
+#[derive(serde::Serialize)]
+struct StoredBody<'a> {
+    version: u64,
+    operator: &'a str,
+    deployment: &'a settings::Deployment,
+}
+
+#[derive(serde::Deserialize)]
+struct ReadBody {
+    version: u64,
+    operator: String,
+    deployment: settings::Deployment,
+}
+
+fn key(name: String) -> RowKey {
+    RowKey {
+        partition: PARTITION.to_owned(),
+        name,
+    }
+}
+
+fn current_key() -> RowKey {
+    key("current".to_owned())
+}
+
+/// Writes a version as the successor of the one before it, together with its history row.
+pub(super) async fn write(table: &TableClient, config: &ConfigVersion) -> Result<(), TableError> {
+    let body = StoredBody {
+        version: config.version,
+        operator: &config.operator,
+        deployment: &config.deployment,
+    };
+    let body = serde_json::to_string(&body)
+        .map_err(|error| TableError::Unavailable(format!("cannot write JSON: {error}")))?;
+    let condition = match config.version {
+        1 => RowCondition::Absent,
+        version => RowCondition::Version(version - 1),
+    };
+    let writes = [
+        RowWrite::Put {
+            key: current_key(),
+            condition,
+            body: body.clone(),
+        },
+        RowWrite::Put {
+            key: key(format!("history#{:020}", config.version)),
+            condition: RowCondition::Absent,
+            body,
+        },
+    ];
+    let operation = ids::OperationId::new(format!("{:032x}", rand::random::<u128>()));
+    table.transact(&operation, &writes).await
+}
+
+/// Reads the version in force.
+pub(super) async fn read(table: &TableClient) -> Result<Option<ConfigVersion>, TableError> {
+    let row = table.get(&current_key()).await?;
+    row.as_ref().map(decode).transpose()
+}
+
+/// Reads the history, newest first, a bucket of versions at a time.
+pub(super) async fn read_history(
+    table: &TableClient,
+    limit: usize,
+) -> Result<Vec<ConfigVersion>, TableError> {
+    let Some(row) = table.get(&current_key()).await? else {
+        return Ok(Vec::new());
+    };
+    let mut history = Vec::new();
+    for bucket in (0..=row.version / VERSIONS_IN_BUCKET).rev() {
+        if history.len() >= limit {
+            break;
+        }
+        let rows = table
+            .query(PARTITION, &format!("history#{bucket:018}"))
+            .await?;
+        for row in rows.iter().rev() {
+            history.push(decode(row)?);
+        }
+    }
+    history.truncate(limit);
+    Ok(history)
+}
+
+fn decode(row: &TableRow) -> Result<ConfigVersion, TableError> {
+    let body: ReadBody = serde_json::from_str(&row.body).map_err(|error| {
+        TableError::Invalid(format!("configuration in row {}: {error}", row.key.name))
+    })?;
+    Ok(ConfigVersion {
+        version: body.version,
+        operator: body.operator,
+        deployment: body.deployment,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/peer/convert.rs
@@ -0,0 +1,152 @@
+//! Entries and configurations as messages.
+
+use std::time;
+
+use acaciabank_core::member::{EntryOrder, MemberEntry, MemberState, SuspectReport, TargetLoad};
+use acaciabank_protocol::{ids, peer_capnp};
+use capnp::struct_list;
+
+use crate::config::ConfigVersion;
+
+fn failed(error: impl std::fmt::Display) -> capnp::Error {
+    capnp::Error::failed(error.to_string())
+}
+
+/// Writes entries; ages grow by the time for which this daemon has held them.
+pub(super) fn write_entries(
+    entries: &[(MemberEntry, time::Instant)],
+    now: time::Instant,
+    mut list: struct_list::Builder<'_, peer_capnp::entry::Owned>,
+) {
+    for (index, (entry, held_since)) in entries.iter().enumerate() {
+        let held = now.saturating_duration_since(*held_since);
+        write_entry(entry, held, list.reborrow().get(index as u32));
+    }
+}
+
+pub(super) fn write_entry(
+    entry: &MemberEntry,
+    held: time::Duration,
+    mut builder: peer_capnp::entry::Builder<'_>,
+) {
+    let held_ms = u32::try_from(held.as_millis()).unwrap_or(u32::MAX);
+    builder.set_daemon(entry.daemon.as_str());
+    builder.set_region(entry.region.as_str());
+    builder.set_zone(entry.zone.as_str());
+    builder.set_boot_id(entry.order.boot_id);
+    builder.set_sequence(entry.order.sequence);
+    builder.set_state(match entry.state {
+        MemberState::Joining => peer_capnp::MemberState::Joining,
+        MemberState::Ready => peer_capnp::MemberState::Ready,
+        MemberState::Draining => peer_capnp::MemberState::Draining,
+        MemberState::Left => peer_capnp::MemberState::Left,
+    });
+    builder.set_caller_address(entry.caller_address.to_string());
+    builder.set_peer_address(entry.peer_address.to_string());
+    builder.set_config_version(entry.config_version);
+    let mut loads = builder.reborrow().init_loads(entry.loads.len() as u32);
+    for (index, load) in entry.loads.iter().enumerate() {
+        write_load(load, held_ms, loads.reborrow().get(index as u32));
+    }
+    let mut suspects = builder.init_suspects(entry.suspects.len() as u32);
+    for (index, suspect) in entry.suspects.iter().enumerate() {
+        let mut builder = suspects.reborrow().get(index as u32);
+        builder.set_fingerprint(suspect.fingerprint);
+        builder.set_crashes(suspect.crashes);
+        builder.set_age_ms(suspect.age_ms.saturating_add(held_ms));
+    }
+}
+
+fn write_load(load: &TargetLoad, held_ms: u32, mut builder: peer_capnp::target_load::Builder<'_>) {
+    builder.set_target(load.target);
+    builder.set_age_ms(load.age_ms.saturating_add(held_ms));
+    builder.set_running(load.running);
+    builder.set_waiting(load.waiting);
+    builder.set_waiting_prefill_tokens(load.waiting_prefill_tokens);
+    builder.set_running_decode(load.running_decode);
+    builder.set_slots(load.slots);
+    builder.set_flags(load.flags);
+    builder.set_state_sequence(load.state_sequence);
+}
+
+pub(super) fn read_entries(
+    list: struct_list::Reader<'_, peer_capnp::entry::Owned>,
+) -> capnp::Result<Vec<MemberEntry>> {
+    list.iter().map(read_entry).collect()
+}
+
+pub(super) fn read_entry(reader: peer_capnp::entry::Reader<'_>) -> capnp::Result<MemberEntry> {
+    let loads = reader.get_loads()?.iter().map(read_load).collect();
+    let suspects = reader.get_suspects()?.iter().map(read_suspect).collect();
+    Ok(MemberEntry {
+        daemon: ids::DaemonId::new(reader.get_daemon()?.to_str()?),
+        region: ids::RegionId::new(reader.get_region()?.to_str()?),
+        zone: ids::ZoneId::new(reader.get_zone()?.to_str()?),
+        order: EntryOrder {
+            boot_id: reader.get_boot_id(),
+            sequence: reader.get_sequence(),
+        },
+        state: match reader.get_state()? {
+            peer_capnp::MemberState::Joining => MemberState::Joining,
+            peer_capnp::MemberState::Ready => MemberState::Ready,
+            peer_capnp::MemberState::Draining => MemberState::Draining,
+            peer_capnp::MemberState::Left => MemberState::Left,
+        },
+        caller_address: read_address(reader.get_caller_address()?)?,
+        peer_address: read_address(reader.get_peer_address()?)?,
+        config_version: reader.get_config_version(),
+        loads,
+        suspects,
+    })
+}
+
+fn read_address(text: capnp::text::Reader<'_>) -> capnp::Result<std::net::SocketAddr> {
+    text.to_str()?.parse().map_err(failed)
+}
+
+fn read_load(reader: peer_capnp::target_load::Reader<'_>) -> TargetLoad {
+    TargetLoad {
+        target: reader.get_target(),
+        age_ms: reader.get_age_ms(),
+        running: reader.get_running(),
+        waiting: reader.get_waiting(),
+        waiting_prefill_tokens: reader.get_waiting_prefill_tokens(),
+        running_decode: reader.get_running_decode(),
+        slots: reader.get_slots(),
+        flags: reader.get_flags(),
+        state_sequence: reader.get_state_sequence(),
+    }
+}
+
+fn read_suspect(reader: peer_capnp::suspect::Reader<'_>) -> SuspectReport {
+    SuspectReport {
+        fingerprint: reader.get_fingerprint(),
+        crashes: reader.get_crashes(),
+        age_ms: reader.get_age_ms(),
+    }
+}
+
+pub(super) fn write_config(
+    config: &ConfigVersion,
+    mut builder: peer_capnp::config::Builder<'_>,
+) -> capnp::Result<()> {
+    let body = serde_json::to_vec(&config.deployment).map_err(failed)?;
+    builder.set_version(config.version);
+    builder.set_operator(config.operator.as_str());
+    builder.set_body(&body);
+    Ok(())
+}
+
+/// `None` when the callee has nothing newer.
+pub(super) fn read_config(
+    reader: peer_capnp::config::Reader<'_>,
+) -> capnp::Result<Option<ConfigVersion>> {
+    if reader.get_version() == 0 {
+        return Ok(None);
+    }
+    Ok(Some(ConfigVersion {
+        version: reader.get_version(),
+        operator: reader.get_operator()?.to_string()?,
+        deployment: serde_json::from_slice(reader.get_body()?).map_err(failed)?,
+    }))
+}
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,11 +1,21 @@
 //! Other daemons: gossip, membership and calls over Cap'n Proto RPC.
 
+mod convert;
+mod link;
+mod loads;
+mod meter;
+mod node;
+mod remote;
+mod server;
+
 use std::{net, sync};
 
+use acaciabank_core::member;
 use acaciabank_protocol::ids;
 use arc_swap::ArcSwap;
+use tokio::sync::{mpsc, oneshot};
 
-use crate::process;
+use crate::{config, process};
 
 /// Condition of a daemon as this one sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
@@ -22,7 +32,7 @@
 }
 
 /// A daemon as this one sees it; this daemon itself is among the members.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct MemberView {
     /// Name.
     pub daemon: ids::DaemonId,
@@ -84,10 +94,48 @@
     Unreachable(ids::DaemonId, String),
 }
 
+/// Configurations that other daemons answered with.
+#[derive(Debug, Default)]
+pub struct FetchedConfigs {
+    /// Daemons that answered.
+    pub answers: usize,
+    /// The highest version among the answers.
+    pub highest: Option<config::ConfigVersion>,
+}
+
+/// What other threads ask of the RPC thread.
+enum Command {
+    Announce,
+    FetchAnswer {
+        daemon: ids::DaemonId,
+        request: ids::RequestId,
+        team: ids::TeamId,
+        reply: oneshot::Sender<Result<RemoteAnswer, PeerError>>,
+    },
+    AwaitKey {
+        daemon: ids::DaemonId,
+        team: ids::TeamId,
+        key: String,
+        wait_ms: u32,
+        reply: oneshot::Sender<Result<RemoteKey, PeerError>>,
+    },
+    FetchConfigs {
+        above: u64,
+        reply: oneshot::Sender<FetchedConfigs>,
+    },
+}
+
+#[derive(Debug)]
+struct StartedPeer {
+    daemon: ids::DaemonId,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
 /// Access to membership and to calls; cheap to read on the request path.
 #[derive(Debug, Default)]
 pub struct PeerHandle {
     members: ArcSwap<Vec<MemberView>>,
+    started: sync::OnceLock<StartedPeer>,
 }
 
 impl PeerHandle {
@@ -97,13 +145,34 @@
     }
 
     /// Whether this daemon polls the given target: rendezvous hashing over the ready members of
-    /// its region.
-    pub fn owns(&self, _target: &ids::TargetId) -> bool {
-        true
+    /// its region. While none is ready, the joining daemon itself counts. Without a started RPC
+    /// thread there are no other daemons.
+    pub fn owns(&self, target: &ids::TargetId) -> bool {
+        let Some(started) = self.started.get() else {
+            return true;
+        };
+        let members = self.members.load();
+        let own = members
+            .iter()
+            .find(|member| member.daemon == started.daemon);
+        let Some(own) = own else {
+            return false;
+        };
+        let ready = members
+            .iter()
+            .filter(|member| member.condition == MemberCondition::Ready)
+            .filter(|member| member.region == own.region)
+            .map(|member| &member.daemon);
+        match member::owner_of(target, ready) {
+            Some(owner) => owner == &own.daemon,
+            None => own.condition == MemberCondition::Joining,
+        }
     }
 
     /// Sends this daemon's entry at once, because its phase or configuration changed.
-    pub fn announce(&self) {}
+    pub fn announce(&self) {
+        self.command(Command::Announce);
+    }
 
     /// Asks a daemon for the answer of a request that it ran.
     ///
@@ -113,10 +182,17 @@
     pub async fn fetch_answer(
         &self,
         daemon: &ids::DaemonId,
-        _request: &ids::RequestId,
-        _team: &ids::TeamId,
+        request: &ids::RequestId,
+        team: &ids::TeamId,
     ) -> Result<RemoteAnswer, PeerError> {
-        Err(PeerError::UnknownDaemon(daemon.clone()))
+        let (reply, answer) = oneshot::channel();
+        self.command(Command::FetchAnswer {
+            daemon: daemon.clone(),
+            request: request.clone(),
+            team: team.clone(),
+            reply,
+        });
+        answer.await.unwrap_or_else(|_| Err(not_running(daemon)))
     }
 
     /// Asks a daemon for the state of a key that it coordinates; waits at most `wait_ms` there.
@@ -127,14 +203,59 @@
     pub async fn await_key(
         &self,
         daemon: &ids::DaemonId,
-        _team: &ids::TeamId,
-        _key: &str,
-        _wait_ms: u32,
+        team: &ids::TeamId,
+        key: &str,
+        wait_ms: u32,
     ) -> Result<RemoteKey, PeerError> {
-        Err(PeerError::UnknownDaemon(daemon.clone()))
+        let (reply, answer) = oneshot::channel();
+        self.command(Command::AwaitKey {
+            daemon: daemon.clone(),
+            team: team.clone(),
+            key: key.to_owned(),
+            wait_ms,
+            reply,
+        });
+        answer.await.unwrap_or_else(|_| Err(not_running(daemon)))
+    }
+
+    /// Asks every known daemon for its configuration when that is above `above`; ends within the
+    /// time limit of one call.
+    pub async fn fetch_configs(&self, above: u64) -> FetchedConfigs {
+        let (reply, answer) = oneshot::channel();
+        self.command(Command::FetchConfigs { above, reply });
+        answer.await.unwrap_or_default()
+    }
+
+    fn command(&self, command: Command) {
+        if let Some(started) = self.started.get() {
+            // The RPC thread ends with the process; its absence drops the reply channel.
+            let _ = started.commands.send(command);
+        }
     }
 }
 
+fn not_running(daemon: &ids::DaemonId) -> PeerError {
+    PeerError::Unreachable(daemon.clone(), "the RPC thread does not run".to_owned())
+}
+
 /// Starts the thread of the RPC system: listener, gossip, failure detection. `listener` is already
-/// bound. Ends when the process leaves.
-pub fn start(_state: process::SharedState, _listener: std::net::TcpListener) {}
+/// bound. Ends when the process leaves. Must be called once, from the main runtime, which runs the
+/// waits that other daemons ask for.
+pub fn start(state: process::SharedState, listener: std::net::TcpListener) {
+    let (commands, queue) = mpsc::unbounded_channel();
+    let started = StartedPeer {
+        daemon: state.settings.daemon.clone(),
+        commands,
+    };
+    if state.peers.started.set(started).is_err() {
+        log::error!("the RPC thread was started twice");
+        return;
+    }
+    let main = tokio::runtime::Handle::current();
+    let spawned = std::thread::Builder::new()
+        .name("peer".to_owned())
+        .spawn(move || node::run_thread(state, main, listener, queue));
+    if let Err(error) = spawned {
+        log::error!("cannot start the RPC thread: {error}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/node.rs
@@ -0,0 +1,574 @@
+//! The RPC thread: accepts connections, gossips, detects failures, executes commands.
+
+use std::{cell, collections, net, rc::Rc, sync, time};
+
+use acaciabank_core::member::{
+    Applied, EntryOrder, Liveness, MemberEntry, MemberState, MemberTable, MemberTimers,
+};
+use acaciabank_protocol::{ids, peer_capnp::peer};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::{runtime, sync::mpsc, task, task::spawn_local};
+
+use super::{
+    Command, FetchedConfigs, MemberCondition, MemberView, PeerError,
+    link::{self, CALL_TIMEOUT, PeerLink},
+    loads, meter, remote, server,
+};
+use crate::process;
+
+/// Daemons that get rumors in one round.
+const RUMOR_PEERS: usize = 2;
+
+/// Daemons that get a changed own entry at once.
+const ANNOUNCE_PEERS: usize = 8;
+
+/// Time between two pulls of all entries from a random daemon; repairs lost rumors.
+const PULL_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
+/// Time that the last entry of a leaving daemon has to reach others.
+const LEAVE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Pause after a failed accept, such as one without a free file descriptor.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Everything of the RPC thread.
+pub(super) struct PeerNode {
+    pub(super) state: process::SharedState,
+    pub(super) main: runtime::Handle,
+    peer_address: net::SocketAddr,
+    table: cell::RefCell<MemberTable>,
+    links: cell::RefCell<collections::BTreeMap<ids::DaemonId, Rc<PeerLink>>>,
+    generator: cell::RefCell<StdRng>,
+    fetching_config: cell::Cell<bool>,
+    impostor_logged: cell::Cell<bool>,
+}
+
+/// Runs the RPC thread until the process leaves.
+pub(super) fn run_thread(
+    state: process::SharedState,
+    main: runtime::Handle,
+    listener: net::TcpListener,
+    commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return log::error!("cannot start the RPC runtime: {error}"),
+    };
+    let tasks = task::LocalSet::new();
+    let result = tasks.block_on(&runtime, run(state, main, listener, commands));
+    if let Err(error) = result {
+        log::error!("the RPC thread failed: {error}");
+    }
+}
+
+async fn run(
+    state: process::SharedState,
+    main: runtime::Handle,
+    listener: net::TcpListener,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let node = Rc::new(PeerNode::new(state, main, listener.local_addr()?));
+    spawn_local(accept_all(Rc::clone(&node), listener));
+    node.publish_members();
+    node.join();
+    let interval_ms = node.state.settings.timers.gossip_interval_ms.max(1);
+    let interval = time::Duration::from_millis(interval_ms);
+    let mut ticks = tokio::time::interval(interval);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut config = node.state.config.subscribe();
+    let mut last_tick = time::Instant::now();
+    let mut next_pull = last_tick + PULL_INTERVAL;
+    while node.state.phase.get() != process::Phase::Left {
+        tokio::select! {
+            _ = ticks.tick() => {
+                let now = time::Instant::now();
+                node.note_pause(now.duration_since(last_tick), interval);
+                last_tick = now;
+                node.gossip_round(now);
+                if now >= next_pull {
+                    next_pull = now + PULL_INTERVAL;
+                    node.repair(now);
+                }
+            }
+            Ok(()) = config.changed() => node.announce(),
+            Some(command) = commands.recv() => node.execute(command),
+        }
+    }
+    node.announce();
+    tokio::time::sleep(LEAVE_TIMEOUT).await;
+    Ok(())
+}
+
+async fn accept_all(node: Rc<PeerNode>, listener: tokio::net::TcpListener) {
+    let server = server::PeerServer {
+        node: Rc::clone(&node),
+    };
+    let client: peer::Client = capnp_rpc::new_client(server);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("cannot accept a connection of a daemon: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("connection of a daemon closed early: {error}");
+            continue;
+        }
+        let system = RpcSystem::new(
+            link::network(stream, Side::Server),
+            Some(client.clone().client),
+        );
+        spawn_local(async move {
+            if let Err(error) = system.await {
+                log::debug!("connection of a daemon ended: {error}");
+            }
+        });
+    }
+}
+
+impl PeerNode {
+    fn new(
+        state: process::SharedState,
+        main: runtime::Handle,
+        local_address: net::SocketAddr,
+    ) -> Self {
+        let settings = &state.settings;
+        let timers = MemberTimers {
+            suspect_after: time::Duration::from_millis(settings.timers.suspect_after_ms),
+            dead_after: time::Duration::from_millis(settings.timers.dead_after_ms),
+        };
+        let peer_address = settings.advertised_peer_address.unwrap_or(local_address);
+        let own = own_entry(&state, peer_address);
+        let table = MemberTable::new(own, timers, time::Instant::now());
+        let generator = StdRng::seed_from_u64(state.boot_id);
+        Self {
+            state,
+            main,
+            peer_address,
+            table: cell::RefCell::new(table),
+            links: cell::RefCell::default(),
+            generator: cell::RefCell::new(generator),
+            fetching_config: cell::Cell::new(false),
+            impostor_logged: cell::Cell::new(false),
+        }
+    }
+
+    /// Entries for a daemon that asks for all.
+    pub(super) fn alive_entries(&self, now: time::Instant) -> Vec<(MemberEntry, time::Instant)> {
+        let table = self.table.borrow();
+        table
+            .alive(now)
+            .map(|(entry, at)| (entry.clone(), at))
+            .collect()
+    }
+
+    /// This daemon's entry under a new sequence number, so that a daemon that received no rumor of
+    /// the last one sees it advance.
+    pub(super) fn current_entry(&self) -> MemberEntry {
+        self.refresh_own();
+        self.table.borrow().own().clone()
+    }
+
+    /// Takes entries from another daemon.
+    pub(super) fn apply_entries(self: &Rc<Self>, entries: Vec<MemberEntry>) {
+        let now = time::Instant::now();
+        let mut changed = false;
+        for entry in entries {
+            let applied = self.table.borrow_mut().apply(entry.clone(), now);
+            match applied {
+                Applied::Ignored => continue,
+                Applied::Impostor => self.log_impostor(&entry),
+                Applied::Refreshed => loads::apply_loads(&self.state, &entry),
+                Applied::Changed => {
+                    changed = true;
+                    loads::apply_loads(&self.state, &entry);
+                }
+            }
+        }
+        if changed {
+            self.publish_members();
+        }
+        self.follow_config();
+    }
+
+    fn log_impostor(&self, entry: &MemberEntry) {
+        if !self.impostor_logged.replace(true) {
+            log::error!(
+                "another run of daemon {} at {} has the higher boot id {}; others ignore this one",
+                entry.daemon,
+                entry.peer_address,
+                entry.order.boot_id
+            );
+        }
+    }
+
+    fn refresh_own(&self) {
+        let entry = own_entry(&self.state, self.peer_address);
+        let mut table = self.table.borrow_mut();
+        table.publish(entry, time::Instant::now());
+    }
+
+    /// Keeps others from looking silent after a time in which this process did not run.
+    fn note_pause(&self, since_tick: time::Duration, interval: time::Duration) {
+        let pause = since_tick.saturating_sub(interval);
+        if pause > interval {
+            log::warn!("this process did not run for about {pause:?}");
+            self.table.borrow_mut().extend(pause, time::Instant::now());
+        }
+    }
+
+    /// Contacts the daemons of the settings.
+    fn join(self: &Rc<Self>) {
+        for link in self.unknown_seeds(ANNOUNCE_PEERS) {
+            self.send_own(&link);
+            self.pull(link);
+        }
+    }
+
+    fn gossip_round(self: &Rc<Self>, now: time::Instant) {
+        self.refresh_own();
+        self.table.borrow_mut().forget(now);
+        self.drop_unused_links();
+        let rumors = Rc::new(self.table.borrow_mut().take_rumors(now));
+        for link in self.random_alive(now, RUMOR_PEERS) {
+            self.send(&link, Rc::clone(&rumors));
+        }
+        let probes = {
+            let mut generator = self.generator.borrow_mut();
+            self.table.borrow().choose_probes(&mut *generator, now)
+        };
+        for link in probes.iter().filter_map(|daemon| self.link(daemon)) {
+            self.probe(link);
+        }
+        for link in self.unknown_seeds(1) {
+            self.send_own(&link);
+            self.pull(link);
+        }
+        self.publish_members();
+        self.follow_config();
+        meter::record_cpu_time();
+    }
+
+    fn repair(self: &Rc<Self>, now: time::Instant) {
+        for link in self.random_alive(now, 1) {
+            self.pull(link);
+        }
+    }
+
+    fn announce(self: &Rc<Self>) {
+        self.refresh_own();
+        self.publish_members();
+        let now = time::Instant::now();
+        let mut links = self.random_alive(now, ANNOUNCE_PEERS);
+        links.extend(self.unknown_seeds(ANNOUNCE_PEERS - links.len()));
+        for link in links {
+            self.send_own(&link);
+        }
+    }
+
+    /// Sends the own entry even while a gossip round is in flight: it announces a change.
+    fn send_own(self: &Rc<Self>, link: &Rc<PeerLink>) {
+        let own = self.table.borrow().own().clone();
+        let entries = Rc::new(vec![(own, time::Instant::now())]);
+        let link = Rc::clone(link);
+        spawn_local(async move { remote::gossip(&link, &entries).await });
+    }
+
+    fn send(&self, link: &Rc<PeerLink>, entries: Rc<Vec<(MemberEntry, time::Instant)>>) {
+        let Some(permit) = link.start_gossip() else {
+            return;
+        };
+        let link = Rc::clone(link);
+        spawn_local(async move {
+            remote::gossip(&link, &entries).await;
+            drop(permit);
+        });
+    }
+
+    fn pull(self: &Rc<Self>, link: Rc<PeerLink>) {
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            match remote::pull(&link).await {
+                Ok(entries) => node.apply_entries(entries),
+                Err(error) => log::debug!("pull from daemon {} failed: {error}", link.daemon),
+            }
+        });
+    }
+
+    fn probe(self: &Rc<Self>, link: Rc<PeerLink>) {
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            match remote::probe(&link).await {
+                Ok(entry) => node.apply_entries(vec![entry]),
+                Err(error) => log::debug!("probe of daemon {} failed: {error}", link.daemon),
+            }
+        });
+    }
+
+    /// Fetches a newer configuration that an entry names. The first one is learned by the module
+    /// `config`, which asks more than one daemon.
+    fn follow_config(self: &Rc<Self>) {
+        let version = self.state.config.version();
+        if version == 0 || self.fetching_config.get() {
+            return;
+        }
+        let Some(link) = self.holder_above(version) else {
+            return;
+        };
+        self.fetching_config.set(true);
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            match remote::fetch_config(&link, version).await {
+                Ok(Some(config)) => {
+                    let version = config.version;
+                    if node.state.config.apply(config) {
+                        log::info!("configuration {version} from {} is in force", link.daemon);
+                    }
+                }
+                Ok(None) => {}
+                Err(error) => log::warn!("configuration from {}: {error}", link.daemon),
+            }
+            node.fetching_config.set(false);
+        });
+    }
+
+    /// A random daemon among those with the highest configuration above `version`.
+    fn holder_above(&self, version: u64) -> Option<Rc<PeerLink>> {
+        let now = time::Instant::now();
+        let holders: Vec<_> = {
+            let table = self.table.borrow();
+            let alive = || {
+                table
+                    .others(now)
+                    .filter(|(_, liveness, _)| *liveness == Liveness::Alive)
+                    .map(|(entry, _, _)| entry)
+            };
+            let highest = alive().map(|entry| entry.config_version).max()?;
+            alive()
+                .filter(|entry| entry.config_version == highest && highest > version)
+                .map(|entry| entry.daemon.clone())
+                .collect()
+        };
+        if holders.is_empty() {
+            return None;
+        }
+        let index = self.generator.borrow_mut().random_range(0..holders.len());
+        self.link(&holders[index])
+    }
+
+    fn execute(self: &Rc<Self>, command: Command) {
+        match command {
+            Command::Announce => self.announce(),
+            Command::FetchAnswer {
+                daemon,
+                request,
+                team,
+                reply,
+            } => {
+                let link = self.link(&daemon);
+                spawn_local(async move {
+                    let result = match link {
+                        None => Err(PeerError::UnknownDaemon(daemon)),
+                        Some(link) => remote::fetch_answer(&link, &request, &team)
+                            .await
+                            .map_err(|error| PeerError::Unreachable(daemon, error)),
+                    };
+                    // The asking request may have ended.
+                    let _ = reply.send(result);
+                });
+            }
+            Command::AwaitKey {
+                daemon,
+                team,
+                key,
+                wait_ms,
+                reply,
+            } => {
+                let link = self.link(&daemon);
+                spawn_local(async move {
+                    let result = match link {
+                        None => Err(PeerError::UnknownDaemon(daemon)),
+                        Some(link) => remote::await_key(&link, &team, &key, wait_ms)
+                            .await
+                            .map_err(|error| PeerError::Unreachable(daemon, error)),
+                    };
+                    let _ = reply.send(result);
+                });
+            }
+            Command::FetchConfigs { above, reply } => {
+                let links = self.all_links();
+                spawn_local(async move {
+                    let _ = reply.send(fetch_configs(links, above).await);
+                });
+            }
+        }
+    }
+
+    /// Rebuilds the members for the rest of the daemon; replaces them only when they differ.
+    fn publish_members(&self) {
+        let now = time::Instant::now();
+        let table = self.table.borrow();
+        let own = std::iter::once((table.own(), Liveness::Alive));
+        let others = table
+            .others(now)
+            .map(|(entry, liveness, _)| (entry, liveness));
+        let mut views: Vec<_> = own
+            .chain(others)
+            .filter_map(|(entry, liveness)| member_view(entry, liveness))
+            .collect();
+        views.sort_by(|first, second| first.daemon.cmp(&second.daemon));
+        let members = &self.state.peers.members;
+        if **members.load() != views {
+            members.store(sync::Arc::new(views));
+        }
+    }
+
+    fn random_alive(&self, now: time::Instant, count: usize) -> Vec<Rc<PeerLink>> {
+        let chosen = {
+            let mut generator = self.generator.borrow_mut();
+            self.table
+                .borrow()
+                .choose_alive(&mut *generator, now, count)
+        };
+        chosen
+            .iter()
+            .filter_map(|daemon| self.link(daemon))
+            .collect()
+    }
+
+    /// Up to `count` daemons of the settings of which no entry is known, starting at a random one.
+    fn unknown_seeds(&self, count: usize) -> Vec<Rc<PeerLink>> {
+        let own = &self.state.settings.daemon;
+        let mut unknown: Vec<_> = {
+            let table = self.table.borrow();
+            let seeds = self.state.settings.peers.iter();
+            seeds
+                .map(|seed| &seed.daemon)
+                .filter(|daemon| *daemon != own && table.entry(daemon).is_none())
+                .collect()
+        };
+        if unknown.is_empty() {
+            return Vec::new();
+        }
+        let first = self.generator.borrow_mut().random_range(0..unknown.len());
+        unknown.rotate_left(first);
+        let chosen = unknown.into_iter().take(count);
+        chosen.filter_map(|daemon| self.link(daemon)).collect()
+    }
+
+    fn all_links(&self) -> Vec<Rc<PeerLink>> {
+        let known: Vec<_> = {
+            let table = self.table.borrow();
+            let others = table.others(time::Instant::now());
+            others
+                .filter(|(entry, _, _)| entry.state != MemberState::Left)
+                .map(|(entry, _, _)| entry.daemon.clone())
+                .collect()
+        };
+        let mut links = self.unknown_seeds(usize::MAX);
+        links.extend(known.iter().filter_map(|daemon| self.link(daemon)));
+        links
+    }
+
+    /// The link to a known daemon; replaced when the daemon's address has changed.
+    fn link(&self, daemon: &ids::DaemonId) -> Option<Rc<PeerLink>> {
+        let settings = &self.state.settings;
+        let known = self.table.borrow().entry(daemon).map(|e| e.peer_address);
+        let seed = settings.peers.iter().find(|seed| &seed.daemon == daemon);
+        let address = known.or(seed.map(|seed| seed.address))?;
+        let mut links = self.links.borrow_mut();
+        if let Some(link) = links.get(daemon)
+            && link.address == address
+        {
+            return Some(Rc::clone(link));
+        }
+        let link = Rc::new(PeerLink::new(daemon.clone(), address, settings));
+        links.insert(daemon.clone(), Rc::clone(&link));
+        Some(link)
+    }
+
+    /// Closes links to daemons that left or were forgotten.
+    fn drop_unused_links(&self) {
+        let table = self.table.borrow();
+        let seeds = &self.state.settings.peers;
+        self.links
+            .borrow_mut()
+            .retain(|daemon, _| match table.entry(daemon) {
+                Some(entry) => entry.state != MemberState::Left,
+                None => seeds.iter().any(|seed| &seed.daemon == daemon),
+            });
+    }
+}
+
+async fn fetch_configs(links: Vec<Rc<PeerLink>>, above: u64) -> FetchedConfigs {
+    let calls = links.iter().map(|link| remote::fetch_config(link, above));
+    let limit = CALL_TIMEOUT * 2;
+    let calls = calls.map(|call| async { tokio::time::timeout(limit, call).await.ok() });
+    let mut fetched = FetchedConfigs::default();
+    for answer in futures::future::join_all(calls).await {
+        let Some(Ok(config)) = answer else {
+            continue;
+        };
+        fetched.answers += 1;
+        let known = fetched.highest.as_ref().map_or(0, |config| config.version);
+        if let Some(config) = config
+            && config.version > known
+        {
+            fetched.highest = Some(config);
+        }
+    }
+    fetched
+}
+
+fn own_entry(state: &process::ProcessState, peer_address: net::SocketAddr) -> MemberEntry {
+    let settings = &state.settings;
+    MemberEntry {
+        daemon: settings.daemon.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        order: EntryOrder {
+            boot_id: state.boot_id,
+            sequence: 0,
+        },
+        state: match state.phase.get() {
+            process::Phase::Joining => MemberState::Joining,
+            process::Phase::Ready => MemberState::Ready,
+            process::Phase::Draining => MemberState::Draining,
+            process::Phase::Left => MemberState::Left,
+        },
+        caller_address: settings
+            .advertised_caller_address
+            .unwrap_or(settings.caller_address),
+        peer_address,
+        config_version: state.config.version(),
+        loads: loads::local_loads(state),
+        suspects: Vec::new(),
+    }
+}
+
+fn member_view(entry: &MemberEntry, liveness: Liveness) -> Option<MemberView> {
+    let condition = match (liveness, entry.state) {
+        (Liveness::Dead, _) | (_, MemberState::Left) => return None,
+        (Liveness::Suspect, _) => MemberCondition::Suspect,
+        (Liveness::Alive, MemberState::Joining) => MemberCondition::Joining,
+        (Liveness::Alive, MemberState::Ready) => MemberCondition::Ready,
+        (Liveness::Alive, MemberState::Draining) => MemberCondition::Draining,
+    };
+    Some(MemberView {
+        daemon: entry.daemon.clone(),
+        region: entry.region.clone(),
+        zone: entry.zone.clone(),
+        boot_id: entry.order.boot_id,
+        condition,
+        caller_address: entry.caller_address,
+        peer_address: entry.peer_address,
+        config_version: entry.config_version,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/peer/remote.rs
@@ -0,0 +1,106 @@
+//! Calls to other daemons.
+
+use std::time;
+
+use acaciabank_core::member::MemberEntry;
+use acaciabank_protocol::{ids, peer_capnp};
+
+use super::{
+    RemoteAnswer, RemoteKey, convert,
+    link::{CALL_TIMEOUT, PeerLink},
+};
+use crate::config::ConfigVersion;
+
+/// Sends entries; a loss is repaired by later rounds.
+pub(super) async fn gossip(link: &PeerLink, entries: &[(MemberEntry, time::Instant)]) {
+    let call = |client: peer_capnp::peer::Client| {
+        let mut request = client.gossip_request();
+        let list = request.get().init_entries(entries.len() as u32);
+        convert::write_entries(entries, time::Instant::now(), list);
+        async move { request.send().promise.await.map(|_| ()) }
+    };
+    if let Err(error) = link.call("gossip", CALL_TIMEOUT, call).await {
+        log::debug!("gossip to daemon {} failed: {error}", link.daemon);
+    }
+}
+
+pub(super) async fn pull(link: &PeerLink) -> Result<Vec<MemberEntry>, String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let response = client.pull_request().send().promise.await?;
+        convert::read_entries(response.get()?.get_entries()?)
+    };
+    link.call("pull", CALL_TIMEOUT, call).await
+}
+
+pub(super) async fn probe(link: &PeerLink) -> Result<MemberEntry, String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let response = client.probe_request().send().promise.await?;
+        convert::read_entry(response.get()?.get_entry()?)
+    };
+    link.call("probe", CALL_TIMEOUT, call).await
+}
+
+pub(super) async fn fetch_config(
+    link: &PeerLink,
+    above: u64,
+) -> Result<Option<ConfigVersion>, String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let mut request = client.fetch_config_request();
+        request.get().set_above(above);
+        let response = request.send().promise.await?;
+        convert::read_config(response.get()?.get_config()?)
+    };
+    link.call("fetch_config", CALL_TIMEOUT, call).await
+}
+
+pub(super) async fn fetch_answer(
+    link: &PeerLink,
+    id: &ids::RequestId,
+    team: &ids::TeamId,
+) -> Result<RemoteAnswer, String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let mut request = client.fetch_answer_request();
+        request.get().set_request_id(id.as_str());
+        request.get().set_team(team.as_str());
+        let response = request.send().promise.await?;
+        read_answer(response.get()?.get_answer()?)
+    };
+    link.call("fetch_answer", CALL_TIMEOUT, call).await
+}
+
+fn read_answer(reader: peer_capnp::answer::Reader<'_>) -> capnp::Result<RemoteAnswer> {
+    use peer_capnp::answer::Which;
+    Ok(match reader.which()? {
+        Which::Unknown(()) => RemoteAnswer::Unknown,
+        Which::Running(()) => RemoteAnswer::Running,
+        Which::Forbidden(()) => RemoteAnswer::Forbidden,
+        Which::Done(done) => RemoteAnswer::Done {
+            status: done.get_status(),
+            content_type: done.get_content_type()?.to_string()?,
+            body: bytes::Bytes::copy_from_slice(done.get_body()?),
+        },
+    })
+}
+
+pub(super) async fn await_key(
+    link: &PeerLink,
+    team: &ids::TeamId,
+    key: &str,
+    wait_ms: u32,
+) -> Result<RemoteKey, String> {
+    use peer_capnp::key_state::Which;
+    let call = |client: peer_capnp::peer::Client| async move {
+        let mut request = client.await_key_request();
+        request.get().set_team(team.as_str());
+        request.get().set_key(key);
+        request.get().set_wait_ms(wait_ms);
+        let response = request.send().promise.await?;
+        Ok(match response.get()?.get_state()?.which()? {
+            Which::Unknown(()) => RemoteKey::Unknown,
+            Which::Running(()) => RemoteKey::Running,
+            Which::Finished(()) => RemoteKey::Finished,
+        })
+    };
+    let timeout = CALL_TIMEOUT + time::Duration::from_millis(wait_ms.into());
+    link.call("await_key", timeout, call).await
+}
--- /dev/null
+++ b/crates/daemon/tests/control/peer.rs
@@ -0,0 +1,143 @@
+//! Gossip, membership and calls between daemons.
+
+use std::net;
+
+use acaciabank_daemon::{
+    peer::{MemberCondition, PeerError, RemoteAnswer, RemoteKey},
+    process::Phase,
+};
+use acaciabank_protocol::{ids, peer_capnp};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::fleet::{self, closed_address, seen, wait_for};
+
+fn view(names: &[&str], condition: MemberCondition) -> Vec<(String, MemberCondition)> {
+    names
+        .iter()
+        .map(|name| ((*name).to_owned(), condition))
+        .collect()
+}
+
+/// A daemon that accepts connections in the kernel and never answers, like a paused process.
+fn paused_daemon() -> (net::TcpListener, net::SocketAddr) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    (listener, address)
+}
+
+/// Guards against daemons that learn only those of their settings, a paused daemon that holds up
+/// gossip to others, targets with two owners or none, and a daemon that left but stays listed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_learn_each_other() {
+    let table = closed_address();
+    let (_paused, paused) = paused_daemon();
+    let a = fleet::start("a", 1, table, &[("paused", paused)]);
+    let seeds = [("paused", paused), ("a", a.peer_address)];
+    let b = fleet::start("b", 1, table, &seeds);
+    let c = fleet::start("c", 1, table, &seeds);
+    let all = [&a, &b, &c];
+    for daemon in all {
+        let joining = view(&["a", "b", "c"], MemberCondition::Joining);
+        wait_for("every daemon known", || seen(daemon) == joining).await;
+    }
+    for daemon in all {
+        daemon.state.phase.advance(Phase::Ready);
+        daemon.state.peers.announce();
+    }
+    for daemon in all {
+        let ready = view(&["a", "b", "c"], MemberCondition::Ready);
+        wait_for("every daemon ready", || seen(daemon) == ready).await;
+    }
+    for index in 0..100 {
+        let target = ids::TargetId::new(format!("engine-{index}"));
+        let owners = all.iter().filter(|daemon| daemon.state.peers.owns(&target));
+        assert_eq!(owners.count(), 1, "owners of {target}");
+    }
+    drop(c);
+    for daemon in [&a, &b] {
+        let rest = view(&["a", "b"], MemberCondition::Ready);
+        wait_for("daemon c removed", || seen(daemon) == rest).await;
+    }
+}
+
+/// Guards against a restarted daemon being ignored because its sequence starts again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_daemon_is_accepted() {
+    let table = closed_address();
+    let a = fleet::start("a", 1, table, &[]);
+    let seeds = [("a", a.peer_address)];
+    for boot_id in [1, 2] {
+        let _b = fleet::start("b", boot_id, table, &seeds);
+        let boot_of_b = || {
+            let members = a.state.peers.members();
+            let found = members.iter().find(|member| member.daemon.as_str() == "b");
+            found.map(|member| member.boot_id)
+        };
+        wait_for("daemon b known", || boot_of_b() == Some(boot_id)).await;
+    }
+}
+
+/// Sends one entry of a daemon that does not exist.
+async fn gossip_ghost(receiver: net::SocketAddr, ghost: net::SocketAddr) {
+    let stream = tokio::net::TcpStream::connect(receiver)
+        .await
+        .expect("connect");
+    let (reader, writer) = futures::AsyncReadExt::split(stream.compat());
+    let options = capnp::message::ReaderOptions::new();
+    let network = twoparty::VatNetwork::new(reader, writer, Side::Client, options);
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: peer_capnp::peer::Client = system.bootstrap(Side::Server);
+    let task = tokio::task::spawn_local(system);
+    let mut request = client.gossip_request();
+    let mut entry = request.get().init_entries(1).get(0);
+    entry.set_daemon("ghost");
+    entry.set_region("perth");
+    entry.set_zone("perth-a");
+    entry.set_boot_id(1);
+    entry.set_sequence(1);
+    entry.set_state(peer_capnp::MemberState::Ready);
+    entry.set_caller_address("127.0.0.1:7001");
+    entry.set_peer_address(ghost.to_string());
+    request.send().promise.await.expect("gossip");
+    task.abort();
+}
+
+/// Guards against a silent daemon that stays listed, or is removed without being suspect before.
+#[tokio::test]
+async fn silent_daemon_becomes_suspect_and_dead() {
+    let a = fleet::start("a", 1, closed_address(), &[]);
+    let (_paused, paused) = paused_daemon();
+    let tasks = tokio::task::LocalSet::new();
+    tasks.run_until(gossip_ghost(a.peer_address, paused)).await;
+    for condition in [MemberCondition::Ready, MemberCondition::Suspect] {
+        let expected = ("ghost".to_owned(), condition);
+        wait_for("condition of the ghost", || seen(&a).contains(&expected)).await;
+    }
+    let alone = view(&["a"], MemberCondition::Joining);
+    wait_for("removal of the ghost", || seen(&a) == alone).await;
+}
+
+/// Guards against calls that hang or answer for an unknown or unreachable daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_reach_the_named_daemon() {
+    let table = closed_address();
+    let a = fleet::start("a", 1, table, &[]);
+    let closed = closed_address();
+    let b = fleet::start("b", 1, table, &[("a", a.peer_address), ("gone", closed)]);
+    let [a, gone, nobody] = ["a", "gone", "nobody"].map(ids::DaemonId::new);
+    let request = ids::RequestId::new("a-1");
+    let team = ids::TeamId::new("team");
+    let peers = &b.state.peers;
+    let answer = peers.fetch_answer(&a, &request, &team).await;
+    assert_eq!(answer, Ok(RemoteAnswer::Unknown));
+    let key = peers.await_key(&a, &team, "key", 10).await;
+    assert_eq!(key, Ok(RemoteKey::Unknown));
+    let answer = peers.fetch_answer(&nobody, &request, &team).await;
+    assert_eq!(answer, Err(PeerError::UnknownDaemon(nobody)));
+    let answer = peers.fetch_answer(&gone, &request, &team).await;
+    assert!(
+        matches!(answer, Err(PeerError::Unreachable(..))),
+        "{answer:?}"
+    );
+}
