--- /dev/null
+++ b/crates/core/src/cache/mod.rs
@@ -0,0 +1,136 @@
+//! Prefix index: which target is believed to hold which piece of a prompt. Events arrive late and
+//! with gaps, so an entry is an estimate that expires with age.
+
+use std::collections::{HashMap, HashSet};
+
+/// Age from which an entry counts no more. A stored piece that was never seen again is likely to
+/// have left the engine's limited cache without a received event.
+pub const ENTRY_LIFETIME_MS: u64 = 600_000;
+/// Pieces kept for each target at most, so that lost removals cannot grow the index.
+const MAX_TARGET_PIECES: usize = 20_000;
+
+/// Pieces by target. Targets are named by their short hash.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixIndex {
+    holders: HashMap<u64, Vec<Holder>>,
+    pieces: HashMap<u32, HashSet<u64>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    target: u32,
+    stored_ms: u64,
+}
+
+/// Longest known prefix at one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrefixMatch {
+    /// Target.
+    pub target: u32,
+    /// Whole pieces from the start of the prompt.
+    pub pieces: u32,
+}
+
+impl PrefixIndex {
+    /// Records that a target stores a piece.
+    pub fn store(&mut self, target: u32, piece: u64, now_ms: u64) {
+        let pieces = self.pieces.entry(target).or_default();
+        if pieces.len() >= MAX_TARGET_PIECES && !pieces.contains(&piece) {
+            return;
+        }
+        pieces.insert(piece);
+        let holders = self.holders.entry(piece).or_default();
+        match holders.iter_mut().find(|holder| holder.target == target) {
+            Some(holder) => holder.stored_ms = now_ms,
+            None => holders.push(Holder {
+                target,
+                stored_ms: now_ms,
+            }),
+        }
+    }
+
+    /// Records that a piece left a target's cache.
+    pub fn remove(&mut self, target: u32, piece: u64) {
+        if let Some(pieces) = self.pieces.get_mut(&target) {
+            pieces.remove(&piece);
+        }
+        self.remove_holder(target, piece);
+    }
+
+    /// Forgets everything about a target: gap in its events, new start, or removed.
+    pub fn reset(&mut self, target: u32) {
+        for piece in self.pieces.remove(&target).unwrap_or_default() {
+            self.remove_holder(target, piece);
+        }
+    }
+
+    /// Drops expired entries.
+    pub fn expire(&mut self, now_ms: u64) {
+        let pieces = &mut self.pieces;
+        self.holders.retain(|piece, holders| {
+            holders.retain(|holder| {
+                let fresh = is_fresh(holder, now_ms);
+                if !fresh && let Some(known) = pieces.get_mut(&holder.target) {
+                    known.remove(piece);
+                }
+                fresh
+            });
+            !holders.is_empty()
+        });
+    }
+
+    /// Finds the longest known prefix at each target that holds the first piece. The result is
+    /// written to `matches`, sorted by target.
+    pub fn find(&self, hashes: &[u64], now_ms: u64, matches: &mut Vec<PrefixMatch>) {
+        matches.clear();
+        for (position, piece) in hashes.iter().enumerate() {
+            let Some(holders) = self.holders.get(piece) else {
+                break;
+            };
+            let fresh = holders.iter().filter(|holder| is_fresh(holder, now_ms));
+            let mut extended = false;
+            for holder in fresh {
+                if position == 0 {
+                    matches.push(PrefixMatch {
+                        target: holder.target,
+                        pieces: 1,
+                    });
+                    extended = true;
+                    continue;
+                }
+                let known = matches.iter_mut().find(|known| {
+                    known.target == holder.target && known.pieces as usize == position
+                });
+                if let Some(known) = known {
+                    known.pieces += 1;
+                    extended = true;
+                }
+            }
+            if !extended {
+                break;
+            }
+        }
+        matches.sort_unstable_by_key(|found| found.target);
+    }
+
+    fn remove_holder(&mut self, target: u32, piece: u64) {
+        if let Some(holders) = self.holders.get_mut(&piece) {
+            holders.retain(|holder| holder.target != target);
+            if holders.is_empty() {
+                self.holders.remove(&piece);
+            }
+        }
+    }
+}
+
+fn is_fresh(holder: &Holder, now_ms: u64) -> bool {
+    now_ms.saturating_sub(holder.stored_ms) < ENTRY_LIFETIME_MS
+}
+
+/// Pieces of a target in the sorted result of [`PrefixIndex::find`].
+pub fn matched_pieces(matches: &[PrefixMatch], target: u32) -> u32 {
+    match matches.binary_search_by_key(&target, |found| found.target) {
+        Ok(position) => matches[position].pieces,
+        Err(_) => 0,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,91 @@
+//! Tests of the queue, the fair share, the retry budget, the prefix index and the suspects.
+
+use std::time::{Duration, Instant};
+
+use acaciabank_core::{admit, budget, cache, suspect};
+use acaciabank_protocol::{ids, wire::Priority};
+
+/// Guards against a batch request with an early deadline overtaking urgent work.
+#[test]
+fn queue_orders_by_priority_then_deadline() {
+    let start = Instant::now();
+    let mut queue = admit::WaitQueue::default();
+    let entries = [
+        (Priority::Batch, 1),
+        (Priority::Normal, 9),
+        (Priority::Urgent, 8),
+        (Priority::Normal, 5),
+    ];
+    for (arrival, (priority, seconds)) in entries.into_iter().enumerate() {
+        let ticket = admit::QueueTicket {
+            priority,
+            deadline: start + Duration::from_secs(seconds),
+            arrival: arrival as u64,
+        };
+        queue.push(ticket, arrival);
+    }
+    let served: Vec<_> = std::iter::from_fn(|| queue.pop())
+        .map(|(_, item)| item)
+        .collect();
+    assert_eq!(served, [2, 3, 1, 0]);
+}
+
+/// Guards against one team taking every slot, and against limiting a team that is alone.
+#[test]
+fn share_is_weighted_among_active_teams() {
+    let (large, small) = (ids::TeamId::new("large"), ids::TeamId::new("small"));
+    let weight = |team: &ids::TeamId| if team.as_str() == "large" { 3 } else { 1 };
+    let mut share = admit::FairShare::default();
+    for _ in 0..10 {
+        share.enter(&small);
+    }
+    assert!(!share.is_over(&small, 4, weight));
+    share.enter(&large);
+    assert!(share.is_over(&small, 8, weight));
+    assert!(!share.is_over(&large, 8, weight));
+}
+
+/// Guards against retries that grow with failures without a bound.
+#[test]
+fn retries_stay_within_their_share() {
+    let mut budget = budget::RetryBudget::new(10);
+    while budget.try_spend() {}
+    let spent = (0..1_000)
+        .filter(|_| {
+            budget.record_request();
+            budget.try_spend()
+        })
+        .count();
+    assert_eq!(spent, 100);
+}
+
+/// Guards against matches that skip a missing piece, outlive a reset or never expire.
+#[test]
+fn prefix_match_ends_at_first_missing_piece() {
+    let mut index = cache::PrefixIndex::default();
+    for piece in [1, 2, 4] {
+        index.store(7, piece, 0);
+    }
+    index.store(9, 1, 0);
+    let mut matches = Vec::new();
+    index.find(&[1, 2, 3, 4], 10, &mut matches);
+    assert_eq!(cache::matched_pieces(&matches, 7), 2);
+    assert_eq!(cache::matched_pieces(&matches, 9), 1);
+    index.reset(7);
+    index.find(&[1, 2], 10, &mut matches);
+    assert_eq!(cache::matched_pieces(&matches, 7), 0);
+    index.find(&[1], cache::ENTRY_LIFETIME_MS, &mut matches);
+    assert!(matches.is_empty());
+}
+
+/// Guards against a request that crashes targets running again, and against suspicion for ever.
+#[test]
+fn two_crashes_refuse_a_fingerprint_until_it_expires() {
+    let mut table = suspect::SuspectTable::default();
+    table.record_crash(5, 0);
+    assert_eq!(table.standing(5, 1), suspect::SuspectStanding::Isolated);
+    table.record_crash(5, 10);
+    assert_eq!(table.standing(5, 11), suspect::SuspectStanding::Refused);
+    let later = 10 + suspect::SUSPECT_LIFETIME_MS;
+    assert_eq!(table.standing(5, later), suspect::SuspectStanding::Clear);
+}
