--- a/crates/core/src/admit/mod.rs
+++ b/crates/core/src/admit/mod.rs
@@ -59,6 +59,11 @@
         self.waiting.insert(ticket, item);
     }
 
+    /// The request served next.
+    pub fn first(&self) -> Option<&T> {
+        self.waiting.first_key_value().map(|(_, item)| item)
+    }
+
     /// Takes the first request.
     pub fn pop(&mut self) -> Option<(QueueTicket, T)> {
         self.waiting.pop_first()
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -2,9 +2,9 @@
 //! loaded further by repeated work.
 
 /// Retries allowed before any request has been recorded, and in an idle daemon.
-const RESERVE_RETRIES: u64 = 20;
+const RESERVE_RETRIES: u64 = 100;
 /// Retries that may be saved up at most.
-const MAX_SAVED_RETRIES: u64 = 200;
+const MAX_SAVED_RETRIES: u64 = 500;
 /// Units of one retry; a request adds its percentage.
 const RETRY_UNITS: u64 = 100;
 
--- /dev/null
+++ b/crates/daemon/src/dispatch/answers.rs
@@ -0,0 +1,157 @@
+//! Answers kept for late callers.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync,
+    time::{Duration, Instant},
+};
+
+use acaciabank_protocol::{ids, settings};
+use bytes::Bytes;
+
+/// Answers kept for late callers, bounded in bytes and lifetime.
+#[derive(Debug)]
+pub struct AnswerBuffer {
+    max_bytes: usize,
+    lifetime: Duration,
+    inner: sync::Mutex<BufferInner>,
+}
+
+#[derive(Debug, Default)]
+struct BufferInner {
+    entries: HashMap<ids::RequestId, BufferEntry>,
+    finished: VecDeque<(Instant, ids::RequestId)>,
+    bytes: usize,
+    running: usize,
+}
+
+#[derive(Debug)]
+struct BufferEntry {
+    team: ids::TeamId,
+    answer: BufferedAnswer,
+}
+
+/// What the buffer knows of a request.
+#[derive(Clone, Debug)]
+pub enum BufferedAnswer {
+    /// Nothing.
+    Unknown,
+    /// Still running.
+    Running,
+    /// Belongs to another team.
+    Forbidden,
+    /// The whole answer.
+    Done {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content_type: String,
+        /// Body.
+        body: Bytes,
+    },
+}
+
+impl Default for AnswerBuffer {
+    fn default() -> Self {
+        let limits = settings::LimitSettings::default();
+        let timers = settings::TimerSettings::default();
+        Self::new(limits.answer_buffer_bytes, timers.answer_lifetime_ms)
+    }
+}
+
+impl AnswerBuffer {
+    /// A buffer of at most `max_bytes` over all answers, each kept for `lifetime_ms`.
+    pub fn new(max_bytes: usize, lifetime_ms: u64) -> Self {
+        Self {
+            max_bytes,
+            lifetime: Duration::from_millis(lifetime_ms),
+            inner: sync::Mutex::default(),
+        }
+    }
+
+    /// Looks a request up for a team.
+    pub fn find(&self, request: &ids::RequestId, team: &ids::TeamId) -> BufferedAnswer {
+        let mut inner = self.lock();
+        inner.expire(self.lifetime);
+        match inner.entries.get(request) {
+            None => BufferedAnswer::Unknown,
+            Some(entry) if entry.team != *team => BufferedAnswer::Forbidden,
+            Some(entry) => entry.answer.clone(),
+        }
+    }
+
+    /// Number of requests that are running.
+    pub fn running(&self) -> usize {
+        self.lock().running
+    }
+
+    /// Bytes that the buffer holds at most.
+    pub(super) fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
+    /// Records that a request runs.
+    pub(super) fn start(&self, request: &ids::RequestId, team: &ids::TeamId) {
+        let entry = BufferEntry {
+            team: team.clone(),
+            answer: BufferedAnswer::Running,
+        };
+        let mut inner = self.lock();
+        inner.entries.insert(request.clone(), entry);
+        inner.running += 1;
+    }
+
+    /// Stores the whole answer, or forgets the request when it has none that fits.
+    pub(super) fn finish(&self, request: &ids::RequestId, answer: Option<(u16, String, Bytes)>) {
+        let mut inner = self.lock();
+        inner.running = inner.running.saturating_sub(1);
+        let fitting = answer.filter(|(_, _, body)| body.len() <= self.max_bytes);
+        let Some((status, content_type, body)) = fitting else {
+            inner.entries.remove(request);
+            return;
+        };
+        inner.expire(self.lifetime);
+        inner.bytes += body.len();
+        if let Some(entry) = inner.entries.get_mut(request) {
+            entry.answer = BufferedAnswer::Done {
+                status,
+                content_type,
+                body,
+            };
+        }
+        inner.finished.push_back((Instant::now(), request.clone()));
+        while inner.bytes > self.max_bytes {
+            inner.drop_oldest();
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, BufferInner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl BufferInner {
+    fn expire(&mut self, lifetime: Duration) {
+        while self
+            .finished
+            .front()
+            .is_some_and(|(at, _)| at.elapsed() >= lifetime)
+        {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((_, request)) = self.finished.pop_front() else {
+            self.bytes = 0;
+            return;
+        };
+        if let Some(entry) = self.entries.remove(&request)
+            && let BufferedAnswer::Done { body, .. } = entry.answer
+        {
+            self.bytes = self.bytes.saturating_sub(body.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch/attempt.rs
@@ -0,0 +1,242 @@
+//! One attempt at a target, up to the head of its answer, and the verdict when it fails.
+
+use std::{future::Future, sync, time::Duration};
+
+use acaciabank_protocol::{ids, reason, verdict::Verdict, wire};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use super::connection;
+use crate::{process, target};
+
+/// Why an attempt failed.
+#[derive(Debug)]
+pub(super) struct AttemptFailure {
+    pub(super) verdict: Verdict,
+    pub(super) retry: reason::RetryReason,
+    pub(super) refusal: reason::RefusalReason,
+    pub(super) message: String,
+    /// Whether the target may have crashed while it ran the request.
+    pub(super) crashed: bool,
+}
+
+impl AttemptFailure {
+    pub(super) fn new(
+        verdict: Verdict,
+        retry: reason::RetryReason,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            verdict,
+            retry,
+            refusal: reason::RefusalReason::TargetFailed,
+            message: message.into(),
+            crashed: false,
+        }
+    }
+
+    pub(super) fn timeout(verdict: Verdict, message: &str) -> Self {
+        Self {
+            refusal: reason::RefusalReason::TargetTimeout,
+            ..Self::new(verdict, reason::RetryReason::FirstTokenTimeout, message)
+        }
+    }
+
+    /// The connection broke after the request was written.
+    pub(super) fn broken(message: impl Into<String>) -> Self {
+        Self {
+            crashed: true,
+            ..Self::new(
+                Verdict::MayHaveRun,
+                reason::RetryReason::ConnectionBroken,
+                message,
+            )
+        }
+    }
+}
+
+/// An answer whose head has arrived.
+pub(super) struct OpenAttempt {
+    pub(super) response: http::Response<Incoming>,
+    target: sync::Arc<target::TargetState>,
+    connection: connection::TargetConnection,
+}
+
+impl OpenAttempt {
+    /// The next part of the body, or `None` at its end.
+    pub(super) async fn next_part(
+        &mut self,
+        idle: Duration,
+    ) -> Result<Option<Bytes>, AttemptFailure> {
+        loop {
+            let frame = match tokio::time::timeout(idle, self.response.body_mut().frame()).await {
+                Ok(frame) => frame,
+                Err(_) => {
+                    return Err(AttemptFailure::timeout(
+                        Verdict::MayHaveRun,
+                        "the target went silent",
+                    ));
+                }
+            };
+            match frame {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(AttemptFailure::broken(error.to_string())),
+                Some(Ok(frame)) => {
+                    if let Ok(part) = frame.into_data() {
+                        return Ok(Some(part));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection for other requests. The body must have been read to its end.
+    pub(super) fn recycle(self) {
+        self.target.marks.pool.put(self.connection);
+    }
+}
+
+/// Sends a request to a target and waits for the head of the answer.
+pub(super) async fn open(
+    state: &process::ProcessState,
+    target: &sync::Arc<target::TargetState>,
+    attempt: &ids::AttemptId,
+    mut request: http::Request<Full<Bytes>>,
+) -> Result<OpenAttempt, AttemptFailure> {
+    let headers = request.headers_mut();
+    let host = header_value(&target.address.to_string())?;
+    headers.insert(http::header::HOST, host);
+    headers.insert(wire::REQUEST_ID_HEADER, header_value(attempt.as_str())?);
+    let opened = exchange(state, target, &request).await?;
+    check_identity(&opened.response, attempt)?;
+    check_refusal(target, &opened.response)?;
+    Ok(opened)
+}
+
+fn header_value(text: &str) -> Result<http::HeaderValue, AttemptFailure> {
+    http::HeaderValue::from_str(text).map_err(|error| {
+        AttemptFailure::new(
+            Verdict::NotRun,
+            reason::RetryReason::NotWritten,
+            error.to_string(),
+        )
+    })
+}
+
+/// Uses pooled connections first. One that turns out closed before a byte was written is replaced.
+async fn exchange(
+    state: &process::ProcessState,
+    target: &sync::Arc<target::TargetState>,
+    request: &http::Request<Full<Bytes>>,
+) -> Result<OpenAttempt, AttemptFailure> {
+    while let Some(connection) = target.marks.pool.take() {
+        match exchange_on(state, target, connection, request.clone()).await {
+            Err(failure) if failure.verdict == Verdict::NotRun => continue,
+            Err(failure) if failure.crashed => {
+                // An idle connection can be closed by the target while the request is on its way.
+                // That is a crash only if the target accepts no new connection either.
+                let crashed = connect(state, target).await.is_err();
+                return Err(AttemptFailure { crashed, ..failure });
+            }
+            result => return result,
+        }
+    }
+    let connection = connect(state, target).await?;
+    exchange_on(state, target, connection, request.clone()).await
+}
+
+async fn connect(
+    state: &process::ProcessState,
+    target: &target::TargetState,
+) -> Result<connection::TargetConnection, AttemptFailure> {
+    let timers = &state.settings.timers;
+    let timeout = Duration::from_millis(timers.connect_timeout_ms);
+    let connected = connection::TargetConnection::connect(target.address, timeout).await;
+    connected.map_err(|error| {
+        target.back_off(timers.target_backoff_ms);
+        AttemptFailure::new(
+            Verdict::NotRun,
+            reason::RetryReason::ConnectFailed,
+            error.to_string(),
+        )
+    })
+}
+
+async fn exchange_on(
+    state: &process::ProcessState,
+    target: &sync::Arc<target::TargetState>,
+    mut connection: connection::TargetConnection,
+    request: http::Request<Full<Bytes>>,
+) -> Result<OpenAttempt, AttemptFailure> {
+    let before = connection.written();
+    let limit = Duration::from_millis(state.settings.timers.first_byte_timeout_ms);
+    let result = bounded(limit, connection.send(request)).await;
+    let was_written = connection.written() > before;
+    match result {
+        Some(Ok(response)) => Ok(OpenAttempt {
+            response,
+            target: sync::Arc::clone(target),
+            connection,
+        }),
+        Some(Err(error)) if was_written => Err(AttemptFailure::broken(error.to_string())),
+        Some(Err(error)) => Err(AttemptFailure::new(
+            Verdict::NotRun,
+            reason::RetryReason::NotWritten,
+            error.to_string(),
+        )),
+        None if was_written => Err(AttemptFailure::timeout(
+            Verdict::MayHaveRun,
+            "no answer in time",
+        )),
+        // The connection may still write the request while it is being closed, so nothing is
+        // certain here.
+        None => Err(AttemptFailure::timeout(
+            Verdict::MayHaveRun,
+            "not written in time",
+        )),
+    }
+}
+
+async fn bounded<F: Future>(limit: Duration, work: F) -> Option<F::Output> {
+    tokio::time::timeout(limit, work).await.ok()
+}
+
+fn check_identity(
+    response: &http::Response<Incoming>,
+    attempt: &ids::AttemptId,
+) -> Result<(), AttemptFailure> {
+    match response.headers().get(wire::REQUEST_ID_HEADER) {
+        Some(echoed) if echoed.as_bytes() != attempt.as_str().as_bytes() => {
+            metrics::counter!("acaciabank_crossed_answers_total").increment(1);
+            log::warn!("attempt {attempt}: dropped an answer to another attempt");
+            Err(AttemptFailure::new(
+                Verdict::MayHaveRun,
+                reason::RetryReason::CrossedAnswer,
+                "the target answered another request",
+            ))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Recognises a target that states that it refused before running.
+fn check_refusal(
+    target: &target::TargetState,
+    response: &http::Response<Incoming>,
+) -> Result<(), AttemptFailure> {
+    let status = response.status().as_u16();
+    let marker = response.headers().get(wire::VERDICT_HEADER);
+    let is_marked = marker.is_some_and(|marker| marker.as_bytes() == b"not_run");
+    if !matches!(status, 409 | 429 | 503) || !is_marked {
+        return Ok(());
+    }
+    if status == 429 {
+        target.adapt_limit(true);
+    }
+    Err(AttemptFailure::new(
+        Verdict::NotRun,
+        reason::RetryReason::TargetRefused,
+        format!("the target refused with status {status}"),
+    ))
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -0,0 +1,579 @@
+//! Admission of requests and choice of their targets: queues, shares, retry budget, suspects.
+
+use std::{
+    collections::HashMap,
+    sync,
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+use acaciabank_core::{admit, budget, cache, route, suspect};
+use acaciabank_protocol::{ids, reason, settings, wire};
+use tokio::sync::Notify;
+
+use super::{CallerRequest, RequestWork};
+use crate::{process, target};
+
+/// Time for which a request waits while no target accepts work. Covers the local backoff and the
+/// polls after which a restarted target returns.
+const NO_TARGET_WAIT: Duration = Duration::from_secs(4);
+/// Waiting and running requests of all teams, as a multiple of the capacity, within which shares
+/// are computed. Above 1, teams may queue behind their own running requests.
+const SHARE_DEPTH: u32 = 4;
+/// Completed requests before the observed service time is used for refusals.
+const MIN_OBSERVATIONS: u64 = 16;
+/// Weight of a new observation of the service time, as a divisor.
+const OBSERVATION_DIVISOR: f64 = 16.0;
+/// Prompt tokens of a service call, for the score.
+const SERVICE_PIECE_TOKENS: u64 = 1;
+
+/// What shares a queue.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum PoolKey {
+    /// Engines of a model.
+    Model(ids::ModelId),
+    /// Instances of a service.
+    Service(ids::ServiceId),
+}
+
+impl PoolKey {
+    pub(super) fn of(work: &RequestWork) -> Self {
+        match work {
+            RequestWork::Completion { model, .. } => Self::Model(model.clone()),
+            RequestWork::Service { service, .. } => Self::Service(service.clone()),
+        }
+    }
+
+    fn as_str(&self) -> &str {
+        match self {
+            Self::Model(model) => model.as_str(),
+            Self::Service(service) => service.as_str(),
+        }
+    }
+}
+
+/// Requests of one model or service.
+#[derive(Debug)]
+pub(crate) struct TargetPool {
+    key: PoolKey,
+    inner: sync::Mutex<PoolInner>,
+}
+
+#[derive(Debug, Default)]
+struct PoolInner {
+    waiting: admit::WaitQueue<sync::Arc<Notify>>,
+    /// Crash suspects wait apart: they need a target without another suspect and must not hold up
+    /// requests that any target can take.
+    isolated: admit::WaitQueue<sync::Arc<Notify>>,
+    share: admit::FairShare,
+    observations: u64,
+    /// Mean service time in seconds.
+    service_s: f64,
+    /// Mean service time for each token asked for, in seconds.
+    token_s: f64,
+}
+
+impl PoolInner {
+    fn queue(&mut self, isolated: bool) -> &mut admit::WaitQueue<sync::Arc<Notify>> {
+        match isolated {
+            true => &mut self.isolated,
+            false => &mut self.waiting,
+        }
+    }
+
+    fn wake(&self) {
+        let first = [self.waiting.first(), self.isolated.first()];
+        first
+            .into_iter()
+            .flatten()
+            .for_each(|waiter| waiter.notify_one());
+    }
+}
+
+impl TargetPool {
+    fn lock(&self) -> sync::MutexGuard<'_, PoolInner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn report_length(&self, inner: &PoolInner) {
+        let length = inner.waiting.len() + inner.isolated.len();
+        let model = self.key.as_str().to_owned();
+        metrics::gauge!("acaciabank_queue_length", "model" => model).set(length as f64);
+    }
+}
+
+/// Admission state of the daemon.
+#[derive(Debug, Default)]
+pub(crate) struct DispatchGate {
+    pools: sync::RwLock<HashMap<PoolKey, sync::Arc<TargetPool>>>,
+    budget: sync::Mutex<Option<budget::RetryBudget>>,
+    suspects: sync::Mutex<suspect::SuspectTable>,
+    arrivals: AtomicU64,
+    turns: AtomicU64,
+}
+
+impl DispatchGate {
+    pub(super) fn pool(&self, key: PoolKey) -> sync::Arc<TargetPool> {
+        let pools = self
+            .pools
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(pool) = pools.get(&key) {
+            return sync::Arc::clone(pool);
+        }
+        drop(pools);
+        let mut pools = self
+            .pools
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let pool = pools.entry(key.clone()).or_insert_with(|| {
+            let inner = sync::Mutex::default();
+            sync::Arc::new(TargetPool { key, inner })
+        });
+        sync::Arc::clone(pool)
+    }
+
+    /// Lets the first waiting request of every queue try again.
+    pub(crate) fn wake_all(&self) {
+        let pools = self
+            .pools
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        pools.values().for_each(|pool| pool.lock().wake());
+    }
+
+    /// Lets the first request that waits for targets like the given one try again.
+    pub(crate) fn wake_target(&self, target: &target::TargetState) {
+        let key = match &target.kind {
+            target::TargetKind::Engine { model, .. } => PoolKey::Model(model.clone()),
+            target::TargetKind::Service { service } => PoolKey::Service(service.clone()),
+        };
+        let pools = self
+            .pools
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(pool) = pools.get(&key) {
+            pool.lock().wake();
+        }
+    }
+
+    pub(super) fn next_arrival(&self) -> u64 {
+        self.arrivals.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(super) fn record_request(&self, retry_percent: u32) {
+        let mut budget = self
+            .budget
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        budget
+            .get_or_insert_with(|| budget::RetryBudget::new(retry_percent))
+            .record_request();
+    }
+
+    pub(super) fn try_spend_retry(&self) -> bool {
+        let mut budget = self
+            .budget
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        budget.as_mut().is_none_or(budget::RetryBudget::try_spend)
+    }
+
+    pub(super) fn record_crash(&self, fingerprint: u64) {
+        self.suspect_table()
+            .record_crash(fingerprint, target::now_ms());
+    }
+
+    pub(super) fn standing(&self, fingerprint: u64) -> suspect::SuspectStanding {
+        self.suspect_table().standing(fingerprint, target::now_ms())
+    }
+
+    fn suspect_table(&self) -> sync::MutexGuard<'_, suspect::SuspectTable> {
+        self.suspects
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl target::TargetRegistry {
+    /// Crash suspects known to this daemon, for gossip.
+    pub fn export_suspects(&self) -> Vec<suspect::SuspectRecord> {
+        self.gate.suspect_table().export(target::now_ms())
+    }
+
+    /// Merges a crash suspect that another daemon knows.
+    pub fn merge_suspect(&self, record: suspect::SuspectRecord) {
+        self.gate.suspect_table().merge(record, target::now_ms());
+    }
+}
+
+/// A slot at a target, held until dropped.
+#[derive(Debug)]
+pub(super) struct TargetSlot {
+    pub(super) target: sync::Arc<target::TargetState>,
+    pool: sync::Arc<TargetPool>,
+    isolated: bool,
+}
+
+impl Drop for TargetSlot {
+    fn drop(&mut self) {
+        self.target.own_in_flight.fetch_sub(1, Ordering::AcqRel);
+        if self.isolated {
+            self.target.marks.suspects.fetch_sub(1, Ordering::AcqRel);
+        }
+        self.pool.lock().wake();
+    }
+}
+
+/// Place of a request in its pool: its share, and its position in the queue.
+pub(super) struct PoolVisit {
+    state: process::SharedState,
+    pool: sync::Arc<TargetPool>,
+    team: ids::TeamId,
+    ticket: admit::QueueTicket,
+    cost: route::RequestCost,
+    hashes: Vec<u64>,
+    policy: settings::RoutingPolicy,
+    fingerprint: u64,
+    queued: Option<bool>,
+}
+
+enum Pick {
+    Placed(TargetSlot),
+    /// Every accepting target is at its limit; their number of slots.
+    Saturated(u32),
+    /// No target accepts work.
+    Withdrawn,
+    /// The configuration has no such target.
+    Missing,
+}
+
+impl PoolVisit {
+    pub(super) fn new(state: &process::SharedState, request: &CallerRequest) -> Self {
+        let gate = &state.targets.gate;
+        let pool = gate.pool(PoolKey::of(&request.work));
+        pool.lock().share.enter(&request.team);
+        let (cost, hashes) = cost_of(request);
+        Self {
+            state: sync::Arc::clone(state),
+            pool,
+            team: request.team.clone(),
+            ticket: admit::QueueTicket {
+                priority: request.priority,
+                deadline: request.deadline,
+                arrival: gate.next_arrival(),
+            },
+            cost,
+            hashes,
+            policy: request.config.deployment.policy.routing,
+            fingerprint: request.fingerprint,
+            queued: None,
+        }
+    }
+
+    /// Waits for a slot at a target that is not in `avoided`, unless only those accept work.
+    pub(super) async fn place(
+        &mut self,
+        request: &CallerRequest,
+        avoided: &[u32],
+    ) -> Result<TargetSlot, reason::Refusal> {
+        let isolated = self.check_suspect()?;
+        let notify = sync::Arc::new(Notify::new());
+        let is_retry = !avoided.is_empty();
+        let behind = self.pool.lock().queue(isolated).has_ahead_of(&self.ticket);
+        let mut withdrawn_since: Option<Instant> = None;
+        let mut pick = match behind {
+            true => Pick::Saturated(self.capacity()),
+            false => self.pick(avoided, isolated),
+        };
+        loop {
+            match pick {
+                Pick::Placed(slot) => {
+                    self.check_start()?;
+                    self.leave_queue();
+                    return Ok(slot);
+                }
+                Pick::Missing => {
+                    return Err(refuse(
+                        reason::RefusalReason::NoTarget,
+                        "no target is configured",
+                    ));
+                }
+                Pick::Withdrawn => {
+                    let since = *withdrawn_since.get_or_insert_with(Instant::now);
+                    if since.elapsed() >= NO_TARGET_WAIT {
+                        return Err(refuse(
+                            reason::RefusalReason::NoTarget,
+                            "no target accepts work",
+                        ));
+                    }
+                }
+                Pick::Saturated(capacity) => {
+                    withdrawn_since = None;
+                    if self.queued.is_none() && !is_retry {
+                        self.check_queue(request, capacity, isolated)?;
+                    }
+                }
+            }
+            self.enter_queue(isolated, &notify);
+            self.wait(&notify, withdrawn_since).await?;
+            pick = self.pick(avoided, isolated);
+        }
+    }
+
+    /// Records how long a completed request took.
+    pub(super) fn record_service(&self, elapsed: Duration) {
+        let mut inner = self.pool.lock();
+        inner.observations += 1;
+        let seconds = elapsed.as_secs_f64();
+        let token_s = seconds / self.cost.max_tokens.max(1) as f64;
+        let weight = 1.0 / OBSERVATION_DIVISOR.min(inner.observations as f64);
+        inner.service_s += (seconds - inner.service_s) * weight;
+        inner.token_s += (token_s - inner.token_s) * weight;
+    }
+
+    async fn wait(
+        &self,
+        notify: &Notify,
+        withdrawn_since: Option<Instant>,
+    ) -> Result<(), reason::Refusal> {
+        let deadline = self.ticket.deadline;
+        let until = withdrawn_since.map_or(deadline, |since| deadline.min(since + NO_TARGET_WAIT));
+        let woken = tokio::time::timeout_at(until.into(), notify.notified()).await;
+        match woken.is_err() && Instant::now() >= deadline {
+            true => Err(refuse(
+                reason::RefusalReason::DeadlinePassed,
+                "no target was free in time",
+            )),
+            false => Ok(()),
+        }
+    }
+
+    fn check_suspect(&self) -> Result<bool, reason::Refusal> {
+        match self.state.targets.gate.standing(self.fingerprint) {
+            suspect::SuspectStanding::Clear => Ok(false),
+            suspect::SuspectStanding::Isolated => Ok(true),
+            suspect::SuspectStanding::Refused => Err(reason::Refusal::with_verdict(
+                reason::RefusalReason::SuspectRequest,
+                acaciabank_protocol::verdict::Verdict::MayHaveRun,
+                "targets crashed while they ran this request",
+            )),
+        }
+    }
+
+    /// Checks that apply to a request that has to wait.
+    fn check_queue(
+        &self,
+        request: &CallerRequest,
+        capacity: u32,
+        isolated: bool,
+    ) -> Result<(), reason::Refusal> {
+        let limits = &self.state.settings.limits;
+        let mut inner = self.pool.lock();
+        let queue = inner.queue(isolated);
+        if queue.len() >= limits.max_queued_requests {
+            return Err(refuse(
+                reason::RefusalReason::Overloaded,
+                "the queue is full",
+            ));
+        }
+        let ahead = queue.ahead_of(&self.ticket);
+        let teams = &request.config.deployment.teams;
+        let weight_of = |team: &ids::TeamId| {
+            let entry = teams.iter().find(|entry| entry.name == *team);
+            entry.map_or(1, |entry| entry.weight)
+        };
+        inner.share.leave(&self.team);
+        let depth = capacity.saturating_mul(SHARE_DEPTH);
+        let is_over = inner.share.is_over(&self.team, depth, weight_of);
+        inner.share.enter(&self.team);
+        if is_over && request.priority != wire::Priority::Urgent {
+            return Err(refuse(
+                reason::RefusalReason::TeamOverShare,
+                "the team uses more than its share",
+            ));
+        }
+        let mean = Duration::from_secs_f64(inner.service_s);
+        let wait = admit::expected_wait(ahead, capacity, mean);
+        self.check_feasible(&inner, wait)
+    }
+
+    /// Checks that a request that starts now can end in time.
+    fn check_start(&self) -> Result<(), reason::Refusal> {
+        let inner = self.pool.lock();
+        self.check_feasible(&inner, Duration::ZERO)
+    }
+
+    fn check_feasible(&self, inner: &PoolInner, wait: Duration) -> Result<(), reason::Refusal> {
+        if inner.observations < MIN_OBSERVATIONS {
+            return Ok(());
+        }
+        let service_s = inner.token_s * self.cost.max_tokens.max(1) as f64;
+        let service = Duration::from_secs_f64(service_s);
+        match admit::is_feasible(Instant::now(), self.ticket.deadline, wait, service) {
+            true => Ok(()),
+            false => Err(refuse(
+                reason::RefusalReason::DeadlineInfeasible,
+                "the expected finish is past the deadline",
+            )),
+        }
+    }
+
+    fn enter_queue(&mut self, isolated: bool, notify: &sync::Arc<Notify>) {
+        if self.queued.is_some() {
+            return;
+        }
+        let mut inner = self.pool.lock();
+        inner
+            .queue(isolated)
+            .push(self.ticket, sync::Arc::clone(notify));
+        self.pool.report_length(&inner);
+        // A slot that was freed between the choice and this point has woken nobody.
+        inner.wake();
+        self.queued = Some(isolated);
+    }
+
+    /// Leaves the queue; the next request may find a free slot too.
+    fn leave_queue(&mut self) {
+        let Some(isolated) = self.queued.take() else {
+            return;
+        };
+        let mut inner = self.pool.lock();
+        inner.queue(isolated).remove(&self.ticket);
+        self.pool.report_length(&inner);
+        inner.wake();
+    }
+
+    fn routes<'a>(&self, snapshot: &'a target::TargetSnapshot) -> &'a [target::TargetRoute] {
+        let routes = match &self.pool.key {
+            PoolKey::Model(model) => snapshot.by_model.get(model),
+            PoolKey::Service(service) => snapshot.by_service.get(service),
+        };
+        routes.map_or(&[], Vec::as_slice)
+    }
+
+    fn capacity(&self) -> u32 {
+        let snapshot = self.state.targets.snapshot();
+        let now_ms = target::now_ms();
+        let routes = self.routes(&snapshot).iter();
+        let accepting = routes.filter(|route| route.target.is_accepting(now_ms));
+        accepting.map(|route| route.target.limit()).sum()
+    }
+
+    fn pick(&self, avoided: &[u32], isolated: bool) -> Pick {
+        let snapshot = self.state.targets.snapshot();
+        let routes = self.routes(&snapshot);
+        if routes.is_empty() {
+            return Pick::Missing;
+        }
+        let now_ms = target::now_ms();
+        let accepting = |route: &&target::TargetRoute| route.target.is_accepting(now_ms);
+        let mut accepted = routes.iter().filter(accepting);
+        if accepted.clone().next().is_none() {
+            return Pick::Withdrawn;
+        }
+        let only_avoided = accepted.all(|route| avoided.contains(&route.target.hash));
+        let avoided = if only_avoided { &[] } else { avoided };
+        let mut matches = Vec::new();
+        if !self.hashes.is_empty()
+            && let Ok(prefixes) = self.state.targets.prefixes.read()
+        {
+            prefixes.find(&self.hashes, now_ms, &mut matches);
+        }
+        let now = Instant::now();
+        let views = routes.iter().map(|route| {
+            let target = &route.target;
+            let condition = target.condition.load();
+            let load = target.estimated_load(&condition, now);
+            let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
+            route::CandidateView {
+                usable: target.is_accepting(now_ms)
+                    && load < target.limit()
+                    && !avoided.contains(&target.hash)
+                    && !(isolated && has_suspect),
+                role: condition.role,
+                load,
+                slots: target.slots,
+                waiting_prefill_tokens: condition.load.waiting_prefill_tokens,
+                cached_pieces: cache::matched_pieces(&matches, target.hash),
+                distance_us: route.distance_us,
+            }
+        });
+        let seed = match self.policy {
+            settings::RoutingPolicy::RoundRobin => self
+                .state
+                .targets
+                .gate
+                .turns
+                .fetch_add(1, Ordering::Relaxed),
+            _ => rand::random(),
+        };
+        let chosen = route::choose(self.policy, &self.cost, views, seed);
+        match chosen.and_then(|position| self.reserve(&routes[position].target, isolated)) {
+            Some(slot) => Pick::Placed(slot),
+            None => Pick::Saturated(self.capacity()),
+        }
+    }
+
+    /// Takes a slot, unless another request took the last one, or the place of the only suspect,
+    /// since the choice.
+    fn reserve(
+        &self,
+        target: &sync::Arc<target::TargetState>,
+        isolated: bool,
+    ) -> Option<TargetSlot> {
+        if isolated && target.marks.suspects.fetch_add(1, Ordering::AcqRel) > 0 {
+            target.marks.suspects.fetch_sub(1, Ordering::AcqRel);
+            return None;
+        }
+        let own = target.own_in_flight.fetch_add(1, Ordering::AcqRel);
+        let slot = TargetSlot {
+            target: sync::Arc::clone(target),
+            pool: sync::Arc::clone(&self.pool),
+            isolated,
+        };
+        (own < target.limit()).then_some(slot)
+    }
+}
+
+impl Drop for PoolVisit {
+    fn drop(&mut self) {
+        self.leave_queue();
+        self.pool.lock().share.leave(&self.team);
+    }
+}
+
+fn refuse(reason: reason::RefusalReason, message: &str) -> reason::Refusal {
+    reason::Refusal::not_run(reason, message)
+}
+
+fn cost_of(request: &CallerRequest) -> (route::RequestCost, Vec<u64>) {
+    let RequestWork::Completion {
+        model,
+        prompt,
+        max_tokens,
+        ..
+    } = &request.work
+    else {
+        let cost = route::RequestCost {
+            piece_tokens: SERVICE_PIECE_TOKENS,
+            max_tokens: 1,
+            ..route::RequestCost::default()
+        };
+        return (cost, Vec::new());
+    };
+    let models = &request.config.deployment.models;
+    let entry = models.iter().find(|entry| entry.name == *model);
+    let piece_tokens = entry.map_or(2_000, |entry| entry.piece_tokens);
+    let cost = route::RequestCost {
+        prompt_tokens: wire::estimate_tokens(prompt),
+        max_tokens: u64::from(*max_tokens),
+        piece_tokens: u64::from(piece_tokens),
+    };
+    (
+        cost,
+        wire::piece_hashes(model.as_str(), prompt, piece_tokens),
+    )
+}
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -1,9 +1,23 @@
 //! Attempts at targets, verdicts, streams and the buffer of answers.
 
+mod answers;
+mod assemble;
+mod attempt;
+mod completion;
+pub(crate) mod connection;
+pub(crate) mod gate;
+mod run;
+mod service;
+mod sink;
+mod sse;
+
 use std::time;
 
-use acaciabank_protocol::{ids, reason, wire};
+use acaciabank_protocol::{ids, reason, verdict, wire};
 use bytes::Bytes;
+use tokio::sync::oneshot;
+
+pub use answers::{AnswerBuffer, BufferedAnswer};
 
 use crate::{config, process};
 
@@ -75,49 +89,25 @@
 }
 
 /// Runs a request to its end: admission, routing, attempts, resume. Returns when the head of the
-/// answer is known. The request goes on in a task of its own when the caller leaves, if it is not
-/// idempotent or its answer is buffered.
+/// answer is known. The request runs in a task of its own and goes on when the caller leaves, until
+/// its deadline, so that the caller can fetch the answer at another daemon; it ends early only when
+/// the caller has left, it is idempotent and its answer is too large for the buffer.
 ///
 /// # Errors
 ///
 /// A refusal with its truthful verdict.
 pub async fn dispatch(
-    _state: &process::SharedState,
-    _request: CallerRequest,
+    state: &process::SharedState,
+    request: CallerRequest,
 ) -> Result<CallerAnswer, reason::Refusal> {
-    Err(reason::Refusal::not_run(
-        reason::RefusalReason::NoTarget,
-        "no target",
-    ))
-}
-
-/// Answers kept for late callers, bounded in bytes and lifetime.
-#[derive(Debug, Default)]
-pub struct AnswerBuffer {}
-
-/// What the buffer knows of a request.
-#[derive(Clone, Debug)]
-pub enum BufferedAnswer {
-    /// Nothing.
-    Unknown,
-    /// Still running.
-    Running,
-    /// Belongs to another team.
-    Forbidden,
-    /// The whole answer.
-    Done {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content_type: String,
-        /// Body.
-        body: Bytes,
-    },
-}
-
-impl AnswerBuffer {
-    /// Looks a request up for a team.
-    pub fn find(&self, _request: &ids::RequestId, _team: &ids::TeamId) -> BufferedAnswer {
-        BufferedAnswer::Unknown
-    }
+    let (head, answer) = oneshot::channel();
+    let sink = sink::CallerSink::new(state, &request, head);
+    tokio::spawn(run::run(std::sync::Arc::clone(state), request, sink));
+    answer.await.unwrap_or_else(|_| {
+        Err(reason::Refusal::with_verdict(
+            reason::RefusalReason::TargetFailed,
+            verdict::Verdict::MayHaveRun,
+            "the run ended without an answer",
+        ))
+    })
 }
--- /dev/null
+++ b/crates/daemon/src/dispatch/run.rs
@@ -0,0 +1,206 @@
+//! The run of a request over its attempts.
+
+use std::{sync, time::Instant};
+
+use acaciabank_core::suspect;
+use acaciabank_protocol::{ids, reason, verdict::Verdict};
+
+use super::{CallerRequest, RequestWork, attempt, completion, gate, service, sink};
+use crate::{process, target};
+
+/// Attempts that ended as not run, for each attempt that `max_attempts` allows. They cost a target
+/// nothing, but their number must have an end.
+const NOT_RUN_FACTOR: u32 = 4;
+
+/// What is known of a request over all of its attempts.
+pub(super) struct RunProgress {
+    pub(super) verdict: Verdict,
+    /// Whether any part of the answer has been received from a target.
+    pub(super) received: bool,
+    attempts: u32,
+    not_run_attempts: u32,
+    avoided: Vec<u32>,
+}
+
+impl RunProgress {
+    fn new() -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            received: false,
+            attempts: 0,
+            not_run_attempts: 0,
+            avoided: Vec::new(),
+        }
+    }
+
+    /// Id of the next attempt. Until it ends the request may have run.
+    fn begin(&mut self, request: &ids::RequestId) -> ids::AttemptId {
+        self.attempts += 1;
+        request.attempt(self.attempts)
+    }
+}
+
+/// What a run needs in every attempt.
+pub(super) struct RunContext<'a> {
+    pub(super) state: &'a process::SharedState,
+    pub(super) request: &'a CallerRequest,
+    pub(super) target: &'a sync::Arc<target::TargetState>,
+    pub(super) attempt: ids::AttemptId,
+    pub(super) started: Instant,
+}
+
+/// Runs a request to its end and delivers its answer.
+pub(super) async fn run(
+    state: process::SharedState,
+    request: CallerRequest,
+    mut sink: sink::CallerSink,
+) {
+    state
+        .targets
+        .gate
+        .record_request(state.settings.limits.retry_percent);
+    let mut progress = RunProgress::new();
+    let mut in_attempt = false;
+    let deadline = tokio::time::Instant::from_std(request.deadline);
+    let work = attempts(&state, &request, &mut sink, &mut progress, &mut in_attempt);
+    let result = match tokio::time::timeout_at(deadline, work).await {
+        Ok(result) => result,
+        Err(_) => {
+            if in_attempt {
+                progress.verdict = progress.verdict.and(Verdict::MayHaveRun);
+            }
+            Err(reason::Refusal::with_verdict(
+                reason::RefusalReason::DeadlinePassed,
+                progress.verdict,
+                "the deadline passed",
+            ))
+        }
+    };
+    match result {
+        Ok(()) => sink.finish(),
+        Err(refusal) => {
+            log::debug!("request {}: {refusal}", request.id);
+            sink.fail(refusal).await;
+        }
+    }
+}
+
+async fn attempts(
+    state: &process::SharedState,
+    request: &CallerRequest,
+    sink: &mut sink::CallerSink,
+    progress: &mut RunProgress,
+    in_attempt: &mut bool,
+) -> Result<(), reason::Refusal> {
+    let started = Instant::now();
+    let mut visit = gate::PoolVisit::new(state, request);
+    let mut stream = completion::CompletionRun::new(request);
+    loop {
+        let placed = visit.place(request, &progress.avoided).await;
+        let slot = placed.map_err(|refusal| reason::Refusal {
+            verdict: refusal.verdict.and(progress.verdict),
+            ..refusal
+        })?;
+        let context = RunContext {
+            state,
+            request,
+            target: &slot.target,
+            attempt: progress.begin(&request.id),
+            started,
+        };
+        let begun = Instant::now();
+        *in_attempt = true;
+        let result = match &request.work {
+            RequestWork::Completion { .. } => stream.attempt(&context, sink, progress).await,
+            RequestWork::Service { .. } => service::attempt(&context, sink, progress).await,
+        };
+        *in_attempt = false;
+        match result {
+            Ok(()) => {
+                count_attempt(Verdict::Ran);
+                slot.target.adapt_limit(false);
+                visit.record_service(begun.elapsed());
+                return Ok(());
+            }
+            Err(failure) => decide_retry(&context, sink, progress, failure)?,
+        }
+    }
+}
+
+fn count_attempt(verdict: Verdict) {
+    metrics::counter!("acaciabank_attempts_total", "verdict" => verdict.as_str()).increment(1);
+}
+
+/// Records a failed attempt; returns the refusal when there must be no other attempt.
+fn decide_retry(
+    context: &RunContext<'_>,
+    sink: &sink::CallerSink,
+    progress: &mut RunProgress,
+    failure: attempt::AttemptFailure,
+) -> Result<(), reason::Refusal> {
+    let (state, request) = (context.state, context.request);
+    log::info!(
+        "attempt {} at target {} failed ({}): {}",
+        context.attempt,
+        context.target.id,
+        failure.verdict.as_str(),
+        failure.message
+    );
+    count_attempt(failure.verdict);
+    if failure.crashed {
+        state.targets.gate.record_crash(request.fingerprint);
+        context
+            .target
+            .back_off(state.settings.timers.target_poll_ms);
+    }
+    if failure.retry == reason::RetryReason::TargetRefused {
+        context
+            .target
+            .back_off(state.settings.timers.target_poll_ms);
+    }
+    progress.verdict = progress.verdict.and(failure.verdict);
+    progress.avoided.push(context.target.hash);
+    let refuse = |reason, message: &str| {
+        Err(reason::Refusal::with_verdict(
+            reason,
+            progress.verdict,
+            message,
+        ))
+    };
+    let is_service = matches!(request.work, RequestWork::Service { .. });
+    if !progress.verdict.allows_retry(request.idempotent) || (is_service && sink.has_head()) {
+        return refuse(failure.refusal, &failure.message);
+    }
+    if sink.is_unwanted() {
+        return refuse(failure.refusal, "the caller left");
+    }
+    let standing = state.targets.gate.standing(request.fingerprint);
+    if failure.crashed && standing == suspect::SuspectStanding::Refused {
+        let message = "targets crashed while they ran this request";
+        return refuse(reason::RefusalReason::SuspectRequest, message);
+    }
+    let max_attempts = state.settings.limits.max_attempts;
+    let is_not_run = failure.verdict == Verdict::NotRun;
+    progress.not_run_attempts += u32::from(is_not_run);
+    let run_attempts = progress.attempts - progress.not_run_attempts;
+    if run_attempts >= max_attempts || progress.not_run_attempts >= max_attempts * NOT_RUN_FACTOR {
+        return refuse(failure.refusal, &failure.message);
+    }
+    // The budget limits repeated work. An attempt that did not run repeats none, and a resumed
+    // stream must end: its caller has been promised the whole answer.
+    let repeats_work = !is_not_run && !progress.received;
+    if repeats_work && !state.targets.gate.try_spend_retry() {
+        return refuse(
+            reason::RefusalReason::RetryBudgetSpent,
+            "the retry budget is spent",
+        );
+    }
+    let cause = match failure.retry {
+        reason::RetryReason::ConnectionBroken if progress.received => {
+            reason::RetryReason::StreamResumed
+        }
+        cause => cause,
+    };
+    metrics::counter!("acaciabank_retries_total", "reason" => cause.as_str()).increment(1);
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch/service.rs
@@ -0,0 +1,71 @@
+//! Attempts of a call to a plain service.
+
+use std::time::Duration;
+
+use acaciabank_protocol::{reason, verdict::Verdict, wire};
+use http_body_util::Full;
+
+use super::{RequestWork, attempt, run, sink::CallerSink};
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    wire::VERDICT_HEADER,
+];
+
+/// Makes one attempt and streams the answer back.
+pub(super) async fn attempt(
+    context: &run::RunContext<'_>,
+    sink: &mut CallerSink,
+    progress: &mut run::RunProgress,
+) -> Result<(), attempt::AttemptFailure> {
+    let RequestWork::Service {
+        method,
+        path_and_query,
+        headers,
+        body,
+        ..
+    } = &context.request.work
+    else {
+        return Ok(());
+    };
+    let mut request = http::Request::builder()
+        .method(method)
+        .uri(path_and_query)
+        .body(Full::new(body.clone()))
+        .map_err(|error| {
+            let retry = reason::RetryReason::NotWritten;
+            attempt::AttemptFailure::new(Verdict::NotRun, retry, error.to_string())
+        })?;
+    *request.headers_mut() = end_to_end(headers);
+    let mut opened =
+        attempt::open(context.state, context.target, &context.attempt, request).await?;
+    let idle = Duration::from_millis(context.state.settings.timers.idle_timeout_ms);
+    // The head is delivered with the first part of the body, so that a target that fails between
+    // the two can still be replaced.
+    let mut part = opened.next_part(idle).await?;
+    progress.received = true;
+    let headers = end_to_end(opened.response.headers());
+    sink.send_head(opened.response.status(), headers, Some(&context.target.id));
+    while let Some(bytes) = part {
+        sink.send_part(bytes).await;
+        part = opened.next_part(idle).await?;
+    }
+    opened.recycle();
+    Ok(())
+}
+
+fn end_to_end(headers: &http::HeaderMap) -> http::HeaderMap {
+    let mut headers = headers.clone();
+    HOP_HEADERS
+        .iter()
+        .for_each(|name| while headers.remove(*name).is_some() {});
+    headers
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch/sink.rs
@@ -0,0 +1,132 @@
+//! Where a run delivers its answer: the caller's channel and the answer buffer.
+
+use acaciabank_protocol::{ids, reason, wire};
+use bytes::{Bytes, BytesMut};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{CallerAnswer, CallerRequest};
+use crate::process;
+
+/// Body parts that wait for a slow caller; then the run waits as well.
+const MAX_WAITING_PARTS: usize = 64;
+
+type AnswerHead = oneshot::Sender<Result<CallerAnswer, reason::Refusal>>;
+
+/// Destination of one answer. An answer that is never finished is removed from the buffer.
+pub(super) struct CallerSink {
+    state: process::SharedState,
+    request: ids::RequestId,
+    head: Option<AnswerHead>,
+    parts: Option<mpsc::Sender<Result<Bytes, reason::Refusal>>>,
+    status: u16,
+    content_type: String,
+    kept: Option<BytesMut>,
+    idempotent: bool,
+    finished: bool,
+}
+
+impl CallerSink {
+    pub(super) fn new(
+        state: &process::SharedState,
+        request: &CallerRequest,
+        head: AnswerHead,
+    ) -> Self {
+        state.answers.start(&request.id, &request.team);
+        Self {
+            state: std::sync::Arc::clone(state),
+            request: request.id.clone(),
+            head: Some(head),
+            parts: None,
+            status: 0,
+            content_type: String::new(),
+            kept: Some(BytesMut::new()),
+            idempotent: request.idempotent,
+            finished: false,
+        }
+    }
+
+    /// Whether the head has been delivered.
+    pub(super) fn has_head(&self) -> bool {
+        self.head.is_none()
+    }
+
+    /// Whether nobody can receive the answer any more and ending the run is harmless.
+    pub(super) fn is_unwanted(&self) -> bool {
+        let caller_left = match (&self.head, &self.parts) {
+            (Some(head), _) => head.is_closed(),
+            (None, Some(parts)) => parts.is_closed(),
+            (None, None) => true,
+        };
+        self.idempotent && caller_left && self.kept.is_none()
+    }
+
+    /// Delivers the head; later calls have no effect.
+    pub(super) fn send_head(
+        &mut self,
+        status: http::StatusCode,
+        mut headers: http::HeaderMap,
+        target: Option<&ids::TargetId>,
+    ) {
+        let Some(head) = self.head.take() else {
+            return;
+        };
+        headers.remove(wire::REQUEST_ID_HEADER);
+        let content_type = headers.get(http::header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        self.content_type = content_type.unwrap_or_default().to_owned();
+        self.status = status.as_u16();
+        let (sender, body) = mpsc::channel(MAX_WAITING_PARTS);
+        self.parts = Some(sender);
+        // A caller that has left is no error; the buffer still gets the answer.
+        let _ = head.send(Ok(CallerAnswer {
+            status,
+            headers,
+            target: target.cloned(),
+            body,
+        }));
+    }
+
+    /// Delivers a part of the body.
+    pub(super) async fn send_part(&mut self, part: Bytes) {
+        if let Some(kept) = &mut self.kept {
+            match kept.len() + part.len() <= self.state.answers.max_bytes() {
+                true => kept.extend_from_slice(&part),
+                false => self.kept = None,
+            }
+        }
+        if let Some(parts) = &self.parts
+            && parts.send(Ok(part)).await.is_err()
+        {
+            self.parts = None;
+        }
+    }
+
+    /// Ends the answer; it becomes available to late callers.
+    pub(super) fn finish(mut self) {
+        let kept = self.kept.take().map(BytesMut::freeze);
+        let answer = kept.map(|body| (self.status, self.content_type.clone(), body));
+        self.state.answers.finish(&self.request, answer);
+        self.finished = true;
+    }
+
+    /// Ends the answer with a refusal. Late callers get the refusal.
+    pub(super) async fn fail(mut self, refusal: reason::Refusal) {
+        let body = Bytes::from(refusal.to_json(Some(&self.request)).to_string());
+        let answer = (refusal.reason.status(), "application/json".to_owned(), body);
+        self.state.answers.finish(&self.request, Some(answer));
+        self.finished = true;
+        if let Some(head) = self.head.take() {
+            let _ = head.send(Err(refusal));
+        } else if let Some(parts) = self.parts.take() {
+            let _ = parts.send(Err(refusal)).await;
+        }
+    }
+}
+
+impl Drop for CallerSink {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.state.answers.finish(&self.request, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/target/marks.rs
@@ -0,0 +1,213 @@
+//! Withdrawal marks of a target and the values that change with polls and requests.
+
+use std::{
+    sync,
+    sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+use acaciabank_core::{admit, route};
+use acaciabank_protocol::wire;
+use tokio::sync::Mutex;
+
+use super::{TargetCondition, TargetState, WithdrawalCause};
+use crate::dispatch::connection;
+
+/// Successful polls in a row after which a target returns to service.
+const RETURN_POLLS: u32 = 2;
+/// Age of a report up to which the growth caused by other daemons is extrapolated. Later the
+/// extrapolation says nothing.
+const MAX_GROWTH_AGE: Duration = Duration::from_secs(2);
+
+/// Marks and counters of one target.
+#[derive(Debug)]
+pub struct TargetMarks {
+    causes: AtomicU8,
+    backoff_until_ms: AtomicU64,
+    good_polls: AtomicU32,
+    reported: AtomicBool,
+    /// Owner's count of state changes.
+    pub(super) state_sequence: AtomicU32,
+    pub(super) polling: AtomicBool,
+    pub(super) poll_link: Mutex<PollLink>,
+    /// Crash suspects of this daemon at the target.
+    pub(crate) suspects: AtomicU32,
+    /// Limit that follows the target's refusals.
+    limit: sync::Mutex<admit::ConcurrencyLimit>,
+    limit_now: AtomicU32,
+    pub(crate) pool: connection::IdlePool,
+}
+
+/// Connection and position of the polls.
+#[derive(Debug, Default)]
+pub(super) struct PollLink {
+    pub(super) connection: Option<connection::TargetConnection>,
+    pub(super) boot_id: String,
+    pub(super) next_event: u64,
+    /// Whether a service is known to have no `/admin/state`.
+    pub(super) plain: bool,
+}
+
+impl TargetMarks {
+    pub(super) fn new(slots: u32) -> Self {
+        Self {
+            causes: AtomicU8::new(0),
+            backoff_until_ms: AtomicU64::new(0),
+            good_polls: AtomicU32::new(0),
+            reported: AtomicBool::new(false),
+            state_sequence: AtomicU32::new(0),
+            polling: AtomicBool::new(false),
+            poll_link: Mutex::default(),
+            suspects: AtomicU32::new(0),
+            limit: sync::Mutex::new(admit::ConcurrencyLimit::new(slots)),
+            limit_now: AtomicU32::new(slots.max(1)),
+            pool: connection::IdlePool::default(),
+        }
+    }
+
+    fn cause(&self) -> Option<WithdrawalCause> {
+        let causes = self.causes.load(Ordering::Acquire);
+        let order = [
+            WithdrawalCause::Drained,
+            WithdrawalCause::HostLeaving,
+            WithdrawalCause::Switching,
+            WithdrawalCause::Unreachable,
+            WithdrawalCause::OrderPending,
+        ];
+        order.into_iter().find(|cause| causes & bit(*cause) != 0)
+    }
+}
+
+fn bit(cause: WithdrawalCause) -> u8 {
+    match cause {
+        WithdrawalCause::Drained => 1,
+        WithdrawalCause::HostLeaving => 2,
+        WithdrawalCause::Switching => 4,
+        WithdrawalCause::Unreachable => 8,
+        WithdrawalCause::OrderPending => 16,
+        WithdrawalCause::Unknown => 0,
+    }
+}
+
+impl TargetState {
+    /// Whether new work may go to the target now.
+    pub fn is_accepting(&self, now_ms: u64) -> bool {
+        self.marks.causes.load(Ordering::Acquire) == 0
+            && self.marks.backoff_until_ms.load(Ordering::Acquire) <= now_ms
+    }
+
+    /// Whether the given cause withdraws the target.
+    pub fn has_mark(&self, cause: WithdrawalCause) -> bool {
+        self.marks.causes.load(Ordering::Acquire) & bit(cause) != 0
+    }
+
+    /// Sets or clears one cause.
+    pub fn mark(&self, cause: WithdrawalCause, set: bool) {
+        let previous = match set {
+            true => self.marks.causes.fetch_or(bit(cause), Ordering::AcqRel),
+            false => self.marks.causes.fetch_and(!bit(cause), Ordering::AcqRel),
+        };
+        if (previous & bit(cause) != 0) == set {
+            return;
+        }
+        self.marks.state_sequence.fetch_add(1, Ordering::AcqRel);
+        log::info!(
+            "target {}: {cause:?} {}",
+            self.id,
+            if set { "set" } else { "cleared" }
+        );
+        self.refresh(|_| {});
+    }
+
+    /// Avoids the target in this daemon until the backoff ends, after a failed connect.
+    pub fn back_off(&self, backoff_ms: u64) {
+        let until_ms = super::now_ms() + backoff_ms;
+        self.marks
+            .backoff_until_ms
+            .fetch_max(until_ms, Ordering::AcqRel);
+    }
+
+    /// Records a poll that found the target unreachable or switching.
+    pub(super) fn record_bad_poll(&self, cause: WithdrawalCause) {
+        self.marks.good_polls.store(0, Ordering::Release);
+        self.mark(cause, true);
+    }
+
+    /// Records a poll that found the target in service.
+    pub(super) fn record_good_poll(&self) {
+        let polls = self.marks.good_polls.fetch_add(1, Ordering::AcqRel) + 1;
+        if polls >= RETURN_POLLS {
+            self.mark(WithdrawalCause::Unreachable, false);
+            self.mark(WithdrawalCause::Switching, false);
+        }
+    }
+
+    /// Stores a load report that is `age` old.
+    pub(super) fn record_load(&self, load: wire::EngineLoad, age: Duration) {
+        let now = Instant::now();
+        let load_as_of = now.checked_sub(age).unwrap_or(now);
+        let own = self.own_in_flight.load(Ordering::Acquire);
+        let first = !self.marks.reported.swap(true, Ordering::AcqRel);
+        self.refresh(|condition| {
+            let others = (load.running + load.waiting).saturating_sub(own);
+            let before = &condition.load;
+            let others_before =
+                (before.running + before.waiting).saturating_sub(condition.own_in_flight_at_report);
+            let elapsed_ms = load_as_of
+                .saturating_duration_since(condition.load_as_of)
+                .as_millis();
+            let growth = u128::from(others.saturating_sub(others_before)) * 1_000;
+            condition.others_growth_per_s = match first {
+                true => 0,
+                false => growth.checked_div(elapsed_ms).unwrap_or(0) as u32,
+            };
+            condition.load = load.clone();
+            condition.load_as_of = load_as_of;
+            condition.own_in_flight_at_report = own;
+        });
+    }
+
+    /// Changes the condition as a whole and derives `accepting` and `cause` from the marks.
+    pub(super) fn refresh(&self, change: impl Fn(&mut TargetCondition)) {
+        self.condition.rcu(|current| {
+            let mut condition = TargetCondition::clone(current);
+            change(&mut condition);
+            let cause = self.marks.cause();
+            let reported = self.marks.reported.load(Ordering::Acquire);
+            condition.accepting = cause.is_none();
+            condition.cause = cause.or((!reported).then_some(WithdrawalCause::Unknown));
+            condition
+        });
+    }
+
+    /// Requests at the target, estimated from the last report and what happened since.
+    pub fn estimated_load(&self, condition: &TargetCondition, now: Instant) -> u32 {
+        let age = now
+            .saturating_duration_since(condition.load_as_of)
+            .min(MAX_GROWTH_AGE);
+        let growth = u128::from(condition.others_growth_per_s) * age.as_millis() / 1_000;
+        route::estimated_load(
+            condition.load.running + condition.load.waiting,
+            condition.own_in_flight_at_report,
+            self.own_in_flight.load(Ordering::Acquire),
+            growth as u32,
+        )
+    }
+
+    /// Concurrent requests allowed at the target now.
+    pub fn limit(&self) -> u32 {
+        self.marks.limit_now.load(Ordering::Acquire)
+    }
+
+    /// Adapts the limit after a completed request or a refusal for load.
+    pub(crate) fn adapt_limit(&self, overloaded: bool) {
+        let Ok(mut limit) = self.marks.limit.lock() else {
+            return;
+        };
+        match overloaded {
+            true => limit.record_overload(),
+            false => limit.record_success(),
+        }
+        self.marks.limit_now.store(limit.limit(), Ordering::Release);
+    }
+}
--- a/crates/daemon/src/target/mod.rs
+++ b/crates/daemon/src/target/mod.rs
@@ -1,11 +1,30 @@
 //! Targets: registry, polling by the owner, drain.
+//!
+//! A target is withdrawn by marks, one for each [`WithdrawalCause`]; it accepts new work while no
+//! mark is set. The owner sets and clears the marks that follow from polls and passes them to the
+//! other daemons in its load summaries. Every daemon sets the marks that follow from the
+//! configuration and the host list itself, so that a withdrawal does not wait for the owner.
 
-use std::{net, sync, sync::atomic::AtomicU32};
+mod marks;
+mod poll;
+mod registry;
+mod share;
+
+use std::{net, sync, sync::OnceLock, sync::atomic::AtomicU32, time};
 
 use acaciabank_protocol::{ids, settings, wire};
 use arc_swap::ArcSwap;
 
-use crate::process;
+pub use marks::TargetMarks;
+pub use poll::run;
+pub use registry::{TargetRegistry, TargetRoute, TargetSnapshot};
+pub use share::{LoadSummary, PieceDelta};
+
+/// Milliseconds since the first use of this clock in the process; monotonic.
+pub(crate) fn now_ms() -> u64 {
+    static START: OnceLock<time::Instant> = OnceLock::new();
+    START.get_or_init(time::Instant::now).elapsed().as_millis() as u64
+}
 
 /// What a target is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,6 +66,8 @@
     pub own_in_flight: AtomicU32,
     /// Last known condition.
     pub condition: ArcSwap<TargetCondition>,
+    /// Withdrawal marks and other values that change often.
+    pub marks: TargetMarks,
 }
 
 /// What is known of a target, replaced as a whole.
@@ -64,6 +85,8 @@
     pub load_as_of: std::time::Instant,
     /// Requests of this daemon in flight when the report was made.
     pub own_in_flight_at_report: u32,
+    /// Growth of other daemons' requests between the last two reports, for each second.
+    pub others_growth_per_s: u32,
     /// Last state report; known at the owner only.
     pub state: Option<sync::Arc<wire::EngineState>>,
 }
@@ -85,36 +108,3 @@
     /// No report yet.
     Unknown,
 }
-
-/// Targets of one version of the configuration.
-#[derive(Debug, Default)]
-pub struct TargetSnapshot {
-    /// All targets, by name.
-    pub all: Vec<sync::Arc<TargetState>>,
-}
-
-/// The targets, read on the request path.
-#[derive(Debug, Default)]
-pub struct TargetRegistry {
-    snapshot: ArcSwap<TargetSnapshot>,
-}
-
-impl TargetRegistry {
-    /// The current snapshot.
-    pub fn snapshot(&self) -> sync::Arc<TargetSnapshot> {
-        self.snapshot.load_full()
-    }
-
-    /// The target of the given name.
-    pub fn find(&self, target: &ids::TargetId) -> Option<sync::Arc<TargetState>> {
-        self.snapshot
-            .load()
-            .all
-            .iter()
-            .find(|state| &state.id == target)
-            .cloned()
-    }
-}
-
-/// Follows the configuration, polls owned targets and the host list until the process leaves.
-pub async fn run(_state: process::SharedState) {}
--- /dev/null
+++ b/crates/daemon/src/target/registry.rs
@@ -0,0 +1,240 @@
+//! The registry: targets of the configuration in force, with index tables.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync,
+    sync::atomic::AtomicU32,
+    time,
+};
+
+use acaciabank_core::cache;
+use acaciabank_protocol::{ids, settings, wire};
+use arc_swap::ArcSwap;
+
+use super::{TargetCondition, TargetKind, TargetMarks, TargetState, WithdrawalCause, share};
+use crate::dispatch;
+
+/// Targets of one version of the configuration.
+#[derive(Debug, Default)]
+pub struct TargetSnapshot {
+    /// All targets, by name.
+    pub all: Vec<sync::Arc<TargetState>>,
+    /// Engines by model.
+    pub by_model: HashMap<ids::ModelId, Vec<TargetRoute>>,
+    /// Instances by service.
+    pub by_service: HashMap<ids::ServiceId, Vec<TargetRoute>>,
+    /// All targets by their short name.
+    pub by_hash: HashMap<u32, sync::Arc<TargetState>>,
+}
+
+/// A target as a candidate of this daemon.
+#[derive(Clone, Debug)]
+pub struct TargetRoute {
+    /// Target.
+    pub target: sync::Arc<TargetState>,
+    /// One-way distance from this daemon, in microseconds.
+    pub distance_us: u32,
+}
+
+/// The targets, read on the request path.
+#[derive(Debug, Default)]
+pub struct TargetRegistry {
+    snapshot: ArcSwap<TargetSnapshot>,
+    pub(crate) prefixes: sync::RwLock<cache::PrefixIndex>,
+    pub(super) piece_changes: sync::Mutex<HashMap<u32, share::PieceDelta>>,
+    /// Admission state of the requests at these targets.
+    pub(crate) gate: dispatch::gate::DispatchGate,
+}
+
+impl TargetRegistry {
+    /// The current snapshot.
+    pub fn snapshot(&self) -> sync::Arc<TargetSnapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// The target of the given name.
+    pub fn find(&self, target: &ids::TargetId) -> Option<sync::Arc<TargetState>> {
+        let snapshot = self.snapshot.load();
+        let position = snapshot
+            .all
+            .binary_search_by(|state| state.id.cmp(target))
+            .ok()?;
+        Some(sync::Arc::clone(&snapshot.all[position]))
+    }
+
+    /// Puts the targets of a deployment in place. Targets whose entry is unchanged keep their state,
+    /// so that their in-flight counts and marks live across versions.
+    pub fn apply(&self, deployment: &settings::Deployment, own_zone: &ids::ZoneId) {
+        let previous = self.snapshot();
+        let builder = SnapshotBuilder {
+            previous: &previous,
+            zones: deployment
+                .hosts
+                .iter()
+                .map(|host| (&host.name, &host.zone))
+                .collect(),
+            distances: distances_from(deployment, own_zone),
+            snapshot: TargetSnapshot::default(),
+        };
+        let snapshot = builder.build(deployment);
+        let drained: HashSet<_> = deployment.rules.drained.iter().collect();
+        for target in &snapshot.all {
+            target.mark(WithdrawalCause::Drained, drained.contains(&target.id));
+        }
+        self.forget_removed(&previous, &snapshot);
+        self.snapshot.store(sync::Arc::new(snapshot));
+        self.gate.wake_all();
+    }
+
+    /// Withdraws the target while the planner waits to send it an order, or ends that. Returns
+    /// whether the target is known.
+    pub fn set_order_pending(&self, target: &ids::TargetId, pending: bool) -> bool {
+        let Some(state) = self.find(target) else {
+            return false;
+        };
+        state.mark(WithdrawalCause::OrderPending, pending);
+        self.gate.wake_all();
+        true
+    }
+
+    /// Applies the platform's host list: targets on the given hosts get no new work.
+    pub fn apply_leaving_hosts(&self, leaving: &HashSet<ids::HostId>) {
+        for target in &self.snapshot.load().all {
+            target.mark(WithdrawalCause::HostLeaving, leaving.contains(&target.host));
+        }
+    }
+
+    fn forget_removed(&self, previous: &TargetSnapshot, snapshot: &TargetSnapshot) {
+        let removed = previous
+            .by_hash
+            .keys()
+            .filter(|hash| !snapshot.by_hash.contains_key(hash));
+        let Ok(mut prefixes) = self.prefixes.write() else {
+            return;
+        };
+        removed.for_each(|hash| prefixes.reset(*hash));
+    }
+}
+
+fn distances_from<'a>(
+    deployment: &'a settings::Deployment,
+    own_zone: &ids::ZoneId,
+) -> HashMap<&'a ids::ZoneId, u32> {
+    let ends = deployment.distances.iter().flat_map(|distance| {
+        let (from, to) = (&distance.from, &distance.to);
+        [
+            (from, to, distance.one_way_us),
+            (to, from, distance.one_way_us),
+        ]
+    });
+    ends.filter(|(from, _, _)| *from == own_zone)
+        .map(|(_, to, one_way_us)| (to, one_way_us))
+        .collect()
+}
+
+struct SnapshotBuilder<'a> {
+    previous: &'a TargetSnapshot,
+    zones: HashMap<&'a ids::HostId, &'a ids::ZoneId>,
+    distances: HashMap<&'a ids::ZoneId, u32>,
+    snapshot: TargetSnapshot,
+}
+
+impl SnapshotBuilder<'_> {
+    fn build(mut self, deployment: &settings::Deployment) -> TargetSnapshot {
+        for engine in &deployment.engines {
+            let kind = TargetKind::Engine {
+                model: engine.model.clone(),
+                fencing: engine.fencing,
+                admin_idle_close_ms: engine.admin_idle_close_ms,
+            };
+            let entry = (&engine.name, &engine.host, engine.address, engine.slots);
+            let route = self.add(entry, kind, engine.role);
+            self.snapshot
+                .by_model
+                .entry(engine.model.clone())
+                .or_default()
+                .push(route);
+        }
+        for service in &deployment.services {
+            for instance in &service.instances {
+                let kind = TargetKind::Service {
+                    service: service.name.clone(),
+                };
+                let entry = (
+                    &instance.name,
+                    &instance.host,
+                    instance.address,
+                    instance.slots,
+                );
+                let route = self.add(entry, kind, settings::EngineRole::Mixed);
+                let routes = self.snapshot.by_service.entry(service.name.clone());
+                routes.or_default().push(route);
+            }
+        }
+        self.snapshot
+            .all
+            .sort_by(|left, right| left.id.cmp(&right.id));
+        self.snapshot
+    }
+
+    fn add(
+        &mut self,
+        (id, host, address, slots): (&ids::TargetId, &ids::HostId, std::net::SocketAddr, u32),
+        kind: TargetKind,
+        role: settings::EngineRole,
+    ) -> TargetRoute {
+        let zone = self
+            .zones
+            .get(host)
+            .map(|zone| (*zone).clone())
+            .unwrap_or_default();
+        let hash = ids::target_hash(id);
+        let distance_us = self.distances.get(&zone).copied().unwrap_or(0);
+        let known = self.previous.by_hash.get(&hash).filter(|known| {
+            known.id == *id
+                && known.kind == kind
+                && known.host == *host
+                && known.zone == zone
+                && known.address == address
+                && known.slots == slots
+        });
+        let target = match known {
+            Some(known) => sync::Arc::clone(known),
+            None => sync::Arc::new(TargetState {
+                id: id.clone(),
+                hash,
+                kind,
+                host: host.clone(),
+                zone,
+                address,
+                slots,
+                own_in_flight: AtomicU32::new(0),
+                condition: ArcSwap::from_pointee(initial_condition(role)),
+                marks: TargetMarks::new(slots),
+            }),
+        };
+        self.snapshot.all.push(sync::Arc::clone(&target));
+        self.snapshot
+            .by_hash
+            .insert(hash, sync::Arc::clone(&target));
+        TargetRoute {
+            target,
+            distance_us,
+        }
+    }
+}
+
+/// Condition before any report: usable with an empty load, so that a daemon whose peers are down
+/// can serve.
+fn initial_condition(role: settings::EngineRole) -> TargetCondition {
+    TargetCondition {
+        accepting: true,
+        cause: Some(WithdrawalCause::Unknown),
+        role,
+        load: wire::EngineLoad::default(),
+        load_as_of: time::Instant::now(),
+        own_in_flight_at_report: 0,
+        others_growth_per_s: 0,
+        state: None,
+    }
+}
