--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -5,7 +5,7 @@
 
 fn view(bytes: &[u8]) -> CandidateView {
     CandidateView {
-        usable: bytes[0] % 4 != 0,
+        usable: !bytes[0].is_multiple_of(4),
         role: EngineRole::Mixed,
         load: u32::from(bytes[1]),
         slots: 32,
--- /dev/null
+++ b/crates/daemon/tests/dispatch.rs
@@ -0,0 +1,250 @@
+//! Tests of attempts, verdicts and resumed streams against a scripted target.
+
+use std::{
+    net,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use acaciabank_daemon::{config, dispatch, once, peer, process, table, target};
+use acaciabank_protocol::{ids, reason, settings, verdict::Verdict, wire};
+use bytes::Bytes;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+/// What the target does with one request.
+#[derive(Clone, Copy)]
+enum Script {
+    /// Streams tokens from the resume position up to the given one, then closes or ends.
+    Tokens { until: u64, ends: bool },
+    /// Reads the request and closes the connection.
+    Close,
+    /// Refuses before running.
+    Refuse,
+    /// Answers with another request's id.
+    Crossed,
+}
+
+/// Serves the scripts in order, the last one for ever; counts the requests read.
+async fn start_target(scripts: Vec<Script>) -> (net::SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&served);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let Some((id, body)) = read_request(&mut stream).await else {
+                continue;
+            };
+            let number = count.fetch_add(1, Ordering::SeqCst);
+            let script = scripts[number.min(scripts.len() - 1)];
+            let answer = answer_of(script, &id, &body);
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    (address, served)
+}
+
+async fn read_request(stream: &mut tokio::net::TcpStream) -> Option<(String, serde_json::Value)> {
+    let mut bytes = Vec::new();
+    loop {
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let header = |name: &str| {
+            let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+            lines
+                .find(|(key, _)| key.eq_ignore_ascii_case(name))
+                .map(|(_, value)| value)
+        };
+        let length = header("content-length").map_or(0, |length| length.parse().unwrap());
+        if body.len() >= length {
+            let id = header("x-request-id").unwrap_or_default().to_owned();
+            return Some((id, serde_json::from_str(body).unwrap_or_default()));
+        }
+    }
+}
+
+fn answer_of(script: Script, id: &str, body: &serde_json::Value) -> String {
+    let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\n";
+    match script {
+        Script::Close => String::new(),
+        Script::Refuse => {
+            "HTTP/1.1 503 Busy\r\nx-verdict: not_run\r\ncontent-length: 0\r\n\r\n".to_owned()
+        }
+        Script::Crossed => format!("{head}x-request-id: other\r\n\r\ndata: [DONE]\n\n"),
+        Script::Tokens { until, ends } => {
+            let from = body["resume_from"].as_u64().unwrap_or(0);
+            let mut answer = format!("{head}x-request-id: {id}\r\n\r\n");
+            for token in from + 1..=until {
+                let finish = (ends && token == until).then_some("length");
+                let chunk = json!({"id": id, "object": "text_completion",
+                    "choices": [{"index": 0, "text": format!("t{token} "), "finish_reason": finish}],
+                    "usage": {"completion_tokens": token}});
+                answer.push_str(&format!("data: {chunk}\n\n"));
+            }
+            if ends {
+                answer.push_str("data: [DONE]\n\n");
+            }
+            answer
+        }
+    }
+}
+
+fn state_of(addresses: &[net::SocketAddr]) -> process::SharedState {
+    let engines: Vec<_> = addresses
+        .iter()
+        .enumerate()
+        .map(|(number, address)| {
+            json!({"name": format!("engine-{number}"), "host": "host-1", "address": address,
+                   "model": "drafter", "slots": 4, "fencing": "checked"})
+        })
+        .collect();
+    let deployment: settings::Deployment = serde_json::from_value(json!({
+        "regions": [{"name": "perth", "zones": ["perth-a"]}],
+        "hosts": [{"name": "host-1", "zone": "perth-a"}],
+        "models": [{"name": "drafter", "version": "1"}],
+        "engines": engines,
+        "policy": {"routing": "least_load"},
+    }))
+    .unwrap();
+    let process: settings::ProcessSettings = serde_json::from_value(json!({
+        "daemon": "daemon-1", "region": "perth", "zone": "perth-a",
+        "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0", "table": {"address": "127.0.0.1:1"},
+    }))
+    .unwrap();
+    let state = process::ProcessState {
+        table: table::TableClient::new(process.table.clone()),
+        settings: process,
+        boot_id: 1,
+        phase: process::PhaseCell::default(),
+        config: config::ConfigStore::default(),
+        targets: target::TargetRegistry::default(),
+        peers: peer::PeerHandle::default(),
+        once: once::KeyCoordinator::default(),
+        answers: dispatch::AnswerBuffer::default(),
+    };
+    state.targets.apply(&deployment, &state.settings.zone);
+    state.config.apply(config::ConfigVersion {
+        version: 1,
+        operator: "test".to_owned(),
+        deployment,
+    });
+    Arc::new(state)
+}
+
+fn request_of(state: &process::ProcessState, idempotent: bool) -> dispatch::CallerRequest {
+    let body = json!({"model": "drafter", "prompt": "hello", "max_tokens": 6});
+    dispatch::CallerRequest {
+        id: ids::RequestId::new("daemon-1-00"),
+        team: ids::TeamId::new("team"),
+        priority: wire::Priority::Normal,
+        deadline: Instant::now() + Duration::from_secs(20),
+        idempotent,
+        fingerprint: 1,
+        work: dispatch::RequestWork::Completion {
+            model: ids::ModelId::new("drafter"),
+            path: "/v1/completions",
+            prompt: "hello".to_owned(),
+            max_tokens: 6,
+            stream: false,
+            body: body.as_object().unwrap().clone(),
+        },
+        config: state.config.current().unwrap(),
+    }
+}
+
+async fn text_of(mut answer: dispatch::CallerAnswer) -> String {
+    let mut body = Vec::new();
+    while let Some(part) = answer.body.recv().await {
+        body.extend_from_slice(&part.unwrap());
+    }
+    let answer: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    answer["choices"][0]["text"].as_str().unwrap().to_owned()
+}
+
+/// Guards against repeated or missing tokens when a stream breaks, and against a late caller who
+/// does not find the answer.
+#[tokio::test]
+async fn broken_stream_resumes_without_gap_or_repeat() {
+    let broken = Script::Tokens {
+        until: 3,
+        ends: false,
+    };
+    let whole = Script::Tokens {
+        until: 6,
+        ends: true,
+    };
+    let (address, served) = start_target(vec![broken, whole]).await;
+    let state = state_of(&[address]);
+    let request = request_of(&state, true);
+    let answer = dispatch::dispatch(&state, request.clone()).await.unwrap();
+    assert_eq!(text_of(answer).await, "t1 t2 t3 t4 t5 t6 ");
+    assert_eq!(served.load(Ordering::SeqCst), 2);
+    let kept = state.answers.find(&request.id, &request.team);
+    assert!(matches!(kept, dispatch::BufferedAnswer::Done { body, .. } if body != Bytes::new()));
+    let stranger = ids::TeamId::new("stranger");
+    let kept = state.answers.find(&request.id, &stranger);
+    assert!(matches!(kept, dispatch::BufferedAnswer::Forbidden));
+}
+
+/// Guards against a second run of a non-idempotent request after its bytes were written.
+#[tokio::test]
+async fn non_idempotent_request_is_not_repeated_after_it_was_written() {
+    let (address, served) = start_target(vec![Script::Close]).await;
+    let state = state_of(&[address]);
+    let refusal = dispatch::dispatch(&state, request_of(&state, false))
+        .await
+        .unwrap_err();
+    assert_eq!(refusal.reason, reason::RefusalReason::TargetFailed);
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    assert_eq!(served.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against losing a non-idempotent request that a target refused before running, or that
+/// met a closed port.
+#[tokio::test]
+async fn not_run_attempts_are_retried_for_non_idempotent_requests() {
+    let whole = Script::Tokens {
+        until: 6,
+        ends: true,
+    };
+    let (address, _) = start_target(vec![Script::Refuse, whole]).await;
+    let closed = TcpListener::bind("127.0.0.1:0")
+        .await
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let state = state_of(&[closed, address]);
+    let answer = dispatch::dispatch(&state, request_of(&state, false))
+        .await
+        .unwrap();
+    assert_eq!(text_of(answer).await, "t1 t2 t3 t4 t5 t6 ");
+}
+
+/// Guards against delivering another request's answer.
+#[tokio::test]
+async fn crossed_answer_is_dropped() {
+    let whole = Script::Tokens {
+        until: 6,
+        ends: true,
+    };
+    let (address, served) = start_target(vec![Script::Crossed, whole]).await;
+    let state = state_of(&[address]);
+    let answer = dispatch::dispatch(&state, request_of(&state, true))
+        .await
+        .unwrap();
+    assert_eq!(text_of(answer).await, "t1 t2 t3 t4 t5 t6 ");
+    assert_eq!(served.load(Ordering::SeqCst), 2);
+}
