Test polling of a switching engine

Polls were untested. A scripted engine checks that switching withdraws a target, that later polls return it and that cache events become a delta.

--- a/crates/daemon/tests/target.rs
+++ b/crates/daemon/tests/target.rs
@@ -1,10 +1,23 @@
 //! Tests of the withdrawal of targets and of the registry across versions.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
-use acaciabank_daemon::target::{LoadSummary, PieceDelta, TargetRegistry, WithdrawalCause};
+use acaciabank_daemon::{
+    config, dispatch, once, peer, process, table,
+    target::{LoadSummary, PieceDelta, TargetRegistry, WithdrawalCause, run},
+};
 use acaciabank_protocol::{ids, settings};
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 fn deployment(slots: u32, drained: &[&str]) -> settings::Deployment {
     serde_json::from_value(json!({
@@ -93,3 +106,85 @@
         "received deltas are not passed on"
     );
 }
+
+/// Serves an engine's administration API; `switching` decides what its state says.
+async fn start_engine(switching: Arc<AtomicBool>) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut bytes = Vec::new();
+            while !bytes.ends_with(b"\r\n\r\n") && stream.read_buf(&mut bytes).await.unwrap() > 0 {}
+            let switch = json!({"order_id": "order-1", "until_unix_ms": 0});
+            let switch = switching.load(Ordering::SeqCst).then_some(switch);
+            let body = match String::from_utf8_lossy(&bytes) {
+                head if head.contains("/admin/state") => json!({"boot_id": "1", "role": "decode",
+                    "models": [], "switching": switch, "highest_fencing": 0, "last_order": null}),
+                head if head.contains("/admin/load") => json!({"running": 3, "slots": 4}),
+                _ => json!({"boot_id": "1", "next": 1, "events": [
+                    {"sequence": 1, "kind": "stored", "pieces": ["00000000000000ff"]}]}),
+            };
+            let body = body.to_string();
+            let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ";
+            let answer = format!("{head}{}\r\n\r\n{body}", body.len());
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+async fn wait_for(condition: impl Fn() -> bool) {
+    let limit = Instant::now() + Duration::from_secs(20);
+    while !condition() {
+        assert!(
+            Instant::now() < limit,
+            "the condition did not become true in time"
+        );
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against polls that miss a switching engine, never return it, or lose its cache events.
+#[tokio::test]
+async fn polls_withdraw_a_switching_engine_and_return_it() {
+    let switching = Arc::new(AtomicBool::new(true));
+    let address = start_engine(Arc::clone(&switching)).await;
+    let mut deployment = deployment(4, &[]);
+    deployment.engines.truncate(1);
+    deployment.engines[0].address = address;
+    let settings: settings::ProcessSettings = serde_json::from_value(json!({
+        "daemon": "daemon-1", "region": "perth", "zone": "perth-a",
+        "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0", "table": {"address": "127.0.0.1:1"},
+        "timers": {"target_poll_ms": 20},
+    }))
+    .unwrap();
+    let state = Arc::new(process::ProcessState {
+        table: table::TableClient::new(settings.table.clone()),
+        settings,
+        boot_id: 1,
+        phase: process::PhaseCell::default(),
+        config: config::ConfigStore::default(),
+        targets: TargetRegistry::default(),
+        peers: peer::PeerHandle::default(),
+        once: once::KeyCoordinator::default(),
+        answers: dispatch::AnswerBuffer::default(),
+    });
+    tokio::spawn(run(Arc::clone(&state)));
+    state.config.apply(config::ConfigVersion {
+        version: 1,
+        operator: "test".to_owned(),
+        deployment,
+    });
+    let id = ids::TargetId::new("engine-1");
+    wait_for(|| state.targets.find(&id).is_some()).await;
+    let target = state.targets.find(&id).unwrap();
+    wait_for(|| target.condition.load().cause == Some(WithdrawalCause::Switching)).await;
+    switching.store(false, Ordering::SeqCst);
+    wait_for(|| target.condition.load().accepting).await;
+    assert_eq!(target.condition.load().role, settings::EngineRole::Decode);
+    assert_eq!(target.condition.load().load.running, 3);
+    let deltas = state.targets.take_piece_deltas();
+    assert_eq!(deltas[0].stored, [255]);
+    state.phase.advance(process::Phase::Left);
+}
