--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,3 +1,20 @@
-//! Decision logic of acaciabank without I/O.
+//! Decision logic of the daemon without I/O and without a clock of its own: time is passed in,
+//! randomness comes from a seed or a seeded generator of the caller.
+//!
+//! ```
+//! use acaciabank_core::budget::RetryBudget;
+//!
+//! let mut budget = RetryBudget::new(10);
+//! budget.record_request();
+//! assert!(budget.try_spend());
+//! ```
 
+pub mod admit;
+pub mod budget;
+pub mod cache;
+pub mod lease;
 pub mod member;
+pub mod once;
+pub mod order;
+pub mod route;
+pub mod suspect;
