Add the state machine of calls with an idempotency key

Change: core::once decides the next write, read, wait or dispatch; a write without answer is read back and never repeated.

--- /dev/null
+++ b/crates/core/src/once/mod.rs
@@ -0,0 +1,19 @@
+//! State machine of one call with an idempotency key: which write, read, wait or dispatch follows.
+//!
+//! # Example
+//!
+//! A request is dispatched only after its intent is known to be committed:
+//!
+//! ```
+//! use acaciabank_core::once::{KeyAction, KeyCall, KeyEvent};
+//!
+//! let (mut call, action) = KeyCall::start();
+//! assert_eq!(action, KeyAction::Insert);
+//! assert_eq!(call.step(KeyEvent::WriteUnknown), KeyAction::Read);
+//! ```
+
+mod call;
+mod record;
+
+pub use call::{KeyAction, KeyCall, KeyEvent, RefusalKind, RunOutcome};
+pub use record::{HolderKind, KeyState, RowFact};
