--- a/crates/daemon/src/authority/mod.rs
+++ b/crates/daemon/src/authority/mod.rs
@@ -1,5 +1,7 @@
 //! Leases, intents and orders; the planner loop.
 
+pub mod connection;
+
 use crate::process;
 
 /// Runs lease, order and planner loops until the process leaves.
--- /dev/null
+++ b/crates/daemon/src/once/row.rs
@@ -0,0 +1,138 @@
+//! Form of a key's row in the table.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use acaciabank_core::once::{HolderKind, KeyState, RowFact};
+use acaciabank_protocol::ids;
+
+use crate::{peer, process, table};
+
+/// Time for which a key's row counts: 7 days. A call after that runs as a new request.
+const KEY_LIFETIME_MS: u64 = 7 * 24 * 60 * 60 * 1_000;
+
+/// Form in which the answer is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum AnswerForm {
+    /// The text itself.
+    Text,
+    /// Base64 of the bytes.
+    Base64,
+    /// Name in the object store.
+    Object,
+}
+
+/// Body of a key's row.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub(super) struct KeyRow {
+    pub(super) state: KeyState,
+    pub(super) request: ids::RequestId,
+    pub(super) fingerprint: String,
+    pub(super) daemon: ids::DaemonId,
+    pub(super) boot_id: u64,
+    #[serde(default)]
+    pub(super) status: Option<u16>,
+    #[serde(default)]
+    pub(super) content_type: Option<String>,
+    #[serde(default)]
+    pub(super) answer: Option<String>,
+    #[serde(default)]
+    pub(super) answer_form: Option<AnswerForm>,
+    pub(super) created_unix_ms: u64,
+    pub(super) expires_unix_ms: u64,
+    #[serde(default)]
+    pub(super) operator: Option<String>,
+}
+
+impl KeyRow {
+    pub(super) fn intent(
+        state: &process::ProcessState,
+        request: &ids::RequestId,
+        fingerprint: u64,
+    ) -> Self {
+        let now = unix_ms();
+        Self {
+            state: KeyState::Intent,
+            request: request.clone(),
+            fingerprint: fingerprint_text(fingerprint),
+            daemon: state.settings.daemon.clone(),
+            boot_id: state.boot_id,
+            status: None,
+            content_type: None,
+            answer: None,
+            answer_form: None,
+            created_unix_ms: now,
+            expires_unix_ms: now + KEY_LIFETIME_MS,
+            operator: None,
+        }
+    }
+
+    pub(super) fn parse(row: &table::TableRow) -> Result<Self, table::TableError> {
+        serde_json::from_str(&row.body)
+            .map_err(|error| table::TableError::Invalid(format!("key row: {error}")))
+    }
+
+    pub(super) fn to_body(&self) -> String {
+        serde_json::to_string(self).expect("a key row has only text keys")
+    }
+
+    pub(super) fn fact(
+        &self,
+        state: &process::ProcessState,
+        row: &table::TableRow,
+        own_operation: &ids::OperationId,
+        fingerprint: u64,
+    ) -> RowFact {
+        RowFact {
+            version: row.version,
+            own_operation: &row.operation == own_operation,
+            state: self.state,
+            same_fingerprint: self.fingerprint == fingerprint_text(fingerprint),
+            expired: self.expires_unix_ms <= unix_ms(),
+            holder: self.holder(state),
+        }
+    }
+
+    pub(super) fn holder(&self, state: &process::ProcessState) -> HolderKind {
+        if self.daemon == state.settings.daemon {
+            return match self.boot_id == state.boot_id {
+                true => HolderKind::Local,
+                false => HolderKind::Gone,
+            };
+        }
+        match is_member(&state.peers.members(), &self.daemon, self.boot_id) {
+            true => HolderKind::Remote,
+            false => HolderKind::Gone,
+        }
+    }
+}
+
+fn is_member(members: &[peer::MemberView], daemon: &ids::DaemonId, boot_id: u64) -> bool {
+    members
+        .iter()
+        .any(|member| &member.daemon == daemon && member.boot_id == boot_id)
+}
+
+/// Key of the row. A `#` in the team's name is escaped, so that no two pairs share a row.
+pub(super) fn row_key(team: &ids::TeamId, key: &str) -> table::RowKey {
+    let team = team.as_str().replace('%', "%25").replace('#', "%23");
+    table::RowKey {
+        partition: "key".to_owned(),
+        name: format!("{team}#{key}"),
+    }
+}
+
+pub(super) fn fingerprint_text(fingerprint: u64) -> String {
+    format!("{fingerprint:016x}")
+}
+
+/// A new operation id, unique and not guessable.
+pub(super) fn new_operation() -> ids::OperationId {
+    ids::OperationId::new(format!("{:032x}", rand::random::<u128>()))
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/tests/once.rs
@@ -0,0 +1,83 @@
+//! Keyed requests without a table service.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use acaciabank_daemon::{config, dispatch, once, peer, process, table, target};
+use acaciabank_protocol::{ids, reason, settings, verdict, wire};
+
+fn state() -> process::SharedState {
+    // Port 1 of the loopback interface has no listener, so the table refuses connections.
+    let settings: settings::ProcessSettings = serde_json::from_value(serde_json::json!({
+        "daemon": "d1", "region": "perth", "zone": "perth-a",
+        "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0", "table": {"address": "127.0.0.1:1"},
+    }))
+    .expect("settings");
+    Arc::new(process::ProcessState {
+        table: table::TableClient::new(settings.table.clone()),
+        settings,
+        boot_id: 7,
+        phase: process::PhaseCell::default(),
+        config: config::ConfigStore::default(),
+        targets: target::TargetRegistry::default(),
+        peers: peer::PeerHandle::default(),
+        once: once::KeyCoordinator::default(),
+        answers: dispatch::AnswerBuffer::default(),
+    })
+}
+
+fn request() -> dispatch::CallerRequest {
+    let deployment = serde_json::json!({
+        "regions": [], "hosts": [], "models": [], "engines": []
+    });
+    dispatch::CallerRequest {
+        id: ids::RequestId::from("d1-00"),
+        team: ids::TeamId::from("clubs"),
+        priority: wire::Priority::Normal,
+        deadline: Instant::now() + Duration::from_secs(20),
+        idempotent: true,
+        fingerprint: 1,
+        work: dispatch::RequestWork::Service {
+            service: ids::ServiceId::from("ledger"),
+            method: http::Method::POST,
+            path_and_query: "/notices".to_owned(),
+            headers: http::HeaderMap::new(),
+            body: bytes::Bytes::new(),
+        },
+        config: Arc::new(config::ConfigVersion {
+            version: 1,
+            operator: "test".to_owned(),
+            deployment: serde_json::from_value(deployment).expect("deployment"),
+        }),
+    }
+}
+
+/// Guards against a dispatch without a committed intent: the refusal must come from the table, not
+/// from the dispatch, and must state that nothing ran.
+#[tokio::test]
+async fn table_outage_refuses_before_dispatch() {
+    let state = state();
+    let refusal = once::run_keyed(&state, "k", request())
+        .await
+        .expect_err("refused");
+    assert_eq!(refusal.reason, reason::RefusalReason::TableUnavailable);
+    assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
+}
+
+/// Guards against a registration that outlives its call and blocks the key.
+#[tokio::test]
+async fn refused_call_leaves_no_local_run() {
+    let state = state();
+    let refusal = once::run_keyed(&state, "k", request()).await;
+    assert!(refusal.is_err());
+    let limit = Instant::now() + Duration::from_secs(10);
+    while state.once.active_runs() > 0 && Instant::now() < limit {
+        tokio::task::yield_now().await;
+    }
+    let team = ids::TeamId::from("clubs");
+    let remote = state.once.local_state(&team, "k", 0).await;
+    assert_eq!(remote, peer::RemoteKey::Unknown);
+}
