Test the wait after a takeover

Cause: targets without a known idle time must not be taken over alone. Change: one test of core::order::takeover_wait. Tested: the test passes. Conclusion: interleavings of orders are still untested.

--- /dev/null
+++ b/crates/core/tests/order.rs
@@ -0,0 +1,21 @@
+//! Rules for the first order after a takeover.
+
+use acaciabank_core::{
+    lease::LeaseTimers,
+    order::{TakeoverWait, takeover_wait},
+};
+use acaciabank_protocol::settings::FencingSupport;
+
+/// Guards against an automatic takeover of a target that neither checks fencing numbers nor closes
+/// idle connections after a known time.
+#[test]
+fn unknown_idle_time_needs_confirmation() {
+    let timers = LeaseTimers {
+        ttl_ms: 9_000,
+        renewal_ms: 3_000,
+        margin_ms: 1_000,
+    };
+    let wait = |close_ms| takeover_wait(FencingSupport::Ignored, close_ms, &timers);
+    assert_eq!(wait(None), TakeoverWait::Confirmation);
+    assert_eq!(wait(Some(10_000)), TakeoverWait::Time(29_000));
+}
