--- /dev/null
+++ b/crates/testbed/src/engine/admin.rs
@@ -0,0 +1,230 @@
+//! Administration API of the engine: state, load, cache events, orders, faults.
+
+use std::{process, sync, time};
+
+use acaciabank_protocol::{settings, wire};
+use hyper::{Response, StatusCode};
+use serde_json::json;
+
+use super::{EngineCore, EngineState};
+use crate::{journal, web};
+
+/// Shortest time between two samples of the load.
+const MIN_SAMPLE_MS: u64 = 5;
+
+pub(super) fn state(state: &EngineState) -> Response<web::ReplyBody> {
+    let core = state.core();
+    let report = wire::EngineState {
+        boot_id: state.boot_id.clone(),
+        role: core.role,
+        models: core.models.clone(),
+        switching: core.switching.clone(),
+        highest_fencing: core.highest_fencing,
+        last_order: core.last_order.clone(),
+    };
+    web::json_reply(StatusCode::OK, &report)
+}
+
+fn current_load(state: &EngineState, core: &EngineCore) -> wire::EngineLoad {
+    let prefilling = core
+        .running
+        .iter()
+        .filter(|sequence| !sequence.is_prefilled);
+    let running_tokens: u64 = prefilling.map(|sequence| sequence.prefill_left).sum();
+    let waiting = core.waiting.iter();
+    let waiting_tokens: u64 = waiting.map(|sequence| sequence.context_tokens).sum();
+    let decoding = core.running.iter().filter(|sequence| sequence.is_prefilled);
+    wire::EngineLoad {
+        as_of_unix_ms: journal::unix_ms(),
+        running: core.running.len() as u32,
+        waiting: core.waiting.len() as u32,
+        waiting_prefill_tokens: waiting_tokens + running_tokens,
+        running_decode: decoding.count() as u32,
+        pieces_used: core.cache.len() as u32,
+        pieces_total: state.options.pieces_total as u32,
+        slots: state.options.slots as u32,
+    }
+}
+
+/// Keeps samples of the load for lagging reports.
+pub(super) async fn sample_load(state: sync::Arc<EngineState>) {
+    let lag = time::Duration::from_millis(state.options.load_lag_ms);
+    if lag.is_zero() {
+        return;
+    }
+    let period = (state.options.load_lag_ms / 10).max(MIN_SAMPLE_MS);
+    let mut ticks = tokio::time::interval(time::Duration::from_millis(period));
+    loop {
+        ticks.tick().await;
+        let mut core = state.core();
+        let load = current_load(&state, &core);
+        core.loads.push_back((time::Instant::now(), load));
+        while core.loads.len() > 1 && core.loads[1].0.elapsed() >= lag {
+            core.loads.pop_front();
+        }
+    }
+}
+
+pub(super) fn load(state: &EngineState) -> Response<web::ReplyBody> {
+    let core = state.core();
+    let oldest = core.loads.front().map(|(_, load)| load.clone());
+    let load = oldest.unwrap_or_else(|| current_load(state, &core));
+    web::json_reply(StatusCode::OK, &load)
+}
+
+pub(super) fn cache_events(state: &EngineState, query: &str) -> Response<web::ReplyBody> {
+    let mut parameters = query.split('&');
+    let after = parameters
+        .find_map(|parameter| parameter.strip_prefix("after="))
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    let events = state.core().cache.events_after(after);
+    let next = events.last().map_or(after, |event| event.sequence);
+    let report = wire::CacheEvents {
+        boot_id: state.boot_id.clone(),
+        events,
+        next,
+    };
+    web::json_reply(StatusCode::OK, &report)
+}
+
+pub(super) fn control(state: &EngineState, body: &[u8]) -> Response<web::ReplyBody> {
+    let mut core = state.core();
+    if let Err(message) = web::apply_patch(&mut core.faults, body) {
+        return web::error_reply(StatusCode::BAD_REQUEST, &message);
+    }
+    if core.faults.crash_now {
+        state.record("crashed", "");
+        process::exit(super::CRASH_STATUS);
+    }
+    state.work.notify_one();
+    web::json_reply(StatusCode::OK, &core.faults)
+}
+
+fn record_order(state: &EngineState, event: &str, order: &wire::OrderRequest) {
+    state.journal.record(json!({
+        "event": event, "engine": state.options.name, "order_id": order.order_id,
+        "fencing": order.fencing, "action": order.action,
+    }));
+}
+
+pub(super) fn order(state: &sync::Arc<EngineState>, body: &[u8]) -> Response<web::ReplyBody> {
+    let Ok(order) = serde_json::from_slice::<wire::OrderRequest>(body) else {
+        return web::not_run_reply(StatusCode::BAD_REQUEST, "bad_request");
+    };
+    record_order(state, "order_received", &order);
+    let mut core = state.core();
+    if core.accepted_orders.contains(&order.order_id) {
+        return web::json_reply(StatusCode::ACCEPTED, &json!({"order_id": order.order_id}));
+    }
+    let is_checked = state.options.fencing == settings::FencingSupport::Checked;
+    let refusal = if is_checked && order.fencing <= core.highest_fencing {
+        Some("stale_fencing")
+    } else if !core.running.is_empty() || !core.waiting.is_empty() || core.switching.is_some() {
+        Some("busy")
+    } else {
+        None
+    };
+    if let Some(reason) = refusal {
+        state.journal.record(json!({
+            "event": "order_refused", "engine": state.options.name, "reason": reason,
+            "order_id": order.order_id, "fencing": order.fencing,
+            "highest_fencing": core.highest_fencing,
+        }));
+        return web::not_run_reply(StatusCode::CONFLICT, reason);
+    }
+    core.highest_fencing = core.highest_fencing.max(order.fencing);
+    core.accepted_orders.insert(order.order_id.clone());
+    let change = change_time(state, &order.action);
+    core.switching = Some(wire::SwitchState {
+        order_id: order.order_id.clone(),
+        until_unix_ms: journal::unix_ms() + change.as_millis() as u64,
+    });
+    core.last_order = Some(order_state(&order, wire::OrderOutcome::Running));
+    let reply = web::json_reply(StatusCode::ACCEPTED, &json!({"order_id": order.order_id}));
+    tokio::spawn(run_change(state.clone(), order, change));
+    reply
+}
+
+fn order_state(order: &wire::OrderRequest, outcome: wire::OrderOutcome) -> wire::OrderState {
+    wire::OrderState {
+        order_id: order.order_id.clone(),
+        fencing: order.fencing,
+        outcome,
+    }
+}
+
+fn change_time(state: &EngineState, action: &wire::OrderAction) -> time::Duration {
+    let milliseconds = match action {
+        wire::OrderAction::SetRole { .. } => state.options.switch_ms,
+        wire::OrderAction::LoadModel { .. } | wire::OrderAction::LoadAdapter { .. } => {
+            state.options.load_ms
+        }
+        wire::OrderAction::UnloadModel { .. } => 0,
+    };
+    state.scaled(milliseconds as f64)
+}
+
+async fn run_change(
+    state: sync::Arc<EngineState>,
+    order: wire::OrderRequest,
+    change: time::Duration,
+) {
+    let is_fetched = fetch_weights(&state, &order.action).await;
+    tokio::time::sleep(change / 2).await;
+    if state.core().faults.crash_in_change {
+        record_order(&state, "crashed_in_change", &order);
+        process::exit(super::CRASH_STATUS);
+    }
+    tokio::time::sleep(change / 2).await;
+    let mut core = state.core();
+    let is_applied = is_fetched && apply_action(&mut core, &order.action);
+    let (outcome, event) = if is_applied {
+        (wire::OrderOutcome::Done, "order_applied")
+    } else {
+        (wire::OrderOutcome::Failed, "order_failed")
+    };
+    core.switching = None;
+    core.last_order = Some(order_state(&order, outcome));
+    record_order(&state, event, &order);
+}
+
+/// Whether the weights that an order needs have arrived.
+async fn fetch_weights(state: &EngineState, action: &wire::OrderAction) -> bool {
+    let wire::OrderAction::LoadModel { model, version } = action else {
+        return true;
+    };
+    let Some(address) = state.options.weight_store else {
+        return true;
+    };
+    let path = format!("/weights/{model}/{version}");
+    let answer = web::call(address, "GET", &path, &[], "").await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+fn apply_action(core: &mut EngineCore, action: &wire::OrderAction) -> bool {
+    match action {
+        wire::OrderAction::SetRole { role } => core.role = *role,
+        wire::OrderAction::LoadModel { model, version } => {
+            core.models.retain(|loaded| loaded.model != *model);
+            core.models.push(wire::LoadedModel {
+                model: model.clone(),
+                version: version.clone(),
+                adapters: Vec::new(),
+            });
+        }
+        wire::OrderAction::LoadAdapter { model, adapter } => {
+            let mut models = core.models.iter_mut();
+            let Some(loaded) = models.find(|loaded| loaded.model == *model) else {
+                return false;
+            };
+            if !loaded.adapters.contains(adapter) {
+                loaded.adapters.push(adapter.clone());
+            }
+        }
+        wire::OrderAction::UnloadModel { model } => {
+            core.models.retain(|loaded| loaded.model != *model);
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/testbed/src/engine/mod.rs
@@ -0,0 +1,278 @@
+//! Stand-in for a model engine: continuous batching in simulated time, prefix cache, orders.
+
+mod admin;
+mod cache;
+mod completions;
+mod scheduler;
+mod text;
+
+use std::{collections, io, net, path, sync, time};
+
+use acaciabank_protocol::{ids, settings, value_type, wire};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+
+use crate::{journal, web};
+
+pub use cache::{EventOptions, PrefixCache};
+pub use text::{chat_prompt, expected_text, prompt_hash, token_text};
+
+/// Exit status of a stand-in that crashes by request.
+pub const CRASH_STATUS: i32 = 3;
+
+/// Parameters of an engine stand-in. Durations are multiplied by `time_scale`, except lags.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// Name, used in the journal.
+    pub name: String,
+    /// Model in memory at the start.
+    pub model: ids::ModelId,
+    /// Its version.
+    pub version: String,
+    /// Its adapters.
+    pub adapters: Vec<String>,
+    /// Role at the start.
+    pub role: settings::EngineRole,
+    /// Requests in the batch at most.
+    pub slots: usize,
+    /// Requests that wait at most.
+    pub max_waiting: usize,
+    /// Prompt tokens processed in one second with a factor of 1.
+    pub prefill_tokens_per_second: f64,
+    /// Prompt tokens processed in one step at most.
+    pub chunk_tokens: u64,
+    /// Base time of a step, in milliseconds.
+    pub decode_step_ms: f64,
+    /// Time added to a step for each decoding request, in milliseconds.
+    pub per_sequence_ms: f64,
+    /// Factor on all simulated durations.
+    pub time_scale: f64,
+    /// Tokens in one cache piece.
+    pub piece_tokens: u32,
+    /// Pieces in the cache at most.
+    pub pieces_total: usize,
+    /// Lag of load reports, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Publication of cache events.
+    pub events: EventOptions,
+    /// Whether old fencing numbers are refused.
+    pub fencing: settings::FencingSupport,
+    /// Time of a role change, in milliseconds.
+    pub switch_ms: u64,
+    /// Time to load a model or an adapter after its weights have arrived, in milliseconds.
+    pub load_ms: u64,
+    /// Weight store to fetch models from.
+    pub weight_store: Option<net::SocketAddr>,
+    /// Tokens of KV cache received from another engine in one second.
+    pub transfer_tokens_per_second: f64,
+    /// Text in a prompt that ends the process at the first decode step.
+    pub crash_marker: String,
+    /// Whether the process exits half-way through its next change.
+    pub crash_in_change: bool,
+    /// File that the journal is appended to.
+    pub journal: Option<path::PathBuf>,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            name: "engine".to_owned(),
+            model: ids::ModelId::from("drafting"),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+            role: settings::EngineRole::Mixed,
+            slots: 32,
+            max_waiting: 256,
+            prefill_tokens_per_second: 8_000.0,
+            chunk_tokens: 2_048,
+            decode_step_ms: 12.0,
+            per_sequence_ms: 0.5,
+            time_scale: 1.0,
+            piece_tokens: 2_000,
+            pieces_total: 400,
+            load_lag_ms: 0,
+            events: EventOptions {
+                delay: time::Duration::ZERO,
+                gap_probability: 0.0,
+                seed: 1,
+            },
+            fencing: settings::FencingSupport::Checked,
+            switch_ms: 4_000,
+            load_ms: 2_000,
+            weight_store: None,
+            transfer_tokens_per_second: 200_000.0,
+            crash_marker: "CRASH-ENGINE".to_owned(),
+            crash_in_change: false,
+            journal: None,
+        }
+    }
+}
+
+value_type!(
+    /// Faults set by `POST /control`; members that are not named keep their value.
+    #[derive(Default)]
+    #[serde(default)]
+    pub struct EngineFaults {
+        /// Exits at once with status 3.
+        pub crash_now: bool,
+        /// Exits half-way through the next change.
+        pub crash_in_change: bool,
+        /// Takes requests and makes no progress.
+        pub stall: bool,
+        /// Breaks streams after this many tokens.
+        pub break_after_tokens: Option<u64>,
+        /// Delay of answers, in milliseconds.
+        pub delay_ms: u64,
+        /// Answers carry the id of another request.
+        pub wrong_id: bool,
+    }
+);
+
+/// A running engine stand-in.
+pub struct EngineState {
+    options: EngineOptions,
+    address: net::SocketAddr,
+    boot_id: String,
+    journal: journal::Journal,
+    core: sync::Mutex<EngineCore>,
+    work: tokio::sync::Notify,
+}
+
+/// What changes while an engine runs.
+struct EngineCore {
+    role: settings::EngineRole,
+    models: Vec<wire::LoadedModel>,
+    switching: Option<wire::SwitchState>,
+    highest_fencing: u64,
+    last_order: Option<wire::OrderState>,
+    accepted_orders: collections::HashSet<ids::OrderId>,
+    waiting: Vec<scheduler::Sequence>,
+    running: Vec<scheduler::Sequence>,
+    next_arrival: u64,
+    cache: PrefixCache,
+    handles: collections::VecDeque<(String, u64)>,
+    loads: collections::VecDeque<(time::Instant, wire::EngineLoad)>,
+    faults: EngineFaults,
+    last_attempt: String,
+}
+
+impl EngineState {
+    /// Starts the tasks of an engine that is reached at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of opening the journal file.
+    pub fn start(options: EngineOptions, address: net::SocketAddr) -> io::Result<sync::Arc<Self>> {
+        let journal = journal::Journal::open(options.journal.as_deref())?;
+        let model = wire::LoadedModel {
+            model: options.model.clone(),
+            version: options.version.clone(),
+            adapters: options.adapters.clone(),
+        };
+        let core = EngineCore {
+            role: options.role,
+            models: vec![model],
+            switching: None,
+            highest_fencing: 0,
+            last_order: None,
+            accepted_orders: Default::default(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            next_arrival: 0,
+            cache: PrefixCache::new(options.pieces_total, options.events),
+            handles: Default::default(),
+            loads: Default::default(),
+            faults: EngineFaults {
+                crash_in_change: options.crash_in_change,
+                ..EngineFaults::default()
+            },
+            last_attempt: "none".to_owned(),
+        };
+        let state = sync::Arc::new(Self {
+            options,
+            address,
+            boot_id: format!("{:016x}", rand::random::<u64>()),
+            journal,
+            core: sync::Mutex::new(core),
+            work: tokio::sync::Notify::new(),
+        });
+        state.journal.record(json!({
+            "event": "start", "engine": state.options.name, "boot_id": state.boot_id,
+        }));
+        tokio::spawn(scheduler::run(state.clone()));
+        tokio::spawn(admin::sample_load(state.clone()));
+        Ok(state)
+    }
+
+    /// Answers one request.
+    ///
+    /// # Errors
+    ///
+    /// An error closes the connection without an answer.
+    pub async fn handle(self: sync::Arc<Self>, request: Request<Incoming>) -> web::Reply {
+        let (head, body) = request.into_parts();
+        let body = web::read_body(body).await?;
+        let path = head.uri.path();
+        let reply = match (head.method.as_str(), path) {
+            ("POST", "/v1/completions") => {
+                return completions::complete(self, &head.headers, &body, false).await;
+            }
+            ("POST", "/v1/chat/completions") => {
+                return completions::complete(self, &head.headers, &body, true).await;
+            }
+            ("GET", "/admin/state") => admin::state(&self),
+            ("GET", "/admin/load") => admin::load(&self),
+            ("GET", "/admin/cache_events") => {
+                admin::cache_events(&self, head.uri.query().unwrap_or_default())
+            }
+            ("POST", "/admin/orders") => admin::order(&self, &body),
+            ("GET", "/journal") => Response::new(web::full_body(self.journal.text())),
+            ("POST", "/control") => admin::control(&self, &body),
+            ("DELETE", _) if path.starts_with("/v1/requests/") => {
+                let attempt = path.trim_start_matches("/v1/requests/");
+                let was_found = self.cancel(attempt);
+                web::json_reply(StatusCode::OK, &json!({"cancelled": was_found}))
+            }
+            ("GET", _) if path.starts_with("/kv/") => self.handle_size(path),
+            _ => web::error_reply(StatusCode::NOT_FOUND, "not_found"),
+        };
+        Ok(reply)
+    }
+
+    fn core(&self) -> sync::MutexGuard<'_, EngineCore> {
+        self.core.lock().expect("engine lock")
+    }
+
+    fn record(&self, event: &str, attempt: &str) {
+        self.journal
+            .record(json!({"event": event, "engine": self.options.name, "attempt": attempt}));
+    }
+
+    fn scaled(&self, milliseconds: f64) -> time::Duration {
+        time::Duration::from_secs_f64((milliseconds * self.options.time_scale / 1_000.0).max(0.0))
+    }
+
+    fn cancel(&self, attempt: &str) -> bool {
+        let mut core = self.core();
+        let core = &mut *core;
+        let sequences = core.waiting.iter_mut().chain(core.running.iter_mut());
+        let mut was_found = false;
+        for sequence in sequences.filter(|sequence| sequence.attempt == attempt) {
+            sequence.is_cancelled = true;
+            was_found = true;
+        }
+        self.work.notify_one();
+        was_found
+    }
+
+    /// Tokens of KV cache under a handle, for the engine that takes over.
+    fn handle_size(&self, path: &str) -> Response<web::ReplyBody> {
+        let handle = path.trim_start_matches("/kv/");
+        let core = self.core();
+        let entry = core.handles.iter().find(|(name, _)| name == handle);
+        match entry {
+            Some((_, tokens)) => web::json_reply(StatusCode::OK, &json!({"tokens": tokens})),
+            None => web::error_reply(StatusCode::NOT_FOUND, "not_found"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/harness/mod.rs
@@ -0,0 +1,1 @@
+//! Starts stand-ins and daemons as processes.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,15 @@
-//! Crate root.
+//! Stand-ins for engines, services and the platform, and the harness that starts them as
+//! processes together with daemons.
+//!
+//! ```
+//! let text = acaciabank_testbed::engine::expected_text("drafting", "Dear member", 0..2);
+//! assert_eq!(text.split_whitespace().count(), 2);
+//! ```
+
+pub mod engine;
+pub mod harness;
+pub mod journal;
+pub mod multicall;
+pub mod platform;
+pub mod service;
+pub mod web;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,2 +1,5 @@
-//! Entry point.
-fn main() {}
+//! The multi-call program `testbed`.
+
+fn main() {
+    acaciabank_testbed::multicall::main();
+}
--- /dev/null
+++ b/crates/testbed/src/multicall/mod.rs
@@ -0,0 +1,214 @@
+//! One program with a role for each kind of process.
+
+use std::{env, ffi, future, io, net, path, process, str, sync, time};
+
+use acaciabank_protocol::{ids, settings};
+use bpaf::{Parser, construct, long};
+use hyper::{Request, body::Incoming};
+
+use crate::{engine, journal, platform, service, web};
+
+/// Entry point of the program `testbed`; does not return.
+pub fn main() -> ! {
+    run_if_role();
+    eprintln!("usage: testbed engine|service|platform|daemon|cli ...");
+    process::exit(2);
+}
+
+/// Runs the role that the first argument names and exits; returns when it names none.
+pub fn run_if_role() {
+    let arguments: Vec<ffi::OsString> = env::args_os().skip(1).collect();
+    let Some((role, rest)) = arguments.split_first() else {
+        return;
+    };
+    let status = match role.to_str() {
+        Some("engine") => run_engine(rest),
+        Some("service") => run_service(rest),
+        Some("platform") => run_platform(rest),
+        Some("daemon") => acaciabank_daemon::run(rest),
+        Some("cli") => acaciabank_cli::run(rest),
+        _ => return,
+    };
+    process::exit(status);
+}
+
+fn argument<T>(name: &'static str, default: T) -> impl Parser<T>
+where
+    T: str::FromStr + Clone + 'static,
+    T::Err: std::fmt::Display,
+{
+    long(name).argument::<T>("VALUE").fallback(default)
+}
+
+fn listen() -> impl Parser<net::SocketAddr> {
+    argument("listen", net::SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn journal_file() -> impl Parser<Option<path::PathBuf>> {
+    long("journal").argument("FILE").optional()
+}
+
+/// The JSON spelling of a setting as an argument.
+fn setting<T>(name: &'static str, default: T) -> impl Parser<T>
+where
+    T: serde::de::DeserializeOwned + Clone + 'static,
+{
+    let parse = |text: String| serde_json::from_value::<T>(text.into());
+    let parser = long(name).argument::<String>("NAME").parse(parse);
+    parser.fallback(default)
+}
+
+/// Parses arguments; prints usage or an error and exits on failure.
+fn parse<T>(parser: impl Parser<T> + 'static, arguments: &[ffi::OsString]) -> T {
+    match parser.to_options().run_inner(arguments) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(100);
+            process::exit(failure.exit_code());
+        }
+    }
+}
+
+/// Binds, lets `start` build the handler for the address, prints the ready line and serves.
+fn run_server<S, H, F>(address: net::SocketAddr, options: web::ServeOptions, start: S) -> i32
+where
+    S: FnOnce(net::SocketAddr) -> io::Result<H>,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: future::Future<Output = web::Reply> + Send + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result: io::Result<()> = runtime.and_then(|runtime| {
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind(address).await?;
+            let address = listener.local_addr()?;
+            let handler = start(address)?;
+            println!("{}", serde_json::json!({"ready": true, "address": address}));
+            web::serve(listener, options, handler).await;
+            Ok(())
+        })
+    });
+    match result {
+        Ok(()) => 0,
+        Err(error) => {
+            eprintln!("cannot serve at {address}: {error}");
+            1
+        }
+    }
+}
+
+fn engine_options() -> impl Parser<engine::EngineOptions> {
+    let defaults = engine::EngineOptions::default();
+    let name = argument("name", defaults.name);
+    let model = argument("model", defaults.model.to_string()).map(ids::ModelId::new);
+    let version = argument("model-version", defaults.version);
+    let adapters = long("adapter").argument("NAME").many();
+    let role = setting("role", defaults.role);
+    let slots = argument("slots", defaults.slots);
+    let max_waiting = argument("max-waiting", defaults.max_waiting);
+    let prefill_tokens_per_second = argument(
+        "prefill-tokens-per-second",
+        defaults.prefill_tokens_per_second,
+    );
+    let chunk_tokens = argument("chunk-tokens", defaults.chunk_tokens);
+    let decode_step_ms = argument("decode-step-ms", defaults.decode_step_ms);
+    let per_sequence_ms = argument("per-sequence-ms", defaults.per_sequence_ms);
+    let time_scale = argument("time-scale", defaults.time_scale);
+    let piece_tokens = argument("piece-tokens", defaults.piece_tokens);
+    let pieces_total = argument("pieces", defaults.pieces_total);
+    let load_lag_ms = argument("load-lag-ms", defaults.load_lag_ms);
+    let delay = argument("event-delay-ms", 0).map(time::Duration::from_millis);
+    let gap_probability = argument("event-gap-probability", 0.0);
+    let seed = argument("seed", defaults.events.seed);
+    let events = construct!(engine::EventOptions {
+        delay,
+        gap_probability,
+        seed
+    });
+    let fencing = setting("fencing", settings::FencingSupport::Checked);
+    let switch_ms = argument("switch-ms", defaults.switch_ms);
+    let load_ms = argument("load-ms", defaults.load_ms);
+    let weight_store = long("weight-store").argument("ADDRESS").optional();
+    let transfer_tokens_per_second = argument(
+        "transfer-tokens-per-second",
+        defaults.transfer_tokens_per_second,
+    );
+    let crash_marker = argument("crash-marker", defaults.crash_marker);
+    let crash_in_change = long("crash-in-change").switch();
+    let journal = journal_file();
+    construct!(engine::EngineOptions {
+        name,
+        model,
+        version,
+        adapters,
+        role,
+        slots,
+        max_waiting,
+        prefill_tokens_per_second,
+        chunk_tokens,
+        decode_step_ms,
+        per_sequence_ms,
+        time_scale,
+        piece_tokens,
+        pieces_total,
+        load_lag_ms,
+        events,
+        fencing,
+        switch_ms,
+        load_ms,
+        weight_store,
+        transfer_tokens_per_second,
+        crash_marker,
+        crash_in_change,
+        journal,
+    })
+}
+
+fn run_engine(arguments: &[ffi::OsString]) -> i32 {
+    let (address, options) = (listen(), engine_options());
+    let idle_close = long("admin-idle-close-ms").argument("MS").optional();
+    let parser = construct!(address, options, idle_close);
+    let (address, options, idle_close) = parse(parser, arguments);
+    let serve_options = web::ServeOptions {
+        admin_idle_close: idle_close.map(time::Duration::from_millis),
+    };
+    run_server(address, serve_options, |address| {
+        let state = engine::EngineState::start(options, address)?;
+        Ok(move |request| sync::Arc::clone(&state).handle(request))
+    })
+}
+
+fn run_service(arguments: &[ffi::OsString]) -> i32 {
+    let (address, journal) = (listen(), journal_file());
+    let name = argument("name", "service".to_owned());
+    let (address, name, journal) = parse(construct!(address, name, journal), arguments);
+    run_server(address, web::ServeOptions::default(), |_| {
+        let state = service::ServiceState::new(&name, journal.as_deref())?;
+        Ok(move |request| sync::Arc::clone(&state).handle(request))
+    })
+}
+
+fn run_platform(arguments: &[ffi::OsString]) -> i32 {
+    let (address, journal) = (listen(), journal_file());
+    let reads_per_second = argument("reads-per-second", 2_000.0);
+    let writes_per_second = argument("writes-per-second", 500.0);
+    let host_lag_ms = argument("host-lag-ms", 0);
+    let weight_bytes = argument("weight-bytes", 4 << 20);
+    let weight_bytes_per_second = argument("weight-bytes-per-second", 64 << 20);
+    let seed = argument("seed", 1);
+    let options = construct!(platform::PlatformOptions {
+        reads_per_second,
+        writes_per_second,
+        host_lag_ms,
+        weight_bytes,
+        weight_bytes_per_second,
+        seed,
+    });
+    let (address, journal, options) = parse(construct!(address, journal, options), arguments);
+    run_server(address, web::ServeOptions::default(), |_| {
+        let journal = journal::Journal::open(journal.as_deref())?;
+        let state = platform::PlatformState::new(options, journal);
+        Ok(move |request| sync::Arc::clone(&state).handle(request))
+    })
+}
--- /dev/null
+++ b/crates/testbed/src/service/mod.rs
@@ -0,0 +1,137 @@
+//! Stand-in for a plain service: executes calls, keeps a journal of them.
+
+use std::{io, path, process, sync, time};
+
+use acaciabank_protocol::{value_type, wire};
+use hyper::{Request, StatusCode, body::Incoming};
+use serde_json::json;
+
+use crate::{journal, web};
+
+value_type!(
+    /// Faults set by `POST /control`; members that are not named keep their value.
+    #[derive(Default)]
+    #[serde(default)]
+    pub struct ServiceFaults {
+        /// Delay before executing, in milliseconds.
+        pub delay_ms: u64,
+        /// The next call is executed and the process exits with status 3 without an answer.
+        pub crash_after_executing: bool,
+        /// Calls to come that are read and not executed before the connection is closed.
+        pub close_unexecuted: u32,
+        /// Calls to come that are refused with 503 and the `not_run` marker.
+        pub refuse_not_run: u32,
+        /// Calls to come that are refused with 503 without a marker.
+        pub refuse_unmarked: u32,
+    }
+);
+
+/// A running service stand-in.
+#[derive(Debug)]
+pub struct ServiceState {
+    name: String,
+    boot_id: u64,
+    journal: journal::Journal,
+    faults: sync::Mutex<ServiceFaults>,
+}
+
+impl ServiceState {
+    /// A service with an empty journal.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of opening the journal file.
+    pub fn new(name: &str, journal: Option<&path::Path>) -> io::Result<sync::Arc<Self>> {
+        let journal = journal::Journal::open(journal)?;
+        Ok(sync::Arc::new(Self {
+            name: name.to_owned(),
+            boot_id: rand::random(),
+            journal,
+            faults: sync::Mutex::default(),
+        }))
+    }
+
+    /// Answers one request.
+    ///
+    /// # Errors
+    ///
+    /// An error closes the connection without an answer.
+    pub async fn handle(self: sync::Arc<Self>, request: Request<Incoming>) -> web::Reply {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_owned();
+        let body = web::read_body(body).await?;
+        match path.as_str() {
+            "/journal" => return Ok(hyper::Response::new(web::full_body(self.journal.text()))),
+            "/control" => return Ok(self.control(&body)),
+            "/admin/state" => {
+                let state = json!({"boot_id": self.boot_id.to_string(), "service": self.name});
+                return Ok(web::json_reply(StatusCode::OK, &state));
+            }
+            _ => {}
+        }
+        let header = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let entry = json!({
+            "event": "received", "service": self.name, "method": head.method.as_str(),
+            "path": path, "key": header(wire::IDEMPOTENCY_HEADER),
+            "attempt": header(wire::REQUEST_ID_HEADER),
+            "body_hash": format!("{:016x}", xxhash_rust::xxh3::xxh3_64(&body)),
+        });
+        self.journal.record(entry.clone());
+        let faults = self.take_faults();
+        if faults.refuse_not_run > 0 {
+            return Ok(web::not_run_reply(StatusCode::SERVICE_UNAVAILABLE, "busy"));
+        }
+        if faults.refuse_unmarked > 0 {
+            return Ok(web::error_reply(StatusCode::SERVICE_UNAVAILABLE, "busy"));
+        }
+        if faults.close_unexecuted > 0 {
+            return Err(io::Error::other("fault: closed before executing"));
+        }
+        tokio::time::sleep(time::Duration::from_millis(faults.delay_ms)).await;
+        let mut executed = entry;
+        executed["event"] = "executed".into();
+        self.journal.record(executed);
+        if faults.crash_after_executing {
+            process::exit(crate::engine::CRASH_STATUS);
+        }
+        let mut reply = match path.as_str() {
+            "/notices" | "/certificates" => {
+                web::json_reply(StatusCode::CREATED, &json!({"recorded": true}))
+            }
+            "/records" => web::json_reply(StatusCode::OK, &json!({"records": self.executed()})),
+            _ => hyper::Response::new(web::full_body(body)),
+        };
+        if let Some(attempt) = head.headers.get(wire::REQUEST_ID_HEADER) {
+            let headers = reply.headers_mut();
+            headers.insert(wire::REQUEST_ID_HEADER, attempt.clone());
+        }
+        Ok(reply)
+    }
+
+    fn control(&self, body: &[u8]) -> hyper::Response<web::ReplyBody> {
+        let mut faults = self.faults.lock().expect("fault lock");
+        match web::apply_patch(&mut *faults, body) {
+            Ok(()) => web::json_reply(StatusCode::OK, &*faults),
+            Err(message) => web::error_reply(StatusCode::BAD_REQUEST, &message),
+        }
+    }
+
+    /// Faults for this call; counted ones are used up.
+    fn take_faults(&self) -> ServiceFaults {
+        let mut faults = self.faults.lock().expect("fault lock");
+        let current = faults.clone();
+        faults.close_unexecuted = faults.close_unexecuted.saturating_sub(1);
+        faults.refuse_not_run = faults.refuse_not_run.saturating_sub(1);
+        faults.refuse_unmarked = faults.refuse_unmarked.saturating_sub(1);
+        current
+    }
+
+    fn executed(&self) -> Vec<serde_json::Value> {
+        let text = self.journal.text();
+        let entries = text
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        let entries = entries.filter(|entry: &serde_json::Value| entry["event"] == "executed");
+        entries.collect()
+    }
+}
