Add the process harness, a caller client and a load generator

Integration tests need fleets of real processes with stated addresses, faults by signal and a count of executions.

--- /dev/null
+++ b/crates/testbed/src/harness/fleet.rs
@@ -0,0 +1,468 @@
+//! Deployments of any shape: platform, engines, services and daemons.
+
+use std::{fs, io, net, path, time};
+
+use acaciabank_protocol::{ids, settings};
+
+use super::{Caller, JournalView, Launcher, Process, read_journals};
+use crate::web;
+
+/// Limit for a daemon to become ready on a busy machine.
+const READY_LIMIT: time::Duration = time::Duration::from_secs(60);
+/// Region of the presets.
+const REGION: &str = "home";
+
+/// Shape of a fleet before it starts.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Inventory, rules and policy; addresses of targets are assigned at the start.
+    pub deployment: settings::Deployment,
+    /// Number of daemons, spread over the zones in turn.
+    pub daemons: usize,
+    /// Arguments for all engines.
+    pub engine_arguments: Vec<String>,
+    /// Arguments for all service instances.
+    pub service_arguments: Vec<String>,
+    /// Arguments for the platform.
+    pub platform_arguments: Vec<String>,
+    /// Intervals and timeouts of the daemons.
+    pub timers: settings::TimerSettings,
+    /// Sizes and counts of the daemons.
+    pub limits: settings::LimitSettings,
+    /// Log output of the daemons.
+    pub log: settings::LogSettings,
+}
+
+/// A target and its process.
+#[derive(Debug)]
+pub struct TargetProcess {
+    /// Name in the inventory.
+    pub name: String,
+    /// Address.
+    pub address: net::SocketAddr,
+    /// Process.
+    pub process: Process,
+}
+
+/// A daemon and its process.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Listener for callers.
+    pub caller_address: net::SocketAddr,
+    /// Listener for operators.
+    pub admin_address: net::SocketAddr,
+    /// Listener for peers.
+    pub peer_address: net::SocketAddr,
+    /// Settings file.
+    pub settings_file: path::PathBuf,
+    /// Process.
+    pub process: Process,
+}
+
+/// A running fleet. Its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Deployment with the assigned addresses.
+    pub deployment: settings::Deployment,
+    /// Address of the platform.
+    pub platform_address: net::SocketAddr,
+    /// Platform.
+    pub platform: Process,
+    /// Engines in the order of the inventory.
+    pub engines: Vec<TargetProcess>,
+    /// Service instances in the order of the inventory.
+    pub services: Vec<TargetProcess>,
+    /// Daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// Launcher of all processes.
+    pub launcher: Launcher,
+}
+
+/// Sizes of a preset.
+struct PresetShape<'a> {
+    zones: &'a [&'a str],
+    one_way_us: u32,
+    model: &'a str,
+    engines: usize,
+    service: &'a str,
+    never_repeat: &'a str,
+}
+
+const UNASSIGNED: net::SocketAddr =
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
+
+impl PresetShape<'_> {
+    fn deployment(&self) -> settings::Deployment {
+        let zone_ids = || self.zones.iter().map(|zone| ids::ZoneId::from(*zone));
+        let zone_of = |number: usize| ids::ZoneId::from(self.zones[number % self.zones.len()]);
+        let engine = |number: usize| settings::EngineEntry {
+            name: ids::TargetId::new(format!("{}-{number}", self.model)),
+            host: ids::HostId::new(format!("host-{}-{number}", self.model)),
+            address: UNASSIGNED,
+            model: ids::ModelId::from(self.model),
+            role: settings::EngineRole::Mixed,
+            slots: 32,
+            fencing: settings::FencingSupport::Checked,
+            admin_idle_close_ms: None,
+        };
+        let instance = |number: usize| settings::ServiceInstance {
+            name: ids::TargetId::new(format!("{}-{number}", self.service)),
+            host: ids::HostId::new(format!("host-{}-{number}", self.service)),
+            address: UNASSIGNED,
+            slots: 32,
+        };
+        let host = |kind: &str, number: usize| settings::HostEntry {
+            name: ids::HostId::new(format!("host-{kind}-{number}")),
+            zone: zone_of(number),
+        };
+        let mut distances = Vec::new();
+        for (position, from) in self.zones.iter().enumerate() {
+            for to in &self.zones[position + 1..] {
+                distances.push(settings::ZoneDistance {
+                    from: ids::ZoneId::from(*from),
+                    to: ids::ZoneId::from(*to),
+                    one_way_us: self.one_way_us,
+                });
+            }
+        }
+        let engine_hosts = (0..self.engines).map(|number| host(self.model, number));
+        let service_hosts = (0..3).map(|number| host(self.service, number));
+        settings::Deployment {
+            regions: vec![settings::RegionEntry {
+                name: ids::RegionId::from(REGION),
+                zones: zone_ids().collect(),
+            }],
+            distances,
+            hosts: engine_hosts.chain(service_hosts).collect(),
+            models: vec![settings::ModelEntry {
+                name: ids::ModelId::from(self.model),
+                version: "1".to_owned(),
+                adapters: Vec::new(),
+                piece_tokens: 100,
+            }],
+            engines: (0..self.engines).map(engine).collect(),
+            services: vec![settings::ServiceEntry {
+                name: ids::ServiceId::from(self.service),
+                instances: (0..3).map(instance).collect(),
+            }],
+            teams: Vec::new(),
+            operators: Vec::new(),
+            rules: settings::Rules {
+                never_repeat: vec![settings::NeverRepeat {
+                    service: Some(ids::ServiceId::from(self.service)),
+                    model: None,
+                    method: Some("POST".to_owned()),
+                    path_prefix: Some(self.never_repeat.to_owned()),
+                }],
+                ..settings::Rules::default()
+            },
+            policy: settings::Policy::default(),
+        }
+    }
+}
+
+impl Fleet {
+    /// Pemberton & Daughters: three zones in Perth, 12 drafting engines, 3 ledger instances.
+    pub fn pemberton() -> FleetSpec {
+        let shape = PresetShape {
+            zones: &["perth-a", "perth-b", "perth-c"],
+            one_way_us: 1_500,
+            model: "drafting",
+            engines: 12,
+            service: "ledger",
+            never_repeat: "/notices",
+        };
+        FleetSpec::new(shape.deployment(), 7)
+    }
+
+    /// Nile Delta Earthing Testers: three zones, 9 sheet engines, 3 registry instances.
+    pub fn nile_delta() -> FleetSpec {
+        let shape = PresetShape {
+            zones: &["tanta", "mansoura", "zagazig"],
+            one_way_us: 950,
+            model: "sheets",
+            engines: 9,
+            service: "registry",
+            never_repeat: "/certificates",
+        };
+        FleetSpec::new(shape.deployment(), 7)
+    }
+
+    /// A caller that knows all daemons.
+    pub fn caller(&self, zone: Option<&str>, limit: time::Duration) -> Caller {
+        let known = self.daemons.iter().map(|daemon| daemon.caller_address);
+        Caller::new(known.collect(), zone, limit)
+    }
+
+    /// Waits until a daemon reports that it is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it is not ready within 60 s.
+    pub async fn wait_daemon_ready(&self, position: usize) {
+        let daemon = &self.daemons[position];
+        let description = format!("{} is ready", daemon.name);
+        super::wait_until(READY_LIMIT, &description, async || {
+            let call = web::call(daemon.admin_address, "GET", "/readyz", &[], "");
+            call.await.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+
+    /// Sends a control message to a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection or the message of a refusal.
+    pub async fn control(
+        address: net::SocketAddr,
+        message: &serde_json::Value,
+    ) -> io::Result<serde_json::Value> {
+        let answer = web::call(address, "POST", "/control", &[], message.to_string()).await?;
+        if answer.status != 200 {
+            return Err(io::Error::other(answer.json().to_string()));
+        }
+        Ok(answer.json())
+    }
+
+    /// Entries of the journals of all stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of reading a file.
+    pub fn journals(&self) -> io::Result<JournalView> {
+        read_journals(self.launcher.folder())
+    }
+}
+
+impl FleetSpec {
+    /// A fleet with default arguments and timers.
+    pub fn new(deployment: settings::Deployment, daemons: usize) -> Self {
+        Self {
+            deployment,
+            daemons,
+            engine_arguments: Vec::new(),
+            service_arguments: Vec::new(),
+            platform_arguments: Vec::new(),
+            timers: settings::TimerSettings::default(),
+            limits: settings::LimitSettings::default(),
+            log: settings::LogSettings::default(),
+        }
+    }
+
+    /// Starts all processes and waits until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting a process or writing a settings file.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process is not ready in time.
+    pub async fn start(self, launcher: Launcher) -> io::Result<Fleet> {
+        let fleet = self.start_stand_ins(launcher).await?;
+        let mut fleet = fleet;
+        self.start_daemons(&mut fleet)?;
+        for position in 0..fleet.daemons.len() {
+            fleet.wait_daemon_ready(position).await;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts the platform, the engines and the services, without daemons.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting a process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process is not ready in time.
+    pub async fn start_stand_ins(&self, launcher: Launcher) -> io::Result<Fleet> {
+        let mut deployment = self.deployment.clone();
+        let platform_address = launcher.next_address()?;
+        let arguments = stand_in_arguments(&launcher, "platform", platform_address);
+        let arguments = arguments.into_iter().chain(self.platform_arguments.clone());
+        let platform = launcher.start("platform", "platform", arguments)?;
+        let mut engines = Vec::new();
+        for entry in &mut deployment.engines {
+            entry.address = launcher.next_address()?;
+            let arguments = self.engine_arguments(&launcher, entry, platform_address);
+            let name = entry.name.to_string();
+            engines.push(TargetProcess {
+                process: launcher.start(&name, "engine", arguments)?,
+                address: entry.address,
+                name,
+            });
+        }
+        let mut services = Vec::new();
+        let instances = deployment.services.iter_mut();
+        for entry in instances.flat_map(|service| service.instances.iter_mut()) {
+            entry.address = launcher.next_address()?;
+            let name = entry.name.to_string();
+            let arguments = stand_in_arguments(&launcher, &name, entry.address);
+            let named = arguments
+                .into_iter()
+                .chain(["--name".to_owned(), name.clone()]);
+            let arguments = named.chain(self.service_arguments.clone());
+            services.push(TargetProcess {
+                process: launcher.start(&name, "service", arguments)?,
+                address: entry.address,
+                name,
+            });
+        }
+        platform.wait_ready().await;
+        for target in engines.iter().chain(&services) {
+            target.process.wait_ready().await;
+        }
+        let fleet = Fleet {
+            deployment,
+            platform_address,
+            platform,
+            engines,
+            services,
+            daemons: Vec::new(),
+            launcher,
+        };
+        fleet.announce_hosts().await?;
+        Ok(fleet)
+    }
+
+    fn engine_arguments(
+        &self,
+        launcher: &Launcher,
+        entry: &settings::EngineEntry,
+        platform: net::SocketAddr,
+    ) -> Vec<String> {
+        let mut arguments = stand_in_arguments(launcher, entry.name.as_str(), entry.address);
+        let mut add = |name: &str, value: String| arguments.extend([format!("--{name}"), value]);
+        add("name", entry.name.to_string());
+        add("model", entry.model.to_string());
+        add("role", setting_text(&entry.role));
+        add("fencing", setting_text(&entry.fencing));
+        add("slots", entry.slots.to_string());
+        add("weight-store", platform.to_string());
+        if let Some(idle_close_ms) = entry.admin_idle_close_ms {
+            add("admin-idle-close-ms", idle_close_ms.to_string());
+        }
+        let mut models = self.deployment.models.iter();
+        if let Some(model) = models.find(|model| model.name == entry.model) {
+            add("model-version", model.version.clone());
+            add("piece-tokens", model.piece_tokens.to_string());
+            for adapter in &model.adapters {
+                add("adapter", adapter.clone());
+            }
+        }
+        arguments.extend(self.engine_arguments.clone());
+        arguments
+    }
+
+    /// Starts the daemons of a fleet whose stand-ins run.
+    fn start_daemons(&self, fleet: &mut Fleet) -> io::Result<()> {
+        let regions = self.deployment.regions.iter();
+        let places: Vec<(ids::RegionId, ids::ZoneId)> = regions
+            .flat_map(|region| {
+                let zones = region.zones.iter();
+                zones.map(|zone| (region.name.clone(), zone.clone()))
+            })
+            .collect();
+        let mut all = Vec::new();
+        for number in 0..self.daemons {
+            let (region, zone) = places[number % places.len()].clone();
+            let ip = fleet.launcher.next_ip();
+            all.push(settings::ProcessSettings {
+                daemon: ids::DaemonId::new(format!("daemon-{number}")),
+                region,
+                zone,
+                caller_address: fleet.launcher.free_address(ip)?,
+                admin_address: fleet.launcher.free_address(ip)?,
+                peer_address: fleet.launcher.free_address(ip)?,
+                advertised_caller_address: None,
+                advertised_peer_address: None,
+                peers: Vec::new(),
+                table: table_settings(fleet.platform_address),
+                object_store_address: Some(fleet.platform_address),
+                host_list_address: Some(fleet.platform_address),
+                tls: None,
+                limits: self.limits.clone(),
+                timers: self.timers.clone(),
+                log: self.log.clone(),
+            });
+        }
+        let peers: Vec<settings::PeerEntry> = all
+            .iter()
+            .map(|process| settings::PeerEntry {
+                daemon: process.daemon.clone(),
+                address: process.peer_address,
+            })
+            .collect();
+        for mut process in all {
+            let others = peers.iter().filter(|peer| peer.daemon != process.daemon);
+            process.peers = others.cloned().collect();
+            let daemon = start_daemon(fleet, process)?;
+            fleet.daemons.push(daemon);
+        }
+        Ok(())
+    }
+}
+
+impl Fleet {
+    async fn announce_hosts(&self) -> io::Result<()> {
+        let hosts = self.deployment.hosts.iter();
+        let states: serde_json::Map<String, serde_json::Value> = hosts
+            .map(|host| (host.name.to_string(), "live".into()))
+            .collect();
+        let message = serde_json::json!({"hosts": states});
+        Fleet::control(self.platform_address, &message).await?;
+        Ok(())
+    }
+}
+
+fn start_daemon(fleet: &Fleet, process: settings::ProcessSettings) -> io::Result<DaemonProcess> {
+    let name = process.daemon.to_string();
+    let settings_file = fleet.launcher.folder().join(format!("{name}.json"));
+    let (zone, caller_address) = (process.zone.to_string(), process.caller_address);
+    let (admin_address, peer_address) = (process.admin_address, process.peer_address);
+    let settings = settings::Settings {
+        process,
+        deployment: fleet.deployment.clone(),
+    };
+    fs::write(&settings_file, serde_json::to_vec_pretty(&settings)?)?;
+    let arguments = ["--settings".into(), settings_file.clone().into_os_string()];
+    Ok(DaemonProcess {
+        process: fleet.launcher.start(&name, "daemon", arguments)?,
+        name,
+        zone,
+        caller_address,
+        admin_address,
+        peer_address,
+        settings_file,
+    })
+}
+
+fn table_settings(address: net::SocketAddr) -> settings::TableSettings {
+    settings::TableSettings {
+        address,
+        name: "acaciabank".to_owned(),
+        timeout_ms: 1_000,
+        batch_rows: 50,
+        batch_wait_ms: 4,
+    }
+}
+
+fn stand_in_arguments(launcher: &Launcher, name: &str, address: net::SocketAddr) -> Vec<String> {
+    let journal = launcher.journal_file(name).display().to_string();
+    let listen = ["--listen".to_owned(), address.to_string()];
+    let journal = ["--journal".to_owned(), journal];
+    listen.into_iter().chain(journal).collect()
+}
+
+/// The JSON spelling of a setting, as arguments take it.
+fn setting_text(value: &impl serde::Serialize) -> String {
+    let value = serde_json::to_value(value).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
--- a/crates/testbed/src/harness/mod.rs
+++ b/crates/testbed/src/harness/mod.rs
@@ -1,1 +1,45 @@
-//! Starts stand-ins and daemons as processes.
+//! Starts stand-ins and daemons as processes on loopback addresses of their own, and acts as a
+//! caller.
+
+mod caller;
+mod fleet;
+mod journals;
+mod launch;
+
+use std::time;
+
+pub use caller::{CallOutcome, Caller, CompletionRequest, Refusal, ServiceRequest};
+pub use fleet::{DaemonProcess, Fleet, FleetSpec, TargetProcess};
+pub use journals::{Counts, JournalView, body_hash, read_journals};
+pub use launch::{Launcher, Process};
+
+/// Time between two evaluations of a condition.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+/// Waits for a condition; returns whether it came true within the limit.
+pub async fn holds_within(limit: time::Duration, mut condition: impl AsyncFnMut() -> bool) -> bool {
+    let deadline = time::Instant::now() + limit;
+    loop {
+        if condition().await {
+            return true;
+        }
+        if time::Instant::now() >= deadline {
+            return false;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits for a condition.
+///
+/// # Panics
+///
+/// Panics with the description when the condition does not come true within the limit.
+pub async fn wait_until(
+    limit: time::Duration,
+    description: &str,
+    condition: impl AsyncFnMut() -> bool,
+) {
+    let holds = holds_within(limit, condition).await;
+    assert!(holds, "not within {limit:?}: {description}");
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod harness;
 pub mod journal;
+pub mod load;
 pub mod multicall;
 pub mod platform;
 pub mod service;
