Add the fault-injecting proxy, the quickstart and tests of the stand-ins

Partitions and lost answers need a proxy between processes; a fault in a stand-in would hide faults of the daemon, so the stand-ins have tests.

--- /dev/null
+++ b/crates/testbed/examples/quickstart.rs
@@ -0,0 +1,164 @@
+//! Pemberton's shape on loopback: 12 engines, 3 ledger instances and 7 daemons serve the requests
+//! of a file; the journals show whether anything was lost or ran twice.
+//!
+//! `cargo run --release --example quickstart [-- --kill-daemon]`
+
+use std::{collections, env, error, process, time};
+
+use acaciabank_protocol::settings;
+use acaciabank_testbed::{harness, load, multicall};
+use serde_json::json;
+
+const INVENTORY: &str = include_str!("data/quickstart-inventory.json");
+const REQUESTS: &str = include_str!("data/quickstart-requests.json");
+/// Requests in flight.
+const CONCURRENCY: usize = 24;
+/// Daemons of Pemberton.
+const DAEMONS: usize = 7;
+/// Limit of one request, with all retries.
+const REQUEST_LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// The file of requests.
+#[derive(serde::Deserialize)]
+struct RequestFile {
+    prefixes: collections::BTreeMap<String, String>,
+    requests: Vec<RequestEntry>,
+}
+
+/// One request of the file.
+#[derive(serde::Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+enum RequestEntry {
+    Draft {
+        prefix: String,
+        text: String,
+        max_tokens: u64,
+        stream: bool,
+        priority: String,
+    },
+    Notice {
+        key: String,
+        body: serde_json::Value,
+    },
+}
+
+impl RequestFile {
+    fn load_requests(&self) -> Vec<load::LoadRequest> {
+        let entries = self.requests.iter();
+        entries.map(|entry| self.load_request(entry)).collect()
+    }
+
+    fn load_request(&self, entry: &RequestEntry) -> load::LoadRequest {
+        match entry {
+            RequestEntry::Draft {
+                prefix,
+                text,
+                max_tokens,
+                stream,
+                priority,
+            } => load::LoadRequest::Completion(harness::CompletionRequest {
+                model: "drafting".to_owned(),
+                prompt: format!("{}\n{text}", self.prefixes[prefix]),
+                max_tokens: *max_tokens,
+                is_stream: *stream,
+                headers: vec![("x-priority".to_owned(), priority.clone())],
+            }),
+            RequestEntry::Notice { key, body } => {
+                load::LoadRequest::Service(harness::ServiceRequest {
+                    service: "ledger".to_owned(),
+                    method: "POST".to_owned(),
+                    path: "/notices".to_owned(),
+                    key: Some(key.clone()),
+                    body: body.to_string(),
+                    ..harness::ServiceRequest::default()
+                })
+            }
+        }
+    }
+}
+
+fn main() -> Result<(), Box<dyn error::Error>> {
+    multicall::run_if_role();
+    let kills_daemon = env::args().any(|argument| argument == "--kill-daemon");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let is_success = runtime.block_on(run(kills_daemon))?;
+    process::exit(i32::from(!is_success));
+}
+
+async fn run(kills_daemon: bool) -> Result<bool, Box<dyn error::Error>> {
+    let deployment: settings::Deployment = serde_json::from_str(INVENTORY)?;
+    let file: RequestFile = serde_json::from_str(REQUESTS)?;
+    let requests = file.load_requests();
+    println!(
+        "starting {} engines, {DAEMONS} daemons and the platform",
+        deployment.engines.len()
+    );
+    let launcher = harness::Launcher::new(env::current_exe()?)?;
+    let mut fleet = harness::FleetSpec::new(deployment, DAEMONS)
+        .start(launcher)
+        .await?;
+    println!("ready; sending {} requests", requests.len());
+    let caller = fleet.caller(Some("perth-a"), REQUEST_LIMIT);
+    let started_at = time::Instant::now();
+    let half = requests.len() / 2;
+    let outcomes = load::run(&caller, &requests, CONCURRENCY, |finished| {
+        if finished % 40 == 0 {
+            println!("{finished} of {} requests finished", requests.len());
+        }
+        if kills_daemon && finished == half {
+            let daemon = &mut fleet.daemons[0];
+            println!("killing {}", daemon.name);
+            daemon.process.kill();
+        }
+    })
+    .await;
+    let elapsed_ms = started_at.elapsed().as_millis() as u64;
+    let summary = summarize(&requests, &outcomes, &fleet.journals()?);
+    let is_success = summary.completed == requests.len() && summary.lost + summary.duplicated == 0;
+    let report = json!({
+        "requests": requests.len(), "completed": summary.completed, "lost": summary.lost,
+        "duplicated": summary.duplicated, "elapsed_ms": elapsed_ms,
+    });
+    println!("{report}");
+    Ok(is_success)
+}
+
+/// What the callers and the journals say.
+#[derive(Default)]
+struct RunSummary {
+    completed: usize,
+    lost: usize,
+    duplicated: usize,
+}
+
+fn summarize(
+    requests: &[load::LoadRequest],
+    outcomes: &[harness::CallOutcome],
+    journals: &harness::JournalView,
+) -> RunSummary {
+    let executions = journals.executions_by_body();
+    let mut summary = RunSummary::default();
+    for (request, outcome) in requests.iter().zip(outcomes) {
+        let runs = match request {
+            // Text that equals the deterministic text shows that an engine generated it.
+            load::LoadRequest::Completion(_) => 1,
+            load::LoadRequest::Service(request) => {
+                let hash = harness::body_hash(request.body.as_bytes());
+                executions.get(&hash).copied().unwrap_or(0)
+            }
+        };
+        summary.completed += usize::from(outcome.is_complete);
+        summary.lost += usize::from(!outcome.is_complete || runs == 0);
+        summary.duplicated += runs.saturating_sub(1);
+        if !outcome.is_complete {
+            let (status, refusals) = (outcome.status, &outcome.refusals);
+            println!(
+                "incomplete: status {status}, {refusals:?}, {:?}",
+                outcome.faults
+            );
+        }
+    }
+    summary
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod load;
 pub mod multicall;
 pub mod platform;
+pub mod proxy;
 pub mod service;
 pub mod web;
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -6,12 +6,12 @@
 use bpaf::{Parser, construct, long};
 use hyper::{Request, body::Incoming};
 
-use crate::{engine, journal, platform, service, web};
+use crate::{engine, journal, platform, proxy, service, web};
 
 /// Entry point of the program `testbed`; does not return.
 pub fn main() -> ! {
     run_if_role();
-    eprintln!("usage: testbed engine|service|platform|daemon|cli ...");
+    eprintln!("usage: testbed engine|service|platform|proxy|daemon|cli ...");
     process::exit(2);
 }
 
@@ -25,6 +25,7 @@
         Some("engine") => run_engine(rest),
         Some("service") => run_service(rest),
         Some("platform") => run_platform(rest),
+        Some("proxy") => run_proxy(rest),
         Some("daemon") => acaciabank_daemon::run(rest),
         Some("cli") => acaciabank_cli::run(rest),
         _ => return,
@@ -212,3 +213,11 @@
         Ok(move |request| sync::Arc::clone(&state).handle(request))
     })
 }
+
+fn run_proxy(arguments: &[ffi::OsString]) -> i32 {
+    let address = parse(listen(), arguments);
+    run_server(address, web::ServeOptions::default(), |_| {
+        let state = sync::Arc::new(proxy::ProxyState::default());
+        Ok(move |request| sync::Arc::clone(&state).handle(request))
+    })
+}
--- /dev/null
+++ b/crates/testbed/tests/stand_ins/proxy.rs
@@ -0,0 +1,94 @@
+//! Proxy: faults of a link.
+
+use std::{net, time};
+
+use acaciabank_testbed::{harness, web};
+use serde_json::{Value, json};
+
+use crate::{LIMIT, launcher, post, start};
+
+struct LinkSetup {
+    launcher: harness::Launcher,
+    proxy: net::SocketAddr,
+    link: net::SocketAddr,
+    _processes: [harness::Process; 2],
+}
+
+async fn set_up() -> LinkSetup {
+    let launcher = launcher();
+    let (service, upstream) = start(&launcher, "ledger", "service", &[]).await;
+    let (process, proxy) = start(&launcher, "proxy", "proxy", &[]).await;
+    let listen = net::SocketAddr::new(proxy.ip(), 0);
+    let body = json!({"listen": listen, "upstream": upstream}).to_string();
+    let answer = web::call(proxy, "PUT", "/links/a", &[], body).await;
+    let address = answer.expect("an answer").json()["address"].clone();
+    LinkSetup {
+        launcher,
+        proxy,
+        link: serde_json::from_value(address).expect("address"),
+        _processes: [service, process],
+    }
+}
+
+impl LinkSetup {
+    async fn set_fault(&self, fault: &Value) {
+        let answer = post(self.proxy, "/links/a/fault", fault).await;
+        assert_eq!(answer.status, 200, "{:?}", answer.json());
+    }
+
+    fn executed(&self) -> usize {
+        let journals = harness::read_journals(self.launcher.folder()).expect("journals");
+        journals.events("executed").count()
+    }
+}
+
+/// Guards against a one-way partition that blocks both ways, and against held bytes that get lost.
+#[tokio::test]
+async fn blackhole_down_delivers_requests_and_holds_answers() {
+    let setup = set_up().await;
+    setup.set_fault(&json!({"kind": "blackhole_down"})).await;
+    let link = setup.link;
+    let call = tokio::spawn(async move { web::call(link, "POST", "/notices", &[], "{}").await });
+    harness::wait_until(LIMIT, "the request arrives", async || setup.executed() == 1).await;
+    assert!(!call.is_finished(), "the answer is held");
+    setup.set_fault(&json!({"kind": "none"})).await;
+    let answer = call.await.expect("task").expect("an answer");
+    assert_eq!(answer.status, 201);
+}
+
+/// Guards against a partition towards the upstream that lets requests through.
+#[tokio::test]
+async fn blackhole_up_holds_requests_until_it_ends() {
+    let setup = set_up().await;
+    setup.set_fault(&json!({"kind": "blackhole_up"})).await;
+    let link = setup.link;
+    let call = tokio::spawn(async move { web::call(link, "POST", "/notices", &[], "{}").await });
+    // A negative needs some time; a longer wait could only make the test stricter.
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    assert_eq!(setup.executed(), 0);
+    setup.set_fault(&json!({"kind": "none"})).await;
+    let answer = call.await.expect("task").expect("an answer");
+    assert_eq!(answer.status, 201);
+}
+
+/// Guards against a dropped answer whose request did not run, and a cut that lets bytes through.
+#[tokio::test]
+async fn drop_answers_executes_and_cut_does_not() {
+    let setup = set_up().await;
+    setup.set_fault(&json!({"kind": "drop_answers"})).await;
+    let dropped = web::call(setup.link, "POST", "/notices", &[], "{}").await;
+    assert!(dropped.is_err(), "{dropped:?}");
+    assert_eq!(setup.executed(), 1);
+    setup.set_fault(&json!({"kind": "cut"})).await;
+    let cut = web::call(setup.link, "POST", "/notices", &[], "{}").await;
+    assert!(cut.is_err(), "{cut:?}");
+    assert_eq!(setup.executed(), 1);
+    let other = json!({"kind": "cut", "source": "127.99.99.99"});
+    setup.set_fault(&other).await;
+    let answer = web::call(setup.link, "POST", "/notices", &[], "{}").await;
+    assert_eq!(
+        answer.expect("an answer").status,
+        201,
+        "other sources are not cut"
+    );
+}
