Serve the whole path: addresses, routing, streams, keyed calls

Cause: the parts were built against stubs and did not exchange loads, suspects and boot ids. Change: gossip carries the loads of owned targets and crash suspects; boot ids grow from run to run, since others ignore a lower one; answers are buffered within the limits of the settings; the shutdown waits for keyed runs.

--- a/crates/core/src/member/entry.rs
+++ b/crates/core/src/member/entry.rs
@@ -18,7 +18,7 @@
 }
 
 /// Summary of a target's load, published by the target's owner.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetLoad {
     /// Short form of the target's name.
     pub target: u32,
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -185,10 +185,10 @@
             match applied {
                 Applied::Ignored => continue,
                 Applied::Impostor => self.log_impostor(&entry),
-                Applied::Refreshed => loads::apply_loads(&self.state, &entry),
+                Applied::Refreshed => loads::apply_entry(&self.state, &entry),
                 Applied::Changed => {
                     changed = true;
-                    loads::apply_loads(&self.state, &entry);
+                    loads::apply_entry(&self.state, &entry);
                 }
             }
         }
@@ -549,7 +549,7 @@
         peer_address,
         config_version: state.config.version(),
         loads: loads::local_loads(state),
-        suspects: Vec::new(),
+        suspects: loads::local_suspects(state),
     }
 }
 
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -8,6 +8,7 @@
 use std::{
     sync,
     sync::atomic::{AtomicU8, Ordering},
+    time,
 };
 
 use acaciabank_protocol::settings;
@@ -20,7 +21,7 @@
 pub struct ProcessState {
     /// Settings of this process.
     pub settings: settings::ProcessSettings,
-    /// Random number that distinguishes this run of the daemon from earlier ones.
+    /// Distinguishes this run of the daemon from earlier ones; a later run has a higher id.
     pub boot_id: u64,
     /// Phase of life.
     pub phase: PhaseCell,
@@ -42,19 +43,34 @@
     /// State of a process that has not started any task yet.
     pub fn new(settings: settings::ProcessSettings) -> Self {
         Self {
-            boot_id: rand::random(),
+            boot_id: new_boot_id(),
             phase: PhaseCell::default(),
             config: config::ConfigStore::default(),
             targets: target::TargetRegistry::default(),
             peers: peer::PeerHandle::default(),
             table: table::TableClient::new(settings.table.clone()),
             once: once::KeyCoordinator::default(),
-            answers: dispatch::AnswerBuffer::default(),
+            answers: dispatch::AnswerBuffer::new(
+                settings.limits.answer_buffer_bytes,
+                settings.timers.answer_lifetime_ms,
+            ),
             settings,
         }
     }
 }
 
+/// Bits of a boot id that are random, so that two runs that start in one millisecond differ.
+const BOOT_ID_RANDOM_BITS: u32 = 20;
+
+/// Wall-clock milliseconds followed by random bits. Others ignore a run with a lower id than the
+/// last one they knew, so a host whose clock was set back needs its clock set right first.
+fn new_boot_id() -> u64 {
+    let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let random = rand::random::<u64>() & ((1 << BOOT_ID_RANDOM_BITS) - 1);
+    millis << BOOT_ID_RANDOM_BITS | random
+}
+
 /// Phase of life of a daemon, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
--- a/crates/daemon/src/process/shutdown.rs
+++ b/crates/daemon/src/process/shutdown.rs
@@ -90,7 +90,8 @@
     log::info!(interrupted = interrupted; "stopped: {cause}; requests interrupted: {interrupted}");
 }
 
-/// Requests of callers, or requests at targets when some go on after their caller left.
+/// Requests of callers, requests at targets that go on after their caller left, or keyed requests
+/// whose outcome is still being recorded.
 fn in_flight(entry: &entry::EntryState) -> usize {
     let snapshot = entry.state.targets.snapshot();
     let at_targets: usize = snapshot
@@ -98,5 +99,6 @@
         .iter()
         .map(|target| target.own_in_flight.load(Ordering::Relaxed) as usize)
         .sum();
-    entry.running.len().max(at_targets)
+    let keyed = entry.state.once.active_runs();
+    entry.running.len().max(at_targets).max(keyed)
 }
--- a/crates/daemon/src/target/mod.rs
+++ b/crates/daemon/src/target/mod.rs
@@ -18,7 +18,7 @@
 pub use marks::TargetMarks;
 pub use poll::run;
 pub use registry::{TargetRegistry, TargetRoute, TargetSnapshot};
-pub use share::{LoadSummary, PieceDelta};
+pub use share::PieceDelta;
 
 /// Milliseconds since the first use of this clock in the process; monotonic.
 pub(crate) fn now_ms() -> u64 {
--- a/crates/daemon/src/target/share.rs
+++ b/crates/daemon/src/target/share.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashSet, sync::atomic::Ordering, time::Duration};
 
+use acaciabank_core::member::TargetLoad;
 use acaciabank_protocol::{ids, settings::EngineRole, wire};
 
 use super::{TargetRegistry, TargetState, WithdrawalCause};
@@ -10,29 +11,6 @@
 const SWITCHING_FLAG: u8 = 2;
 const ROLE_SHIFT: u8 = 2;
 
-/// Load of a target as its owner passes it on; the fields of `TargetLoad` in the schema.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LoadSummary {
-    /// Short name of the target.
-    pub target: u32,
-    /// Age of the report when the summary was made.
-    pub age_ms: u32,
-    /// Requests in the batch.
-    pub running: u16,
-    /// Requests that wait.
-    pub waiting: u16,
-    /// Prompt tokens that are not processed yet.
-    pub waiting_prefill_tokens: u32,
-    /// Requests in the decode phase.
-    pub running_decode: u16,
-    /// Requests batched at most.
-    pub slots: u16,
-    /// Bit 0: reachable. Bit 1: switching. Bits 2 and 3: role.
-    pub flags: u8,
-    /// Owner's count of state changes of this target.
-    pub state_sequence: u32,
-}
-
 /// Changes of a target's prefix cache; the fields of `PieceSet` in the schema.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PieceDelta {
@@ -50,7 +28,7 @@
 
 impl TargetRegistry {
     /// Applies the summary of a target that another daemon owns.
-    pub fn update_from_peer(&self, summary: &LoadSummary) {
+    pub fn update_from_peer(&self, summary: &TargetLoad) {
         let snapshot = self.snapshot();
         let Some(target) = snapshot.by_hash.get(&summary.target) else {
             return;
@@ -69,7 +47,7 @@
     }
 
     /// Summaries of the targets for which `owns` is true and a report exists.
-    pub fn owned_summaries(&self, owns: impl Fn(&ids::TargetId) -> bool) -> Vec<LoadSummary> {
+    pub fn owned_summaries(&self, owns: impl Fn(&ids::TargetId) -> bool) -> Vec<TargetLoad> {
         let snapshot = self.snapshot();
         let owned = snapshot.all.iter().filter(|target| owns(&target.id));
         owned.filter_map(|target| summary_of(target)).collect()
@@ -142,7 +120,7 @@
     role << ROLE_SHIFT
 }
 
-fn load_of(summary: &LoadSummary) -> wire::EngineLoad {
+fn load_of(summary: &TargetLoad) -> wire::EngineLoad {
     wire::EngineLoad {
         running: summary.running.into(),
         waiting: summary.waiting.into(),
@@ -153,7 +131,7 @@
     }
 }
 
-fn summary_of(target: &TargetState) -> Option<LoadSummary> {
+fn summary_of(target: &TargetState) -> Option<TargetLoad> {
     let condition = target.condition.load();
     let unreachable = target.has_mark(WithdrawalCause::Unreachable);
     if condition.cause == Some(WithdrawalCause::Unknown) {
@@ -168,7 +146,7 @@
     }
     let load = &condition.load;
     let narrow = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
-    Some(LoadSummary {
+    Some(TargetLoad {
         target: target.hash,
         age_ms: condition.load_as_of.elapsed().as_millis() as u32,
         running: narrow(load.running),
