--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -42,7 +42,7 @@
         "engines": [{"name": "e1", "host": "h1", "address": "127.0.0.1:9", "model": "draft",
             "slots": 4, "fencing": "checked"}],
         "services": [{"name": "ledger", "instances": [
-            {"name": "l1", "host": "h1", "address": "127.0.0.1:9", "slots": 4}]}],
+            {"name": "l1", "host": "h1", "address": "127.0.0.1:7", "slots": 4}]}],
         "teams": [{"name": "clubs", "key_sha256": [KEY_SHA256], "urgent_allowed": false}],
         "rules": {
             "never_repeat": [{"service": "ledger", "method": "POST", "path_prefix": "/fees"}],
