--- a/crates/cli/src/command/operator.rs
+++ b/crates/cli/src/command/operator.rs
@@ -58,7 +58,7 @@
 pub(super) async fn targets(endpoint: &Endpoint) -> Result<()> {
     let answer = connect(endpoint)?.get_json("/admin/targets").await?;
     let columns = [
-        ("TARGET", "name"),
+        ("TARGET", "target"),
         ("KIND", "kind"),
         ("ZONE", "zone"),
         ("ADDRESS", "address"),
@@ -75,7 +75,7 @@
 pub(super) async fn requests(endpoint: &Endpoint) -> Result<()> {
     let answer = connect(endpoint)?.get_json("/admin/requests").await?;
     let columns = [
-        ("REQUEST", "id"),
+        ("REQUEST", "request_id"),
         ("TEAM", "team"),
         ("PRIORITY", "priority"),
         ("WORK", "work"),
