--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -1,8 +1,9 @@
 //! Keeps the settings reference and the command help in the pages equal to the code's.
 
-use acaciabank_protocol::settings;
+use acaciabank_protocol::{reason, settings};
 
 const SETTINGS_PAGE: &str = include_str!("../../../docs/settings.md");
+const OPERATIONS_PAGE: &str = include_str!("../../../docs/operations.md");
 const COMMANDS_PAGE: &str = include_str!("../../../docs/commands.md");
 
 const COMMANDS: &[&[&str]] = &[
@@ -94,3 +95,30 @@
         );
     }
 }
+
+/// Guards against refusal and retry reasons that operators cannot look up.
+#[test]
+fn every_reason_is_explained() {
+    for reason in reason::RefusalReason::ALL {
+        let row = format!("| `{}` | {} |", reason.as_str(), reason.status());
+        assert!(
+            OPERATIONS_PAGE.contains(&row),
+            "docs/operations.md lacks {row}"
+        );
+    }
+    for reason in [
+        reason::RetryReason::ConnectFailed,
+        reason::RetryReason::NotWritten,
+        reason::RetryReason::ConnectionBroken,
+        reason::RetryReason::TargetRefused,
+        reason::RetryReason::StreamResumed,
+        reason::RetryReason::CrossedAnswer,
+        reason::RetryReason::FirstTokenTimeout,
+    ] {
+        let name = format!("`{}`", reason.as_str());
+        assert!(
+            OPERATIONS_PAGE.contains(&name),
+            "docs/operations.md lacks {name}"
+        );
+    }
+}
