Test TLS of a running daemon through the command line

Cause: TLS was tested inside the process only. Change: crates/testbed/tests/tls.rs: both listeners refuse plain text, a renewed certificate is used after SIGHUP and the old one is not accepted.

--- /dev/null
+++ b/crates/testbed/tests/tls.rs
@@ -0,0 +1,96 @@
+//! TLS of a running daemon, used through the command line.
+
+use std::{fs, path, process, time};
+
+use acaciabank_testbed::harness;
+use nix::{sys::signal, unistd};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_testbed");
+const LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// Runs a command of the command line that trusts only the given certificate.
+fn acaciabank(certificate: &path::Path, arguments: &[&str]) -> process::Output {
+    let mut command = process::Command::new(PROGRAM);
+    command
+        .arg("cli")
+        .args(arguments)
+        .arg("--ca")
+        .arg(certificate);
+    command.output().expect("the program runs")
+}
+
+struct TlsFiles {
+    certificate: path::PathBuf,
+    key: path::PathBuf,
+}
+
+impl TlsFiles {
+    /// Writes a new certificate for an IP address.
+    fn write(&self, ip: &str) {
+        let certified = rcgen::generate_simple_self_signed([ip.to_owned()]).expect("a certificate");
+        fs::write(&self.key, certified.signing_key.serialize_pem()).expect("a file");
+        fs::write(&self.certificate, certified.cert.pem()).expect("a file");
+    }
+}
+
+/// Guards against listeners that still take plain text with `tls` in the settings, and against a
+/// renewed certificate that is used only after a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn both_listeners_speak_tls_and_renew_at_sighup() {
+    let mut spec = harness::Fleet::pemberton();
+    spec.daemons = 1;
+    spec.deployment.engines.truncate(1);
+    spec.deployment.services[0].instances.truncate(1);
+    let launcher = harness::Launcher::new(PROGRAM).expect("a temporary folder");
+    let mut fleet = spec.start(launcher).await.expect("the fleet starts");
+    let folder = fleet.launcher.folder().to_owned();
+    let daemon = &mut fleet.daemons[0];
+    let files = TlsFiles {
+        certificate: folder.join("certificate.pem"),
+        key: folder.join("key.pem"),
+    };
+    let ip = daemon.caller_address.ip().to_string();
+    files.write(&ip);
+    let text = fs::read_to_string(&daemon.settings_file).expect("settings");
+    let mut settings: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    settings["process"]["tls"] =
+        serde_json::json!({"certificate_file": files.certificate, "key_file": files.key});
+    fs::write(&daemon.settings_file, settings.to_string()).expect("settings");
+    daemon.process.restart().expect("the daemon starts again");
+
+    let (caller, admin) = (
+        daemon.caller_address.to_string(),
+        daemon.admin_address.to_string(),
+    );
+    let status = ["status", "--admin", admin.as_str()];
+    let complete = [
+        "complete",
+        "--caller",
+        caller.as_str(),
+        "--model",
+        "drafting",
+        "--max-tokens",
+        "2",
+        "Hi",
+    ];
+    harness::wait_until(LIMIT, "completions over TLS", async || {
+        acaciabank(&files.certificate, &status).status.success()
+            && acaciabank(&files.certificate, &complete).status.success()
+    })
+    .await;
+    for address in [daemon.caller_address, daemon.admin_address] {
+        let plain = acaciabank_testbed::web::call(address, "GET", "/healthz", &[], "").await;
+        assert!(plain.is_err(), "{address} answers plain HTTP: {plain:?}");
+    }
+
+    let old = folder.join("old.pem");
+    fs::copy(&files.certificate, &old).expect("a file");
+    files.write(&ip);
+    let id = daemon.process.id().expect("the daemon runs");
+    signal::kill(unistd::Pid::from_raw(id as i32), signal::Signal::SIGHUP).expect("a signal");
+    harness::wait_until(LIMIT, "the renewed certificate", async || {
+        acaciabank(&files.certificate, &status).status.success()
+    })
+    .await;
+    assert_eq!(acaciabank(&old, &status).status.code(), Some(4));
+}
