Poll the configuration's version, not the configuration

Change: a row config/head is written in the same transaction; daemons poll it and read the deployment when the number has grown.

--- a/crates/daemon/src/config/follow.rs
+++ b/crates/daemon/src/config/follow.rs
@@ -62,14 +62,26 @@
         // Jitter spreads the reads of many daemons that were started together.
         let pause_ms = rand::random_range(interval_ms * 4 / 5..=interval_ms * 6 / 5);
         tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
-        match stored::read(&state.table).await {
-            Ok(Some(config)) => put_in_force(state, config, "the table"),
-            Ok(None) => log::warn!("the table has no configuration any more"),
-            Err(error) => log::debug!("configuration cannot be read from the table: {error}"),
+        if let Err(error) = follow_head(state).await {
+            log::debug!("configuration cannot be read from the table: {error}");
         }
     }
 }
 
+async fn follow_head(state: &process::SharedState) -> Result<(), table::TableError> {
+    let version = stored::read_head(&state.table).await?;
+    if version == 0 {
+        log::warn!("the table has no configuration any more");
+    }
+    if version <= state.config.version() {
+        return Ok(());
+    }
+    if let Some(config) = stored::read(&state.table).await? {
+        put_in_force(state, config, "the table");
+    }
+    Ok(())
+}
+
 fn put_in_force(state: &process::SharedState, config: ConfigVersion, source: &str) {
     let version = config.version;
     if state.config.apply(config) {
--- a/crates/daemon/src/config/stored.rs
+++ b/crates/daemon/src/config/stored.rs
@@ -38,6 +38,12 @@
     key("current".to_owned())
 }
 
+/// Row with the version number alone. Every daemon polls it; the deployment of a large fleet is
+/// hundreds of kilobytes and is read only when the number has grown.
+fn head_key() -> RowKey {
+    key("head".to_owned())
+}
+
 /// Writes a version as the successor of the one before it, together with its history row.
 pub(super) async fn write(table: &TableClient, config: &ConfigVersion) -> Result<(), TableError> {
     let body = StoredBody {
@@ -52,6 +58,11 @@
         version => RowCondition::Version(version - 1),
     };
     let writes = [
+        RowWrite::Put {
+            key: head_key(),
+            condition,
+            body: config.version.to_string(),
+        },
         RowWrite::Put {
             key: current_key(),
             condition,
@@ -67,6 +78,12 @@
     table.transact(&operation, &writes).await
 }
 
+/// Reads the number of the version in force; 0 when the table has none.
+pub(super) async fn read_head(table: &TableClient) -> Result<u64, TableError> {
+    let row = table.get(&head_key()).await?;
+    Ok(row.map_or(0, |row| row.version))
+}
+
 /// Reads the version in force.
 pub(super) async fn read(table: &TableClient) -> Result<Option<ConfigVersion>, TableError> {
     let row = table.get(&current_key()).await?;
