Let fleets run their connections through the proxy

Tests of partitions and outages need faults on single links. A fleet can now route daemon-table (one link a daemon), daemon-target and daemon-daemon connections through the fault-injecting proxy, override the timers, limits and log output of one daemon, and add teams.

The test blackhole_up_holds_requests_until_it_ends waited 200 ms; it now waits until the proxy's new counter shows held bytes and checks that none reached the upstream.

--- a/crates/testbed/src/harness/fleet.rs
+++ b/crates/testbed/src/harness/fleet.rs
@@ -3,8 +3,11 @@
 use std::{fs, io, net, path, time};
 
 use acaciabank_protocol::{ids, settings};
+use sha2::Digest;
 
-use super::{Caller, JournalView, Launcher, Process, read_journals};
+use super::{
+    Caller, JournalView, Launcher, LinkProxy, Process, ProxiedLinks, links, read_journals,
+};
 use crate::web;
 
 /// Limit for a daemon to become ready on a busy machine.
@@ -31,6 +34,37 @@
     pub limits: settings::LimitSettings,
     /// Log output of the daemons.
     pub log: settings::LogSettings,
+    /// Time after which a daemon counts a call to the table as unanswered, in milliseconds.
+    pub table_timeout_ms: u64,
+    /// Settings of single daemons.
+    pub overrides: Vec<DaemonOverride>,
+    /// Connections that run through the fault-injecting proxy.
+    pub proxied: ProxiedLinks,
+}
+
+/// Settings of one daemon that differ from those of the others.
+#[derive(Clone, Debug, Default)]
+pub struct DaemonOverride {
+    /// Position of the daemon.
+    pub daemon: usize,
+    /// Intervals and timeouts.
+    pub timers: Option<settings::TimerSettings>,
+    /// Sizes and counts.
+    pub limits: Option<settings::LimitSettings>,
+    /// Log output.
+    pub log: Option<settings::LogSettings>,
+    /// Time after which a call to the table counts as unanswered, in milliseconds.
+    pub table_timeout_ms: Option<u64>,
+}
+
+impl DaemonOverride {
+    fn apply(&self, process: &mut settings::ProcessSettings) {
+        process.timers = self.timers.clone().unwrap_or(process.timers.clone());
+        process.limits = self.limits.clone().unwrap_or(process.limits.clone());
+        process.log = self.log.clone().unwrap_or(process.log.clone());
+        let table = &mut process.table;
+        table.timeout_ms = self.table_timeout_ms.unwrap_or(table.timeout_ms);
+    }
 }
 
 /// A target and its process.
@@ -78,6 +112,8 @@
     pub services: Vec<TargetProcess>,
     /// Daemons.
     pub daemons: Vec<DaemonProcess>,
+    /// Proxy, when any connection runs through it.
+    pub proxy: Option<LinkProxy>,
     /// Launcher of all processes.
     pub launcher: Launcher,
 }
@@ -213,6 +249,68 @@
         .await;
     }
 
+    /// Answer of a daemon's operators' listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn admin_json(&self, position: usize, path: &str) -> io::Result<serde_json::Value> {
+        let address = self.daemons[position].admin_address;
+        let answer = web::call(address, "GET", path, &[], "").await?;
+        Ok(answer.json())
+    }
+
+    /// Number of members that a daemon sees as ready, itself included; 0 when it does not answer.
+    pub async fn ready_members(&self, position: usize) -> usize {
+        let status = self.admin_json(position, "/admin/status").await;
+        let status = status.unwrap_or_default();
+        let members = status["members"].as_array().into_iter().flatten();
+        members
+            .filter(|member| member["condition"] == "ready")
+            .count()
+    }
+
+    /// Waits until a daemon sees exactly `count` ready members, itself included.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not within 60 s.
+    pub async fn wait_members(&self, position: usize, count: usize) {
+        let description = format!("{} sees {count} members", self.daemons[position].name);
+        super::wait_until(READY_LIMIT, &description, async || {
+            self.ready_members(position).await == count
+        })
+        .await;
+    }
+
+    /// Waits until every daemon sees all daemons as ready and all targets as accepting.
+    ///
+    /// # Panics
+    ///
+    /// Panics when they do not within 60 s.
+    pub async fn wait_settled(&self) {
+        for position in 0..self.daemons.len() {
+            self.wait_members(position, self.daemons.len()).await;
+            self.wait_accepting(position, self.engines.len() + self.services.len())
+                .await;
+        }
+    }
+
+    /// Waits until a daemon sees exactly `count` targets that accept work.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not within 60 s.
+    pub async fn wait_accepting(&self, position: usize, count: usize) {
+        let name = &self.daemons[position].name;
+        let description = format!("{name} sees {count} accepting targets");
+        super::wait_until(READY_LIMIT, &description, async || {
+            let status = self.admin_json(position, "/admin/status").await;
+            status.is_ok_and(|status| status["targets_accepting"] == count)
+        })
+        .await;
+    }
+
     /// Sends a control message to a stand-in.
     ///
     /// # Errors
@@ -251,9 +349,24 @@
             timers: settings::TimerSettings::default(),
             limits: settings::LimitSettings::default(),
             log: settings::LogSettings::default(),
+            table_timeout_ms: 1_000,
+            overrides: Vec::new(),
+            proxied: ProxiedLinks::default(),
         }
     }
 
+    /// Adds a team with one key and the default weight.
+    pub fn add_team(&mut self, name: &str, key: &str) {
+        let digest = sha2::Sha256::digest(key.as_bytes());
+        let digits = digest.iter().map(|byte| format!("{byte:02x}"));
+        self.deployment.teams.push(settings::TeamEntry {
+            name: ids::TeamId::from(name),
+            key_sha256: vec![digits.collect()],
+            weight: 1,
+            urgent_allowed: true,
+        });
+    }
+
     /// Starts all processes and waits until they are ready.
     ///
     /// # Errors
@@ -266,7 +379,7 @@
     pub async fn start(self, launcher: Launcher) -> io::Result<Fleet> {
         let fleet = self.start_stand_ins(launcher).await?;
         let mut fleet = fleet;
-        self.start_daemons(&mut fleet)?;
+        self.start_daemons(&mut fleet).await?;
         for position in 0..fleet.daemons.len() {
             fleet.wait_daemon_ready(position).await;
         }
@@ -319,15 +432,23 @@
         for target in engines.iter().chain(&services) {
             target.process.wait_ready().await;
         }
-        let fleet = Fleet {
+        let proxy = match self.proxied.any() {
+            true => Some(LinkProxy::start(&launcher).await?),
+            false => None,
+        };
+        let mut fleet = Fleet {
             deployment,
             platform_address,
             platform,
             engines,
             services,
             daemons: Vec::new(),
+            proxy,
             launcher,
         };
+        if self.proxied.targets {
+            fleet.proxy_targets().await?;
+        }
         fleet.announce_hosts().await?;
         Ok(fleet)
     }
@@ -362,7 +483,7 @@
     }
 
     /// Starts the daemons of a fleet whose stand-ins run.
-    fn start_daemons(&self, fleet: &mut Fleet) -> io::Result<()> {
+    async fn start_daemons(&self, fleet: &mut Fleet) -> io::Result<()> {
         let regions = self.deployment.regions.iter();
         let places: Vec<(ids::RegionId, ids::ZoneId)> = regions
             .flat_map(|region| {
@@ -384,7 +505,7 @@
                 advertised_caller_address: None,
                 advertised_peer_address: None,
                 peers: Vec::new(),
-                table: table_settings(fleet.platform_address),
+                table: table_settings(fleet.platform_address, self.table_timeout_ms),
                 object_store_address: Some(fleet.platform_address),
                 host_list_address: Some(fleet.platform_address),
                 tls: None,
@@ -393,11 +514,19 @@
                 log: self.log.clone(),
             });
         }
+        for (position, process) in all.iter_mut().enumerate() {
+            self.proxy_daemon(fleet, position, process).await?;
+            let overrides = self.overrides.iter();
+            let own = overrides.filter(|entry| entry.daemon == position);
+            own.for_each(|entry| entry.apply(process));
+        }
         let peers: Vec<settings::PeerEntry> = all
             .iter()
             .map(|process| settings::PeerEntry {
                 daemon: process.daemon.clone(),
-                address: process.peer_address,
+                address: process
+                    .advertised_peer_address
+                    .unwrap_or(process.peer_address),
             })
             .collect();
         for mut process in all {
@@ -410,7 +539,48 @@
     }
 }
 
+impl FleetSpec {
+    /// Puts links between a daemon, the table and other daemons where the shape asks for them.
+    async fn proxy_daemon(
+        &self,
+        fleet: &Fleet,
+        position: usize,
+        process: &mut settings::ProcessSettings,
+    ) -> io::Result<()> {
+        let Some(proxy) = &fleet.proxy else {
+            return Ok(());
+        };
+        if self.proxied.table {
+            let link = links::table_link(position);
+            process.table.address = proxy.add(&link, process.table.address).await?;
+        }
+        if self.proxied.peers {
+            let link = links::peer_link(position);
+            let address = proxy.add(&link, process.peer_address).await?;
+            process.advertised_peer_address = Some(address);
+        }
+        Ok(())
+    }
+}
+
 impl Fleet {
+    /// Replaces the addresses of all targets in the deployment by links to them.
+    async fn proxy_targets(&mut self) -> io::Result<()> {
+        let Some(proxy) = &self.proxy else {
+            return Ok(());
+        };
+        for entry in &mut self.deployment.engines {
+            let link = links::target_link(entry.name.as_str());
+            entry.address = proxy.add(&link, entry.address).await?;
+        }
+        let services = self.deployment.services.iter_mut();
+        for entry in services.flat_map(|service| service.instances.iter_mut()) {
+            let link = links::target_link(entry.name.as_str());
+            entry.address = proxy.add(&link, entry.address).await?;
+        }
+        Ok(())
+    }
+
     async fn announce_hosts(&self) -> io::Result<()> {
         let hosts = self.deployment.hosts.iter();
         let states: serde_json::Map<String, serde_json::Value> = hosts
@@ -444,11 +614,11 @@
     })
 }
 
-fn table_settings(address: net::SocketAddr) -> settings::TableSettings {
+fn table_settings(address: net::SocketAddr, timeout_ms: u64) -> settings::TableSettings {
     settings::TableSettings {
         address,
         name: "acaciabank".to_owned(),
-        timeout_ms: 1_000,
+        timeout_ms,
         batch_rows: 50,
         batch_wait_ms: 4,
     }
--- a/crates/testbed/src/harness/mod.rs
+++ b/crates/testbed/src/harness/mod.rs
@@ -5,13 +5,15 @@
 mod fleet;
 mod journals;
 mod launch;
+mod links;
 
 use std::time;
 
 pub use caller::{CallOutcome, Caller, CompletionRequest, Refusal, ServiceRequest};
-pub use fleet::{DaemonProcess, Fleet, FleetSpec, TargetProcess};
+pub use fleet::{DaemonOverride, DaemonProcess, Fleet, FleetSpec, TargetProcess};
 pub use journals::{Counts, JournalView, body_hash, read_journals};
 pub use launch::{Launcher, Process};
+pub use links::{LinkProxy, ProxiedLinks, peer_link, table_link, target_link};
 
 /// Time between two evaluations of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
--- a/crates/testbed/src/proxy/mod.rs
+++ b/crates/testbed/src/proxy/mod.rs
@@ -84,6 +84,7 @@
     connections: atomic::AtomicU64,
     bytes_up: atomic::AtomicU64,
     bytes_down: atomic::AtomicU64,
+    bytes_held: atomic::AtomicU64,
     accepting: tokio::task::AbortHandle,
 }
 
@@ -94,6 +95,7 @@
             "address": self.address, "upstream": self.upstream,
             "fault": *self.fault.borrow(), "connections": count(&self.connections),
             "bytes_up": count(&self.bytes_up), "bytes_down": count(&self.bytes_down),
+            "bytes_held": count(&self.bytes_held),
         })
     }
 }
@@ -194,6 +196,7 @@
         connections: atomic::AtomicU64::new(0),
         bytes_up: atomic::AtomicU64::new(0),
         bytes_down: atomic::AtomicU64::new(0),
+        bytes_held: atomic::AtomicU64::new(0),
         accepting: task.abort_handle(),
     });
     let _ = started.send(link.clone());
@@ -252,6 +255,26 @@
     }
 }
 
+/// Counts bytes that were read and wait for the end of a fault.
+struct HeldBytes<'a> {
+    counter: &'a atomic::AtomicU64,
+    size: u64,
+}
+
+impl<'a> HeldBytes<'a> {
+    fn new(counter: &'a atomic::AtomicU64, size: usize) -> Self {
+        let size = size as u64;
+        counter.fetch_add(size, atomic::Ordering::Relaxed);
+        Self { counter, size }
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.counter.fetch_sub(self.size, atomic::Ordering::Relaxed);
+    }
+}
+
 /// Forwards one direction; bytes that a fault holds are delivered when it ends.
 async fn pump(
     mut reader: tokio::net::tcp::OwnedReadHalf,
@@ -268,11 +291,13 @@
     };
     loop {
         let size = reader.read(&mut buffer).await?;
+        let held = HeldBytes::new(&link.bytes_held, size);
         let current = fault
             .wait_for(|fault| !holds(fault.kind_for(source)))
             .await
             .map_err(io::Error::other)?
             .clone();
+        drop(held);
         match current.kind_for(source) {
             FaultKind::Delay => {
                 tokio::time::sleep(time::Duration::from_millis(current.delay_ms)).await;
--- a/crates/testbed/tests/stand_ins/main.rs
+++ b/crates/testbed/tests/stand_ins/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the stand-ins themselves: a fault in them would hide faults of the daemon.
 
 mod engine;
+mod fleet;
 mod platform;
 mod proxy;
 mod service;
--- a/crates/testbed/tests/stand_ins/proxy.rs
+++ b/crates/testbed/tests/stand_ins/proxy.rs
@@ -1,6 +1,6 @@
 //! Proxy: faults of a link.
 
-use std::{net, time};
+use std::net;
 
 use acaciabank_testbed::{harness, web};
 use serde_json::{Value, json};
@@ -36,6 +36,11 @@
         assert_eq!(answer.status, 200, "{:?}", answer.json());
     }
 
+    async fn report(&self) -> Value {
+        let answer = web::call(self.proxy, "GET", "/links/a", &[], "").await;
+        answer.expect("an answer").json()
+    }
+
     fn executed(&self) -> usize {
         let journals = harness::read_journals(self.launcher.folder()).expect("journals");
         journals.events("executed").count()
@@ -63,12 +68,17 @@
     setup.set_fault(&json!({"kind": "blackhole_up"})).await;
     let link = setup.link;
     let call = tokio::spawn(async move { web::call(link, "POST", "/notices", &[], "{}").await });
-    // A negative needs some time; a longer wait could only make the test stricter.
-    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    harness::wait_until(LIMIT, "the proxy holds the request", async || {
+        setup.report().await["bytes_held"].as_u64() > Some(0)
+    })
+    .await;
+    let report = setup.report().await;
+    assert_eq!(report["bytes_up"], 0, "no byte reached the upstream");
     assert_eq!(setup.executed(), 0);
     setup.set_fault(&json!({"kind": "none"})).await;
     let answer = call.await.expect("task").expect("an answer");
     assert_eq!(answer.status, 201);
+    assert_eq!(setup.report().await["bytes_held"], 0);
 }
 
 /// Guards against a dropped answer whose request did not run, and a cut that lets bytes through.
