Stop a paused daemon from dispatching a key that an operator released

An intent now states the time within which its daemon dispatches, at most 30 s and at most the request's deadline, counted from before the write by CLOCK_BOOTTIME. The connection checks the limit directly before each write to the socket; waiting for a slot ends with it. An operator's release (ran false) of an intent whose daemon cannot be asked is kept back until that time plus 500 ms has passed since the daemon that is asked first saw the intent; the report states the time left in release_after_ms.

Residual risk: a pause of longer than that time between the check and the system call, and bytes that the kernel still holds for a slow link.

--- a/crates/daemon/src/dispatch/attempt.rs
+++ b/crates/daemon/src/dispatch/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use super::connection;
+use super::{connection, limit::WriteLimit};
 use crate::{process, target};
 
 /// Why an attempt failed.
@@ -102,13 +102,14 @@
     state: &process::ProcessState,
     target: &sync::Arc<target::TargetState>,
     attempt: &ids::AttemptId,
+    write_limit: Option<WriteLimit>,
     mut request: http::Request<Full<Bytes>>,
 ) -> Result<OpenAttempt, AttemptFailure> {
     let headers = request.headers_mut();
     let host = header_value(&target.address.to_string())?;
     headers.insert(http::header::HOST, host);
     headers.insert(wire::REQUEST_ID_HEADER, header_value(attempt.as_str())?);
-    let opened = exchange(state, target, &request).await?;
+    let opened = exchange(state, target, write_limit, &request).await?;
     check_identity(&opened.response, attempt)?;
     check_refusal(target, &opened.response)?;
     Ok(opened)
@@ -128,9 +129,11 @@
 async fn exchange(
     state: &process::ProcessState,
     target: &sync::Arc<target::TargetState>,
+    write_limit: Option<WriteLimit>,
     request: &http::Request<Full<Bytes>>,
 ) -> Result<OpenAttempt, AttemptFailure> {
     while let Some(connection) = target.marks.pool.take() {
+        connection.limit_writes(write_limit);
         match exchange_on(state, target, connection, request.clone()).await {
             Err(failure) if failure.verdict == Verdict::NotRun => continue,
             Err(failure) if failure.crashed => {
@@ -143,6 +146,7 @@
         }
     }
     let connection = connect(state, target).await?;
+    connection.limit_writes(write_limit);
     exchange_on(state, target, connection, request.clone()).await
 }
 
--- a/crates/daemon/src/dispatch/completion.rs
+++ b/crates/daemon/src/dispatch/completion.rs
@@ -59,8 +59,7 @@
                 let retry = reason::RetryReason::NotWritten;
                 attempt::AttemptFailure::new(Verdict::NotRun, retry, error.to_string())
             })?;
-        let opened =
-            attempt::open(context.state, context.target, &context.attempt, request).await?;
+        let opened = context.open(request).await?;
         if !opened.response.status().is_success() {
             return self.pass_error(context, sink, opened).await;
         }
--- a/crates/daemon/src/dispatch/connection.rs
+++ b/crates/daemon/src/dispatch/connection.rs
@@ -18,6 +18,8 @@
     net::TcpStream,
 };
 
+use super::limit::{WriteGate, WriteLimit};
+
 /// Idle connections kept for each target.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Idle time after which a connection is not used again. Shorter than the idle timeout of common
@@ -29,6 +31,7 @@
 pub(crate) struct TargetConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     written: sync::Arc<AtomicU64>,
+    gate: sync::Arc<WriteGate>,
 }
 
 impl TargetConnection {
@@ -40,9 +43,11 @@
         };
         stream.set_nodelay(true)?;
         let written = sync::Arc::new(AtomicU64::new(0));
+        let gate = sync::Arc::new(WriteGate::default());
         let counted = CountedStream {
             stream,
             written: sync::Arc::clone(&written),
+            gate: sync::Arc::clone(&gate),
         };
         let handshake = http1::handshake(TokioIo::new(counted)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
@@ -51,7 +56,11 @@
                 log::debug!("connection to {address} ended: {error}");
             }
         });
-        Ok(Self { sender, written })
+        Ok(Self {
+            sender,
+            written,
+            gate,
+        })
     }
 
     /// Bytes written to the socket so far.
@@ -59,6 +68,11 @@
         self.written.load(Ordering::Acquire)
     }
 
+    /// Refuses writes after `limit`; it holds until it is set again.
+    pub(super) fn limit_writes(&self, limit: Option<WriteLimit>) {
+        self.gate.set(limit);
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(
         &mut self,
@@ -99,13 +113,24 @@
     }
 }
 
-/// A TCP stream that counts the bytes accepted by the socket.
+/// A TCP stream that counts the bytes accepted by the socket and refuses writes after a limit.
 struct CountedStream {
     stream: TcpStream,
     written: sync::Arc<AtomicU64>,
+    gate: sync::Arc<WriteGate>,
 }
 
 impl CountedStream {
+    fn check_limit(&self) -> io::Result<()> {
+        match self.gate.is_passed() {
+            true => Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "the time to write the request has passed",
+            )),
+            false => Ok(()),
+        }
+    }
+
     fn count(&self, result: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = result {
             self.written.fetch_add(*bytes as u64, Ordering::AcqRel);
@@ -129,6 +154,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_limit()?;
         let result = Pin::new(&mut self.stream).poll_write(context, buffer);
         self.count(&result);
         result
@@ -139,6 +165,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_limit()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
         self.count(&result);
         result
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod completion;
 pub(crate) mod connection;
 pub(crate) mod gate;
+mod limit;
 mod run;
 mod service;
 mod sink;
@@ -18,6 +19,7 @@
 use tokio::sync::oneshot;
 
 pub use answers::{AnswerBuffer, BufferedAnswer};
+pub use limit::WriteLimit;
 
 use crate::{config, process};
 
@@ -34,6 +36,8 @@
     pub deadline: time::Instant,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Time after which it may no longer be written to a target, whatever the deadline.
+    pub write_limit: Option<WriteLimit>,
     /// Hash of method, path and body; equal for a resend.
     pub fingerprint: u64,
     /// Kind of work.
--- a/crates/daemon/src/dispatch/run.rs
+++ b/crates/daemon/src/dispatch/run.rs
@@ -1,11 +1,13 @@
 //! The run of a request over its attempts.
 
-use std::{sync, time::Instant};
+use std::{future::Future, sync, time::Instant};
 
 use acaciabank_core::suspect;
 use acaciabank_protocol::{ids, reason, verdict::Verdict};
+use bytes::Bytes;
+use http_body_util::Full;
 
-use super::{CallerRequest, RequestWork, attempt, completion, gate, service, sink};
+use super::{CallerRequest, RequestWork, WriteLimit, attempt, completion, gate, service, sink};
 use crate::{process, target};
 
 /// Attempts that ended as not run, for each attempt that `max_attempts` allows. They cost a target
@@ -49,6 +51,17 @@
     pub(super) started: Instant,
 }
 
+impl RunContext<'_> {
+    /// Sends a request as this attempt and waits for the head of the answer.
+    pub(super) async fn open(
+        &self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<attempt::OpenAttempt, attempt::AttemptFailure> {
+        let limit = self.request.write_limit;
+        attempt::open(self.state, self.target, &self.attempt, limit, request).await
+    }
+}
+
 /// Runs a request to its end and delivers its answer.
 pub(super) async fn run(
     state: process::SharedState,
@@ -96,7 +109,8 @@
     let mut visit = gate::PoolVisit::new(state, request);
     let mut stream = completion::CompletionRun::new(request);
     loop {
-        let placed = visit.place(request, &progress.avoided).await;
+        let place = visit.place(request, &progress.avoided);
+        let placed = within_limit(request.write_limit, place).await;
         let slot = placed.map_err(|refusal| reason::Refusal {
             verdict: refusal.verdict.and(progress.verdict),
             ..refusal
@@ -127,6 +141,26 @@
     }
 }
 
+/// Waits for a slot until the request may no longer be written.
+async fn within_limit<T>(
+    limit: Option<WriteLimit>,
+    place: impl Future<Output = Result<T, reason::Refusal>>,
+) -> Result<T, reason::Refusal> {
+    let Some(limit) = limit else {
+        return place.await;
+    };
+    let expired = reason::Refusal::not_run(
+        reason::RefusalReason::DeadlinePassed,
+        "no target was free before the key's intent expired",
+    );
+    let remaining = limit.remaining();
+    if remaining.is_zero() {
+        return Err(expired);
+    }
+    let placed = tokio::time::timeout(remaining, place).await;
+    placed.unwrap_or(Err(expired))
+}
+
 fn count_attempt(verdict: Verdict) {
     metrics::counter!("acaciabank_attempts_total", "verdict" => verdict.as_str()).increment(1);
 }
--- a/crates/daemon/src/dispatch/service.rs
+++ b/crates/daemon/src/dispatch/service.rs
@@ -45,8 +45,7 @@
             attempt::AttemptFailure::new(Verdict::NotRun, retry, error.to_string())
         })?;
     *request.headers_mut() = end_to_end(headers);
-    let mut opened =
-        attempt::open(context.state, context.target, &context.attempt, request).await?;
+    let mut opened = context.open(request).await?;
     let idle = Duration::from_millis(context.state.settings.timers.idle_timeout_ms);
     // The head is delivered with the first part of the body, so that a target that fails between
     // the two can still be replaced.
--- a/crates/daemon/src/once/coordinator.rs
+++ b/crates/daemon/src/once/coordinator.rs
@@ -20,6 +20,9 @@
 };
 use crate::{dispatch, peer, process, table};
 
+/// Time from the write of an intent in which the request may be written to a target. It covers the
+/// wait for a slot, and it is the time for which an operator's release of a key may have to wait.
+const DISPATCH_WINDOW: Duration = Duration::from_secs(30);
 /// Bytes of an answer that is kept in the row itself.
 const ROW_ANSWER_BYTES: usize = 32 << 10;
 /// Longest wait in one call to another daemon.
@@ -111,6 +114,8 @@
     intent: KeyRow,
     /// Version of the own intent once it is committed.
     intent_version: u64,
+    /// Time after which the own intent no longer allows a dispatch.
+    write_limit: dispatch::WriteLimit,
     /// The row as read last.
     seen: Option<KeyRow>,
 }
@@ -129,6 +134,7 @@
             operation: row::new_operation(),
             intent,
             intent_version: 0,
+            write_limit: dispatch::WriteLimit::after(Duration::ZERO),
             seen: None,
             state,
             request,
@@ -168,10 +174,18 @@
     }
 
     async fn write_intent(&mut self, claimed: Option<u64>) -> KeyEvent {
-        if Instant::now() >= self.request.deadline {
+        let left = self
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
+        if left.is_zero() {
             // Nothing is written, and an earlier run of the key may have had an effect.
             return KeyEvent::WaitTimeout;
         }
+        // Counted from before the write, so that the row never promises less time than is used.
+        let window = left.min(DISPATCH_WINDOW);
+        self.write_limit = dispatch::WriteLimit::after(window);
+        self.intent.dispatch_within_ms = window.as_millis() as u64;
         self.operation = row::new_operation();
         self.intent_version = claimed.unwrap_or(0) + 1;
         let write = table::RowWrite::Put {
@@ -245,7 +259,11 @@
     }
 
     async fn dispatch(self, mut call: KeyCall) -> CallResult {
-        let result = run::run(&self.state, self.request.clone()).await;
+        let request = dispatch::CallerRequest {
+            write_limit: Some(self.write_limit),
+            ..self.request.clone()
+        };
+        let result = run::run(&self.state, request).await;
         match (
             call.step(KeyEvent::RunEnded(result.outcome)),
             result.recorded,
--- a/crates/daemon/src/once/local.rs
+++ b/crates/daemon/src/once/local.rs
@@ -19,6 +19,7 @@
 #[derive(Debug, Default)]
 pub struct KeyCoordinator {
     runs: RunMap,
+    pub(super) sightings: super::sighting::SightingLog,
 }
 
 #[derive(Debug)]
--- a/crates/daemon/src/once/mod.rs
+++ b/crates/daemon/src/once/mod.rs
@@ -6,6 +6,7 @@
 mod operator;
 mod row;
 mod run;
+mod sighting;
 
 pub use coordinator::run_keyed;
 pub use local::KeyCoordinator;
--- a/crates/daemon/src/once/operator.rs
+++ b/crates/daemon/src/once/operator.rs
@@ -20,6 +20,8 @@
     pub request: ids::RequestId,
     /// HTTP status of the recorded answer.
     pub status: Option<u16>,
+    /// Time after which an intent can be released, in milliseconds; 0 when it can be at once.
+    pub release_after_ms: Option<u64>,
 }
 
 impl KeyReport {
@@ -35,6 +37,16 @@
             daemon: record.daemon.clone(),
             request: record.request.clone(),
             status: record.status,
+            release_after_ms: None,
+        }
+    }
+
+    /// Report on an intent; notes when it was first seen.
+    fn from_intent(state: &process::ProcessState, row: &table::TableRow, record: &KeyRow) -> Self {
+        let wait = state.once.sightings.see(row, record.dispatch_within_ms);
+        Self {
+            release_after_ms: Some(wait.as_millis() as u64),
+            ..Self::from_row(record)
         }
     }
 }
@@ -52,12 +64,18 @@
     let Some(row) = state.table.get(&row::row_key(team, key)).await? else {
         return Ok(None);
     };
-    Ok(Some(KeyReport::from_row(&KeyRow::parse(&row)?)))
+    let record = KeyRow::parse(&row)?;
+    Ok(Some(match record.state {
+        KeyState::Intent => KeyReport::from_intent(state, &row, &record),
+        _ => KeyReport::from_row(&record),
+    }))
 }
 
 /// Ends an intent without outcome by an operator's word: `ran` true keeps it ended for good,
 /// false releases it so that a later call may run. A key whose run goes on, or that has an outcome,
-/// stays as it is; the report states its state.
+/// stays as it is; the report states its state. An intent whose daemon is not known to have given it
+/// up is released only after the time in which that daemon may dispatch has passed since this
+/// daemon first saw the intent: a paused daemon is no member, but may still resume.
 ///
 /// # Errors
 ///
@@ -81,8 +99,14 @@
         if is_written || record.state != KeyState::Intent {
             return Ok(Some(KeyReport::from_row(&record)));
         }
-        if is_running(state, &record, team, key).await {
-            return Ok(Some(KeyReport::from_row(&record)));
+        let report = KeyReport::from_intent(state, &row, &record);
+        let is_kept = match standing(state, &record, team, key).await {
+            Standing::Running => true,
+            Standing::GivenUp => false,
+            Standing::Unknown => !ran && report.release_after_ms != Some(0),
+        };
+        if is_kept {
+            return Ok(Some(report));
         }
         record.state = match ran {
             true => KeyState::Resolved,
@@ -108,23 +132,36 @@
     Err(failure)
 }
 
-async fn is_running(
+/// What is known of the process that wrote an intent.
+enum Standing {
+    /// It works on the key, or cannot be asked.
+    Running,
+    /// It exists and does not work on the key.
+    GivenUp,
+    /// It is no member; it may be paused.
+    Unknown,
+}
+
+async fn standing(
     state: &process::ProcessState,
     record: &KeyRow,
     team: &ids::TeamId,
     key: &str,
-) -> bool {
+) -> Standing {
     let remote = match record.holder(state) {
-        HolderKind::Gone => return false,
+        HolderKind::Gone => return Standing::Unknown,
         HolderKind::Local => state.once.local_state(team, key, 0).await,
         HolderKind::Remote => {
             match state.peers.await_key(&record.daemon, team, key, 0).await {
                 Ok(remote) => remote,
-                Err(peer::PeerError::UnknownDaemon(_)) => peer::RemoteKey::Unknown,
+                Err(peer::PeerError::UnknownDaemon(_)) => return Standing::Unknown,
                 // A member that cannot be reached may still be about to dispatch.
-                Err(peer::PeerError::Unreachable(..)) => peer::RemoteKey::Running,
+                Err(peer::PeerError::Unreachable(..)) => return Standing::Running,
             }
         }
     };
-    remote == peer::RemoteKey::Running
+    match remote {
+        peer::RemoteKey::Running => Standing::Running,
+        peer::RemoteKey::Unknown | peer::RemoteKey::Finished => Standing::GivenUp,
+    }
 }
--- a/crates/daemon/src/once/row.rs
+++ b/crates/daemon/src/once/row.rs
@@ -40,10 +40,18 @@
     pub(super) answer_form: Option<AnswerForm>,
     pub(super) created_unix_ms: u64,
     pub(super) expires_unix_ms: u64,
+    /// Time from the write of the intent after which its daemon no longer dispatches.
+    #[serde(default = "default_dispatch_within_ms")]
+    pub(super) dispatch_within_ms: u64,
     #[serde(default)]
     pub(super) operator: Option<String>,
 }
 
+/// Longest deadline of a request; holds for intents that state no time.
+fn default_dispatch_within_ms() -> u64 {
+    24 * 60 * 60 * 1_000
+}
+
 impl KeyRow {
     pub(super) fn intent(
         state: &process::ProcessState,
@@ -63,6 +71,7 @@
             answer_form: None,
             created_unix_ms: now,
             expires_unix_ms: now + KEY_LIFETIME_MS,
+            dispatch_within_ms: default_dispatch_within_ms(),
             operator: None,
         }
     }
--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -152,6 +152,7 @@
         priority: wire::Priority::Normal,
         deadline: Instant::now() + Duration::from_secs(20),
         idempotent,
+        write_limit: None,
         fingerprint: 1,
         work: dispatch::RequestWork::Completion {
             model: ids::ModelId::new("drafter"),
--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -39,6 +39,7 @@
         priority: wire::Priority::Normal,
         deadline: Instant::now() + Duration::from_secs(20),
         idempotent: true,
+        write_limit: None,
         fingerprint: 1,
         work: dispatch::RequestWork::Service {
             service: ids::ServiceId::from("ledger"),
--- a/crates/testbed/src/harness/fleet.rs
+++ b/crates/testbed/src/harness/fleet.rs
@@ -338,6 +338,23 @@
 }
 
 impl FleetSpec {
+    /// A small fleet of Pemberton's shape for tests of failures: every connection runs through the
+    /// proxy, and silence between daemons is noticed within seconds.
+    pub fn small(daemons: usize, engines: usize, services: usize) -> Self {
+        let mut spec = Fleet::pemberton();
+        spec.daemons = daemons;
+        spec.deployment.engines.truncate(engines);
+        spec.deployment.services[0].instances.truncate(services);
+        spec.proxied = ProxiedLinks::ALL;
+        spec.timers.gossip_interval_ms = 200;
+        spec.timers.suspect_after_ms = 1_000;
+        spec.timers.dead_after_ms = 2_500;
+        spec.timers.target_poll_ms = 200;
+        spec.timers.target_backoff_ms = 300;
+        spec.timers.address_lifetime_ms = 500;
+        spec
+    }
+
     /// A fleet with default arguments and timers.
     pub fn new(deployment: settings::Deployment, daemons: usize) -> Self {
         Self {
--- a/crates/testbed/src/harness/journals.rs
+++ b/crates/testbed/src/harness/journals.rs
@@ -53,6 +53,41 @@
         self.count("executed", |entry| entry["key"].as_str())
     }
 
+    /// How often services executed a body.
+    pub fn executions_of(&self, body: &str) -> usize {
+        let hash = body_hash(body.as_bytes());
+        let executed = self.events("executed");
+        executed.filter(|entry| entry["body_hash"] == *hash).count()
+    }
+
+    /// Whether a service received a body.
+    pub fn has_received(&self, body: &str) -> bool {
+        let hash = body_hash(body.as_bytes());
+        let mut received = self.events("received");
+        received.any(|entry| entry["body_hash"] == *hash)
+    }
+
+    /// States of a key that were written to the table, in order.
+    pub fn key_states(&self, key: &str) -> Vec<String> {
+        let mut states = Vec::new();
+        for entry in self.events("write") {
+            let items = entry["input"]["TransactItems"].as_array();
+            for item in items.into_iter().flatten() {
+                let row = &item["Put"]["Item"];
+                let is_key = row["sk"]["S"]
+                    .as_str()
+                    .is_some_and(|name| name.split_once('#').is_some_and(|(_, name)| name == key));
+                if row["pk"]["S"] != "key" || !is_key {
+                    continue;
+                }
+                let body = row["body"]["S"].as_str().unwrap_or_default();
+                let body: Value = serde_json::from_str(body).unwrap_or_default();
+                states.push(body["state"].as_str().unwrap_or_default().to_owned());
+            }
+        }
+        states
+    }
+
     /// How often services executed each body, by its hash; see [`body_hash`].
     pub fn executions_by_body(&self) -> Counts {
         self.count("executed", |entry| entry["body_hash"].as_str())
--- a/crates/testbed/src/harness/mod.rs
+++ b/crates/testbed/src/harness/mod.rs
@@ -18,6 +18,21 @@
 /// Time between two evaluations of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// Fleets of one test program that run at the same time, so that tests of the same program leave
+/// the machine room for others.
+const MAX_FLEETS: usize = 3;
+
+static FLEET_TURNS: tokio::sync::Semaphore = tokio::sync::Semaphore::const_new(MAX_FLEETS);
+
+/// Waits until a test may start its fleet; the permit is kept for as long as the fleet runs.
+///
+/// # Panics
+///
+/// Never: the semaphore is not closed.
+pub async fn fleet_turn() -> tokio::sync::SemaphorePermit<'static> {
+    FLEET_TURNS.acquire().await.expect("an open semaphore")
+}
+
 /// Waits for a condition; returns whether it came true within the limit.
 pub async fn holds_within(limit: time::Duration, mut condition: impl AsyncFnMut() -> bool) -> bool {
     let deadline = time::Instant::now() + limit;
