--- a/crates/testbed/tests/access.rs
+++ b/crates/testbed/tests/access.rs
@@ -93,11 +93,11 @@
     assert_eq!(unauthorized.status, 401);
 
     let mut deployment = fleet.deployment.clone();
-    let mut version = 1;
-    for hashes in [vec![CLUBS, CLUBS_NEW], vec![CLUBS_NEW]] {
+    let rotation = [vec![CLUBS, CLUBS_NEW], vec![CLUBS_NEW]];
+    for (version, hashes) in (1..).zip(rotation) {
         deployment.teams[0].key_sha256 = hashes.into_iter().map(str::to_owned).collect();
         let body = serde_json::to_string(&deployment).expect("JSON");
-        let base = version.to_string();
+        let base = u64::to_string(&version);
         let headers = [
             ("authorization", "Bearer operator-key"),
             ("if-match", base.as_str()),
@@ -106,7 +106,6 @@
             .await
             .expect("an answer");
         assert_eq!(answer.status, 200, "{}", answer.json());
-        version += 1;
         harness::wait_until(LIMIT, "both daemons accept the new key", async || {
             let first = complete(&fleet, 0, Some("clubs-new-key")).await.status;
             let second = complete(&fleet, 1, Some("clubs-new-key")).await.status;
