--- a/crates/core/src/lease/seat.rs
+++ b/crates/core/src/lease/seat.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Has the row read before the next write, because a check of its version failed.
+    pub fn require_read(&mut self) {
+        self.is_uncertain = true;
+    }
+
     /// The write that gives the lease back, so that a successor need not wait. The holder must have
     /// no order under way; it stops acting at once.
     pub fn resign(&mut self, now_ms: u64) -> Option<LeaseWrite> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod member;
 pub mod once;
 pub mod order;
+pub mod plan;
 pub mod route;
 pub mod suspect;
