Hold leases, give orders and change roles

Cause: authority::run was empty; deployments that name a new version or adapter changed nothing at the engines. Change: the first three daemons by rank take part in the lease of each model with engines; intents are written in one transaction with the check of the lease row, serialized with renewals; an order waits for the drain, is checked by the send rule right before the write and followed to its end; a new holder reads all rows first and brings open orders to their end; operators confirm takeovers of targets without a known idle time. Pending orders are announced through the load flags that gossip carries.

--- /dev/null
+++ b/crates/daemon/src/admin/authority_routes.rs
@@ -0,0 +1,29 @@
+//! Confirmation of takeovers.
+
+use acaciabank_protocol::{ids, reason::Refusal};
+use hyper::StatusCode;
+
+use super::{AdminScope, not_found, table_refusal};
+use crate::{
+    authority::{ConfirmError, confirm_takeover},
+    entry::{parse, reply},
+    process::listener::Reply,
+};
+
+/// Ends the open order of an engine that ignores fencing numbers.
+pub(super) async fn confirm(scope: &AdminScope, target: &str) -> Result<Reply, Refusal> {
+    let target = ids::TargetId::from(target);
+    let operator = scope.operator.as_str();
+    match confirm_takeover(&scope.entry.state, &target, operator).await {
+        Ok(row) => {
+            log::info!(
+                operator = operator, order = row.order.order_id.as_str();
+                "takeover of target {target} confirmed"
+            );
+            Ok(reply::json(StatusCode::OK, &row))
+        }
+        Err(ConfirmError::Table(error)) => Err(table_refusal(&error)),
+        Err(error @ ConfirmError::NotTakenOver) => Err(parse::bad_request(error.to_string())),
+        Err(error) => Err(not_found(error.to_string())),
+    }
+}
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,5 +1,6 @@
 //! Operators' HTTP interface, metrics and health.
 
+mod authority_routes;
 mod config_routes;
 mod health;
 mod key_routes;
@@ -87,6 +88,9 @@
         ["admin", "targets", target, "undrain"] if is_post => {
             config_routes::drain(&scope, target, false).await
         }
+        ["admin", "targets", target, "confirm-takeover"] if is_post => {
+            authority_routes::confirm(&scope, target).await
+        }
         ["admin", "config"] if is_get => config_routes::current(&scope),
         ["admin", "config"] if request.method() == Method::PUT => {
             config_routes::replace(&scope, request).await
--- a/crates/daemon/src/authority/mod.rs
+++ b/crates/daemon/src/authority/mod.rs
@@ -1,8 +1,89 @@
 //! Leases, intents and orders; the planner loop.
+//!
+//! Each model with engines has a lease. Its holder alone gives orders to the model's engines: it
+//! brings open orders of earlier holders to their end, orders versions and adapters that the
+//! deployment names, and changes roles as the planner decides.
 
+mod confirm;
 pub mod connection;
+mod hold;
+mod holder;
+mod rows;
+mod task;
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync,
+    time::Duration,
+};
+
+use acaciabank_protocol::ids;
+use tokio_util::sync::CancellationToken;
 
 use crate::process;
 
+pub use confirm::{ConfirmError, confirm_takeover};
+
+/// Time between two evaluations of the planner.
+const STEP: Duration = Duration::from_secs(1);
+/// Time between two checks of the phase of the process.
+const PHASE_CHECK: Duration = Duration::from_millis(500);
+
 /// Runs lease, order and planner loops until the process leaves.
-pub async fn run(_state: process::SharedState) {}
+pub async fn run(state: process::SharedState) {
+    let mut changed = state.config.subscribe();
+    let mut running: HashMap<ids::ModelId, CancellationToken> = HashMap::new();
+    while state.phase.get() < process::Phase::Draining {
+        let models = models_with_engines(&state);
+        running.retain(|model, stop| {
+            let is_kept = models.contains(model);
+            if !is_kept {
+                stop.cancel();
+            }
+            is_kept
+        });
+        for model in models {
+            running.entry(model.clone()).or_insert_with(|| {
+                let stop = CancellationToken::new();
+                tokio::spawn(run_model(sync::Arc::clone(&state), model, stop.clone()));
+                stop
+            });
+        }
+        tokio::select! {
+            result = changed.changed() => if result.is_err() {
+                return;
+            },
+            () = tokio::time::sleep(PHASE_CHECK) => {}
+        }
+    }
+}
+
+fn models_with_engines(state: &process::ProcessState) -> HashSet<ids::ModelId> {
+    let Some(config) = state.config.current() else {
+        return HashSet::new();
+    };
+    let engines = config.deployment.engines.iter();
+    engines.map(|engine| engine.model.clone()).collect()
+}
+
+/// Runs one model's lease until the model leaves the deployment or the daemon drains. Orders under
+/// way end before the lease is given back.
+async fn run_model(state: process::SharedState, model: ids::ModelId, stop: CancellationToken) {
+    let hold = sync::Arc::new(hold::LeaseHold::new(state, model, stop));
+    let keeper = tokio::spawn({
+        let hold = sync::Arc::clone(&hold);
+        async move { hold.keep().await }
+    });
+    let mut holder = holder::ModelHolder::new(sync::Arc::clone(&hold));
+    let mut ticker = tokio::time::interval(STEP);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticker.tick().await;
+        holder.step().await;
+        if hold.is_stopping() && holder.is_idle() {
+            hold.resign().await;
+            break;
+        }
+    }
+    keeper.abort();
+}
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -1,14 +1,16 @@
 //! Connects entries to the loads of targets and to crash suspects.
 
 use acaciabank_core::{member, suspect};
+use acaciabank_protocol::ids;
 
 use crate::process;
 
-/// Loads of the targets that this daemon owns.
+/// Loads of the targets that this daemon owns, and notices of targets that it drains for an order.
 pub(super) fn local_loads(state: &process::ProcessState) -> Vec<member::TargetLoad> {
-    state
-        .targets
-        .owned_summaries(|target| state.peers.owns(target))
+    let owns = |target: &ids::TargetId| state.peers.owns(target);
+    let mut loads = state.targets.owned_summaries(owns);
+    loads.extend(state.targets.pending_notices(owns));
+    loads
 }
 
 /// Crash suspects that this daemon knows.
@@ -30,7 +32,11 @@
 /// polls itself are ignored: its own reports are newer.
 pub(super) fn apply_entry(state: &process::ProcessState, entry: &member::MemberEntry) {
     let snapshot = state.targets.snapshot();
+    let avoid_ms = state.settings.timers.suspect_after_ms;
     for load in &entry.loads {
+        if state.targets.apply_notice(load, avoid_ms) {
+            continue;
+        }
         let target = snapshot.by_hash.get(&load.target);
         if target.is_some_and(|target| !state.peers.owns(&target.id)) {
             state.targets.update_from_peer(load);
--- a/crates/daemon/src/target/share.rs
+++ b/crates/daemon/src/target/share.rs
@@ -10,6 +10,10 @@
 const REACHABLE_FLAG: u8 = 1;
 const SWITCHING_FLAG: u8 = 2;
 const ROLE_SHIFT: u8 = 2;
+/// An order is pending: the sender drains the target.
+const PENDING_FLAG: u8 = 16;
+/// The summary carries nothing but its flags, because the sender does not own the target.
+const NOTICE_FLAG: u8 = 32;
 
 /// Changes of a target's prefix cache; the fields of `PieceSet` in the schema.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -46,6 +50,33 @@
         self.gate.wake_target(target);
     }
 
+    /// Applies the notice of a pending order, from whichever daemon gives orders to the target, and
+    /// avoids the target for `avoid_ms`. Returns whether the summary carries nothing else.
+    pub fn apply_notice(&self, summary: &TargetLoad, avoid_ms: u64) -> bool {
+        let snapshot = self.snapshot();
+        if summary.flags & PENDING_FLAG != 0
+            && let Some(target) = snapshot.by_hash.get(&summary.target)
+        {
+            target.back_off(avoid_ms);
+        }
+        summary.flags & NOTICE_FLAG != 0
+    }
+
+    /// Notices of pending orders of this daemon to targets that it does not own.
+    pub fn pending_notices(&self, owns: impl Fn(&ids::TargetId) -> bool) -> Vec<TargetLoad> {
+        let snapshot = self.snapshot();
+        let pending = snapshot
+            .all
+            .iter()
+            .filter(|target| target.has_mark(WithdrawalCause::OrderPending) && !owns(&target.id));
+        let notices = pending.map(|target| TargetLoad {
+            target: target.hash,
+            flags: PENDING_FLAG | NOTICE_FLAG,
+            ..TargetLoad::default()
+        });
+        notices.collect()
+    }
+
     /// Summaries of the targets for which `owns` is true and a report exists.
     pub fn owned_summaries(&self, owns: impl Fn(&ids::TargetId) -> bool) -> Vec<TargetLoad> {
         let snapshot = self.snapshot();
@@ -144,6 +175,9 @@
     if target.has_mark(WithdrawalCause::Switching) {
         flags |= SWITCHING_FLAG;
     }
+    if target.has_mark(WithdrawalCause::OrderPending) {
+        flags |= PENDING_FLAG;
+    }
     let load = &condition.load;
     let narrow = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
     Some(TargetLoad {
--- a/crates/daemon/src/telemetry/names.rs
+++ b/crates/daemon/src/telemetry/names.rs
@@ -17,6 +17,13 @@
 /// Requests that a shutdown interrupted.
 pub const INTERRUPTED: &str = "acaciabank_interrupted_requests_total";
 
+/// Completed role changes, by model and roles.
+pub const ROLE_CHANGES: &str = "acaciabank_role_changes_total";
+/// Ended orders, by kind and outcome.
+pub const ORDERS: &str = "acaciabank_orders_total";
+/// Leases acquired, lost and resigned, by model.
+pub const LEASE_TRANSITIONS: &str = "acaciabank_lease_transitions_total";
+
 /// Every retry reason.
 pub const RETRY_REASONS: [RetryReason; 7] = [
     RetryReason::ConnectFailed,
@@ -39,5 +46,11 @@
         CONNECTIONS_REFUSED,
         "Connections closed because of max_connections, by listener."
     );
+    metrics::describe_counter!(ROLE_CHANGES, "Completed role changes by model and roles.");
+    metrics::describe_counter!(ORDERS, "Ended orders by kind and outcome.");
+    metrics::describe_counter!(
+        LEASE_TRANSITIONS,
+        "Leases acquired, lost and resigned, by model."
+    );
     metrics::describe_counter!(INTERRUPTED, "Requests that a shutdown interrupted.");
 }
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -13,6 +13,7 @@
   runningDecode @5 :UInt16;
   slots @6 :UInt16;
   # Bit 0: reachable. Bit 1: switching. Bits 2-3: role (0 mixed, 1 prefill, 2 decode).
+  # Bit 4: drained for an order. Bit 5: only the flags are valid, the sender does not own the target.
   flags @7 :UInt8;
   # Owner's count of state changes of this target.
   stateSequence @8 :UInt32;
