Test authority against stopped, killed and partitioned holders

Cause: the promises about orders had tests of the pure rules only. All daemons of one machine share a source address, so the proxy cannot hold the link of one daemon alone.

--- a/crates/daemon/src/authority/task.rs
+++ b/crates/daemon/src/authority/task.rs
@@ -25,6 +25,10 @@
 /// weight store take minutes.
 const CHANGE_LIMIT_MS: u64 = 600_000;
 
+/// Environment variable for tests: milliseconds to wait between the last check before an order and
+/// the write to the socket, so that a process can be stopped exactly there. Unset, there is no wait.
+const PAUSE_VARIABLE: &str = "ACACIABANK_PAUSE_BEFORE_ORDER_MS";
+
 /// How an order ended for this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OrderEnd {
@@ -214,6 +218,7 @@
             self.record(&stored, &row, IntentState::Failed).await;
             return OrderEnd::NotSent;
         }
+        pause_for_test().await;
         let answer = link
             .connection
             .call(Method::POST, "/admin/orders", body, self.answer_timeout())
@@ -367,6 +372,15 @@
     }
 }
 
+async fn pause_for_test() {
+    let pause_ms = std::env::var(PAUSE_VARIABLE)
+        .ok()
+        .and_then(|text| text.parse().ok());
+    if let Some(pause_ms) = pause_ms {
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 /// State that an engine reports now.
 pub(super) async fn observe(
     state: &process::ProcessState,
--- a/crates/testbed/src/harness/launch.rs
+++ b/crates/testbed/src/harness/launch.rs
@@ -29,6 +29,7 @@
 pub struct Launcher {
     program: path::PathBuf,
     folder: sync::Arc<TempFolder>,
+    variables: Vec<(String, String)>,
 }
 
 impl Launcher {
@@ -45,9 +46,16 @@
         Ok(Self {
             program: program.into(),
             folder: sync::Arc::new(TempFolder(folder)),
+            variables: Vec::new(),
         })
     }
 
+    /// The launcher with an environment variable for the processes that it starts.
+    pub fn with_variable(mut self, name: &str, value: &str) -> Self {
+        self.variables.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
     /// Folder for logs, settings and journals.
     pub fn folder(&self) -> &path::Path {
         &self.folder.0
@@ -155,6 +163,7 @@
         let output = fs::File::create(self.output_file())?;
         let child = process::Command::new(&self.launcher.program)
             .args(&self.arguments)
+            .envs(self.launcher.variables.iter().cloned())
             .stdin(process::Stdio::null())
             .stdout(output)
             .stderr(errors)
--- a/crates/testbed/tests/authority.rs
+++ b/crates/testbed/tests/authority.rs
@@ -47,8 +47,18 @@
     spec
 }
 
+fn launcher() -> harness::Launcher {
+    harness::Launcher::new(env!("CARGO_BIN_EXE_testbed")).expect("launcher")
+}
+
 async fn start(spec: harness::FleetSpec) -> harness::Fleet {
-    let launcher = harness::Launcher::new(env!("CARGO_BIN_EXE_testbed")).expect("launcher");
+    spec.start(launcher()).await.expect("fleet")
+}
+
+/// A fleet whose daemons wait between the last check before an order and the write.
+async fn start_pausing(spec: harness::FleetSpec, pause_ms: u32) -> harness::Fleet {
+    let name = "ACACIABANK_PAUSE_BEFORE_ORDER_MS";
+    let launcher = launcher().with_variable(name, &pause_ms.to_string());
     spec.start(launcher).await.expect("fleet")
 }
 
@@ -158,3 +168,245 @@
         }
     }
 }
+
+fn add_adapter(deployment: &mut settings::Deployment) {
+    deployment.models[0].adapters = vec!["polite".to_owned()];
+}
+
+/// Has the holder announce an order for the only engine; returns the holder, which now waits
+/// between its last check and the write.
+async fn announce_order(fleet: &harness::Fleet) -> usize {
+    let holder = wait_holder(fleet).await;
+    change(fleet, 1 - holder, add_adapter).await;
+    harness::wait_until(LIMIT, "the intent is in the table", async || {
+        let journals = fleet.journals().expect("journals");
+        !row_writes(&journals, "target").is_empty()
+    })
+    .await;
+    holder
+}
+
+/// Order and fencing number of each order that an engine received, by time.
+fn received(journals: &harness::JournalView) -> Vec<(String, u64)> {
+    let orders = journals.events("order_received");
+    orders
+        .map(|entry| {
+            let order = entry["order_id"].as_str().unwrap_or_default().to_owned();
+            (order, entry["fencing"].as_u64().unwrap_or_default())
+        })
+        .collect()
+}
+
+/// State of the last write of the only target's row.
+fn last_target_row(fleet: &harness::Fleet) -> Value {
+    let journals = fleet.journals().expect("journals");
+    let last = row_writes(&journals, "target").pop();
+    last.map(|write| write["body"].clone()).unwrap_or_default()
+}
+
+async fn wait_order_done(fleet: &harness::Fleet) {
+    harness::wait_until(LIMIT, "the target's order is done", async || {
+        last_target_row(fleet)["state"] == "done"
+    })
+    .await;
+}
+
+/// Stops the holder between its last check and its write; returns it once a successor's order has
+/// taken effect.
+async fn stop_before_write(fleet: &harness::Fleet) -> usize {
+    let stopped = announce_order(fleet).await;
+    fleet.daemons[stopped].process.pause();
+    let journals = fleet.journals().expect("journals");
+    assert_eq!(received(&journals), [], "stopped before the write");
+    wait_order_done(fleet).await;
+    assert_ne!(holder(fleet), Some(stopped), "a successor holds the lease");
+    stopped
+}
+
+/// Waits until a resumed daemon has seen that its lease is lost, and its order has ended.
+async fn wait_lease_lost(fleet: &harness::Fleet, daemon: usize) {
+    let daemon = &fleet.daemons[daemon];
+    harness::wait_until(LIMIT, "the resumed daemon notes the loss", async || {
+        let call = web::call(daemon.admin_address, "GET", "/metrics", &[], "").await;
+        let text = call.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+        text.is_ok_and(|text| {
+            let has = |start: &str, label: &str| {
+                let mut lines = text.lines();
+                lines.any(|line| line.starts_with(start) && line.contains(label))
+            };
+            has("acaciabank_lease_transitions_total", "event=\"lost\"")
+                && has("acaciabank_orders_total", "outcome=")
+        })
+    })
+    .await;
+}
+
+/// Guards against a late order of a daemon that was stopped between its check and its write.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_checking_engine_refuses_the_late_order_of_a_stopped_holder() {
+    let fleet = start_pausing(spec(1, 2), 800).await;
+    let stopped = stop_before_write(&fleet).await;
+    fleet.daemons[stopped].process.resume();
+    harness::wait_until(LIMIT, "the late order is refused", async || {
+        let journals = fleet.journals().expect("journals");
+        let mut refused = journals.events("order_refused");
+        refused.any(|entry| entry["reason"] == "stale_fencing" && entry["fencing"] == 1)
+    })
+    .await;
+    wait_lease_lost(&fleet, stopped).await;
+    let journals = fleet.journals().expect("journals");
+    assert_fencing_grows(&journals);
+    let fencing: Vec<Value> = applied(&fleet)
+        .iter()
+        .map(|e| e["fencing"].clone())
+        .collect();
+    assert_eq!(fencing, [2]);
+    assert_eq!(last_target_row(&fleet)["fencing"], 2);
+}
+
+/// Guards against a late order to an engine that ignores fencing numbers: it must be written to a
+/// connection that the engine has closed meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ignoring_engine_never_gets_the_late_order_of_a_stopped_holder() {
+    let mut spec = spec(1, 2);
+    spec.deployment.engines[0].fencing = settings::FencingSupport::Ignored;
+    spec.deployment.engines[0].admin_idle_close_ms = Some(2_000);
+    let fleet = start_pausing(spec, 800).await;
+    let stopped = stop_before_write(&fleet).await;
+    fleet.daemons[stopped].process.resume();
+    wait_lease_lost(&fleet, stopped).await;
+    let journals = fleet.journals().expect("journals");
+    let fencing: Vec<u64> = received(&journals)
+        .iter()
+        .map(|(_, number)| *number)
+        .collect();
+    assert_eq!(fencing, [2], "only the successor's order arrived");
+    assert_fencing_grows(&journals);
+    let taken_ms = lease_changes(&journals).last().expect("takeover").1;
+    let ordered_ms = journals.events("order_received").next().expect("order")["unix_ms"].as_u64();
+    // ttl + 2 x admin_idle_close_ms
+    assert!(ordered_ms.expect("time") >= taken_ms + 1_500 + 4_000);
+}
+
+/// Holder and time of each lease write that names another holder than the one before.
+fn lease_changes(journals: &harness::JournalView) -> Vec<(String, u64)> {
+    let mut changes: Vec<(String, u64)> = Vec::new();
+    for write in row_writes(journals, "lease") {
+        let holder = write["body"]["holder"]
+            .as_str()
+            .unwrap_or("none")
+            .to_owned();
+        if changes.last().is_none_or(|(last, _)| *last != holder) {
+            changes.push((holder, write["unix_ms"].as_u64().expect("time")));
+        }
+    }
+    changes
+}
+
+/// Guards against an open order that a successor forgets, or gives a second time beside the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_replaces_an_order_that_was_never_sent() {
+    let mut fleet = start_pausing(spec(1, 2), 800).await;
+    let killed = announce_order(&fleet).await;
+    fleet.daemons[killed].process.kill();
+    let journals = fleet.journals().expect("journals");
+    assert_eq!(received(&journals), [], "killed before the write");
+    wait_order_done(&fleet).await;
+    let fencing: Vec<Value> = applied(&fleet)
+        .iter()
+        .map(|e| e["fencing"].clone())
+        .collect();
+    assert_eq!(fencing, [2]);
+    assert_eq!(
+        last_target_row(&fleet)["order"]["action"]["kind"],
+        "load_adapter"
+    );
+}
+
+/// Guards against a successor that repeats a change which its predecessor already started.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_records_an_order_that_reached_the_engine() {
+    let mut spec = spec(1, 2);
+    spec.engine_arguments = ["--load-ms", "4000"].map(str::to_owned).to_vec();
+    let mut fleet = start_pausing(spec, 0).await;
+    let killed = announce_order(&fleet).await;
+    harness::wait_until(LIMIT, "the engine has the order", async || {
+        !received(&fleet.journals().expect("journals")).is_empty()
+    })
+    .await;
+    fleet.daemons[killed].process.kill();
+    assert_eq!(applied(&fleet).len(), 0, "killed during the change");
+    wait_order_done(&fleet).await;
+    let journals = fleet.journals().expect("journals");
+    assert_eq!(received(&journals).len(), 1);
+    assert_eq!(applied(&fleet).len(), 1);
+    assert_eq!(last_target_row(&fleet)["fencing"], 1);
+}
+
+/// Starts a daemon that knows none of the others, and that none of them knows.
+fn start_stranger(fleet: &harness::Fleet) -> harness::Process {
+    let text = std::fs::read_to_string(&fleet.daemons[0].settings_file).expect("settings");
+    let mut settings: settings::Settings = serde_json::from_str(&text).expect("settings");
+    let ip = fleet.launcher.next_ip();
+    let free = || fleet.launcher.free_address(ip).expect("address");
+    let process = &mut settings.process;
+    process.daemon = ids::DaemonId::from("stranger");
+    (
+        process.caller_address,
+        process.admin_address,
+        process.peer_address,
+    ) = (free(), free(), free());
+    process.peers.clear();
+    let file = fleet.launcher.folder().join("stranger.json");
+    std::fs::write(&file, serde_json::to_vec(&settings).expect("text")).expect("file");
+    let arguments = ["--settings".into(), file.into_os_string()];
+    let started = fleet.launcher.start("stranger", "daemon", arguments);
+    started.expect("process")
+}
+
+/// Guards against two holders while daemons cannot talk to each other: each takes itself for the
+/// preferred candidate, and only the table decides.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_cannot_talk_never_hold_the_lease_together() {
+    let fleet = start(spec(1, 1)).await;
+    let stranger = start_stranger(&fleet);
+    for round in 1..=3 {
+        let count = async || lease_changes(&fleet.journals().expect("journals"));
+        harness::wait_until(LIMIT, "the lease changes hands", async || {
+            count().await.len() >= round
+        })
+        .await;
+        let changes = count().await;
+        let (holder, _) = changes.last().expect("holder");
+        let paused = match holder.as_str() {
+            "stranger" => &stranger,
+            _ => &fleet.daemons[0].process,
+        };
+        paused.pause();
+        harness::wait_until(LIMIT, "the other daemon takes the lease", async || {
+            count().await.len() > changes.len()
+        })
+        .await;
+        paused.resume();
+    }
+    let journals = fleet.journals().expect("journals");
+    let mut last: Option<(String, u64, u64)> = None;
+    let mut takeovers = 0;
+    for write in row_writes(&journals, "lease") {
+        let body = &write["body"];
+        let holder = body["holder"].as_str().expect("nobody resigned").to_owned();
+        let term = body["term"].as_u64().expect("term");
+        let at_ms = write["unix_ms"].as_u64().expect("time");
+        if let Some((last_holder, last_term, last_ms)) = &last {
+            let is_takeover = *last_holder != holder;
+            assert_eq!(term, last_term + u64::from(is_takeover));
+            if is_takeover {
+                takeovers += 1;
+                let silence_ms = at_ms - last_ms;
+                assert!(silence_ms >= 1_500, "taken {silence_ms} ms after a renewal");
+            }
+        }
+        last = Some((holder, term, at_ms));
+    }
+    assert!(takeovers >= 3, "{takeovers} takeovers");
+}
