--- a/crates/cli/src/command/operator.rs
+++ b/crates/cli/src/command/operator.rs
@@ -135,6 +135,10 @@
             let body = serde_json::json!({"ran": ran}).to_string();
             let answer = post(&endpoint, &path, Bytes::from(body)).await?;
             print_record(&endpoint, &answer);
+            if answer["state"] == "intent" {
+                let message = "not resolved: the run may still go on, try again later";
+                return Err(Error::Conflict(message.to_owned()));
+            }
         }
     }
     Ok(())
