--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! The code has no clock and no source of randomness; both are passed in.
 
+mod detect;
+mod digest;
 mod entry;
 mod owner;
 mod view;
 
+pub use digest::{Heartbeat, LoadReport, daemon_hash, short_boot};
 pub use entry::{EntryOrder, MemberEntry, MemberState, SuspectReport, TargetLoad};
 pub use owner::owner_of;
-pub use view::{Applied, Liveness, MemberTable, MemberTimers};
+pub use view::{Applied, HeartbeatApplied, Liveness, MemberTable, MemberTimers, Rumors};
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -6,7 +6,7 @@
 use acaciabank_protocol::{ids, peer_capnp};
 use capnp::struct_list;
 
-use crate::config::ConfigVersion;
+use crate::{config::ConfigVersion, target::PieceDelta};
 
 fn failed(error: impl std::fmt::Display) -> capnp::Error {
     capnp::Error::failed(error.to_string())
@@ -35,22 +35,51 @@
     builder.set_zone(entry.zone.as_str());
     builder.set_boot_id(entry.order.boot_id);
     builder.set_sequence(entry.order.sequence);
-    builder.set_state(match entry.state {
+    builder.set_state(write_state(entry.state));
+    builder.set_caller_address(entry.caller_address.to_string());
+    builder.set_peer_address(entry.peer_address.to_string());
+    builder.set_config_version(entry.config_version);
+    let loads = builder.reborrow().init_loads(entry.loads.len() as u32);
+    write_loads(&entry.loads, held_ms, loads);
+    let suspects = builder.init_suspects(entry.suspects.len() as u32);
+    write_suspects(&entry.suspects, held_ms, suspects);
+}
+
+pub(super) fn write_state(state: MemberState) -> peer_capnp::MemberState {
+    match state {
         MemberState::Joining => peer_capnp::MemberState::Joining,
         MemberState::Ready => peer_capnp::MemberState::Ready,
         MemberState::Draining => peer_capnp::MemberState::Draining,
         MemberState::Left => peer_capnp::MemberState::Left,
-    });
-    builder.set_caller_address(entry.caller_address.to_string());
-    builder.set_peer_address(entry.peer_address.to_string());
-    builder.set_config_version(entry.config_version);
-    let mut loads = builder.reborrow().init_loads(entry.loads.len() as u32);
-    for (index, load) in entry.loads.iter().enumerate() {
-        write_load(load, held_ms, loads.reborrow().get(index as u32));
     }
-    let mut suspects = builder.init_suspects(entry.suspects.len() as u32);
-    for (index, suspect) in entry.suspects.iter().enumerate() {
-        let mut builder = suspects.reborrow().get(index as u32);
+}
+
+pub(super) fn read_state(state: peer_capnp::MemberState) -> MemberState {
+    match state {
+        peer_capnp::MemberState::Joining => MemberState::Joining,
+        peer_capnp::MemberState::Ready => MemberState::Ready,
+        peer_capnp::MemberState::Draining => MemberState::Draining,
+        peer_capnp::MemberState::Left => MemberState::Left,
+    }
+}
+
+pub(super) fn write_loads(
+    loads: &[TargetLoad],
+    held_ms: u32,
+    mut list: struct_list::Builder<'_, peer_capnp::target_load::Owned>,
+) {
+    for (index, load) in loads.iter().enumerate() {
+        write_load(load, held_ms, list.reborrow().get(index as u32));
+    }
+}
+
+pub(super) fn write_suspects(
+    suspects: &[SuspectReport],
+    held_ms: u32,
+    mut list: struct_list::Builder<'_, peer_capnp::suspect::Owned>,
+) {
+    for (index, suspect) in suspects.iter().enumerate() {
+        let mut builder = list.reborrow().get(index as u32);
         builder.set_fingerprint(suspect.fingerprint);
         builder.set_crashes(suspect.crashes);
         builder.set_age_ms(suspect.age_ms.saturating_add(held_ms));
@@ -86,12 +115,7 @@
             boot_id: reader.get_boot_id(),
             sequence: reader.get_sequence(),
         },
-        state: match reader.get_state()? {
-            peer_capnp::MemberState::Joining => MemberState::Joining,
-            peer_capnp::MemberState::Ready => MemberState::Ready,
-            peer_capnp::MemberState::Draining => MemberState::Draining,
-            peer_capnp::MemberState::Left => MemberState::Left,
-        },
+        state: read_state(reader.get_state()?),
         caller_address: read_address(reader.get_caller_address()?)?,
         peer_address: read_address(reader.get_peer_address()?)?,
         config_version: reader.get_config_version(),
@@ -104,7 +128,7 @@
     text.to_str()?.parse().map_err(failed)
 }
 
-fn read_load(reader: peer_capnp::target_load::Reader<'_>) -> TargetLoad {
+pub(super) fn read_load(reader: peer_capnp::target_load::Reader<'_>) -> TargetLoad {
     TargetLoad {
         target: reader.get_target(),
         age_ms: reader.get_age_ms(),
@@ -118,7 +142,7 @@
     }
 }
 
-fn read_suspect(reader: peer_capnp::suspect::Reader<'_>) -> SuspectReport {
+pub(super) fn read_suspect(reader: peer_capnp::suspect::Reader<'_>) -> SuspectReport {
     SuspectReport {
         fingerprint: reader.get_fingerprint(),
         crashes: reader.get_crashes(),
@@ -150,3 +174,33 @@
         deployment: serde_json::from_slice(reader.get_body()?).map_err(failed)?,
     }))
 }
+
+pub(super) fn write_pieces(
+    deltas: &[PieceDelta],
+    mut list: struct_list::Builder<'_, peer_capnp::piece_set::Owned>,
+) {
+    for (index, delta) in deltas.iter().enumerate() {
+        let mut builder = list.reborrow().get(index as u32);
+        builder.set_target(delta.target);
+        builder.set_age_ms(delta.age_ms);
+        builder.set_reset(delta.reset);
+        let mut stored = builder.reborrow().init_stored(delta.stored.len() as u32);
+        for (index, piece) in delta.stored.iter().enumerate() {
+            stored.set(index as u32, *piece);
+        }
+        let mut removed = builder.init_removed(delta.removed.len() as u32);
+        for (index, piece) in delta.removed.iter().enumerate() {
+            removed.set(index as u32, *piece);
+        }
+    }
+}
+
+pub(super) fn read_pieces(reader: peer_capnp::piece_set::Reader<'_>) -> capnp::Result<PieceDelta> {
+    Ok(PieceDelta {
+        target: reader.get_target(),
+        age_ms: reader.get_age_ms(),
+        stored: reader.get_stored()?.iter().collect(),
+        removed: reader.get_removed()?.iter().collect(),
+        reset: reader.get_reset(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/peer/digest.rs
@@ -0,0 +1,134 @@
+//! Heartbeats and load reports as packed messages.
+
+use std::time;
+
+use acaciabank_core::member::{Heartbeat, LoadReport};
+use acaciabank_protocol::peer_capnp;
+use capnp::{message, serialize_packed};
+
+use super::convert;
+
+/// What one message carries besides full entries.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Digest {
+    pub(super) heartbeats: Vec<Heartbeat>,
+    /// With the time for which this daemon has held them.
+    pub(super) reports: Vec<(LoadReport, time::Instant)>,
+    pub(super) suspicions: Vec<Heartbeat>,
+}
+
+impl Digest {
+    pub(super) fn is_empty(&self) -> bool {
+        self.heartbeats.is_empty() && self.reports.is_empty() && self.suspicions.is_empty()
+    }
+
+    /// Packs the digest; ages grow by the time for which this daemon has held a report. An empty
+    /// digest takes no bytes.
+    pub(super) fn pack(&self, now: time::Instant) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        if self.is_empty() {
+            return bytes;
+        }
+        let mut message = message::Builder::new_default();
+        let mut root = message.init_root::<peer_capnp::digest::Builder<'_>>();
+        let heartbeats = root
+            .reborrow()
+            .init_heartbeats(self.heartbeats.len() as u32);
+        write_heartbeats(&self.heartbeats, heartbeats);
+        let mut reports = root.reborrow().init_reports(self.reports.len() as u32);
+        for (index, (report, held_since)) in self.reports.iter().enumerate() {
+            let held = now.saturating_duration_since(*held_since);
+            let held_ms = u32::try_from(held.as_millis()).unwrap_or(u32::MAX);
+            write_report(report, held_ms, reports.reborrow().get(index as u32));
+        }
+        let suspicions = root.init_suspicions(self.suspicions.len() as u32);
+        write_heartbeats(&self.suspicions, suspicions);
+        // Writing into a vector does not fail.
+        let _ = serialize_packed::write_message(&mut bytes, &message);
+        bytes
+    }
+
+    pub(super) fn unpack(bytes: &[u8], now: time::Instant) -> capnp::Result<Self> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let options = message::ReaderOptions::new();
+        let message = serialize_packed::read_message(bytes, options)?;
+        let root = message.get_root::<peer_capnp::digest::Reader<'_>>()?;
+        let reports = root.get_reports()?.iter().map(read_report);
+        let reports = reports.map(|report| report.map(|report| (report, now)));
+        Ok(Self {
+            heartbeats: read_heartbeats(root.get_heartbeats()?)?,
+            reports: reports.collect::<capnp::Result<_>>()?,
+            suspicions: read_heartbeats(root.get_suspicions()?)?,
+        })
+    }
+}
+
+fn write_heartbeats(
+    heartbeats: &[Heartbeat],
+    mut list: capnp::struct_list::Builder<'_, peer_capnp::heartbeat::Owned>,
+) {
+    for (index, heartbeat) in heartbeats.iter().enumerate() {
+        write_heartbeat(heartbeat, list.reborrow().get(index as u32));
+    }
+}
+
+pub(super) fn write_heartbeat(
+    heartbeat: &Heartbeat,
+    mut builder: peer_capnp::heartbeat::Builder<'_>,
+) {
+    builder.set_daemon(heartbeat.daemon);
+    builder.set_boot(heartbeat.boot);
+    builder.set_sequence(heartbeat.sequence);
+    builder.set_state(convert::write_state(heartbeat.state));
+    builder.set_config_version(heartbeat.config_version);
+}
+
+fn read_heartbeats(
+    list: capnp::struct_list::Reader<'_, peer_capnp::heartbeat::Owned>,
+) -> capnp::Result<Vec<Heartbeat>> {
+    list.iter().map(read_heartbeat).collect()
+}
+
+pub(super) fn read_heartbeat(
+    reader: peer_capnp::heartbeat::Reader<'_>,
+) -> capnp::Result<Heartbeat> {
+    Ok(Heartbeat {
+        daemon: reader.get_daemon(),
+        boot: reader.get_boot(),
+        sequence: reader.get_sequence(),
+        state: convert::read_state(reader.get_state()?),
+        config_version: reader.get_config_version(),
+    })
+}
+
+fn write_report(
+    report: &LoadReport,
+    held_ms: u32,
+    mut builder: peer_capnp::load_report::Builder<'_>,
+) {
+    builder.set_daemon(report.daemon);
+    builder.set_boot(report.boot);
+    builder.set_partial(report.partial);
+    builder.set_sequence(report.sequence);
+    let loads = builder.reborrow().init_loads(report.loads.len() as u32);
+    convert::write_loads(&report.loads, held_ms, loads);
+    let suspects = builder.init_suspects(report.suspects.len() as u32);
+    convert::write_suspects(&report.suspects, held_ms, suspects);
+}
+
+fn read_report(reader: peer_capnp::load_report::Reader<'_>) -> capnp::Result<LoadReport> {
+    Ok(LoadReport {
+        daemon: reader.get_daemon(),
+        boot: reader.get_boot(),
+        sequence: reader.get_sequence(),
+        partial: reader.get_partial(),
+        loads: reader.get_loads()?.iter().map(convert::read_load).collect(),
+        suspects: reader
+            .get_suspects()?
+            .iter()
+            .map(convert::read_suspect)
+            .collect(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/peer/gossip.rs
@@ -0,0 +1,244 @@
+//! Sending and taking rumors, pulls, probes and suspicions.
+
+use std::{rc::Rc, time};
+
+use acaciabank_core::member::{Applied, Heartbeat, HeartbeatApplied, MemberEntry, daemon_hash};
+use tokio::task::spawn_local;
+
+use super::{
+    digest::Digest,
+    link::PeerLink,
+    loads,
+    node::{ANNOUNCE_PEERS, PeerNode, RUMOR_PEERS, own_entry},
+    remote::{self, GossipMessage, HeldEntries},
+};
+
+impl PeerNode {
+    /// Takes what another daemon sent; `sender` is its short name when it is known.
+    pub(super) fn apply(self: &Rc<Self>, entries: Vec<MemberEntry>, digest: &Digest, sender: u32) {
+        let now = time::Instant::now();
+        let mut changed = self.apply_entries(entries, now);
+        let mut unknown = Vec::new();
+        for heartbeat in &digest.heartbeats {
+            let applied = self.table.borrow_mut().apply_heartbeat(heartbeat, now);
+            match applied {
+                HeartbeatApplied::Unknown => unknown.push(heartbeat.daemon),
+                HeartbeatApplied::Known(applied) => changed |= applied == Applied::Changed,
+            }
+        }
+        for (report, _) in &digest.reports {
+            if self.table.borrow_mut().apply_report(report, now) {
+                loads::apply_loads(&self.state, &report.loads, &report.suspects);
+            }
+        }
+        self.apply_suspicions(&digest.suspicions, now);
+        if changed {
+            self.publish_members();
+        }
+        self.fetch_unknown(unknown, sender);
+        self.follow_config();
+    }
+
+    /// Returns whether any entry changed something.
+    fn apply_entries(&self, entries: Vec<MemberEntry>, now: time::Instant) -> bool {
+        let mut changed = false;
+        for entry in entries {
+            let applied = self.table.borrow_mut().apply(entry.clone(), now);
+            match applied {
+                Applied::Ignored => continue,
+                Applied::Impostor => self.log_impostor(&entry),
+                Applied::Refreshed => {}
+                Applied::Changed => changed = true,
+            }
+            loads::apply_loads(&self.state, &entry.loads, &entry.suspects);
+        }
+        changed
+    }
+
+    /// Asks the accused themselves, and passes the suspicions on.
+    fn apply_suspicions(self: &Rc<Self>, suspicions: &[Heartbeat], now: time::Instant) {
+        let mut news = Vec::new();
+        for suspicion in suspicions {
+            let is_news = self.table.borrow_mut().apply_suspicion(suspicion, now);
+            if !is_news {
+                continue;
+            }
+            news.push(*suspicion);
+            let accused = self.table.borrow().name_of(suspicion.daemon).cloned();
+            if let Some(link) = accused.and_then(|accused| self.link(&accused)) {
+                self.probe(link);
+            }
+        }
+        self.spread_suspicions(news, now);
+    }
+
+    pub(super) fn spread_suspicions(
+        self: &Rc<Self>,
+        suspicions: Vec<Heartbeat>,
+        now: time::Instant,
+    ) {
+        if suspicions.is_empty() {
+            return;
+        }
+        let digest = Digest {
+            suspicions,
+            ..Digest::default()
+        };
+        let message = Rc::new(self.message(Vec::new(), &digest, now));
+        for link in self.random_alive(now, ANNOUNCE_PEERS) {
+            let message = Rc::clone(&message);
+            spawn_local(async move { remote::gossip(&link, &message).await });
+        }
+    }
+
+    /// Asks the sender for the entries of runs that it knows and this daemon does not.
+    fn fetch_unknown(self: &Rc<Self>, unknown: Vec<u32>, sender: u32) {
+        if unknown.is_empty() || self.fetching_entries.get() {
+            return;
+        }
+        let sender = self.table.borrow().name_of(sender).cloned();
+        let link = match sender.and_then(|sender| self.link(&sender)) {
+            Some(link) => Some(link),
+            None => self.random_alive(time::Instant::now(), 1).pop(),
+        };
+        let Some(link) = link else {
+            return;
+        };
+        self.fetching_entries.set(true);
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            let fetched = remote::fetch_entries(&link, &unknown).await;
+            node.fetching_entries.set(false);
+            match fetched {
+                Ok(entries) => node.apply(entries, &Digest::default(), 0),
+                Err(error) => log::debug!("entries from daemon {}: {error}", link.daemon),
+            }
+        });
+    }
+
+    fn message(&self, entries: HeldEntries, digest: &Digest, now: time::Instant) -> GossipMessage {
+        GossipMessage {
+            sender: daemon_hash(&self.state.settings.daemon),
+            entries,
+            digest: digest.pack(now),
+        }
+    }
+
+    /// Publishes the own heartbeat and loads when they are due; targets whose state changed are
+    /// due at once.
+    pub(super) fn refresh_in_turn(&self, now: time::Instant) {
+        let entry = own_entry(&self.state, self.peer_address);
+        let changed = self.load_schedule.borrow_mut().take_changed(&entry.loads);
+        let ticks = self.ticks_until_refresh.get();
+        let mut table = self.table.borrow_mut();
+        if ticks > 1 {
+            self.ticks_until_refresh.set(ticks - 1);
+            if !changed.is_empty() {
+                table.publish(entry, now);
+                table.publish_loads(Some(&changed), now);
+            }
+            return;
+        }
+        self.ticks_until_refresh.set(table.refresh_ticks(now));
+        let has_loads = !entry.loads.is_empty() || !entry.suspects.is_empty();
+        table.publish(entry, now);
+        if has_loads {
+            table.publish_loads(None, now);
+        }
+    }
+
+    pub(super) fn send_rumors(self: &Rc<Self>, now: time::Instant) {
+        let rumors = self.table.borrow_mut().take_rumors(now);
+        if rumors.is_empty() {
+            return;
+        }
+        let digest = Digest {
+            heartbeats: rumors.heartbeats,
+            reports: rumors.reports,
+            suspicions: Vec::new(),
+        };
+        let message = Rc::new(self.message(rumors.entries, &digest, now));
+        for link in self.random_alive(now, RUMOR_PEERS) {
+            self.send(&link, Rc::clone(&message));
+        }
+    }
+
+    pub(super) fn repair(self: &Rc<Self>, now: time::Instant) {
+        for link in self.random_alive(now, 1) {
+            self.pull(link, false);
+        }
+    }
+
+    pub(super) fn announce(self: &Rc<Self>) {
+        self.refresh_own();
+        self.publish_members();
+        let now = time::Instant::now();
+        let mut links = self.random_alive(now, ANNOUNCE_PEERS);
+        links.extend(self.unknown_seeds(ANNOUNCE_PEERS - links.len()));
+        for link in links {
+            self.send_own(&link);
+        }
+        self.announce_to_regions(now);
+    }
+
+    /// Sends the own entry even while a gossip round is in flight: it announces a change.
+    pub(super) fn send_own(self: &Rc<Self>, link: &Rc<PeerLink>) {
+        let now = time::Instant::now();
+        let own = self.table.borrow().own().clone();
+        let message = self.message(vec![(own, now)], &Digest::default(), now);
+        let link = Rc::clone(link);
+        spawn_local(async move { remote::gossip(&link, &message).await });
+    }
+
+    fn send(&self, link: &Rc<PeerLink>, message: Rc<GossipMessage>) {
+        let Some(permit) = link.start_gossip() else {
+            return;
+        };
+        let link = Rc::clone(link);
+        spawn_local(async move {
+            remote::gossip(&link, &message).await;
+            drop(permit);
+        });
+    }
+
+    pub(super) fn pull(self: &Rc<Self>, link: Rc<PeerLink>, is_starting: bool) {
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            let region = &node.state.settings.region;
+            match remote::pull(&link, is_starting, region).await {
+                Ok((entries, digest)) => {
+                    node.note_seed_region(&link.daemon, &entries);
+                    node.apply(entries, &digest, daemon_hash(&link.daemon));
+                }
+                Err(error) => log::debug!("pull from daemon {} failed: {error}", link.daemon),
+            }
+        });
+    }
+
+    pub(super) fn probe(self: &Rc<Self>, link: Rc<PeerLink>) {
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            match remote::probe(&link).await {
+                Ok(heartbeat) => node.apply_answer(heartbeat),
+                Err(error) => {
+                    log::debug!("probe of daemon {} failed: {error}", link.daemon);
+                    node.table.borrow_mut().note_silent(&link.daemon);
+                    node.publish_members();
+                }
+            }
+        });
+    }
+
+    fn apply_answer(self: &Rc<Self>, heartbeat: Heartbeat) {
+        let now = time::Instant::now();
+        let applied = self.table.borrow_mut().apply_answer(&heartbeat, now);
+        match applied {
+            HeartbeatApplied::Unknown => {
+                self.fetch_unknown(vec![heartbeat.daemon], heartbeat.daemon);
+            }
+            HeartbeatApplied::Known(Applied::Changed) => self.publish_members(),
+            HeartbeatApplied::Known(_) => {}
+        }
+        self.follow_config();
+    }
+}
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -1,6 +1,6 @@
 //! The outgoing connection to one other daemon.
 
-use std::{cell, net, rc::Rc, time};
+use std::{cell, collections, net, rc::Rc, time};
 
 use acaciabank_protocol::{ids, peer_capnp::peer, settings};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
@@ -59,6 +59,8 @@
     failures: cell::Cell<u32>,
     retry_at: cell::Cell<Option<time::Instant>>,
     gossiping: cell::Cell<bool>,
+    /// Targets whose cache changes did not arrive there.
+    pub(super) lost_pieces: cell::RefCell<collections::BTreeSet<u32>>,
 }
 
 /// Marks a link as busy with gossip; a second round is not queued behind a slow one.
@@ -87,6 +89,7 @@
             failures: cell::Cell::new(0),
             retry_at: cell::Cell::new(None),
             gossiping: cell::Cell::new(false),
+            lost_pieces: cell::RefCell::default(),
         }
     }
 
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -1,8 +1,10 @@
 //! Connects entries to the loads of targets and to crash suspects.
 
+use std::collections;
+
 use acaciabank_core::{member, suspect};
 
-use crate::process;
+use crate::{process, target};
 
 /// Loads of the targets that this daemon owns.
 pub(super) fn local_loads(state: &process::ProcessState) -> Vec<member::TargetLoad> {
@@ -28,15 +30,19 @@
 
 /// Takes the loads and suspects that another daemon publishes. Loads of targets that this daemon
 /// polls itself are ignored: its own reports are newer.
-pub(super) fn apply_entry(state: &process::ProcessState, entry: &member::MemberEntry) {
+pub(super) fn apply_loads(
+    state: &process::ProcessState,
+    loads: &[member::TargetLoad],
+    suspects: &[member::SuspectReport],
+) {
     let snapshot = state.targets.snapshot();
-    for load in &entry.loads {
+    for load in loads {
         let target = snapshot.by_hash.get(&load.target);
         if target.is_some_and(|target| !state.peers.owns(&target.id)) {
             state.targets.update_from_peer(load);
         }
     }
-    for report in &entry.suspects {
+    for report in suspects {
         state.targets.merge_suspect(suspect::SuspectRecord {
             fingerprint: report.fingerprint,
             crashes: report.crashes,
@@ -44,3 +50,38 @@
         });
     }
 }
+
+/// Takes the cache changes of a target that another daemon owns.
+pub(super) fn apply_pieces(state: &process::ProcessState, delta: &target::PieceDelta) {
+    let snapshot = state.targets.snapshot();
+    let target = snapshot.by_hash.get(&delta.target);
+    if target.is_some_and(|target| !state.peers.owns(&target.id)) {
+        state.targets.apply_piece_delta(delta);
+    }
+}
+
+/// When this daemon's loads are due.
+#[derive(Debug, Default)]
+pub(super) struct LoadSchedule {
+    /// Flags and state sequence of each target as last published.
+    published: collections::HashMap<u32, (u8, u32)>,
+}
+
+impl LoadSchedule {
+    /// Short names of the targets whose state differs from the published one. Their loads are sent
+    /// at once, so that a withdrawal does not wait for the next report.
+    pub(super) fn take_changed(&mut self, loads: &[member::TargetLoad]) -> Vec<u32> {
+        let mut changed = Vec::new();
+        let states = loads
+            .iter()
+            .map(|load| (load.target, (load.flags, load.state_sequence)));
+        let states: collections::HashMap<_, _> = states.collect();
+        for (target, target_state) in &states {
+            if self.published.get(target) != Some(target_state) {
+                changed.push(*target);
+            }
+        }
+        self.published = states;
+        changed
+    }
+}
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,14 +1,19 @@
 //! Other daemons: gossip, membership and calls over Cap'n Proto RPC.
 
 mod convert;
+mod digest;
+mod gossip;
 mod link;
 mod loads;
+mod members;
 mod meter;
 mod node;
+mod pieces;
+mod regions;
 mod remote;
 mod server;
 
-use std::{net, sync};
+use std::{collections, net, sync};
 
 use acaciabank_core::member;
 use acaciabank_protocol::ids;
@@ -135,6 +140,7 @@
 #[derive(Debug, Default)]
 pub struct PeerHandle {
     members: ArcSwap<Vec<MemberView>>,
+    ownership: ArcSwap<collections::HashMap<ids::TargetId, bool>>,
     started: sync::OnceLock<StartedPeer>,
 }
 
@@ -146,11 +152,32 @@
 
     /// Whether this daemon polls the given target: rendezvous hashing over the ready members of
     /// its region. While none is ready, the joining daemon itself counts. Without a started RPC
-    /// thread there are no other daemons.
+    /// thread there are no other daemons. Targets of other regions have their owners there.
     pub fn owns(&self, target: &ids::TargetId) -> bool {
         let Some(started) = self.started.get() else {
             return true;
         };
+        if let Some(is_owned) = self.ownership.load().get(target) {
+            return *is_owned;
+        }
+        self.compute_owner(started, target)
+    }
+
+    /// Computes the owners of all targets anew, because members or targets changed. Each owner
+    /// costs a hash for each member, too much for every poll.
+    fn refresh_ownership(&self, local: &[ids::TargetId], elsewhere: &[ids::TargetId]) {
+        let Some(started) = self.started.get() else {
+            return;
+        };
+        let local = local
+            .iter()
+            .map(|target| (target.clone(), self.compute_owner(started, target)));
+        let elsewhere = elsewhere.iter().map(|target| (target.clone(), false));
+        let ownership = local.chain(elsewhere).collect();
+        self.ownership.store(sync::Arc::new(ownership));
+    }
+
+    fn compute_owner(&self, started: &StartedPeer, target: &ids::TargetId) -> bool {
         let members = self.members.load();
         let own = members
             .iter()
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, net, rc::Rc, sync, time};
 
 use acaciabank_core::member::{
-    Applied, EntryOrder, Liveness, MemberEntry, MemberState, MemberTable, MemberTimers,
+    EntryOrder, Heartbeat, Liveness, MemberEntry, MemberState, MemberTable, MemberTimers,
 };
 use acaciabank_protocol::{ids, peer_capnp::peer};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
@@ -11,17 +11,20 @@
 use tokio::{runtime, sync::mpsc, task, task::spawn_local};
 
 use super::{
-    Command, FetchedConfigs, MemberCondition, MemberView, PeerError,
+    Command, FetchedConfigs, PeerError,
+    digest::Digest,
     link::{self, CALL_TIMEOUT, PeerLink},
-    loads, meter, remote, server,
+    loads, meter, pieces,
+    remote::{self, HeldEntries},
+    server,
 };
-use crate::process;
+use crate::{process, target};
 
 /// Daemons that get rumors in one round.
-const RUMOR_PEERS: usize = 2;
+pub(super) const RUMOR_PEERS: usize = 2;
 
-/// Daemons that get a changed own entry at once.
-const ANNOUNCE_PEERS: usize = 8;
+/// Daemons that get a changed own entry or a new suspicion at once.
+pub(super) const ANNOUNCE_PEERS: usize = 8;
 
 /// Time between two pulls of all entries from a random daemon; repairs lost rumors.
 const PULL_INTERVAL: time::Duration = time::Duration::from_secs(10);
@@ -36,11 +39,20 @@
 pub(super) struct PeerNode {
     pub(super) state: process::SharedState,
     pub(super) main: runtime::Handle,
-    peer_address: net::SocketAddr,
-    table: cell::RefCell<MemberTable>,
+    pub(super) peer_address: net::SocketAddr,
+    pub(super) table: cell::RefCell<MemberTable>,
     links: cell::RefCell<collections::BTreeMap<ids::DaemonId, Rc<PeerLink>>>,
-    generator: cell::RefCell<StdRng>,
+    pub(super) generator: cell::RefCell<StdRng>,
+    pub(super) load_schedule: cell::RefCell<loads::LoadSchedule>,
+    pub(super) piece_budget: cell::RefCell<pieces::PieceBudget>,
+    /// Daemons of the settings that are known to be in another region.
+    pub(super) foreign_seeds: cell::RefCell<collections::BTreeMap<ids::DaemonId, ids::RegionId>>,
+    pub(super) ticks_until_refresh: cell::Cell<u32>,
+    pub(super) ticks: cell::Cell<u32>,
+    /// Targets for which the owners were computed last.
+    pub(super) owned_snapshot: cell::RefCell<sync::Arc<target::TargetSnapshot>>,
     fetching_config: cell::Cell<bool>,
+    pub(super) fetching_entries: cell::Cell<bool>,
     impostor_logged: cell::Cell<bool>,
 }
 
@@ -141,6 +153,7 @@
     ) -> Self {
         let settings = &state.settings;
         let timers = MemberTimers {
+            tick: time::Duration::from_millis(settings.timers.gossip_interval_ms.max(1)),
             suspect_after: time::Duration::from_millis(settings.timers.suspect_after_ms),
             dead_after: time::Duration::from_millis(settings.timers.dead_after_ms),
         };
@@ -155,50 +168,52 @@
             table: cell::RefCell::new(table),
             links: cell::RefCell::default(),
             generator: cell::RefCell::new(generator),
+            load_schedule: cell::RefCell::default(),
+            piece_budget: cell::RefCell::default(),
+            foreign_seeds: cell::RefCell::default(),
+            ticks_until_refresh: cell::Cell::new(0),
+            ticks: cell::Cell::new(0),
+            owned_snapshot: cell::RefCell::default(),
             fetching_config: cell::Cell::new(false),
+            fetching_entries: cell::Cell::new(false),
             impostor_logged: cell::Cell::new(false),
         }
     }
 
-    /// Entries for a daemon that asks for all.
-    pub(super) fn alive_entries(&self, now: time::Instant) -> Vec<(MemberEntry, time::Instant)> {
+    /// Entries for a daemon that asks for all: entries and loads when it starts, heartbeats when it
+    /// repairs lost rumors, a few entries when it is in another region.
+    pub(super) fn known_entries(
+        &self,
+        is_starting: bool,
+        region: &ids::RegionId,
+        now: time::Instant,
+    ) -> (HeldEntries, Digest) {
+        if *region != self.state.settings.region {
+            return (self.entries_for_region(now), Digest::default());
+        }
         let table = self.table.borrow();
-        table
-            .alive(now)
-            .map(|(entry, at)| (entry.clone(), at))
-            .collect()
+        let mut digest = Digest::default();
+        if !is_starting {
+            digest.heartbeats = table.alive_heartbeats(now);
+            return (Vec::new(), digest);
+        }
+        digest.reports = table.known_reports(now);
+        let entries = table.alive(now);
+        let entries = entries.map(|(entry, at)| (entry.clone(), at)).collect();
+        (entries, digest)
     }
 
-    /// This daemon's entry under a new sequence number, so that a daemon that received no rumor of
-    /// the last one sees it advance.
-    pub(super) fn current_entry(&self) -> MemberEntry {
-        self.refresh_own();
-        self.table.borrow().own().clone()
+    pub(super) fn entries_of(&self, daemons: &[u32], now: time::Instant) -> HeldEntries {
+        self.table.borrow().entries_of(daemons, now)
     }
 
-    /// Takes entries from another daemon.
-    pub(super) fn apply_entries(self: &Rc<Self>, entries: Vec<MemberEntry>) {
-        let now = time::Instant::now();
-        let mut changed = false;
-        for entry in entries {
-            let applied = self.table.borrow_mut().apply(entry.clone(), now);
-            match applied {
-                Applied::Ignored => continue,
-                Applied::Impostor => self.log_impostor(&entry),
-                Applied::Refreshed => loads::apply_entry(&self.state, &entry),
-                Applied::Changed => {
-                    changed = true;
-                    loads::apply_entry(&self.state, &entry);
-                }
-            }
-        }
-        if changed {
-            self.publish_members();
-        }
-        self.follow_config();
+    /// This daemon's heartbeat under a new sequence number, so that a daemon that received no
+    /// rumor of the last one sees it advance.
+    pub(super) fn answer_probe(&self) -> Heartbeat {
+        self.table.borrow_mut().answer_probe(time::Instant::now())
     }
 
-    fn log_impostor(&self, entry: &MemberEntry) {
+    pub(super) fn log_impostor(&self, entry: &MemberEntry) {
         if !self.impostor_logged.replace(true) {
             log::error!(
                 "another run of daemon {} at {} has the higher boot id {}; others ignore this one",
@@ -209,7 +224,7 @@
         }
     }
 
-    fn refresh_own(&self) {
+    pub(super) fn refresh_own(&self) {
         let entry = own_entry(&self.state, self.peer_address);
         let mut table = self.table.borrow_mut();
         table.publish(entry, time::Instant::now());
@@ -228,18 +243,22 @@
     fn join(self: &Rc<Self>) {
         for link in self.unknown_seeds(ANNOUNCE_PEERS) {
             self.send_own(&link);
-            self.pull(link);
+            self.pull(link, true);
         }
     }
 
     fn gossip_round(self: &Rc<Self>, now: time::Instant) {
-        self.refresh_own();
+        self.ticks.set(self.ticks.get().wrapping_add(1));
+        self.refresh_in_turn(now);
         self.table.borrow_mut().forget(now);
         self.drop_unused_links();
-        let rumors = Rc::new(self.table.borrow_mut().take_rumors(now));
-        for link in self.random_alive(now, RUMOR_PEERS) {
-            self.send(&link, Rc::clone(&rumors));
-        }
+        self.send_rumors(now);
+        let suspicions = {
+            let mut table = self.table.borrow_mut();
+            table.choose_watched(now);
+            table.take_suspicions(now)
+        };
+        self.spread_suspicions(suspicions, now);
         let probes = {
             let mut generator = self.generator.borrow_mut();
             self.table.borrow().choose_probes(&mut *generator, now)
@@ -249,72 +268,18 @@
         }
         for link in self.unknown_seeds(1) {
             self.send_own(&link);
-            self.pull(link);
+            self.pull(link, true);
         }
+        self.exchange_in_turn(now);
+        self.send_pieces(now);
         self.publish_members();
         self.follow_config();
         meter::record_cpu_time();
     }
 
-    fn repair(self: &Rc<Self>, now: time::Instant) {
-        for link in self.random_alive(now, 1) {
-            self.pull(link);
-        }
-    }
-
-    fn announce(self: &Rc<Self>) {
-        self.refresh_own();
-        self.publish_members();
-        let now = time::Instant::now();
-        let mut links = self.random_alive(now, ANNOUNCE_PEERS);
-        links.extend(self.unknown_seeds(ANNOUNCE_PEERS - links.len()));
-        for link in links {
-            self.send_own(&link);
-        }
-    }
-
-    /// Sends the own entry even while a gossip round is in flight: it announces a change.
-    fn send_own(self: &Rc<Self>, link: &Rc<PeerLink>) {
-        let own = self.table.borrow().own().clone();
-        let entries = Rc::new(vec![(own, time::Instant::now())]);
-        let link = Rc::clone(link);
-        spawn_local(async move { remote::gossip(&link, &entries).await });
-    }
-
-    fn send(&self, link: &Rc<PeerLink>, entries: Rc<Vec<(MemberEntry, time::Instant)>>) {
-        let Some(permit) = link.start_gossip() else {
-            return;
-        };
-        let link = Rc::clone(link);
-        spawn_local(async move {
-            remote::gossip(&link, &entries).await;
-            drop(permit);
-        });
-    }
-
-    fn pull(self: &Rc<Self>, link: Rc<PeerLink>) {
-        let node = Rc::clone(self);
-        spawn_local(async move {
-            match remote::pull(&link).await {
-                Ok(entries) => node.apply_entries(entries),
-                Err(error) => log::debug!("pull from daemon {} failed: {error}", link.daemon),
-            }
-        });
-    }
-
-    fn probe(self: &Rc<Self>, link: Rc<PeerLink>) {
-        let node = Rc::clone(self);
-        spawn_local(async move {
-            match remote::probe(&link).await {
-                Ok(entry) => node.apply_entries(vec![entry]),
-                Err(error) => log::debug!("probe of daemon {} failed: {error}", link.daemon),
-            }
-        });
-    }
-
     /// Fetches a newer configuration that an entry names. The first one is learned by the module
     /// `config`, which asks more than one daemon.
-    fn follow_config(self: &Rc<Self>) {
+    pub(super) fn follow_config(self: &Rc<Self>) {
         let version = self.state.config.version();
         if version == 0 || self.fetching_config.get() {
             return;
@@ -411,26 +376,7 @@
         }
     }
 
-    /// Rebuilds the members for the rest of the daemon; replaces them only when they differ.
-    fn publish_members(&self) {
-        let now = time::Instant::now();
-        let table = self.table.borrow();
-        let own = std::iter::once((table.own(), Liveness::Alive));
-        let others = table
-            .others(now)
-            .map(|(entry, liveness, _)| (entry, liveness));
-        let mut views: Vec<_> = own
-            .chain(others)
-            .filter_map(|(entry, liveness)| member_view(entry, liveness))
-            .collect();
-        views.sort_by(|first, second| first.daemon.cmp(&second.daemon));
-        let members = &self.state.peers.members;
-        if **members.load() != views {
-            members.store(sync::Arc::new(views));
-        }
-    }
-
-    fn random_alive(&self, now: time::Instant, count: usize) -> Vec<Rc<PeerLink>> {
+    pub(super) fn random_alive(&self, now: time::Instant, count: usize) -> Vec<Rc<PeerLink>> {
         let chosen = {
             let mut generator = self.generator.borrow_mut();
             self.table
@@ -444,7 +390,7 @@
     }
 
     /// Up to `count` daemons of the settings of which no entry is known, starting at a random one.
-    fn unknown_seeds(&self, count: usize) -> Vec<Rc<PeerLink>> {
+    pub(super) fn unknown_seeds(&self, count: usize) -> Vec<Rc<PeerLink>> {
         let own = &self.state.settings.daemon;
         let mut unknown: Vec<_> = {
             let table = self.table.borrow();
@@ -452,6 +398,7 @@
             seeds
                 .map(|seed| &seed.daemon)
                 .filter(|daemon| *daemon != own && table.entry(daemon).is_none())
+                .filter(|daemon| !self.is_needless_seed(daemon, &table))
                 .collect()
         };
         if unknown.is_empty() {
@@ -478,7 +425,7 @@
     }
 
     /// The link to a known daemon; replaced when the daemon's address has changed.
-    fn link(&self, daemon: &ids::DaemonId) -> Option<Rc<PeerLink>> {
+    pub(super) fn link(&self, daemon: &ids::DaemonId) -> Option<Rc<PeerLink>> {
         let settings = &self.state.settings;
         let known = self.table.borrow().entry(daemon).map(|e| e.peer_address);
         let seed = settings.peers.iter().find(|seed| &seed.daemon == daemon);
@@ -527,7 +474,10 @@
     fetched
 }
 
-fn own_entry(state: &process::ProcessState, peer_address: net::SocketAddr) -> MemberEntry {
+pub(super) fn own_entry(
+    state: &process::ProcessState,
+    peer_address: net::SocketAddr,
+) -> MemberEntry {
     let settings = &state.settings;
     MemberEntry {
         daemon: settings.daemon.clone(),
@@ -552,23 +502,3 @@
         suspects: loads::local_suspects(state),
     }
 }
-
-fn member_view(entry: &MemberEntry, liveness: Liveness) -> Option<MemberView> {
-    let condition = match (liveness, entry.state) {
-        (Liveness::Dead, _) | (_, MemberState::Left) => return None,
-        (Liveness::Suspect, _) => MemberCondition::Suspect,
-        (Liveness::Alive, MemberState::Joining) => MemberCondition::Joining,
-        (Liveness::Alive, MemberState::Ready) => MemberCondition::Ready,
-        (Liveness::Alive, MemberState::Draining) => MemberCondition::Draining,
-    };
-    Some(MemberView {
-        daemon: entry.daemon.clone(),
-        region: entry.region.clone(),
-        zone: entry.zone.clone(),
-        boot_id: entry.order.boot_id,
-        condition,
-        caller_address: entry.caller_address,
-        peer_address: entry.peer_address,
-        config_version: entry.config_version,
-    })
-}
--- a/crates/daemon/src/peer/remote.rs
+++ b/crates/daemon/src/peer/remote.rs
@@ -2,21 +2,37 @@
 
 use std::time;
 
-use acaciabank_core::member::MemberEntry;
+use acaciabank_core::member::{Heartbeat, MemberEntry};
 use acaciabank_protocol::{ids, peer_capnp};
 
 use super::{
-    RemoteAnswer, RemoteKey, convert,
+    RemoteAnswer, RemoteKey, convert, digest,
+    digest::Digest,
     link::{CALL_TIMEOUT, PeerLink},
 };
-use crate::config::ConfigVersion;
+use crate::{config::ConfigVersion, target::PieceDelta};
 
-/// Sends entries; a loss is repaired by later rounds.
-pub(super) async fn gossip(link: &PeerLink, entries: &[(MemberEntry, time::Instant)]) {
+/// Entries with the time of their arrival here.
+pub(super) type HeldEntries = Vec<(MemberEntry, time::Instant)>;
+
+/// What a daemon sends to another one without being asked.
+#[derive(Default)]
+pub(super) struct GossipMessage {
+    /// Short name of the sender.
+    pub(super) sender: u32,
+    pub(super) entries: HeldEntries,
+    pub(super) digest: Vec<u8>,
+}
+
+/// Sends rumors; a loss is repaired by later rounds.
+pub(super) async fn gossip(link: &PeerLink, message: &GossipMessage) {
     let call = |client: peer_capnp::peer::Client| {
         let mut request = client.gossip_request();
-        let list = request.get().init_entries(entries.len() as u32);
-        convert::write_entries(entries, time::Instant::now(), list);
+        let mut params = request.get();
+        params.set_sender(message.sender);
+        params.set_digest(&message.digest);
+        let list = params.init_entries(message.entries.len() as u32);
+        convert::write_entries(&message.entries, time::Instant::now(), list);
         async move { request.send().promise.await.map(|_| ()) }
     };
     if let Err(error) = link.call("gossip", CALL_TIMEOUT, call).await {
@@ -24,22 +40,75 @@
     }
 }
 
-pub(super) async fn pull(link: &PeerLink) -> Result<Vec<MemberEntry>, String> {
+pub(super) async fn pull(
+    link: &PeerLink,
+    is_starting: bool,
+    region: &ids::RegionId,
+) -> Result<(Vec<MemberEntry>, Digest), String> {
     let call = |client: peer_capnp::peer::Client| async move {
-        let response = client.pull_request().send().promise.await?;
-        convert::read_entries(response.get()?.get_entries()?)
+        let mut request = client.pull_request();
+        request.get().set_starting(is_starting);
+        request.get().set_region(region.as_str());
+        let response = request.send().promise.await?;
+        let results = response.get()?;
+        let entries = convert::read_entries(results.get_entries()?)?;
+        let digest = Digest::unpack(results.get_digest()?, time::Instant::now())?;
+        Ok((entries, digest))
     };
     link.call("pull", CALL_TIMEOUT, call).await
 }
 
-pub(super) async fn probe(link: &PeerLink) -> Result<MemberEntry, String> {
+pub(super) async fn probe(link: &PeerLink) -> Result<Heartbeat, String> {
     let call = |client: peer_capnp::peer::Client| async move {
         let response = client.probe_request().send().promise.await?;
-        convert::read_entry(response.get()?.get_entry()?)
+        digest::read_heartbeat(response.get()?.get_heartbeat()?)
     };
     link.call("probe", CALL_TIMEOUT, call).await
 }
 
+/// Asks for the full entries of runs that are not known here.
+pub(super) async fn fetch_entries(
+    link: &PeerLink,
+    daemons: &[u32],
+) -> Result<Vec<MemberEntry>, String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let mut request = client.fetch_entries_request();
+        let mut list = request.get().init_daemons(daemons.len() as u32);
+        for (index, daemon) in daemons.iter().enumerate() {
+            list.set(index as u32, *daemon);
+        }
+        let response = request.send().promise.await?;
+        convert::read_entries(response.get()?.get_entries()?)
+    };
+    link.call("fetch_entries", CALL_TIMEOUT, call).await
+}
+
+/// Exchanges a few entries with a daemon of another region.
+pub(super) async fn exchange(
+    link: &PeerLink,
+    entries: &HeldEntries,
+) -> Result<Vec<MemberEntry>, String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let mut request = client.exchange_request();
+        let list = request.get().init_entries(entries.len() as u32);
+        convert::write_entries(entries, time::Instant::now(), list);
+        let response = request.send().promise.await?;
+        convert::read_entries(response.get()?.get_entries()?)
+    };
+    link.call("exchange", CALL_TIMEOUT, call).await
+}
+
+/// Sends the cache changes of targets that this daemon owns.
+pub(super) async fn cache_pieces(link: &PeerLink, deltas: &[PieceDelta]) -> Result<(), String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let mut request = client.cache_pieces_request();
+        let list = request.get().init_sets(deltas.len() as u32);
+        convert::write_pieces(deltas, list);
+        request.send().promise.await.map(|_| ())
+    };
+    link.call("cache_pieces", CALL_TIMEOUT, call).await
+}
+
 pub(super) async fn fetch_config(
     link: &PeerLink,
     above: u64,
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -4,7 +4,7 @@
 
 use acaciabank_protocol::{ids, peer_capnp::peer};
 
-use super::{RemoteKey, convert, meter, node::PeerNode};
+use super::{RemoteKey, convert, digest, digest::Digest, loads, meter, node::PeerNode};
 use crate::dispatch::BufferedAnswer;
 
 /// Longest wait that a caller may ask for; bounds the calls that a caller can leave behind.
@@ -21,19 +21,24 @@
         _results: peer::GossipResults,
     ) -> capnp::Result<()> {
         meter::count_message("gossip");
-        let entries = convert::read_entries(params.get()?.get_entries()?)?;
-        self.node.apply_entries(entries);
+        let params = params.get()?;
+        let entries = convert::read_entries(params.get_entries()?)?;
+        let digest = Digest::unpack(params.get_digest()?, time::Instant::now())?;
+        self.node.apply(entries, &digest, params.get_sender());
         Ok(())
     }
 
     async fn pull(
         self: Rc<Self>,
-        _params: peer::PullParams,
+        params: peer::PullParams,
         mut results: peer::PullResults,
     ) -> capnp::Result<()> {
         meter::count_message("pull");
         let now = time::Instant::now();
-        let entries = self.node.alive_entries(now);
+        let params = params.get()?;
+        let region = ids::RegionId::new(params.get_region()?.to_str()?);
+        let (entries, digest) = self.node.known_entries(params.get_starting(), &region, now);
+        results.get().set_digest(&digest.pack(now));
         let list = results.get().init_entries(entries.len() as u32);
         convert::write_entries(&entries, now, list);
         Ok(())
@@ -45,8 +50,50 @@
         mut results: peer::ProbeResults,
     ) -> capnp::Result<()> {
         meter::count_message("probe");
-        let entry = self.node.current_entry();
-        convert::write_entry(&entry, time::Duration::ZERO, results.get().init_entry());
+        let heartbeat = self.node.answer_probe();
+        digest::write_heartbeat(&heartbeat, results.get().init_heartbeat());
+        Ok(())
+    }
+
+    async fn fetch_entries(
+        self: Rc<Self>,
+        params: peer::FetchEntriesParams,
+        mut results: peer::FetchEntriesResults,
+    ) -> capnp::Result<()> {
+        meter::count_message("fetch_entries");
+        let now = time::Instant::now();
+        let daemons: Vec<u32> = params.get()?.get_daemons()?.iter().collect();
+        let entries = self.node.entries_of(&daemons, now);
+        let list = results.get().init_entries(entries.len() as u32);
+        convert::write_entries(&entries, now, list);
+        Ok(())
+    }
+
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> capnp::Result<()> {
+        meter::count_message("exchange");
+        let now = time::Instant::now();
+        let received = convert::read_entries(params.get()?.get_entries()?)?;
+        let entries = self.node.entries_for_region(now);
+        let list = results.get().init_entries(entries.len() as u32);
+        convert::write_entries(&entries, now, list);
+        self.node.apply(received, &Digest::default(), 0);
+        Ok(())
+    }
+
+    async fn cache_pieces(
+        self: Rc<Self>,
+        params: peer::CachePiecesParams,
+        _results: peer::CachePiecesResults,
+    ) -> capnp::Result<()> {
+        meter::count_message("cache_pieces");
+        for set in params.get()?.get_sets()? {
+            let delta = convert::read_pieces(set)?;
+            loads::apply_pieces(&self.node.state, &delta);
+        }
         Ok(())
     }
 
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -45,6 +45,37 @@
   suspects @10 :List(Suspect);
 }
 
+# What changes in an entry from turn to turn; names and addresses follow from the full entry.
+struct Heartbeat {
+  # xxh3-64 of the daemon's name, truncated to 32 bits.
+  daemon @0 :UInt32;
+  # Lowest 16 bits of the boot id. A receiver that knows no such run asks for the full entry.
+  boot @1 :UInt16;
+  state @2 :MemberState;
+  sequence @3 :UInt32;
+  configVersion @4 :UInt32;
+}
+
+# Loads of the targets that a daemon owns.
+struct LoadReport {
+  daemon @0 :UInt32;
+  boot @1 :UInt16;
+  # Whether only targets whose state changed are listed.
+  partial @2 :Bool;
+  # Sequence number of the owner's entry when the report was made.
+  sequence @3 :UInt32;
+  loads @4 :List(TargetLoad);
+  suspects @5 :List(Suspect);
+}
+
+# Sent as a packed message inside `Data`, because the RPC library sends its messages unpacked.
+struct Digest {
+  heartbeats @0 :List(Heartbeat);
+  reports @1 :List(LoadReport);
+  # Last heartbeats of daemons that a watcher finds silent.
+  suspicions @2 :List(Heartbeat);
+}
+
 struct Config {
   version @0 :UInt64;
   operator @1 :Text;
@@ -84,10 +115,12 @@
 }
 
 interface Peer {
-  # Rumours: changed entries. Returns nothing; loss is repaired by pull.
-  gossip @0 (entries :List(Entry)) -> ();
-  # Every entry the callee knows, for a starting daemon and for periodic repair.
-  pull @1 () -> (entries :List(Entry));
+  # Rumours: entries of new runs, and a packed `Digest` of everything else. `sender` is the short
+  # name of the caller of this method. Returns nothing; loss is repaired by pull.
+  gossip @0 (entries :List(Entry), digest :Data, sender :UInt32) -> ();
+  # What the callee knows of its region: full entries for a starting daemon, a packed `Digest` of
+  # heartbeats for periodic repair. A caller from another region gets a few entries only.
+  pull @1 (starting :Bool, region :Text) -> (entries :List(Entry), digest :Data);
   # The callee's configuration when its version is above `above`; an empty version 0 otherwise.
   fetchConfig @2 (above :UInt64) -> (config :Config);
   # The buffered answer of a request that the callee ran for `team`.
@@ -96,6 +129,10 @@
   awaitKey @4 (team :Text, key :Text, waitMs :UInt32) -> (state :KeyState);
   # Cache pieces of targets owned by the caller of this method.
   cachePieces @5 (sets :List(PieceSet)) -> ();
-  # The callee's own entry. Asked when its last one is old, before it counts as silent.
-  probe @6 () -> (entry :Entry);
+  # The callee's own heartbeat. Asked when its last one is old, before it counts as silent.
+  probe @6 () -> (heartbeat :Heartbeat);
+  # Full entries by the daemons' short names, without loads.
+  fetchEntries @7 (daemons :List(UInt32)) -> (entries :List(Entry));
+  # Between regions: a few entries, without loads, of each side's region.
+  exchange @8 (entries :List(Entry)) -> (entries :List(Entry));
 }
--- a/crates/protocol/src/peer/peer_capnp.rs
+++ b/crates/protocol/src/peer/peer_capnp.rs
@@ -1734,7 +1734,7 @@
     }
 }
 
-pub mod config {
+pub mod heartbeat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -1829,7 +1829,7 @@
         }
     }
 
-    impl<'a> Reader<'a> {
+    impl Reader<'_> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -1838,30 +1838,26 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_daemon(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn get_operator(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
+        pub fn get_boot(self) -> u16 {
+            self.reader.get_data_field::<u16>(2)
         }
         #[inline]
-        pub fn has_operator(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_state(
+            self,
+        ) -> ::core::result::Result<crate::peer_capnp::MemberState, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(3))
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
+        pub fn get_sequence(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn has_body(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_config_version(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
         }
     }
 
@@ -1871,8 +1867,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 2,
+                data: 2,
+                pointers: 0,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -1955,58 +1951,46 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_daemon(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn set_version(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_daemon(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_operator(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
+        pub fn get_boot(self) -> u16 {
+            self.builder.get_data_field::<u16>(2)
         }
         #[inline]
-        pub fn set_operator(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
-            .unwrap()
+        pub fn set_boot(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(2, value);
         }
         #[inline]
-        pub fn init_operator(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_state(
+            self,
+        ) -> ::core::result::Result<crate::peer_capnp::MemberState, ::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(3))
         }
         #[inline]
-        pub fn has_operator(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_state(&mut self, value: crate::peer_capnp::MemberState) {
+            self.builder.set_data_field::<u16>(3, value as u16);
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
+        pub fn get_sequence(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>) {
-            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        pub fn set_sequence(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
-        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(1).init_data(size)
+        pub fn get_config_version(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
         }
         #[inline]
-        pub fn has_body(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_config_version(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
         }
     }
 
@@ -2022,76 +2006,112 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(153, 126, 20, 133, 55, 129, 207, 189),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(3, 176, 212, 32, 221, 64, 56, 193),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 67, 111, 110, 102, 105),
-            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
+            ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 111, 116, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 21, 239, 191, 204, 231, 232, 197),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 86, 101),
+            ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                2 => {
+                    <crate::peer_capnp::MemberState as ::capnp::introspect::Introspect>::introspect(
+                    )
+                }
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2110,16 +2130,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
-        pub(crate) const TYPE_ID: u64 = 0xbdcf_8137_8514_7e99;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 4, 0, 3, 2];
+        pub(crate) const TYPE_ID: u64 = 0xc138_40dd_20d4_b003;
     }
 }
 
-pub mod answer {
-    pub use self::Which::{Done, Forbidden, Running, Unknown};
-
+pub mod load_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -2223,14 +2241,48 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unknown(())),
-                1 => ::core::result::Result::Ok(Running(())),
-                2 => ::core::result::Result::Ok(Done(self.reader.into())),
-                3 => ::core::result::Result::Ok(Forbidden(())),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
+        pub fn get_daemon(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_boot(self) -> u16 {
+            self.reader.get_data_field::<u16>(2)
+        }
+        #[inline]
+        pub fn get_partial(self) -> bool {
+            self.reader.get_bool_field(48)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_loads(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::target_load::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_suspects(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
     }
 
@@ -2240,7 +2292,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
+                data: 2,
                 pointers: 2,
             };
     }
@@ -2324,128 +2376,248 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn set_unknown(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 0);
+        pub fn get_daemon(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn set_running(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 1);
+        pub fn set_daemon(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn init_done(mut self) -> crate::peer_capnp::answer::done::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 2);
-            self.builder.set_data_field::<u16>(1, 0u16);
-            self.builder.reborrow().get_pointer_field(0).clear();
-            self.builder.reborrow().get_pointer_field(1).clear();
-            self.builder.into()
+        pub fn get_boot(self) -> u16 {
+            self.builder.get_data_field::<u16>(2)
         }
         #[inline]
-        pub fn set_forbidden(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 3);
+        pub fn set_boot(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(2, value);
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unknown(())),
-                1 => ::core::result::Result::Ok(Running(())),
-                2 => ::core::result::Result::Ok(Done(self.builder.into())),
-                3 => ::core::result::Result::Ok(Forbidden(())),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
+        pub fn get_partial(self) -> bool {
+            self.builder.get_bool_field(48)
         }
-    }
-
-    pub struct Pipeline {
-        _typeless: ::capnp::any_pointer::Pipeline,
-    }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self {
-                _typeless: typeless,
-            }
+        #[inline]
+        pub fn set_partial(&mut self, value: bool) {
+            self.builder.set_bool_field(48, value);
         }
-    }
-    impl Pipeline {}
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(17, 127, 18, 231, 251, 52, 197, 138),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+        #[inline]
+        pub fn get_sequence(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_loads(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::target_load::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_loads(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::target_load::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_loads(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::target_load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_suspects(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_suspects(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_suspects(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 117] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(198, 198, 0, 99, 168, 47, 143, 231),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
+            ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(106, 127, 202, 182, 5, 167, 26, 211),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 48, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 111, 116, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 105, 97, 108, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 111, 110, 101, 0, 0, 0, 0),
-            ::capnp::word(102, 111, 114, 98, 105, 100, 100, 101),
-            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 195, 8, 103, 0, 180, 171, 156),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <() as ::capnp::introspect::Introspect>::introspect(),
-                1 => <() as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::peer_capnp::answer::done::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::peer_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2464,637 +2636,353 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2, 3];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 1, 0];
-        pub(crate) const TYPE_ID: u64 = 0x8ac5_34fb_e712_7f11;
-    }
-    pub enum Which<A0> {
-        Unknown(()),
-        Running(()),
-        Done(A0),
-        Forbidden(()),
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 4, 2, 3, 5];
+        pub(crate) const TYPE_ID: u64 = 0xe78f_2fa8_6300_c6c6;
     }
-    pub type WhichReader<'a> = Which<crate::peer_capnp::answer::done::Reader<'a>>;
-    pub type WhichBuilder<'a> = Which<crate::peer_capnp::answer::done::Builder<'a>>;
+}
 
-    pub mod done {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned {
-            fn introspect() -> ::capnp::introspect::Type {
-                ::capnp::introspect::TypeVariant::Struct(
-                    ::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    },
-                )
-                .into()
-            }
-        }
-        impl ::capnp::traits::Owned for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::OwnedStruct for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::Pipelined for Owned {
-            type Pipeline = Pipeline;
+pub mod digest {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
         }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
 
-        pub struct Reader<'a> {
-            reader: ::capnp::private::layout::StructReader<'a>,
-        }
-        impl ::core::marker::Copy for Reader<'_> {}
-        impl ::core::clone::Clone for Reader<'_> {
-            fn clone(&self) -> Self {
-                *self
-            }
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
         }
+    }
 
-        impl ::capnp::traits::HasTypeId for Reader<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader }
-            }
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
         }
+    }
 
-        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-            fn from(reader: Reader<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(
-                    reader.reader,
-                    ::capnp::schema::StructSchema::new(
-                        ::capnp::introspect::RawBrandedStructSchema {
-                            generic: &_private::RAW_SCHEMA,
-                            field_types: _private::get_field_types,
-                            annotation_types: _private::get_annotation_types,
-                            type_id: ::core::any::TypeId::of::<Owned>(),
-                        },
-                    ),
-                ))
-            }
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
+    }
 
-        impl ::core::fmt::Debug for Reader<'_> {
-            fn fmt(
-                &self,
-                f: &mut ::core::fmt::Formatter<'_>,
-            ) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(
-                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                    f,
-                )
-            }
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
+    }
 
-        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-            fn get_from_pointer(
-                reader: &::capnp::private::layout::PointerReader<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
+    }
 
-        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
+    }
 
-        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader
-                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
-                        cap_table,
-                    ))
-            }
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
         }
+    }
 
-        impl<'a> Reader<'a> {
-            pub fn reborrow(&self) -> Reader<'_> {
-                Self { ..*self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_status(self) -> u16 {
-                self.reader.get_data_field::<u16>(1)
-            }
-            #[inline]
-            pub fn get_content_type(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_content_type(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(1),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_body(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
 
-        pub struct Builder<'a> {
-            builder: ::capnp::private::layout::StructBuilder<'a>,
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-        impl ::capnp::traits::HasStructSize for Builder<'_> {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize {
-                    data: 1,
-                    pointers: 2,
-                };
+        #[inline]
+        pub fn get_heartbeats(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::heartbeat::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
-        impl ::capnp::traits::HasTypeId for Builder<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+        #[inline]
+        pub fn has_heartbeats(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder }
-            }
+        #[inline]
+        pub fn get_reports(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::load_report::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
-
-        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
-            fn from(builder: Builder<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(
-                    builder.builder,
-                    ::capnp::schema::StructSchema::new(
-                        ::capnp::introspect::RawBrandedStructSchema {
-                            generic: &_private::RAW_SCHEMA,
-                            field_types: _private::get_field_types,
-                            annotation_types: _private::get_annotation_types,
-                            type_id: ::core::any::TypeId::of::<Owned>(),
-                        },
-                    ),
-                ))
-            }
+        #[inline]
+        pub fn has_reports(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
-
-        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder
-                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
-                        cap_table,
-                    ))
-            }
+        #[inline]
+        pub fn get_suspicions(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::heartbeat::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_suspicions(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
+    }
 
-        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
-            fn init_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                _size: u32,
-            ) -> Self {
-                builder
-                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
-                    .into()
-            }
-            fn get_from_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(
-                    builder
-                        .get_struct(
-                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
-                            default,
-                        )?
-                        .into(),
-                )
-            }
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 0,
+                pointers: 3,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
         }
+    }
 
-        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-            fn set_pointer_builder(
-                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-                value: Self,
-                canonicalize: bool,
-            ) -> ::capnp::Result<()> {
-                pointer.set_struct(&value.reader, canonicalize)
-            }
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
+    }
 
-        impl<'a> Builder<'a> {
-            pub fn into_reader(self) -> Reader<'a> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_> {
-                Builder {
-                    builder: self.builder.reborrow(),
-                }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_status(self) -> u16 {
-                self.builder.get_data_field::<u16>(1)
-            }
-            #[inline]
-            pub fn set_status(&mut self, value: u16) {
-                self.builder.set_data_field::<u16>(1, value);
-            }
-            #[inline]
-            pub fn get_content_type(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_content_type(
-                &mut self,
-                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-            ) {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-                .unwrap()
-            }
-            #[inline]
-            pub fn init_content_type(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_content_type(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(1),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(1).set_data(value);
-            }
-            #[inline]
-            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(1).init_data(size)
-            }
-            #[inline]
-            pub fn has_body(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
         }
+    }
 
-        pub struct Pipeline {
-            _typeless: ::capnp::any_pointer::Pipeline,
-        }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self {
-                    _typeless: typeless,
-                }
-            }
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
         }
-        impl Pipeline {}
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(106, 127, 202, 182, 5, 167, 26, 211),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(17, 127, 18, 231, 251, 52, 197, 138),
-                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-                ::capnp::word(114, 46, 100, 111, 110, 101, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 116, 101, 110, 116, 84),
-                ::capnp::word(121, 112, 101, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(
-                child_index: Option<u16>,
-                index: u32,
-            ) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
-                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
-                ::capnp::introspect::RawStructSchema::new(
-                    &ARENA,
-                    NONUNION_MEMBERS,
-                    MEMBERS_BY_DISCRIMINANT,
-                    MEMBERS_BY_NAME,
-                );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
-            pub(crate) const TYPE_ID: u64 = 0xd31a_a705_b6ca_7f6a;
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
         }
     }
-}
-
-pub mod key_state {
-    pub use self::Which::{Finished, Running, Unknown};
 
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
-                generic: &_private::RAW_SCHEMA,
-                field_types: _private::get_field_types,
-                annotation_types: _private::get_annotation_types,
-                type_id: ::core::any::TypeId::of::<Owned>(),
-            })
-            .into()
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
         }
     }
-    impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::OwnedStruct for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Pipeline;
-    }
 
-    pub struct Reader<'a> {
-        reader: ::capnp::private::layout::StructReader<'a>,
-    }
-    impl ::core::marker::Copy for Reader<'_> {}
-    impl ::core::clone::Clone for Reader<'_> {
-        fn clone(&self) -> Self {
-            *self
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
         }
-    }
-
-    impl ::capnp::traits::HasTypeId for Reader<'_> {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader }
-        }
-    }
-
-    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-        fn from(reader: Reader<'a>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(
-                reader.reader,
-                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                    generic: &_private::RAW_SCHEMA,
-                    field_types: _private::get_field_types,
-                    annotation_types: _private::get_annotation_types,
-                    type_id: ::core::any::TypeId::of::<Owned>(),
-                }),
-            ))
-        }
-    }
-
-    impl ::core::fmt::Debug for Reader<'_> {
-        fn fmt(
-            &self,
-            f: &mut ::core::fmt::Formatter<'_>,
-        ) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(
-                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                f,
-            )
-        }
-    }
-
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
-        }
-    }
-
-    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
-        }
-    }
-
-    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader
-                .imbue(::capnp::private::layout::CapTableReader::from_ref(
-                    cap_table,
-                ))
-        }
-    }
-
-    impl Reader<'_> {
-        pub fn reborrow(&self) -> Reader<'_> {
-            Self { ..*self }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
         }
 
         pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
+            self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unknown(())),
-                1 => ::core::result::Result::Ok(Running(())),
-                2 => ::core::result::Result::Ok(Finished(())),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
-        }
-    }
-
-    pub struct Builder<'a> {
-        builder: ::capnp::private::layout::StructBuilder<'a>,
-    }
-    impl ::capnp::traits::HasStructSize for Builder<'_> {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 0,
-            };
-    }
-    impl ::capnp::traits::HasTypeId for Builder<'_> {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder }
+        pub fn get_heartbeats(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::heartbeat::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
-    }
-
-    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
-        fn from(builder: Builder<'a>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(
-                builder.builder,
-                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                    generic: &_private::RAW_SCHEMA,
-                    field_types: _private::get_field_types,
-                    annotation_types: _private::get_annotation_types,
-                    type_id: ::core::any::TypeId::of::<Owned>(),
-                }),
-            ))
+        #[inline]
+        pub fn set_heartbeats(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::heartbeat::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
         }
-    }
-
-    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder
-                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
-                    cap_table,
-                ))
+        #[inline]
+        pub fn init_heartbeats(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::heartbeat::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
         }
-    }
-
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder
-                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
-                .into()
+        #[inline]
+        pub fn has_heartbeats(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(
-                builder
-                    .get_struct(
-                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
-                        default,
-                    )?
-                    .into(),
+        #[inline]
+        pub fn get_reports(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::load_report::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
             )
         }
-    }
-
-    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            value: Self,
-            canonicalize: bool,
+        #[inline]
+        pub fn set_reports(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::load_report::Owned>,
         ) -> ::capnp::Result<()> {
-            pointer.set_struct(&value.reader, canonicalize)
-        }
-    }
-
-    impl<'a> Builder<'a> {
-        pub fn into_reader(self) -> Reader<'a> {
-            self.builder.into_reader().into()
-        }
-        pub fn reborrow(&mut self) -> Builder<'_> {
-            Builder {
-                builder: self.builder.reborrow(),
-            }
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
         }
-        pub fn reborrow_as_reader(&self) -> Reader<'_> {
-            self.builder.as_reader().into()
+        #[inline]
+        pub fn init_reports(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::load_report::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
         }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
+        #[inline]
+        pub fn has_reports(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn set_unknown(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 0);
+        pub fn get_suspicions(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::heartbeat::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_running(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 1);
+        pub fn set_suspicions(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::heartbeat::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn set_finished(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 2);
+        pub fn init_suspicions(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::heartbeat::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unknown(())),
-                1 => ::core::result::Result::Ok(Running(())),
-                2 => ::core::result::Result::Ok(Finished(())),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
+        pub fn has_suspicions(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
     }
 
@@ -3110,76 +2998,89 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 76] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(76, 202, 210, 39, 160, 66, 176, 135),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(141, 92, 38, 66, 10, 81, 110, 173),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 75, 101, 121, 83, 116),
-            ::capnp::word(97, 116, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 68, 105, 103, 101, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+            ::capnp::word(113, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
+            ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 176, 212, 32, 221, 64, 56, 193),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(198, 198, 0, 99, 168, 47, 143, 231),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 105, 110, 105, 115, 104, 101, 100),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 105, 99, 105, 111),
+            ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 176, 212, 32, 221, 64, 56, 193),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <() as ::capnp::introspect::Introspect>::introspect(),
-                1 => <() as ::capnp::introspect::Introspect>::introspect(),
-                2 => <() as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::struct_list::Owned<crate::peer_capnp::heartbeat::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::load_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::heartbeat::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3198,21 +3099,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
-        pub(crate) const TYPE_ID: u64 = 0x87b0_42a0_27d2_ca4c;
-    }
-    pub enum Which {
-        Unknown(()),
-        Running(()),
-        Finished(()),
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
+        pub(crate) const TYPE_ID: u64 = 0xad6e_510a_4226_5c8d;
     }
-    pub type WhichReader = Which;
-    pub type WhichBuilder = Which;
 }
 
-pub mod piece_set {
+pub mod config {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -3316,39 +3210,31 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_target(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn get_age_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_stored(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+        pub fn get_operator(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_stored(&self) -> bool {
+        pub fn has_operator(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_removed(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_removed(&self) -> bool {
+        pub fn has_body(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
-        #[inline]
-        pub fn get_reset(self) -> bool {
-            self.reader.get_bool_field(64)
-        }
     }
 
     pub struct Builder<'a> {
@@ -3357,7 +3243,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 1,
                 pointers: 2,
             };
     }
@@ -3441,87 +3327,59 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_target(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn set_target(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(0, value);
-        }
-        #[inline]
-        pub fn get_age_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_age_ms(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(1, value);
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_stored(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+        pub fn get_operator(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_stored(
+        pub fn set_operator(
             &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
-        ) -> ::capnp::Result<()> {
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
                 false,
             )
+            .unwrap()
         }
         #[inline]
-        pub fn init_stored(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(0),
-                size,
-            )
+        pub fn init_operator(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_stored(&self) -> bool {
+        pub fn has_operator(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_removed(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_removed(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
+        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
         }
         #[inline]
-        pub fn init_removed(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(1),
-                size,
-            )
+        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
         }
         #[inline]
-        pub fn has_removed(&self) -> bool {
+        pub fn has_body(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
-        #[inline]
-        pub fn get_reset(self) -> bool {
-            self.builder.get_bool_field(64)
-        }
-        #[inline]
-        pub fn set_reset(&mut self, value: bool) {
-            self.builder.set_bool_field(64, value);
-        }
     }
 
     pub struct Pipeline {
