--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -3,14 +3,16 @@
 use std::collections;
 
 use acaciabank_core::{member, suspect};
+use acaciabank_protocol::ids;
 
 use crate::{process, target};
 
-/// Loads of the targets that this daemon owns.
+/// Loads of the targets that this daemon owns, and notices of targets that it drains for an order.
 pub(super) fn local_loads(state: &process::ProcessState) -> Vec<member::TargetLoad> {
-    state
-        .targets
-        .owned_summaries(|target| state.peers.owns(target))
+    let owns = |target: &ids::TargetId| state.peers.owns(target);
+    let mut loads = state.targets.owned_summaries(owns);
+    loads.extend(state.targets.pending_notices(owns));
+    loads
 }
 
 /// Crash suspects that this daemon knows.
@@ -36,7 +38,11 @@
     suspects: &[member::SuspectReport],
 ) {
     let snapshot = state.targets.snapshot();
+    let avoid_ms = state.settings.timers.suspect_after_ms;
     for load in loads {
+        if state.targets.apply_notice(load, avoid_ms) {
+            continue;
+        }
         let target = snapshot.by_hash.get(&load.target);
         if target.is_some_and(|target| !state.peers.owns(&target.id)) {
             state.targets.update_from_peer(load);
@@ -69,7 +75,8 @@
 
 impl LoadSchedule {
     /// Short names of the targets whose state differs from the published one. Their loads are sent
-    /// at once, so that a withdrawal does not wait for the next report.
+    /// at once, so that a withdrawal does not wait for the next report. A target that is drained for
+    /// an order is listed in every tick: receivers avoid it for a limited time only.
     pub(super) fn take_changed(&mut self, loads: &[member::TargetLoad]) -> Vec<u32> {
         let mut changed = Vec::new();
         let states = loads
@@ -77,7 +84,8 @@
             .map(|load| (load.target, (load.flags, load.state_sequence)));
         let states: collections::HashMap<_, _> = states.collect();
         for (target, target_state) in &states {
-            if self.published.get(target) != Some(target_state) {
+            let is_pending = target_state.0 & target::PENDING_FLAG != 0;
+            if is_pending || self.published.get(target) != Some(target_state) {
                 changed.push(*target);
             }
         }
--- a/crates/daemon/src/target/mod.rs
+++ b/crates/daemon/src/target/mod.rs
@@ -18,6 +18,7 @@
 pub use marks::TargetMarks;
 pub use poll::run;
 pub use registry::{TargetRegistry, TargetRoute, TargetSnapshot};
+pub(crate) use share::PENDING_FLAG;
 pub use share::PieceDelta;
 
 /// Milliseconds since the first use of this clock in the process; monotonic.
