Let the stand-in table and services run requests of clients that left

A call to the table that times out at the daemon could never take effect late: the stand-in dropped the request with its connection, so late inserts were not tested. Platform and services now execute whatever they have read. The platform also journals refused writes.

--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -8,6 +8,12 @@
 
 use crate::{engine, journal, platform, proxy, service, web};
 
+/// Services and the table execute what they have read, also for clients that have left.
+const RUN_TO_END: web::ServeOptions = web::ServeOptions {
+    admin_idle_close: None,
+    runs_to_end: true,
+};
+
 /// Entry point of the program `testbed`; does not return.
 pub fn main() -> ! {
     run_if_role();
@@ -173,6 +179,7 @@
     let (address, options, idle_close) = parse(parser, arguments);
     let serve_options = web::ServeOptions {
         admin_idle_close: idle_close.map(time::Duration::from_millis),
+        runs_to_end: false,
     };
     run_server(address, serve_options, |address| {
         let state = engine::EngineState::start(options, address)?;
@@ -184,7 +191,7 @@
     let (address, journal) = (listen(), journal_file());
     let name = argument("name", "service".to_owned());
     let (address, name, journal) = parse(construct!(address, name, journal), arguments);
-    run_server(address, web::ServeOptions::default(), |_| {
+    run_server(address, RUN_TO_END, |_| {
         let state = service::ServiceState::new(&name, journal.as_deref())?;
         Ok(move |request| sync::Arc::clone(&state).handle(request))
     })
@@ -207,7 +214,7 @@
         seed,
     });
     let (address, journal, options) = parse(construct!(address, journal, options), arguments);
-    run_server(address, web::ServeOptions::default(), |_| {
+    run_server(address, RUN_TO_END, |_| {
         let journal = journal::Journal::open(journal.as_deref())?;
         let state = platform::PlatformState::new(options, journal);
         Ok(move |request| sync::Arc::clone(&state).handle(request))
--- a/crates/testbed/src/platform/mod.rs
+++ b/crates/testbed/src/platform/mod.rs
@@ -152,7 +152,11 @@
             .call(operation, &input);
         let answer = match result {
             Ok(answer) => answer,
-            Err(error) => return Ok(web::json_reply(StatusCode::BAD_REQUEST, &error)),
+            Err(error) => {
+                let entry = json!({"event": "refused", "operation": operation, "error": error});
+                self.journal.record(entry);
+                return Ok(web::json_reply(StatusCode::BAD_REQUEST, &error));
+            }
         };
         if operation == "TransactWriteItems" {
             let lost = self.takes_answer();
--- a/crates/testbed/src/web/mod.rs
+++ b/crates/testbed/src/web/mod.rs
@@ -21,6 +21,9 @@
 pub struct ServeOptions {
     /// Idle time after which a connection that carries administration requests is closed.
     pub admin_idle_close: Option<time::Duration>,
+    /// Whether a request runs to its end when its client leaves, so that a request whose client
+    /// gave up may still take effect. Otherwise it ends with the connection.
+    pub runs_to_end: bool,
 }
 
 /// What a server knows of one connection.
@@ -77,7 +80,12 @@
                 usage.in_flight += 1;
                 usage.is_admin = request.uri().path().starts_with("/admin/");
             }
-            let reply = handler(request).await;
+            let reply = match options.runs_to_end {
+                true => tokio::spawn(handler(request))
+                    .await
+                    .unwrap_or_else(|error| Err(io::Error::other(error))),
+                false => handler(request).await,
+            };
             let mut usage = usage.lock().expect("connection lock");
             usage.in_flight -= 1;
             usage.last_use = time::Instant::now();
@@ -86,6 +94,7 @@
     });
     let connection = server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
+        .half_close(options.runs_to_end)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let Some(limit) = options.admin_idle_close else {
--- a/crates/testbed/tests/at_most_once.rs
+++ b/crates/testbed/tests/at_most_once.rs
@@ -391,6 +391,33 @@
     }
 }
 
+/// Guards against an insert that takes effect after its call was refused and leaves the key blocked
+/// for callers until an operator resolves it.
+#[tokio::test]
+async fn late_insert_of_a_refused_call_blocks_no_resend() {
+    let keyed = KeyedFleet::start(1, 4).await;
+    let notice = Notice::new("late-insert").with_timeout(20_000);
+    let link = harness::table_link(0);
+    keyed
+        .fleet
+        .start_fault(&link, proxy::FaultKind::BlackholeUp)
+        .await;
+    let answer = keyed.send(0, &notice).await;
+    assert_eq!(refusal(&answer), ["table_unavailable", "not_run"]);
+    let started = time::Instant::now();
+    let again = keyed.send(0, &notice).await;
+    assert_eq!(refusal(&again), ["table_unavailable", "not_run"]);
+    assert!(started.elapsed() < LIMIT / 3, "refused at once");
+    keyed.fleet.end_fault(&link).await;
+    harness::wait_until(LIMIT, "the late insert takes effect", async || {
+        !keyed.journals().key_states(notice.key).is_empty()
+    })
+    .await;
+    let answer = keyed.send(1, &notice).await;
+    assert_eq!(answer.status, 201, "{:?}", answer.json());
+    assert_eq!(keyed.executions(&notice), 1);
+}
+
 /// Guards against a slow table whose late writes make a key run twice or a `not_run` false.
 #[tokio::test]
 async fn slow_table_keeps_verdicts_true() {
