Read stream chunks without building JSON trees

Cause: each token of a stream was parsed to a tree and written anew. Change: only the fields that decide about the delivery are read; an event that is one line of data is delivered as received. Chunks of another shape, and chunks of a later attempt, whose id changes, still go through the tree.

--- a/crates/daemon/src/dispatch/completion.rs
+++ b/crates/daemon/src/dispatch/completion.rs
@@ -11,7 +11,7 @@
 use super::{
     CallerRequest, RequestWork, assemble, attempt, run,
     sink::CallerSink,
-    sse::{ChunkAction, EventParser, StreamEvent, TokenCursor},
+    sse::{ChunkAction, EventParser, StreamChunk, StreamEvent, TokenCursor},
 };
 
 /// Time for which the end of the body is awaited after `[DONE]`, to keep the connection.
@@ -24,7 +24,7 @@
     cursor: TokenCursor,
     assembler: assemble::AnswerAssembler,
     /// Id of the first chunk; later attempts' chunks get the same one.
-    answer_id: Option<Value>,
+    answer_id: Option<Bytes>,
     last_token: Option<Instant>,
 }
 
@@ -153,17 +153,16 @@
         &mut self,
         context: &run::RunContext<'_>,
         sink: &mut CallerSink,
-        mut chunk: Value,
+        chunk: StreamChunk,
         stream: bool,
     ) -> Result<(), attempt::AttemptFailure> {
-        if chunk["error"].is_object() {
-            return Err(malformed(format!(
-                "error in the stream: {}",
-                chunk["error"]
-            )));
+        if chunk.summary.is_error {
+            let error = chunk.tree().map(|chunk| chunk["error"].to_string());
+            let error = error.unwrap_or_default();
+            return Err(malformed(format!("error in the stream: {error}")));
         }
         let before = self.cursor.delivered;
-        match self.cursor.advance(&chunk) {
+        match self.cursor.advance(&chunk.summary) {
             ChunkAction::Deliver => {}
             ChunkAction::Drop => return Ok(()),
             ChunkAction::Reject => {
@@ -175,21 +174,20 @@
         if self.cursor.delivered > before {
             self.observe_token(context);
         }
-        let answer_id = self.answer_id.get_or_insert_with(|| chunk["id"].clone());
-        if chunk["id"] != *answer_id {
-            chunk["id"] = answer_id.clone();
-        }
         if !stream {
-            self.assembler.push(&chunk);
+            self.assembler.push(&chunk.tree().map_err(malformed)?);
             return Ok(());
         }
+        let answer_id = self
+            .answer_id
+            .get_or_insert_with(|| Bytes::copy_from_slice(&chunk.summary.id));
+        let event = chunk.into_event(answer_id).map_err(malformed)?;
         sink.send_head(
             http::StatusCode::OK,
             stream_headers(),
             Some(&context.target.id),
         );
-        sink.send_part(Bytes::from(format!("data: {chunk}\n\n")))
-            .await;
+        sink.send_part(event).await;
         Ok(())
     }
 
--- a/crates/daemon/src/dispatch/sse.rs
+++ b/crates/daemon/src/dispatch/sse.rs
@@ -1,7 +1,8 @@
 //! Server-sent events of an engine's stream, and the delivery of tokens by index.
 
-use bytes::{Buf, BytesMut};
-use serde_json::Value;
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+use serde_json::{Value, value::RawValue};
 
 /// Longest accepted event. A longer one means that the peer does not speak the protocol.
 const MAX_EVENT_BYTES: usize = 4 << 20;
@@ -10,11 +11,139 @@
 #[derive(Debug)]
 pub(super) enum StreamEvent {
     /// A chunk.
-    Chunk(Value),
+    Chunk(StreamChunk),
     /// `[DONE]`.
     Done,
 }
 
+/// A chunk as received.
+#[derive(Debug)]
+pub(super) struct StreamChunk {
+    /// The event with its blank line, in the form in which it is delivered.
+    event: Bytes,
+    /// The fields that decide about the delivery.
+    pub(super) summary: ChunkSummary,
+}
+
+/// What a chunk says about the position in the answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct ChunkSummary {
+    /// JSON text of the id; empty without one.
+    pub(super) id: Bytes,
+    /// Whether there is a choice; the chunk with the usage alone has none.
+    pub(super) has_choice: bool,
+    /// Whether the choice has text.
+    pub(super) has_text: bool,
+    /// Whether the choice states its finish reason.
+    pub(super) finishes: bool,
+    /// Tokens so far, if stated.
+    pub(super) completion_tokens: Option<u64>,
+    /// Whether the chunk reports an error.
+    pub(super) is_error: bool,
+}
+
+/// The fields of a chunk that are read; everything else is skipped without building a tree, which
+/// would cost more than the rest of a token's way through the daemon.
+#[derive(Deserialize)]
+struct ChunkFields<'a> {
+    #[serde(borrow, default)]
+    id: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    choices: Vec<ChoiceFields<'a>>,
+    #[serde(default)]
+    usage: Option<UsageFields>,
+    #[serde(borrow, default)]
+    error: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct ChoiceFields<'a> {
+    #[serde(borrow, default)]
+    text: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    delta: Option<DeltaFields<'a>>,
+    #[serde(borrow, default)]
+    finish_reason: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct DeltaFields<'a> {
+    #[serde(borrow, default)]
+    content: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct UsageFields {
+    #[serde(default)]
+    completion_tokens: Option<u64>,
+}
+
+impl ChunkSummary {
+    /// Reads the data of an event; chunks of an unexpected shape are read as a tree.
+    fn read(data: &Bytes) -> Result<Self, String> {
+        let Ok(fields) = serde_json::from_slice::<ChunkFields<'_>>(data) else {
+            let chunk: Value = serde_json::from_slice(data).map_err(|error| error.to_string())?;
+            return Ok(Self::of_tree(&chunk));
+        };
+        let choice = fields.choices.first();
+        let text = choice.and_then(|choice| {
+            let content = choice.delta.as_ref().and_then(|delta| delta.content);
+            choice.text.filter(|text| is_string(text)).or(content)
+        });
+        let finish_reason = choice.and_then(|choice| choice.finish_reason);
+        Ok(Self {
+            id: fields
+                .id
+                .map(|id| data.slice_ref(id.get().as_bytes()))
+                .unwrap_or_default(),
+            has_choice: choice.is_some(),
+            has_text: text.is_some_and(|text| is_string(text) && text.get() != "\"\""),
+            finishes: finish_reason.is_some_and(is_string),
+            completion_tokens: fields.usage.and_then(|usage| usage.completion_tokens),
+            is_error: fields.error.is_some_and(|error| error.get().starts_with('{')),
+        })
+    }
+
+    fn of_tree(chunk: &Value) -> Self {
+        let choice = &chunk["choices"][0];
+        let id = match &chunk["id"] {
+            Value::Null => Bytes::new(),
+            id => Bytes::from(id.to_string()),
+        };
+        Self {
+            id,
+            has_choice: !choice.is_null(),
+            has_text: !text_of(choice).is_empty(),
+            finishes: choice["finish_reason"].is_string(),
+            completion_tokens: chunk["usage"]["completion_tokens"].as_u64(),
+            is_error: chunk["error"].is_object(),
+        }
+    }
+}
+
+fn is_string(value: &RawValue) -> bool {
+    value.get().starts_with('"')
+}
+
+impl StreamChunk {
+    /// The event to deliver, with the given id: an answer keeps the id of its first chunk over all
+    /// attempts.
+    pub(super) fn into_event(self, id: &Bytes) -> Result<Bytes, String> {
+        if self.summary.id == *id {
+            return Ok(self.event);
+        }
+        let mut chunk = self.tree()?;
+        chunk["id"] = serde_json::from_slice(id).unwrap_or_default();
+        Ok(Bytes::from(format!("data: {chunk}\n\n")))
+    }
+
+    /// The chunk as a tree.
+    pub(super) fn tree(&self) -> Result<Value, String> {
+        let data = data_of(&self.event);
+        serde_json::from_slice(&data).map_err(|error| error.to_string())
+    }
+}
+
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
 pub(super) struct EventParser {
@@ -29,17 +158,20 @@
     /// The next whole event, or `None` when more bytes are needed.
     pub(super) fn next(&mut self) -> Result<Option<StreamEvent>, String> {
         while let Some((length, separator)) = find_end(&self.buffer) {
-            let event = self.buffer.split_to(length);
-            self.buffer.advance(separator);
-            let data = data_of(&event);
+            let event = self.buffer.split_to(length + separator).freeze();
+            let data = data_of(&event[..length]);
             if data.is_empty() {
                 continue;
             }
-            if data == b"[DONE]" {
+            if data == b"[DONE]"[..] {
                 return Ok(Some(StreamEvent::Done));
             }
-            let chunk = serde_json::from_slice(&data).map_err(|error| error.to_string())?;
-            return Ok(Some(StreamEvent::Chunk(chunk)));
+            let summary = ChunkSummary::read(&data)?;
+            let event = match is_plain(&event, length) {
+                true => event,
+                false => Bytes::from([b"data: ", &data[..], b"\n\n"].concat()),
+            };
+            return Ok(Some(StreamEvent::Chunk(StreamChunk { event, summary })));
         }
         match self.buffer.len() > MAX_EVENT_BYTES {
             true => Err("event too long".to_owned()),
@@ -48,6 +180,14 @@
     }
 }
 
+/// Whether an event is a single line of data that can be delivered as it is.
+fn is_plain(event: &[u8], length: usize) -> bool {
+    event.starts_with(b"data:")
+        && event.ends_with(b"\n\n")
+        && !event[..length].contains(&b'\n')
+        && !event[..length].contains(&b'\r')
+}
+
 /// Length of the first event and of the blank line after it.
 fn find_end(buffer: &[u8]) -> Option<(usize, usize)> {
     let ends = buffer
@@ -66,12 +206,12 @@
     None
 }
 
-fn data_of(event: &[u8]) -> Vec<u8> {
+fn data_of(event: &[u8]) -> Bytes {
     let lines = event.split(|byte| *byte == b'\n');
     let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
     let data = lines.filter_map(|line| line.strip_prefix(b"data:"));
     let data: Vec<&[u8]> = data.map(|data| data.trim_ascii()).collect();
-    data.join(&b'\n')
+    Bytes::from(data.join(&b'\n'))
 }
 
 /// What to do with a chunk.
@@ -104,16 +244,13 @@
     }
 
     /// Decides about a chunk and advances over its tokens.
-    pub(super) fn advance(&mut self, chunk: &Value) -> ChunkAction {
-        let choice = &chunk["choices"][0];
-        let finishes = choice["finish_reason"].is_string();
-        if text_of(choice).is_empty() {
-            return self.advance_without_text(choice.is_null(), finishes);
+    pub(super) fn advance(&mut self, chunk: &ChunkSummary) -> ChunkAction {
+        if !chunk.has_text {
+            return self.advance_without_text(!chunk.has_choice, chunk.finishes);
         }
         let first = self.attempt_tokens;
         // An engine that ignores `continuous_usage_stats` sends one token in each chunk.
-        let count = chunk["usage"]["completion_tokens"].as_u64();
-        let count = count.unwrap_or(first + 1);
+        let count = chunk.completion_tokens.unwrap_or(first + 1);
         if count <= self.delivered {
             self.attempt_tokens = count;
             return ChunkAction::Drop;
@@ -124,7 +261,7 @@
         }
         self.attempt_tokens = count;
         self.delivered = count;
-        self.finished |= finishes;
+        self.finished |= chunk.finishes;
         ChunkAction::Deliver
     }
 
