Add the bench of the policies under shifts

Cause: the policies had no common measurement. Change: shift_bench runs the same scripted shifts over every policy with real daemons and stand-in engines.

--- /dev/null
+++ b/crates/testbed/examples/shift_bench.rs
@@ -0,0 +1,320 @@
+//! Goodput of the policies while the ratio of prompt to output tokens shifts, with real daemon
+//! processes and stand-in engines.
+//!
+//! `cargo run --release --example shift_bench -- --seed N --json [--seeds COUNT]
+//! [--size pemberton|nile-delta] [--daemons N] [--rate R] [--only POLICY]`
+//!
+//! Each policy serves the same requests at the same offsets on a fresh fleet: three phases, whose
+//! work is mostly prefill, then mostly decode, then mostly prefill again. A third of the engines
+//! starts in each role, which suits the mean mix but neither phase.
+//!
+//! The limit is computed from the stand-ins' cost model. A request costs its uncached prompt tokens
+//! divided by the prefill speed, and for each output token a full batch's step divided by the slots,
+//! both at the speed of the role that is tuned for the phase of work. Prefixes shared by a group
+//! count as cached. Within each phase of the script, requests are taken from the cheapest on until
+//! the engines' time in that phase is used up. No role change, queue, distance or deadline costs
+//! anything, so the limit is above what any policy can reach, except for work carried over a phase's
+//! end.
+
+use std::{env, error, net, process};
+
+use acaciabank_cli::load;
+use acaciabank_protocol::{settings, wire};
+use acaciabank_testbed::{harness, multicall, web};
+use serde_json::json;
+
+/// Prompt tokens that a prefill engine processes in one second.
+const PREFILL_TOKENS_PER_SECOND: f64 = 8_000.0;
+/// Base time of a decode engine's step, in milliseconds.
+const DECODE_STEP_MS: f64 = 12.0;
+/// Time of a step for each decoding request, in milliseconds.
+const PER_SEQUENCE_MS: f64 = 0.5;
+/// Time of a role change, in milliseconds; short because the phases are short.
+const SWITCH_MS: u64 = 1_000;
+/// Length of each phase, in milliseconds.
+const PHASE_MS: u64 = 7_000;
+/// Requests a second for each engine.
+const RATE_PER_ENGINE: f64 = 2.0;
+/// Prompt tokens that the long requests of a group share.
+const SHARED_TOKENS: u32 = 2_000;
+
+/// A policy under test.
+struct PolicyVariant {
+    name: &'static str,
+    routing: settings::RoutingPolicy,
+    planner: settings::PlannerPolicy,
+}
+
+const VARIANTS: [PolicyVariant; 4] = [
+    PolicyVariant {
+        name: "round_robin",
+        routing: settings::RoutingPolicy::RoundRobin,
+        planner: settings::PlannerPolicy::Off,
+    },
+    PolicyVariant {
+        name: "least_load",
+        routing: settings::RoutingPolicy::LeastLoad,
+        planner: settings::PlannerPolicy::Off,
+    },
+    PolicyVariant {
+        name: "threshold",
+        routing: settings::RoutingPolicy::LeastLoad,
+        planner: settings::PlannerPolicy::Threshold,
+    },
+    PolicyVariant {
+        name: "adaptive",
+        routing: settings::RoutingPolicy::Adaptive,
+        planner: settings::PlannerPolicy::Adaptive,
+    },
+];
+
+/// Options of the command line.
+struct BenchOptions {
+    seed: u64,
+    seeds: u64,
+    size: String,
+    daemons: usize,
+    rate: f64,
+    only: Option<String>,
+    is_json: bool,
+}
+
+impl BenchOptions {
+    fn read() -> Result<Self, String> {
+        let arguments: Vec<String> = env::args().skip(1).collect();
+        let value = |name: &str| {
+            let position = arguments.iter().position(|argument| argument == name)?;
+            arguments.get(position + 1).cloned()
+        };
+        let number = |name: &str, default: f64| match value(name) {
+            None => Ok(default),
+            Some(text) => text
+                .parse::<f64>()
+                .map_err(|error| format!("{name}: {text}: {error}")),
+        };
+        Ok(Self {
+            seed: number("--seed", 1.0)? as u64,
+            seeds: number("--seeds", 1.0)? as u64,
+            size: value("--size").unwrap_or_else(|| "pemberton".to_owned()),
+            daemons: (number("--daemons", 5.0)? as usize).clamp(1, 7),
+            rate: number("--rate", RATE_PER_ENGINE)?,
+            only: value("--only"),
+            is_json: arguments.iter().any(|argument| argument == "--json"),
+        })
+    }
+
+    fn spec(&self) -> Result<harness::FleetSpec, String> {
+        let mut spec = match self.size.as_str() {
+            "pemberton" => harness::Fleet::pemberton(),
+            "nile-delta" => harness::Fleet::nile_delta(),
+            other => {
+                return Err(format!(
+                    "--size {other}: pemberton or nile-delta is required"
+                ));
+            }
+        };
+        let deployment = &mut spec.deployment;
+        deployment.services.clear();
+        deployment.rules = settings::Rules::default();
+        let roles = [
+            settings::EngineRole::Prefill,
+            settings::EngineRole::Decode,
+            settings::EngineRole::Mixed,
+        ];
+        // Engines alternate between the zones, so the role changes after each round of zones.
+        for (position, engine) in deployment.engines.iter_mut().enumerate() {
+            engine.role = roles[(position / 3) % roles.len()];
+        }
+        deployment.policy.adaptation = settings::Adaptation {
+            switch_cost_ms: SWITCH_MS,
+            min_dwell_ms: 3_000,
+            horizon_ms: 8_000,
+            ..settings::Adaptation::default()
+        };
+        spec.daemons = self.daemons;
+        spec.log.level = settings::LogLevel::Warn;
+        let arguments = [
+            ("--prefill-tokens-per-second", PREFILL_TOKENS_PER_SECOND),
+            ("--decode-step-ms", DECODE_STEP_MS),
+            ("--per-sequence-ms", PER_SEQUENCE_MS),
+            ("--switch-ms", SWITCH_MS as f64),
+        ];
+        spec.engine_arguments = arguments
+            .iter()
+            .flat_map(|(name, value)| [(*name).to_owned(), value.to_string()])
+            .collect();
+        Ok(spec)
+    }
+}
+
+/// Prefill-heavy, decode-heavy and prefill-heavy phases for a model.
+fn script(deployment: &settings::Deployment, rate_per_engine: f64) -> load::LoadScript {
+    let model = deployment.models[0].name.clone();
+    let shape =
+        |weight, prompt: [u32; 2], output: [u32; 2], shared, timeout_ms| load::RequestShape {
+            weight,
+            model: Some(model.clone()),
+            service: None,
+            path: "/".to_owned(),
+            prompt_tokens: range(prompt),
+            output_tokens: range(output),
+            shared_prefix_tokens: shared,
+            prefix_groups: 8,
+            priority: wire::Priority::Normal,
+            timeout_ms,
+            keyed: false,
+            team_key: None,
+        };
+    let phase = |long, short| load::LoadPhase {
+        duration_ms: PHASE_MS,
+        rate_per_s: rate_per_engine * deployment.engines.len() as f64,
+        mix: vec![
+            shape(long, [2_500, 6_500], [8, 24], SHARED_TOKENS, 5_000),
+            shape(short, [200, 800], [96, 192], 0, 8_000),
+        ],
+    };
+    load::LoadScript {
+        phases: vec![phase(8, 2), phase(1, 9), phase(8, 2)],
+    }
+}
+
+fn range([min, max]: [u32; 2]) -> load::TokenRange {
+    load::TokenRange { min, max }
+}
+
+/// Share of the requests that the engines' time suffices for; see the description of the example.
+fn limit(
+    script: &load::LoadScript,
+    requests: &[load::PlannedRequest],
+    deployment: &settings::Deployment,
+) -> f64 {
+    let engines = deployment.engines.len() as f64;
+    let slots = f64::from(deployment.engines[0].slots);
+    let token_ms = (DECODE_STEP_MS + PER_SEQUENCE_MS * slots) / slots;
+    let mut served = 0;
+    for (position, phase) in script.phases.iter().enumerate() {
+        let planned = requests.iter().filter(|request| request.phase == position);
+        let mut costs: Vec<f64> = planned
+            .map(|request| request_cost_ms(request, token_ms))
+            .collect();
+        costs.sort_by(f64::total_cmp);
+        let mut left_ms = phase.duration_ms as f64 * engines;
+        for cost in costs {
+            left_ms -= cost;
+            served += usize::from(left_ms >= 0.0);
+        }
+    }
+    served as f64 / requests.len().max(1) as f64
+}
+
+fn request_cost_ms(request: &load::PlannedRequest, token_ms: f64) -> f64 {
+    let body: serde_json::Value = serde_json::from_str(&request.body).unwrap_or_default();
+    let prompt = wire::estimate_tokens(body["prompt"].as_str().unwrap_or_default());
+    let has_prefix = prompt > u64::from(SHARED_TOKENS);
+    let cached = if has_prefix {
+        u64::from(SHARED_TOKENS)
+    } else {
+        0
+    };
+    let prefill_ms = (prompt - cached) as f64 * 1_000.0 / PREFILL_TOKENS_PER_SECOND;
+    prefill_ms + f64::from(request.output_tokens) * token_ms
+}
+
+fn main() -> Result<(), Box<dyn error::Error>> {
+    multicall::run_if_role();
+    let options = BenchOptions::read()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(&options))?;
+    process::exit(0);
+}
+
+async fn run(options: &BenchOptions) -> Result<(), Box<dyn error::Error>> {
+    for seed in options.seed..options.seed + options.seeds {
+        let mut round_robin = None;
+        for variant in &VARIANTS {
+            if options
+                .only
+                .as_ref()
+                .is_some_and(|only| only != variant.name)
+            {
+                continue;
+            }
+            let line = run_variant(options, variant, seed, &mut round_robin).await?;
+            match options.is_json {
+                true => println!("{line}"),
+                false => println!("{line:#}"),
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn run_variant(
+    options: &BenchOptions,
+    variant: &PolicyVariant,
+    seed: u64,
+    round_robin: &mut Option<f64>,
+) -> Result<serde_json::Value, Box<dyn error::Error>> {
+    let mut spec = options.spec()?;
+    spec.deployment.policy.routing = variant.routing;
+    spec.deployment.policy.planner = variant.planner;
+    let script = script(&spec.deployment, options.rate);
+    let requests = load::plan(&script, seed);
+    let limit = limit(&script, &requests, &spec.deployment);
+    let launcher = harness::Launcher::new(env::current_exe()?)?;
+    let fleet = spec.start(launcher).await?;
+    let daemons = fleet.daemons.iter();
+    let seeds = daemons.map(|daemon| daemon.caller_address.to_string());
+    let run_options = load::RunOptions {
+        name: variant.name.to_owned(),
+        seeds: seeds.collect(),
+        zone: None,
+        seed,
+        progress: None,
+    };
+    let report = load::run(&script, run_options).await;
+    let role_changes = count_role_changes(&fleet).await;
+    if variant.routing == settings::RoutingPolicy::RoundRobin {
+        *round_robin = Some(report.goodput);
+    }
+    let rounded = |value: f64| (value * 10_000.0).round() / 10_000.0;
+    let phases: Vec<f64> = report
+        .phases
+        .iter()
+        .map(|phase| rounded(phase.in_time as f64 / phase.requests.max(1) as f64))
+        .collect();
+    Ok(json!({
+        "policy": variant.name, "seed": seed, "size": options.size,
+        "goodput": rounded(report.goodput), "requests": report.requests,
+        "in_time": report.in_time, "role_changes": role_changes,
+        "p95_first_token_ms": report.first_token.p95_ms,
+        "p95_between_tokens_ms": report.between_tokens.p95_ms,
+        "goodput_to_round_robin": round_robin.map(|base| rounded(report.goodput / base)),
+        "limit": rounded(limit), "goodput_to_limit": rounded(report.goodput / limit),
+        "goodput_by_phase": phases, "failures": report.failures,
+    }))
+}
+
+/// Sum of the daemons' counters of role changes; 0 where a daemon has none.
+async fn count_role_changes(fleet: &harness::Fleet) -> u64 {
+    let mut changes = 0;
+    for daemon in &fleet.daemons {
+        changes += read_role_changes(daemon.admin_address).await;
+    }
+    changes
+}
+
+async fn read_role_changes(address: net::SocketAddr) -> u64 {
+    let Ok(answer) = web::call(address, "GET", "/metrics", &[], "").await else {
+        return 0;
+    };
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let lines = text.lines();
+    let values = lines
+        .filter(|line| line.starts_with("acaciabank_role_changes_total"))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    values.sum::<f64>() as u64
+}
