--- /dev/null
+++ b/crates/testbed/tests/authority.rs
@@ -0,0 +1,412 @@
+//! Promises about authority, checked from the journals of engines and table with real processes.
+
+use std::time;
+
+use acaciabank_protocol::{ids, settings};
+use acaciabank_testbed::{harness, web};
+use serde_json::{Value, json};
+
+/// Generous limit for conditions on a busy machine.
+const LIMIT: time::Duration = time::Duration::from_secs(40);
+
+/// Short timers, so that a takeover takes about two seconds.
+fn timers() -> settings::TimerSettings {
+    settings::TimerSettings {
+        gossip_interval_ms: 200,
+        suspect_after_ms: 1_000,
+        dead_after_ms: 2_000,
+        lease_ttl_ms: 1_500,
+        lease_renewal_ms: 400,
+        lease_margin_ms: 200,
+        target_poll_ms: 100,
+        config_poll_ms: 300,
+        default_request_timeout_ms: 20_000,
+        address_lifetime_ms: 300,
+        ..settings::TimerSettings::default()
+    }
+}
+
+/// A fleet with one model in one zone; the planner is off, so that tests cause the orders.
+fn spec(engines: usize, daemons: usize) -> harness::FleetSpec {
+    let mut spec = harness::Fleet::pemberton();
+    spec.daemons = daemons;
+    spec.timers = timers();
+    spec.deployment.engines.truncate(engines);
+    spec.deployment.services.clear();
+    spec.deployment.rules = settings::Rules::default();
+    spec.deployment.policy.planner = settings::PlannerPolicy::Off;
+    let arguments = [
+        "--time-scale",
+        "0.1",
+        "--switch-ms",
+        "3000",
+        "--load-ms",
+        "3000",
+    ];
+    spec.engine_arguments = arguments.map(str::to_owned).to_vec();
+    spec
+}
+
+fn launcher() -> harness::Launcher {
+    harness::Launcher::new(env!("CARGO_BIN_EXE_testbed")).expect("launcher")
+}
+
+async fn start(spec: harness::FleetSpec) -> harness::Fleet {
+    spec.start(launcher()).await.expect("fleet")
+}
+
+/// A fleet whose daemons wait between the last check before an order and the write.
+async fn start_pausing(spec: harness::FleetSpec, pause_ms: u32) -> harness::Fleet {
+    let name = "ACACIABANK_PAUSE_BEFORE_ORDER_MS";
+    let launcher = launcher().with_variable(name, &pause_ms.to_string());
+    spec.start(launcher).await.expect("fleet")
+}
+
+/// Puts a changed deployment in force through the daemon at the given position.
+async fn change(
+    fleet: &harness::Fleet,
+    position: usize,
+    change: impl Fn(&mut settings::Deployment),
+) {
+    let admin = fleet.daemons[position].admin_address;
+    let current = web::call(admin, "GET", "/admin/config", &[], "").await;
+    let current = current.expect("an answer").json();
+    let mut deployment = serde_json::from_value(current["deployment"].clone()).expect("deployment");
+    change(&mut deployment);
+    let version = current["version"].to_string();
+    let body = serde_json::to_string(&deployment).expect("text");
+    let headers = [("if-match", version.as_str())];
+    let answer = web::call(admin, "PUT", "/admin/config", &headers, body).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.json());
+}
+
+/// A row's writes in the table's journal, oldest first: version, time and body.
+fn row_writes(journals: &harness::JournalView, partition: &str) -> Vec<Value> {
+    let items = journals.events("write").flat_map(|entry| {
+        let items = entry["input"]["TransactItems"].as_array();
+        items.into_iter().flatten().map(move |item| (entry, item))
+    });
+    let puts = items.filter(|(_, item)| item["Put"]["Item"]["pk"]["S"] == partition);
+    puts.map(|(entry, item)| {
+        let row = &item["Put"]["Item"];
+        let body = row["body"]["S"].as_str().unwrap_or_default();
+        json!({
+            "unix_ms": entry["unix_ms"], "name": row["sk"]["S"],
+            "body": serde_json::from_str::<Value>(body).unwrap_or_default(),
+        })
+    })
+    .collect()
+}
+
+/// Daemon that holds the model's lease by the table's journal.
+fn holder(fleet: &harness::Fleet) -> Option<usize> {
+    let journals = fleet.journals().expect("journals");
+    let last = row_writes(&journals, "lease").pop()?;
+    let name = last["body"]["holder"].as_str()?.to_owned();
+    fleet.daemons.iter().position(|daemon| daemon.name == name)
+}
+
+async fn wait_holder(fleet: &harness::Fleet) -> usize {
+    harness::wait_until(LIMIT, "a daemon holds the lease", async || {
+        holder(fleet).is_some()
+    })
+    .await;
+    holder(fleet).expect("holder")
+}
+
+/// Orders applied by each engine never go back to a lower fencing number.
+fn assert_fencing_grows(journals: &harness::JournalView) {
+    let mut highest = std::collections::BTreeMap::new();
+    for entry in journals.events("order_applied") {
+        let engine = entry["engine"].to_string();
+        let fencing = entry["fencing"].as_u64().expect("fencing");
+        let last = highest.insert(engine.clone(), fencing).unwrap_or(0);
+        assert!(fencing > last, "{engine} applied {fencing} after {last}");
+    }
+}
+
+fn applied(fleet: &harness::Fleet) -> Vec<Value> {
+    let journals = fleet.journals().expect("journals");
+    journals.events("order_applied").cloned().collect()
+}
+
+/// Guards against a version or an adapter of the deployment that no engine loads, and against a
+/// zone that loses more than one engine at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn deployment_changes_are_ordered_one_engine_at_a_time_in_each_zone() {
+    let fleet = start(spec(6, 2)).await;
+    change(&fleet, 0, |deployment| {
+        deployment.models[0].version = "2".to_owned();
+        deployment.models[0].adapters = vec!["polite".to_owned()];
+    })
+    .await;
+    harness::wait_until(LIMIT, "each engine has version and adapter", async || {
+        applied(&fleet).len() == 12
+    })
+    .await;
+    let journals = fleet.journals().expect("journals");
+    assert_fencing_grows(&journals);
+    let zone = |engine: &str| {
+        let entries = &fleet.deployment.engines;
+        let entry = entries.iter().find(|entry| entry.name.as_str() == engine);
+        let host = &entry.expect("engine").host;
+        let mut hosts = fleet.deployment.hosts.iter();
+        let host = hosts.find(|entry| entry.name == *host).expect("host");
+        host.zone.clone()
+    };
+    let mut open: std::collections::BTreeMap<ids::ZoneId, String> = Default::default();
+    for entry in &journals.entries {
+        let engine = entry["engine"].as_str().unwrap_or_default();
+        match entry["event"].as_str() {
+            Some("order_received") => {
+                let other = open.insert(zone(engine), engine.to_owned());
+                assert_eq!(other, None, "two changes at once in one zone");
+            }
+            Some("order_applied" | "order_refused") => drop(open.remove(&zone(engine))),
+            _ => {}
+        }
+    }
+}
+
+fn add_adapter(deployment: &mut settings::Deployment) {
+    deployment.models[0].adapters = vec!["polite".to_owned()];
+}
+
+/// Has the holder announce an order for the only engine; returns the holder, which now waits
+/// between its last check and the write.
+async fn announce_order(fleet: &harness::Fleet) -> usize {
+    let holder = wait_holder(fleet).await;
+    change(fleet, 1 - holder, add_adapter).await;
+    harness::wait_until(LIMIT, "the intent is in the table", async || {
+        let journals = fleet.journals().expect("journals");
+        !row_writes(&journals, "target").is_empty()
+    })
+    .await;
+    holder
+}
+
+/// Order and fencing number of each order that an engine received, by time.
+fn received(journals: &harness::JournalView) -> Vec<(String, u64)> {
+    let orders = journals.events("order_received");
+    orders
+        .map(|entry| {
+            let order = entry["order_id"].as_str().unwrap_or_default().to_owned();
+            (order, entry["fencing"].as_u64().unwrap_or_default())
+        })
+        .collect()
+}
+
+/// State of the last write of the only target's row.
+fn last_target_row(fleet: &harness::Fleet) -> Value {
+    let journals = fleet.journals().expect("journals");
+    let last = row_writes(&journals, "target").pop();
+    last.map(|write| write["body"].clone()).unwrap_or_default()
+}
+
+async fn wait_order_done(fleet: &harness::Fleet) {
+    harness::wait_until(LIMIT, "the target's order is done", async || {
+        last_target_row(fleet)["state"] == "done"
+    })
+    .await;
+}
+
+/// Stops the holder between its last check and its write; returns it once a successor's order has
+/// taken effect.
+async fn stop_before_write(fleet: &harness::Fleet) -> usize {
+    let stopped = announce_order(fleet).await;
+    fleet.daemons[stopped].process.pause();
+    let journals = fleet.journals().expect("journals");
+    assert_eq!(received(&journals), [], "stopped before the write");
+    wait_order_done(fleet).await;
+    assert_ne!(holder(fleet), Some(stopped), "a successor holds the lease");
+    stopped
+}
+
+/// Waits until a resumed daemon has seen that its lease is lost, and its order has ended.
+async fn wait_lease_lost(fleet: &harness::Fleet, daemon: usize) {
+    let daemon = &fleet.daemons[daemon];
+    harness::wait_until(LIMIT, "the resumed daemon notes the loss", async || {
+        let call = web::call(daemon.admin_address, "GET", "/metrics", &[], "").await;
+        let text = call.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+        text.is_ok_and(|text| {
+            let has = |start: &str, label: &str| {
+                let mut lines = text.lines();
+                lines.any(|line| line.starts_with(start) && line.contains(label))
+            };
+            has("acaciabank_lease_transitions_total", "event=\"lost\"")
+                && has("acaciabank_orders_total", "outcome=")
+        })
+    })
+    .await;
+}
+
+/// Guards against a late order of a daemon that was stopped between its check and its write.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_checking_engine_refuses_the_late_order_of_a_stopped_holder() {
+    let fleet = start_pausing(spec(1, 2), 800).await;
+    let stopped = stop_before_write(&fleet).await;
+    fleet.daemons[stopped].process.resume();
+    harness::wait_until(LIMIT, "the late order is refused", async || {
+        let journals = fleet.journals().expect("journals");
+        let mut refused = journals.events("order_refused");
+        refused.any(|entry| entry["reason"] == "stale_fencing" && entry["fencing"] == 1)
+    })
+    .await;
+    wait_lease_lost(&fleet, stopped).await;
+    let journals = fleet.journals().expect("journals");
+    assert_fencing_grows(&journals);
+    let fencing: Vec<Value> = applied(&fleet)
+        .iter()
+        .map(|e| e["fencing"].clone())
+        .collect();
+    assert_eq!(fencing, [2]);
+    assert_eq!(last_target_row(&fleet)["fencing"], 2);
+}
+
+/// Guards against a late order to an engine that ignores fencing numbers: it must be written to a
+/// connection that the engine has closed meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ignoring_engine_never_gets_the_late_order_of_a_stopped_holder() {
+    let mut spec = spec(1, 2);
+    spec.deployment.engines[0].fencing = settings::FencingSupport::Ignored;
+    spec.deployment.engines[0].admin_idle_close_ms = Some(2_000);
+    let fleet = start_pausing(spec, 800).await;
+    let stopped = stop_before_write(&fleet).await;
+    fleet.daemons[stopped].process.resume();
+    wait_lease_lost(&fleet, stopped).await;
+    let journals = fleet.journals().expect("journals");
+    let fencing: Vec<u64> = received(&journals)
+        .iter()
+        .map(|(_, number)| *number)
+        .collect();
+    assert_eq!(fencing, [2], "only the successor's order arrived");
+    assert_fencing_grows(&journals);
+    let taken_ms = lease_changes(&journals).last().expect("takeover").1;
+    let ordered_ms = journals.events("order_received").next().expect("order")["unix_ms"].as_u64();
+    // ttl + 2 x admin_idle_close_ms
+    assert!(ordered_ms.expect("time") >= taken_ms + 1_500 + 4_000);
+}
+
+/// Holder and time of each lease write that names another holder than the one before.
+fn lease_changes(journals: &harness::JournalView) -> Vec<(String, u64)> {
+    let mut changes: Vec<(String, u64)> = Vec::new();
+    for write in row_writes(journals, "lease") {
+        let holder = write["body"]["holder"]
+            .as_str()
+            .unwrap_or("none")
+            .to_owned();
+        if changes.last().is_none_or(|(last, _)| *last != holder) {
+            changes.push((holder, write["unix_ms"].as_u64().expect("time")));
+        }
+    }
+    changes
+}
+
+/// Guards against an open order that a successor forgets, or gives a second time beside the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_replaces_an_order_that_was_never_sent() {
+    let mut fleet = start_pausing(spec(1, 2), 800).await;
+    let killed = announce_order(&fleet).await;
+    fleet.daemons[killed].process.kill();
+    let journals = fleet.journals().expect("journals");
+    assert_eq!(received(&journals), [], "killed before the write");
+    wait_order_done(&fleet).await;
+    let fencing: Vec<Value> = applied(&fleet)
+        .iter()
+        .map(|e| e["fencing"].clone())
+        .collect();
+    assert_eq!(fencing, [2]);
+    assert_eq!(
+        last_target_row(&fleet)["order"]["action"]["kind"],
+        "load_adapter"
+    );
+}
+
+/// Guards against a successor that repeats a change which its predecessor already started.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_records_an_order_that_reached_the_engine() {
+    let mut spec = spec(1, 2);
+    spec.engine_arguments = ["--load-ms", "4000"].map(str::to_owned).to_vec();
+    let mut fleet = start_pausing(spec, 0).await;
+    let killed = announce_order(&fleet).await;
+    harness::wait_until(LIMIT, "the engine has the order", async || {
+        !received(&fleet.journals().expect("journals")).is_empty()
+    })
+    .await;
+    fleet.daemons[killed].process.kill();
+    assert_eq!(applied(&fleet).len(), 0, "killed during the change");
+    wait_order_done(&fleet).await;
+    let journals = fleet.journals().expect("journals");
+    assert_eq!(received(&journals).len(), 1);
+    assert_eq!(applied(&fleet).len(), 1);
+    assert_eq!(last_target_row(&fleet)["fencing"], 1);
+}
+
+/// Starts a daemon that knows none of the others, and that none of them knows.
+fn start_stranger(fleet: &harness::Fleet) -> harness::Process {
+    let text = std::fs::read_to_string(&fleet.daemons[0].settings_file).expect("settings");
+    let mut settings: settings::Settings = serde_json::from_str(&text).expect("settings");
+    let ip = fleet.launcher.next_ip();
+    let free = || fleet.launcher.free_address(ip).expect("address");
+    let process = &mut settings.process;
+    process.daemon = ids::DaemonId::from("stranger");
+    (
+        process.caller_address,
+        process.admin_address,
+        process.peer_address,
+    ) = (free(), free(), free());
+    process.peers.clear();
+    let file = fleet.launcher.folder().join("stranger.json");
+    std::fs::write(&file, serde_json::to_vec(&settings).expect("text")).expect("file");
+    let arguments = ["--settings".into(), file.into_os_string()];
+    let started = fleet.launcher.start("stranger", "daemon", arguments);
+    started.expect("process")
+}
+
+/// Guards against two holders while daemons cannot talk to each other: each takes itself for the
+/// preferred candidate, and only the table decides.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_cannot_talk_never_hold_the_lease_together() {
+    let fleet = start(spec(1, 1)).await;
+    let stranger = start_stranger(&fleet);
+    for round in 1..=3 {
+        let count = async || lease_changes(&fleet.journals().expect("journals"));
+        harness::wait_until(LIMIT, "the lease changes hands", async || {
+            count().await.len() >= round
+        })
+        .await;
+        let changes = count().await;
+        let (holder, _) = changes.last().expect("holder");
+        let paused = match holder.as_str() {
+            "stranger" => &stranger,
+            _ => &fleet.daemons[0].process,
+        };
+        paused.pause();
+        harness::wait_until(LIMIT, "the other daemon takes the lease", async || {
+            count().await.len() > changes.len()
+        })
+        .await;
+        paused.resume();
+    }
+    let journals = fleet.journals().expect("journals");
+    let mut last: Option<(String, u64, u64)> = None;
+    let mut takeovers = 0;
+    for write in row_writes(&journals, "lease") {
+        let body = &write["body"];
+        let holder = body["holder"].as_str().expect("nobody resigned").to_owned();
+        let term = body["term"].as_u64().expect("term");
+        let at_ms = write["unix_ms"].as_u64().expect("time");
+        if let Some((last_holder, last_term, last_ms)) = &last {
+            let is_takeover = *last_holder != holder;
+            assert_eq!(term, last_term + u64::from(is_takeover));
+            if is_takeover {
+                takeovers += 1;
+                let silence_ms = at_ms - last_ms;
+                assert!(silence_ms >= 1_500, "taken {silence_ms} ms after a renewal");
+            }
+        }
+        last = Some((holder, term, at_ms));
+    }
+    assert!(takeovers >= 3, "{takeovers} takeovers");
+}
