Let the table service remove expired rows of keys

Cause: rows of idempotency keys were never removed, so the table grew without a bound. A purge by daemons was ruled out: it would read the whole partition.

--- a/crates/daemon/src/authority/rows.rs
+++ b/crates/daemon/src/authority/rows.rs
@@ -33,6 +33,7 @@
                 .version
                 .map_or(RowCondition::Absent, RowCondition::Version),
             body: to_text(row),
+            expires_unix_s: None,
         }
     }
 
@@ -70,6 +71,7 @@
             .condition
             .map_or(RowCondition::Absent, RowCondition::Version),
         body: to_text(&write.body),
+        expires_unix_s: None,
     }
 }
 
--- a/crates/daemon/src/config/stored.rs
+++ b/crates/daemon/src/config/stored.rs
@@ -62,16 +62,19 @@
             key: head_key(),
             condition,
             body: config.version.to_string(),
+            expires_unix_s: None,
         },
         RowWrite::Put {
             key: current_key(),
             condition,
             body: body.clone(),
+            expires_unix_s: None,
         },
         RowWrite::Put {
             key: key(format!("history#{:020}", config.version)),
             condition: RowCondition::Absent,
             body,
+            expires_unix_s: None,
         },
     ];
     let operation = ids::OperationId::new(format!("{:032x}", rand::random::<u128>()));
--- a/crates/daemon/src/once/coordinator.rs
+++ b/crates/daemon/src/once/coordinator.rs
@@ -192,6 +192,7 @@
             key: self.row_key.clone(),
             condition: claimed.map_or(table::RowCondition::Absent, table::RowCondition::Version),
             body: self.intent.to_body(),
+            expires_unix_s: Some(self.intent.expires_unix_s()),
         };
         match self.state.table.write_grouped(&self.operation, write).await {
             Ok(()) => KeyEvent::WriteCommitted,
@@ -358,6 +359,7 @@
         key: row_key.clone(),
         condition: table::RowCondition::Version(version),
         body: body.to_body(),
+        expires_unix_s: Some(body.expires_unix_s()),
     };
     let operation = row::new_operation();
     if let Err(error) = state.table.write_grouped(&operation, write).await {
@@ -404,6 +406,7 @@
             key: self.row_key.clone(),
             condition: table::RowCondition::Version(self.version),
             body: self.body.to_body(),
+            expires_unix_s: Some(self.body.expires_unix_s()),
         };
         match self.state.table.write_grouped(&self.operation, write).await {
             Ok(()) => true,
--- a/crates/daemon/src/once/operator.rs
+++ b/crates/daemon/src/once/operator.rs
@@ -117,6 +117,7 @@
             key: row_key.clone(),
             condition: table::RowCondition::Version(row.version),
             body: record.to_body(),
+            expires_unix_s: Some(record.expires_unix_s()),
         };
         match state.table.write_grouped(&operation, write).await {
             Ok(()) => {
--- a/crates/daemon/src/once/row.rs
+++ b/crates/daemon/src/once/row.rs
@@ -81,6 +81,11 @@
             .map_err(|error| table::TableError::Invalid(format!("key row: {error}")))
     }
 
+    /// Time after which the table service may remove the row.
+    pub(super) fn expires_unix_s(&self) -> u64 {
+        self.expires_unix_ms.div_ceil(1_000)
+    }
+
     pub(super) fn to_body(&self) -> String {
         serde_json::to_string(self).expect("a key row has only text keys")
     }
--- a/crates/daemon/src/table/format.rs
+++ b/crates/daemon/src/table/format.rs
@@ -6,6 +6,9 @@
 
 use super::{RowCondition, RowKey, RowWrite, TableError, TableRow};
 
+/// Attribute that the table's time-to-live setting must name.
+const EXPIRY_ATTRIBUTE: &str = "expires";
+
 /// One page of a query.
 pub(super) struct RowPage {
     pub(super) rows: Vec<TableRow>,
@@ -59,7 +62,12 @@
         }
     };
     match write {
-        RowWrite::Put { key, body, .. } => {
+        RowWrite::Put {
+            key,
+            body,
+            expires_unix_s,
+            ..
+        } => {
             member["Item"] = json!({
                 "pk": {"S": key.partition},
                 "sk": {"S": key.name},
@@ -67,6 +75,9 @@
                 "operation": {"S": operation.as_str()},
                 "body": {"S": body},
             });
+            if let Some(expires) = expires_unix_s {
+                member["Item"][EXPIRY_ATTRIBUTE] = json!({"N": expires.to_string()});
+            }
             json!({"Put": member})
         }
         RowWrite::Delete { key, .. } => {
--- a/crates/daemon/src/table/mod.rs
+++ b/crates/daemon/src/table/mod.rs
@@ -53,6 +53,8 @@
         condition: RowCondition,
         /// JSON text.
         body: String,
+        /// Time after which the table service may remove the row, in seconds since the Unix epoch.
+        expires_unix_s: Option<u64>,
     },
     /// Removes the row.
     Delete {
--- a/crates/daemon/tests/control/table.rs
+++ b/crates/daemon/tests/control/table.rs
@@ -34,6 +34,7 @@
         key: key(name),
         condition,
         body: "{}".to_owned(),
+        expires_unix_s: None,
     }
 }
 
--- a/crates/testbed/src/platform/table.rs
+++ b/crates/testbed/src/platform/table.rs
@@ -9,6 +9,11 @@
 /// Items in one transaction at most, as in the published protocol.
 const MAX_TRANSACTION_ITEMS: usize = 100;
 
+/// Attribute with the time to live of a row, in seconds since the Unix epoch.
+const EXPIRY_ATTRIBUTE: &str = "expires";
+/// Time between two sweeps for expired rows.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 type RowKey = (String, String);
 
 /// Body of an error answer.
@@ -54,6 +59,7 @@
     tokens: collections::HashMap<String, (time::Instant, String)>,
     reads: TokenBucket,
     writes: TokenBucket,
+    swept_at: time::Instant,
     read_count: u64,
     write_count: u64,
     transaction_count: u64,
@@ -67,6 +73,7 @@
             tokens: Default::default(),
             reads: TokenBucket::new(reads_per_second),
             writes: TokenBucket::new(writes_per_second),
+            swept_at: time::Instant::now(),
             read_count: 0,
             write_count: 0,
             transaction_count: 0,
@@ -82,6 +89,7 @@
 
     /// Runs one operation.
     pub fn call(&mut self, operation: &str, input: &Value) -> Result<Value, Value> {
+        self.remove_expired();
         match operation {
             "GetItem" => self.get(input),
             "Query" => self.query(input),
@@ -90,6 +98,26 @@
         }
     }
 
+    /// Removes rows whose time to live has ended. As in the published protocol, an expired row may
+    /// still be read for a while.
+    fn remove_expired(&mut self) {
+        if self.swept_at.elapsed() < SWEEP_INTERVAL {
+            return;
+        }
+        self.swept_at = time::Instant::now();
+        let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        let now = since_epoch.map_or(0, |elapsed| elapsed.as_secs());
+        let is_live = |row: &Value| {
+            let expires = row[EXPIRY_ATTRIBUTE]["N"].as_str();
+            expires
+                .and_then(|expires| expires.parse::<u64>().ok())
+                .is_none_or(|expires| expires > now)
+        };
+        for rows in self.tables.values_mut() {
+            rows.retain(|_, row| is_live(row));
+        }
+    }
+
     fn get(&mut self, input: &Value) -> Result<Value, Value> {
         self.reads.take(1)?;
         self.read_count += 1;
--- a/crates/testbed/tests/stand_ins/platform.rs
+++ b/crates/testbed/tests/stand_ins/platform.rs
@@ -140,3 +140,23 @@
     let answer = table(address, "TransactWriteItems", &put("a", 1, "t1")).await;
     assert_eq!(answer.expect("an answer").status, 200);
 }
+
+/// Guards against rows with a time to live that stay for ever, and against rows without one that
+/// are removed.
+#[tokio::test]
+async fn expired_rows_are_removed() {
+    let launcher = launcher();
+    let (_process, address) = start(&launcher, "platform", "platform", &[]).await;
+    let mut short = put("short", 1, "t1");
+    short["TransactItems"][0]["Put"]["Item"]["expires"] = json!({"N": "1"});
+    let kept = put("kept", 1, "t2");
+    for write in [&short, &kept] {
+        let answer = table(address, "TransactWriteItems", write).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+    harness::wait_until(LIMIT, "the expired row is removed", async || {
+        version(address, "short").await.is_null()
+    })
+    .await;
+    assert_eq!(version(address, "kept").await, "1");
+}
