Count a crash only when the target has gone, and tell others at once

Faults found: - tests/answers.rs, broken_streams_resume_exactly: a stream that broke twice while its engines lived was refused as suspect_request in its middle. The daemon that saw a crash now sends its entry to other daemons at once and waits up to 200 ms for them before it tries again or answers.

--- a/crates/daemon/src/dispatch/attempt.rs
+++ b/crates/daemon/src/dispatch/attempt.rs
@@ -136,12 +136,6 @@
         connection.limit_writes(write_limit);
         match exchange_on(state, target, connection, request.clone()).await {
             Err(failure) if failure.verdict == Verdict::NotRun => continue,
-            Err(failure) if failure.crashed => {
-                // An idle connection can be closed by the target while the request is on its way.
-                // That is a crash only if the target accepts no new connection either.
-                let crashed = connect(state, target).await.is_err();
-                return Err(AttemptFailure { crashed, ..failure });
-            }
             result => return result,
         }
     }
@@ -167,6 +161,45 @@
     })
 }
 
+/// Distinguishes a crash of the target from a broken connection, such as one that the target closed
+/// while it was idle: a target that answers and has not restarted did not crash.
+pub(super) async fn confirm_crash(
+    state: &process::ProcessState,
+    target: &sync::Arc<target::TargetState>,
+    failure: AttemptFailure,
+) -> AttemptFailure {
+    if !failure.crashed {
+        return failure;
+    }
+    let limit = Duration::from_millis(state.settings.timers.connect_timeout_ms);
+    let answered = bounded(limit, ask_boot_id(state, target)).await;
+    let known = target.condition.load().state.clone();
+    let crashed = match answered {
+        Some(Ok(boot_id)) => {
+            known.is_some_and(|known| boot_id.is_some_and(|boot_id| known.boot_id != boot_id))
+        }
+        Some(Err(_)) | None => true,
+    };
+    AttemptFailure { crashed, ..failure }
+}
+
+/// Asks a target for its state. `None` stands for an answer without a boot id.
+async fn ask_boot_id(
+    state: &process::ProcessState,
+    target: &sync::Arc<target::TargetState>,
+) -> Result<Option<String>, AttemptFailure> {
+    let broken = |error: hyper::Error| AttemptFailure::broken(error.to_string());
+    let mut connection = connect(state, target).await?;
+    let mut request = http::Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = http::Uri::from_static("/admin/state");
+    let host = header_value(&target.address.to_string())?;
+    request.headers_mut().insert(http::header::HOST, host);
+    let response = connection.send(request).await.map_err(broken)?;
+    let body = response.into_body().collect().await.map_err(broken)?;
+    let report = serde_json::from_slice::<wire::EngineState>(&body.to_bytes());
+    Ok(report.ok().map(|report| report.boot_id))
+}
+
 async fn exchange_on(
     state: &process::ProcessState,
     target: &sync::Arc<target::TargetState>,
--- a/crates/daemon/src/dispatch/run.rs
+++ b/crates/daemon/src/dispatch/run.rs
@@ -1,6 +1,10 @@
 //! The run of a request over its attempts.
 
-use std::{future::Future, sync, time::Instant};
+use std::{
+    future::Future,
+    sync,
+    time::{Duration, Instant},
+};
 
 use acaciabank_core::suspect;
 use acaciabank_protocol::{ids, reason, verdict::Verdict};
@@ -14,6 +18,9 @@
 /// nothing, but their number must have an end.
 const NOT_RUN_FACTOR: u32 = 4;
 
+/// Time to tell other daemons of a crash at most.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(200);
+
 /// What is known of a request over all of its attempts.
 pub(super) struct RunProgress {
     pub(super) verdict: Verdict,
@@ -136,7 +143,13 @@
                 visit.record_service(begun.elapsed());
                 return Ok(());
             }
-            Err(failure) => decide_retry(&context, sink, progress, failure)?,
+            Err(failure) => {
+                let failure = attempt::confirm_crash(state, &slot.target, failure).await;
+                if failure.crashed {
+                    record_crash(&context).await;
+                }
+                decide_retry(&context, sink, progress, failure)?;
+            }
         }
     }
 }
@@ -165,6 +178,14 @@
     metrics::counter!("acaciabank_attempts_total", "verdict" => verdict.as_str()).increment(1);
 }
 
+/// Counts a crash for the request. Other daemons learn of it before the request is tried again or
+/// its caller is answered, because the caller may send it again through any of them.
+async fn record_crash(context: &RunContext<'_>) {
+    let gate = &context.state.targets.gate;
+    gate.record_crash(context.request.fingerprint);
+    context.state.peers.announce_and_wait(ANNOUNCE_LIMIT).await;
+}
+
 /// Records a failed attempt; returns the refusal when there must be no other attempt.
 fn decide_retry(
     context: &RunContext<'_>,
@@ -182,7 +203,6 @@
     );
     count_attempt(failure.verdict);
     if failure.crashed {
-        state.targets.gate.record_crash(request.fingerprint);
         context
             .target
             .back_off(state.settings.timers.target_poll_ms);
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -8,7 +8,7 @@
 mod remote;
 mod server;
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use acaciabank_core::member;
 use acaciabank_protocol::ids;
@@ -106,6 +106,9 @@
 /// What other threads ask of the RPC thread.
 enum Command {
     Announce,
+    AnnounceAndReply {
+        reply: oneshot::Sender<()>,
+    },
     FetchAnswer {
         daemon: ids::DaemonId,
         request: ids::RequestId,
@@ -174,6 +177,15 @@
         self.command(Command::Announce);
     }
 
+    /// Sends this daemon's entry at once and waits until the daemons that it was sent to have it, at
+    /// most for `limit`.
+    pub async fn announce_and_wait(&self, limit: time::Duration) {
+        let (reply, done) = oneshot::channel();
+        self.command(Command::AnnounceAndReply { reply });
+        // A daemon that does not answer in time gets the entry by a later round.
+        let _ = tokio::time::timeout(limit, done).await;
+    }
+
     /// Asks a daemon for the answer of a request that it ran.
     ///
     /// # Errors
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -94,7 +94,7 @@
                     node.repair(now);
                 }
             }
-            Ok(()) = config.changed() => node.announce(),
+            Ok(()) = config.changed() => drop(node.announce()),
             Some(command) = commands.recv() => node.execute(command),
         }
     }
@@ -262,23 +262,22 @@
         }
     }
 
-    fn announce(self: &Rc<Self>) {
+    /// Sends the own entry to several daemons; the tasks end with their answers.
+    fn announce(self: &Rc<Self>) -> Vec<tokio::task::JoinHandle<()>> {
         self.refresh_own();
         self.publish_members();
         let now = time::Instant::now();
         let mut links = self.random_alive(now, ANNOUNCE_PEERS);
         links.extend(self.unknown_seeds(ANNOUNCE_PEERS - links.len()));
-        for link in links {
-            self.send_own(&link);
-        }
+        links.iter().map(|link| self.send_own(link)).collect()
     }
 
     /// Sends the own entry even while a gossip round is in flight: it announces a change.
-    fn send_own(self: &Rc<Self>, link: &Rc<PeerLink>) {
+    fn send_own(self: &Rc<Self>, link: &Rc<PeerLink>) -> tokio::task::JoinHandle<()> {
         let own = self.table.borrow().own().clone();
         let entries = Rc::new(vec![(own, time::Instant::now())]);
         let link = Rc::clone(link);
-        spawn_local(async move { remote::gossip(&link, &entries).await });
+        spawn_local(async move { remote::gossip(&link, &entries).await })
     }
 
     fn send(&self, link: &Rc<PeerLink>, entries: Rc<Vec<(MemberEntry, time::Instant)>>) {
@@ -365,7 +364,14 @@
 
     fn execute(self: &Rc<Self>, command: Command) {
         match command {
-            Command::Announce => self.announce(),
+            Command::Announce => drop(self.announce()),
+            Command::AnnounceAndReply { reply } => {
+                let sent = self.announce();
+                spawn_local(async move {
+                    futures::future::join_all(sent).await;
+                    let _ = reply.send(());
+                });
+            }
             Command::FetchAnswer {
                 daemon,
                 request,
