Run crash suspects of different daemons at different targets first

tests/suspects.rs sends a prompt that crashes its engine through all daemons while other callers stream. A suspect now waits up to 1 s for a target of its daemon's part; the parts follow from the ready members of the region. Its standing is checked again after each wait.

--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -11,9 +11,13 @@
 use acaciabank_protocol::{ids, reason, settings, wire};
 use tokio::sync::Notify;
 
-use super::{CallerRequest, RequestWork};
+use super::{CallerRequest, RequestWork, isolate::TargetPart};
 use crate::{process, target};
 
+/// Time for which a crash suspect waits for a target that other daemons' suspects leave alone. A
+/// request that crashes its target does so within its first tokens, and requests that are suspects
+/// by chance, such as all those of a lost zone, must not wait in line for long.
+const PART_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a request waits while no target accepts work. Covers the local backoff and the
 /// polls after which a restarted target returns.
 const NO_TARGET_WAIT: Duration = Duration::from_secs(4);
@@ -238,6 +242,8 @@
     policy: settings::RoutingPolicy,
     fingerprint: u64,
     queued: Option<bool>,
+    /// Time until which a suspect waits for a target of this daemon's part.
+    part_until: Instant,
 }
 
 enum Pick {
@@ -270,6 +276,7 @@
             policy: request.config.deployment.policy.routing,
             fingerprint: request.fingerprint,
             queued: None,
+            part_until: Instant::now(),
         }
     }
 
@@ -280,6 +287,7 @@
         avoided: &[u32],
     ) -> Result<TargetSlot, reason::Refusal> {
         let isolated = self.check_suspect()?;
+        self.part_until = Instant::now() + PART_WAIT;
         let notify = sync::Arc::new(Notify::new());
         let is_retry = !avoided.is_empty();
         let behind = self.pool.lock().queue(isolated).has_ahead_of(&self.ticket);
@@ -318,7 +326,9 @@
                 }
             }
             self.enter_queue(isolated, &notify);
-            self.wait(&notify, withdrawn_since).await?;
+            self.wait(&notify, withdrawn_since, isolated).await?;
+            // Its crashes may have become known while it waited.
+            self.check_suspect()?;
             pick = self.pick(avoided, isolated);
         }
     }
@@ -338,9 +348,14 @@
         &self,
         notify: &Notify,
         withdrawn_since: Option<Instant>,
+        isolated: bool,
     ) -> Result<(), reason::Refusal> {
         let deadline = self.ticket.deadline;
-        let until = withdrawn_since.map_or(deadline, |since| deadline.min(since + NO_TARGET_WAIT));
+        let mut until =
+            withdrawn_since.map_or(deadline, |since| deadline.min(since + NO_TARGET_WAIT));
+        if isolated && Instant::now() < self.part_until {
+            until = until.min(self.part_until);
+        }
         let woken = tokio::time::timeout_at(until.into(), notify.notified()).await;
         match woken.is_err() && Instant::now() >= deadline {
             true => Err(refuse(
@@ -483,8 +498,11 @@
             prefixes.find(&self.hashes, now_ms, &mut matches);
         }
         let now = Instant::now();
-        let views = routes.iter().map(|route| {
+        let part = (isolated && now < self.part_until).then(|| TargetPart::of(&self.state));
+        let count = routes.len();
+        let views = routes.iter().enumerate().map(|(position, route)| {
             let target = &route.target;
+            let is_in_part = part.is_none_or(|part| part.contains(position, count));
             let condition = target.condition.load();
             let load = target.estimated_load(&condition, now);
             let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
@@ -492,7 +510,7 @@
                 usable: target.is_accepting(now_ms)
                     && load < target.limit()
                     && !avoided.contains(&target.hash)
-                    && !(isolated && has_suspect),
+                    && !(isolated && (has_suspect || !is_in_part)),
                 role: condition.role,
                 load,
                 slots: target.slots,
--- /dev/null
+++ b/crates/daemon/src/dispatch/isolate.rs
@@ -0,0 +1,38 @@
+//! Targets at which this daemon runs crash suspects first, so that the suspects of different
+//! daemons do not share a target.
+
+use crate::{peer, process};
+
+/// This daemon's part of the targets of a pool: every daemon computes the same parts from the
+/// members of its region.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TargetPart {
+    rank: usize,
+    daemons: usize,
+}
+
+impl TargetPart {
+    pub(super) fn of(state: &process::ProcessState) -> Self {
+        let settings = &state.settings;
+        let members = state.peers.members();
+        let ready = members.iter().filter(|member| {
+            member.condition == peer::MemberCondition::Ready && member.region == settings.region
+        });
+        let mut names: Vec<_> = ready.map(|member| &member.daemon).collect();
+        names.sort_unstable();
+        let rank = names.iter().position(|name| **name == settings.daemon);
+        Self {
+            rank: rank.unwrap_or(0),
+            daemons: names.len().max(1),
+        }
+    }
+
+    /// Whether the target at a position among the `count` targets of its pool belongs to the part.
+    /// With fewer targets than daemons, some daemons share one.
+    pub(super) fn contains(self, position: usize, count: usize) -> bool {
+        match count >= self.daemons {
+            true => position % self.daemons == self.rank,
+            false => position == self.rank % count.max(1),
+        }
+    }
+}
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod completion;
 pub(crate) mod connection;
 pub(crate) mod gate;
+mod isolate;
 mod limit;
 mod run;
 mod service;
