Count one crash once for equal requests

Fault found by equal_requests_survive_one_crash, which failed before this change: two equal requests in flight at an engine that crashed once were both counted, reached 2 crashes and were refused as suspect_request. Broken connections to one target within 1 s now count as one crash for a fingerprint.

--- a/crates/core/src/suspect/mod.rs
+++ b/crates/core/src/suspect/mod.rs
@@ -6,6 +6,9 @@
 pub const REFUSED_CRASHES: u8 = 2;
 /// Time for which a fingerprint stays a suspect after its last crash.
 pub const SUSPECT_LIFETIME_MS: u64 = 600_000;
+/// Time in which broken connections to one target belong to the same crash. It covers the time in
+/// which a daemon finds out that a silent target has crashed.
+const SAME_CRASH_MS: u64 = 1_000;
 /// Fingerprints kept at most; the oldest is dropped first. Bounds memory when a whole zone fails.
 const MAX_SUSPECTS: usize = 10_000;
 
@@ -35,11 +38,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
     suspects: HashMap<u64, (u8, u64)>,
+    /// Target and time of the last crash that this daemon saw, by fingerprint.
+    seen_here: HashMap<u64, (u32, u64)>,
 }
 
 impl SuspectTable {
-    /// Counts a crash for a fingerprint.
-    pub fn record_crash(&mut self, fingerprint: u64, now_ms: u64) {
+    /// Counts a crash of a target for a fingerprint. Several requests with the same fingerprint in
+    /// flight at one crash count once.
+    pub fn record_crash(&mut self, fingerprint: u64, target: u32, now_ms: u64) {
+        let earlier = self.seen_here.insert(fingerprint, (target, now_ms));
+        let is_same = earlier.is_some_and(|(earlier, seen_ms)| {
+            earlier == target && now_ms.saturating_sub(seen_ms) < SAME_CRASH_MS
+        });
+        if is_same {
+            return;
+        }
         let crashes = self.crashes(fingerprint, now_ms).saturating_add(1);
         self.insert(fingerprint, crashes, now_ms);
     }
@@ -71,6 +84,9 @@
     pub fn export(&mut self, now_ms: u64) -> Vec<SuspectRecord> {
         self.suspects
             .retain(|_, (_, seen_ms)| now_ms.saturating_sub(*seen_ms) < SUSPECT_LIFETIME_MS);
+        let suspects = &self.suspects;
+        self.seen_here
+            .retain(|fingerprint, _| suspects.contains_key(fingerprint));
         self.suspects
             .iter()
             .map(|(fingerprint, (crashes, seen_ms))| SuspectRecord {
@@ -95,6 +111,7 @@
             let oldest = self.suspects.iter().min_by_key(|(_, (_, seen))| *seen);
             if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
                 self.suspects.remove(&oldest);
+                self.seen_here.remove(&oldest);
             }
         }
         self.suspects.insert(fingerprint, (crashes, seen_ms));
--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -185,9 +185,9 @@
         budget.as_mut().is_none_or(budget::RetryBudget::try_spend)
     }
 
-    pub(super) fn record_crash(&self, fingerprint: u64) {
+    pub(super) fn record_crash(&self, fingerprint: u64, target: u32) {
         self.suspect_table()
-            .record_crash(fingerprint, target::now_ms());
+            .record_crash(fingerprint, target, target::now_ms());
     }
 
     pub(super) fn standing(&self, fingerprint: u64) -> suspect::SuspectStanding {
--- a/crates/daemon/src/dispatch/run.rs
+++ b/crates/daemon/src/dispatch/run.rs
@@ -182,7 +182,7 @@
 /// its caller is answered, because the caller may send it again through any of them.
 async fn record_crash(context: &RunContext<'_>) {
     let gate = &context.state.targets.gate;
-    gate.record_crash(context.request.fingerprint);
+    gate.record_crash(context.request.fingerprint, context.target.hash);
     context.state.peers.announce_and_wait(ANNOUNCE_LIMIT).await;
 }
 
--- a/crates/testbed/tests/suspects.rs
+++ b/crates/testbed/tests/suspects.rs
@@ -161,6 +161,51 @@
     assert_eq!(suspects.lost_engines(), MAX_CRASHES, "{reasons:?}");
 }
 
+/// Guards against equal requests at one engine that count its one crash several times and are
+/// refused.
+#[tokio::test]
+async fn equal_requests_survive_one_crash() {
+    let mut suspects = SuspectFleet::start(|spec| {
+        spec.daemons = 1;
+        spec.deployment.engines.truncate(2);
+    })
+    .await;
+    let caller = Arc::new(suspects.fleet.caller(None, LIMIT));
+    let request = harness::CompletionRequest {
+        model: MODEL.to_owned(),
+        prompt: "the same for all".to_owned(),
+        max_tokens: 100,
+        is_stream: true,
+        ..harness::CompletionRequest::default()
+    };
+    // Three requests at two engines: one engine has two of them.
+    let calls = (0..3).map(|_| {
+        let (caller, request) = (Arc::clone(&caller), request.clone());
+        tokio::spawn(async move { caller.complete(&request).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut busiest = None;
+    harness::wait_until(LIMIT, "an engine runs two requests", async || {
+        let journals = suspects.fleet.journals().expect("journals");
+        let count = |engine: &harness::TargetProcess| {
+            let received = journals.events("received");
+            let own = received.filter(|entry| entry["engine"] == *engine.name);
+            own.count()
+        };
+        let engines = suspects.fleet.engines.iter();
+        busiest = engines.clone().position(|engine| count(engine) >= 2);
+        busiest.is_some() && engines.map(count).sum::<usize>() == 3
+    })
+    .await;
+    let busiest = busiest.expect("a position");
+    suspects.fleet.engines[busiest].process.kill();
+    for call in calls {
+        let outcome = call.await.expect("task");
+        assert!(outcome.is_complete, "{outcome:?}");
+        assert_eq!(outcome.refusals, [], "{outcome:?}");
+    }
+}
+
 /// Guards against a crashing request that is sent through all daemons at the same time and takes
 /// down more engines than one daemon's two attempts each would explain, or all of them.
 #[tokio::test]
