--- a/crates/daemon/src/peer/gossip.rs
+++ b/crates/daemon/src/peer/gossip.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time};
 
 use acaciabank_core::member::{Applied, Heartbeat, HeartbeatApplied, MemberEntry, daemon_hash};
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 
 use super::{
     digest::Digest,
@@ -169,25 +169,25 @@
         }
     }
 
-    pub(super) fn announce(self: &Rc<Self>) {
+    /// Sends the own entry to several daemons; the tasks end with their answers.
+    pub(super) fn announce(self: &Rc<Self>) -> Vec<JoinHandle<()>> {
         self.refresh_own();
         self.publish_members();
         let now = time::Instant::now();
         let mut links = self.random_alive(now, ANNOUNCE_PEERS);
         links.extend(self.unknown_seeds(ANNOUNCE_PEERS - links.len()));
-        for link in links {
-            self.send_own(&link);
-        }
+        let sent = links.iter().map(|link| self.send_own(link)).collect();
         self.announce_to_regions(now);
+        sent
     }
 
     /// Sends the own entry even while a gossip round is in flight: it announces a change.
-    pub(super) fn send_own(self: &Rc<Self>, link: &Rc<PeerLink>) {
+    pub(super) fn send_own(self: &Rc<Self>, link: &Rc<PeerLink>) -> JoinHandle<()> {
         let now = time::Instant::now();
         let own = self.table.borrow().own().clone();
         let message = self.message(vec![(own, now)], &Digest::default(), now);
         let link = Rc::clone(link);
-        spawn_local(async move { remote::gossip(&link, &message).await });
+        spawn_local(async move { remote::gossip(&link, &message).await })
     }
 
     fn send(&self, link: &Rc<PeerLink>, message: Rc<GossipMessage>) {
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -13,7 +13,7 @@
 mod remote;
 mod server;
 
-use std::{collections, net, sync};
+use std::{collections, net, sync, time};
 
 use acaciabank_core::member;
 use acaciabank_protocol::ids;
@@ -111,6 +111,9 @@
 /// What other threads ask of the RPC thread.
 enum Command {
     Announce,
+    AnnounceAndReply {
+        reply: oneshot::Sender<()>,
+    },
     FetchAnswer {
         daemon: ids::DaemonId,
         request: ids::RequestId,
@@ -201,6 +204,15 @@
         self.command(Command::Announce);
     }
 
+    /// Sends this daemon's entry at once and waits until the daemons that it was sent to have it, at
+    /// most for `limit`.
+    pub async fn announce_and_wait(&self, limit: time::Duration) {
+        let (reply, done) = oneshot::channel();
+        self.command(Command::AnnounceAndReply { reply });
+        // A daemon that does not answer in time gets the entry by a later round.
+        let _ = tokio::time::timeout(limit, done).await;
+    }
+
     /// Asks a daemon for the answer of a request that it ran.
     ///
     /// # Errors
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -106,11 +106,11 @@
                     node.repair(now);
                 }
             }
-            Ok(()) = config.changed() => node.announce(),
+            Ok(()) = config.changed() => drop(node.announce()),
             Some(command) = commands.recv() => node.execute(command),
         }
     }
-    node.announce();
+    drop(node.announce());
     tokio::time::sleep(LEAVE_TIMEOUT).await;
     Ok(())
 }
@@ -330,7 +330,15 @@
 
     fn execute(self: &Rc<Self>, command: Command) {
         match command {
-            Command::Announce => self.announce(),
+            Command::Announce => drop(self.announce()),
+            Command::AnnounceAndReply { reply } => {
+                let sent = self.announce();
+                spawn_local(async move {
+                    futures::future::join_all(sent).await;
+                    // The asking request may have ended.
+                    let _ = reply.send(());
+                });
+            }
             Command::FetchAnswer {
                 daemon,
                 request,
