Split prefill from decode where it pays, with observed speeds

Cause: a prompt of thousands of tokens holds up every decode step of its engine, and the fixed assumption of 50 us for a prompt token was far from the engines' 125 to 357 us. Change: the adaptive policy sends long prompts of idempotent completions to a prefill target first and passes its kv_transfer_params to the target that generates, when the scores say that this costs less; it falls back to whole requests. Scores use the speeds observed by role, this daemon's prompt tokens since the last report, and the delay that a prompt causes to the requests generating at the target. All targets are scored, with a random addition of up to a quarter against herding, instead of drawing two. The test of the choice compares with a naive form of this rule, as it did with the former one.

--- a/crates/core/benches/route.rs
+++ b/crates/core/benches/route.rs
@@ -13,9 +13,11 @@
         .map(|number| CandidateView {
             usable: true,
             role: EngineRole::Mixed,
+            speed: route::TokenSpeed::assumed(EngineRole::Mixed),
             load: number % 40,
             slots: 32,
             waiting_prefill_tokens: u64::from(number),
+            decoding: number % 20,
             cached_pieces: number % 3,
             distance_us: 1_500,
         })
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -18,6 +18,31 @@
     pub piece_tokens: u64,
 }
 
+/// Times for one prompt token and for one generated token in an empty batch, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenSpeed {
+    /// For one prompt token.
+    pub prefill_us: u64,
+    /// For one generated token.
+    pub decode_us: u64,
+}
+
+impl TokenSpeed {
+    /// Speeds assumed before any is observed. A role makes its own phase faster and the other one
+    /// slower; the factor 2 is an assumption.
+    pub fn assumed(role: EngineRole) -> Self {
+        let (prefill_us, decode_us) = match role {
+            EngineRole::Mixed => (DEFAULT_PREFILL_US, DEFAULT_DECODE_US),
+            EngineRole::Prefill => (DEFAULT_PREFILL_US / 2, DEFAULT_DECODE_US * 2),
+            EngineRole::Decode => (DEFAULT_PREFILL_US * 2, DEFAULT_DECODE_US / 2),
+        };
+        Self {
+            prefill_us,
+            decode_us,
+        }
+    }
+}
+
 /// What the choice knows of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CandidateView {
@@ -25,12 +50,16 @@
     pub usable: bool,
     /// Role in force.
     pub role: EngineRole,
+    /// Speeds observed at targets of this role.
+    pub speed: TokenSpeed,
     /// Estimated requests at the target; see [`estimated_load`].
     pub load: u32,
     /// Requests that it batches at most.
     pub slots: u32,
     /// Prompt tokens that are not processed yet.
     pub waiting_prefill_tokens: u64,
+    /// Requests that generate tokens there; a prompt delays all of them.
+    pub decoding: u32,
     /// Whole prompt pieces believed to be in its cache.
     pub cached_pieces: u32,
     /// One-way distance in microseconds.
@@ -44,35 +73,76 @@
     others.saturating_add(own_now).saturating_add(others_growth)
 }
 
-/// Expected time to the end of the request at a target, in microseconds.
+/// Prompt tokens that a target must process for a request.
+pub fn uncached_tokens(cost: &RequestCost, view: &CandidateView) -> u64 {
+    let cached_tokens = u64::from(view.cached_pieces).saturating_mul(cost.piece_tokens);
+    cost.prompt_tokens.saturating_sub(cached_tokens)
+}
+
+/// Expected cost of a request at a target, in microseconds: the time to its end, and the time by
+/// which its prompt delays the requests that generate tokens there.
 pub fn score(cost: &RequestCost, view: &CandidateView) -> u64 {
-    let (prefill_us, decode_us) = token_times(view.role);
+    prefill_score(cost, view)
+        .saturating_add(decode_score(cost, view))
+        .saturating_add(2 * u64::from(view.distance_us))
+}
+
+/// The part of the score that the prompt causes.
+pub fn prefill_score(cost: &RequestCost, view: &CandidateView) -> u64 {
+    let own = uncached_tokens(cost, view).saturating_mul(view.speed.prefill_us);
+    let delay = own.saturating_mul(u64::from(view.decoding.min(view.slots)));
+    let waiting = view.waiting_prefill_tokens;
+    waiting
+        .saturating_mul(view.speed.prefill_us)
+        .saturating_add(own)
+        .saturating_add(delay)
+}
+
+/// The part of the score that the generated tokens cause.
+pub fn decode_score(cost: &RequestCost, view: &CandidateView) -> u64 {
     let slots = u64::from(view.slots.max(1));
     let load = u64::from(view.load);
-    let cached_tokens = u64::from(view.cached_pieces).saturating_mul(cost.piece_tokens);
-    let prefill_tokens = cost.prompt_tokens.saturating_sub(cached_tokens);
-    let decode = cost.max_tokens.saturating_mul(decode_us);
+    let decode = cost.max_tokens.saturating_mul(view.speed.decode_us);
     // A batch grows slower as it fills: a full one takes twice the time for each token.
     let decode = decode.saturating_add(decode.saturating_mul(load.min(slots)) / slots);
     let excess = (load + 1).saturating_sub(slots);
     let wait = decode.saturating_mul(excess) / slots;
-    let prefill = view
-        .waiting_prefill_tokens
-        .saturating_add(prefill_tokens)
-        .saturating_mul(prefill_us);
-    wait.saturating_add(prefill)
-        .saturating_add(decode)
-        .saturating_add(2 * u64::from(view.distance_us))
+    wait.saturating_add(decode)
 }
 
-/// Times for one prompt token and one generated token. A role makes its own phase faster and the
-/// other one slower; the factor 2 is an assumption until times are observed.
-fn token_times(role: EngineRole) -> (u64, u64) {
-    match role {
-        EngineRole::Mixed => (DEFAULT_PREFILL_US, DEFAULT_DECODE_US),
-        EngineRole::Prefill => (DEFAULT_PREFILL_US / 2, DEFAULT_DECODE_US * 2),
-        EngineRole::Decode => (DEFAULT_PREFILL_US * 2, DEFAULT_DECODE_US / 2),
+/// Prompts from this length on may be processed at another target than the one that generates.
+/// Below it the second request costs more than it saves.
+pub const MIN_SPLIT_TOKENS: u64 = 1_000;
+/// Assumed time to transfer the KV cache of one token, in microseconds.
+const TRANSFER_US: u64 = 5;
+
+/// Chooses a prefill target for the prompt alone when that, the transfer and generating at the best
+/// other target cost less than the whole request anywhere; `None` otherwise.
+pub fn choose_prefill(
+    cost: &RequestCost,
+    candidates: impl Iterator<Item = CandidateView> + Clone,
+    seed: u64,
+) -> Option<usize> {
+    if cost.prompt_tokens < MIN_SPLIT_TOKENS {
+        return None;
     }
+    let usable = candidates.enumerate().filter(|(_, view)| view.usable);
+    let prefills = usable
+        .clone()
+        .filter(|(_, view)| view.role == EngineRole::Prefill);
+    let ranked = prefills.map(|(position, view)| {
+        let score = prefill_score(cost, &view) + 2 * u64::from(view.distance_us);
+        (spread(score, seed, position), position)
+    });
+    let (prefill, position) = ranked.min()?;
+    let others = usable
+        .clone()
+        .filter(|(_, view)| view.role != EngineRole::Prefill);
+    let decode = others.map(|(_, view)| decode_score(cost, &view)).min()?;
+    let whole = usable.map(|(_, view)| score(cost, &view)).min()?;
+    let transfer = cost.prompt_tokens.saturating_mul(TRANSFER_US);
+    let split = prefill.saturating_add(decode).saturating_add(transfer);
+    (split < whole).then_some(position)
 }
 
 /// Chooses a candidate by its position; `None` when none is usable. `seed` is a fresh random
@@ -112,63 +182,23 @@
     ranked.min().map(|(_, _, position)| position)
 }
 
-/// Draws two random candidates among those with the longest cached prefix and two among all, and
-/// takes the lowest score. Drawing keeps daemons with the same stale report from choosing the same
-/// target; the second draw keeps a popular prefix from overloading its holders.
+/// Takes the lowest score after a random addition of up to a quarter. The addition keeps daemons
+/// with the same stale report from choosing the same target.
 fn choose_adaptive(
     cost: &RequestCost,
     candidates: impl Iterator<Item = CandidateView>,
     seed: u64,
 ) -> Option<usize> {
-    let mut any = DrawnPair::default();
-    let mut cached = DrawnPair::default();
-    let mut longest = 0;
-    for (position, view) in candidates.enumerate() {
-        if !view.usable {
-            continue;
-        }
-        let drawn = Drawn {
-            rank: mix(seed, position),
-            position,
-            view,
-        };
-        any.offer(drawn);
-        if view.cached_pieces > longest {
-            longest = view.cached_pieces;
-            cached = DrawnPair::default();
-        }
-        if view.cached_pieces == longest && longest > 0 {
-            cached.offer(drawn);
-        }
-    }
-    let drawn = any.0.into_iter().chain(cached.0).flatten();
-    drawn
-        .map(|drawn| (score(cost, &drawn.view), drawn.rank, drawn.position))
-        .min()
-        .map(|(_, _, position)| position)
-}
-
-#[derive(Clone, Copy)]
-struct Drawn {
-    rank: u64,
-    position: usize,
-    view: CandidateView,
-}
-
-/// The two offered candidates of lowest rank.
-#[derive(Default)]
-struct DrawnPair([Option<Drawn>; 2]);
-
-impl DrawnPair {
-    fn offer(&mut self, drawn: Drawn) {
-        let precedes = |other: &Option<Drawn>| other.is_none_or(|other| drawn.rank < other.rank);
-        if precedes(&self.0[0]) {
-            self.0[1] = self.0[0];
-            self.0[0] = Some(drawn);
-        } else if precedes(&self.0[1]) {
-            self.0[1] = Some(drawn);
-        }
-    }
+    let usable = candidates.enumerate().filter(|(_, view)| view.usable);
+    let ranked =
+        usable.map(|(position, view)| (spread(score(cost, &view), seed, position), position));
+    ranked.min().map(|(_, position)| position)
+}
+
+/// Adds a pseudo-random part of up to a quarter.
+pub fn spread(score: u64, seed: u64, position: usize) -> u64 {
+    let share = mix(seed, position) & 0xff;
+    score.saturating_add((score >> 10).saturating_mul(share))
 }
 
 /// Pseudo-random rank of a position (the finaliser of SplitMix64).
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -1,15 +1,17 @@
 //! Tests of the choice of a target.
 
-use acaciabank_core::route::{self, CandidateView, RequestCost};
+use acaciabank_core::route::{self, CandidateView, RequestCost, TokenSpeed};
 use acaciabank_protocol::settings::{EngineRole, RoutingPolicy};
 
 fn view(bytes: &[u8]) -> CandidateView {
     CandidateView {
         usable: !bytes[0].is_multiple_of(4),
         role: EngineRole::Mixed,
+        speed: TokenSpeed::assumed(EngineRole::Mixed),
         load: u32::from(bytes[1]),
         slots: 32,
         waiting_prefill_tokens: u64::from(bytes[2]) * 100,
+        decoding: u32::from(bytes[1] / 2),
         cached_pieces: u32::from(bytes[3] % 3),
         distance_us: 0,
     }
@@ -18,18 +20,11 @@
 fn choose_naive(cost: &RequestCost, views: &[CandidateView], seed: u64) -> Option<usize> {
     let usable = (0..views.len()).filter(|i| views[*i].usable);
     let mut all: Vec<usize> = usable.collect();
-    all.sort_by_key(|i| route::mix(seed, *i));
-    let longest = all.iter().map(|i| views[*i].cached_pieces).max()?;
-    let held = all.iter().filter(|i| views[**i].cached_pieces == longest);
-    let mut drawn: Vec<usize> = all.iter().take(2).copied().collect();
-    if longest > 0 {
-        drawn.extend(held.take(2));
-    }
-    drawn.sort_by_key(|i| (route::score(cost, &views[*i]), route::mix(seed, *i)));
-    drawn.first().copied()
+    all.sort_by_key(|i| (route::spread(route::score(cost, &views[*i]), seed, *i), *i));
+    all.first().copied()
 }
 
-/// Guards against an error in the single-pass draw: it must equal sorting and filtering.
+/// Guards against an error in the single-pass choice: it must equal filtering and sorting.
 #[test]
 fn adaptive_choice_equals_naive_choice() {
     bolero::check!()
@@ -47,6 +42,40 @@
         });
 }
 
+/// Guards against splitting requests that gain nothing: short prompts, fleets without a prefill
+/// target, and prefill targets that are withdrawn or far behind.
+#[test]
+fn prompt_is_split_off_only_where_it_pays() {
+    let target = |role| CandidateView {
+        role,
+        speed: TokenSpeed::assumed(role),
+        ..view(&[1, 8, 0, 0])
+    };
+    let [mixed, prefill, decode] =
+        [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode].map(target);
+    let choose = |prompt_tokens, views: &[CandidateView]| {
+        let cost = RequestCost {
+            prompt_tokens,
+            max_tokens: 100,
+            piece_tokens: 2_000,
+        };
+        route::choose_prefill(&cost, views.iter().copied(), 1)
+    };
+    assert_eq!(choose(6_000, &[mixed, decode, prefill]), Some(2));
+    assert_eq!(choose(900, &[mixed, decode, prefill]), None);
+    assert_eq!(choose(6_000, &[mixed, decode]), None);
+    let withdrawn = CandidateView {
+        usable: false,
+        ..prefill
+    };
+    assert_eq!(choose(6_000, &[mixed, decode, withdrawn]), None);
+    let behind = CandidateView {
+        waiting_prefill_tokens: 1_000_000,
+        ..prefill
+    };
+    assert_eq!(choose(6_000, &[mixed, decode, behind]), None);
+}
+
 /// Guards against policies that return a withdrawn target.
 #[test]
 fn no_policy_chooses_an_unusable_target() {
--- a/crates/daemon/src/dispatch/completion.rs
+++ b/crates/daemon/src/dispatch/completion.rs
@@ -26,6 +26,8 @@
     /// Id of the first chunk; later attempts' chunks get the same one.
     answer_id: Option<Bytes>,
     last_token: Option<Instant>,
+    /// Parameters under which another target offers the KV cache of the prompt.
+    transfer: Option<Value>,
     /// Looked up once for each request; a look-up by name for each token costs a hash and a lock.
     inter_token: metrics::Histogram,
 }
@@ -37,6 +39,7 @@
             assembler: assemble::AnswerAssembler::default(),
             answer_id: None,
             last_token: None,
+            transfer: None,
             inter_token: metrics::histogram!("acaciabank_inter_token_seconds"),
         }
     }
@@ -54,15 +57,11 @@
         else {
             return Ok(());
         };
-        let body = engine_body(body, context.request.priority, self.cursor.delivered);
-        let request = http::Request::post(*path)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(Value::Object(body).to_string())))
-            .map_err(|error| {
-                let retry = reason::RetryReason::NotWritten;
-                attempt::AttemptFailure::new(Verdict::NotRun, retry, error.to_string())
-            })?;
-        let opened = context.open(request).await?;
+        let mut body = engine_body(body, context.request.priority, self.cursor.delivered);
+        if let Some(transfer) = &self.transfer {
+            body.insert("kv_transfer_params".to_owned(), transfer.clone());
+        }
+        let opened = context.open(engine_request(path, body)?).await?;
         if !opened.response.status().is_success() {
             return self.pass_error(context, sink, opened).await;
         }
@@ -73,6 +72,45 @@
         Ok(())
     }
 
+    /// Processes the prompt at a target that passes its KV cache on; returns whether it offers that.
+    pub(super) async fn prefill(
+        &mut self,
+        context: &run::RunContext<'_>,
+    ) -> Result<bool, attempt::AttemptFailure> {
+        let RequestWork::Completion { path, body, .. } = &context.request.work else {
+            return Ok(false);
+        };
+        let body = prefill_body(body, context.request.priority);
+        let mut opened = context.open(engine_request(path, body)?).await?;
+        let status = opened.response.status();
+        if !status.is_success() {
+            return Err(attempt::AttemptFailure::new(
+                Verdict::MayHaveRun,
+                reason::RetryReason::TargetRefused,
+                format!("the target answered the prefill call with status {status}"),
+            ));
+        }
+        let mut answer = Vec::new();
+        while let Some(part) = opened.next_part(idle_timeout(context)).await? {
+            answer.extend_from_slice(&part);
+            if answer.len() > MAX_PLAIN_BYTES {
+                return Err(malformed("the prefill answer is too long".to_owned()));
+            }
+        }
+        opened.recycle();
+        context.slot.end_prefill(context.begun.elapsed());
+        let answer: Value =
+            serde_json::from_slice(&answer).map_err(|error| malformed(error.to_string()))?;
+        let offered = &answer["kv_transfer_params"];
+        self.transfer = offered.is_object().then(|| offered.clone());
+        Ok(self.transfer.is_some())
+    }
+
+    /// Forgets the offer of another target.
+    pub(super) fn drop_transfer(&mut self) {
+        self.transfer = None;
+    }
+
     /// An engine's own refusal (4xx) is the answer; a failure of the engine is retried.
     async fn pass_error(
         &mut self,
@@ -195,6 +233,11 @@
 
     fn observe_token(&mut self, context: &run::RunContext<'_>) {
         let now = Instant::now();
+        if self.cursor.is_first_of_attempt() {
+            context.slot.end_prefill(now - context.begun);
+        } else if let Some(last) = self.last_token {
+            context.slot.record_decode(now - last);
+        }
         match self.last_token.replace(now) {
             None => metrics::histogram!("acaciabank_time_to_first_token_seconds")
                 .record(now - context.started),
@@ -246,6 +289,35 @@
     headers
 }
 
+fn engine_request(
+    path: &str,
+    body: Map<String, Value>,
+) -> Result<http::Request<Full<Bytes>>, attempt::AttemptFailure> {
+    let request = http::Request::post(path)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(Value::Object(body).to_string())));
+    request.map_err(|error| {
+        let retry = reason::RetryReason::NotWritten;
+        attempt::AttemptFailure::new(Verdict::NotRun, retry, error.to_string())
+    })
+}
+
+/// The caller's body as a call that processes the prompt alone. An engine generates at least one
+/// token; the target of the first attempt generates it again.
+fn prefill_body(body: &Map<String, Value>, priority: wire::Priority) -> Map<String, Value> {
+    let mut body = body.clone();
+    body.remove("stream_options");
+    body.remove("max_completion_tokens");
+    body.insert("stream".to_owned(), json!(false));
+    body.insert("max_tokens".to_owned(), json!(1));
+    body.insert("priority".to_owned(), json!(priority as u8));
+    body.insert(
+        "kv_transfer_params".to_owned(),
+        json!({"do_remote_decode": true}),
+    );
+    body
+}
+
 /// The caller's body with what the engine needs to stream, order and resume.
 fn engine_body(
     body: &Map<String, Value>,
--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -11,7 +11,7 @@
 use acaciabank_protocol::{ids, reason, settings, wire};
 use tokio::sync::Notify;
 
-use super::{CallerRequest, RequestWork};
+use super::{CallerRequest, RequestWork, speed};
 use crate::{process, target};
 
 /// Time for which a request waits while no target accepts work. Covers the local backoff and the
@@ -57,6 +57,8 @@
 pub(crate) struct TargetPool {
     key: PoolKey,
     inner: sync::Mutex<PoolInner>,
+    /// Speeds observed by role.
+    speeds: [speed::ObservedSpeed; speed::ROLES],
 }
 
 #[derive(Debug, Default)]
@@ -130,7 +132,8 @@
             .unwrap_or_else(sync::PoisonError::into_inner);
         let pool = pools.entry(key.clone()).or_insert_with(|| {
             let inner = sync::Mutex::default();
-            sync::Arc::new(TargetPool { key, inner })
+            let speeds = speed::ObservedSpeed::for_roles();
+            sync::Arc::new(TargetPool { key, inner, speeds })
         });
         sync::Arc::clone(pool)
     }
@@ -215,10 +218,41 @@
     pub(super) target: sync::Arc<target::TargetState>,
     pool: sync::Arc<TargetPool>,
     isolated: bool,
+    role: settings::EngineRole,
+    /// Requests at the target, as a share of its slots, when the slot was taken.
+    fill: f64,
+    /// Prompt tokens to process there before this request's first token, its own included.
+    queued_tokens: u64,
+    /// Prompt tokens of this request that are counted at the target.
+    own_tokens: AtomicU64,
+}
+
+impl TargetSlot {
+    /// Records that the prompt has been processed, `elapsed` after the request was sent.
+    pub(super) fn end_prefill(&self, elapsed: Duration) {
+        if self.release_tokens() > 0 {
+            let speed = &self.pool.speeds[speed::index_of(self.role)];
+            speed.record_prefill(elapsed, self.queued_tokens);
+        }
+    }
+
+    /// Records the time between two tokens.
+    pub(super) fn record_decode(&self, elapsed: Duration) {
+        let speed = &self.pool.speeds[speed::index_of(self.role)];
+        speed.record_decode(elapsed, 1.0 + self.fill.min(1.0));
+    }
+
+    fn release_tokens(&self) -> u64 {
+        let tokens = self.own_tokens.swap(0, Ordering::AcqRel);
+        let marks = &self.target.marks;
+        marks.own_prefill_tokens.fetch_sub(tokens, Ordering::AcqRel);
+        tokens
+    }
 }
 
 impl Drop for TargetSlot {
     fn drop(&mut self) {
+        self.release_tokens();
         self.target.own_in_flight.fetch_sub(1, Ordering::AcqRel);
         if self.isolated {
             self.target.marks.suspects.fetch_sub(1, Ordering::AcqRel);
@@ -237,6 +271,7 @@
     hashes: Vec<u64>,
     policy: settings::RoutingPolicy,
     fingerprint: u64,
+    prompt_skipped: bool,
     queued: Option<bool>,
 }
 
@@ -269,6 +304,7 @@
             hashes,
             policy: request.config.deployment.policy.routing,
             fingerprint: request.fingerprint,
+            prompt_skipped: false,
             queued: None,
         }
     }
@@ -323,6 +359,28 @@
         }
     }
 
+    /// A slot at a prefill target for the prompt alone, where that pays; it is never waited for.
+    pub(super) fn place_prefill(&self) -> Option<TargetSlot> {
+        let is_adaptive = self.policy == settings::RoutingPolicy::Adaptive;
+        let standing = self.state.targets.gate.standing(self.fingerprint);
+        let is_clear = standing == suspect::SuspectStanding::Clear;
+        if !is_adaptive || !is_clear || self.pool.lock().waiting.has_ahead_of(&self.ticket) {
+            return None;
+        }
+        let snapshot = self.state.targets.snapshot();
+        let routes = self.routes(&snapshot);
+        let matches = self.prefix_matches();
+        let views = self.views(routes, &matches, &[], false);
+        let position = route::choose_prefill(&self.cost, views.clone(), rand::random())?;
+        let view = views.clone().nth(position)?;
+        self.reserve(&routes[position].target, &view, false)
+    }
+
+    /// From now on the prompt costs nothing: another target has processed it.
+    pub(super) fn skip_prompt(&mut self, skipped: bool) {
+        self.prompt_skipped = skipped;
+    }
+
     /// Records how long a completed request took.
     pub(super) fn record_service(&self, elapsed: Duration) {
         let mut inner = self.pool.lock();
@@ -476,14 +534,59 @@
         }
         let only_avoided = accepted.all(|route| avoided.contains(&route.target.hash));
         let avoided = if only_avoided { &[] } else { avoided };
+        let matches = self.prefix_matches();
+        let views = self.views(routes, &matches, avoided, isolated);
+        let seed = match self.policy {
+            settings::RoutingPolicy::RoundRobin => self
+                .state
+                .targets
+                .gate
+                .turns
+                .fetch_add(1, Ordering::Relaxed),
+            _ => rand::random(),
+        };
+        let cost = self.cost_now();
+        let chosen = route::choose(self.policy, &cost, views.clone(), seed).and_then(|position| {
+            let view = views.clone().nth(position)?;
+            self.reserve(&routes[position].target, &view, isolated)
+        });
+        match chosen {
+            Some(slot) => Pick::Placed(slot),
+            None => Pick::Saturated(self.capacity()),
+        }
+    }
+
+    fn cost_now(&self) -> route::RequestCost {
+        match self.prompt_skipped {
+            true => route::RequestCost {
+                prompt_tokens: 0,
+                ..self.cost
+            },
+            false => self.cost,
+        }
+    }
+
+    fn prefix_matches(&self) -> Vec<cache::PrefixMatch> {
         let mut matches = Vec::new();
         if !self.hashes.is_empty()
             && let Ok(prefixes) = self.state.targets.prefixes.read()
         {
-            prefixes.find(&self.hashes, now_ms, &mut matches);
+            prefixes.find(&self.hashes, target::now_ms(), &mut matches);
         }
+        matches
+    }
+
+    fn views<'a>(
+        &self,
+        routes: &'a [target::TargetRoute],
+        matches: &'a [cache::PrefixMatch],
+        avoided: &'a [u32],
+        isolated: bool,
+    ) -> impl Iterator<Item = route::CandidateView> + Clone + use<'a> {
+        let now_ms = target::now_ms();
         let now = Instant::now();
-        let views = routes.iter().map(|route| {
+        let speeds = speed::speeds_of(&self.pool.speeds);
+        routes.iter().map(move |route| {
             let target = &route.target;
             let condition = target.condition.load();
             let load = target.estimated_load(&condition, now);
@@ -494,27 +597,15 @@
                     && !avoided.contains(&target.hash)
                     && !(isolated && has_suspect),
                 role: condition.role,
+                speed: speeds[speed::index_of(condition.role)],
                 load,
                 slots: target.slots,
-                waiting_prefill_tokens: condition.load.waiting_prefill_tokens,
-                cached_pieces: cache::matched_pieces(&matches, target.hash),
+                waiting_prefill_tokens: target.estimated_prefill_tokens(&condition),
+                decoding: condition.load.running_decode,
+                cached_pieces: cache::matched_pieces(matches, target.hash),
                 distance_us: route.distance_us,
             }
-        });
-        let seed = match self.policy {
-            settings::RoutingPolicy::RoundRobin => self
-                .state
-                .targets
-                .gate
-                .turns
-                .fetch_add(1, Ordering::Relaxed),
-            _ => rand::random(),
-        };
-        let chosen = route::choose(self.policy, &self.cost, views, seed);
-        match chosen.and_then(|position| self.reserve(&routes[position].target, isolated)) {
-            Some(slot) => Pick::Placed(slot),
-            None => Pick::Saturated(self.capacity()),
-        }
+        })
     }
 
     /// Takes a slot, unless another request took the last one, or the place of the only suspect,
@@ -522,6 +613,7 @@
     fn reserve(
         &self,
         target: &sync::Arc<target::TargetState>,
+        view: &route::CandidateView,
         isolated: bool,
     ) -> Option<TargetSlot> {
         if isolated && target.marks.suspects.fetch_add(1, Ordering::AcqRel) > 0 {
@@ -529,10 +621,19 @@
             return None;
         }
         let own = target.own_in_flight.fetch_add(1, Ordering::AcqRel);
+        let own_tokens = route::uncached_tokens(&self.cost_now(), view);
+        let marks = &target.marks;
+        marks
+            .own_prefill_tokens
+            .fetch_add(own_tokens, Ordering::AcqRel);
         let slot = TargetSlot {
             target: sync::Arc::clone(target),
             pool: sync::Arc::clone(&self.pool),
             isolated,
+            role: view.role,
+            fill: f64::from(view.load) / f64::from(view.slots.max(1)),
+            queued_tokens: view.waiting_prefill_tokens + own_tokens,
+            own_tokens: AtomicU64::new(own_tokens),
         };
         (own < target.limit()).then_some(slot)
     }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod run;
 mod service;
 mod sink;
+mod speed;
 mod sse;
 
 use std::time;
--- a/crates/daemon/src/dispatch/run.rs
+++ b/crates/daemon/src/dispatch/run.rs
@@ -20,6 +20,8 @@
     /// Whether any part of the answer has been received from a target.
     pub(super) received: bool,
     attempts: u32,
+    /// Attempts that processed the prompt for another target.
+    prefills: u32,
     not_run_attempts: u32,
     avoided: Vec<u32>,
 }
@@ -30,6 +32,7 @@
             verdict: Verdict::NotRun,
             received: false,
             attempts: 0,
+            prefills: 0,
             not_run_attempts: 0,
             avoided: Vec::new(),
         }
@@ -47,8 +50,11 @@
     pub(super) state: &'a process::SharedState,
     pub(super) request: &'a CallerRequest,
     pub(super) target: &'a sync::Arc<target::TargetState>,
+    pub(super) slot: &'a gate::TargetSlot,
     pub(super) attempt: ids::AttemptId,
     pub(super) started: Instant,
+    /// When this attempt began.
+    pub(super) begun: Instant,
 }
 
 impl RunContext<'_> {
@@ -108,6 +114,8 @@
     let started = Instant::now();
     let mut visit = gate::PoolVisit::new(state, request);
     let mut stream = completion::CompletionRun::new(request);
+    let outcome = (&*sink, &mut *progress);
+    prefill(state, request, &mut visit, &mut stream, outcome, in_attempt).await?;
     loop {
         let place = visit.place(request, &progress.avoided);
         let placed = within_limit(request.write_limit, place).await;
@@ -119,10 +127,11 @@
             state,
             request,
             target: &slot.target,
+            slot: &slot,
             attempt: progress.begin(&request.id),
             started,
+            begun: Instant::now(),
         };
-        let begun = Instant::now();
         *in_attempt = true;
         let result = match &request.work {
             RequestWork::Completion { .. } => stream.attempt(&context, sink, progress).await,
@@ -133,11 +142,60 @@
             Ok(()) => {
                 count_attempt(Verdict::Ran);
                 slot.target.adapt_limit(false);
-                visit.record_service(begun.elapsed());
+                visit.record_service(context.begun.elapsed());
                 return Ok(());
             }
             Err(failure) => decide_retry(&context, sink, progress, failure)?,
         }
+        // The transferred cache is for one attempt; a later one processes the prompt itself.
+        stream.drop_transfer();
+        visit.skip_prompt(false);
+    }
+}
+
+/// Lets a prefill target process the prompt where that pays. Its KV cache then passes to the target
+/// of the first attempt. When it fails, the first attempt runs the whole request.
+async fn prefill(
+    state: &process::SharedState,
+    request: &CallerRequest,
+    visit: &mut gate::PoolVisit,
+    stream: &mut completion::CompletionRun,
+    (sink, progress): (&sink::CallerSink, &mut RunProgress),
+    in_attempt: &mut bool,
+) -> Result<(), reason::Refusal> {
+    let RequestWork::Completion { body, .. } = &request.work else {
+        return Ok(());
+    };
+    // The prefill call generates a token, so the request would run twice. A caller that manages
+    // transfers itself keeps its own parameters.
+    if !request.idempotent || body.contains_key("kv_transfer_params") {
+        return Ok(());
+    }
+    let Some(slot) = visit.place_prefill() else {
+        return Ok(());
+    };
+    let now = Instant::now();
+    let context = RunContext {
+        state,
+        request,
+        target: &slot.target,
+        slot: &slot,
+        attempt: progress.begin(&request.id),
+        started: now,
+        begun: now,
+    };
+    *in_attempt = true;
+    let result = stream.prefill(&context).await;
+    *in_attempt = false;
+    match result {
+        Ok(is_transferable) => {
+            count_attempt(Verdict::Ran);
+            progress.verdict = Verdict::MayHaveRun;
+            progress.prefills += 1;
+            visit.skip_prompt(is_transferable);
+            Ok(())
+        }
+        Err(failure) => decide_retry(&context, sink, progress, failure),
     }
 }
 
@@ -216,7 +274,7 @@
     let max_attempts = state.settings.limits.max_attempts;
     let is_not_run = failure.verdict == Verdict::NotRun;
     progress.not_run_attempts += u32::from(is_not_run);
-    let run_attempts = progress.attempts - progress.not_run_attempts;
+    let run_attempts = progress.attempts - progress.not_run_attempts - progress.prefills;
     if run_attempts >= max_attempts || progress.not_run_attempts >= max_attempts * NOT_RUN_FACTOR {
         return refuse(failure.refusal, &failure.message);
     }
--- /dev/null
+++ b/crates/daemon/src/dispatch/speed.rs
@@ -0,0 +1,79 @@
+//! Speeds of prefill and decode that this daemon observed at the targets of one pool, by role.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use acaciabank_core::route;
+use acaciabank_protocol::settings::EngineRole;
+
+/// Number of roles.
+pub(super) const ROLES: usize = 3;
+/// Weight of a new observation, as a divisor.
+const OBSERVATION_DIVISOR: u64 = 16;
+/// Prompts shorter than this say more about the step of the engine than about its speed.
+const MIN_PREFILL_TOKENS: u64 = 500;
+
+/// Speeds of one role. A lost update between two observations at once does no harm.
+#[derive(Debug)]
+pub(super) struct ObservedSpeed {
+    /// For 1,000 prompt tokens, so that the mean keeps its digits.
+    prefill_us: AtomicU64,
+    decode_us: AtomicU64,
+}
+
+impl ObservedSpeed {
+    /// Assumed speeds of all roles.
+    pub(super) fn for_roles() -> [Self; ROLES] {
+        [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode].map(|role| {
+            let speed = route::TokenSpeed::assumed(role);
+            Self {
+                prefill_us: AtomicU64::new(speed.prefill_us * 1_000),
+                decode_us: AtomicU64::new(speed.decode_us),
+            }
+        })
+    }
+
+    /// Records the time in which `tokens` prompt tokens were processed.
+    pub(super) fn record_prefill(&self, elapsed: Duration, tokens: u64) {
+        if tokens >= MIN_PREFILL_TOKENS {
+            let sample = elapsed.as_micros() as u64 * 1_000 / tokens;
+            record(&self.prefill_us, sample.max(1));
+        }
+    }
+
+    /// Records the time between two tokens in a batch that is `slowdown` times slower than an
+    /// empty one.
+    pub(super) fn record_decode(&self, elapsed: Duration, slowdown: f64) {
+        let sample = elapsed.as_micros() as f64 / slowdown;
+        record(&self.decode_us, (sample as u64).max(1));
+    }
+
+    fn speed(&self) -> route::TokenSpeed {
+        route::TokenSpeed {
+            prefill_us: (self.prefill_us.load(Ordering::Relaxed) / 1_000).max(1),
+            decode_us: self.decode_us.load(Ordering::Relaxed),
+        }
+    }
+}
+
+fn record(mean: &AtomicU64, sample: u64) {
+    let old = mean.load(Ordering::Relaxed);
+    let new = (old * (OBSERVATION_DIVISOR - 1) + sample) / OBSERVATION_DIVISOR;
+    mean.store(new.max(1), Ordering::Relaxed);
+}
+
+/// Speeds of all roles, by [`index_of`].
+pub(super) fn speeds_of(observed: &[ObservedSpeed; ROLES]) -> [route::TokenSpeed; ROLES] {
+    [0, 1, 2].map(|index| observed[index].speed())
+}
+
+/// Position of a role.
+pub(super) fn index_of(role: EngineRole) -> usize {
+    match role {
+        EngineRole::Mixed => 0,
+        EngineRole::Prefill => 1,
+        EngineRole::Decode => 2,
+    }
+}
--- a/crates/daemon/src/dispatch/sse.rs
+++ b/crates/daemon/src/dispatch/sse.rs
@@ -245,6 +245,8 @@
     /// Whether the chunk with the finish reason was delivered.
     pub(super) finished: bool,
     attempt_tokens: u64,
+    /// Delivered tokens when the attempt began.
+    attempt_start: u64,
     resumed: bool,
 }
 
@@ -252,9 +254,15 @@
     /// Begins an attempt that was asked to resume after the delivered tokens.
     pub(super) fn begin_attempt(&mut self) {
         self.attempt_tokens = self.delivered;
+        self.attempt_start = self.delivered;
         self.resumed = self.delivered > 0;
     }
 
+    /// Whether the last delivered token is the first one of its attempt.
+    pub(super) fn is_first_of_attempt(&self) -> bool {
+        self.delivered == self.attempt_start + 1
+    }
+
     /// Decides about a chunk and advances over its tokens.
     pub(super) fn advance(&mut self, chunk: &ChunkSummary) -> ChunkAction {
         if !chunk.has_text {
--- a/crates/daemon/src/target/marks.rs
+++ b/crates/daemon/src/target/marks.rs
@@ -32,6 +32,10 @@
     pub(super) poll_link: Mutex<PollLink>,
     /// Crash suspects of this daemon at the target.
     pub(crate) suspects: AtomicU32,
+    /// Prompt tokens of this daemon's requests there that wait for their first token.
+    pub(crate) own_prefill_tokens: AtomicU64,
+    /// `own_prefill_tokens` when the last load report arrived.
+    own_prefill_at_report: AtomicU64,
     /// Limit that follows the target's refusals.
     limit: sync::Mutex<admit::ConcurrencyLimit>,
     limit_now: AtomicU32,
@@ -59,6 +63,8 @@
             polling: AtomicBool::new(false),
             poll_link: Mutex::default(),
             suspects: AtomicU32::new(0),
+            own_prefill_tokens: AtomicU64::new(0),
+            own_prefill_at_report: AtomicU64::new(0),
             limit: sync::Mutex::new(admit::ConcurrencyLimit::new(slots)),
             limit_now: AtomicU32::new(slots.max(1)),
             pool: connection::IdlePool::default(),
@@ -147,6 +153,10 @@
         let now = Instant::now();
         let load_as_of = now.checked_sub(age).unwrap_or(now);
         let own = self.own_in_flight.load(Ordering::Acquire);
+        let own_prefill = self.marks.own_prefill_tokens.load(Ordering::Acquire);
+        self.marks
+            .own_prefill_at_report
+            .store(own_prefill, Ordering::Release);
         let first = !self.marks.reported.swap(true, Ordering::AcqRel);
         self.refresh(|condition| {
             let others = (load.running + load.waiting).saturating_sub(own);
@@ -194,6 +204,17 @@
         )
     }
 
+    /// Prompt tokens that wait at the target, estimated from the last report and this daemon's
+    /// requests since.
+    pub fn estimated_prefill_tokens(&self, condition: &TargetCondition) -> u64 {
+        let at_report = self.marks.own_prefill_at_report.load(Ordering::Acquire);
+        let others = condition
+            .load
+            .waiting_prefill_tokens
+            .saturating_sub(at_report);
+        others + self.marks.own_prefill_tokens.load(Ordering::Acquire)
+    }
+
     /// Concurrent requests allowed at the target now.
     pub fn limit(&self) -> u32 {
         self.marks.limit_now.load(Ordering::Acquire)
