Refuse early by the expected time at the chosen target

Cause: a completion was refused as infeasible by the mean service time for each output token over all requests, so that long prompts with short answers made every request for many tokens look infeasible. Change: the check before the start uses the observed speeds and the load of the chosen target; the check in the queue uses the least time of the tokens.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -110,6 +110,19 @@
     wait.saturating_add(decode)
 }
 
+/// Expected time to the end of a request at a target, in microseconds. A full batch's wait is left
+/// out: a request is only placed below the target's limit.
+pub fn expected_us(cost: &RequestCost, view: &CandidateView) -> u64 {
+    let queued = view
+        .waiting_prefill_tokens
+        .saturating_add(uncached_tokens(cost, view));
+    let prefill = queued.saturating_mul(view.speed.prefill_us);
+    let slots = u64::from(view.slots.max(1));
+    let decode = cost.max_tokens.saturating_mul(view.speed.decode_us);
+    let slower = decode.saturating_mul(u64::from(view.load).min(slots)) / slots;
+    prefill.saturating_add(decode).saturating_add(slower)
+}
+
 /// Prompts from this length on may be processed at another target than the one that generates.
 /// Below it the second request costs more than it saves.
 pub const MIN_SPLIT_TOKENS: u64 = 1_000;
--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -71,8 +71,6 @@
     observations: u64,
     /// Mean service time in seconds.
     service_s: f64,
-    /// Mean service time for each token asked for, in seconds.
-    token_s: f64,
 }
 
 impl PoolInner {
@@ -223,6 +221,8 @@
     fill: f64,
     /// Prompt tokens to process there before this request's first token, its own included.
     queued_tokens: u64,
+    /// Time that the request is expected to take there.
+    expected: Duration,
     /// Prompt tokens of this request that are counted at the target.
     own_tokens: AtomicU64,
 }
@@ -327,7 +327,7 @@
         loop {
             match pick {
                 Pick::Placed(slot) => {
-                    self.check_start()?;
+                    self.check_start(&slot)?;
                     self.leave_queue();
                     return Ok(slot);
                 }
@@ -386,10 +386,8 @@
         let mut inner = self.pool.lock();
         inner.observations += 1;
         let seconds = elapsed.as_secs_f64();
-        let token_s = seconds / self.cost.max_tokens.max(1) as f64;
         let weight = 1.0 / OBSERVATION_DIVISOR.min(inner.observations as f64);
         inner.service_s += (seconds - inner.service_s) * weight;
-        inner.token_s += (token_s - inner.token_s) * weight;
     }
 
     async fn wait(
@@ -455,21 +453,40 @@
         }
         let mean = Duration::from_secs_f64(inner.service_s);
         let wait = admit::expected_wait(ahead, capacity, mean);
-        self.check_feasible(&inner, wait)
+        let service = match self.hashes.is_empty() {
+            true => mean,
+            false => self.least_service(),
+        };
+        self.check_feasible(&inner, wait, service)
     }
 
     /// Checks that a request that starts now can end in time.
-    fn check_start(&self) -> Result<(), reason::Refusal> {
+    fn check_start(&self, slot: &TargetSlot) -> Result<(), reason::Refusal> {
         let inner = self.pool.lock();
-        self.check_feasible(&inner, Duration::ZERO)
+        let service = match &self.pool.key {
+            PoolKey::Model(_) => slot.expected,
+            PoolKey::Service(_) => Duration::from_secs_f64(inner.service_s),
+        };
+        self.check_feasible(&inner, Duration::ZERO, service)
     }
 
-    fn check_feasible(&self, inner: &PoolInner, wait: Duration) -> Result<(), reason::Refusal> {
+    /// Time that a completion takes at least: its tokens in an empty batch of the fastest role. The
+    /// prompt may be cached, so it does not count.
+    fn least_service(&self) -> Duration {
+        let speeds = speed::speeds_of(&self.pool.speeds);
+        let decode_us = speeds.iter().map(|speed| speed.decode_us).min();
+        Duration::from_micros(self.cost.max_tokens.saturating_mul(decode_us.unwrap_or(0)))
+    }
+
+    fn check_feasible(
+        &self,
+        inner: &PoolInner,
+        wait: Duration,
+        service: Duration,
+    ) -> Result<(), reason::Refusal> {
         if inner.observations < MIN_OBSERVATIONS {
             return Ok(());
         }
-        let service_s = inner.token_s * self.cost.max_tokens.max(1) as f64;
-        let service = Duration::from_secs_f64(service_s);
         match admit::is_feasible(Instant::now(), self.ticket.deadline, wait, service) {
             true => Ok(()),
             false => Err(refuse(
@@ -633,6 +650,7 @@
             role: view.role,
             fill: f64::from(view.load) / f64::from(view.slots.max(1)),
             queued_tokens: view.waiting_prefill_tokens + own_tokens,
+            expected: Duration::from_micros(route::expected_us(&self.cost_now(), view)),
             own_tokens: AtomicU64::new(own_tokens),
         };
         (own < target.limit()).then_some(slot)
