Split short prompts too, and count the delay that a prompt causes

Cause: in the decode phase the short prompts of 200 to 800 tokens took more of the decode engines' time than the generated tokens did. Change: prompts from 100 tokens on may be split off. The score of a prompt counts its time once for every request at the target, and that of a split the token that the prefill call generates.

--- a/crates/core/benches/route.rs
+++ b/crates/core/benches/route.rs
@@ -17,7 +17,6 @@
             load: number % 40,
             slots: 32,
             waiting_prefill_tokens: u64::from(number),
-            decoding: number % 20,
             cached_pieces: number % 3,
             distance_us: 1_500,
         })
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -58,8 +58,6 @@
     pub slots: u32,
     /// Prompt tokens that are not processed yet.
     pub waiting_prefill_tokens: u64,
-    /// Requests that generate tokens there; a prompt delays all of them.
-    pub decoding: u32,
     /// Whole prompt pieces believed to be in its cache.
     pub cached_pieces: u32,
     /// One-way distance in microseconds.
@@ -80,7 +78,7 @@
 }
 
 /// Expected cost of a request at a target, in microseconds: the time to its end, and the time by
-/// which its prompt delays the requests that generate tokens there.
+/// which its prompt delays as many other requests as are there now.
 pub fn score(cost: &RequestCost, view: &CandidateView) -> u64 {
     prefill_score(cost, view)
         .saturating_add(decode_score(cost, view))
@@ -90,7 +88,7 @@
 /// The part of the score that the prompt causes.
 pub fn prefill_score(cost: &RequestCost, view: &CandidateView) -> u64 {
     let own = uncached_tokens(cost, view).saturating_mul(view.speed.prefill_us);
-    let delay = own.saturating_mul(u64::from(view.decoding.min(view.slots)));
+    let delay = own.saturating_mul(u64::from(view.load.min(view.slots)));
     let waiting = view.waiting_prefill_tokens;
     waiting
         .saturating_mul(view.speed.prefill_us)
@@ -124,8 +122,8 @@
 }
 
 /// Prompts from this length on may be processed at another target than the one that generates.
-/// Below it the second request costs more than it saves.
-pub const MIN_SPLIT_TOKENS: u64 = 1_000;
+/// Below it the choice is not worth its time.
+pub const MIN_SPLIT_TOKENS: u64 = 100;
 /// Assumed time to transfer the KV cache of one token, in microseconds.
 const TRANSFER_US: u64 = 5;
 
@@ -144,7 +142,10 @@
         .clone()
         .filter(|(_, view)| view.role == EngineRole::Prefill);
     let ranked = prefills.map(|(position, view)| {
-        let score = prefill_score(cost, &view) + 2 * u64::from(view.distance_us);
+        // The prefill call generates one token, which nobody uses, and takes another round trip.
+        let score = prefill_score(cost, &view)
+            .saturating_add(view.speed.decode_us * u64::from(view.load + 1))
+            .saturating_add(2 * u64::from(view.distance_us));
         (spread(score, seed, position), position)
     });
     let (prefill, position) = ranked.min()?;
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -11,7 +11,6 @@
         load: u32::from(bytes[1]),
         slots: 32,
         waiting_prefill_tokens: u64::from(bytes[2]) * 100,
-        decoding: u32::from(bytes[1] / 2),
         cached_pieces: u32::from(bytes[3] % 3),
         distance_us: 0,
     }
@@ -62,7 +61,7 @@
         route::choose_prefill(&cost, views.iter().copied(), 1)
     };
     assert_eq!(choose(6_000, &[mixed, decode, prefill]), Some(2));
-    assert_eq!(choose(900, &[mixed, decode, prefill]), None);
+    assert_eq!(choose(90, &[mixed, decode, prefill]), None);
     assert_eq!(choose(6_000, &[mixed, decode]), None);
     let withdrawn = CandidateView {
         usable: false,
--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -618,7 +618,6 @@
                 load,
                 slots: target.slots,
                 waiting_prefill_tokens: target.estimated_prefill_tokens(&condition),
-                decoding: condition.load.running_decode,
                 cached_pieces: cache::matched_pieces(matches, target.hash),
                 distance_us: route.distance_us,
             }
