Forget assumed speeds at the first observations

Cause: with a fixed weight of 1/16 the assumed speeds, too high by a factor of 2 to 7, still counted after many requests of the first phase. Change: the first 16 observations of a speed form a plain mean.

--- a/crates/daemon/src/dispatch/speed.rs
+++ b/crates/daemon/src/dispatch/speed.rs
@@ -10,7 +10,8 @@
 
 /// Number of roles.
 pub(super) const ROLES: usize = 3;
-/// Weight of a new observation, as a divisor.
+/// Least weight of a new observation, as a divisor. The first observations weigh more, so that the
+/// assumed speed is forgotten at once.
 const OBSERVATION_DIVISOR: u64 = 16;
 /// Prompts shorter than this say more about the step of the engine than about its speed.
 const MIN_PREFILL_TOKENS: u64 = 500;
@@ -19,8 +20,35 @@
 #[derive(Debug)]
 pub(super) struct ObservedSpeed {
     /// For 1,000 prompt tokens, so that the mean keeps its digits.
-    prefill_us: AtomicU64,
-    decode_us: AtomicU64,
+    prefill_us: ObservedMean,
+    decode_us: ObservedMean,
+}
+
+/// A mean over the last observations.
+#[derive(Debug)]
+struct ObservedMean {
+    mean: AtomicU64,
+    observations: AtomicU64,
+}
+
+impl ObservedMean {
+    fn new(assumed: u64) -> Self {
+        Self {
+            mean: AtomicU64::new(assumed),
+            observations: AtomicU64::new(0),
+        }
+    }
+
+    fn get(&self) -> u64 {
+        self.mean.load(Ordering::Relaxed)
+    }
+
+    fn record(&self, sample: u64) {
+        let observations = self.observations.fetch_add(1, Ordering::Relaxed) + 1;
+        let divisor = observations.min(OBSERVATION_DIVISOR);
+        let mean = (self.get() * (divisor - 1) + sample) / divisor;
+        self.mean.store(mean.max(1), Ordering::Relaxed);
+    }
 }
 
 impl ObservedSpeed {
@@ -29,8 +57,8 @@
         [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode].map(|role| {
             let speed = route::TokenSpeed::assumed(role);
             Self {
-                prefill_us: AtomicU64::new(speed.prefill_us * 1_000),
-                decode_us: AtomicU64::new(speed.decode_us),
+                prefill_us: ObservedMean::new(speed.prefill_us * 1_000),
+                decode_us: ObservedMean::new(speed.decode_us),
             }
         })
     }
@@ -39,7 +67,7 @@
     pub(super) fn record_prefill(&self, elapsed: Duration, tokens: u64) {
         if tokens >= MIN_PREFILL_TOKENS {
             let sample = elapsed.as_micros() as u64 * 1_000 / tokens;
-            record(&self.prefill_us, sample.max(1));
+            self.prefill_us.record(sample);
         }
     }
 
@@ -47,23 +75,17 @@
     /// empty one.
     pub(super) fn record_decode(&self, elapsed: Duration, slowdown: f64) {
         let sample = elapsed.as_micros() as f64 / slowdown;
-        record(&self.decode_us, (sample as u64).max(1));
+        self.decode_us.record(sample as u64);
     }
 
     fn speed(&self) -> route::TokenSpeed {
         route::TokenSpeed {
-            prefill_us: (self.prefill_us.load(Ordering::Relaxed) / 1_000).max(1),
-            decode_us: self.decode_us.load(Ordering::Relaxed),
+            prefill_us: (self.prefill_us.get() / 1_000).max(1),
+            decode_us: self.decode_us.get(),
         }
     }
 }
 
-fn record(mean: &AtomicU64, sample: u64) {
-    let old = mean.load(Ordering::Relaxed);
-    let new = (old * (OBSERVATION_DIVISOR - 1) + sample) / OBSERVATION_DIVISOR;
-    mean.store(new.max(1), Ordering::Relaxed);
-}
-
 /// Speeds of all roles, by [`index_of`].
 pub(super) fn speeds_of(observed: &[ObservedSpeed; ROLES]) -> [route::TokenSpeed; ROLES] {
     [0, 1, 2].map(|index| observed[index].speed())
