Bound the time of a choice by a sample of the targets

Cause: the adaptive policy looked at every target up to four times. Change: in pools of more than 64 targets it scores one of each of 64 equal parts and up to 16 with the longest cached prefix, each once; when none of them is usable it looks at all.

--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -24,6 +24,11 @@
 const MIN_OBSERVATIONS: u64 = 16;
 /// Weight of a new observation of the service time, as a divisor.
 const OBSERVATION_DIVISOR: f64 = 16.0;
+/// Targets that the adaptive policy scores at most, besides those with a cached prefix. Bounds the
+/// time of a choice; different samples also keep daemons from choosing the same target.
+const MAX_SAMPLED: usize = 64;
+/// Targets with a cached prefix that are scored at most.
+const MAX_MATCHED: usize = 16;
 /// Prompt tokens of a service call, for the score.
 const SERVICE_PIECE_TOKENS: u64 = 1;
 
@@ -370,10 +375,13 @@
         let snapshot = self.state.targets.snapshot();
         let routes = self.routes(&snapshot);
         let matches = self.prefix_matches();
-        let views = self.views(routes, &matches, &[], false);
-        let position = route::choose_prefill(&self.cost, views.clone(), rand::random())?;
-        let view = views.clone().nth(position)?;
-        self.reserve(&routes[position].target, &view, false)
+        let viewer = self.viewer(routes, &matches, &[], false);
+        let seed = rand::random();
+        let sample = viewer.sample(&snapshot.positions, seed);
+        let views = sample.iter().map(|(_, view)| *view);
+        let chosen = route::choose_prefill(&self.cost, views, seed)?;
+        let (position, view) = &sample[chosen];
+        self.reserve(&routes[*position].target, view, false)
     }
 
     /// From now on the prompt costs nothing: another target has processed it.
@@ -552,27 +560,50 @@
         let only_avoided = accepted.all(|route| avoided.contains(&route.target.hash));
         let avoided = if only_avoided { &[] } else { avoided };
         let matches = self.prefix_matches();
-        let views = self.views(routes, &matches, avoided, isolated);
+        let viewer = self.viewer(routes, &matches, avoided, isolated);
+        let gate = &self.state.targets.gate;
         let seed = match self.policy {
-            settings::RoutingPolicy::RoundRobin => self
-                .state
-                .targets
-                .gate
-                .turns
-                .fetch_add(1, Ordering::Relaxed),
+            settings::RoutingPolicy::RoundRobin => gate.turns.fetch_add(1, Ordering::Relaxed),
             _ => rand::random(),
         };
-        let cost = self.cost_now();
-        let chosen = route::choose(self.policy, &cost, views.clone(), seed).and_then(|position| {
-            let view = views.clone().nth(position)?;
-            self.reserve(&routes[position].target, &view, isolated)
-        });
-        match chosen {
+        let sampled = match self.policy {
+            settings::RoutingPolicy::Adaptive => {
+                self.choose_sampled(&viewer, &snapshot.positions, seed)
+            }
+            _ => None,
+        };
+        // A sample without a usable target says nothing about the others.
+        let chosen = sampled.or_else(|| self.choose_of_all(&viewer, seed));
+        let slot = chosen
+            .and_then(|(position, view)| self.reserve(&routes[position].target, &view, isolated));
+        match slot {
             Some(slot) => Pick::Placed(slot),
             None => Pick::Saturated(self.capacity()),
         }
     }
 
+    fn choose_sampled(
+        &self,
+        viewer: &CandidateViewer<'_>,
+        positions: &HashMap<u32, usize>,
+        seed: u64,
+    ) -> Option<(usize, route::CandidateView)> {
+        let sample = viewer.sample(positions, seed);
+        let views = sample.iter().map(|(_, view)| *view);
+        let chosen = route::choose(self.policy, &self.cost_now(), views, seed)?;
+        Some(sample[chosen])
+    }
+
+    fn choose_of_all(
+        &self,
+        viewer: &CandidateViewer<'_>,
+        seed: u64,
+    ) -> Option<(usize, route::CandidateView)> {
+        let views = (0..viewer.routes.len()).map(|position| viewer.view(position));
+        let chosen = route::choose(self.policy, &self.cost_now(), views, seed)?;
+        Some((chosen, viewer.view(chosen)))
+    }
+
     fn cost_now(&self) -> route::RequestCost {
         match self.prompt_skipped {
             true => route::RequestCost {
@@ -593,35 +624,22 @@
         matches
     }
 
-    fn views<'a>(
+    fn viewer<'a>(
         &self,
         routes: &'a [target::TargetRoute],
         matches: &'a [cache::PrefixMatch],
         avoided: &'a [u32],
         isolated: bool,
-    ) -> impl Iterator<Item = route::CandidateView> + Clone + use<'a> {
-        let now_ms = target::now_ms();
-        let now = Instant::now();
-        let speeds = speed::speeds_of(&self.pool.speeds);
-        routes.iter().map(move |route| {
-            let target = &route.target;
-            let condition = target.condition.load();
-            let load = target.estimated_load(&condition, now);
-            let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
-            route::CandidateView {
-                usable: target.is_accepting(now_ms)
-                    && load < target.limit()
-                    && !avoided.contains(&target.hash)
-                    && !(isolated && has_suspect),
-                role: condition.role,
-                speed: speeds[speed::index_of(condition.role)],
-                load,
-                slots: target.slots,
-                waiting_prefill_tokens: target.estimated_prefill_tokens(&condition),
-                cached_pieces: cache::matched_pieces(matches, target.hash),
-                distance_us: route.distance_us,
-            }
-        })
+    ) -> CandidateViewer<'a> {
+        CandidateViewer {
+            routes,
+            matches,
+            avoided,
+            isolated,
+            speeds: speed::speeds_of(&self.pool.speeds),
+            now_ms: target::now_ms(),
+            now: Instant::now(),
+        }
     }
 
     /// Takes a slot, unless another request took the last one, or the place of the only suspect,
@@ -656,6 +674,80 @@
     }
 }
 
+/// Views of the targets of a pool at one moment.
+struct CandidateViewer<'a> {
+    routes: &'a [target::TargetRoute],
+    matches: &'a [cache::PrefixMatch],
+    avoided: &'a [u32],
+    isolated: bool,
+    speeds: [route::TokenSpeed; speed::ROLES],
+    now_ms: u64,
+    now: Instant,
+}
+
+impl CandidateViewer<'_> {
+    fn view(&self, position: usize) -> route::CandidateView {
+        let route = &self.routes[position];
+        let target = &route.target;
+        let condition = target.condition.load();
+        let load = target.estimated_load(&condition, self.now);
+        let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
+        route::CandidateView {
+            usable: target.is_accepting(self.now_ms)
+                && load < target.limit()
+                && !self.avoided.contains(&target.hash)
+                && !(self.isolated && has_suspect),
+            role: condition.role,
+            speed: self.speeds[speed::index_of(condition.role)],
+            load,
+            slots: target.slots,
+            waiting_prefill_tokens: target.estimated_prefill_tokens(&condition),
+            cached_pieces: cache::matched_pieces(self.matches, target.hash),
+            distance_us: route.distance_us,
+        }
+    }
+
+    /// Targets to score, with their positions: all of a small pool; else one from each of
+    /// [`MAX_SAMPLED`] equal parts and those with the longest cached prefixes.
+    fn sample(
+        &self,
+        positions: &HashMap<u32, usize>,
+        seed: u64,
+    ) -> Vec<(usize, route::CandidateView)> {
+        let count = self.routes.len();
+        let with_view = |position: usize| (position, self.view(position));
+        if count <= MAX_SAMPLED {
+            return (0..count).map(with_view).collect();
+        }
+        let mut sample = Vec::with_capacity(MAX_SAMPLED + MAX_MATCHED);
+        let drawn = (0..MAX_SAMPLED).map(|part| {
+            let (start, end) = (part * count / MAX_SAMPLED, (part + 1) * count / MAX_SAMPLED);
+            start + (route::mix(seed, part) % (end - start) as u64) as usize
+        });
+        sample.extend(drawn.map(with_view));
+        let longest = self.matches.iter().map(|found| found.pieces).max();
+        let held = self
+            .matches
+            .iter()
+            .filter(|found| Some(found.pieces) == longest);
+        let held = held.filter_map(|found| positions.get(&found.target).copied());
+        let held = held.filter(|position| *position < count);
+        sample.extend(held.take(MAX_MATCHED).map(with_view));
+        sample
+    }
+}
+
+/// The target that a request would go to now; it takes no slot. For benches and diagnosis.
+pub fn choose_target(
+    state: &process::SharedState,
+    request: &CallerRequest,
+) -> Option<ids::TargetId> {
+    match PoolVisit::new(state, request).pick(&[], false) {
+        Pick::Placed(slot) => Some(slot.target.id.clone()),
+        _ => None,
+    }
+}
+
 impl Drop for PoolVisit {
     fn drop(&mut self) {
         self.leave_queue();
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::oneshot;
 
 pub use answers::{AnswerBuffer, BufferedAnswer};
+pub use gate::choose_target;
 pub use limit::WriteLimit;
 
 use crate::{config, process};
--- a/crates/daemon/src/target/registry.rs
+++ b/crates/daemon/src/target/registry.rs
@@ -23,6 +23,8 @@
     pub by_model: HashMap<ids::ModelId, Vec<TargetRoute>>,
     /// Instances by service.
     pub by_service: HashMap<ids::ServiceId, Vec<TargetRoute>>,
+    /// Positions of the targets in the list of their model or service, by their short name.
+    pub positions: HashMap<u32, usize>,
     /// All targets by their short name.
     pub by_hash: HashMap<u32, sync::Arc<TargetState>>,
 }
@@ -149,11 +151,12 @@
             };
             let entry = (&engine.name, &engine.host, engine.address, engine.slots);
             let route = self.add(entry, kind, engine.role);
+            let routes = self.snapshot.by_model.entry(engine.model.clone());
+            let routes = routes.or_default();
             self.snapshot
-                .by_model
-                .entry(engine.model.clone())
-                .or_default()
-                .push(route);
+                .positions
+                .insert(route.target.hash, routes.len());
+            routes.push(route);
         }
         for service in &deployment.services {
             for instance in &service.instances {
@@ -168,7 +171,11 @@
                 );
                 let route = self.add(entry, kind, settings::EngineRole::Mixed);
                 let routes = self.snapshot.by_service.entry(service.name.clone());
-                routes.or_default().push(route);
+                let routes = routes.or_default();
+                self.snapshot
+                    .positions
+                    .insert(route.target.hash, routes.len());
+                routes.push(route);
             }
         }
         self.snapshot
