--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod run;
 mod service;
 mod sink;
+mod speed;
 mod sse;
 
 use std::time;
@@ -20,6 +21,7 @@
 use tokio::sync::oneshot;
 
 pub use answers::{AnswerBuffer, BufferedAnswer};
+pub use gate::choose_target;
 pub use limit::WriteLimit;
 
 use crate::{config, process};
