--- a/crates/daemon/src/dispatch/completion.rs
+++ b/crates/daemon/src/dispatch/completion.rs
@@ -11,7 +11,7 @@
 use super::{
     CallerRequest, RequestWork, assemble, attempt, run,
     sink::CallerSink,
-    sse::{ChunkAction, EventParser, StreamEvent, TokenCursor},
+    sse::{ChunkAction, EventParser, StreamChunk, StreamEvent, TokenCursor},
 };
 
 /// Time for which the end of the body is awaited after `[DONE]`, to keep the connection.
@@ -24,8 +24,10 @@
     cursor: TokenCursor,
     assembler: assemble::AnswerAssembler,
     /// Id of the first chunk; later attempts' chunks get the same one.
-    answer_id: Option<Value>,
+    answer_id: Option<Bytes>,
     last_token: Option<Instant>,
+    /// Looked up once for each request; a look-up by name for each token costs a hash and a lock.
+    inter_token: metrics::Histogram,
 }
 
 impl CompletionRun {
@@ -35,6 +37,7 @@
             assembler: assemble::AnswerAssembler::default(),
             answer_id: None,
             last_token: None,
+            inter_token: metrics::histogram!("acaciabank_inter_token_seconds"),
         }
     }
 
@@ -123,7 +126,7 @@
                     false => Err(attempt::AttemptFailure::broken("the stream ended early")),
                 };
             };
-            parser.push(&part);
+            parser.push(part);
             while let Some(event) = parser.next().map_err(malformed)? {
                 match event {
                     StreamEvent::Done if !self.cursor.finished => {
@@ -152,17 +155,16 @@
         &mut self,
         context: &run::RunContext<'_>,
         sink: &mut CallerSink,
-        mut chunk: Value,
+        chunk: StreamChunk,
         stream: bool,
     ) -> Result<(), attempt::AttemptFailure> {
-        if chunk["error"].is_object() {
-            return Err(malformed(format!(
-                "error in the stream: {}",
-                chunk["error"]
-            )));
+        if chunk.summary.is_error {
+            let error = chunk.tree().map(|chunk| chunk["error"].to_string());
+            let error = error.unwrap_or_default();
+            return Err(malformed(format!("error in the stream: {error}")));
         }
         let before = self.cursor.delivered;
-        match self.cursor.advance(&chunk) {
+        match self.cursor.advance(&chunk.summary) {
             ChunkAction::Deliver => {}
             ChunkAction::Drop => return Ok(()),
             ChunkAction::Reject => {
@@ -174,21 +176,20 @@
         if self.cursor.delivered > before {
             self.observe_token(context);
         }
-        let answer_id = self.answer_id.get_or_insert_with(|| chunk["id"].clone());
-        if chunk["id"] != *answer_id {
-            chunk["id"] = answer_id.clone();
-        }
         if !stream {
-            self.assembler.push(&chunk);
+            self.assembler.push(&chunk.tree().map_err(malformed)?);
             return Ok(());
         }
+        let answer_id = self
+            .answer_id
+            .get_or_insert_with(|| Bytes::copy_from_slice(&chunk.summary.id));
+        let event = chunk.into_event(answer_id).map_err(malformed)?;
         sink.send_head(
             http::StatusCode::OK,
             stream_headers(),
             Some(&context.target.id),
         );
-        sink.send_part(Bytes::from(format!("data: {chunk}\n\n")))
-            .await;
+        sink.send_part(event).await;
         Ok(())
     }
 
@@ -197,7 +198,7 @@
         match self.last_token.replace(now) {
             None => metrics::histogram!("acaciabank_time_to_first_token_seconds")
                 .record(now - context.started),
-            Some(last) => metrics::histogram!("acaciabank_inter_token_seconds").record(now - last),
+            Some(last) => self.inter_token.record(now - last),
         }
     }
 
