--- /dev/null
+++ b/crates/core/tests/plan.rs
@@ -0,0 +1,193 @@
+//! Properties of the planners of role changes.
+
+use std::collections::HashMap;
+
+use acaciabank_core::plan::{EngineView, RolePlanner, phase_loads};
+use acaciabank_protocol::{
+    ids,
+    settings::{Adaptation, EngineRole, PlannerPolicy},
+};
+
+const STEP_MS: u64 = 1_000;
+const SLOTS: u32 = 32;
+const POLICIES: [PlannerPolicy; 3] = [
+    PlannerPolicy::Off,
+    PlannerPolicy::Threshold,
+    PlannerPolicy::Adaptive,
+];
+
+/// A fleet that carries out planned changes: each engine takes a share of the given work and is
+/// away for the time of a change.
+struct Fleet {
+    planner: RolePlanner,
+    adaptation: Adaptation,
+    engines: Vec<EngineView>,
+    changing: HashMap<usize, (u64, EngineRole)>,
+    changes: Vec<(u64, ids::TargetId)>,
+}
+
+impl Fleet {
+    fn new(policy: PlannerPolicy, adaptation: Adaptation, engines: usize) -> Self {
+        let engine = |number: usize| EngineView {
+            target: ids::TargetId::new(format!("e{number}")),
+            zone: ids::ZoneId::new(format!("z{}", number % 3)),
+            role: EngineRole::Mixed,
+            running: 0,
+            waiting: 0,
+            waiting_prefill_tokens: 0,
+            running_decode: 0,
+            slots: SLOTS,
+            is_available: true,
+        };
+        Self {
+            planner: RolePlanner::new(policy, adaptation.clone()),
+            adaptation,
+            engines: (0..engines).map(engine).collect(),
+            changing: HashMap::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// One step with the given work at each engine.
+    fn step(&mut self, now_ms: u64, prefill_tokens: u64, decoding: u32) {
+        let engines = &mut self.engines;
+        self.changing.retain(|position, (until_ms, role)| {
+            if now_ms >= *until_ms {
+                engines[*position].role = *role;
+                engines[*position].is_available = true;
+            }
+            now_ms < *until_ms
+        });
+        for engine in engines.iter_mut() {
+            engine.waiting_prefill_tokens = prefill_tokens;
+            engine.running_decode = decoding;
+            engine.running = decoding;
+        }
+        let zones: Vec<ids::ZoneId> = self
+            .changing
+            .keys()
+            .map(|position| engines[*position].zone.clone())
+            .collect();
+        for change in self.planner.plan(now_ms, engines, &zones) {
+            let position = engines
+                .iter()
+                .position(|engine| engine.target == change.target)
+                .expect("engine");
+            assert!(engines[position].is_available, "{change:?} during a change");
+            assert_eq!(engines[position].role, change.from);
+            assert_ne!(change.from, change.to);
+            engines[position].is_available = false;
+            let until_ms = now_ms + self.adaptation.switch_cost_ms;
+            self.changing.insert(position, (until_ms, change.to));
+            self.changes.push((now_ms, change.target));
+        }
+        self.check_zones();
+    }
+
+    fn check_zones(&self) {
+        let mut zones: HashMap<&ids::ZoneId, u32> = HashMap::new();
+        for position in self.changing.keys() {
+            *zones.entry(&self.engines[*position].zone).or_default() += 1;
+        }
+        let most = self.adaptation.max_concurrent_changes;
+        assert!(zones.values().all(|count| *count <= most), "{zones:?}");
+    }
+}
+
+/// Runs a fleet over the given work per step.
+fn run(policy: PlannerPolicy, adaptation: &Adaptation, work: &[(u64, u32)]) -> Fleet {
+    let mut fleet = Fleet::new(policy, adaptation.clone(), 6);
+    for (step, (prefill_tokens, decoding)) in work.iter().enumerate() {
+        fleet.step(step as u64 * STEP_MS, *prefill_tokens, *decoding);
+    }
+    fleet
+}
+
+/// Guards against more changes in a zone than allowed and against changes of one engine that follow
+/// each other faster than the dwell time, for any work.
+#[test]
+fn changes_respect_concurrency_and_dwell_for_any_work() {
+    bolero::check!()
+        .with_type::<(u8, Vec<(u16, u8)>)>()
+        .for_each(|(concurrent, steps)| {
+            let adaptation = Adaptation {
+                max_concurrent_changes: u32::from(concurrent % 2) + 1,
+                min_dwell_ms: 10_000,
+                ..Adaptation::default()
+            };
+            let work: Vec<(u64, u32)> = steps
+                .iter()
+                .flat_map(|(tokens, decoding)| {
+                    let work = (u64::from(*tokens), u32::from(*decoding) % (SLOTS + 1));
+                    std::iter::repeat_n(work, 5)
+                })
+                .collect();
+            for policy in POLICIES {
+                let fleet = run(policy, &adaptation, &work);
+                let mut last: HashMap<ids::TargetId, u64> = HashMap::new();
+                for (at_ms, target) in fleet.changes {
+                    let earlier = last.insert(target, at_ms);
+                    let has_dwelt = earlier.is_none_or(|earlier| at_ms - earlier >= 10_000);
+                    assert!(has_dwelt || policy != PlannerPolicy::Adaptive);
+                    assert_ne!(policy, PlannerPolicy::Off);
+                }
+            }
+        });
+}
+
+/// Guards against a planner that follows every swing of the ratio.
+#[test]
+fn adaptive_changes_at_most_as_often_as_threshold_when_work_oscillates() {
+    for period in [4, 10, 30, 60, 120] {
+        let phase = |step: usize| match (step / period) % 2 {
+            0 => (20_000, 4),
+            _ => (500, 30),
+        };
+        let work: Vec<(u64, u32)> = (0..600).map(phase).collect();
+        let adaptation = Adaptation::default();
+        let threshold = run(PlannerPolicy::Threshold, &adaptation, &work);
+        let adaptive = run(PlannerPolicy::Adaptive, &adaptation, &work);
+        let counts = (threshold.changes.len(), adaptive.changes.len());
+        println!(
+            "period {period}: threshold {}, adaptive {}",
+            counts.0, counts.1
+        );
+        assert!(counts.1 <= counts.0, "period {period}: {counts:?}");
+        assert!(counts.0 > 0, "the work does not cross the threshold");
+    }
+}
+
+/// Guards against changes without a reason.
+#[test]
+fn steady_balanced_work_causes_no_change() {
+    for decoding in [0, 4, 16, 32] {
+        // Tokens whose prefill load equals the decode load of the mixed fleet.
+        let tokens = 6_800 * u64::from(decoding) / u64::from(SLOTS);
+        let work = vec![(tokens, decoding); 300];
+        for policy in POLICIES {
+            let fleet = run(policy, &Adaptation::default(), &work);
+            let loads = phase_loads(&fleet.engines);
+            assert!((loads.prefill - loads.decode).abs() < 0.05, "{loads:?}");
+            assert_eq!(fleet.changes, [], "{policy:?} at {decoding}");
+        }
+    }
+}
+
+/// Guards against an adaptive planner that never acts: a lasting shift must move engines towards
+/// the loaded phase.
+#[test]
+fn a_lasting_shift_moves_engines() {
+    let shifted = |first: (u64, u32), then: (u64, u32)| {
+        let steps = std::iter::repeat_n(first, 60).chain(std::iter::repeat_n(then, 120));
+        let work: Vec<(u64, u32)> = steps.collect();
+        run(PlannerPolicy::Adaptive, &Adaptation::default(), &work)
+    };
+    for (then, wanted) in [
+        ((20_000, 4), EngineRole::Prefill),
+        ((100, 32), EngineRole::Decode),
+    ] {
+        let fleet = shifted((3_400, 16), then);
+        let moved = fleet.engines.iter().filter(|engine| engine.role == wanted);
+        assert!(moved.count() >= 1, "{wanted:?}: {:?}", fleet.changes);
+    }
+}
--- /dev/null
+++ b/crates/testbed/tests/roles.rs
@@ -0,0 +1,124 @@
+//! Role changes under load, checked from the journals of the engines.
+
+use std::{collections, sync, time};
+
+use acaciabank_protocol::settings;
+use acaciabank_testbed::harness;
+
+/// Generous limit for conditions on a busy machine.
+const LIMIT: time::Duration = time::Duration::from_secs(40);
+/// Requests in flight.
+const CONCURRENCY: usize = 24;
+/// Role changes to wait for.
+const CHANGES: usize = 3;
+
+fn spec() -> harness::FleetSpec {
+    let mut spec = harness::Fleet::pemberton();
+    spec.daemons = 3;
+    spec.deployment.engines.truncate(6);
+    spec.deployment.services.clear();
+    spec.deployment.rules = settings::Rules::default();
+    spec.deployment.policy.planner = settings::PlannerPolicy::Threshold;
+    spec.timers = settings::TimerSettings {
+        gossip_interval_ms: 200,
+        suspect_after_ms: 2_000,
+        dead_after_ms: 4_000,
+        lease_ttl_ms: 3_000,
+        lease_renewal_ms: 500,
+        lease_margin_ms: 200,
+        target_poll_ms: 100,
+        config_poll_ms: 500,
+        default_request_timeout_ms: 30_000,
+        ..settings::TimerSettings::default()
+    };
+    let arguments = ["--time-scale", "0.2", "--switch-ms", "2000"];
+    spec.engine_arguments = arguments.map(str::to_owned).to_vec();
+    spec
+}
+
+/// Sends requests of one worker until the fleet has made enough role changes.
+async fn work(
+    caller: sync::Arc<harness::Caller>,
+    worker: usize,
+    is_over: sync::Arc<sync::atomic::AtomicBool>,
+) -> Vec<harness::CallOutcome> {
+    let mut outcomes = Vec::new();
+    while !is_over.load(sync::atomic::Ordering::Acquire) {
+        let number = outcomes.len();
+        let request = harness::CompletionRequest {
+            model: "drafting".to_owned(),
+            prompt: format!("member {worker} reminder {number}"),
+            max_tokens: 150,
+            is_stream: number.is_multiple_of(2),
+            headers: Vec::new(),
+        };
+        outcomes.push(caller.complete(&request).await);
+    }
+    outcomes
+}
+
+/// Guards against a role change that interrupts a request, or that starts while one runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn role_changes_under_load_interrupt_no_request() {
+    let launcher = harness::Launcher::new(env!("CARGO_BIN_EXE_testbed")).expect("launcher");
+    let fleet = spec().start(launcher).await.expect("fleet");
+    let caller = sync::Arc::new(fleet.caller(None, LIMIT));
+    let is_over = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+    let workers: Vec<_> = (0..CONCURRENCY)
+        .map(|worker| tokio::spawn(work(caller.clone(), worker, is_over.clone())))
+        .collect();
+    let changes = harness::holds_within(LIMIT, async || {
+        let journals = fleet.journals().expect("journals");
+        journals.events("order_applied").count() >= CHANGES
+    })
+    .await;
+    is_over.store(true, sync::atomic::Ordering::Release);
+    let mut outcomes = Vec::new();
+    for worker in workers {
+        outcomes.extend(worker.await.expect("worker"));
+    }
+    assert!(changes, "the planner made no {CHANGES} changes");
+    let journals = fleet.journals().expect("journals");
+    println!("{} requests", outcomes.len());
+    for outcome in &outcomes {
+        assert!(outcome.is_complete, "{outcome:?}");
+        assert_eq!(outcome.faults, Vec::<String>::new());
+    }
+    assert_eq!(journals.events("cancelled").count(), 0);
+    let finished = journals.finished_by_request();
+    assert_eq!(finished.len(), outcomes.len());
+    assert!(
+        finished.values().all(|count| *count == 1),
+        "a request ran twice"
+    );
+
+    let mut running: collections::BTreeMap<String, i64> = Default::default();
+    let mut switching: collections::BTreeSet<String> = Default::default();
+    let refused: collections::BTreeSet<String> = journals
+        .events("order_refused")
+        .map(|entry| entry["order_id"].to_string())
+        .collect();
+    for entry in &journals.entries {
+        let engine = entry["engine"].as_str().unwrap_or_default().to_owned();
+        match entry["event"].as_str().unwrap_or_default() {
+            "started" => {
+                assert!(
+                    !switching.contains(&engine),
+                    "{engine} started during a change"
+                );
+                *running.entry(engine).or_default() += 1;
+            }
+            "finished" => *running.entry(engine).or_default() -= 1,
+            "order_received" if !refused.contains(&entry["order_id"].to_string()) => {
+                assert_eq!(
+                    running.get(&engine).copied().unwrap_or(0),
+                    0,
+                    "{engine} was busy"
+                );
+                switching.insert(engine);
+            }
+            "order_applied" => drop(switching.remove(&engine)),
+            _ => {}
+        }
+    }
+}
