Give leases back at once and follow restarted engines

Cause: a leaving daemon looked at its leases once a second, so one with short timers ended before it resigned; an engine out of service got no order for the version that it lacks; a new holder forgot the dwell times of its predecessor. Change: the loops wake when the daemon starts to drain and pass accepted orders on as open; engines that are out of service may be loaded; the dwell time of engines whose last order was a role change starts anew with a term. The test of the leaving holder failed before this change: the lease row never lost its holder.

--- a/crates/daemon/src/authority/holder.rs
+++ b/crates/daemon/src/authority/holder.rs
@@ -280,7 +280,7 @@
                 .active
                 .values()
                 .any(|active| active.zone == engine.target.zone);
-            if is_zone_busy || !self.may_start(engine, engines) {
+            if is_zone_busy || !self.may_load(engine, engines) {
                 continue;
             }
             let Some(stored) = self.stored(&engine.target.id) else {
@@ -298,7 +298,7 @@
             .is_some_and(|planner| planner.is_for(policy.planner, &policy.adaptation));
         if !is_current {
             let planner = RolePlanner::new(policy.planner, policy.adaptation.clone());
-            self.planner = Some(planner);
+            self.planner = Some(self.with_earlier_changes(planner));
         }
         let views: Vec<EngineView> = engines
             .iter()
@@ -330,6 +330,19 @@
         }
     }
 
+    /// A new planner does not know when its predecessor changed a role: the dwell time of an engine
+    /// whose last order was a role change starts anew.
+    fn with_earlier_changes(&self, mut planner: RolePlanner) -> RolePlanner {
+        let rows = self.term.iter().flat_map(|term| &term.rows);
+        for (target, stored) in rows {
+            let action = stored.row.as_ref().map(|row| &row.order.action);
+            if let Some(wire::OrderAction::SetRole { .. }) = action {
+                planner.record_change(now_ms(), target);
+            }
+        }
+        planner
+    }
+
     fn view(&self, engine: &ModelEngine, engines: &[ModelEngine]) -> EngineView {
         let condition = engine.target.condition.load();
         let load = &condition.load;
@@ -342,35 +355,36 @@
             waiting_prefill_tokens: load.waiting_prefill_tokens,
             running_decode: load.running_decode,
             slots: engine.target.slots,
-            is_available: self.may_start(engine, engines),
+            is_available: self.may_take_away(engine, engines),
         }
     }
 
-    /// Whether an order to an engine may start now: its last one is finished, it is in service, and
-    /// the model keeps another engine in service.
-    fn may_start(&self, engine: &ModelEngine, engines: &[ModelEngine]) -> bool {
-        let target = &engine.target.id;
+    /// Whether an engine in service may be taken away now.
+    fn may_take_away(&self, engine: &ModelEngine, engines: &[ModelEngine]) -> bool {
+        let is_accepting = engine.target.is_accepting(now_ms());
+        is_accepting && self.is_free(&engine.target.id) && has_other(engine, engines)
+    }
+
+    /// Whether a version or an adapter may be ordered now. An engine that is out of service, such
+    /// as one that lacks its model, is not missed.
+    fn may_load(&self, engine: &ModelEngine, engines: &[ModelEngine]) -> bool {
+        let is_accepting = engine.target.is_accepting(now_ms());
+        self.is_free(&engine.target.id) && (!is_accepting || has_other(engine, engines))
+    }
+
+    /// Whether the last order of a target is finished and was not in vain a moment ago.
+    fn is_free(&self, target: &ids::TargetId) -> bool {
         let Some(term) = &self.term else {
             return false;
         };
-        let now_ms = now_ms();
-        let may_retry = term
-            .retry_ms
-            .get(target)
-            .is_none_or(|at_ms| now_ms >= *at_ms);
+        let retry_ms = term.retry_ms.get(target);
         let is_finished = term
             .rows
             .get(target)
             .is_some_and(|stored| stored.open_row().is_none());
-        let is_accepting = |engine: &ModelEngine| engine.target.is_accepting(now_ms);
-        let has_other = engines
-            .iter()
-            .any(|other| other.target.id != *target && is_accepting(other));
-        may_retry
-            && is_finished
+        is_finished
+            && retry_ms.is_none_or(|retry_ms| now_ms() >= *retry_ms)
             && !self.active.contains_key(target)
-            && is_accepting(engine)
-            && (has_other || engines.len() == 1)
     }
 
     fn stored(&self, target: &ids::TargetId) -> Option<StoredTarget> {
@@ -452,6 +466,15 @@
     }
 }
 
+/// Whether the model keeps another engine in service, or has no other one.
+fn has_other(engine: &ModelEngine, engines: &[ModelEngine]) -> bool {
+    let now_ms = now_ms();
+    let mut others = engines
+        .iter()
+        .filter(|other| other.target.id != engine.target.id);
+    engines.len() == 1 || others.any(|other| other.target.is_accepting(now_ms))
+}
+
 /// What an open order is replaced by: itself, or the configured state when the configuration no
 /// longer asks for it.
 fn wanted_action(
@@ -509,15 +532,21 @@
     loads.find(|load| !order::is_in_force(load, observed))
 }
 
+/// Counts a completed change; the former role is not known when a predecessor ordered it and the
+/// engine already had the new one.
 fn count_role_change(model: &ids::ModelId, change: &RoleChange) {
     let name = |role: settings::EngineRole| match role {
         settings::EngineRole::Mixed => "mixed",
         settings::EngineRole::Prefill => "prefill",
         settings::EngineRole::Decode => "decode",
     };
+    let from = match change.from == change.to {
+        true => "unknown",
+        false => name(change.from),
+    };
     metrics::counter!(
         names::ROLE_CHANGES,
-        "model" => model.to_string(), "from" => name(change.from), "to" => name(change.to)
+        "model" => model.to_string(), "from" => from, "to" => name(change.to)
     )
     .increment(1);
 }
--- a/crates/daemon/src/authority/mod.rs
+++ b/crates/daemon/src/authority/mod.rs
@@ -27,27 +27,23 @@
 /// Time between two evaluations of the planner.
 const STEP: Duration = Duration::from_secs(1);
 /// Time between two checks of the phase of the process.
-const PHASE_CHECK: Duration = Duration::from_millis(500);
+const PHASE_CHECK: Duration = Duration::from_millis(100);
+/// Time between two checks whether the last order of a leaving daemon has ended.
+const LEAVE_CHECK: Duration = Duration::from_millis(20);
 
 /// Runs lease, order and planner loops until the process leaves.
 pub async fn run(state: process::SharedState) {
     let mut changed = state.config.subscribe();
-    let mut running: HashMap<ids::ModelId, CancellationToken> = HashMap::new();
-    while state.phase.get() < process::Phase::Draining {
-        let models = models_with_engines(&state);
-        running.retain(|model, stop| {
-            let is_kept = models.contains(model);
-            if !is_kept {
-                stop.cancel();
-            }
-            is_kept
-        });
-        for model in models {
-            running.entry(model.clone()).or_insert_with(|| {
-                let stop = CancellationToken::new();
-                tokio::spawn(run_model(sync::Arc::clone(&state), model, stop.clone()));
-                stop
-            });
+    let mut running = HashMap::new();
+    let mut version = 0;
+    loop {
+        if state.phase.get() >= process::Phase::Draining {
+            running.values().for_each(CancellationToken::cancel);
+            return;
+        }
+        if state.config.version() != version {
+            version = state.config.version();
+            follow_models(&state, &mut running);
         }
         tokio::select! {
             result = changed.changed() => if result.is_err() {
@@ -58,6 +54,28 @@
     }
 }
 
+/// Starts and stops the loops of models that came or went.
+fn follow_models(
+    state: &process::SharedState,
+    running: &mut HashMap<ids::ModelId, CancellationToken>,
+) {
+    let models = models_with_engines(state);
+    running.retain(|model, stop| {
+        let is_kept = models.contains(model);
+        if !is_kept {
+            stop.cancel();
+        }
+        is_kept
+    });
+    for model in models {
+        running.entry(model.clone()).or_insert_with(|| {
+            let stop = CancellationToken::new();
+            tokio::spawn(run_model(sync::Arc::clone(state), model, stop.clone()));
+            stop
+        });
+    }
+}
+
 fn models_with_engines(state: &process::ProcessState) -> HashSet<ids::ModelId> {
     let Some(config) = state.config.current() else {
         return HashSet::new();
@@ -69,7 +87,7 @@
 /// Runs one model's lease until the model leaves the deployment or the daemon drains. Orders under
 /// way end before the lease is given back.
 async fn run_model(state: process::SharedState, model: ids::ModelId, stop: CancellationToken) {
-    let hold = sync::Arc::new(hold::LeaseHold::new(state, model, stop));
+    let hold = sync::Arc::new(hold::LeaseHold::new(state, model, stop.clone()));
     let keeper = tokio::spawn({
         let hold = sync::Arc::clone(&hold);
         async move { hold.keep().await }
@@ -77,13 +95,17 @@
     let mut holder = holder::ModelHolder::new(sync::Arc::clone(&hold));
     let mut ticker = tokio::time::interval(STEP);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        ticker.tick().await;
+    while !hold.is_stopping() {
         holder.step().await;
-        if hold.is_stopping() && holder.is_idle() {
-            hold.resign().await;
-            break;
+        tokio::select! {
+            _ = ticker.tick() => {}
+            () = stop.cancelled() => {}
         }
     }
+    while !holder.is_idle() {
+        tokio::time::sleep(LEAVE_CHECK).await;
+        holder.step().await;
+    }
+    hold.resign().await;
     keeper.abort();
 }
--- a/crates/daemon/src/authority/task.rs
+++ b/crates/daemon/src/authority/task.rs
@@ -327,11 +327,15 @@
         observe(self.state(), &self.target).await
     }
 
-    /// Follows a sent order to its end.
+    /// Follows a sent order to its end. A daemon that leaves passes the order on: it is recorded
+    /// as open, and the successor finds it at the engine.
     async fn watch(&self, stored: &StoredTarget, row: &TargetRow) -> OrderEnd {
         let deadline_ms = now_ms() + CHANGE_LIMIT_MS;
         let poll = Duration::from_millis(self.state().settings.timers.target_poll_ms);
-        while now_ms() < deadline_ms && self.hold.grant_of(self.term).is_some() {
+        while now_ms() < deadline_ms
+            && self.hold.grant_of(self.term).is_some()
+            && !self.hold.is_stopping()
+        {
             if let Ok(observed) = self.observe().await {
                 match order::assess(row, &observed) {
                     OrderProgress::Done => {
--- a/crates/testbed/tests/authority.rs
+++ b/crates/testbed/tests/authority.rs
@@ -410,3 +410,88 @@
     }
     assert!(takeovers >= 3, "{takeovers} takeovers");
 }
+
+/// Guards against a successor that waits for the end of a lease whose holder has left, and against
+/// an order of the leaving holder that its successor gives again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_holder_gives_its_lease_back() {
+    let mut spec = spec(1, 2);
+    spec.engine_arguments = ["--load-ms", "3000"].map(str::to_owned).to_vec();
+    let fleet = start_pausing(spec, 0).await;
+    let leaving = announce_order(&fleet).await;
+    harness::wait_until(LIMIT, "the engine has the order", async || {
+        !received(&fleet.journals().expect("journals")).is_empty()
+    })
+    .await;
+    fleet.daemons[leaving].process.terminate();
+    harness::wait_until(LIMIT, "the other daemon holds the lease", async || {
+        holder(&fleet) == Some(1 - leaving)
+    })
+    .await;
+    wait_order_done(&fleet).await;
+    let journals = fleet.journals().expect("journals");
+    let changes = lease_changes(&journals);
+    let holders: Vec<&str> = changes.iter().map(|(holder, _)| holder.as_str()).collect();
+    let names = [leaving, 1 - leaving].map(|position| fleet.daemons[position].name.as_str());
+    assert_eq!(holders, [names[0], "none", names[1]]);
+    assert_eq!(received(&journals).len(), 1);
+    assert_eq!(applied(&fleet).len(), 1);
+}
+
+/// Guards against an automatic takeover of an engine that ignores fencing numbers and closes idle
+/// connections after an unknown time, and against a confirmation without effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_idle_time_needs_an_operator() {
+    let mut spec = spec(1, 2);
+    spec.deployment.engines[0].fencing = settings::FencingSupport::Ignored;
+    let mut fleet = start_pausing(spec, 800).await;
+    let killed = announce_order(&fleet).await;
+    let admin = fleet.daemons[1 - killed].admin_address;
+    let target = fleet.engines[0].name.clone();
+    let confirm = async || {
+        let path = format!("/admin/targets/{target}/confirm-takeover");
+        let answer = web::call(admin, "POST", &path, &[], "").await;
+        answer.expect("an answer").status
+    };
+    assert_eq!(confirm().await, 400, "the holder may still send its order");
+    fleet.daemons[killed].process.kill();
+    let log_file = fleet.daemons[1 - killed].process.log_file();
+    harness::wait_until(LIMIT, "the successor asks for a confirmation", async || {
+        let log = std::fs::read_to_string(&log_file).unwrap_or_default();
+        log.contains("waits for confirm_takeover")
+    })
+    .await;
+    assert_eq!(received(&fleet.journals().expect("journals")), []);
+    assert_eq!(last_target_row(&fleet)["state"], "intended");
+    assert_eq!(confirm().await, 200);
+    let row = last_target_row(&fleet);
+    wait_order_done(&fleet).await;
+    assert_eq!(row["state"], "failed");
+    assert_eq!(row["confirmed_term"], 2);
+    let journals = fleet.journals().expect("journals");
+    let fencing: Vec<u64> = received(&journals)
+        .iter()
+        .map(|(_, number)| *number)
+        .collect();
+    assert_eq!(fencing, [2]);
+}
+
+/// Guards against an engine that lost its model by a restart and is never given it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_engine_gets_the_configured_version() {
+    let mut fleet = start(spec(2, 2)).await;
+    change(&fleet, 0, |deployment| {
+        deployment.models[0].version = "2".to_owned();
+    })
+    .await;
+    harness::wait_until(LIMIT, "both engines have the version", async || {
+        applied(&fleet).len() == 2
+    })
+    .await;
+    fleet.engines[0].process.restart().expect("restart");
+    harness::wait_until(LIMIT, "the engine gets the version again", async || {
+        applied(&fleet).len() == 3
+    })
+    .await;
+    assert_fencing_grows(&fleet.journals().expect("journals"));
+}
