--- a/crates/cli/src/command/operator.rs
+++ b/crates/cli/src/command/operator.rs
@@ -58,7 +58,7 @@
 pub(super) async fn targets(endpoint: &Endpoint) -> Result<()> {
     let answer = connect(endpoint)?.get_json("/admin/targets").await?;
     let columns = [
-        ("TARGET", "name"),
+        ("TARGET", "target"),
         ("KIND", "kind"),
         ("ZONE", "zone"),
         ("ADDRESS", "address"),
@@ -75,7 +75,7 @@
 pub(super) async fn requests(endpoint: &Endpoint) -> Result<()> {
     let answer = connect(endpoint)?.get_json("/admin/requests").await?;
     let columns = [
-        ("REQUEST", "id"),
+        ("REQUEST", "request_id"),
         ("TEAM", "team"),
         ("PRIORITY", "priority"),
         ("WORK", "work"),
@@ -135,6 +135,10 @@
             let body = serde_json::json!({"ran": ran}).to_string();
             let answer = post(&endpoint, &path, Bytes::from(body)).await?;
             print_record(&endpoint, &answer);
+            if answer["state"] == "intent" {
+                let message = "not resolved: the run may still go on, try again later";
+                return Err(Error::Conflict(message.to_owned()));
+            }
         }
     }
     Ok(())
--- a/crates/daemon/src/dispatch/run.rs
+++ b/crates/daemon/src/dispatch/run.rs
@@ -1,17 +1,26 @@
 //! The run of a request over its attempts.
 
-use std::{sync, time::Instant};
+use std::{
+    future::Future,
+    sync,
+    time::{Duration, Instant},
+};
 
 use acaciabank_core::suspect;
 use acaciabank_protocol::{ids, reason, verdict::Verdict};
+use bytes::Bytes;
+use http_body_util::Full;
 
-use super::{CallerRequest, RequestWork, attempt, completion, gate, service, sink};
+use super::{CallerRequest, RequestWork, WriteLimit, attempt, completion, gate, service, sink};
 use crate::{process, target};
 
 /// Attempts that ended as not run, for each attempt that `max_attempts` allows. They cost a target
 /// nothing, but their number must have an end.
 const NOT_RUN_FACTOR: u32 = 4;
 
+/// Time to tell other daemons of a crash at most.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(200);
+
 /// What is known of a request over all of its attempts.
 pub(super) struct RunProgress {
     pub(super) verdict: Verdict,
@@ -49,6 +58,17 @@
     pub(super) started: Instant,
 }
 
+impl RunContext<'_> {
+    /// Sends a request as this attempt and waits for the head of the answer.
+    pub(super) async fn open(
+        &self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<attempt::OpenAttempt, attempt::AttemptFailure> {
+        let limit = self.request.write_limit;
+        attempt::open(self.state, self.target, &self.attempt, limit, request).await
+    }
+}
+
 /// Runs a request to its end and delivers its answer.
 pub(super) async fn run(
     state: process::SharedState,
@@ -96,7 +116,8 @@
     let mut visit = gate::PoolVisit::new(state, request);
     let mut stream = completion::CompletionRun::new(request);
     loop {
-        let placed = visit.place(request, &progress.avoided).await;
+        let place = visit.place(request, &progress.avoided);
+        let placed = within_limit(request.write_limit, place).await;
         let slot = placed.map_err(|refusal| reason::Refusal {
             verdict: refusal.verdict.and(progress.verdict),
             ..refusal
@@ -122,15 +143,49 @@
                 visit.record_service(begun.elapsed());
                 return Ok(());
             }
-            Err(failure) => decide_retry(&context, sink, progress, failure)?,
+            Err(failure) => {
+                let failure = attempt::confirm_crash(state, &slot.target, failure).await;
+                if failure.crashed {
+                    record_crash(&context).await;
+                }
+                decide_retry(&context, sink, progress, failure)?;
+            }
         }
     }
 }
 
+/// Waits for a slot until the request may no longer be written.
+async fn within_limit<T>(
+    limit: Option<WriteLimit>,
+    place: impl Future<Output = Result<T, reason::Refusal>>,
+) -> Result<T, reason::Refusal> {
+    let Some(limit) = limit else {
+        return place.await;
+    };
+    let expired = reason::Refusal::not_run(
+        reason::RefusalReason::DeadlinePassed,
+        "no target was free before the key's intent expired",
+    );
+    let remaining = limit.remaining();
+    if remaining.is_zero() {
+        return Err(expired);
+    }
+    let placed = tokio::time::timeout(remaining, place).await;
+    placed.unwrap_or(Err(expired))
+}
+
 fn count_attempt(verdict: Verdict) {
     metrics::counter!("acaciabank_attempts_total", "verdict" => verdict.as_str()).increment(1);
 }
 
+/// Counts a crash for the request. Other daemons learn of it before the request is tried again or
+/// its caller is answered, because the caller may send it again through any of them.
+async fn record_crash(context: &RunContext<'_>) {
+    let gate = &context.state.targets.gate;
+    gate.record_crash(context.request.fingerprint, context.target.hash);
+    context.state.peers.announce_and_wait(ANNOUNCE_LIMIT).await;
+}
+
 /// Records a failed attempt; returns the refusal when there must be no other attempt.
 fn decide_retry(
     context: &RunContext<'_>,
@@ -148,7 +203,6 @@
     );
     count_attempt(failure.verdict);
     if failure.crashed {
-        state.targets.gate.record_crash(request.fingerprint);
         context
             .target
             .back_off(state.settings.timers.target_poll_ms);
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -1,9 +1,11 @@
 //! Connects entries to the loads of targets and to crash suspects.
 
+use std::collections;
+
 use acaciabank_core::{member, suspect};
 use acaciabank_protocol::ids;
 
-use crate::process;
+use crate::{process, target};
 
 /// Loads of the targets that this daemon owns, and notices of targets that it drains for an order.
 pub(super) fn local_loads(state: &process::ProcessState) -> Vec<member::TargetLoad> {
@@ -30,10 +32,14 @@
 
 /// Takes the loads and suspects that another daemon publishes. Loads of targets that this daemon
 /// polls itself are ignored: its own reports are newer.
-pub(super) fn apply_entry(state: &process::ProcessState, entry: &member::MemberEntry) {
+pub(super) fn apply_loads(
+    state: &process::ProcessState,
+    loads: &[member::TargetLoad],
+    suspects: &[member::SuspectReport],
+) {
     let snapshot = state.targets.snapshot();
     let avoid_ms = state.settings.timers.suspect_after_ms;
-    for load in &entry.loads {
+    for load in loads {
         if state.targets.apply_notice(load, avoid_ms) {
             continue;
         }
@@ -42,7 +48,7 @@
             state.targets.update_from_peer(load);
         }
     }
-    for report in &entry.suspects {
+    for report in suspects {
         state.targets.merge_suspect(suspect::SuspectRecord {
             fingerprint: report.fingerprint,
             crashes: report.crashes,
@@ -50,3 +56,40 @@
         });
     }
 }
+
+/// Takes the cache changes of a target that another daemon owns.
+pub(super) fn apply_pieces(state: &process::ProcessState, delta: &target::PieceDelta) {
+    let snapshot = state.targets.snapshot();
+    let target = snapshot.by_hash.get(&delta.target);
+    if target.is_some_and(|target| !state.peers.owns(&target.id)) {
+        state.targets.apply_piece_delta(delta);
+    }
+}
+
+/// When this daemon's loads are due.
+#[derive(Debug, Default)]
+pub(super) struct LoadSchedule {
+    /// Flags and state sequence of each target as last published.
+    published: collections::HashMap<u32, (u8, u32)>,
+}
+
+impl LoadSchedule {
+    /// Short names of the targets whose state differs from the published one. Their loads are sent
+    /// at once, so that a withdrawal does not wait for the next report. A target that is drained for
+    /// an order is listed in every tick: receivers avoid it for a limited time only.
+    pub(super) fn take_changed(&mut self, loads: &[member::TargetLoad]) -> Vec<u32> {
+        let mut changed = Vec::new();
+        let states = loads
+            .iter()
+            .map(|load| (load.target, (load.flags, load.state_sequence)));
+        let states: collections::HashMap<_, _> = states.collect();
+        for (target, target_state) in &states {
+            let is_pending = target_state.0 & target::PENDING_FLAG != 0;
+            if is_pending || self.published.get(target) != Some(target_state) {
+                changed.push(*target);
+            }
+        }
+        self.published = states;
+        changed
+    }
+}
