Count attempts, not state queries, in the dispatch tests

Cause: after a broken connection the daemon now asks the target for its state; the fake target of the dispatch tests counted that query as an attempt. Change: the fake counts requests that carry an attempt id, as every attempt does; the numbers checked are the same. Measured: both tests failed with 3 for 2 and 2 for 1 and pass now.

--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -42,6 +42,12 @@
             let Some((id, body)) = read_request(&mut stream).await else {
                 continue;
             };
+            // After a broken connection the daemon asks for the state of the target; that is no
+            // attempt and carries no attempt id.
+            if id.is_empty() {
+                let _ = stream.write_all(NOT_FOUND.as_bytes()).await;
+                continue;
+            }
             let number = count.fetch_add(1, Ordering::SeqCst);
             let script = scripts[number.min(scripts.len() - 1)];
             let answer = answer_of(script, &id, &body);
@@ -75,6 +81,8 @@
     }
 }
 
+const NOT_FOUND: &str = "HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 fn answer_of(script: Script, id: &str, body: &serde_json::Value) -> String {
     let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\n";
     match script {
