Name the crashed target in reports of crash suspects

Change: a report names the crash by its target and age; daemons keep the crashes of a fingerprint and merge them by target, so that one crash seen by several daemons counts once. A sum of counts was ruled out: it would count one crash twice.

--- a/crates/core/src/member/entry.rs
+++ b/crates/core/src/member/entry.rs
@@ -45,9 +45,9 @@
 pub struct SuspectReport {
     /// Fingerprint.
     pub fingerprint: u64,
-    /// Crashes seen.
-    pub crashes: u8,
-    /// Age of the last crash when the entry was received or made, in milliseconds.
+    /// Short form of the crashed target's name.
+    pub target: u32,
+    /// Age of the crash when the entry was received or made, in milliseconds.
     pub age_ms: u32,
 }
 
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -91,3 +91,33 @@
     let later = 10 + suspect::SUSPECT_LIFETIME_MS;
     assert_eq!(table.standing(5, later), suspect::SuspectStanding::Clear);
 }
+
+/// Guards against a crash that two daemons saw counting twice, and against crashes of different
+/// targets, seen by different daemons, counting once.
+#[test]
+fn crashes_reported_by_daemons_add_up_by_target() {
+    let record = |target, age_ms| suspect::SuspectRecord {
+        fingerprint: 5,
+        target,
+        age_ms,
+    };
+    let mut table = suspect::SuspectTable::default();
+    table.record_crash(5, 1, 10_000);
+    table.merge(record(1, 200), 10_100);
+    assert_eq!(
+        table.standing(5, 10_100),
+        suspect::SuspectStanding::Isolated
+    );
+    table.merge(record(2, 50), 10_100);
+    assert_eq!(table.standing(5, 10_100), suspect::SuspectStanding::Refused);
+    let records = table.export(10_100);
+    assert_eq!(records, [record(1, 100), record(2, 50)]);
+    let mut other = suspect::SuspectTable::default();
+    for record in records {
+        other.merge(record, 500_000);
+    }
+    assert_eq!(
+        other.standing(5, 500_000),
+        suspect::SuspectStanding::Refused
+    );
+}
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -81,7 +81,7 @@
     for (index, suspect) in suspects.iter().enumerate() {
         let mut builder = list.reborrow().get(index as u32);
         builder.set_fingerprint(suspect.fingerprint);
-        builder.set_crashes(suspect.crashes);
+        builder.set_target(suspect.target);
         builder.set_age_ms(suspect.age_ms.saturating_add(held_ms));
     }
 }
@@ -145,7 +145,7 @@
 pub(super) fn read_suspect(reader: peer_capnp::suspect::Reader<'_>) -> SuspectReport {
     SuspectReport {
         fingerprint: reader.get_fingerprint(),
-        crashes: reader.get_crashes(),
+        target: reader.get_target(),
         age_ms: reader.get_age_ms(),
     }
 }
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -19,7 +19,7 @@
 pub(super) fn local_suspects(state: &process::ProcessState) -> Vec<member::SuspectReport> {
     let to_report = |record: suspect::SuspectRecord| member::SuspectReport {
         fingerprint: record.fingerprint,
-        crashes: record.crashes,
+        target: record.target,
         age_ms: u32::try_from(record.age_ms).unwrap_or(u32::MAX),
     };
     state
@@ -51,7 +51,7 @@
     for report in suspects {
         state.targets.merge_suspect(suspect::SuspectRecord {
             fingerprint: report.fingerprint,
-            crashes: report.crashes,
+            target: report.target,
             age_ms: report.age_ms.into(),
         });
     }
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -26,9 +26,11 @@
   left @3;
 }
 
+# One crash of a target while a request with this fingerprint was in flight there.
 struct Suspect {
   fingerprint @0 :UInt64;
-  crashes @1 :UInt8;
+  # xxh3-64 of the target's name, truncated to 32 bits.
+  target @1 :UInt32;
   ageMs @2 :UInt32;
 }
 
--- a/crates/protocol/src/peer/peer_capnp.rs
+++ b/crates/protocol/src/peer/peer_capnp.rs
@@ -723,8 +723,8 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_crashes(self) -> u8 {
-            self.reader.get_data_field::<u8>(8)
+        pub fn get_target(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
         }
         #[inline]
         pub fn get_age_ms(self) -> u32 {
@@ -830,12 +830,12 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_crashes(self) -> u8 {
-            self.builder.get_data_field::<u8>(8)
+        pub fn get_target(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn set_crashes(&mut self, value: u8) {
-            self.builder.set_data_field::<u8>(8, value);
+        pub fn set_target(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
         pub fn get_age_ms(self) -> u32 {
@@ -884,10 +884,10 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
@@ -907,12 +907,12 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
-            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
@@ -927,7 +927,7 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -949,7 +949,7 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
         pub(crate) const TYPE_ID: u64 = 0xe629_d181_b72d_3683;
     }
 }
