--- a/crates/core/benches/route.rs
+++ b/crates/core/benches/route.rs
@@ -13,6 +13,7 @@
         .map(|number| CandidateView {
             usable: true,
             role: EngineRole::Mixed,
+            speed: route::TokenSpeed::assumed(EngineRole::Mixed),
             load: number % 40,
             slots: 32,
             waiting_prefill_tokens: u64::from(number),
--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -11,7 +11,7 @@
 use acaciabank_protocol::{ids, reason, settings, wire};
 use tokio::sync::Notify;
 
-use super::{CallerRequest, RequestWork, isolate::TargetPart};
+use super::{CallerRequest, RequestWork, isolate::TargetPart, speed};
 use crate::{process, target};
 
 /// Time for which a crash suspect waits for a target that other daemons' suspects leave alone. A
@@ -28,6 +28,11 @@
 const MIN_OBSERVATIONS: u64 = 16;
 /// Weight of a new observation of the service time, as a divisor.
 const OBSERVATION_DIVISOR: f64 = 16.0;
+/// Targets that the adaptive policy scores at most, besides those with a cached prefix. Bounds the
+/// time of a choice; different samples also keep daemons from choosing the same target.
+const MAX_SAMPLED: usize = 64;
+/// Targets with a cached prefix that are scored at most.
+const MAX_MATCHED: usize = 16;
 /// Prompt tokens of a service call, for the score.
 const SERVICE_PIECE_TOKENS: u64 = 1;
 
@@ -61,6 +66,8 @@
 pub(crate) struct TargetPool {
     key: PoolKey,
     inner: sync::Mutex<PoolInner>,
+    /// Speeds observed by role.
+    speeds: [speed::ObservedSpeed; speed::ROLES],
 }
 
 #[derive(Debug, Default)]
@@ -73,8 +80,6 @@
     observations: u64,
     /// Mean service time in seconds.
     service_s: f64,
-    /// Mean service time for each token asked for, in seconds.
-    token_s: f64,
 }
 
 impl PoolInner {
@@ -134,7 +139,8 @@
             .unwrap_or_else(sync::PoisonError::into_inner);
         let pool = pools.entry(key.clone()).or_insert_with(|| {
             let inner = sync::Mutex::default();
-            sync::Arc::new(TargetPool { key, inner })
+            let speeds = speed::ObservedSpeed::for_roles();
+            sync::Arc::new(TargetPool { key, inner, speeds })
         });
         sync::Arc::clone(pool)
     }
@@ -219,10 +225,43 @@
     pub(super) target: sync::Arc<target::TargetState>,
     pool: sync::Arc<TargetPool>,
     isolated: bool,
+    role: settings::EngineRole,
+    /// Requests at the target, as a share of its slots, when the slot was taken.
+    fill: f64,
+    /// Prompt tokens to process there before this request's first token, its own included.
+    queued_tokens: u64,
+    /// Time that the request is expected to take there.
+    expected: Duration,
+    /// Prompt tokens of this request that are counted at the target.
+    own_tokens: AtomicU64,
+}
+
+impl TargetSlot {
+    /// Records that the prompt has been processed, `elapsed` after the request was sent.
+    pub(super) fn end_prefill(&self, elapsed: Duration) {
+        if self.release_tokens() > 0 {
+            let speed = &self.pool.speeds[speed::index_of(self.role)];
+            speed.record_prefill(elapsed, self.queued_tokens);
+        }
+    }
+
+    /// Records the time between two tokens.
+    pub(super) fn record_decode(&self, elapsed: Duration) {
+        let speed = &self.pool.speeds[speed::index_of(self.role)];
+        speed.record_decode(elapsed, 1.0 + self.fill.min(1.0));
+    }
+
+    fn release_tokens(&self) -> u64 {
+        let tokens = self.own_tokens.swap(0, Ordering::AcqRel);
+        let marks = &self.target.marks;
+        marks.own_prefill_tokens.fetch_sub(tokens, Ordering::AcqRel);
+        tokens
+    }
 }
 
 impl Drop for TargetSlot {
     fn drop(&mut self) {
+        self.release_tokens();
         self.target.own_in_flight.fetch_sub(1, Ordering::AcqRel);
         if self.isolated {
             self.target.marks.suspects.fetch_sub(1, Ordering::AcqRel);
@@ -241,6 +280,7 @@
     hashes: Vec<u64>,
     policy: settings::RoutingPolicy,
     fingerprint: u64,
+    prompt_skipped: bool,
     queued: Option<bool>,
     /// Time until which a suspect waits for a target of this daemon's part.
     part_until: Instant,
@@ -275,6 +315,7 @@
             hashes,
             policy: request.config.deployment.policy.routing,
             fingerprint: request.fingerprint,
+            prompt_skipped: false,
             queued: None,
             part_until: Instant::now(),
         }
@@ -299,7 +340,7 @@
         loop {
             match pick {
                 Pick::Placed(slot) => {
-                    self.check_start()?;
+                    self.check_start(&slot)?;
                     self.leave_queue();
                     return Ok(slot);
                 }
@@ -333,15 +374,38 @@
         }
     }
 
+    /// A slot at a prefill target for the prompt alone, where that pays; it is never waited for.
+    pub(super) fn place_prefill(&self) -> Option<TargetSlot> {
+        let is_adaptive = self.policy == settings::RoutingPolicy::Adaptive;
+        let standing = self.state.targets.gate.standing(self.fingerprint);
+        let is_clear = standing == suspect::SuspectStanding::Clear;
+        if !is_adaptive || !is_clear || self.pool.lock().waiting.has_ahead_of(&self.ticket) {
+            return None;
+        }
+        let snapshot = self.state.targets.snapshot();
+        let routes = self.routes(&snapshot);
+        let matches = self.prefix_matches();
+        let viewer = self.viewer(routes, &matches, &[], false);
+        let seed = rand::random();
+        let sample = viewer.sample(&snapshot.positions, seed);
+        let views = sample.iter().map(|(_, view)| *view);
+        let chosen = route::choose_prefill(&self.cost, views, seed)?;
+        let (position, view) = &sample[chosen];
+        self.reserve(&routes[*position].target, view, false)
+    }
+
+    /// From now on the prompt costs nothing: another target has processed it.
+    pub(super) fn skip_prompt(&mut self, skipped: bool) {
+        self.prompt_skipped = skipped;
+    }
+
     /// Records how long a completed request took.
     pub(super) fn record_service(&self, elapsed: Duration) {
         let mut inner = self.pool.lock();
         inner.observations += 1;
         let seconds = elapsed.as_secs_f64();
-        let token_s = seconds / self.cost.max_tokens.max(1) as f64;
         let weight = 1.0 / OBSERVATION_DIVISOR.min(inner.observations as f64);
         inner.service_s += (seconds - inner.service_s) * weight;
-        inner.token_s += (token_s - inner.token_s) * weight;
     }
 
     async fn wait(
@@ -412,21 +476,40 @@
         }
         let mean = Duration::from_secs_f64(inner.service_s);
         let wait = admit::expected_wait(ahead, capacity, mean);
-        self.check_feasible(&inner, wait)
+        let service = match self.hashes.is_empty() {
+            true => mean,
+            false => self.least_service(),
+        };
+        self.check_feasible(&inner, wait, service)
     }
 
     /// Checks that a request that starts now can end in time.
-    fn check_start(&self) -> Result<(), reason::Refusal> {
+    fn check_start(&self, slot: &TargetSlot) -> Result<(), reason::Refusal> {
         let inner = self.pool.lock();
-        self.check_feasible(&inner, Duration::ZERO)
+        let service = match &self.pool.key {
+            PoolKey::Model(_) => slot.expected,
+            PoolKey::Service(_) => Duration::from_secs_f64(inner.service_s),
+        };
+        self.check_feasible(&inner, Duration::ZERO, service)
+    }
+
+    /// Time that a completion takes at least: its tokens in an empty batch of the fastest role. The
+    /// prompt may be cached, so it does not count.
+    fn least_service(&self) -> Duration {
+        let speeds = speed::speeds_of(&self.pool.speeds);
+        let decode_us = speeds.iter().map(|speed| speed.decode_us).min();
+        Duration::from_micros(self.cost.max_tokens.saturating_mul(decode_us.unwrap_or(0)))
     }
 
-    fn check_feasible(&self, inner: &PoolInner, wait: Duration) -> Result<(), reason::Refusal> {
+    fn check_feasible(
+        &self,
+        inner: &PoolInner,
+        wait: Duration,
+        service: Duration,
+    ) -> Result<(), reason::Refusal> {
         if inner.observations < MIN_OBSERVATIONS {
             return Ok(());
         }
-        let service_s = inner.token_s * self.cost.max_tokens.max(1) as f64;
-        let service = Duration::from_secs_f64(service_s);
         match admit::is_feasible(Instant::now(), self.ticket.deadline, wait, service) {
             true => Ok(()),
             false => Err(refuse(
@@ -491,47 +574,88 @@
         }
         let only_avoided = accepted.all(|route| avoided.contains(&route.target.hash));
         let avoided = if only_avoided { &[] } else { avoided };
+        let matches = self.prefix_matches();
+        let viewer = self.viewer(routes, &matches, avoided, isolated);
+        let gate = &self.state.targets.gate;
+        let seed = match self.policy {
+            settings::RoutingPolicy::RoundRobin => gate.turns.fetch_add(1, Ordering::Relaxed),
+            _ => rand::random(),
+        };
+        let sampled = match self.policy {
+            settings::RoutingPolicy::Adaptive => {
+                self.choose_sampled(&viewer, &snapshot.positions, seed)
+            }
+            _ => None,
+        };
+        // A sample without a usable target says nothing about the others.
+        let chosen = sampled.or_else(|| self.choose_of_all(&viewer, seed));
+        let slot = chosen
+            .and_then(|(position, view)| self.reserve(&routes[position].target, &view, isolated));
+        match slot {
+            Some(slot) => Pick::Placed(slot),
+            None => Pick::Saturated(self.capacity()),
+        }
+    }
+
+    fn choose_sampled(
+        &self,
+        viewer: &CandidateViewer<'_>,
+        positions: &HashMap<u32, usize>,
+        seed: u64,
+    ) -> Option<(usize, route::CandidateView)> {
+        let sample = viewer.sample(positions, seed);
+        let views = sample.iter().map(|(_, view)| *view);
+        let chosen = route::choose(self.policy, &self.cost_now(), views, seed)?;
+        Some(sample[chosen])
+    }
+
+    fn choose_of_all(
+        &self,
+        viewer: &CandidateViewer<'_>,
+        seed: u64,
+    ) -> Option<(usize, route::CandidateView)> {
+        let views = (0..viewer.routes.len()).map(|position| viewer.view(position));
+        let chosen = route::choose(self.policy, &self.cost_now(), views, seed)?;
+        Some((chosen, viewer.view(chosen)))
+    }
+
+    fn cost_now(&self) -> route::RequestCost {
+        match self.prompt_skipped {
+            true => route::RequestCost {
+                prompt_tokens: 0,
+                ..self.cost
+            },
+            false => self.cost,
+        }
+    }
+
+    fn prefix_matches(&self) -> Vec<cache::PrefixMatch> {
         let mut matches = Vec::new();
         if !self.hashes.is_empty()
             && let Ok(prefixes) = self.state.targets.prefixes.read()
         {
-            prefixes.find(&self.hashes, now_ms, &mut matches);
+            prefixes.find(&self.hashes, target::now_ms(), &mut matches);
         }
+        matches
+    }
+
+    fn viewer<'a>(
+        &self,
+        routes: &'a [target::TargetRoute],
+        matches: &'a [cache::PrefixMatch],
+        avoided: &'a [u32],
+        isolated: bool,
+    ) -> CandidateViewer<'a> {
         let now = Instant::now();
-        let part = (isolated && now < self.part_until).then(|| TargetPart::of(&self.state));
-        let count = routes.len();
-        let views = routes.iter().enumerate().map(|(position, route)| {
-            let target = &route.target;
-            let is_in_part = part.is_none_or(|part| part.contains(position, count));
-            let condition = target.condition.load();
-            let load = target.estimated_load(&condition, now);
-            let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
-            route::CandidateView {
-                usable: target.is_accepting(now_ms)
-                    && load < target.limit()
-                    && !avoided.contains(&target.hash)
-                    && !(isolated && (has_suspect || !is_in_part)),
-                role: condition.role,
-                load,
-                slots: target.slots,
-                waiting_prefill_tokens: condition.load.waiting_prefill_tokens,
-                cached_pieces: cache::matched_pieces(&matches, target.hash),
-                distance_us: route.distance_us,
-            }
-        });
-        let seed = match self.policy {
-            settings::RoutingPolicy::RoundRobin => self
-                .state
-                .targets
-                .gate
-                .turns
-                .fetch_add(1, Ordering::Relaxed),
-            _ => rand::random(),
-        };
-        let chosen = route::choose(self.policy, &self.cost, views, seed);
-        match chosen.and_then(|position| self.reserve(&routes[position].target, isolated)) {
-            Some(slot) => Pick::Placed(slot),
-            None => Pick::Saturated(self.capacity()),
+        CandidateViewer {
+            routes,
+            matches,
+            avoided,
+            isolated,
+            part: (isolated && now < self.part_until).then(|| TargetPart::of(&self.state)),
+            speeds: speed::speeds_of(&self.pool.speeds),
+            now_ms: target::now_ms(),
+            now,
         }
     }
 
@@ -540,6 +664,7 @@
     fn reserve(
         &self,
         target: &sync::Arc<target::TargetState>,
+        view: &route::CandidateView,
         isolated: bool,
     ) -> Option<TargetSlot> {
         if isolated && target.marks.suspects.fetch_add(1, Ordering::AcqRel) > 0 {
@@ -547,15 +672,106 @@
             return None;
         }
         let own = target.own_in_flight.fetch_add(1, Ordering::AcqRel);
+        let own_tokens = route::uncached_tokens(&self.cost_now(), view);
+        let marks = &target.marks;
+        marks
+            .own_prefill_tokens
+            .fetch_add(own_tokens, Ordering::AcqRel);
         let slot = TargetSlot {
             target: sync::Arc::clone(target),
             pool: sync::Arc::clone(&self.pool),
             isolated,
+            role: view.role,
+            fill: f64::from(view.load) / f64::from(view.slots.max(1)),
+            queued_tokens: view.waiting_prefill_tokens + own_tokens,
+            expected: Duration::from_micros(route::expected_us(&self.cost_now(), view)),
+            own_tokens: AtomicU64::new(own_tokens),
         };
         (own < target.limit()).then_some(slot)
     }
 }
 
+/// Views of the targets of a pool at one moment.
+struct CandidateViewer<'a> {
+    routes: &'a [target::TargetRoute],
+    matches: &'a [cache::PrefixMatch],
+    avoided: &'a [u32],
+    isolated: bool,
+    /// Part of the pool that suspects of this daemon use first.
+    part: Option<TargetPart>,
+    speeds: [route::TokenSpeed; speed::ROLES],
+    now_ms: u64,
+    now: Instant,
+}
+
+impl CandidateViewer<'_> {
+    fn view(&self, position: usize) -> route::CandidateView {
+        let route = &self.routes[position];
+        let target = &route.target;
+        let condition = target.condition.load();
+        let load = target.estimated_load(&condition, self.now);
+        let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
+        let count = self.routes.len();
+        let is_in_part = self
+            .part
+            .as_ref()
+            .is_none_or(|part| part.contains(position, count));
+        route::CandidateView {
+            usable: target.is_accepting(self.now_ms)
+                && load < target.limit()
+                && !self.avoided.contains(&target.hash)
+                && !(self.isolated && (has_suspect || !is_in_part)),
+            role: condition.role,
+            speed: self.speeds[speed::index_of(condition.role)],
+            load,
+            slots: target.slots,
+            waiting_prefill_tokens: target.estimated_prefill_tokens(&condition),
+            cached_pieces: cache::matched_pieces(self.matches, target.hash),
+            distance_us: route.distance_us,
+        }
+    }
+
+    /// Targets to score, with their positions: all of a small pool; else one from each of
+    /// [`MAX_SAMPLED`] equal parts and those with the longest cached prefixes.
+    fn sample(
+        &self,
+        positions: &HashMap<u32, usize>,
+        seed: u64,
+    ) -> Vec<(usize, route::CandidateView)> {
+        let count = self.routes.len();
+        let with_view = |position: usize| (position, self.view(position));
+        if count <= MAX_SAMPLED {
+            return (0..count).map(with_view).collect();
+        }
+        let mut sample = Vec::with_capacity(MAX_SAMPLED + MAX_MATCHED);
+        let drawn = (0..MAX_SAMPLED).map(|part| {
+            let (start, end) = (part * count / MAX_SAMPLED, (part + 1) * count / MAX_SAMPLED);
+            start + (route::mix(seed, part) % (end - start) as u64) as usize
+        });
+        sample.extend(drawn.map(with_view));
+        let longest = self.matches.iter().map(|found| found.pieces).max();
+        let held = self
+            .matches
+            .iter()
+            .filter(|found| Some(found.pieces) == longest);
+        let held = held.filter_map(|found| positions.get(&found.target).copied());
+        let held = held.filter(|position| *position < count);
+        sample.extend(held.take(MAX_MATCHED).map(with_view));
+        sample
+    }
+}
+
+/// The target that a request would go to now; it takes no slot. For benches and diagnosis.
+pub fn choose_target(
+    state: &process::SharedState,
+    request: &CallerRequest,
+) -> Option<ids::TargetId> {
+    match PoolVisit::new(state, request).pick(&[], false) {
+        Pick::Placed(slot) => Some(slot.target.id.clone()),
+        _ => None,
+    }
+}
+
 impl Drop for PoolVisit {
     fn drop(&mut self) {
         self.leave_queue();
