Let the scripted target of the dispatch tests answer questions about its state

After a broken connection the daemon asks the target for its state, to tell a crash from a closed connection. The scripted target took the question for another run of the request: broken_stream_resumes_without_gap_or_repeat and non_idempotent_request_is_not_repeated_after_it_was_written counted one request too many. It now answers the question apart; requests are counted as strictly as before.

Tested: cargo test -p acaciabank-daemon.

--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -18,6 +18,9 @@
     net::TcpListener,
 };
 
+const STATE_ANSWER: &str =
+    "HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// What the target does with one request.
 #[derive(Clone, Copy)]
 enum Script {
@@ -31,7 +34,8 @@
     Crossed,
 }
 
-/// Serves the scripts in order, the last one for ever; counts the requests read.
+/// Serves the scripts in order, the last one for ever; counts the requests read. Questions about the
+/// target's state after a broken connection take no script and are not counted.
 async fn start_target(scripts: Vec<Script>) -> (net::SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -39,9 +43,13 @@
     let count = Arc::clone(&served);
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let Some((id, body)) = read_request(&mut stream).await else {
+            let Some((path, id, body)) = read_request(&mut stream).await else {
                 continue;
             };
+            if path == "/admin/state" {
+                let _ = stream.write_all(STATE_ANSWER.as_bytes()).await;
+                continue;
+            }
             let number = count.fetch_add(1, Ordering::SeqCst);
             let script = scripts[number.min(scripts.len() - 1)];
             let answer = answer_of(script, &id, &body);
@@ -51,7 +59,10 @@
     (address, served)
 }
 
-async fn read_request(stream: &mut tokio::net::TcpStream) -> Option<(String, serde_json::Value)> {
+/// Path, request id and body of one request.
+async fn read_request(
+    stream: &mut tokio::net::TcpStream,
+) -> Option<(String, String, serde_json::Value)> {
     let mut bytes = Vec::new();
     loop {
         if stream.read_buf(&mut bytes).await.ok()? == 0 {
@@ -70,7 +81,8 @@
         let length = header("content-length").map_or(0, |length| length.parse().unwrap());
         if body.len() >= length {
             let id = header("x-request-id").unwrap_or_default().to_owned();
-            return Some((id, serde_json::from_str(body).unwrap_or_default()));
+            let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+            return Some((path, id, serde_json::from_str(body).unwrap_or_default()));
         }
     }
 }
