Test cache changes between daemons and exchange between regions

Cause: both were written without a test of real daemons. Change: two tests in crates/testbed/tests/membership.rs, and a counter of received cache changes.

--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -62,6 +62,8 @@
     let snapshot = state.targets.snapshot();
     let target = snapshot.by_hash.get(&delta.target);
     if target.is_some_and(|target| !state.peers.owns(&target.id)) {
+        let pieces = delta.stored.len() + delta.removed.len();
+        metrics::counter!("acaciabank_piece_changes_received_total").increment(pieces as u64);
         state.targets.apply_piece_delta(delta);
     }
 }
--- a/crates/testbed/tests/membership.rs
+++ b/crates/testbed/tests/membership.rs
@@ -215,3 +215,88 @@
     fleet.wait_daemon_ready(2).await;
     assert_eq!(version_of(&fleet, 2).await, Some(2));
 }
+
+/// Guards against cache changes that do not reach the daemons that do not own the target: prompts
+/// that one daemon sent must be found in the caches by the other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn cache_changes_reach_the_other_daemon() {
+    const PROMPTS: usize = 16;
+    let _turn = harness::fleet_turn().await;
+    let launcher = harness::Launcher::new(PROGRAM).expect("a temporary folder");
+    let fleet = FleetSpec::small(2, 2, 1).start(launcher).await;
+    let fleet = fleet.expect("the fleet starts");
+    fleet.wait_settled().await;
+    let complete_all = async |daemon: usize| {
+        let address = fleet.daemons[daemon].caller_address;
+        let caller = harness::Caller::new(vec![address], None, LIMIT);
+        for number in 0..PROMPTS {
+            let outcome = caller
+                .complete(&harness::CompletionRequest {
+                    model: "drafting".to_owned(),
+                    prompt: format!("club {number} ").repeat(200),
+                    max_tokens: 2,
+                    ..harness::CompletionRequest::default()
+                })
+                .await;
+            assert!(outcome.is_complete, "{outcome:?}");
+        }
+    };
+    let cached_starts = || {
+        let journals = fleet.journals().expect("journals");
+        let started = journals.events("started");
+        let cached = started.filter(|entry| entry["cached_tokens"].as_u64() > Some(0));
+        cached.count()
+    };
+    complete_all(0).await;
+    let before = cached_starts();
+    // A prompt has three whole pieces of 100 tokens; the owner of the engine sends each to the other
+    // daemon.
+    harness::wait_until(LIMIT, "all pieces are received", async || {
+        let name = "acaciabank_piece_changes_received_total";
+        counter(&fleet, 0, name).await + counter(&fleet, 1, name).await >= 3 * PROMPTS as u64
+    })
+    .await;
+    complete_all(1).await;
+    let cached = cached_starts() - before;
+    assert!(cached + 2 >= PROMPTS, "{cached} of {PROMPTS} prompts found");
+}
+
+/// Guards against regions that do not learn of each other: a caller must be told of the other
+/// region, and a configuration must cross while the table is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn regions_exchange_addresses_and_configuration() {
+    let _turn = harness::fleet_turn().await;
+    let mut spec = FleetSpec::small(4, 2, 1);
+    let mut delta = spec.deployment.regions[0].clone();
+    delta.name = "delta".into();
+    delta.zones = vec!["tanta".into()];
+    spec.deployment.regions.push(delta);
+    let launcher = harness::Launcher::new(PROGRAM).expect("a temporary folder");
+    let mut fleet = spec.start(launcher).await.expect("the fleet starts");
+    for position in [0, 1, 2] {
+        wait_named(&fleet, position, &[0, 1, 2, 3], LIMIT).await;
+    }
+    let abroad = fleet.daemons[3].caller_address;
+    harness::wait_until(LIMIT, "daemon-3 names the other region", async || {
+        let named = named_by(&fleet, 3).await;
+        named.contains(&abroad) && named.len() > 1
+    })
+    .await;
+    let path = format!("/admin/targets/{}/drain", fleet.engines[1].name);
+    let address = fleet.daemons[0].admin_address;
+    let answer = web::call(address, "POST", &path, &[], "").await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    let down = serde_json::json!({"down": "error"});
+    let control = Fleet::control(fleet.platform_address, &down).await;
+    control.expect("the platform fails");
+    let bound = time::Duration::from_secs(11);
+    harness::wait_until(bound, "the configuration crosses regions", async || {
+        let status = fleet.admin_json(3, "/admin/status").await;
+        status.unwrap_or_default()["config_version"] == 2
+    })
+    .await;
+    fleet.daemons[3].process.kill();
+    for position in [0, 1, 2] {
+        wait_named(&fleet, position, &[0, 1, 2], LIMIT).await;
+    }
+}
