--- a/crates/daemon/src/peer/gossip.rs
+++ b/crates/daemon/src/peer/gossip.rs
@@ -1,6 +1,6 @@
 //! Sending and taking rumors, pulls, probes and suspicions.
 
-use std::{rc::Rc, time};
+use std::{cell, rc::Rc, time};
 
 use acaciabank_core::member::{Applied, Heartbeat, HeartbeatApplied, MemberEntry, daemon_hash};
 use tokio::task::spawn_local;
@@ -124,26 +124,27 @@
         }
     }
 
-    /// Publishes the own heartbeat and loads when they are due; targets whose state changed are
-    /// due at once.
+    /// Publishes the own heartbeat and loads when they are due; targets whose state changed or that
+    /// are drained for an order are due at once.
     pub(super) fn refresh_in_turn(&self, now: time::Instant) {
         let entry = own_entry(&self.state, self.peer_address);
         let changed = self.load_schedule.borrow_mut().take_changed(&entry.loads);
-        let ticks = self.ticks_until_refresh.get();
         let mut table = self.table.borrow_mut();
-        if ticks > 1 {
-            self.ticks_until_refresh.set(ticks - 1);
-            if !changed.is_empty() {
-                table.publish(entry, now);
-                table.publish_loads(Some(&changed), now);
-            }
-            return;
-        }
-        self.ticks_until_refresh.set(table.refresh_ticks(now));
+        let refresh_ticks = table.refresh_ticks(now);
+        let load_ticks = loads::report_ticks(entry.loads.len() * table.region_size(now));
+        let is_refresh_due = is_due(&self.ticks_until_refresh, refresh_ticks);
+        let are_loads_due = is_due(&self.ticks_until_loads, refresh_ticks.max(load_ticks));
         let has_loads = !entry.loads.is_empty() || !entry.suspects.is_empty();
-        table.publish(entry, now);
-        if has_loads {
-            table.publish_loads(None, now);
+        let reported = match are_loads_due {
+            true if has_loads => Some(None),
+            false if !changed.is_empty() => Some(Some(changed.as_slice())),
+            _ => None,
+        };
+        if is_refresh_due || reported.is_some() {
+            table.publish(entry, now);
+        }
+        if let Some(changed) = reported {
+            table.publish_loads(changed, now);
         }
     }
 
@@ -242,3 +243,14 @@
         self.follow_config();
     }
 }
+
+/// Counts down to a turn that comes every `ticks`; tells whether it is now.
+fn is_due(ticks_left: &cell::Cell<u32>, ticks: u32) -> bool {
+    let left = ticks_left.get();
+    if left > 1 {
+        ticks_left.set(left - 1);
+        return false;
+    }
+    ticks_left.set(ticks);
+    true
+}
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -7,6 +7,19 @@
 
 use crate::{process, target};
 
+/// Targets of a region whose loads are reported in every tick. With more of them the time between
+/// two reports grows, so that the traffic stays about constant.
+const TARGETS_A_TICK: usize = 48;
+
+/// Ticks between two reports at most; older loads mislead routing more than they help.
+const MAX_REPORT_TICKS: usize = 10;
+
+/// Ticks between two load reports in a region with the given number of targets.
+pub(super) fn report_ticks(targets: usize) -> u32 {
+    let ticks = targets.div_ceil(TARGETS_A_TICK);
+    ticks.clamp(1, MAX_REPORT_TICKS) as u32
+}
+
 /// Loads of the targets that this daemon owns, and notices of targets that it drains for an order.
 pub(super) fn local_loads(state: &process::ProcessState) -> Vec<member::TargetLoad> {
     let owns = |target: &ids::TargetId| state.peers.owns(target);
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -48,6 +48,7 @@
     /// Daemons of the settings that are known to be in another region.
     pub(super) foreign_seeds: cell::RefCell<collections::BTreeMap<ids::DaemonId, ids::RegionId>>,
     pub(super) ticks_until_refresh: cell::Cell<u32>,
+    pub(super) ticks_until_loads: cell::Cell<u32>,
     pub(super) ticks: cell::Cell<u32>,
     /// Targets for which the owners were computed last.
     pub(super) owned_snapshot: cell::RefCell<sync::Arc<target::TargetSnapshot>>,
@@ -172,6 +173,7 @@
             piece_budget: cell::RefCell::default(),
             foreign_seeds: cell::RefCell::default(),
             ticks_until_refresh: cell::Cell::new(0),
+            ticks_until_loads: cell::Cell::new(0),
             ticks: cell::Cell::new(0),
             owned_snapshot: cell::RefCell::default(),
             fetching_config: cell::Cell::new(false),
