Retry when a backoff ends; test the split of prefill and decode

Cause: a request that met only backed-off targets waited until another event woke it, 4 s at most in a daemon without polls. Change: it tries again when the first backoff ends. The tests cover this, a prompt split off to a prefill target, the fallback to a whole request and that a keyed request is never split.

--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -284,8 +284,8 @@
     Placed(TargetSlot),
     /// Every accepting target is at its limit; their number of slots.
     Saturated(u32),
-    /// No target accepts work.
-    Withdrawn,
+    /// No target accepts work; the time after which the first one that is only backed off does.
+    Withdrawn(Option<Duration>),
     /// The configuration has no such target.
     Missing,
 }
@@ -330,6 +330,7 @@
             false => self.pick(avoided, isolated),
         };
         loop {
+            let retry_at;
             match pick {
                 Pick::Placed(slot) => {
                     self.check_start(&slot)?;
@@ -342,7 +343,8 @@
                         "no target is configured",
                     ));
                 }
-                Pick::Withdrawn => {
+                Pick::Withdrawn(backoff) => {
+                    retry_at = backoff.map(|backoff| Instant::now() + backoff);
                     let since = *withdrawn_since.get_or_insert_with(Instant::now);
                     if since.elapsed() >= NO_TARGET_WAIT {
                         return Err(refuse(
@@ -353,13 +355,14 @@
                 }
                 Pick::Saturated(capacity) => {
                     withdrawn_since = None;
+                    retry_at = None;
                     if self.queued.is_none() && !is_retry {
                         self.check_queue(request, capacity, isolated)?;
                     }
                 }
             }
             self.enter_queue(isolated, &notify);
-            self.wait(&notify, withdrawn_since).await?;
+            self.wait(&notify, withdrawn_since, retry_at).await?;
             pick = self.pick(avoided, isolated);
         }
     }
@@ -402,9 +405,11 @@
         &self,
         notify: &Notify,
         withdrawn_since: Option<Instant>,
+        retry_at: Option<Instant>,
     ) -> Result<(), reason::Refusal> {
         let deadline = self.ticket.deadline;
         let until = withdrawn_since.map_or(deadline, |since| deadline.min(since + NO_TARGET_WAIT));
+        let until = retry_at.map_or(until, |retry_at| until.min(retry_at));
         let woken = tokio::time::timeout_at(until.into(), notify.notified()).await;
         match woken.is_err() && Instant::now() >= deadline {
             true => Err(refuse(
@@ -555,7 +560,9 @@
         let accepting = |route: &&target::TargetRoute| route.target.is_accepting(now_ms);
         let mut accepted = routes.iter().filter(accepting);
         if accepted.clone().next().is_none() {
-            return Pick::Withdrawn;
+            let backoffs = routes.iter();
+            let backoffs = backoffs.filter_map(|route| route.target.backoff_left(now_ms));
+            return Pick::Withdrawn(backoffs.min());
         }
         let only_avoided = accepted.all(|route| avoided.contains(&route.target.hash));
         let avoided = if only_avoided { &[] } else { avoided };
@@ -737,12 +744,15 @@
     }
 }
 
-/// The target that a request would go to now; it takes no slot. For benches and diagnosis.
+/// The target that would generate the answer to a request now; no slot stays taken. For benches.
 pub fn choose_target(
     state: &process::SharedState,
     request: &CallerRequest,
 ) -> Option<ids::TargetId> {
-    match PoolVisit::new(state, request).pick(&[], false) {
+    let mut visit = PoolVisit::new(state, request);
+    let prefill = visit.place_prefill();
+    visit.skip_prompt(prefill.is_some());
+    match visit.pick(&[], false) {
         Pick::Placed(slot) => Some(slot.target.id.clone()),
         _ => None,
     }
--- a/crates/daemon/src/target/marks.rs
+++ b/crates/daemon/src/target/marks.rs
@@ -102,6 +102,14 @@
             && self.marks.backoff_until_ms.load(Ordering::Acquire) <= now_ms
     }
 
+    /// Time until a target that nothing but this daemon's backoff withdraws accepts work again.
+    pub(crate) fn backoff_left(&self, now_ms: u64) -> Option<Duration> {
+        let until_ms = self.marks.backoff_until_ms.load(Ordering::Acquire);
+        let is_only_backed_off =
+            self.marks.causes.load(Ordering::Acquire) == 0 && until_ms > now_ms;
+        is_only_backed_off.then(|| Duration::from_millis(until_ms - now_ms))
+    }
+
     /// Whether the given cause withdraws the target.
     pub fn has_mark(&self, cause: WithdrawalCause) -> bool {
         self.marks.causes.load(Ordering::Acquire) & bit(cause) != 0
--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -29,6 +29,8 @@
     Refuse,
     /// Answers with another request's id.
     Crossed,
+    /// Processes the prompt and offers its KV cache; refuses calls that do not ask for that.
+    Prefill,
 }
 
 /// Serves the scripts in order, the last one for ever; counts the requests read.
@@ -83,6 +85,16 @@
             "HTTP/1.1 503 Busy\r\nx-verdict: not_run\r\ncontent-length: 0\r\n\r\n".to_owned()
         }
         Script::Crossed => format!("{head}x-request-id: other\r\n\r\ndata: [DONE]\n\n"),
+        Script::Prefill => {
+            let is_asked = body["kv_transfer_params"]["do_remote_decode"] == true;
+            let answer = json!({"id": id, "kv_transfer_params": {"handle": "h1"}}).to_string();
+            let status = if is_asked { "200 OK" } else { "400 Bad" };
+            let length = answer.len();
+            format!(
+                "HTTP/1.1 {status}\r\nconnection: close\r\nx-request-id: {id}\r\n\
+                 content-length: {length}\r\n\r\n{answer}"
+            )
+        }
         Script::Tokens { until, ends } => {
             let from = body["resume_from"].as_u64().unwrap_or(0);
             let mut answer = format!("{head}x-request-id: {id}\r\n\r\n");
@@ -102,12 +114,20 @@
 }
 
 fn state_of(addresses: &[net::SocketAddr]) -> process::SharedState {
-    let engines: Vec<_> = addresses
+    let targets: Vec<_> = addresses
+        .iter()
+        .map(|address| (*address, "mixed"))
+        .collect();
+    state_with(&targets, "least_load")
+}
+
+fn state_with(targets: &[(net::SocketAddr, &str)], routing: &str) -> process::SharedState {
+    let engines: Vec<_> = targets
         .iter()
         .enumerate()
-        .map(|(number, address)| {
+        .map(|(number, (address, role))| {
             json!({"name": format!("engine-{number}"), "host": "host-1", "address": address,
-                   "model": "drafter", "slots": 4, "fencing": "checked"})
+                   "role": role, "model": "drafter", "slots": 4, "fencing": "checked"})
         })
         .collect();
     let deployment: settings::Deployment = serde_json::from_value(json!({
@@ -115,7 +135,7 @@
         "hosts": [{"name": "host-1", "zone": "perth-a"}],
         "models": [{"name": "drafter", "version": "1"}],
         "engines": engines,
-        "policy": {"routing": "least_load"},
+        "policy": {"routing": routing},
     }))
     .unwrap();
     let process: settings::ProcessSettings = serde_json::from_value(json!({
@@ -249,3 +269,56 @@
     assert_eq!(text_of(answer).await, "t1 t2 t3 t4 t5 t6 ");
     assert_eq!(served.load(Ordering::SeqCst), 2);
 }
+
+/// A request whose prompt is long enough to be processed at a prefill target.
+fn long_request_of(state: &process::ProcessState, idempotent: bool) -> dispatch::CallerRequest {
+    let mut request = request_of(state, idempotent);
+    if let dispatch::RequestWork::Completion { prompt, body, .. } = &mut request.work {
+        *prompt = "word ".repeat(20_000);
+        body.insert("prompt".to_owned(), json!(prompt.clone()));
+    }
+    request
+}
+
+/// Guards against a split that repeats or loses tokens, a failed prefill target that ends the
+/// request, and a split of a request that may run only once.
+#[tokio::test]
+async fn prompt_is_processed_at_a_prefill_target() {
+    let whole = Script::Tokens {
+        until: 6,
+        ends: true,
+    };
+    for (prefill_script, idempotent, calls) in [
+        (Script::Prefill, true, 2),
+        (Script::Refuse, true, 2),
+        (Script::Close, true, 2),
+        (whole, false, 1),
+    ] {
+        let (prefill, prefill_served) = start_target(vec![prefill_script]).await;
+        let (decode, decode_served) = start_target(vec![whole]).await;
+        let state = state_with(&[(prefill, "prefill"), (decode, "decode")], "adaptive");
+        let request = long_request_of(&state, idempotent);
+        let answer = dispatch::dispatch(&state, request).await.unwrap();
+        assert_eq!(text_of(answer).await, "t1 t2 t3 t4 t5 t6 ");
+        let served = [prefill_served, decode_served].map(|served| served.load(Ordering::SeqCst));
+        assert_eq!(served.iter().sum::<usize>(), calls, "{served:?}");
+        assert!(!idempotent || served == [1, 1], "{served:?}");
+    }
+}
+
+/// Guards against a request that waits longer than the backoff of the only target: its deadline is
+/// before the end of the general wait for targets.
+#[tokio::test]
+async fn request_runs_when_the_backoff_of_its_target_ends() {
+    let whole = Script::Tokens {
+        until: 6,
+        ends: true,
+    };
+    let (address, _) = start_target(vec![whole]).await;
+    let state = state_of(&[address]);
+    state.targets.snapshot().all[0].back_off(300);
+    let mut request = request_of(&state, true);
+    request.deadline = Instant::now() + Duration::from_secs(3);
+    let answer = dispatch::dispatch(&state, request).await.unwrap();
+    assert_eq!(text_of(answer).await, "t1 t2 t3 t4 t5 t6 ");
+}
