--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -11,9 +11,13 @@
 use acaciabank_protocol::{ids, reason, settings, wire};
 use tokio::sync::Notify;
 
-use super::{CallerRequest, RequestWork, speed};
+use super::{CallerRequest, RequestWork, isolate::TargetPart, speed};
 use crate::{process, target};
 
+/// Time for which a crash suspect waits for a target that other daemons' suspects leave alone. A
+/// request that crashes its target does so within its first tokens, and requests that are suspects
+/// by chance, such as all those of a lost zone, must not wait in line for long.
+const PART_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a request waits while no target accepts work. Covers the local backoff and the
 /// polls after which a restarted target returns.
 const NO_TARGET_WAIT: Duration = Duration::from_secs(4);
@@ -187,9 +191,9 @@
         budget.as_mut().is_none_or(budget::RetryBudget::try_spend)
     }
 
-    pub(super) fn record_crash(&self, fingerprint: u64) {
+    pub(super) fn record_crash(&self, fingerprint: u64, target: u32) {
         self.suspect_table()
-            .record_crash(fingerprint, target::now_ms());
+            .record_crash(fingerprint, target, target::now_ms());
     }
 
     pub(super) fn standing(&self, fingerprint: u64) -> suspect::SuspectStanding {
@@ -278,6 +282,8 @@
     fingerprint: u64,
     prompt_skipped: bool,
     queued: Option<bool>,
+    /// Time until which a suspect waits for a target of this daemon's part.
+    part_until: Instant,
 }
 
 enum Pick {
@@ -311,6 +317,7 @@
             fingerprint: request.fingerprint,
             prompt_skipped: false,
             queued: None,
+            part_until: Instant::now(),
         }
     }
 
@@ -321,6 +328,7 @@
         avoided: &[u32],
     ) -> Result<TargetSlot, reason::Refusal> {
         let isolated = self.check_suspect()?;
+        self.part_until = Instant::now() + PART_WAIT;
         let notify = sync::Arc::new(Notify::new());
         let is_retry = !avoided.is_empty();
         let behind = self.pool.lock().queue(isolated).has_ahead_of(&self.ticket);
@@ -362,7 +370,10 @@
                 }
             }
             self.enter_queue(isolated, &notify);
-            self.wait(&notify, withdrawn_since, retry_at).await?;
+            self.wait(&notify, withdrawn_since, retry_at, isolated)
+                .await?;
+            // Its crashes may have become known while it waited.
+            self.check_suspect()?;
             pick = self.pick(avoided, isolated);
         }
     }
@@ -406,10 +417,15 @@
         notify: &Notify,
         withdrawn_since: Option<Instant>,
         retry_at: Option<Instant>,
+        isolated: bool,
     ) -> Result<(), reason::Refusal> {
         let deadline = self.ticket.deadline;
-        let until = withdrawn_since.map_or(deadline, |since| deadline.min(since + NO_TARGET_WAIT));
-        let until = retry_at.map_or(until, |retry_at| until.min(retry_at));
+        let mut until =
+            withdrawn_since.map_or(deadline, |since| deadline.min(since + NO_TARGET_WAIT));
+        if isolated && Instant::now() < self.part_until {
+            until = until.min(self.part_until);
+        }
+        until = retry_at.map_or(until, |retry_at| until.min(retry_at));
         let woken = tokio::time::timeout_at(until.into(), notify.notified()).await;
         match woken.is_err() && Instant::now() >= deadline {
             true => Err(refuse(
@@ -638,14 +654,16 @@
         avoided: &'a [u32],
         isolated: bool,
     ) -> CandidateViewer<'a> {
+        let now = Instant::now();
         CandidateViewer {
             routes,
             matches,
             avoided,
             isolated,
+            part: (isolated && now < self.part_until).then(|| TargetPart::of(&self.state)),
             speeds: speed::speeds_of(&self.pool.speeds),
             now_ms: target::now_ms(),
-            now: Instant::now(),
+            now,
         }
     }
 
@@ -687,6 +705,8 @@
     matches: &'a [cache::PrefixMatch],
     avoided: &'a [u32],
     isolated: bool,
+    /// Part of the pool that suspects of this daemon use first.
+    part: Option<TargetPart>,
     speeds: [route::TokenSpeed; speed::ROLES],
     now_ms: u64,
     now: Instant,
@@ -699,11 +719,16 @@
         let condition = target.condition.load();
         let load = target.estimated_load(&condition, self.now);
         let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
+        let count = self.routes.len();
+        let is_in_part = self
+            .part
+            .as_ref()
+            .is_none_or(|part| part.contains(position, count));
         route::CandidateView {
             usable: target.is_accepting(self.now_ms)
                 && load < target.limit()
                 && !self.avoided.contains(&target.hash)
-                && !(self.isolated && has_suspect),
+                && !(self.isolated && (has_suspect || !is_in_part)),
             role: condition.role,
             speed: self.speeds[speed::index_of(condition.role)],
             load,
--- a/crates/daemon/src/target/share.rs
+++ b/crates/daemon/src/target/share.rs
@@ -11,7 +11,7 @@
 const SWITCHING_FLAG: u8 = 2;
 const ROLE_SHIFT: u8 = 2;
 /// An order is pending: the sender drains the target.
-const PENDING_FLAG: u8 = 16;
+pub(crate) const PENDING_FLAG: u8 = 16;
 /// The summary carries nothing but its flags, because the sender does not own the target.
 const NOTICE_FLAG: u8 = 32;
 
