Keep the random addition out of the decision to split

Cause: the test of the split failed in some runs: the addition of up to a quarter, which orders prefill targets, also counted in the comparison with the whole request. Change: the comparison uses the plain score, and a failed prefill call confirms and records a crash like any other attempt.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -146,9 +146,10 @@
         let score = prefill_score(cost, &view)
             .saturating_add(view.speed.decode_us * u64::from(view.load + 1))
             .saturating_add(2 * u64::from(view.distance_us));
-        (spread(score, seed, position), position)
+        (spread(score, seed, position), score, position)
     });
-    let (prefill, position) = ranked.min()?;
+    // The random addition orders the targets; it must not decide whether a split pays.
+    let (_, prefill, position) = ranked.min()?;
     let others = usable
         .clone()
         .filter(|(_, view)| view.role != EngineRole::Prefill);
--- a/crates/daemon/src/dispatch/run.rs
+++ b/crates/daemon/src/dispatch/run.rs
@@ -208,7 +208,13 @@
             visit.skip_prompt(is_transferable);
             Ok(())
         }
-        Err(failure) => decide_retry(&context, sink, progress, failure),
+        Err(failure) => {
+            let failure = attempt::confirm_crash(state, &slot.target, failure).await;
+            if failure.crashed {
+                record_crash(&context).await;
+            }
+            decide_retry(&context, sink, progress, failure)
+        }
     }
 }
 
