--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -11,7 +11,7 @@
 use acaciabank_protocol::{ids, reason, settings, wire};
 use tokio::sync::Notify;
 
-use super::{CallerRequest, RequestWork, isolate::TargetPart, speed};
+use super::{CallerRequest, RequestWork, candidate::CandidateViewer, isolate::TargetPart, speed};
 use crate::{process, target};
 
 /// Time for which a crash suspect waits for a target that other daemons' suspects leave alone. A
@@ -28,11 +28,6 @@
 const MIN_OBSERVATIONS: u64 = 16;
 /// Weight of a new observation of the service time, as a divisor.
 const OBSERVATION_DIVISOR: f64 = 16.0;
-/// Targets that the adaptive policy scores at most, besides those with a cached prefix. Bounds the
-/// time of a choice; different samples also keep daemons from choosing the same target.
-const MAX_SAMPLED: usize = 64;
-/// Targets with a cached prefix that are scored at most.
-const MAX_MATCHED: usize = 16;
 /// Prompt tokens of a service call, for the score.
 const SERVICE_PIECE_TOKENS: u64 = 1;
 
@@ -699,76 +694,6 @@
     }
 }
 
-/// Views of the targets of a pool at one moment.
-struct CandidateViewer<'a> {
-    routes: &'a [target::TargetRoute],
-    matches: &'a [cache::PrefixMatch],
-    avoided: &'a [u32],
-    isolated: bool,
-    /// Part of the pool that suspects of this daemon use first.
-    part: Option<TargetPart>,
-    speeds: [route::TokenSpeed; speed::ROLES],
-    now_ms: u64,
-    now: Instant,
-}
-
-impl CandidateViewer<'_> {
-    fn view(&self, position: usize) -> route::CandidateView {
-        let route = &self.routes[position];
-        let target = &route.target;
-        let condition = target.condition.load();
-        let load = target.estimated_load(&condition, self.now);
-        let has_suspect = target.marks.suspects.load(Ordering::Acquire) > 0;
-        let count = self.routes.len();
-        let is_in_part = self
-            .part
-            .as_ref()
-            .is_none_or(|part| part.contains(position, count));
-        route::CandidateView {
-            usable: target.is_accepting(self.now_ms)
-                && load < target.limit()
-                && !self.avoided.contains(&target.hash)
-                && !(self.isolated && (has_suspect || !is_in_part)),
-            role: condition.role,
-            speed: self.speeds[speed::index_of(condition.role)],
-            load,
-            slots: target.slots,
-            waiting_prefill_tokens: target.estimated_prefill_tokens(&condition),
-            cached_pieces: cache::matched_pieces(self.matches, target.hash),
-            distance_us: route.distance_us,
-        }
-    }
-
-    /// Targets to score, with their positions: all of a small pool; else one from each of
-    /// [`MAX_SAMPLED`] equal parts and those with the longest cached prefixes.
-    fn sample(
-        &self,
-        positions: &HashMap<u32, usize>,
-        seed: u64,
-    ) -> Vec<(usize, route::CandidateView)> {
-        let count = self.routes.len();
-        let with_view = |position: usize| (position, self.view(position));
-        if count <= MAX_SAMPLED {
-            return (0..count).map(with_view).collect();
-        }
-        let mut sample = Vec::with_capacity(MAX_SAMPLED + MAX_MATCHED);
-        let drawn = (0..MAX_SAMPLED).map(|part| {
-            let (start, end) = (part * count / MAX_SAMPLED, (part + 1) * count / MAX_SAMPLED);
-            start + (route::mix(seed, part) % (end - start) as u64) as usize
-        });
-        sample.extend(drawn.map(with_view));
-        let longest = self.matches.iter().map(|found| found.pieces).max();
-        let held = self
-            .matches
-            .iter()
-            .filter(|found| Some(found.pieces) == longest);
-        let held = held.filter_map(|found| positions.get(&found.target).copied());
-        let held = held.filter(|position| *position < count);
-        sample.extend(held.take(MAX_MATCHED).map(with_view));
-        sample
-    }
-}
-
 /// The target that would generate the answer to a request now; no slot stays taken. For benches.
 pub fn choose_target(
     state: &process::SharedState,
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod assemble;
 mod attempt;
+mod candidate;
 mod completion;
 pub(crate) mod connection;
 pub(crate) mod gate;
