Split pools and slots from the gate of the dispatcher

Change: pool.rs (queues, shares and speeds of a model or service) and slot.rs (slots at targets); no change of behaviour. Four worker threads are the default in place of two (settings).

--- a/crates/daemon/src/dispatch/gate.rs
+++ b/crates/daemon/src/dispatch/gate.rs
@@ -11,7 +11,14 @@
 use acaciabank_protocol::{ids, reason, settings, wire};
 use tokio::sync::Notify;
 
-use super::{CallerRequest, RequestWork, candidate::CandidateViewer, isolate::TargetPart, speed};
+use super::{
+    CallerRequest, RequestWork,
+    candidate::CandidateViewer,
+    isolate::TargetPart,
+    pool::{PoolInner, PoolKey, TargetPool},
+    slot::TargetSlot,
+    speed,
+};
 use crate::{process, target};
 
 /// Time for which a crash suspect waits for a target that other daemons' suspects leave alone. A
@@ -31,83 +38,6 @@
 /// Prompt tokens of a service call, for the score.
 const SERVICE_PIECE_TOKENS: u64 = 1;
 
-/// What shares a queue.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum PoolKey {
-    /// Engines of a model.
-    Model(ids::ModelId),
-    /// Instances of a service.
-    Service(ids::ServiceId),
-}
-
-impl PoolKey {
-    pub(super) fn of(work: &RequestWork) -> Self {
-        match work {
-            RequestWork::Completion { model, .. } => Self::Model(model.clone()),
-            RequestWork::Service { service, .. } => Self::Service(service.clone()),
-        }
-    }
-
-    fn as_str(&self) -> &str {
-        match self {
-            Self::Model(model) => model.as_str(),
-            Self::Service(service) => service.as_str(),
-        }
-    }
-}
-
-/// Requests of one model or service.
-#[derive(Debug)]
-pub(crate) struct TargetPool {
-    key: PoolKey,
-    inner: sync::Mutex<PoolInner>,
-    /// Speeds observed by role.
-    speeds: [speed::ObservedSpeed; speed::ROLES],
-}
-
-#[derive(Debug, Default)]
-struct PoolInner {
-    waiting: admit::WaitQueue<sync::Arc<Notify>>,
-    /// Crash suspects wait apart: they need a target without another suspect and must not hold up
-    /// requests that any target can take.
-    isolated: admit::WaitQueue<sync::Arc<Notify>>,
-    share: admit::FairShare,
-    observations: u64,
-    /// Mean service time in seconds.
-    service_s: f64,
-}
-
-impl PoolInner {
-    fn queue(&mut self, isolated: bool) -> &mut admit::WaitQueue<sync::Arc<Notify>> {
-        match isolated {
-            true => &mut self.isolated,
-            false => &mut self.waiting,
-        }
-    }
-
-    fn wake(&self) {
-        let first = [self.waiting.first(), self.isolated.first()];
-        first
-            .into_iter()
-            .flatten()
-            .for_each(|waiter| waiter.notify_one());
-    }
-}
-
-impl TargetPool {
-    fn lock(&self) -> sync::MutexGuard<'_, PoolInner> {
-        self.inner
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-    }
-
-    fn report_length(&self, inner: &PoolInner) {
-        let length = inner.waiting.len() + inner.isolated.len();
-        let model = self.key.as_str().to_owned();
-        metrics::gauge!("acaciabank_queue_length", "model" => model).set(length as f64);
-    }
-}
-
 /// Admission state of the daemon.
 #[derive(Debug, Default)]
 pub(crate) struct DispatchGate {
@@ -214,57 +144,6 @@
     }
 }
 
-/// A slot at a target, held until dropped.
-#[derive(Debug)]
-pub(super) struct TargetSlot {
-    pub(super) target: sync::Arc<target::TargetState>,
-    pool: sync::Arc<TargetPool>,
-    isolated: bool,
-    role: settings::EngineRole,
-    /// Requests at the target, as a share of its slots, when the slot was taken.
-    fill: f64,
-    /// Prompt tokens to process there before this request's first token, its own included.
-    queued_tokens: u64,
-    /// Time that the request is expected to take there.
-    expected: Duration,
-    /// Prompt tokens of this request that are counted at the target.
-    own_tokens: AtomicU64,
-}
-
-impl TargetSlot {
-    /// Records that the prompt has been processed, `elapsed` after the request was sent.
-    pub(super) fn end_prefill(&self, elapsed: Duration) {
-        if self.release_tokens() > 0 {
-            let speed = &self.pool.speeds[speed::index_of(self.role)];
-            speed.record_prefill(elapsed, self.queued_tokens);
-        }
-    }
-
-    /// Records the time between two tokens.
-    pub(super) fn record_decode(&self, elapsed: Duration) {
-        let speed = &self.pool.speeds[speed::index_of(self.role)];
-        speed.record_decode(elapsed, 1.0 + self.fill.min(1.0));
-    }
-
-    fn release_tokens(&self) -> u64 {
-        let tokens = self.own_tokens.swap(0, Ordering::AcqRel);
-        let marks = &self.target.marks;
-        marks.own_prefill_tokens.fetch_sub(tokens, Ordering::AcqRel);
-        tokens
-    }
-}
-
-impl Drop for TargetSlot {
-    fn drop(&mut self) {
-        self.release_tokens();
-        self.target.own_in_flight.fetch_sub(1, Ordering::AcqRel);
-        if self.isolated {
-            self.target.marks.suspects.fetch_sub(1, Ordering::AcqRel);
-        }
-        self.pool.lock().wake();
-    }
-}
-
 /// Place of a request in its pool: its share, and its position in the queue.
 pub(super) struct PoolVisit {
     state: process::SharedState,
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -9,9 +9,11 @@
 pub(crate) mod gate;
 mod isolate;
 mod limit;
+mod pool;
 mod run;
 mod service;
 mod sink;
+mod slot;
 mod speed;
 mod sse;
 
--- /dev/null
+++ b/crates/daemon/src/dispatch/pool.rs
@@ -0,0 +1,87 @@
+//! Requests of one model or service: what waits, which share each team has, observed speeds.
+
+use std::sync;
+
+use acaciabank_core::admit;
+use acaciabank_protocol::ids;
+use tokio::sync::Notify;
+
+use super::{RequestWork, speed};
+
+/// What shares a queue.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum PoolKey {
+    /// Engines of a model.
+    Model(ids::ModelId),
+    /// Instances of a service.
+    Service(ids::ServiceId),
+}
+
+impl PoolKey {
+    pub(super) fn of(work: &RequestWork) -> Self {
+        match work {
+            RequestWork::Completion { model, .. } => Self::Model(model.clone()),
+            RequestWork::Service { service, .. } => Self::Service(service.clone()),
+        }
+    }
+
+    fn as_str(&self) -> &str {
+        match self {
+            Self::Model(model) => model.as_str(),
+            Self::Service(service) => service.as_str(),
+        }
+    }
+}
+
+/// Requests of one model or service.
+#[derive(Debug)]
+pub(crate) struct TargetPool {
+    pub(super) key: PoolKey,
+    pub(super) inner: sync::Mutex<PoolInner>,
+    /// Speeds observed by role.
+    pub(super) speeds: [speed::ObservedSpeed; speed::ROLES],
+}
+
+/// Queues, shares and service times of a pool.
+#[derive(Debug, Default)]
+pub(super) struct PoolInner {
+    pub(super) waiting: admit::WaitQueue<sync::Arc<Notify>>,
+    /// Crash suspects wait apart: they need a target without another suspect and must not hold up
+    /// requests that any target can take.
+    pub(super) isolated: admit::WaitQueue<sync::Arc<Notify>>,
+    pub(super) share: admit::FairShare,
+    pub(super) observations: u64,
+    /// Mean service time in seconds.
+    pub(super) service_s: f64,
+}
+
+impl PoolInner {
+    pub(super) fn queue(&mut self, isolated: bool) -> &mut admit::WaitQueue<sync::Arc<Notify>> {
+        match isolated {
+            true => &mut self.isolated,
+            false => &mut self.waiting,
+        }
+    }
+
+    pub(super) fn wake(&self) {
+        let first = [self.waiting.first(), self.isolated.first()];
+        first
+            .into_iter()
+            .flatten()
+            .for_each(|waiter| waiter.notify_one());
+    }
+}
+
+impl TargetPool {
+    pub(super) fn lock(&self) -> sync::MutexGuard<'_, PoolInner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    pub(super) fn report_length(&self, inner: &PoolInner) {
+        let length = inner.waiting.len() + inner.isolated.len();
+        let model = self.key.as_str().to_owned();
+        metrics::gauge!("acaciabank_queue_length", "model" => model).set(length as f64);
+    }
+}
--- a/crates/daemon/src/dispatch/run.rs
+++ b/crates/daemon/src/dispatch/run.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 
-use super::{CallerRequest, RequestWork, WriteLimit, attempt, completion, gate, service, sink};
+use super::{
+    CallerRequest, RequestWork, WriteLimit, attempt, completion, gate, service, sink, slot,
+};
 use crate::{process, target};
 
 /// Attempts that ended as not run, for each attempt that `max_attempts` allows. They cost a target
@@ -57,7 +59,7 @@
     pub(super) state: &'a process::SharedState,
     pub(super) request: &'a CallerRequest,
     pub(super) target: &'a sync::Arc<target::TargetState>,
-    pub(super) slot: &'a gate::TargetSlot,
+    pub(super) slot: &'a slot::TargetSlot,
     pub(super) attempt: ids::AttemptId,
     pub(super) started: Instant,
     /// When this attempt began.
--- a/crates/protocol/src/settings/process.rs
+++ b/crates/protocol/src/settings/process.rs
@@ -140,7 +140,7 @@
             max_attempts: 4,
             retry_percent: 10,
             answer_buffer_bytes: 32 << 20,
-            worker_threads: 2,
+            worker_threads: 4,
         }
     }
 }
