Use one type for buffered answers, local or of another daemon

Cause: RemoteAnswer and BufferedAnswer stood for the same four states and were converted into each other. Change: the buffer's type serves both; no change of behaviour.

--- a/crates/daemon/src/dispatch/answers.rs
+++ b/crates/daemon/src/dispatch/answers.rs
@@ -31,8 +31,8 @@
     answer: BufferedAnswer,
 }
 
-/// What the buffer knows of a request.
-#[derive(Clone, Debug)]
+/// What a daemon's buffer knows of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BufferedAnswer {
     /// Nothing.
     Unknown,
--- a/crates/daemon/src/entry/answers.rs
+++ b/crates/daemon/src/entry/answers.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use super::{EntryState, RequestScope, reply};
-use crate::{dispatch::BufferedAnswer, peer::RemoteAnswer, process::listener::Reply};
+use crate::{dispatch::BufferedAnswer, process::listener::Reply};
 
 /// Models and adapters of the inventory in the form of common model servers.
 pub(super) fn models(scope: &RequestScope) -> Reply {
@@ -37,20 +37,7 @@
     let daemon = wanted.daemon().map(ids::DaemonId::from);
     let daemon = daemon.ok_or_else(not_found)?;
     let answer = if daemon == state.settings.daemon {
-        match state.answers.find(&wanted, &scope.team) {
-            BufferedAnswer::Unknown => RemoteAnswer::Unknown,
-            BufferedAnswer::Running => RemoteAnswer::Running,
-            BufferedAnswer::Forbidden => RemoteAnswer::Forbidden,
-            BufferedAnswer::Done {
-                status,
-                content_type,
-                body,
-            } => RemoteAnswer::Done {
-                status,
-                content_type,
-                body,
-            },
-        }
+        state.answers.find(&wanted, &scope.team)
     } else {
         let fetched = state.peers.fetch_answer(&daemon, &wanted, &scope.team);
         fetched.await.map_err(|error| {
@@ -59,9 +46,9 @@
         })?
     };
     match answer {
-        RemoteAnswer::Unknown | RemoteAnswer::Forbidden => Err(not_found()),
-        RemoteAnswer::Running => Ok(running(&wanted)),
-        RemoteAnswer::Done {
+        BufferedAnswer::Unknown | BufferedAnswer::Forbidden => Err(not_found()),
+        BufferedAnswer::Running => Ok(running(&wanted)),
+        BufferedAnswer::Done {
             status,
             content_type,
             body,
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -20,7 +20,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{config, process};
+use crate::{config, dispatch, process};
 
 /// Condition of a daemon as this one sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
@@ -57,26 +57,6 @@
     pub config_version: u64,
 }
 
-/// Answer of another daemon about a request that it ran.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RemoteAnswer {
-    /// Not known there.
-    Unknown,
-    /// Still running.
-    Running,
-    /// Belongs to another team.
-    Forbidden,
-    /// The whole answer.
-    Done {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content_type: String,
-        /// Body.
-        body: bytes::Bytes,
-    },
-}
-
 /// State of a key at the daemon that coordinates it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RemoteKey {
@@ -118,7 +98,7 @@
         daemon: ids::DaemonId,
         request: ids::RequestId,
         team: ids::TeamId,
-        reply: oneshot::Sender<Result<RemoteAnswer, PeerError>>,
+        reply: oneshot::Sender<Result<dispatch::BufferedAnswer, PeerError>>,
     },
     AwaitKey {
         daemon: ids::DaemonId,
@@ -223,7 +203,7 @@
         daemon: &ids::DaemonId,
         request: &ids::RequestId,
         team: &ids::TeamId,
-    ) -> Result<RemoteAnswer, PeerError> {
+    ) -> Result<dispatch::BufferedAnswer, PeerError> {
         let (reply, answer) = oneshot::channel();
         self.command(Command::FetchAnswer {
             daemon: daemon.clone(),
--- a/crates/daemon/src/peer/remote.rs
+++ b/crates/daemon/src/peer/remote.rs
@@ -6,11 +6,11 @@
 use acaciabank_protocol::{ids, peer_capnp};
 
 use super::{
-    RemoteAnswer, RemoteKey, convert, digest,
+    RemoteKey, convert, digest,
     digest::Digest,
     link::{CALL_TIMEOUT, PeerLink},
 };
-use crate::{config::ConfigVersion, target::PieceDelta};
+use crate::{config::ConfigVersion, dispatch, target::PieceDelta};
 
 /// Entries with the time of their arrival here.
 pub(super) type HeldEntries = Vec<(MemberEntry, time::Instant)>;
@@ -126,7 +126,7 @@
     link: &PeerLink,
     id: &ids::RequestId,
     team: &ids::TeamId,
-) -> Result<RemoteAnswer, String> {
+) -> Result<dispatch::BufferedAnswer, String> {
     let call = |client: peer_capnp::peer::Client| async move {
         let mut request = client.fetch_answer_request();
         request.get().set_request_id(id.as_str());
@@ -137,13 +137,13 @@
     link.call("fetch_answer", CALL_TIMEOUT, call).await
 }
 
-fn read_answer(reader: peer_capnp::answer::Reader<'_>) -> capnp::Result<RemoteAnswer> {
+fn read_answer(reader: peer_capnp::answer::Reader<'_>) -> capnp::Result<dispatch::BufferedAnswer> {
     use peer_capnp::answer::Which;
     Ok(match reader.which()? {
-        Which::Unknown(()) => RemoteAnswer::Unknown,
-        Which::Running(()) => RemoteAnswer::Running,
-        Which::Forbidden(()) => RemoteAnswer::Forbidden,
-        Which::Done(done) => RemoteAnswer::Done {
+        Which::Unknown(()) => dispatch::BufferedAnswer::Unknown,
+        Which::Running(()) => dispatch::BufferedAnswer::Running,
+        Which::Forbidden(()) => dispatch::BufferedAnswer::Forbidden,
+        Which::Done(done) => dispatch::BufferedAnswer::Done {
             status: done.get_status(),
             content_type: done.get_content_type()?.to_string()?,
             body: bytes::Bytes::copy_from_slice(done.get_body()?),
--- a/crates/daemon/tests/control/peer.rs
+++ b/crates/daemon/tests/control/peer.rs
@@ -3,7 +3,8 @@
 use std::net;
 
 use acaciabank_daemon::{
-    peer::{MemberCondition, PeerError, RemoteAnswer, RemoteKey},
+    dispatch::BufferedAnswer,
+    peer::{MemberCondition, PeerError, RemoteKey},
     process::Phase,
 };
 use acaciabank_protocol::{ids, peer_capnp};
@@ -130,7 +131,7 @@
     let team = ids::TeamId::new("team");
     let peers = &b.state.peers;
     let answer = peers.fetch_answer(&a, &request, &team).await;
-    assert_eq!(answer, Ok(RemoteAnswer::Unknown));
+    assert_eq!(answer, Ok(BufferedAnswer::Unknown));
     let key = peers.await_key(&a, &team, "key", 10).await;
     assert_eq!(key, Ok(RemoteKey::Unknown));
     let answer = peers.fetch_answer(&nobody, &request, &team).await;
