--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -1,6 +1,10 @@
 //! Retry budget: retries are limited to a share of the requests, so that a failing fleet is not
 //! loaded further by repeated work.
 
+mod window;
+
+pub use window::{BudgetTerms, WindowBudget};
+
 /// Retries allowed before any request has been recorded, and in an idle daemon.
 const RESERVE_RETRIES: u64 = 100;
 /// Retries that may be saved up at most.
--- /dev/null
+++ b/crates/core/src/budget/window.rs
@@ -0,0 +1,55 @@
+//! Retry budget over a sliding window that all daemons share without talking to each other.
+
+use std::collections::VecDeque;
+
+/// Share of the allowance that a daemon leaves unused: requests that the daemon counted may fall
+/// into another window than the retries they pay for.
+const SAFETY: f64 = 0.8;
+
+/// Terms of a budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetTerms {
+    /// Length of the window.
+    pub window_ms: u64,
+    /// Retries allowed for each request.
+    pub ratio: f64,
+    /// Retries allowed in each window besides, for all daemons together.
+    pub extra: f64,
+}
+
+/// Retries of one daemon for one service. A daemon spends by its own traffic, plus its part of the
+/// constant: the sum over all daemons keeps to the budget whichever of them are cut off.
+#[derive(Clone, Debug, Default)]
+pub struct WindowBudget {
+    requests: VecDeque<u64>,
+    retries: VecDeque<u64>,
+}
+
+impl WindowBudget {
+    /// Counts a request of a caller.
+    pub fn record_request(&mut self, terms: &BudgetTerms, now_ms: u64) {
+        self.expire(terms, now_ms);
+        self.requests.push_back(now_ms);
+    }
+
+    /// Takes one retry; tells whether the budget of this daemon, one of `daemons`, had one.
+    pub fn try_spend(&mut self, terms: &BudgetTerms, daemons: usize, now_ms: u64) -> bool {
+        self.expire(terms, now_ms);
+        let part = terms.extra / daemons.max(1) as f64;
+        let allowed = SAFETY * (self.requests.len() as f64 * terms.ratio + part);
+        if self.retries.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.retries.push_back(now_ms);
+        true
+    }
+
+    fn expire(&mut self, terms: &BudgetTerms, now_ms: u64) {
+        let start = now_ms.saturating_sub(terms.window_ms);
+        for times in [&mut self.requests, &mut self.retries] {
+            while times.front().is_some_and(|time| *time < start) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,10 +12,13 @@
 pub mod admit;
 pub mod budget;
 pub mod cache;
+pub mod judge;
 pub mod lease;
 pub mod member;
 pub mod once;
 pub mod order;
+pub mod parts;
+pub mod place;
 pub mod plan;
 pub mod route;
 pub mod suspect;
--- a/crates/daemon/src/dispatch/attempt.rs
+++ b/crates/daemon/src/dispatch/attempt.rs
@@ -7,8 +7,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use super::{connection, limit::WriteLimit};
 use crate::{process, target};
+use acaciabank_relay::connection::{self, WriteLimit};
 
 /// Why an attempt failed.
 #[derive(Debug)]
@@ -93,7 +93,7 @@
 
     /// Keeps the connection for other requests. The body must have been read to its end.
     pub(super) fn recycle(self) {
-        self.target.marks.pool.put(self.connection);
+        self.target.marks.pool.put(self.connection, None);
     }
 }
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -5,10 +5,8 @@
 mod attempt;
 mod candidate;
 mod completion;
-pub(crate) mod connection;
 pub(crate) mod gate;
 mod isolate;
-mod limit;
 mod pool;
 mod run;
 mod service;
@@ -23,9 +21,9 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
+pub use acaciabank_relay::connection::WriteLimit;
 pub use answers::{AnswerBuffer, BufferedAnswer};
 pub use gate::choose_target;
-pub use limit::WriteLimit;
 
 use crate::{config, process};
 
--- a/crates/daemon/src/process/startup.rs
+++ b/crates/daemon/src/process/startup.rs
@@ -37,10 +37,19 @@
     }
 }
 
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+enum StartMode {
+    /// The product's own interface, with a settings file.
+    Settings(path::PathBuf),
+    /// The users' platform, which puts the settings in place.
+    Platform,
+}
+
 /// Runs the daemon with the given command-line arguments; returns the exit status.
 pub fn run(arguments: &[ffi::OsString]) -> i32 {
-    let path = match parse_arguments(arguments) {
-        Ok(path) => path,
+    let mode = match parse_arguments(arguments) {
+        Ok(mode) => mode,
         Err(failure) => {
             failure.print_message(100);
             return match failure {
@@ -49,7 +58,10 @@
             };
         }
     };
-    let result = read_settings(&path).and_then(run_settings);
+    let result = match mode {
+        StartMode::Settings(path) => read_settings(&path).and_then(run_settings),
+        StartMode::Platform => acaciabank_platform::run().map_err(cannot_start),
+    };
     match result {
         Ok(()) => 0,
         Err(error) => {
@@ -59,10 +71,16 @@
     }
 }
 
-fn parse_arguments(arguments: &[ffi::OsString]) -> Result<path::PathBuf, bpaf::ParseFailure> {
-    bpaf::long("settings")
+fn parse_arguments(arguments: &[ffi::OsString]) -> Result<StartMode, bpaf::ParseFailure> {
+    let settings = bpaf::long("settings")
         .help("Settings file (JSON)")
         .argument::<path::PathBuf>("FILE")
+        .map(StartMode::Settings);
+    let platform = bpaf::pure(StartMode::Platform)
+        .to_options()
+        .descr("Runs behind the adapter of the platform, with the settings that it puts in place")
+        .command("platform");
+    bpaf::construct!([settings, platform])
         .to_options()
         .descr("Daemon of acaciabank")
         .version(env!("CARGO_PKG_VERSION"))
--- a/crates/daemon/src/target/marks.rs
+++ b/crates/daemon/src/target/marks.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Mutex;
 
 use super::{TargetCondition, TargetState, WithdrawalCause};
-use crate::dispatch::connection;
+use acaciabank_relay::connection;
 
 /// Successful polls in a row after which a target returns to service.
 const RETURN_POLLS: u32 = 2;
--- a/crates/daemon/src/target/poll.rs
+++ b/crates/daemon/src/target/poll.rs
@@ -13,7 +13,9 @@
 use serde::de::DeserializeOwned;
 
 use super::{PieceDelta, TargetKind, TargetState, WithdrawalCause, marks::PollLink};
-use crate::{dispatch::connection, process};
+use acaciabank_relay::connection;
+
+use crate::process;
 
 /// Largest accepted answer to a poll.
 const MAX_POLL_BYTES: usize = 4 << 20;
--- a/crates/daemon/src/dispatch/limit.rs
+++ b/crates/relay/src/connection/limit.rs
@@ -36,7 +36,7 @@
 /// write to the socket, so that a process that was paused before the write does not write after the
 /// limit.
 #[derive(Debug)]
-pub(super) struct WriteGate(AtomicU64);
+pub(crate) struct WriteGate(AtomicU64);
 
 impl Default for WriteGate {
     fn default() -> Self {
@@ -45,12 +45,12 @@
 }
 
 impl WriteGate {
-    pub(super) fn set(&self, limit: Option<WriteLimit>) {
+    pub(crate) fn set(&self, limit: Option<WriteLimit>) {
         let limit_ms = limit.map_or(UNLIMITED_MS, |limit| limit.boot_ms);
         self.0.store(limit_ms, Ordering::Release);
     }
 
-    pub(super) fn is_passed(&self) -> bool {
+    pub(crate) fn is_passed(&self) -> bool {
         match self.0.load(Ordering::Acquire) {
             UNLIMITED_MS => false,
             limit_ms => now_ms() >= limit_ms,
--- a/crates/daemon/src/dispatch/connection.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -18,30 +18,42 @@
     net::TcpStream,
 };
 
-use super::limit::{WriteGate, WriteLimit};
+mod limit;
+
+pub use limit::WriteLimit;
+
+use limit::WriteGate;
 
 /// Idle connections kept for each target.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Idle time after which a connection is not used again. Shorter than the idle timeout of common
 /// servers, so that few requests meet a connection that is being closed.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
+/// Share of the idle time stated by a target after which a connection is not used again.
+const KEEP_ALIVE_SHARE: f64 = 0.8;
+/// Time for which written bytes may stay unacknowledged. A peer that is cut off does not reset the
+/// connection; a sound one acknowledges within milliseconds.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// One HTTP/1 connection to a target; carries one request at a time.
 #[derive(Debug)]
-pub(crate) struct TargetConnection {
+pub struct TargetConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    driver: tokio::task::AbortHandle,
+    idle_until: Instant,
     written: sync::Arc<AtomicU64>,
     gate: sync::Arc<WriteGate>,
 }
 
 impl TargetConnection {
     /// Connects within `timeout`.
-    pub(crate) async fn connect(address: net::SocketAddr, timeout: Duration) -> io::Result<Self> {
+    pub async fn connect(address: net::SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
             Ok(stream) => stream?,
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
         stream.set_nodelay(true)?;
+        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let written = sync::Arc::new(AtomicU64::new(0));
         let gate = sync::Arc::new(WriteGate::default());
         let counted = CountedStream {
@@ -51,30 +63,47 @@
         };
         let handshake = http1::handshake(TokioIo::new(counted)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
-        tokio::spawn(async move {
+        let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address} ended: {error}");
             }
         });
         Ok(Self {
             sender,
+            driver: driver.abort_handle(),
+            idle_until: Instant::now(),
             written,
             gate,
         })
     }
 
+    fn is_usable(&self) -> bool {
+        Instant::now() < self.idle_until && !self.sender.is_closed()
+    }
+
     /// Bytes written to the socket so far.
-    pub(crate) fn written(&self) -> u64 {
+    pub fn written(&self) -> u64 {
         self.written.load(Ordering::Acquire)
     }
 
+    /// Whether the connection can carry a request now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Closes the socket at once, whatever is still being written or read. Dropping the connection
+    /// does the same.
+    pub fn close(self) {
+        drop(self);
+    }
+
     /// Refuses writes after `limit`; it holds until it is set again.
-    pub(super) fn limit_writes(&self, limit: Option<WriteLimit>) {
+    pub fn limit_writes(&self, limit: Option<WriteLimit>) {
         self.gate.set(limit);
     }
 
     /// Sends a request and waits for the head of its answer.
-    pub(crate) async fn send(
+    pub async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
     ) -> hyper::Result<http::Response<Incoming>> {
@@ -83,32 +112,42 @@
     }
 }
 
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        // A request that was dropped half-way must not reach the target later.
+        self.driver.abort();
+    }
+}
+
 /// Idle connections of one target.
 #[derive(Debug, Default)]
-pub(crate) struct IdlePool {
-    idle: sync::Mutex<Vec<(Instant, TargetConnection)>>,
+pub struct IdlePool {
+    idle: sync::Mutex<Vec<TargetConnection>>,
 }
 
 impl IdlePool {
     /// Takes the connection that was used last, if any is open.
-    pub(crate) fn take(&self) -> Option<TargetConnection> {
+    pub fn take(&self) -> Option<TargetConnection> {
         let mut idle = self.idle.lock().ok()?;
-        while let Some((since, connection)) = idle.pop() {
-            if since.elapsed() < MAX_IDLE_TIME && !connection.sender.is_closed() {
+        while let Some(connection) = idle.pop() {
+            if connection.is_usable() {
                 return Some(connection);
             }
         }
         None
     }
 
-    /// Keeps a connection whose last answer was read to its end.
-    pub(crate) fn put(&self, connection: TargetConnection) {
+    /// Keeps a connection whose last answer was read to its end, as long as the target is known to
+    /// keep idle connections.
+    pub fn put(&self, mut connection: TargetConnection, keep_alive: Option<Duration>) {
+        let kept = keep_alive.map_or(MAX_IDLE_TIME, |limit| limit.mul_f64(KEEP_ALIVE_SHARE));
+        connection.idle_until = Instant::now() + kept;
         let Ok(mut idle) = self.idle.lock() else {
             return;
         };
-        idle.retain(|(since, kept)| since.elapsed() < MAX_IDLE_TIME && !kept.sender.is_closed());
+        idle.retain(TargetConnection::is_usable);
         if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
-            idle.push((Instant::now(), connection));
+            idle.push(connection);
         }
     }
 }
--- /dev/null
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -0,0 +1,332 @@
+//! One exchange with a target, the verdict when it fails, and the decision about another one.
+
+use std::{
+    rc,
+    time::{Duration, Instant},
+};
+
+use acaciabank_core::judge;
+use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use super::{
+    refusal::RefusalAnswer,
+    request::{RelayRequest, RequestProgress},
+};
+use crate::{
+    clock, connection, edge, state, target,
+    telemetry::{self, RefusalCause},
+};
+
+/// Time to open a connection. A sound target in another availability zone answers within
+/// milliseconds; packets are lost now and then and sent again after some hundred.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Refusals by targets after which a request is refused: each costs the retry budget.
+const MAX_REFUSED_SENDS: u32 = 4;
+
+/// Why an exchange failed.
+#[derive(Clone, Debug)]
+pub struct AttemptFailure {
+    pub verdict: Verdict,
+    pub retry: RetryReason,
+    pub cause: RefusalCause,
+    pub message: String,
+}
+
+impl AttemptFailure {
+    /// The request never reached the target.
+    fn unsent(retry: RetryReason, message: impl ToString) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            retry,
+            cause: RefusalCause::NoTarget,
+            message: message.to_string(),
+        }
+    }
+
+    /// The request was sent and the target's answer is missing or useless.
+    pub fn broken(message: impl ToString) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            retry: RetryReason::ConnectionBroken,
+            cause: RefusalCause::TargetFailed,
+            message: message.to_string(),
+        }
+    }
+
+    /// The target was too slow.
+    pub fn timeout(request: &RelayRequest) -> Self {
+        let is_over = request.left().is_zero();
+        Self {
+            verdict: Verdict::MayHaveRun,
+            retry: RetryReason::FirstTokenTimeout,
+            cause: match is_over {
+                true => RefusalCause::DeadlinePassed,
+                false => RefusalCause::TargetFailed,
+            },
+            message: "no answer in time".to_owned(),
+        }
+    }
+
+    /// The target states that it has not run the request.
+    pub fn refused(status: http::StatusCode) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            retry: RetryReason::TargetRefused,
+            cause: RefusalCause::TargetRefused,
+            message: format!("the target refused with status {status}"),
+        }
+    }
+}
+
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub struct OpenAnswer {
+    pub head: http::response::Parts,
+    pub terms: edge::AnswerTerms,
+    pub body: Incoming,
+    connection: connection::TargetConnection,
+    target: rc::Rc<target::TargetState>,
+}
+
+impl OpenAnswer {
+    /// The whole body. The connection is kept for other requests.
+    pub async fn collect(
+        self,
+        until: Instant,
+    ) -> Result<(http::response::Parts, Bytes), CollectError> {
+        let collected = tokio::time::timeout_at(until.into(), self.body.collect()).await;
+        match collected {
+            Ok(Ok(body)) => {
+                let keep_alive = self.terms.keep_alive_s.map(Duration::from_secs);
+                self.target.pool.put(self.connection, keep_alive);
+                Ok((self.head, body.to_bytes()))
+            }
+            Ok(Err(error)) => Err(CollectError::Broken(error.to_string())),
+            Err(_) => Err(CollectError::Late),
+        }
+    }
+
+    /// Splits off the body; the other part keeps the connection open.
+    pub fn into_stream(self) -> (http::response::Parts, Incoming, OpenConnection) {
+        let rest = OpenConnection {
+            connection: self.connection,
+            target: self.target,
+            keep_alive: self.terms.keep_alive_s.map(Duration::from_secs),
+        };
+        (self.head, self.body, rest)
+    }
+}
+
+/// Why a body is not whole.
+#[derive(Debug)]
+pub enum CollectError {
+    /// The connection broke or the bytes are no body.
+    Broken(String),
+    /// Not whole in time.
+    Late,
+}
+
+/// The connection of an answer that is still being read. Dropping it closes the connection, so that
+/// the target stops its work.
+#[derive(Debug)]
+pub struct OpenConnection {
+    connection: connection::TargetConnection,
+    target: rc::Rc<target::TargetState>,
+    keep_alive: Option<Duration>,
+}
+
+impl OpenConnection {
+    /// Keeps the connection for other requests: the body was read to its end.
+    pub fn close(self) {
+        self.target.pool.put(self.connection, self.keep_alive);
+    }
+}
+
+/// Sends a request to a target and waits until `until` for the head of its answer.
+pub async fn exchange<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    target: &rc::Rc<target::TargetState>,
+    terms: &edge::SendTerms<'_>,
+    until: Instant,
+) -> Result<OpenAnswer, AttemptFailure> {
+    let mut message = http::Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    let mut headers = request.headers.clone();
+    state.codec.write_send(&mut headers, terms);
+    *message.headers_mut() = headers;
+    let result = send(target, message, until).await;
+    let (response, connection) = match result {
+        Ok(answer) => answer,
+        Err(failure) => {
+            let outcome = match failure.retry {
+                RetryReason::ConnectFailed => judge::TargetOutcome::Unreachable,
+                _ => judge::TargetOutcome::Failed,
+            };
+            target.judge.borrow_mut().record(outcome, clock::now_ms());
+            if failure.retry == RetryReason::ConnectionBroken {
+                confirm_crash(state, request.fingerprint, target);
+            }
+            return Err(failure);
+        }
+    };
+    let (head, body) = response.into_parts();
+    let answer = state.codec.read_answer(head.status, &head.headers);
+    check_answer(state, request, target, &head, &answer)?;
+    Ok(OpenAnswer {
+        head,
+        terms: answer,
+        body,
+        connection,
+        target: rc::Rc::clone(target),
+    })
+}
+
+type SentAnswer = (http::Response<Incoming>, connection::TargetConnection);
+
+/// Uses idle connections first. One that turns out closed before a byte was written is replaced.
+async fn send(
+    target: &rc::Rc<target::TargetState>,
+    message: http::Request<Full<Bytes>>,
+    until: Instant,
+) -> Result<SentAnswer, AttemptFailure> {
+    while let Some(connection) = target.pool.take() {
+        match send_on(connection, message.clone(), until).await {
+            Err(failure) if failure.retry == RetryReason::NotWritten => continue,
+            result => return result,
+        }
+    }
+    let timeout = CONNECT_TIMEOUT.min(until.saturating_duration_since(Instant::now()));
+    let connected = connection::TargetConnection::connect(target.entry.address, timeout).await;
+    let connection =
+        connected.map_err(|error| AttemptFailure::unsent(RetryReason::ConnectFailed, error))?;
+    send_on(connection, message, until).await
+}
+
+async fn send_on(
+    mut connection: connection::TargetConnection,
+    message: http::Request<Full<Bytes>>,
+    until: Instant,
+) -> Result<SentAnswer, AttemptFailure> {
+    let before = connection.written();
+    let result = tokio::time::timeout_at(until.into(), connection.send(message)).await;
+    let is_written = connection.written() > before;
+    match result {
+        Ok(Ok(response)) => Ok((response, connection)),
+        Ok(Err(error)) if is_written => Err(AttemptFailure::broken(error)),
+        Ok(Err(error)) => Err(AttemptFailure::unsent(RetryReason::NotWritten, error)),
+        // Nothing was written before, and closing writes nothing.
+        Err(_) if !is_written => Err(AttemptFailure::unsent(
+            RetryReason::FirstTokenTimeout,
+            "not written in time",
+        )),
+        Err(_) => Err(AttemptFailure {
+            retry: RetryReason::FirstTokenTimeout,
+            ..AttemptFailure::broken("no answer in time")
+        }),
+    }
+}
+
+fn check_answer<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    target: &rc::Rc<target::TargetState>,
+    head: &http::response::Parts,
+    answer: &edge::AnswerTerms,
+) -> Result<(), AttemptFailure> {
+    let record = |outcome| target.judge.borrow_mut().record(outcome, clock::now_ms());
+    if answer.not_run {
+        record(judge::TargetOutcome::Refused);
+        return Err(AttemptFailure::refused(head.status));
+    }
+    let is_other = answer
+        .attempt_id
+        .as_ref()
+        .is_some_and(|id| *id != request.id);
+    if is_other {
+        metrics::counter!("acaciabank_crossed_answers_total").increment(1);
+        let _ = state;
+        return Err(AttemptFailure {
+            retry: RetryReason::CrossedAnswer,
+            ..AttemptFailure::broken("the target answered another request")
+        });
+    }
+    Ok(())
+}
+
+/// Counts a crash when the target no longer accepts connections: a connection also breaks for other
+/// reasons.
+fn confirm_crash<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    fingerprint: u64,
+    target: &rc::Rc<target::TargetState>,
+) {
+    let state = rc::Rc::clone(state);
+    let target = rc::Rc::clone(target);
+    tokio::task::spawn_local(async move {
+        let connected =
+            connection::TargetConnection::connect(target.entry.address, CONNECT_TIMEOUT).await;
+        let now_ms = clock::now_ms();
+        match connected {
+            Ok(connection) => target.pool.put(connection, None),
+            Err(error) => {
+                let outcome = judge::TargetOutcome::Unreachable;
+                target.judge.borrow_mut().record(outcome, now_ms);
+                let mut suspects = state.suspects.borrow_mut();
+                suspects.record_crash(fingerprint, target.hash as u32, now_ms);
+                log::info!(
+                    target_id = target.entry.id.as_str(), fingerprint = fingerprint,
+                    error:% = error;
+                    "target_crashed"
+                );
+                state.report_now.notify_one();
+            }
+        }
+    });
+}
+
+/// Records a failure and decides whether another attempt may be made. Counts it against the budget.
+pub fn decide_retry<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    target: &target::TargetState,
+    progress: &mut RequestProgress,
+    failure: &AttemptFailure,
+) -> Result<(), RefusalAnswer> {
+    log::info!(
+        id = request.id.as_str(), target_id = target.entry.id.as_str(),
+        reason = failure.retry.as_str(), verdict = failure.verdict.as_str(),
+        send = progress.sends, elapsed_ms = request.elapsed_ms(), error = failure.message.as_str();
+        "attempt_failed"
+    );
+    progress.verdict = progress.verdict.and(failure.verdict);
+    progress.avoided.push(target.hash);
+    progress.runs += u32::from(failure.verdict != Verdict::NotRun);
+    let refuse = |cause| Err(RefusalAnswer::after(cause, progress.verdict));
+    if !progress
+        .verdict
+        .allows_retry(request.route.kind.is_repeatable())
+    {
+        return refuse(failure.cause);
+    }
+    if progress.runs >= request.route.max_attempts || request.left().is_zero() {
+        return refuse(failure.cause);
+    }
+    if progress.sends >= MAX_REFUSED_SENDS + progress.runs {
+        return refuse(failure.cause);
+    }
+    // A connection that could not be opened has reached no target.
+    let is_unsent = matches!(
+        failure.retry,
+        RetryReason::ConnectFailed | RetryReason::NotWritten
+    );
+    if !is_unsent && !state.try_spend_retry(&request.service) {
+        return refuse(RefusalCause::BudgetSpent);
+    }
+    telemetry::count_retry(failure.retry);
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/dispatch/choose.rs
@@ -0,0 +1,204 @@
+//! Choice of targets from what the daemon knows of them.
+
+use std::{
+    rc,
+    time::{Duration, Instant},
+};
+
+use acaciabank_core::{parts, place};
+
+use super::{
+    refusal::RefusalAnswer,
+    request::{RelayRequest, RequestProgress},
+};
+use crate::{clock, config, edge, state, target, telemetry::RefusalCause};
+
+/// Time between two looks for a target while none accepts work.
+const LOOK_INTERVAL: Duration = Duration::from_millis(40);
+/// Part of the target latency for which a request waits while no target accepts work: a caller has
+/// one retry, and most targets are back at once.
+const WAIT_SHARE: f64 = 0.12;
+/// One-way distances inside an availability zone and between zones.
+const NEAR_MS: f64 = 0.2;
+const FAR_MS: f64 = 1.5;
+/// Speeds of the engines; see docs/CAPACITY.md.
+const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+const DECODE_PREFILL_TOKENS_PER_MS: f64 = 25.0;
+/// Time from a prefill to the first token besides the transfer: one step and the set-up of it.
+const HANDOVER_MS: f64 = 14.0;
+/// Time that each running request adds to a step.
+const RUNNING_MS: f64 = 0.5;
+/// Load of a service target that counts as much as the way to another zone.
+const FAR_LOAD: f64 = 0.1;
+
+/// Waits a little for a target of a plain service.
+pub async fn service_target<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+) -> Result<rc::Rc<target::TargetState>, RefusalAnswer> {
+    let until = wait_until(request);
+    loop {
+        if let Some(target) = pick_service_target(state, request, progress) {
+            return Ok(target);
+        }
+        look_later(until, progress).await?;
+    }
+}
+
+fn wait_until(request: &RelayRequest) -> Instant {
+    let wait_ms = request.route.target_latency_ms as f64 * WAIT_SHARE;
+    request
+        .deadline
+        .min(Instant::now() + Duration::from_millis(wait_ms as u64))
+}
+
+async fn look_later(until: Instant, progress: &RequestProgress) -> Result<(), RefusalAnswer> {
+    if Instant::now() >= until {
+        return Err(RefusalAnswer::after(
+            RefusalCause::NoTarget,
+            progress.verdict,
+        ));
+    }
+    tokio::time::sleep(LOOK_INTERVAL).await;
+    Ok(())
+}
+
+fn pick_service_target<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+) -> Option<rc::Rc<target::TargetState>> {
+    let targets = state.targets.borrow();
+    let peers = state.peers.borrow();
+    let now_ms = clock::now_ms();
+    let accepting = targets
+        .of_service(&request.service)
+        .iter()
+        .filter(|target| target.is_accepting(now_ms) && !progress.avoided.contains(&target.hash));
+    let cost = |target: &rc::Rc<target::TargetState>| {
+        let (others, _) = peers.load_of(target.hash);
+        let load = f64::from(others + target.running.get()) / f64::from(target.entry.slots.max(1));
+        let far = if target.entry.zone == state.settings.zone {
+            0.0
+        } else {
+            FAR_LOAD
+        };
+        let spread = 0.05 * rand::random::<f64>();
+        load + far + spread + target.judge.borrow().penalty_ms() / 400.0
+    };
+    let priced = accepting.map(|target| (cost(target), target));
+    let best = priced.min_by(|left, right| left.0.total_cmp(&right.0));
+    best.map(|(_, target)| rc::Rc::clone(target))
+}
+
+/// Engines for a generation request.
+#[derive(Clone, Debug)]
+pub struct EnginePlan {
+    /// Engine that processes the prompt for another one.
+    pub prefill: Option<rc::Rc<target::TargetState>>,
+    /// Engine that generates.
+    pub decode: rc::Rc<target::TargetState>,
+    /// Prompt tokens that have to be processed.
+    pub uncached_tokens: u64,
+    /// Expected time to the first token.
+    pub first_token_ms: f64,
+}
+
+/// Waits a little for engines for a generation request.
+pub async fn engine_plan<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+) -> Result<EnginePlan, RefusalAnswer> {
+    let until = wait_until(request);
+    loop {
+        if let Some(plan) = pick_engines(state, request, progress) {
+            return Ok(plan);
+        }
+        look_later(until, progress).await?;
+    }
+}
+
+fn pick_engines<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+) -> Option<EnginePlan> {
+    let targets = state.targets.borrow();
+    let targets = targets.of_service(&request.service);
+    let views = views(state, request, progress, targets);
+    let config = state.config()?;
+    let rates = rates(
+        config
+            .service(&request.service)
+            .and_then(|spec| spec.engine.as_ref()),
+    );
+    let size = place::PromptSize {
+        prompt_tokens: request.prompt_tokens(),
+        shared_tokens: shared_parts(&request.parts)
+            .iter()
+            .map(|part| u64::from(part.tokens))
+            .sum(),
+    };
+    let choice = place::choose_plan(size, &rates, &views)?;
+    let (prefill, decode) = match choice.plan {
+        place::PlacementPlan::Whole { decode } => (None, decode),
+        place::PlacementPlan::Split { prefill, decode } => (Some(prefill), decode),
+    };
+    Some(EnginePlan {
+        prefill: prefill.map(|position| rc::Rc::clone(&targets[position])),
+        decode: rc::Rc::clone(&targets[decode]),
+        uncached_tokens: choice.uncached_tokens,
+        first_token_ms: choice.first_token_ms,
+    })
+}
+
+/// Parts of the prompt that other requests share: all but the last one.
+fn shared_parts(parts: &[parts::PromptPart]) -> &[parts::PromptPart] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+fn views<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+    targets: &[rc::Rc<target::TargetState>],
+) -> Vec<place::EngineView> {
+    let peers = state.peers.borrow();
+    let now_ms = clock::now_ms();
+    let chain = shared_parts(&request.parts)
+        .last()
+        .map_or(0, |part| part.chain);
+    let view = |target: &rc::Rc<target::TargetState>| {
+        let (running, backlog) = peers.load_of(target.hash);
+        let is_near = target.entry.zone == state.settings.zone;
+        place::EngineView {
+            usable: target.is_accepting(now_ms) && !progress.avoided.contains(&target.hash),
+            stage: target.stage.get().unwrap_or(place::EngineStage::Decode),
+            backlog_tokens: backlog + target.backlog.get(),
+            running: running + target.running.get(),
+            slots: target.entry.slots,
+            cached_tokens: target.parts.borrow().cached_tokens(&request.parts),
+            home_rank: parts::home_rank(chain, target.hash),
+            distance_ms: if is_near { NEAR_MS } else { FAR_MS },
+            is_near,
+            penalty_ms: target.judge.borrow().penalty_ms(),
+        }
+    };
+    targets.iter().map(view).collect()
+}
+
+fn rates(spec: Option<&config::EngineSpec>) -> place::EngineRates {
+    let transfer_ms_per_k = spec.map_or(0.0, |spec| {
+        let bits = spec.token_kv_bytes as f64 * 8.0 * 1_000.0;
+        bits / (spec.link_mbps * 1_000.0)
+    });
+    place::EngineRates {
+        prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+        decode_prefill_tokens_per_ms: DECODE_PREFILL_TOKENS_PER_MS,
+        transfer_ms_per_k,
+        handover_ms: HANDOVER_MS,
+        running_ms: RUNNING_MS,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/dispatch/generate.rs
@@ -0,0 +1,535 @@
+//! Generation requests: the prompt and the stream at one engine or at two, and resumption.
+
+use std::{
+    io, rc,
+    time::{Duration, Instant},
+};
+
+use acaciabank_core::judge;
+use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+
+use super::{
+    attempt::{self, AttemptFailure},
+    choose,
+    events::{EventReader, ReadError},
+    refusal::{RefusalAnswer, Reply},
+    request::{RelayRequest, RequestProgress},
+    service::remove_hop_headers,
+};
+use crate::{clock, connection, edge, state, target, telemetry, telemetry::RefusalCause};
+
+/// Parts of a stream that wait for the caller; a caller that does not read stops the engine.
+const CHANNEL_PARTS: usize = 8;
+/// Longest silence of an engine in a stream that another engine can go on with. Callers leave after
+/// two seconds.
+const MAX_GAP: Duration = Duration::from_millis(1_000);
+/// Time for the first event of such a stream, besides twice the expected one.
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_000);
+/// Time to release a KV cache that is not used.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A stream whose first events have arrived.
+struct OpenStream {
+    reader: EventReader,
+    connection: attempt::OpenConnection,
+    work: target::TargetWork,
+    first: Option<Bytes>,
+    plan: choose::EnginePlan,
+}
+
+/// What an attempt ends in.
+enum StreamStart {
+    /// The stream has begun.
+    Open(Box<http::response::Parts>, Box<OpenStream>),
+    /// The engine answered with a status of its own.
+    Answered(Reply, http::StatusCode),
+}
+
+/// Runs a request up to its first event; the rest of the stream follows in a task.
+pub async fn run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: rc::Rc<RelayRequest>,
+    mut progress: RequestProgress,
+) -> Result<Reply, RefusalAnswer> {
+    let last_event = request.terms.last_event;
+    let (head, stream) = match start(state, &request, &mut progress, last_event).await? {
+        StreamStart::Answered(reply, status) => {
+            log::info!(
+                id = request.id.as_str(), route = request.route.name.as_str(),
+                status = status.as_u16(), sends = progress.sends,
+                elapsed_ms = request.elapsed_ms();
+                "answered"
+            );
+            return Ok(reply);
+        }
+        StreamStart::Open(head, stream) => (head, stream),
+    };
+    let (sender, receiver) = mpsc::channel(CHANNEL_PARTS);
+    let pump = StreamPump {
+        state: rc::Rc::clone(state),
+        request,
+        progress,
+        sender,
+        first_event: Instant::now(),
+    };
+    tokio::task::spawn_local(pump.run(*stream));
+    Ok(stream_reply(*head, receiver))
+}
+
+type StreamPart = Result<Frame<Bytes>, io::Error>;
+
+fn stream_reply(head: http::response::Parts, receiver: mpsc::Receiver<StreamPart>) -> Reply {
+    let parts = futures::stream::unfold(receiver, |mut receiver| async move {
+        let part = receiver.recv().await?;
+        Some((part, receiver))
+    });
+    let mut reply = http::Response::new(Either::Right(StreamBody::new(parts.boxed_local())));
+    *reply.status_mut() = head.status;
+    *reply.headers_mut() = head.headers;
+    remove_hop_headers(reply.headers_mut());
+    reply
+}
+
+/// Attempts until a stream has begun after `last_event`.
+async fn start<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &mut RequestProgress,
+    last_event: Option<u64>,
+) -> Result<StreamStart, RefusalAnswer> {
+    let mut failed_answer = None;
+    loop {
+        let plan = match choose::engine_plan(state, request, progress).await {
+            Ok(plan) => plan,
+            Err(refusal) => return failed_answer.ok_or(refusal),
+        };
+        if plan.first_token_ms > request.left().as_secs_f64() * 1_000.0 {
+            return Err(RefusalAnswer::after(
+                RefusalCause::TooLate,
+                progress.verdict,
+            ));
+        }
+        progress.sends += 1;
+        let (target, failure) = match attempt(state, request, progress, &plan, last_event).await {
+            Ok(StreamStart::Answered(reply, status))
+                if status.is_server_error() && request.route.kind.is_repeatable() =>
+            {
+                failed_answer = Some(StreamStart::Answered(reply, status));
+                let message = format!("the engine answered with status {status}");
+                (&plan.decode, AttemptFailure::broken(message))
+            }
+            Ok(started) => return Ok(started),
+            Err((Failed::Prefill, failure)) => {
+                (plan.prefill.as_ref().unwrap_or(&plan.decode), failure)
+            }
+            Err((Failed::Decode, failure)) => (&plan.decode, failure),
+        };
+        if let Err(refusal) = attempt::decide_retry(state, request, target, progress, &failure) {
+            return failed_answer.ok_or(refusal);
+        }
+    }
+}
+
+/// Which of the two engines failed.
+enum Failed {
+    Prefill,
+    Decode,
+}
+
+async fn attempt<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+    plan: &choose::EnginePlan,
+    last_event: Option<u64>,
+) -> Result<StreamStart, (Failed, AttemptFailure)> {
+    let until = first_event_until(request, progress, plan);
+    let handle = match &plan.prefill {
+        None => None,
+        Some(engine) => {
+            let handle = prefill(state, request, plan, engine, until).await;
+            Some(handle.map_err(|failure| (Failed::Prefill, failure))?)
+        }
+    };
+    let tokens = if handle.is_some() {
+        0
+    } else {
+        plan.uncached_tokens
+    };
+    let work = target::TargetWork::start(&plan.decode, tokens);
+    plan.decode
+        .parts
+        .borrow_mut()
+        .record_use(&request.parts, clock::now_ms());
+    let terms = edge::SendTerms {
+        target_id: &plan.decode.entry.id,
+        deadline_ms: request.left_ms(),
+        urgency: Some(request.route.priority.min(MAX_URGENCY)),
+        work: match &handle {
+            None => edge::SendWork::Whole,
+            Some(handle) => edge::SendWork::Decode {
+                source: handle.engine.entry.address,
+                handle: &handle.name,
+            },
+        },
+        last_event,
+    };
+    let result = attempt::exchange(state, request, &plan.decode, &terms, until).await;
+    let answer = result.map_err(|failure| (Failed::Decode, failure))?;
+    if let Some(handle) = handle {
+        // The engine has fetched the KV cache, or has answered without it.
+        handle.close();
+    }
+    let started = read_start(request, plan, answer, work, until, last_event).await;
+    started.map_err(|failure| (Failed::Decode, failure))
+}
+
+/// Lowest urgency that engines distinguish.
+const MAX_URGENCY: u8 = 9;
+
+/// Time until which the first event of this attempt is waited for.
+fn first_event_until(
+    request: &RelayRequest,
+    progress: &RequestProgress,
+    plan: &choose::EnginePlan,
+) -> Instant {
+    match may_go_on(request, progress) {
+        false => request.deadline,
+        true => {
+            let expected = Duration::from_secs_f64(2.0 * plan.first_token_ms / 1_000.0);
+            request
+                .deadline
+                .min(Instant::now() + expected + FIRST_EVENT_SLACK)
+        }
+    }
+}
+
+fn may_go_on(request: &RelayRequest, progress: &RequestProgress) -> bool {
+    request.route.kind.is_repeatable() && progress.runs + 1 < request.route.max_attempts
+}
+
+async fn read_start(
+    request: &RelayRequest,
+    plan: &choose::EnginePlan,
+    answer: attempt::OpenAnswer,
+    work: target::TargetWork,
+    until: Instant,
+    last_event: Option<u64>,
+) -> Result<StreamStart, AttemptFailure> {
+    let record = |outcome| {
+        plan.decode
+            .judge
+            .borrow_mut()
+            .record(outcome, clock::now_ms())
+    };
+    let status = answer.head.status;
+    if !status.is_success() {
+        return match answer.collect(request.deadline).await {
+            Ok((head, body)) => {
+                let mut reply = http::Response::from_parts(head, Either::Left(Full::new(body)));
+                remove_hop_headers(reply.headers_mut());
+                Ok(StreamStart::Answered(reply, status))
+            }
+            Err(_) => Err(AttemptFailure::broken("the answer broke off")),
+        };
+    }
+    if !answer.terms.signed {
+        record(judge::TargetOutcome::Failed);
+        return Err(AttemptFailure::broken("the answer has no signature"));
+    }
+    let (head, body, connection) = answer.into_stream();
+    let mut reader = EventReader::new(body, last_event);
+    match reader.next(until).await {
+        Ok(first) => {
+            work.end_prefill();
+            let stream = OpenStream {
+                reader,
+                connection,
+                work,
+                first,
+                plan: plan.clone(),
+            };
+            Ok(StreamStart::Open(Box::new(head), Box::new(stream)))
+        }
+        Err(error) => {
+            record(judge::TargetOutcome::Failed);
+            Err(read_failure(request, error))
+        }
+    }
+}
+
+fn read_failure(request: &RelayRequest, error: ReadError) -> AttemptFailure {
+    match error {
+        ReadError::Broken(message) => AttemptFailure::broken(message),
+        ReadError::Late => AttemptFailure::timeout(request),
+    }
+}
+
+/// A KV cache that an engine keeps for another one. It is released when dropped unused.
+struct KvHandle {
+    engine: rc::Rc<target::TargetState>,
+    name: String,
+    path: Option<String>,
+}
+
+impl KvHandle {
+    /// The KV cache was taken.
+    fn close(mut self) {
+        self.path = None;
+    }
+}
+
+impl Drop for KvHandle {
+    fn drop(&mut self) {
+        let Some(path) = self.path.take() else {
+            return;
+        };
+        let engine = rc::Rc::clone(&self.engine);
+        tokio::task::spawn_local(async move {
+            let released = tokio::time::timeout(RELEASE_TIMEOUT, release(&engine, path)).await;
+            let message = match released {
+                Ok(Ok(())) => return,
+                Ok(Err(message)) => message,
+                Err(_) => "no answer in time".to_owned(),
+            };
+            // The engine drops the KV cache by itself after its lifetime.
+            log::info!(target_id = engine.entry.id.as_str(), error = message.as_str(); "release_failed");
+        });
+    }
+}
+
+async fn release(engine: &target::TargetState, path: String) -> Result<(), String> {
+    let mut connection = match engine.pool.take() {
+        Some(connection) => connection,
+        None => connection::TargetConnection::connect(engine.entry.address, RELEASE_TIMEOUT)
+            .await
+            .map_err(|error| error.to_string())?,
+    };
+    let message = http::Request::delete(path)
+        .header(http::header::HOST, engine.entry.address.to_string())
+        .body(Full::default())
+        .map_err(|error| error.to_string())?;
+    let answer = connection
+        .send(message)
+        .await
+        .map_err(|error| error.to_string())?;
+    let body = http_body_util::BodyExt::collect(answer.into_body()).await;
+    body.map_err(|error| error.to_string())?;
+    engine.pool.put(connection, None);
+    Ok(())
+}
+
+/// Has an engine process the prompt. A prompt that was processed has not run.
+async fn prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    plan: &choose::EnginePlan,
+    engine: &rc::Rc<target::TargetState>,
+    until: Instant,
+) -> Result<KvHandle, AttemptFailure> {
+    let work = target::TargetWork::start(engine, plan.uncached_tokens);
+    engine
+        .parts
+        .borrow_mut()
+        .record_use(&request.parts, clock::now_ms());
+    let terms = edge::SendTerms {
+        target_id: &engine.entry.id,
+        deadline_ms: request.left_ms(),
+        urgency: Some(request.route.priority.min(MAX_URGENCY)),
+        work: edge::SendWork::Prefill,
+        last_event: None,
+    };
+    let not_run = |failure: AttemptFailure| AttemptFailure {
+        verdict: Verdict::NotRun,
+        ..failure
+    };
+    let answer = attempt::exchange(state, request, engine, &terms, until)
+        .await
+        .map_err(not_run)?;
+    let record = |outcome| engine.judge.borrow_mut().record(outcome, clock::now_ms());
+    let failed = |message: &str| AttemptFailure {
+        verdict: Verdict::NotRun,
+        retry: RetryReason::ConnectionBroken,
+        cause: RefusalCause::TargetFailed,
+        message: message.to_owned(),
+    };
+    match answer.collect(until).await {
+        Ok((head, body)) if head.status == http::StatusCode::OK => {
+            work.end_prefill();
+            record(judge::TargetOutcome::Answered);
+            let name = state
+                .codec
+                .read_handle(&body)
+                .ok_or(failed("no handle in the answer"))?;
+            Ok(KvHandle {
+                engine: rc::Rc::clone(engine),
+                path: Some(state.codec.handle_path(&name)),
+                name,
+            })
+        }
+        Ok((head, _)) => {
+            record(judge::TargetOutcome::Failed);
+            Err(failed(&format!("prefill: status {}", head.status)))
+        }
+        Err(error) => {
+            record(judge::TargetOutcome::Failed);
+            Err(failed(&format!("prefill: {error:?}")))
+        }
+    }
+}
+
+/// Forwards a stream to its caller.
+struct StreamPump<Codec, Store> {
+    state: state::SharedState<Codec, Store>,
+    request: rc::Rc<RelayRequest>,
+    progress: RequestProgress,
+    sender: mpsc::Sender<StreamPart>,
+    first_event: Instant,
+}
+
+/// How a stream at one engine ended.
+enum StreamEnd {
+    /// Its last event was forwarded.
+    Complete,
+    /// The caller left.
+    Left,
+    /// It broke.
+    Failed(AttemptFailure),
+}
+
+impl<Codec: edge::CodecEdge, Store: edge::StoreEdge> StreamPump<Codec, Store> {
+    async fn run(mut self, mut stream: OpenStream) {
+        loop {
+            let end = self.forward(&mut stream).await;
+            let failure = match end {
+                StreamEnd::Complete => return self.complete(stream),
+                StreamEnd::Left => return self.log_end("caller_left", &stream),
+                StreamEnd::Failed(failure) => failure,
+            };
+            let target = rc::Rc::clone(&stream.plan.decode);
+            target
+                .judge
+                .borrow_mut()
+                .record(judge::TargetOutcome::Failed, clock::now_ms());
+            let last_event = stream.reader.last_id();
+            self.log_end("stream_broken", &stream);
+            // Closes the connection, so that the engine stops before another one goes on.
+            drop(stream);
+            match self.resume(&target, failure, last_event).await {
+                Some(next) => stream = next,
+                None => return self.abort().await,
+            }
+        }
+    }
+
+    async fn forward(&self, stream: &mut OpenStream) -> StreamEnd {
+        let mut part = Ok(stream.first.take());
+        loop {
+            match part {
+                Ok(Some(events)) => {
+                    if self.sender.send(Ok(Frame::data(events))).await.is_err() {
+                        return StreamEnd::Left;
+                    }
+                }
+                Ok(None) => return StreamEnd::Complete,
+                Err(error) => return StreamEnd::Failed(read_failure(&self.request, error)),
+            }
+            part = tokio::select! {
+                () = self.sender.closed() => return StreamEnd::Left,
+                part = stream.reader.next(self.next_until()) => part,
+            };
+        }
+    }
+
+    fn next_until(&self) -> Instant {
+        match may_go_on(&self.request, &self.progress) {
+            true => self.request.deadline.min(Instant::now() + MAX_GAP),
+            false => self.request.deadline,
+        }
+    }
+
+    /// Goes on with the stream at another engine.
+    async fn resume(
+        &mut self,
+        target: &target::TargetState,
+        failure: AttemptFailure,
+        last_event: Option<u64>,
+    ) -> Option<OpenStream> {
+        let (state, request) = (&self.state, &self.request);
+        let decided = attempt::decide_retry(state, request, target, &mut self.progress, &failure);
+        let started = match decided {
+            Ok(()) => {
+                let start = start(state, request, &mut self.progress, last_event);
+                tokio::select! {
+                    () = self.sender.closed() => return None,
+                    started = start => started,
+                }
+            }
+            Err(refusal) => Err(refusal),
+        };
+        match started {
+            Ok(StreamStart::Open(_, stream)) => {
+                telemetry::count_retry(RetryReason::StreamResumed);
+                log::info!(
+                    id = request.id.as_str(), last_event = last_event.unwrap_or(0),
+                    target_id = stream.plan.decode.entry.id.as_str();
+                    "stream_resumed"
+                );
+                Some(*stream)
+            }
+            Ok(StreamStart::Answered(_, status)) => {
+                log::info!(id = request.id.as_str(), status = status.as_u16(); "resume_failed");
+                None
+            }
+            Err(refusal) => {
+                log::info!(id = request.id.as_str(), cause = refusal.cause.as_str(); "resume_failed");
+                None
+            }
+        }
+    }
+
+    fn complete(self, stream: OpenStream) {
+        let judge = &stream.plan.decode.judge;
+        judge
+            .borrow_mut()
+            .record(judge::TargetOutcome::Answered, clock::now_ms());
+        telemetry::record_latency(
+            &self.request.route.name,
+            self.first_event - self.request.arrival,
+        );
+        self.log_end("answered", &stream);
+        stream.connection.close();
+        drop(stream.work);
+    }
+
+    /// Breaks the connection to the caller off, so that the stream does not look complete.
+    async fn abort(self) {
+        let error = io::Error::other("the stream broke off");
+        // The caller may have left in the meantime.
+        let _ = self.sender.send(Err(error)).await;
+    }
+
+    fn log_end(&self, event: &'static str, stream: &OpenStream) {
+        let request = &self.request;
+        let plan = &stream.plan;
+        let prefill = plan
+            .prefill
+            .as_ref()
+            .map_or("", |engine| engine.entry.id.as_str());
+        let first_ms = (self.first_event - request.arrival).as_millis() as u64;
+        log::info!(
+            id = request.id.as_str(), route = request.route.name.as_str(),
+            target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
+            sends = self.progress.sends, prompt = request.prompt_tokens(),
+            uncached = plan.uncached_tokens, expected_ms = plan.first_token_ms,
+            first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
+            config = request.config_version, elapsed_ms = request.elapsed_ms();
+            "{event}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/relay/src/dispatch/mod.rs
@@ -0,0 +1,86 @@
+//! A request's way from its route to its answer: attempts at targets, verdicts, retries, streams.
+
+mod attempt;
+mod choose;
+mod events;
+mod generate;
+mod refusal;
+mod request;
+mod service;
+
+pub use refusal::Reply;
+
+use std::rc;
+
+use acaciabank_core::suspect;
+use acaciabank_protocol::verdict::Verdict;
+use hyper::body::Incoming;
+
+use crate::{clock, config, edge, state, telemetry::RefusalCause};
+use refusal::RefusalAnswer;
+use request::{RelayRequest, RequestProgress};
+
+/// Serves a request of a caller.
+pub async fn handle<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+    request: http::Request<Incoming>,
+) -> Reply {
+    let Some(config) = state.config() else {
+        let refusal = RefusalAnswer::not_run(RefusalCause::NotConfigured);
+        return refusal.into_reply("", "");
+    };
+    let terms = state.codec.read_caller(request.headers());
+    let id = terms.attempt_id.clone().unwrap_or_default();
+    let route = match find_route(&config, &request) {
+        Some(route) => route,
+        None => return RefusalAnswer::not_run(RefusalCause::NoRoute).into_reply(&id, ""),
+    };
+    let name = route.name.clone();
+    let accepted = RelayRequest::read(&state, &config, route, terms, request).await;
+    let result = match accepted {
+        Ok(request) => {
+            state.record_request(&request.service);
+            run(&state, rc::Rc::new(request)).await
+        }
+        Err(refusal) => Err(refusal),
+    };
+    match result {
+        Ok(reply) => reply,
+        Err(refusal) => refusal.into_reply(&id, &name),
+    }
+}
+
+fn find_route<'a>(
+    config: &'a config::RelayConfig,
+    request: &http::Request<Incoming>,
+) -> Option<&'a config::RouteRule> {
+    let host = request.headers().get(http::header::HOST)?.to_str().ok()?;
+    config.route(host, request.uri().path())
+}
+
+async fn run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: rc::Rc<RelayRequest>,
+) -> Result<Reply, RefusalAnswer> {
+    check_suspect(state, &request)?;
+    let progress = RequestProgress::default();
+    match request.is_generation() {
+        true => generate::run(state, request, progress).await,
+        false => service::run(state, &request, progress).await,
+    }
+}
+
+fn check_suspect<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+) -> Result<(), RefusalAnswer> {
+    let suspects = state.suspects.borrow();
+    match suspects.standing(request.fingerprint, clock::now_ms()) {
+        suspect::SuspectStanding::Refused => Err(RefusalAnswer {
+            cause: RefusalCause::CrashSuspect,
+            verdict: Verdict::MayHaveRun,
+            retry_after_ms: None,
+        }),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/follow/mod.rs
@@ -0,0 +1,192 @@
+//! Tasks that follow the platform's store: configuration, targets and the other daemons.
+
+use std::{net, rc, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{clock, edge, state};
+
+/// Time that the store may hold a question for the configuration: an answer that is lost on a silent
+/// connection is noticed within the time in which a configuration must be in force.
+const CONFIG_WAIT_MS: u64 = 1_000;
+/// Time between two questions for targets. A leaving target must get no request two seconds after
+/// the store has acknowledged it, and every call is priced.
+const TARGET_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two readings of the registered daemons. Reports between the daemons spread what
+/// changes in between.
+const HOST_INTERVAL: Duration = Duration::from_secs(8);
+/// First and longest pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Time for another daemon's answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Doubling pause after failures, with a random part so that the daemons do not call together.
+struct RetryPause {
+    name: &'static str,
+    failures: u32,
+}
+
+impl RetryPause {
+    fn new(name: &'static str) -> Self {
+        Self { name, failures: 0 }
+    }
+
+    fn succeeded(&mut self) {
+        if self.failures > 0 {
+            log::info!(dependency = self.name, failures = self.failures; "store_regained");
+        }
+        self.failures = 0;
+    }
+
+    async fn failed(&mut self, error: &edge::StoreError) {
+        if self.failures == 0 {
+            log::warn!(dependency = self.name, error:% = error; "store_lost");
+        }
+        let pause = (FIRST_PAUSE * 2u32.pow(self.failures.min(5))).min(MAX_PAUSE);
+        self.failures += 1;
+        tokio::time::sleep(pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
+    }
+}
+
+/// Follows the configuration.
+pub async fn run_config<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+) {
+    let mut pause = RetryPause::new("config");
+    let mut after = None;
+    loop {
+        match state.store.next_config(after, CONFIG_WAIT_MS).await {
+            Ok((version, document)) => {
+                pause.succeeded();
+                let waits = after.is_none() && document.is_none();
+                after = Some(version);
+                if let Some(document) = document {
+                    state.take_document(&document, "store");
+                } else if waits {
+                    log::info!("config_absent");
+                }
+            }
+            Err(edge::StoreError::HistoryGone) => after = None,
+            Err(error) => pause.failed(&error).await,
+        }
+    }
+}
+
+/// Follows the list of targets.
+pub async fn run_targets<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+) {
+    let mut pause = RetryPause::new("targets");
+    let mut after = None;
+    loop {
+        match state.store.next_targets(after).await {
+            Ok(changes) => {
+                pause.succeeded();
+                after = Some(changes.version);
+                state.apply_targets(changes);
+                let part = 0.8 + 0.2 * rand::random::<f64>();
+                tokio::time::sleep(TARGET_INTERVAL.mul_f64(part)).await;
+            }
+            Err(edge::StoreError::HistoryGone) => {
+                log::info!("target_history_gone");
+                after = None;
+            }
+            Err(error) => pause.failed(&error).await,
+        }
+    }
+}
+
+/// Registers this daemon and reads which others are registered.
+pub async fn run_hosts<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+) {
+    let mut pause = RetryPause::new("hosts");
+    let settings = &state.settings;
+    let own = edge::HostEntry {
+        name: settings.host.clone(),
+        peer: settings.peer,
+        caller: settings.caller,
+    };
+    loop {
+        if state.phase.get() == state::RelayPhase::Draining {
+            return;
+        }
+        let listed = state.store.list_hosts().await;
+        let is_registered = match listed {
+            Ok(hosts) => {
+                let now_ms = clock::now_ms();
+                for host in hosts.iter().filter(|host| host.name != own.name) {
+                    state.peers.borrow_mut().add_contact(host.peer, now_ms);
+                }
+                Ok(hosts.contains(&own))
+            }
+            Err(error) => Err(error),
+        };
+        let result = match is_registered {
+            Ok(false) => state.store.put_host(&own).await,
+            Ok(true) => Ok(()),
+            Err(error) => Err(error),
+        };
+        match result {
+            Ok(()) => {
+                pause.succeeded();
+                tokio::time::sleep(HOST_INTERVAL.mul_f64(0.8 + 0.4 * rand::random::<f64>())).await;
+            }
+            Err(error) => pause.failed(&error).await,
+        }
+    }
+}
+
+/// Fetches a newer configuration from another daemon, for when this one cannot reach the store.
+pub async fn run_peer_config<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+) {
+    loop {
+        state.config_behind.notified().await;
+        // The store usually answers first.
+        tokio::time::sleep(FIRST_PAUSE * 4).await;
+        let newer = state.peers.borrow().newer_config(state.config_version());
+        let Some(address) = newer else {
+            continue;
+        };
+        match fetch_document(&state, address).await {
+            Ok(document) => {
+                state.take_document(&document, "peer");
+            }
+            Err(error) => {
+                log::warn!(peer:% = address, error = error.as_str(); "peer_config_failed")
+            }
+        }
+    }
+}
+
+async fn fetch_document<Codec, Store>(
+    _state: &rc::Rc<state::RelayState<Codec, Store>>,
+    address: net::SocketAddr,
+) -> Result<Bytes, String> {
+    use http_body_util::BodyExt;
+    let call = async {
+        let mut connection = crate::connection::TargetConnection::connect(address, PEER_TIMEOUT)
+            .await
+            .map_err(|error| error.to_string())?;
+        let request = http::Request::get(crate::ingress::DOCUMENT_PATH)
+            .header(http::header::HOST, address.to_string())
+            .body(http_body_util::Full::default())
+            .map_err(|error| error.to_string())?;
+        let response = connection
+            .send(request)
+            .await
+            .map_err(|error| error.to_string())?;
+        if response.status() != http::StatusCode::OK {
+            return Err(format!("status {}", response.status()));
+        }
+        let body = response.into_body().collect().await;
+        body.map(|body| body.to_bytes())
+            .map_err(|error| error.to_string())
+    };
+    match tokio::time::timeout(PEER_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_) => Err("no answer in time".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/gossip/mod.rs
@@ -0,0 +1,63 @@
+//! What daemons tell each other, in datagrams without acknowledgement.
+//!
+//! Each report replaces the sender's earlier ones, so a lost datagram delays news by one interval.
+//! A report names every daemon that its sender knows, so that one contact suffices to join.
+
+mod table;
+mod task;
+
+pub use table::PeerTable;
+pub use task::{announce, run};
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+/// Load that one daemon causes at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadEntry {
+    /// Short name of the target.
+    pub target: u64,
+    /// Requests that run there.
+    pub running: u32,
+    /// Prompt tokens that are not processed yet.
+    pub backlog: u32,
+}
+
+/// A crash suspect, as `acaciabank_core::suspect` describes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectEntry {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Short name of the crashed target.
+    pub target: u32,
+    /// Time since the crash.
+    pub age_ms: u64,
+}
+
+/// State of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerReport {
+    /// Name of the daemon.
+    pub host: String,
+    /// Distinguishes runs of a daemon; a later run has a higher one.
+    pub boot: u64,
+    /// Number of the report within the run.
+    pub number: u64,
+    /// Address for other daemons.
+    pub peer: net::SocketAddr,
+    /// Address for callers.
+    pub caller: net::SocketAddr,
+    /// Whether callers may be sent there.
+    pub is_ready: bool,
+    /// Whether the daemon is about to end.
+    pub is_leaving: bool,
+    /// Version of the configuration in force there.
+    pub config_version: u64,
+    /// Loads that the daemon causes.
+    pub loads: Vec<LoadEntry>,
+    /// Crash suspects that it knows.
+    pub suspects: Vec<SuspectEntry>,
+    /// Addresses of other daemons that it knows.
+    pub known: Vec<net::SocketAddr>,
+}
--- /dev/null
+++ b/crates/relay/src/gossip/table.rs
@@ -0,0 +1,120 @@
+//! The other daemons that this one knows.
+
+use std::{collections::HashMap, net};
+
+use super::PeerReport;
+
+/// Age from which a daemon is not named to callers: six intervals of its reports.
+const SILENT_MS: u64 = 1_500;
+/// Age from which its loads no longer count.
+const STALE_LOADS_MS: u64 = 1_500;
+/// Age from which a daemon is forgotten.
+const FORGET_MS: u64 = 20_000;
+/// Time for which an address stays known that has never answered.
+const CONTACT_MS: u64 = 30_000;
+
+#[derive(Clone, Debug)]
+struct PeerState {
+    report: PeerReport,
+    heard_ms: u64,
+}
+
+/// The other daemons.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    peers: HashMap<String, PeerState>,
+    /// Addresses to report to, with the time until which they are kept without an answer.
+    contacts: HashMap<net::SocketAddr, u64>,
+    loads: HashMap<u64, (u32, u64)>,
+}
+
+impl PeerTable {
+    /// Adds an address to report to.
+    pub fn add_contact(&mut self, address: net::SocketAddr, now_ms: u64) {
+        self.contacts.entry(address).or_insert(now_ms + CONTACT_MS);
+    }
+
+    /// Takes a report; tells whether it is news.
+    pub fn take(&mut self, report: PeerReport, now_ms: u64) -> bool {
+        let order = (report.boot, report.number);
+        let known = self.peers.get(&report.host);
+        if known.is_some_and(|known| (known.report.boot, known.report.number) >= order) {
+            return false;
+        }
+        let is_new = known.is_none_or(|known| known.report.boot != report.boot);
+        if is_new {
+            log::info!(peer = report.host.as_str(), address:% = report.peer; "peer_found");
+        }
+        self.contacts.insert(report.peer, now_ms + CONTACT_MS);
+        for address in &report.known {
+            self.add_contact(*address, now_ms);
+        }
+        let state = PeerState {
+            heard_ms: now_ms,
+            report,
+        };
+        self.peers.insert(state.report.host.clone(), state);
+        self.sum_loads(now_ms);
+        true
+    }
+
+    /// Forgets daemons and addresses that have been silent for long.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.peers.retain(|host, peer| {
+            let is_kept = now_ms.saturating_sub(peer.heard_ms) < FORGET_MS;
+            if !is_kept {
+                log::info!(peer = host.as_str(); "peer_forgotten");
+            }
+            is_kept
+        });
+        self.contacts.retain(|_, until_ms| *until_ms > now_ms);
+        self.sum_loads(now_ms);
+    }
+
+    /// Addresses to report to.
+    pub fn contacts(&self) -> Vec<net::SocketAddr> {
+        self.contacts.keys().copied().collect()
+    }
+
+    /// Daemons that are known and not leaving.
+    pub fn known(&self) -> usize {
+        let peers = self.peers.values();
+        peers.filter(|peer| !peer.report.is_leaving).count()
+    }
+
+    /// Caller addresses of daemons that can be named to callers.
+    pub fn ready_addresses(&self, now_ms: u64) -> Vec<net::SocketAddr> {
+        let ready = self.peers.values().filter(|peer| {
+            peer.report.is_ready && now_ms.saturating_sub(peer.heard_ms) < SILENT_MS
+        });
+        ready.map(|peer| peer.report.caller).collect()
+    }
+
+    /// Running requests and backlog that the other daemons cause at a target.
+    pub fn load_of(&self, target: u64) -> (u32, u64) {
+        self.loads.get(&target).copied().unwrap_or_default()
+    }
+
+    /// Daemon with the newest configuration, if it is newer than the given version.
+    pub fn newer_config(&self, version: u64) -> Option<net::SocketAddr> {
+        let newest = self
+            .peers
+            .values()
+            .max_by_key(|peer| peer.report.config_version)?;
+        (newest.report.config_version > version).then_some(newest.report.peer)
+    }
+
+    fn sum_loads(&mut self, now_ms: u64) {
+        self.loads.clear();
+        for peer in self.peers.values() {
+            if now_ms.saturating_sub(peer.heard_ms) >= STALE_LOADS_MS {
+                continue;
+            }
+            for load in &peer.report.loads {
+                let sum = self.loads.entry(load.target).or_default();
+                sum.0 += load.running;
+                sum.1 += u64::from(load.backlog);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/gossip/task.rs
@@ -0,0 +1,148 @@
+//! Sending and receiving of reports.
+
+use std::{cell::Cell, io, net, rc, time::Duration};
+
+use acaciabank_core::suspect;
+use tokio::net::UdpSocket;
+
+use super::{LoadEntry, PeerReport, SuspectEntry};
+use crate::{clock, edge, state};
+
+/// Time between two reports: loads change within some hundred milliseconds.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Least time between two reports, however much happens.
+const LEAST_INTERVAL: Duration = Duration::from_millis(25);
+/// Largest datagram; a report of some hundred targets fits.
+const MAX_DATAGRAM_BYTES: usize = 32 << 10;
+/// Crash suspects in a report at most; the others follow in later ones.
+const MAX_SUSPECTS: usize = 64;
+
+/// Sends and receives reports until the process ends.
+pub async fn run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+    socket: rc::Rc<UdpSocket>,
+) {
+    let receiver = receive(rc::Rc::clone(&state), rc::Rc::clone(&socket));
+    tokio::task::spawn_local(receiver);
+    loop {
+        announce(&state, &socket).await;
+        tokio::time::sleep(LEAST_INTERVAL).await;
+        let rest = REPORT_INTERVAL - LEAST_INTERVAL;
+        // The timeout is the usual case: nothing urgent happened in the interval.
+        let _ = tokio::time::timeout(rest, state.report_now.notified()).await;
+    }
+}
+
+thread_local! {
+    static NUMBER: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Sends one report to every known daemon.
+pub async fn announce<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    socket: &UdpSocket,
+) {
+    state.peers.borrow_mut().expire(clock::now_ms());
+    let report = build_report(state);
+    let contacts = state.peers.borrow().contacts();
+    let datagram = match postcard::to_stdvec(&report) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            log::error!("a report cannot be encoded: {error}");
+            return;
+        }
+    };
+    for address in contacts {
+        if address == state.settings.peer {
+            continue;
+        }
+        // A host that is gone refuses datagrams; its silence is judged by its reports.
+        let _: io::Result<usize> = socket.send_to(&datagram, address).await;
+    }
+}
+
+fn build_report<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+) -> PeerReport {
+    let number = NUMBER.get() + 1;
+    NUMBER.set(number);
+    let settings = &state.settings;
+    PeerReport {
+        host: settings.host.clone(),
+        boot: state.boot,
+        number,
+        peer: settings.peer,
+        caller: settings.caller,
+        is_ready: state.is_ready(),
+        is_leaving: state.phase.get() == state::RelayPhase::Draining,
+        config_version: state.config_version(),
+        loads: loads(state),
+        suspects: suspects(state),
+        known: state.peers.borrow().contacts(),
+    }
+}
+
+fn loads<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<LoadEntry> {
+    let targets = state.targets.borrow();
+    let busy = targets.iter().filter(|target| target.running.get() > 0);
+    let entries = busy.map(|target| LoadEntry {
+        target: target.hash,
+        running: target.running.get(),
+        backlog: u32::try_from(target.backlog.get()).unwrap_or(u32::MAX),
+    });
+    entries.collect()
+}
+
+fn suspects<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<SuspectEntry> {
+    let mut records = state.suspects.borrow_mut().export(clock::now_ms());
+    records.sort_by_key(|record| record.age_ms);
+    let entries = records.into_iter().take(MAX_SUSPECTS);
+    let entries = entries.map(|record| SuspectEntry {
+        fingerprint: record.fingerprint,
+        target: record.target,
+        age_ms: record.age_ms,
+    });
+    entries.collect()
+}
+
+async fn receive<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+    socket: rc::Rc<UdpSocket>,
+) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, sender)) => take(&state, &buffer[..length], sender),
+            // The kernel reports here that an earlier datagram was refused.
+            Err(error) => log::debug!("datagram: {error}"),
+        }
+    }
+}
+
+fn take<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    datagram: &[u8],
+    sender: net::SocketAddr,
+) {
+    let report = match postcard::from_bytes::<PeerReport>(datagram) {
+        Ok(report) => report,
+        Err(error) => {
+            log::warn!(sender:% = sender, error:% = error; "peer_report_unreadable");
+            return;
+        }
+    };
+    let now_ms = clock::now_ms();
+    for entry in &report.suspects {
+        let record = suspect::SuspectRecord {
+            fingerprint: entry.fingerprint,
+            target: entry.target,
+            age_ms: entry.age_ms,
+        };
+        state.suspects.borrow_mut().merge(record, now_ms);
+    }
+    let is_newer = report.config_version > state.config_version();
+    let is_news = state.peers.borrow_mut().take(report, now_ms);
+    if is_news && is_newer {
+        state.config_behind.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/process/mod.rs
@@ -0,0 +1,155 @@
+//! Start, signals and graceful shutdown of the process.
+
+use std::{rc, time::Duration};
+
+use tokio::{
+    net::UdpSocket,
+    signal::unix::{SignalKind, signal},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{clock, edge, follow, gossip, ingress, state, telemetry};
+
+pub use crate::state::RelaySettings;
+
+/// Time before the end of the grace period at which the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// Time for which callers may keep an answer, as a multiple of its lifetime.
+const KEPT_ANSWER_FACTOR: u64 = 3;
+/// Time between two looks at what still runs.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of the metric recorder's upkeep, which bounds the memory of its histograms.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+/// Stack of the threads of the runtime that resolve blocking calls; there are none on a request's
+/// path.
+const THREAD_STACK_BYTES: usize = 128 << 10;
+
+/// Runs the daemon until SIGTERM.
+///
+/// # Errors
+///
+/// Returns a message that names what could not be started.
+pub fn run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    settings: RelaySettings,
+    codec: Codec,
+    store: Store,
+) -> Result<(), String> {
+    telemetry::install_log(&settings.host, settings.log_level)?;
+    telemetry::install_metrics();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .thread_stack_size(THREAD_STACK_BYTES)
+        .build()
+        .map_err(|error| format!("runtime: {error}"))?;
+    let local = tokio::task::LocalSet::new();
+    let state = rc::Rc::new(state::RelayState::new(settings, codec, store));
+    runtime.block_on(local.run_until(run_daemon(state)))
+}
+
+async fn run_daemon<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
+    let socket = UdpSocket::bind(state.settings.peer).await;
+    let socket = rc::Rc::new(socket.map_err(|error| format!("peer socket: {error}"))?);
+    let stop = CancellationToken::new();
+    start_listeners(&state, &stop)?;
+    start_tasks(&state, &socket);
+    log_start(&state);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            // Nothing in the settings can change while the process runs: addresses and bounds
+            // belong to the start.
+            _ = hangup.recv() => log::info!("reload"),
+        }
+    }
+    shut_down(&state, &socket, &stop).await;
+    Ok(())
+}
+
+fn start_listeners<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    stop: &CancellationToken,
+) -> Result<(), String> {
+    let settings = &state.settings;
+    let forever = CancellationToken::new();
+    let listeners = [
+        (settings.caller, ingress::ListenerRole::Callers, stop),
+        (
+            settings.directory,
+            ingress::ListenerRole::Directory,
+            &forever,
+        ),
+        (settings.ready, ingress::ListenerRole::Directory, &forever),
+        (settings.peer, ingress::ListenerRole::Peers, &forever),
+        (settings.metrics, ingress::ListenerRole::Metrics, &forever),
+    ];
+    for (address, role, stop) in listeners {
+        let listener = ingress::bind(address)?;
+        let state = rc::Rc::clone(state);
+        tokio::task::spawn_local(ingress::serve(state, listener, role, stop.clone()));
+    }
+    Ok(())
+}
+
+fn start_tasks<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    socket: &rc::Rc<UdpSocket>,
+) {
+    let now_ms = clock::now_ms();
+    for seed in &state.settings.seeds {
+        state.peers.borrow_mut().add_contact(*seed, now_ms);
+    }
+    tokio::task::spawn_local(follow::run_config(rc::Rc::clone(state)));
+    tokio::task::spawn_local(follow::run_targets(rc::Rc::clone(state)));
+    tokio::task::spawn_local(follow::run_hosts(rc::Rc::clone(state)));
+    tokio::task::spawn_local(follow::run_peer_config(rc::Rc::clone(state)));
+    tokio::task::spawn_local(gossip::run(rc::Rc::clone(state), rc::Rc::clone(socket)));
+    tokio::task::spawn_local(async {
+        let mut interval = tokio::time::interval(METRICS_UPKEEP);
+        loop {
+            interval.tick().await;
+            telemetry::install_metrics().run_upkeep();
+        }
+    });
+}
+
+fn log_start<Codec, Store>(state: &state::RelayState<Codec, Store>) {
+    let settings = &state.settings;
+    log::info!(
+        boot = state.boot, zone = settings.zone.as_str(), callers:% = settings.caller,
+        peers:% = settings.peer, seeds = settings.seeds.len();
+        "started"
+    );
+}
+
+/// Leaves the answers to callers at once, serves those who still come, and ends when nothing runs
+/// any more and no caller can hold an old answer, or when the grace period is over.
+async fn shut_down<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    socket: &UdpSocket,
+    stop: &CancellationToken,
+) {
+    let settings = &state.settings;
+    let end = Instant::now() + Duration::from_millis(settings.grace_ms) - GRACE_MARGIN;
+    let kept_s = settings.max_ttl_s.min(ingress::TTL_S) * KEPT_ANSWER_FACTOR;
+    let kept_until = Instant::now() + Duration::from_secs(kept_s);
+    state.phase.set(state::RelayPhase::Draining);
+    log::info!(active = state.active.get(); "stopping");
+    gossip::announce(state, socket).await;
+    if let Err(error) = state.store.drop_host(&settings.host).await {
+        // The row is replaced by a successor or ignored: its daemon does not answer.
+        log::warn!(error:% = error; "deregister_failed");
+    }
+    stop.cancel();
+    while Instant::now() < end {
+        if Instant::now() >= kept_until && state.active.get() == 0 {
+            break;
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    log::info!(active = state.active.get(); "stopped");
+}
--- /dev/null
+++ b/crates/relay/src/state/mod.rs
@@ -0,0 +1,201 @@
+//! State of the process, by life span: what lives as long as the process.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net, rc, time,
+};
+
+use acaciabank_core::{budget, suspect};
+
+use crate::{config, edge, gossip, target};
+
+/// Settings of the process.
+#[derive(Clone, Debug)]
+pub struct RelaySettings {
+    /// Name of the daemon.
+    pub host: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for callers.
+    pub caller: net::SocketAddr,
+    /// Address for the question whether the daemon is ready.
+    pub ready: net::SocketAddr,
+    /// Address for the question for addresses.
+    pub directory: net::SocketAddr,
+    /// Address for other daemons.
+    pub peer: net::SocketAddr,
+    /// Address of the metrics.
+    pub metrics: net::SocketAddr,
+    /// Addresses of other daemons that are known at the start.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Time between SIGTERM and the end, in milliseconds.
+    pub grace_ms: u64,
+    /// Longest time for which callers may keep an answer about addresses, in seconds.
+    pub max_ttl_s: u64,
+    /// Retry budget of each service.
+    pub budget: budget::BudgetTerms,
+    /// Level of the log.
+    pub log_level: log::LevelFilter,
+}
+
+/// Phase of life of the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayPhase {
+    /// Serving as soon as a configuration is known.
+    Serving,
+    /// Named to no caller; finishes what runs.
+    Draining,
+}
+
+/// Counts a request as running until dropped.
+#[derive(Debug)]
+pub struct ActiveGuard(rc::Rc<Cell<u32>>);
+
+impl ActiveGuard {
+    /// Counts a request in.
+    pub fn start(active: &rc::Rc<Cell<u32>>) -> Self {
+        active.set(active.get() + 1);
+        Self(rc::Rc::clone(active))
+    }
+}
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// What lives as long as the process.
+pub struct RelayState<Codec, Store> {
+    /// Settings of the process.
+    pub settings: RelaySettings,
+    /// Messages of callers, targets and operators.
+    pub codec: Codec,
+    /// The platform's store.
+    pub store: Store,
+    /// Configuration in force.
+    pub config: RefCell<Option<rc::Rc<config::RelayConfig>>>,
+    /// The document that the configuration was read from, for other daemons.
+    pub document: RefCell<bytes::Bytes>,
+    /// Targets.
+    pub targets: RefCell<target::TargetRegistry>,
+    /// Other daemons.
+    pub peers: RefCell<gossip::PeerTable>,
+    /// Wakes the sender of reports to other daemons.
+    pub report_now: tokio::sync::Notify,
+    /// Distinguishes this run of the daemon from earlier ones; a later run has a higher one.
+    pub boot: u64,
+    /// Tells that another daemon has a newer configuration.
+    pub config_behind: tokio::sync::Notify,
+    /// Crash suspects.
+    pub suspects: RefCell<suspect::SuspectTable>,
+    /// Retry budgets by service.
+    pub budgets: RefCell<HashMap<String, budget::WindowBudget>>,
+    /// Phase of life.
+    pub phase: Cell<RelayPhase>,
+    /// Requests that run now.
+    pub active: rc::Rc<Cell<u32>>,
+}
+
+/// The state as the tasks of the process share it.
+pub type SharedState<Codec, Store> = rc::Rc<RelayState<Codec, Store>>;
+
+impl<Codec: edge::CodecEdge, Store: edge::StoreEdge> RelayState<Codec, Store> {
+    /// State of a process that has not started any task yet.
+    pub fn new(settings: RelaySettings, codec: Codec, store: Store) -> Self {
+        Self {
+            settings,
+            codec,
+            store,
+            config: RefCell::default(),
+            document: RefCell::default(),
+            targets: RefCell::default(),
+            peers: RefCell::default(),
+            report_now: tokio::sync::Notify::new(),
+            boot: unix_ms(),
+            config_behind: tokio::sync::Notify::new(),
+            suspects: RefCell::default(),
+            budgets: RefCell::default(),
+            phase: Cell::new(RelayPhase::Serving),
+            active: rc::Rc::default(),
+        }
+    }
+
+    /// Configuration in force.
+    pub fn config(&self) -> Option<rc::Rc<config::RelayConfig>> {
+        self.config.borrow().clone()
+    }
+
+    /// Version of the configuration in force; zero before the first.
+    pub fn config_version(&self) -> u64 {
+        self.config
+            .borrow()
+            .as_ref()
+            .map_or(0, |config| config.version)
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.phase.get() == RelayPhase::Serving && self.config.borrow().is_some()
+    }
+
+    /// Takes a document if it is a newer configuration; tells whether it is one.
+    pub fn take_document(&self, document: &bytes::Bytes, source: &str) -> bool {
+        let config = match self.codec.read_config(document) {
+            Ok(config) => config,
+            Err(error) => {
+                log::warn!(source = source, error = error.as_str(); "config_unreadable");
+                return false;
+            }
+        };
+        if self.config.borrow().is_some() && config.version <= self.config_version() {
+            return false;
+        }
+        log::info!(version = config.version, source = source; "config_in_force");
+        *self.document.borrow_mut() = document.clone();
+        *self.config.borrow_mut() = Some(rc::Rc::new(config));
+        self.report_now.notify_one();
+        true
+    }
+
+    /// Applies changes of the list of targets.
+    pub fn apply_targets(&self, changes: edge::TargetChanges) {
+        let config = self.config();
+        let kv_tokens = |service: &str| {
+            let spec = config.as_ref().and_then(|config| config.service(service));
+            let engine = spec.and_then(|spec| spec.engine.as_ref());
+            engine.map_or(UNKNOWN_KV_TOKENS, |engine| engine.kv_tokens)
+        };
+        self.targets.borrow_mut().apply(changes, kv_tokens);
+    }
+
+    /// Counts a request of a caller for the retry budget.
+    pub fn record_request(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        let now_ms = crate::clock::now_ms();
+        match budgets.get_mut(service) {
+            Some(budget) => budget.record_request(&self.settings.budget, now_ms),
+            None => {
+                let budget = budgets.entry(service.to_owned()).or_default();
+                budget.record_request(&self.settings.budget, now_ms);
+            }
+        }
+    }
+
+    /// Takes one retry from the budget of a service; tells whether it had one.
+    pub fn try_spend_retry(&self, service: &str) -> bool {
+        let daemons = self.peers.borrow().known() + 1;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.try_spend(&self.settings.budget, daemons, crate::clock::now_ms())
+    }
+}
+
+fn unix_ms() -> u64 {
+    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    now.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
+/// Memory assumed for an engine that is listed before the configuration is known.
+const UNKNOWN_KV_TOKENS: u64 = 400_000;
--- /dev/null
+++ b/crates/relay/src/target/mod.rs
@@ -0,0 +1,177 @@
+//! Targets and what this daemon knows of them.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc,
+};
+
+use acaciabank_core::{judge, parts, place};
+
+use crate::{connection, edge};
+
+/// An incarnation of a target. It lives until the platform no longer lists it and the last request
+/// there has ended.
+#[derive(Debug)]
+pub struct TargetState {
+    /// What the platform says of it, except for its stage and whether it leaves.
+    pub entry: edge::TargetEntry,
+    /// Short name that daemons use among themselves.
+    pub hash: u64,
+    /// Stage in force.
+    pub stage: Cell<Option<place::EngineStage>>,
+    /// Whether it takes no new work.
+    pub is_leaving: Cell<bool>,
+    /// Idle connections.
+    pub pool: connection::IdlePool,
+    /// Requests of this daemon that run there.
+    pub running: Cell<u32>,
+    /// Prompt tokens of this daemon's requests that are not processed yet.
+    pub backlog: Cell<u64>,
+    /// Standing.
+    pub judge: RefCell<judge::TargetJudge>,
+    /// Prompt parts that it is believed to hold.
+    pub parts: RefCell<parts::PartIndex>,
+}
+
+impl TargetState {
+    fn new(entry: edge::TargetEntry, kv_tokens: u64) -> Self {
+        Self {
+            hash: hash_id(&entry),
+            stage: Cell::new(entry.stage),
+            is_leaving: Cell::new(entry.is_draining),
+            pool: connection::IdlePool::default(),
+            running: Cell::new(0),
+            backlog: Cell::new(0),
+            judge: RefCell::default(),
+            parts: RefCell::new(parts::PartIndex::new(kv_tokens)),
+            entry,
+        }
+    }
+
+    /// Whether it takes new work and its standing allows it.
+    pub fn is_accepting(&self, now_ms: u64) -> bool {
+        !self.is_leaving.get() && self.judge.borrow().is_in(now_ms)
+    }
+}
+
+/// Short name of an incarnation.
+fn hash_id(entry: &edge::TargetEntry) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(entry.id.as_bytes(), entry.born_ms)
+}
+
+/// Work of one request at a target, counted until dropped.
+#[derive(Debug)]
+pub struct TargetWork {
+    /// The target.
+    pub target: rc::Rc<TargetState>,
+    tokens: Cell<u64>,
+}
+
+impl TargetWork {
+    /// Counts a request with prompt tokens to process.
+    pub fn start(target: &rc::Rc<TargetState>, tokens: u64) -> Self {
+        target.running.set(target.running.get() + 1);
+        target.backlog.set(target.backlog.get() + tokens);
+        Self {
+            target: rc::Rc::clone(target),
+            tokens: Cell::new(tokens),
+        }
+    }
+
+    /// The prompt has been processed.
+    pub fn end_prefill(&self) {
+        let tokens = self.tokens.take();
+        self.target.backlog.set(self.target.backlog.get() - tokens);
+    }
+}
+
+impl Drop for TargetWork {
+    fn drop(&mut self) {
+        self.end_prefill();
+        self.target.running.set(self.target.running.get() - 1);
+    }
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct TargetRegistry {
+    by_id: HashMap<String, rc::Rc<TargetState>>,
+    by_service: HashMap<String, Vec<rc::Rc<TargetState>>>,
+}
+
+impl TargetRegistry {
+    /// Applies changes of the platform's list. `kv_tokens` gives the memory of a service's engines.
+    pub fn apply(&mut self, changes: edge::TargetChanges, kv_tokens: impl Fn(&str) -> u64) {
+        if changes.is_complete {
+            let is_listed = |id: &str| changes.present.iter().any(|entry| entry.id == id);
+            let gone: Vec<String> = self
+                .by_id
+                .keys()
+                .filter(|id| !is_listed(id))
+                .cloned()
+                .collect();
+            gone.iter().for_each(|id| self.remove(id));
+        }
+        changes.absent.iter().for_each(|id| self.remove(id));
+        for entry in changes.present {
+            let tokens = kv_tokens(&entry.service);
+            self.insert(entry, tokens);
+        }
+    }
+
+    /// Targets of a service.
+    pub fn of_service(&self, service: &str) -> &[rc::Rc<TargetState>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = &rc::Rc<TargetState>> {
+        self.by_id.values()
+    }
+
+    fn insert(&mut self, entry: edge::TargetEntry, kv_tokens: u64) {
+        if let Some(known) = self.by_id.get(&entry.id) {
+            let is_same = known.entry.born_ms == entry.born_ms
+                && known.entry.address == entry.address
+                && known.entry.service == entry.service;
+            if is_same {
+                update(known, &entry);
+                return;
+            }
+            let id = entry.id.clone();
+            self.remove(&id);
+        }
+        log::info!(
+            target_id = entry.id.as_str(), address:% = entry.address, zone = entry.zone.as_str(),
+            service = entry.service.as_str(), draining = entry.is_draining;
+            "target_listed"
+        );
+        let target = rc::Rc::new(TargetState::new(entry, kv_tokens));
+        let service = self.by_service.entry(target.entry.service.clone());
+        service.or_default().push(rc::Rc::clone(&target));
+        self.by_id.insert(target.entry.id.clone(), target);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(target) = self.by_id.remove(id) else {
+            return;
+        };
+        target.is_leaving.set(true);
+        log::info!(target_id = id; "target_gone");
+        if let Some(targets) = self.by_service.get_mut(&target.entry.service) {
+            targets.retain(|kept| !rc::Rc::ptr_eq(kept, &target));
+        }
+    }
+}
+
+fn update(known: &TargetState, entry: &edge::TargetEntry) {
+    if known.is_leaving.get() != entry.is_draining {
+        known.is_leaving.set(entry.is_draining);
+        log::info!(target_id = entry.id.as_str(), draining = entry.is_draining; "target_state");
+    }
+    if known.stage.get() != entry.stage {
+        known.stage.set(entry.stage);
+        log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/telemetry/logging.rs
@@ -0,0 +1,113 @@
+//! JSON lines on standard output, written by a thread of its own behind a bounded queue, so that a
+//! reader that stops reading never delays a request.
+
+use std::{
+    fmt::Write as _,
+    io::Write as _,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    time,
+};
+
+use log::kv;
+
+/// Lines that wait for the writer at most; about a second of lines at the heaviest load.
+const QUEUE_LINES: usize = 1_024;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Starts the log of the named daemon at the given level.
+///
+/// # Errors
+///
+/// Returns a message when a logger is already set or the writer cannot be started.
+pub fn install(host: &str, level: log::LevelFilter) -> Result<(), String> {
+    let (sender, receiver) = mpsc::sync_channel::<String>(QUEUE_LINES);
+    let writer = std::thread::Builder::new().name("log".to_owned());
+    writer
+        .stack_size(64 << 10)
+        .spawn(move || write_lines(&receiver))
+        .map_err(|error| format!("log writer: {error}"))?;
+    let host = host.to_owned();
+    let dispatch = fern::Dispatch::new()
+        .level(level)
+        .format(move |out, _message, record| {
+            out.finish(format_args!("{}", format_record(&host, record)));
+        })
+        .chain(fern::Output::call(move |record| {
+            if sender.try_send(record.args().to_string()).is_err() {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }));
+    dispatch.apply().map_err(|error| error.to_string())
+}
+
+fn write_lines(receiver: &mpsc::Receiver<String>) {
+    let mut buffer = String::new();
+    while let Ok(line) = receiver.recv() {
+        buffer.clear();
+        push_line(&mut buffer, &line);
+        while let Ok(line) = receiver.try_recv() {
+            push_line(&mut buffer, &line);
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            metrics::counter!("acaciabank_log_lines_dropped_total").increment(dropped);
+            let _ = writeln!(
+                buffer,
+                "{{\"level\":\"WARN\",\"event\":\"log_dropped\",\"lines\":{dropped}}}"
+            );
+        }
+        // Nobody is left to tell when standard output is closed.
+        let _ = std::io::stdout().write_all(buffer.as_bytes());
+    }
+}
+
+fn push_line(buffer: &mut String, line: &str) {
+    buffer.push_str(line);
+    buffer.push('\n');
+}
+
+/// One record as a JSON object.
+fn format_record(host: &str, record: &log::Record<'_>) -> String {
+    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let unix_ms = now.map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let mut line = String::with_capacity(192);
+    let level = record.level().as_str();
+    let _ = write!(
+        line,
+        "{{\"ms\":{unix_ms},\"host\":\"{host}\",\"level\":\"{level}\",\"event\":"
+    );
+    push_json(&mut line, &record.args().to_string());
+    // The collector never fails.
+    let _ = record.key_values().visit(&mut FieldWriter(&mut line));
+    line.push('}');
+    line
+}
+
+fn push_json(line: &mut String, text: &str) {
+    match serde_json::to_string(text) {
+        Ok(quoted) => line.push_str(&quoted),
+        Err(_) => line.push_str("\"\""),
+    }
+}
+
+struct FieldWriter<'a>(&'a mut String);
+
+impl<'kvs> kv::VisitSource<'kvs> for FieldWriter<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let _ = write!(self.0, ",\"{key}\":");
+        if let Some(number) = value.to_u64() {
+            let _ = write!(self.0, "{number}");
+        } else if let Some(number) = value.to_f64() {
+            let _ = write!(self.0, "{number:.1}");
+        } else if let Some(flag) = value.to_bool() {
+            let _ = write!(self.0, "{flag}");
+        } else {
+            push_json(self.0, &value.to_string());
+        }
+        Ok(())
+    }
+}
