Split prompts from streams and let engines fetch shared prompt parts

Cause: prompts at decode engines slowed every stream there to 150 ms a token, and the same shared parts were processed again at every engine.

Change: prompts go to prefill engines unless tiny; an engine that lacks the beginning of a prompt fetches it from one that holds it; daemons tell each other which engine was sent which part and when it is expected to be processed.

Ruled out: homes of prompt parts alone: with backlogs of half a second the homes are left and the parts are read again.

--- a/crates/core/src/parts/mod.rs
+++ b/crates/core/src/parts/mod.rs
@@ -33,6 +33,7 @@
 struct HeldPart {
     tokens: u32,
     used_ms: u64,
+    ready_ms: u64,
 }
 
 /// Parts that one engine is believed to hold; the least recently used ones yield, as at the engine.
@@ -53,24 +54,39 @@
         }
     }
 
-    /// Tokens at the start of the prompt that the engine is believed to hold.
+    /// Tokens at the start of the prompt that the engine is believed to hold when it comes to a
+    /// request that is sent now.
     pub fn cached_tokens(&self, parts: &[PromptPart]) -> u64 {
-        let cached = parts
-            .iter()
-            .take_while(|part| self.held.contains_key(&part.chain));
+        self.leading_tokens(parts, u64::MAX)
+    }
+
+    /// Tokens at the start of the prompt that other engines are believed to be able to fetch now.
+    pub fn ready_tokens(&self, parts: &[PromptPart], now_ms: u64) -> u64 {
+        self.leading_tokens(parts, now_ms)
+    }
+
+    fn leading_tokens(&self, parts: &[PromptPart], until_ms: u64) -> u64 {
+        let is_held = |part: &&PromptPart| {
+            let held = self.held.get(&part.chain);
+            held.is_some_and(|held| held.ready_ms <= until_ms)
+        };
+        let cached = parts.iter().take_while(is_held);
         cached.map(|part| u64::from(part.tokens)).sum()
     }
 
-    /// Records that the engine has processed a prompt.
-    pub fn record_use(&mut self, parts: &[PromptPart], now_ms: u64) {
+    /// Records that the engine is sent a prompt, which it will have processed at `ready_ms`.
+    pub fn record_use(&mut self, parts: &[PromptPart], now_ms: u64, ready_ms: u64) {
         for part in parts {
-            let held = HeldPart {
-                tokens: part.tokens,
-                used_ms: now_ms,
-            };
-            if self.held.insert(part.chain, held).is_none() {
+            let held = self.held.entry(part.chain).or_insert_with(|| {
                 self.tokens += u64::from(part.tokens);
-            }
+                HeldPart {
+                    tokens: part.tokens,
+                    used_ms: now_ms,
+                    ready_ms,
+                }
+            });
+            held.used_ms = now_ms;
+            held.ready_ms = held.ready_ms.min(ready_ms);
         }
         if self.tokens > self.capacity {
             self.evict();
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -3,8 +3,10 @@
 //! Load answered: prompts of 1,000 to 20,000 tokens of which a long beginning is shared, and outputs
 //! of some ten tokens, so that prefill binds. A request runs whole at a decode engine, which
 //! prefills at a fraction of the speed, or its prompt is processed by a prefill engine and the KV
-//! cache is fetched by a decode engine. The plan with the earliest first token wins; the engine time
-//! it uses counts as well, since that delays the requests behind it.
+//! cache is fetched by a decode engine. An engine that lacks the shared beginning can fetch it from
+//! one that holds it, which takes a twentieth of the time to process it again. The plan with the
+//! earliest first token wins; the engine time it uses counts as well, since that delays the requests
+//! behind it.
 
 /// Stage that an engine is in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -26,7 +28,7 @@
     pub transfer_ms_per_k: f64,
     /// Time from a prefill to the first token that no other term covers.
     pub handover_ms: f64,
-    /// Time by which a running request delays each step, as a share of a whole prefill step.
+    /// Time by which a running request delays the first token of another one.
     pub running_ms: f64,
 }
 
@@ -39,46 +41,33 @@
     pub stage: EngineStage,
     /// Prompt tokens that all daemons have sent it and that are not processed yet.
     pub backlog_tokens: u64,
-    /// Requests that generate there.
+    /// Requests that run there.
     pub running: u32,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Tokens at the start of the prompt that are believed to be cached there.
     pub cached_tokens: u64,
+    /// The same as far as another engine can fetch them now.
+    pub ready_tokens: u64,
     /// Rank as home of the shared part of the prompt; the lowest is the home.
     pub home_rank: u64,
     /// One-way distance in milliseconds.
     pub distance_ms: f64,
-    /// Whether it is in the availability zone of the daemon.
-    pub is_near: bool,
+    /// Its availability zone, as a number that only serves to compare.
+    pub zone: u64,
     /// Time by which its recent trouble makes it less attractive.
     pub penalty_ms: f64,
 }
 
-/// Tokens of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptSize {
-    /// All tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Tokens of the parts that other requests share.
-    pub shared_tokens: u64,
-}
-
 /// Engines that a request is placed on, by their positions in the list of views.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PlacementPlan {
-    /// One decode engine does everything.
-    Whole {
-        /// The engine.
-        decode: usize,
-    },
-    /// A prefill engine processes the prompt, a decode engine generates.
-    Split {
-        /// The prefill engine.
-        prefill: usize,
-        /// The decode engine.
-        decode: usize,
-    },
+pub struct PlacementPlan {
+    /// Engine that processes the prompt for the one that generates; absent when that one does both.
+    pub prefill: Option<usize>,
+    /// Engine that generates.
+    pub decode: usize,
+    /// Engine from which the one that processes the prompt fetches what it lacks of it.
+    pub source: Option<usize>,
 }
 
 /// A plan and when its first token is expected.
@@ -88,126 +77,199 @@
     pub plan: PlacementPlan,
     /// Expected time to the first token.
     pub first_token_ms: f64,
+    /// Expected time until the prompt is processed.
+    pub prompt_ms: f64,
     /// Prompt tokens that the engine must process.
     pub uncached_tokens: u64,
 }
 
-/// Weight of the engine time that a plan uses against the time that its caller waits.
-const WORK_WEIGHT: f64 = 0.6;
-/// Tokens of the shared part that a home is assumed to hold before this daemon has used it there:
-/// the other daemons send requests with that part to the same home.
-const HOME_SHARE: f64 = 0.5;
+/// Weight of the time of a prefill engine that a plan uses, against the time that its caller waits:
+/// half of the requests meet another one there.
+const WORK_WEIGHT: f64 = 0.5;
+/// The same for prompts at decode engines: a prompt there delays every token of every stream that
+/// the engine runs.
+const DECODE_WORK_WEIGHT: f64 = 6.0;
+/// Weight of the time for which a transfer occupies the links.
+const TRANSFER_WEIGHT: f64 = 1.0;
 /// Factor of transfers between availability zones.
 const FAR_TRANSFER: f64 = 2.0;
+/// Tokens from which fetching the beginning of a prompt is worth a call between engines.
+const LEAST_FETCH_TOKENS: u64 = 256;
+/// Advantage of the home of a shared part, so that parts that nobody holds yet spread over the
+/// engines and two daemons send the same part to the same engine.
+const HOME_MS: f64 = 40.0;
 
-/// Chooses the plan with the lowest cost; `None` when no decode engine is usable.
+/// Chooses the plan with the lowest cost for a prompt of `prompt_tokens`; `None` when no decode
+/// engine is usable.
 pub fn choose_plan(
-    size: PromptSize,
+    prompt_tokens: u64,
     rates: &EngineRates,
     engines: &[EngineView],
 ) -> Option<PlacementChoice> {
-    let whole = choose_whole(size, rates, engines);
-    let split = choose_split(size, rates, engines);
-    let better =
-        |left: &(f64, PlacementChoice), right: &(f64, PlacementChoice)| left.0.total_cmp(&right.0);
-    let best = whole.into_iter().chain(split).min_by(better);
+    let scene = Scene {
+        prompt_tokens,
+        rates,
+        engines,
+        source: best_source(engines),
+    };
+    let whole = scene
+        .usable(EngineStage::Decode)
+        .map(|decode| scene.price_whole(decode));
+    let prefills = scene.usable(EngineStage::Prefill);
+    let split = prefills.flat_map(|prefill| {
+        let prompt = scene.price_prompt(prefill, EngineStage::Prefill);
+        let decodes = scene.usable(EngineStage::Decode);
+        decodes.map(move |decode| (prefill, decode, prompt))
+    });
+    let split = split.map(|(prefill, decode, prompt)| scene.price_split(prefill, decode, prompt));
+    let best = whole
+        .chain(split)
+        .min_by(|left, right| left.0.total_cmp(&right.0));
     best.map(|(_, choice)| choice)
 }
 
-fn usable(
-    engines: &[EngineView],
-    stage: EngineStage,
-) -> impl Iterator<Item = (usize, &EngineView)> {
-    let engines = engines.iter().enumerate();
-    engines.filter(move |(_, view)| view.usable && view.stage == stage)
+/// The engine that holds most of the prompt, whatever its stage; one that is leaving still serves
+/// as a source.
+fn best_source(engines: &[EngineView]) -> Option<usize> {
+    let holders = engines.iter().enumerate();
+    let holders = holders.filter(|(_, view)| view.ready_tokens >= LEAST_FETCH_TOKENS);
+    let best = holders.max_by_key(|(_, view)| view.ready_tokens);
+    best.map(|(position, _)| position)
 }
 
-fn home_of(engines: &[EngineView], stage: EngineStage) -> Option<usize> {
-    let home = usable(engines, stage).min_by_key(|(_, view)| view.home_rank);
-    home.map(|(position, _)| position)
+/// One request before the engines.
+struct Scene<'a> {
+    prompt_tokens: u64,
+    rates: &'a EngineRates,
+    engines: &'a [EngineView],
+    source: Option<usize>,
 }
 
-fn uncached(size: PromptSize, view: &EngineView, is_home: bool) -> u64 {
-    let assumed = match is_home {
-        true => (size.shared_tokens as f64 * HOME_SHARE) as u64,
-        false => 0,
-    };
-    size.prompt_tokens
-        .saturating_sub(view.cached_tokens.max(assumed))
+/// Expected course of the prompt at one engine.
+#[derive(Clone, Copy)]
+struct PromptPrice {
+    /// Time until it is processed.
+    done_ms: f64,
+    /// Cost beyond that time.
+    extra: f64,
+    uncached_tokens: u64,
+    source: Option<usize>,
 }
 
-/// Time that a decode engine needs to admit one more request beside those that it runs.
-fn crowding_ms(rates: &EngineRates, view: &EngineView) -> f64 {
-    let excess = (view.running + 1).saturating_sub(view.slots);
-    f64::from(view.running) * rates.running_ms + f64::from(excess) * rates.running_ms * 20.0
-}
+impl Scene<'_> {
+    fn usable(&self, stage: EngineStage) -> impl Iterator<Item = usize> + '_ {
+        let engines = self.engines.iter().enumerate();
+        let usable = engines.filter(move |(_, view)| view.usable && view.stage == stage);
+        usable.map(|(position, _)| position)
+    }
 
-fn choose_whole(
-    size: PromptSize,
-    rates: &EngineRates,
-    engines: &[EngineView],
-) -> Option<(f64, PlacementChoice)> {
-    let home = home_of(engines, EngineStage::Decode);
-    let price = |(position, view): (usize, &EngineView)| {
-        let uncached = uncached(size, view, home == Some(position));
-        let speed = rates.decode_prefill_tokens_per_ms;
-        let work_ms = uncached as f64 / speed;
-        let wait_ms = view.backlog_tokens as f64 / speed + crowding_ms(rates, view);
-        let first_token_ms = wait_ms + work_ms + 2.0 * view.distance_ms;
+    /// The engine with the lowest rank has the advantage of a home.
+    fn home_ms(&self, position: usize) -> f64 {
+        let view = &self.engines[position];
+        let mut same = self
+            .engines
+            .iter()
+            .filter(|other| other.usable && other.stage == view.stage);
+        match same.any(|other| other.home_rank < view.home_rank) {
+            true => 0.0,
+            false => HOME_MS,
+        }
+    }
+
+    fn transfer_ms(&self, from: usize, to: usize, tokens: u64) -> f64 {
+        let is_near = self.engines[from].zone == self.engines[to].zone;
+        let factor = if is_near { 1.0 } else { FAR_TRANSFER };
+        factor * tokens as f64 / 1_000.0 * self.rates.transfer_ms_per_k
+    }
+
+    /// The prompt at an engine, with the beginning fetched from another one where that is faster.
+    fn price_prompt(&self, position: usize, stage: EngineStage) -> PromptPrice {
+        let view = &self.engines[position];
+        let (speed, weight) = match stage {
+            EngineStage::Prefill => (self.rates.prefill_tokens_per_ms, WORK_WEIGHT),
+            EngineStage::Decode => (self.rates.decode_prefill_tokens_per_ms, DECODE_WORK_WEIGHT),
+        };
+        let wait_ms = view.backlog_tokens as f64 / speed;
+        let price = |uncached_tokens: u64, fetch_ms: f64, source| {
+            let work_ms = uncached_tokens as f64 / speed;
+            let harm_ms = match stage {
+                EngineStage::Prefill => work_ms,
+                EngineStage::Decode => work_ms + wait_ms,
+            };
+            PromptPrice {
+                done_ms: wait_ms + work_ms + fetch_ms + 2.0 * view.distance_ms,
+                extra: weight * harm_ms + TRANSFER_WEIGHT * fetch_ms + view.penalty_ms,
+                uncached_tokens,
+                source,
+            }
+        };
+        let own = price(
+            self.prompt_tokens.saturating_sub(view.cached_tokens),
+            0.0,
+            None,
+        );
+        let Some(source) = self.source.filter(|source| *source != position) else {
+            return own;
+        };
+        let held = self.engines[source].ready_tokens.min(self.prompt_tokens);
+        let missing = held.saturating_sub(view.cached_tokens);
+        if missing < LEAST_FETCH_TOKENS {
+            return own;
+        }
+        let fetch_ms = self.transfer_ms(source, position, missing) + self.rates.handover_ms / 2.0;
+        let fetched = price(self.prompt_tokens - held, fetch_ms, Some(source));
+        match fetched.done_ms + fetched.extra < own.done_ms + own.extra {
+            true => fetched,
+            false => own,
+        }
+    }
+
+    /// Time that a decode engine needs to admit one more request beside those that it runs.
+    fn crowding_ms(&self, view: &EngineView) -> f64 {
+        let excess = (view.running + 1).saturating_sub(view.slots);
+        self.rates.running_ms * f64::from(view.running + 20 * excess)
+    }
+
+    fn price_whole(&self, decode: usize) -> (f64, PlacementChoice) {
+        let view = &self.engines[decode];
+        let prompt = self.price_prompt(decode, EngineStage::Decode);
+        let first_token_ms = prompt.done_ms + self.crowding_ms(view);
         let choice = PlacementChoice {
-            plan: PlacementPlan::Whole { decode: position },
+            plan: PlacementPlan {
+                prefill: None,
+                decode,
+                source: prompt.source,
+            },
             first_token_ms,
-            uncached_tokens: uncached,
+            prompt_ms: prompt.done_ms,
+            uncached_tokens: prompt.uncached_tokens,
         };
-        (
-            first_token_ms + WORK_WEIGHT * work_ms + view.penalty_ms,
-            choice,
-        )
-    };
-    let priced = usable(engines, EngineStage::Decode).map(price);
-    priced.min_by(|left, right| left.0.total_cmp(&right.0))
-}
+        (first_token_ms + prompt.extra, choice)
+    }
 
-fn choose_split(
-    size: PromptSize,
-    rates: &EngineRates,
-    engines: &[EngineView],
-) -> Option<(f64, PlacementChoice)> {
-    let home = home_of(engines, EngineStage::Prefill);
-    let price = |(position, view): (usize, &EngineView)| {
-        let uncached = uncached(size, view, home == Some(position));
-        let work_ms = uncached as f64 / rates.prefill_tokens_per_ms;
-        let wait_ms = view.backlog_tokens as f64 / rates.prefill_tokens_per_ms;
-        let first_ms = wait_ms + work_ms + 2.0 * view.distance_ms;
-        (
-            first_ms + WORK_WEIGHT * work_ms + view.penalty_ms,
-            first_ms,
-            uncached,
-            position,
-        )
-    };
-    let prefills = usable(engines, EngineStage::Prefill).map(price);
-    let (cost, first_ms, uncached, prefill) =
-        prefills.min_by(|left, right| left.0.total_cmp(&right.0))?;
-    let transfer = |view: &EngineView| {
-        let tokens = size.prompt_tokens.saturating_sub(view.cached_tokens);
-        let factor = if view.is_near { 1.0 } else { FAR_TRANSFER };
-        factor * tokens as f64 / 1_000.0 * rates.transfer_ms_per_k
-    };
-    let decode_ms = |view: &EngineView| {
-        let wait_ms = crowding_ms(rates, view) + transfer(view) + 2.0 * view.distance_ms;
-        // A prefill of its own makes the steps of a decode engine longer.
-        let steps_ms = (view.backlog_tokens > 0) as u8 as f64 * rates.handover_ms;
-        wait_ms + steps_ms
-    };
-    let decodes = usable(engines, EngineStage::Decode)
-        .map(|(position, view)| (decode_ms(view) + view.penalty_ms, decode_ms(view), position));
-    let (decode_cost, after_ms, decode) =
-        decodes.min_by(|left, right| left.0.total_cmp(&right.0))?;
-    let choice = PlacementChoice {
-        plan: PlacementPlan::Split { prefill, decode },
-        first_token_ms: first_ms + after_ms + rates.handover_ms,
-        uncached_tokens: uncached,
-    };
-    Some((cost + decode_cost + rates.handover_ms, choice))
+    fn price_split(
+        &self,
+        prefill: usize,
+        decode: usize,
+        prompt: PromptPrice,
+    ) -> (f64, PlacementChoice) {
+        let view = &self.engines[decode];
+        let transfer_ms = self.transfer_ms(prefill, decode, self.prompt_tokens);
+        // A prompt that the decode engine processes by itself makes its steps longer.
+        let backlog_ms = view.backlog_tokens as f64 / self.rates.decode_prefill_tokens_per_ms;
+        let after_ms = self.rates.handover_ms + self.crowding_ms(view) + transfer_ms + backlog_ms;
+        let first_token_ms = prompt.done_ms + after_ms + 2.0 * view.distance_ms;
+        let choice = PlacementChoice {
+            plan: PlacementPlan {
+                prefill: Some(prefill),
+                decode,
+                source: prompt.source,
+            },
+            first_token_ms,
+            prompt_ms: prompt.done_ms,
+            uncached_tokens: prompt.uncached_tokens,
+        };
+        let extra = prompt.extra + TRANSFER_WEIGHT * transfer_ms + view.penalty_ms;
+        (first_token_ms + extra - self.home_ms(prefill), choice)
+    }
 }
--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -1,7 +1,7 @@
 //! Choice of targets from what the daemon knows of them.
 
 use std::{
-    rc,
+    net, rc,
     time::{Duration, Instant},
 };
 
@@ -99,10 +99,14 @@
     pub prefill: Option<rc::Rc<target::TargetState>>,
     /// Engine that generates.
     pub decode: rc::Rc<target::TargetState>,
+    /// Engine that holds the beginning of the prompt, for the one that processes the rest.
+    pub source: Option<net::SocketAddr>,
     /// Prompt tokens that have to be processed.
     pub uncached_tokens: u64,
     /// Expected time to the first token.
     pub first_token_ms: f64,
+    /// Expected time until the prompt is processed.
+    pub prompt_ms: f64,
 }
 
 /// Waits a little for engines for a generation request.
@@ -134,23 +138,18 @@
             .service(&request.service)
             .and_then(|spec| spec.engine.as_ref()),
     );
-    let size = place::PromptSize {
-        prompt_tokens: request.prompt_tokens(),
-        shared_tokens: shared_parts(&request.parts)
-            .iter()
-            .map(|part| u64::from(part.tokens))
-            .sum(),
-    };
-    let choice = place::choose_plan(size, &rates, &views)?;
-    let (prefill, decode) = match choice.plan {
-        place::PlacementPlan::Whole { decode } => (None, decode),
-        place::PlacementPlan::Split { prefill, decode } => (Some(prefill), decode),
-    };
+    let choice = place::choose_plan(request.prompt_tokens(), &rates, &views)?;
+    let target = |position: usize| rc::Rc::clone(&targets[position]);
     Some(EnginePlan {
-        prefill: prefill.map(|position| rc::Rc::clone(&targets[position])),
-        decode: rc::Rc::clone(&targets[decode]),
+        prefill: choice.plan.prefill.map(target),
+        decode: target(choice.plan.decode),
+        source: choice
+            .plan
+            .source
+            .map(|position| targets[position].entry.address),
         uncached_tokens: choice.uncached_tokens,
         first_token_ms: choice.first_token_ms,
+        prompt_ms: choice.prompt_ms,
     })
 }
 
@@ -180,9 +179,10 @@
             running: running + target.running.get(),
             slots: target.entry.slots,
             cached_tokens: target.parts.borrow().cached_tokens(&request.parts),
+            ready_tokens: target.parts.borrow().ready_tokens(&request.parts, now_ms),
             home_rank: parts::home_rank(chain, target.hash),
             distance_ms: if is_near { NEAR_MS } else { FAR_MS },
-            is_near,
+            zone: target.zone_hash,
             penalty_ms: target.judge.borrow().penalty_ms(),
         }
     };
--- a/crates/relay/src/dispatch/generate.rs
+++ b/crates/relay/src/dispatch/generate.rs
@@ -162,10 +162,12 @@
         plan.uncached_tokens
     };
     let work = target::TargetWork::start(&plan.decode, tokens);
-    plan.decode
-        .parts
-        .borrow_mut()
-        .record_use(&request.parts, clock::now_ms());
+    let prompt_ms = if handle.is_some() {
+        0.0
+    } else {
+        plan.prompt_ms
+    };
+    state.record_parts(&plan.decode, &request.parts, prompt_ms as u64);
     let terms = edge::SendTerms {
         target_id: &plan.decode.entry.id,
         deadline_ms: request.left_ms(),
@@ -177,6 +179,10 @@
                 handle: &handle.name,
             },
         },
+        fetch_from: match handle {
+            None => plan.source,
+            Some(_) => None,
+        },
         last_event,
     };
     let result = attempt::exchange(state, request, &plan.decode, &terms, until).await;
@@ -333,15 +339,13 @@
     until: Instant,
 ) -> Result<KvHandle, AttemptFailure> {
     let work = target::TargetWork::start(engine, plan.uncached_tokens);
-    engine
-        .parts
-        .borrow_mut()
-        .record_use(&request.parts, clock::now_ms());
+    state.record_parts(engine, &request.parts, plan.prompt_ms as u64);
     let terms = edge::SendTerms {
         target_id: &engine.entry.id,
         deadline_ms: request.left_ms(),
         urgency: Some(request.route.priority.min(MAX_URGENCY)),
         work: edge::SendWork::Prefill,
+        fetch_from: plan.source,
         last_event: None,
     };
     let not_run = |failure: AttemptFailure| AttemptFailure {
@@ -526,7 +530,7 @@
             id = request.id.as_str(), route = request.route.name.as_str(),
             target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
             sends = self.progress.sends, prompt = request.prompt_tokens(),
-            uncached = plan.uncached_tokens, expected_ms = plan.first_token_ms,
+            uncached = plan.uncached_tokens, fetched = plan.source.is_some(), expected_ms = plan.first_token_ms,
             first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
             config = request.config_version, elapsed_ms = request.elapsed_ms();
             "{event}"
--- a/crates/relay/src/edge/mod.rs
+++ b/crates/relay/src/edge/mod.rs
@@ -46,6 +46,8 @@
     pub urgency: Option<u8>,
     /// What the engine is to do.
     pub work: SendWork<'a>,
+    /// Engine from which the beginning of the prompt is fetched first.
+    pub fetch_from: Option<net::SocketAddr>,
     /// Event after which the stream goes on.
     pub last_event: Option<u64>,
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -24,6 +24,19 @@
     pub backlog: u32,
 }
 
+/// A prompt part that an engine has been sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartEntry {
+    /// Short name of the engine.
+    pub target: u64,
+    /// The chain that ends with the part.
+    pub chain: u64,
+    /// Tokens of the part.
+    pub tokens: u32,
+    /// Time after which it is expected to be processed.
+    pub ready_in_ms: u32,
+}
+
 /// A crash suspect, as `acaciabank_core::suspect` describes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEntry {
@@ -56,6 +69,8 @@
     pub config_version: u64,
     /// Loads that the daemon causes.
     pub loads: Vec<LoadEntry>,
+    /// Prompt parts that it has sent to engines since its last report.
+    pub parts: Vec<PartEntry>,
     /// Crash suspects that it knows.
     pub suspects: Vec<SuspectEntry>,
     /// Addresses of other daemons that it knows.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::Cell, io, net, rc, time::Duration};
 
-use acaciabank_core::suspect;
+use acaciabank_core::{parts, suspect};
 use tokio::net::UdpSocket;
 
-use super::{LoadEntry, PeerReport, SuspectEntry};
+use super::{LoadEntry, PartEntry, PeerReport, SuspectEntry};
 use crate::{clock, edge, state};
 
 /// Time between two reports: loads change within some hundred milliseconds.
@@ -14,6 +14,8 @@
 const LEAST_INTERVAL: Duration = Duration::from_millis(25);
 /// Largest datagram; a report of some hundred targets fits.
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
+/// Prompt parts in a report at most; others lose the news of the rest.
+const MAX_PARTS: usize = 512;
 /// Crash suspects in a report at most; the others follow in later ones.
 const MAX_SUSPECTS: usize = 64;
 
@@ -77,6 +79,7 @@
         is_leaving: state.phase.get() == state::RelayPhase::Draining,
         config_version: state.config_version(),
         loads: loads(state),
+        parts: part_news(state),
         suspects: suspects(state),
         known: state.peers.borrow().contacts(),
     }
@@ -93,6 +96,16 @@
     entries.collect()
 }
 
+fn part_news<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<PartEntry> {
+    let mut news = state.part_news.borrow_mut();
+    if news.len() > MAX_PARTS {
+        metrics::counter!("acaciabank_part_news_dropped_total")
+            .increment((news.len() - MAX_PARTS) as u64);
+        news.truncate(MAX_PARTS);
+    }
+    std::mem::take(&mut *news)
+}
+
 fn suspects<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<SuspectEntry> {
     let mut records = state.suspects.borrow_mut().export(clock::now_ms());
     records.sort_by_key(|record| record.age_ms);
@@ -140,9 +153,30 @@
         };
         state.suspects.borrow_mut().merge(record, now_ms);
     }
+    take_parts(state, &report.parts, now_ms);
     let is_newer = report.config_version > state.config_version();
     let is_news = state.peers.borrow_mut().take(report, now_ms);
     if is_news && is_newer {
         state.config_behind.notify_one();
     }
 }
+
+fn take_parts<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    entries: &[PartEntry],
+    now_ms: u64,
+) {
+    let targets = state.targets.borrow();
+    for entry in entries {
+        let Some(target) = targets.by_hash(entry.target) else {
+            continue;
+        };
+        let part = parts::PromptPart {
+            chain: entry.chain,
+            tokens: entry.tokens,
+        };
+        let ready_ms = now_ms + u64::from(entry.ready_in_ms);
+        let mut index = target.parts.borrow_mut();
+        index.record_use(&[part], now_ms, ready_ms);
+    }
+}
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -6,7 +6,7 @@
     net, rc, time,
 };
 
-use acaciabank_core::{budget, suspect};
+use acaciabank_core::{budget, parts, suspect};
 
 use crate::{config, edge, gossip, target};
 
@@ -88,6 +88,8 @@
     pub boot: u64,
     /// Tells that another daemon has a newer configuration.
     pub config_behind: tokio::sync::Notify,
+    /// Prompt parts that went to engines since the last report to the other daemons.
+    pub part_news: RefCell<Vec<gossip::PartEntry>>,
     /// Crash suspects.
     pub suspects: RefCell<suspect::SuspectTable>,
     /// Retry budgets by service.
@@ -115,6 +117,7 @@
             report_now: tokio::sync::Notify::new(),
             boot: unix_ms(),
             config_behind: tokio::sync::Notify::new(),
+            part_news: RefCell::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
@@ -170,6 +173,28 @@
         self.targets.borrow_mut().apply(changes, kv_tokens);
     }
 
+    /// Records that an engine processes a prompt in `prompt_ms`, for this daemon and the others.
+    pub fn record_parts(
+        &self,
+        engine: &target::TargetState,
+        parts: &[parts::PromptPart],
+        prompt_ms: u64,
+    ) {
+        let now_ms = crate::clock::now_ms();
+        let ready_ms = now_ms + prompt_ms;
+        engine
+            .parts
+            .borrow_mut()
+            .record_use(parts, now_ms, ready_ms);
+        let entries = parts.iter().map(|part| gossip::PartEntry {
+            target: engine.hash,
+            chain: part.chain,
+            tokens: part.tokens,
+            ready_in_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
+        });
+        self.part_news.borrow_mut().extend(entries);
+    }
+
     /// Counts a request of a caller for the retry budget.
     pub fn record_request(&self, service: &str) {
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -18,6 +18,8 @@
     pub entry: edge::TargetEntry,
     /// Short name that daemons use among themselves.
     pub hash: u64,
+    /// Its availability zone, as a number that only serves to compare.
+    pub zone_hash: u64,
     /// Stage in force.
     pub stage: Cell<Option<place::EngineStage>>,
     /// Whether it takes no new work.
@@ -38,6 +40,7 @@
     fn new(entry: edge::TargetEntry, kv_tokens: u64) -> Self {
         Self {
             hash: hash_id(&entry),
+            zone_hash: xxhash_rust::xxh3::xxh3_64(entry.zone.as_bytes()),
             stage: Cell::new(entry.stage),
             is_leaving: Cell::new(entry.is_draining),
             pool: connection::IdlePool::default(),
@@ -125,6 +128,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The target with a short name.
+    pub fn by_hash(&self, hash: u64) -> Option<&rc::Rc<TargetState>> {
+        self.by_id.values().find(|target| target.hash == hash)
+    }
+
     /// All targets.
     pub fn iter(&self) -> impl Iterator<Item = &rc::Rc<TargetState>> {
         self.by_id.values()
