Order stages of engines by a lease holder

Cause: with five of twelve engines in the prefill stage prompts waited half a second.

Change: one daemon, the holder of a lease in the store, orders stages so that seven tenths of the engines process prompts, more or fewer as the load shifts; others leave an engine alone while it changes.

--- a/crates/core/src/lease/seat.rs
+++ b/crates/core/src/lease/seat.rs
@@ -159,6 +159,14 @@
         }
     }
 
+    /// Takes the version that the store gave to a committed write, for stores that number all writes
+    /// of all rows by one counter.
+    pub fn record_version(&mut self, version: u64) {
+        if let Some(grant) = &mut self.grant {
+            grant.version = version;
+        }
+    }
+
     /// Has the row read before the next write, because a check of its version failed.
     pub fn require_read(&mut self) {
         self.is_uncertain = true;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod place;
 pub mod plan;
 pub mod route;
+pub mod stage;
 pub mod suspect;
--- a/crates/relay/src/config/mod.rs
+++ b/crates/relay/src/config/mod.rs
@@ -83,6 +83,8 @@
     pub token_kv_bytes: u64,
     /// Bandwidth between engines in Mbit/s.
     pub link_mbps: f64,
+    /// Time for which an engine is away when it changes its stage, in milliseconds.
+    pub switch_ms: u64,
 }
 
 /// A service.
@@ -152,6 +154,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Services that generate.
+    pub fn engine_services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values().filter(|spec| spec.engine.is_some())
+    }
+
     /// A service.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/relay/src/dispatch/generate.rs
+++ b/crates/relay/src/dispatch/generate.rs
@@ -29,7 +29,7 @@
 /// two seconds.
 const MAX_GAP: Duration = Duration::from_millis(1_000);
 /// Time for the first event of such a stream, besides twice the expected one.
-const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_000);
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_500);
 /// Time to release a KV cache that is not used.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
--- a/crates/relay/src/edge/mod.rs
+++ b/crates/relay/src/edge/mod.rs
@@ -3,7 +3,7 @@
 
 use std::{future::Future, net};
 
-use acaciabank_core::place;
+use acaciabank_core::{lease, place};
 use bytes::Bytes;
 use http::HeaderMap;
 
@@ -82,6 +82,47 @@
     pub keep_alive_s: Option<u64>,
 }
 
+/// An order to an engine to change its stage.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderTerms<'a> {
+    /// Incarnation that must take it.
+    pub target_id: &'a str,
+    /// Daemon that holds the lease.
+    pub holder: &'a str,
+    /// Fencing token.
+    pub fence: u64,
+    /// Stage that the engine gets.
+    pub stage: place::EngineStage,
+    /// Orders that the engine must have accepted before.
+    pub expected_orders: u64,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// The engine has that stage already.
+    InForce,
+    /// The engine does not carry it out.
+    Refused,
+    /// It never reached the engine.
+    Unsent,
+    /// It may be carried out now, later or never.
+    Unknown,
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Its stage.
+    pub stage: Option<place::EngineStage>,
+    /// Whether an order is being carried out.
+    pub is_busy: bool,
+    /// Orders that it has accepted since its start.
+    pub orders: u64,
+}
+
 /// An incarnation of a target as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetEntry {
@@ -165,6 +206,20 @@
 
     /// All registered daemons.
     fn list_hosts(&self) -> impl Future<Output = Result<Vec<HostEntry>, StoreError>>;
+
+    /// The row of a lease.
+    fn read_lease(
+        &self,
+        name: &str,
+    ) -> impl Future<Output = Result<Option<lease::ReadRow>, StoreError>>;
+
+    /// Writes the row of a lease if its condition holds; returns its new version, or `None` if the
+    /// condition does not hold.
+    fn write_lease(
+        &self,
+        name: &str,
+        write: &lease::LeaseWrite,
+    ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
 }
 
 /// Messages of callers, targets and operators.
@@ -187,6 +242,24 @@
     /// Path under which a KV cache is released.
     fn handle_path(&self, handle: &str) -> String;
 
+    /// Path of an engine's report.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads an engine's report.
+    fn read_report(&self, body: &[u8]) -> Option<EngineReport>;
+
+    /// Path for orders.
+    fn order_path(&self) -> &'static str;
+
+    /// Body of an order.
+    fn write_order(&self, terms: &OrderTerms<'_>) -> Vec<u8>;
+
+    /// Headers of an order.
+    fn write_order_headers(&self, headers: &mut HeaderMap, terms: &OrderTerms<'_>);
+
+    /// Reads the answer to an order.
+    fn read_order_answer(&self, status: http::StatusCode) -> OrderAnswer;
+
     /// Reads a configuration.
     ///
     /// # Errors
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -37,6 +37,15 @@
     pub ready_in_ms: u32,
 }
 
+/// An engine that changes its stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AwayEntry {
+    /// Short name of the engine.
+    pub target: u64,
+    /// Time after which it is expected back.
+    pub left_ms: u32,
+}
+
 /// A crash suspect, as `acaciabank_core::suspect` describes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEntry {
@@ -69,6 +78,8 @@
     pub config_version: u64,
     /// Loads that the daemon causes.
     pub loads: Vec<LoadEntry>,
+    /// Engines that it has ordered to change their stage.
+    pub away: Vec<AwayEntry>,
     /// Prompt parts that it has sent to engines since its last report.
     pub parts: Vec<PartEntry>,
     /// Crash suspects that it knows.
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -90,6 +90,15 @@
         ready.map(|peer| peer.report.caller).collect()
     }
 
+    /// Position of a daemon among those that are ready, by name; all daemons that hear each other
+    /// agree on it.
+    pub fn rank(&self, own: &str, now_ms: u64) -> usize {
+        let ready = self.peers.iter().filter(|(_, peer)| {
+            peer.report.is_ready && now_ms.saturating_sub(peer.heard_ms) < SILENT_MS
+        });
+        ready.filter(|(host, _)| host.as_str() < own).count()
+    }
+
     /// Running requests and backlog that the other daemons cause at a target.
     pub fn load_of(&self, target: u64) -> (u32, u64) {
         self.loads.get(&target).copied().unwrap_or_default()
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::{parts, suspect};
 use tokio::net::UdpSocket;
 
-use super::{LoadEntry, PartEntry, PeerReport, SuspectEntry};
+use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry};
 use crate::{clock, edge, state};
 
 /// Time between two reports: loads change within some hundred milliseconds.
@@ -79,6 +79,7 @@
         is_leaving: state.phase.get() == state::RelayPhase::Draining,
         config_version: state.config_version(),
         loads: loads(state),
+        away: away(state),
         parts: part_news(state),
         suspects: suspects(state),
         known: state.peers.borrow().contacts(),
@@ -96,6 +97,37 @@
     entries.collect()
 }
 
+/// Engines that are known to be away, whoever has ordered it: what others told stays true.
+fn away<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<AwayEntry> {
+    let now_ms = clock::now_ms();
+    let targets = state.targets.borrow();
+    let entries = targets.iter().filter_map(|target| {
+        let left_ms = target.away_until_ms.get().checked_sub(now_ms)?;
+        let left_ms = u32::try_from(left_ms).ok().filter(|left_ms| *left_ms > 0)?;
+        Some(AwayEntry {
+            target: target.hash,
+            left_ms,
+        })
+    });
+    entries.collect()
+}
+
+fn take_away<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    entries: &[AwayEntry],
+    now_ms: u64,
+) {
+    let targets = state.targets.borrow();
+    for entry in entries {
+        if let Some(target) = targets.by_hash(entry.target) {
+            let until_ms = now_ms + u64::from(entry.left_ms);
+            target
+                .away_until_ms
+                .set(target.away_until_ms.get().max(until_ms));
+        }
+    }
+}
+
 fn part_news<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<PartEntry> {
     let mut news = state.part_news.borrow_mut();
     if news.len() > MAX_PARTS {
@@ -153,6 +185,7 @@
         };
         state.suspects.borrow_mut().merge(record, now_ms);
     }
+    take_away(state, &report.away, now_ms);
     take_parts(state, &report.parts, now_ms);
     let is_newer = report.config_version > state.config_version();
     let is_news = state.peers.borrow_mut().take(report, now_ms);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod follow;
 mod gossip;
 mod ingress;
+mod planner;
 pub mod process;
 mod state;
 mod target;
--- /dev/null
+++ b/crates/relay/src/planner/order.rs
@@ -0,0 +1,89 @@
+//! Calls to an engine about its stage.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+
+use crate::{clock, connection, edge, state, target};
+
+/// Time for an answer to a call that runs no request.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Asks an engine for its state.
+pub async fn read_report<Codec: edge::CodecEdge, Store>(
+    state: &state::RelayState<Codec, Store>,
+    target: &target::TargetState,
+) -> Result<edge::EngineReport, String> {
+    let call = async {
+        let mut connection = open(target).await?;
+        let message = http::Request::get(state.codec.report_path())
+            .header(http::header::HOST, target.entry.address.to_string())
+            .body(Full::default())
+            .map_err(|error| error.to_string())?;
+        let answer = connection
+            .send(message)
+            .await
+            .map_err(|error| error.to_string())?;
+        let body = answer
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| error.to_string())?;
+        target.pool.put(connection, None);
+        let report = state.codec.read_report(&body.to_bytes());
+        report.ok_or_else(|| "the report cannot be read".to_owned())
+    };
+    match tokio::time::timeout(CALL_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_) => Err("no answer in time".to_owned()),
+    }
+}
+
+async fn open(target: &target::TargetState) -> Result<connection::TargetConnection, String> {
+    match target.pool.take() {
+        Some(connection) => Ok(connection),
+        None => connection::TargetConnection::connect(target.entry.address, CALL_TIMEOUT)
+            .await
+            .map_err(|error| error.to_string()),
+    }
+}
+
+/// Sends an order. Nothing is written after `act_until_ms`, when another daemon may hold the lease.
+pub async fn send_order<Codec: edge::CodecEdge, Store>(
+    state: &state::RelayState<Codec, Store>,
+    target: &target::TargetState,
+    terms: &edge::OrderTerms<'_>,
+    act_until_ms: u64,
+) -> edge::OrderAnswer {
+    let Ok(mut connection) = open(target).await else {
+        return edge::OrderAnswer::Unsent;
+    };
+    let mut message = http::Request::new(Full::new(Bytes::from(state.codec.write_order(terms))));
+    *message.method_mut() = http::Method::POST;
+    *message.uri_mut() = http::Uri::from_static(state.codec.order_path());
+    state
+        .codec
+        .write_order_headers(message.headers_mut(), terms);
+    if let Ok(host) = http::HeaderValue::from_str(&target.entry.address.to_string()) {
+        message.headers_mut().insert(http::header::HOST, host);
+    }
+    let left_ms = act_until_ms.saturating_sub(clock::now_ms());
+    connection.limit_writes(Some(connection::WriteLimit::after(Duration::from_millis(
+        left_ms,
+    ))));
+    let before = connection.written();
+    let sent = tokio::time::timeout(CALL_TIMEOUT, connection.send(message)).await;
+    match sent {
+        Ok(Ok(answer)) => {
+            let status = answer.status();
+            if answer.into_body().collect().await.is_ok() {
+                connection.limit_writes(None);
+                target.pool.put(connection, None);
+            }
+            state.codec.read_order_answer(status)
+        }
+        _ if connection.written() == before => edge::OrderAnswer::Unsent,
+        _ => edge::OrderAnswer::Unknown,
+    }
+}
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -9,7 +9,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{clock, edge, follow, gossip, ingress, state, telemetry};
+use crate::{clock, edge, follow, gossip, ingress, planner, state, telemetry};
 
 pub use crate::state::RelaySettings;
 
@@ -107,6 +107,7 @@
     tokio::task::spawn_local(follow::run_targets(rc::Rc::clone(state)));
     tokio::task::spawn_local(follow::run_hosts(rc::Rc::clone(state)));
     tokio::task::spawn_local(follow::run_peer_config(rc::Rc::clone(state)));
+    tokio::task::spawn_local(planner::run(rc::Rc::clone(state)));
     tokio::task::spawn_local(gossip::run(rc::Rc::clone(state), rc::Rc::clone(socket)));
     tokio::task::spawn_local(async {
         let mut interval = tokio::time::interval(METRICS_UPKEEP);
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -24,6 +24,8 @@
     pub stage: Cell<Option<place::EngineStage>>,
     /// Whether it takes no new work.
     pub is_leaving: Cell<bool>,
+    /// Time until which it takes no new work because its stage changes.
+    pub away_until_ms: Cell<u64>,
     /// Idle connections.
     pub pool: connection::IdlePool,
     /// Requests of this daemon that run there.
@@ -43,6 +45,7 @@
             zone_hash: xxhash_rust::xxh3::xxh3_64(entry.zone.as_bytes()),
             stage: Cell::new(entry.stage),
             is_leaving: Cell::new(entry.is_draining),
+            away_until_ms: Cell::new(0),
             pool: connection::IdlePool::default(),
             running: Cell::new(0),
             backlog: Cell::new(0),
@@ -54,7 +57,8 @@
 
     /// Whether it takes new work and its standing allows it.
     pub fn is_accepting(&self, now_ms: u64) -> bool {
-        !self.is_leaving.get() && self.judge.borrow().is_in(now_ms)
+        let is_here = !self.is_leaving.get() && now_ms >= self.away_until_ms.get();
+        is_here && self.judge.borrow().is_in(now_ms)
     }
 }
 
