Count every call that the retry budget counts

Change: a request counts its calls; a retry pays for those made and those that follow, of which the first one and the first accepted prefill are free. The log tells the time of the prefill apart.

--- a/crates/core/src/budget/window.rs
+++ b/crates/core/src/budget/window.rs
@@ -32,15 +32,22 @@
         self.requests.push_back(now_ms);
     }
 
-    /// Takes one retry; tells whether the budget of this daemon, one of `daemons`, had one.
-    pub fn try_spend(&mut self, terms: &BudgetTerms, daemons: usize, now_ms: u64) -> bool {
+    /// Takes `count` retries; tells whether the budget of this daemon, one of `daemons`, had them.
+    pub fn try_spend(
+        &mut self,
+        terms: &BudgetTerms,
+        daemons: usize,
+        count: u32,
+        now_ms: u64,
+    ) -> bool {
         self.expire(terms, now_ms);
         let part = terms.extra / daemons.max(1) as f64;
         let allowed = SAFETY * (self.requests.len() as f64 * terms.ratio + part);
-        if self.retries.len() as f64 + 1.0 > allowed {
+        if count > 0 && self.retries.len() as f64 + f64::from(count) > allowed {
             return false;
         }
-        self.retries.push_back(now_ms);
+        let spent = std::iter::repeat_n(now_ms, count as usize);
+        self.retries.extend(spent);
         true
     }
 
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -324,9 +324,11 @@
         failure.retry,
         RetryReason::ConnectFailed | RetryReason::NotWritten
     );
-    if !is_unsent && !state.try_spend_retry(&request.service) {
+    let unpaid = if is_unsent { 0 } else { progress.unpaid_after_retry() };
+    if !state.try_spend_retries(&request.service, unpaid) {
         return refuse(RefusalCause::BudgetSpent);
     }
+    progress.paid += unpaid;
     telemetry::count_retry(failure.retry);
     Ok(())
 }
--- a/crates/relay/src/dispatch/generate.rs
+++ b/crates/relay/src/dispatch/generate.rs
@@ -40,6 +40,8 @@
     work: target::TargetWork,
     first: Option<Bytes>,
     plan: choose::EnginePlan,
+    /// Time from the arrival of the request until its prompt was processed elsewhere.
+    prefill_ms: u64,
 }
 
 /// What an attempt ends in.
@@ -144,7 +146,7 @@
 async fn attempt<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
-    progress: &RequestProgress,
+    progress: &mut RequestProgress,
     plan: &choose::EnginePlan,
     last_event: Option<u64>,
 ) -> Result<StreamStart, (Failed, AttemptFailure)> {
@@ -153,9 +155,12 @@
         None => None,
         Some(engine) => {
             let handle = prefill(state, request, plan, engine, until).await;
+            progress.count_prefill(handle.is_ok());
             Some(handle.map_err(|failure| (Failed::Prefill, failure))?)
         }
     };
+    progress.count_arrival();
+    let prefill_ms = request.elapsed_ms();
     let tokens = if handle.is_some() {
         0
     } else {
@@ -191,7 +196,10 @@
         // The engine has fetched the KV cache, or has answered without it.
         handle.close();
     }
-    let started = read_start(request, plan, answer, work, until, last_event).await;
+    let mut started = read_start(request, plan, answer, work, until, last_event).await;
+    if let Ok(StreamStart::Open(_, stream)) = &mut started {
+        stream.prefill_ms = prefill_ms;
+    }
     started.map_err(|failure| (Failed::Decode, failure))
 }
 
@@ -259,6 +267,7 @@
                 work,
                 first,
                 plan: plan.clone(),
+                prefill_ms: 0,
             };
             Ok(StreamStart::Open(Box::new(head), Box::new(stream)))
         }
@@ -531,7 +540,7 @@
             target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
             sends = self.progress.sends, prompt = request.prompt_tokens(),
             uncached = plan.uncached_tokens, fetched = plan.source.is_some(), expected_ms = plan.first_token_ms,
-            first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
+            prefill_ms = stream.prefill_ms, first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
             config = request.config_version, elapsed_ms = request.elapsed_ms();
             "{event}"
         );
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -34,6 +34,7 @@
             Err(refusal) => return failed_answer.ok_or(refusal),
         };
         progress.sends += 1;
+        progress.count_arrival();
         let failure = match attempt(state, request, &progress, &target).await {
             Ok((head, body)) => {
                 let is_last = !head.status.is_server_error() || !request.route.kind.is_repeatable();
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -208,12 +208,12 @@
         }
     }
 
-    /// Takes one retry from the budget of a service; tells whether it had one.
-    pub fn try_spend_retry(&self, service: &str) -> bool {
+    /// Takes retries from the budget of a service; tells whether it had them.
+    pub fn try_spend_retries(&self, service: &str, count: u32) -> bool {
         let daemons = self.peers.borrow().known() + 1;
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
-        budget.try_spend(&self.settings.budget, daemons, crate::clock::now_ms())
+        budget.try_spend(&self.settings.budget, daemons, count, crate::clock::now_ms())
     }
 }
 
