Refuse by the wait that others cause; keep handles; order stages by pressure

Change: a request is refused at once when the work of others would take most of its target latency; the size of its own prompt does not count. A KV cache is offered to a second decode engine after a refusal. Waits follow engines that work on their prompts in turn. Transfers count at the engine that fetches. Stages change by pressure, 300 ms after the other daemons are told.

Ruled out: waiting in order of urgency at the engines, which process admitted prompts side by side.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod parts;
 pub mod place;
 pub mod plan;
+pub mod refuse;
 pub mod route;
 pub mod stage;
 pub mod suspect;
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -41,8 +41,10 @@
     pub stage: EngineStage,
     /// Prompt tokens that all daemons have sent it and that are not processed yet.
     pub backlog_tokens: u64,
-    /// Requests that run there.
+    /// Requests that run there; at a prefill engine, prompts that are being processed.
     pub running: u32,
+    /// Time that transfers of KV cache to it are expected to take that have not ended yet.
+    pub transfer_ms: f64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Tokens at the start of the prompt that are believed to be cached there.
@@ -79,6 +81,8 @@
     pub first_token_ms: f64,
     /// Expected time until the prompt is processed.
     pub prompt_ms: f64,
+    /// The part of the time to the first token that other requests cause.
+    pub wait_ms: f64,
     /// Prompt tokens that the engine must process.
     pub uncached_tokens: u64,
 }
@@ -86,9 +90,12 @@
 /// Weight of the time of a prefill engine that a plan uses, against the time that its caller waits:
 /// half of the requests meet another one there.
 const WORK_WEIGHT: f64 = 0.5;
-/// The same for prompts at decode engines: a prompt there delays every token of every stream that
-/// the engine runs.
-const DECODE_WORK_WEIGHT: f64 = 6.0;
+/// The same for prompts at decode engines, for each request that the engine runs: a prompt there
+/// delays every token of every stream.
+const DECODE_WORK_WEIGHT: f64 = 1.0;
+/// Requests that a decode engine is assumed to run at least, as more arrive while the prompt is
+/// processed.
+const LEAST_DELAYED: f64 = 3.0;
 /// Weight of the time for which a transfer occupies the links.
 const TRANSFER_WEIGHT: f64 = 1.0;
 /// Factor of transfers between availability zones.
@@ -128,6 +135,32 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Chooses the decode engine for a prompt that the engine at position `prefill` has processed.
+pub fn choose_decode(
+    prompt_tokens: u64,
+    prefill: usize,
+    rates: &EngineRates,
+    engines: &[EngineView],
+) -> Option<PlacementChoice> {
+    let scene = Scene {
+        prompt_tokens,
+        rates,
+        engines,
+        source: None,
+    };
+    let done = PromptPrice {
+        done_ms: 0.0,
+        wait_ms: 0.0,
+        extra: 0.0,
+        uncached_tokens: 0,
+        source: None,
+    };
+    let decodes = scene.usable(EngineStage::Decode);
+    let priced = decodes.map(|decode| scene.price_split(prefill, decode, done));
+    let best = priced.min_by(|left, right| left.0.total_cmp(&right.0));
+    best.map(|(_, choice)| choice)
+}
+
 /// The engine that holds most of the prompt, whatever its stage; one that is leaving still serves
 /// as a source.
 fn best_source(engines: &[EngineView]) -> Option<usize> {
@@ -150,6 +183,8 @@
 struct PromptPrice {
     /// Time until it is processed.
     done_ms: f64,
+    /// The part of it that is spent on other prompts.
+    wait_ms: f64,
     /// Cost beyond that time.
     extra: f64,
     uncached_tokens: u64,
@@ -187,17 +222,27 @@
         let view = &self.engines[position];
         let (speed, weight) = match stage {
             EngineStage::Prefill => (self.rates.prefill_tokens_per_ms, WORK_WEIGHT),
-            EngineStage::Decode => (self.rates.decode_prefill_tokens_per_ms, DECODE_WORK_WEIGHT),
+            EngineStage::Decode => {
+                let delayed = LEAST_DELAYED.max(f64::from(view.running));
+                (
+                    self.rates.decode_prefill_tokens_per_ms,
+                    DECODE_WORK_WEIGHT * delayed,
+                )
+            }
         };
-        let wait_ms = view.backlog_tokens as f64 / speed;
         let price = |uncached_tokens: u64, fetch_ms: f64, source| {
             let work_ms = uncached_tokens as f64 / speed;
+            // An engine works on all its prompts in turn, so a short one does not wait for the end
+            // of long ones.
+            let ahead = u64::from(view.running).saturating_mul(uncached_tokens);
+            let wait_ms = view.backlog_tokens.min(ahead) as f64 / speed;
             let harm_ms = match stage {
                 EngineStage::Prefill => work_ms,
                 EngineStage::Decode => work_ms + wait_ms,
             };
             PromptPrice {
                 done_ms: wait_ms + work_ms + fetch_ms + 2.0 * view.distance_ms,
+                wait_ms,
                 extra: weight * harm_ms + TRANSFER_WEIGHT * fetch_ms + view.penalty_ms,
                 uncached_tokens,
                 source,
@@ -233,7 +278,8 @@
     fn price_whole(&self, decode: usize) -> (f64, PlacementChoice) {
         let view = &self.engines[decode];
         let prompt = self.price_prompt(decode, EngineStage::Decode);
-        let first_token_ms = prompt.done_ms + self.crowding_ms(view);
+        let crowding_ms = self.crowding_ms(view);
+        let first_token_ms = prompt.done_ms + crowding_ms;
         let choice = PlacementChoice {
             plan: PlacementPlan {
                 prefill: None,
@@ -242,6 +288,7 @@
             },
             first_token_ms,
             prompt_ms: prompt.done_ms,
+            wait_ms: prompt.wait_ms + crowding_ms,
             uncached_tokens: prompt.uncached_tokens,
         };
         (first_token_ms + prompt.extra, choice)
@@ -257,7 +304,8 @@
         let transfer_ms = self.transfer_ms(prefill, decode, self.prompt_tokens);
         // A prompt that the decode engine processes by itself makes its steps longer.
         let backlog_ms = view.backlog_tokens as f64 / self.rates.decode_prefill_tokens_per_ms;
-        let after_ms = self.rates.handover_ms + self.crowding_ms(view) + transfer_ms + backlog_ms;
+        let queue_ms = self.crowding_ms(view) + backlog_ms + view.transfer_ms;
+        let after_ms = self.rates.handover_ms + transfer_ms + queue_ms;
         let first_token_ms = prompt.done_ms + after_ms + 2.0 * view.distance_ms;
         let choice = PlacementChoice {
             plan: PlacementPlan {
@@ -267,6 +315,7 @@
             },
             first_token_ms,
             prompt_ms: prompt.done_ms,
+            wait_ms: prompt.wait_ms + queue_ms,
             uncached_tokens: prompt.uncached_tokens,
         };
         let extra = prompt.extra + TRANSFER_WEIGHT * transfer_ms + view.penalty_ms;
--- a/crates/core/src/stage/mod.rs
+++ b/crates/core/src/stage/mod.rs
@@ -11,7 +11,7 @@
 //!
 //! let duty = |zone| EngineDuty {
 //!     target: zone, zone, stage: EngineStage::Decode, is_switching: false, running: 0,
-//!     slots: 64, changed_ms: None,
+//!     slots: 64, backlog_tokens: 0, changed_ms: None,
 //! };
 //! let engines: Vec<EngineDuty> = (0..4).map(duty).collect();
 //! let change = StagePlanner::default().next_change(0, &engines).unwrap();
@@ -25,9 +25,13 @@
 const PREFILL_SHARE: f64 = 0.7;
 /// Share of the places of the engines that generate from which one more of them is needed: beyond
 /// it a lost engine overloads the others.
-const CROWDED_FILL: f64 = 0.55;
-/// Share below which one engine fewer suffices, so that the count does not swing.
-const IDLE_FILL: f64 = 0.25;
+const CROWDED_FILL: f64 = 0.5;
+/// Share below which one engine fewer suffices.
+const IDLE_FILL: f64 = 0.2;
+/// Prompt tokens that wait at an engine on average from which one more engine is needed: 400 ms.
+const CROWDED_TOKENS: u64 = 20_000;
+/// Prompt tokens below which one engine fewer suffices.
+const IDLE_TOKENS: u64 = 5_000;
 /// Time for which a need has to last: the load of a batch swings within a second.
 const CONFIRM_MS: u64 = 2_000;
 /// Time for which an engine keeps a stage: several times what a change costs.
@@ -50,6 +54,8 @@
     pub running: u32,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Prompt tokens that are not processed yet.
+    pub backlog_tokens: u64,
     /// Time of its last order, if any.
     pub changed_ms: Option<u64>,
 }
@@ -63,13 +69,21 @@
     pub to: EngineStage,
 }
 
+/// Which stage needs more engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pressure {
+    Prefill,
+    Decode,
+    /// Both stages are idle: the usual share is restored.
+    Idle,
+    /// Nothing that a change would help.
+    Settled,
+}
+
 /// Planner of the stages of one service's engines.
 #[derive(Clone, Debug, Default)]
 pub struct StagePlanner {
-    /// Engines that generate beyond the usual number.
-    extra: u32,
-    pressing_since: Option<u64>,
-    idle_since: Option<u64>,
+    pressing: Option<(Pressure, u64)>,
 }
 
 impl StagePlanner {
@@ -78,54 +92,68 @@
         if engines.len() < 2 {
             return None;
         }
-        self.follow_load(now_ms, engines);
+        let pressure = pressure_of(engines);
+        let is_lasting = self.lasts(pressure, now_ms);
         let switching = engines.iter().filter(|engine| engine.is_switching).count();
         let limit = (engines.len() as f64 * SWITCHING_SHARE).ceil() as usize;
         if switching >= limit {
             return None;
         }
         let decodes = count(engines, EngineStage::Decode);
-        let wanted = self.wanted_decodes(engines.len());
+        let usual = (engines.len() as f64 * (1.0 - PREFILL_SHARE)).round() as usize;
+        let usual = usual.clamp(1, engines.len() - 1);
+        let wanted = match pressure {
+            _ if decodes == 0 => 1,
+            _ if decodes == engines.len() => decodes - 1,
+            Pressure::Idle => usual,
+            Pressure::Prefill if is_lasting => (decodes - 1).max(usual.min(decodes)),
+            Pressure::Decode if is_lasting => (decodes + 1).min(engines.len() - 1),
+            _ => decodes,
+        };
         let (from, to) = match decodes.cmp(&wanted) {
             std::cmp::Ordering::Greater => (EngineStage::Decode, EngineStage::Prefill),
             std::cmp::Ordering::Less => (EngineStage::Prefill, EngineStage::Decode),
             std::cmp::Ordering::Equal => return None,
         };
         let target = pick_engine(now_ms, engines, from)?;
+        self.pressing = None;
         Some(StageChange { target, to })
     }
 
-    fn wanted_decodes(&self, engines: usize) -> usize {
-        let usual = (engines as f64 * (1.0 - PREFILL_SHARE)).round() as usize;
-        (usual + self.extra as usize).clamp(1, engines - 1)
-    }
-
-    fn follow_load(&mut self, now_ms: u64, engines: &[EngineDuty]) {
-        let decodes = engines
-            .iter()
-            .filter(|engine| engine.stage == EngineStage::Decode);
-        let (running, slots) = decodes.fold((0, 0), |(running, slots), engine| {
-            (running + engine.running, slots + engine.slots)
-        });
-        let fill = f64::from(running) / f64::from(slots.max(1));
-        if lasts(&mut self.pressing_since, fill > CROWDED_FILL, now_ms) {
-            self.extra += 1;
-            self.pressing_since = None;
-        }
-        if lasts(&mut self.idle_since, fill < IDLE_FILL, now_ms) {
-            self.extra = self.extra.saturating_sub(1);
-            self.idle_since = None;
+    /// Whether a pressure has lasted for [`CONFIRM_MS`].
+    fn lasts(&mut self, pressure: Pressure, now_ms: u64) -> bool {
+        match self.pressing {
+            Some((known, since)) if known == pressure => now_ms - since >= CONFIRM_MS,
+            _ => {
+                self.pressing = Some((pressure, now_ms));
+                false
+            }
         }
     }
 }
 
-/// Whether a condition has held for [`CONFIRM_MS`].
-fn lasts(since: &mut Option<u64>, holds: bool, now_ms: u64) -> bool {
-    if !holds {
-        *since = None;
-        return false;
+fn pressure_of(engines: &[EngineDuty]) -> Pressure {
+    let fill = mean(engines, EngineStage::Decode, |engine| {
+        f64::from(engine.running) / f64::from(engine.slots.max(1))
+    });
+    let tokens = mean(engines, EngineStage::Prefill, |engine| {
+        engine.backlog_tokens as f64
+    });
+    let (crowded, idle) = (CROWDED_TOKENS as f64, IDLE_TOKENS as f64);
+    match (tokens, fill) {
+        (tokens, fill) if tokens < idle && fill < IDLE_FILL => Pressure::Idle,
+        (tokens, fill) if tokens > crowded && fill < CROWDED_FILL => Pressure::Prefill,
+        (tokens, fill) if fill > CROWDED_FILL && tokens < crowded => Pressure::Decode,
+        _ => Pressure::Settled,
     }
-    now_ms - *since.get_or_insert(now_ms) >= CONFIRM_MS
+}
+
+fn mean(engines: &[EngineDuty], stage: EngineStage, value: impl Fn(&EngineDuty) -> f64) -> f64 {
+    let here = engines.iter().filter(|engine| stage_after(engine) == stage);
+    let (sum, count) = here.fold((0.0, 0), |(sum, count), engine| {
+        (sum + value(engine), count + 1)
+    });
+    sum / f64::from(count.max(1))
 }
 
 /// Engines of a stage, an engine that changes counted where it comes from: the platform tells the
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -324,7 +324,11 @@
         failure.retry,
         RetryReason::ConnectFailed | RetryReason::NotWritten
     );
-    let unpaid = if is_unsent { 0 } else { progress.unpaid_after_retry() };
+    let unpaid = if is_unsent {
+        0
+    } else {
+        progress.unpaid_after_retry()
+    };
     if !state.try_spend_retries(&request.service, unpaid) {
         return refuse(RefusalCause::BudgetSpent);
     }
--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -77,7 +77,7 @@
         .iter()
         .filter(|target| target.is_accepting(now_ms) && !progress.avoided.contains(&target.hash));
     let cost = |target: &rc::Rc<target::TargetState>| {
-        let (others, _) = peers.load_of(target.hash);
+        let others = peers.load_of(target.hash).running;
         let load = f64::from(others + target.running.get()) / f64::from(target.entry.slots.max(1));
         let far = if target.entry.zone == state.settings.zone {
             0.0
@@ -107,17 +107,21 @@
     pub first_token_ms: f64,
     /// Expected time until the prompt is processed.
     pub prompt_ms: f64,
+    /// The part of the time to the first token that other requests cause.
+    pub wait_ms: f64,
 }
 
-/// Waits a little for engines for a generation request.
+/// Waits a little for engines for a generation request; only for one that generates if the engine
+/// `prefilled` has processed the prompt.
 pub async fn engine_plan<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     progress: &RequestProgress,
+    prefilled: Option<&rc::Rc<target::TargetState>>,
 ) -> Result<EnginePlan, RefusalAnswer> {
     let until = wait_until(request);
     loop {
-        if let Some(plan) = pick_engines(state, request, progress) {
+        if let Some(plan) = pick_engines(state, request, progress, prefilled) {
             return Ok(plan);
         }
         look_later(until, progress).await?;
@@ -128,6 +132,7 @@
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     progress: &RequestProgress,
+    prefilled: Option<&rc::Rc<target::TargetState>>,
 ) -> Option<EnginePlan> {
     let targets = state.targets.borrow();
     let targets = targets.of_service(&request.service);
@@ -138,7 +143,15 @@
             .service(&request.service)
             .and_then(|spec| spec.engine.as_ref()),
     );
-    let choice = place::choose_plan(request.prompt_tokens(), &rates, &views)?;
+    let tokens = request.prompt_tokens();
+    let choice = match prefilled {
+        None => place::choose_plan(tokens, &rates, &views)?,
+        Some(engine) => {
+            let is_engine = |target: &rc::Rc<target::TargetState>| rc::Rc::ptr_eq(target, engine);
+            let position = targets.iter().position(is_engine)?;
+            place::choose_decode(tokens, position, &rates, &views)?
+        }
+    };
     let target = |position: usize| rc::Rc::clone(&targets[position]);
     Some(EnginePlan {
         prefill: choice.plan.prefill.map(target),
@@ -150,6 +163,7 @@
         uncached_tokens: choice.uncached_tokens,
         first_token_ms: choice.first_token_ms,
         prompt_ms: choice.prompt_ms,
+        wait_ms: choice.wait_ms,
     })
 }
 
@@ -170,13 +184,14 @@
         .last()
         .map_or(0, |part| part.chain);
     let view = |target: &rc::Rc<target::TargetState>| {
-        let (running, backlog) = peers.load_of(target.hash);
+        let others = peers.load_of(target.hash);
         let is_near = target.entry.zone == state.settings.zone;
         place::EngineView {
             usable: target.is_accepting(now_ms) && !progress.avoided.contains(&target.hash),
             stage: target.stage.get().unwrap_or(place::EngineStage::Decode),
-            backlog_tokens: backlog + target.backlog.get(),
-            running: running + target.running.get(),
+            backlog_tokens: others.backlog + target.backlog.get(),
+            running: others.running + target.running.get(),
+            transfer_ms: (others.transfer_ms + target.transfer_ms.get()) as f64,
             slots: target.entry.slots,
             cached_tokens: target.parts.borrow().cached_tokens(&request.parts),
             ready_tokens: target.parts.borrow().ready_tokens(&request.parts, now_ms),
--- a/crates/relay/src/dispatch/generate.rs
+++ b/crates/relay/src/dispatch/generate.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_core::judge;
+use acaciabank_core::{judge, refuse};
 use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
 use bytes::Bytes;
 use futures::StreamExt;
@@ -105,79 +105,115 @@
     last_event: Option<u64>,
 ) -> Result<StreamStart, RefusalAnswer> {
     let mut failed_answer = None;
+    let mut handle: Option<KvHandle> = None;
     loop {
-        let plan = match choose::engine_plan(state, request, progress).await {
+        let prefilled = handle.as_ref().map(|handle| &handle.engine);
+        let plan = match choose::engine_plan(state, request, progress, prefilled).await {
             Ok(plan) => plan,
+            // The engine with the KV cache may have gone; the others can still do all of it.
+            Err(_) if handle.is_some() => {
+                handle = None;
+                continue;
+            }
             Err(refusal) => return failed_answer.ok_or(refusal),
         };
-        if plan.first_token_ms > request.left().as_secs_f64() * 1_000.0 {
-            return Err(RefusalAnswer::after(
-                RefusalCause::TooLate,
-                progress.verdict,
-            ));
+        if handle.is_none() {
+            check_intake(request, progress, &plan)?;
+        }
+        if let (None, Some(engine)) = (&handle, &plan.prefill) {
+            let until = first_event_until(request, progress, &plan);
+            let result = prefill(state, request, &plan, engine, until).await;
+            progress.count_prefill(result.is_ok());
+            match result {
+                Ok(taken) => handle = Some(taken),
+                Err(failure) => {
+                    let decided = attempt::decide_retry(state, request, engine, progress, &failure);
+                    if let Err(refusal) = decided {
+                        return failed_answer.ok_or(refusal);
+                    }
+                }
+            }
+            continue;
         }
         progress.sends += 1;
-        let (target, failure) = match attempt(state, request, progress, &plan, last_event).await {
+        progress.count_arrival();
+        let result = attempt(state, request, progress, &plan, handle.as_ref(), last_event).await;
+        let failure = match result {
             Ok(StreamStart::Answered(reply, status))
                 if status.is_server_error() && request.route.kind.is_repeatable() =>
             {
                 failed_answer = Some(StreamStart::Answered(reply, status));
                 let message = format!("the engine answered with status {status}");
-                (&plan.decode, AttemptFailure::broken(message))
+                AttemptFailure::broken(message)
             }
-            Ok(started) => return Ok(started),
-            Err((Failed::Prefill, failure)) => {
-                (plan.prefill.as_ref().unwrap_or(&plan.decode), failure)
+            Ok(started) => {
+                handle.into_iter().for_each(KvHandle::close);
+                return Ok(started);
             }
-            Err((Failed::Decode, failure)) => (&plan.decode, failure),
+            Err(failure) => failure,
         };
-        if let Err(refusal) = attempt::decide_retry(state, request, target, progress, &failure) {
+        if failure.retry != RetryReason::TargetRefused || progress.sends > MAX_HANDLE_SENDS {
+            handle = None;
+        }
+        let decided = attempt::decide_retry(state, request, &plan.decode, progress, &failure);
+        if let Err(refusal) = decided {
             return failed_answer.ok_or(refusal);
         }
     }
 }
 
-/// Which of the two engines failed.
-enum Failed {
-    Prefill,
-    Decode,
+/// Sends to decode engines with one KV cache: a refusal does not say whether the engine is full or
+/// the KV cache cannot be had.
+const MAX_HANDLE_SENDS: u32 = 1;
+
+fn check_intake(
+    request: &RelayRequest,
+    progress: &RequestProgress,
+    plan: &choose::EnginePlan,
+) -> Result<(), RefusalAnswer> {
+    let terms = refuse::IntakeTerms {
+        target_latency_ms: request.route.target_latency_ms,
+        priority: request.route.priority,
+        left_ms: request.left_ms(),
+        is_return: progress.arrivals > 0 || progress.has_prefill,
+    };
+    let decided = refuse::decide(&terms, plan.wait_ms, plan.first_token_ms, rand::random());
+    let refuse::IntakeVerdict::Refuse { retry_after_ms } = decided else {
+        return Ok(());
+    };
+    log::info!(
+        id = request.id.as_str(), target_id = plan.decode.entry.id.as_str(),
+        wait_ms = plan.wait_ms, expected_ms = plan.first_token_ms, left_ms = terms.left_ms;
+        "intake_refused"
+    );
+    let refusal = RefusalAnswer::after(RefusalCause::TooLate, progress.verdict);
+    Err(RefusalAnswer {
+        retry_after_ms: refusal.retry_after_ms.map(|_| retry_after_ms),
+        ..refusal
+    })
 }
 
 async fn attempt<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
-    progress: &mut RequestProgress,
+    progress: &RequestProgress,
     plan: &choose::EnginePlan,
+    handle: Option<&KvHandle>,
     last_event: Option<u64>,
-) -> Result<StreamStart, (Failed, AttemptFailure)> {
+) -> Result<StreamStart, AttemptFailure> {
     let until = first_event_until(request, progress, plan);
-    let handle = match &plan.prefill {
-        None => None,
-        Some(engine) => {
-            let handle = prefill(state, request, plan, engine, until).await;
-            progress.count_prefill(handle.is_ok());
-            Some(handle.map_err(|failure| (Failed::Prefill, failure))?)
-        }
-    };
-    progress.count_arrival();
     let prefill_ms = request.elapsed_ms();
-    let tokens = if handle.is_some() {
-        0
-    } else {
-        plan.uncached_tokens
+    let (tokens, transfer_ms, prompt_ms) = match handle {
+        None => (plan.uncached_tokens, 0, plan.prompt_ms as u64),
+        Some(_) => (0, (plan.first_token_ms - plan.wait_ms) as u64, 0),
     };
-    let work = target::TargetWork::start(&plan.decode, tokens);
-    let prompt_ms = if handle.is_some() {
-        0.0
-    } else {
-        plan.prompt_ms
-    };
-    state.record_parts(&plan.decode, &request.parts, prompt_ms as u64);
+    let work = target::TargetWork::start(&plan.decode, tokens, transfer_ms);
+    state.record_parts(&plan.decode, &request.parts, prompt_ms);
     let terms = edge::SendTerms {
         target_id: &plan.decode.entry.id,
         deadline_ms: request.left_ms(),
         urgency: Some(request.route.priority.min(MAX_URGENCY)),
-        work: match &handle {
+        work: match handle {
             None => edge::SendWork::Whole,
             Some(handle) => edge::SendWork::Decode {
                 source: handle.engine.entry.address,
@@ -190,17 +226,13 @@
         },
         last_event,
     };
-    let result = attempt::exchange(state, request, &plan.decode, &terms, until).await;
-    let answer = result.map_err(|failure| (Failed::Decode, failure))?;
-    if let Some(handle) = handle {
-        // The engine has fetched the KV cache, or has answered without it.
-        handle.close();
-    }
+    let answer = attempt::exchange(state, request, &plan.decode, &terms, until).await?;
     let mut started = read_start(request, plan, answer, work, until, last_event).await;
     if let Ok(StreamStart::Open(_, stream)) = &mut started {
         stream.prefill_ms = prefill_ms;
+        stream.plan.prefill = handle.map(|handle| rc::Rc::clone(&handle.engine));
     }
-    started.map_err(|failure| (Failed::Decode, failure))
+    started
 }
 
 /// Lowest urgency that engines distinguish.
@@ -347,7 +379,7 @@
     engine: &rc::Rc<target::TargetState>,
     until: Instant,
 ) -> Result<KvHandle, AttemptFailure> {
-    let work = target::TargetWork::start(engine, plan.uncached_tokens);
+    let work = target::TargetWork::start(engine, plan.uncached_tokens, 0);
     state.record_parts(engine, &request.parts, plan.prompt_ms as u64);
     let terms = edge::SendTerms {
         target_id: &engine.entry.id,
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -64,7 +64,7 @@
     target: &rc::Rc<target::TargetState>,
 ) -> Result<(http::response::Parts, Bytes), AttemptFailure> {
     let until = until(request, progress);
-    let _work = target::TargetWork::start(target, 0);
+    let _work = target::TargetWork::start(target, 0, 0);
     let terms = edge::SendTerms {
         target_id: &target.entry.id,
         deadline_ms: request.left_ms(),
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -22,6 +22,8 @@
     pub running: u32,
     /// Prompt tokens that are not processed yet.
     pub backlog: u32,
+    /// Time that transfers of KV cache to it are expected to take.
+    pub transfer_ms: u32,
 }
 
 /// A prompt part that an engine has been sent.
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -25,7 +25,18 @@
     peers: HashMap<String, PeerState>,
     /// Addresses to report to, with the time until which they are kept without an answer.
     contacts: HashMap<net::SocketAddr, u64>,
-    loads: HashMap<u64, (u32, u64)>,
+    loads: HashMap<u64, LoadSum>,
+}
+
+/// Load that the other daemons cause at a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadSum {
+    /// Requests that run there.
+    pub running: u32,
+    /// Prompt tokens that are not processed yet.
+    pub backlog: u64,
+    /// Time that transfers of KV cache to it are expected to take.
+    pub transfer_ms: u64,
 }
 
 impl PeerTable {
@@ -99,8 +110,8 @@
         ready.filter(|(host, _)| host.as_str() < own).count()
     }
 
-    /// Running requests and backlog that the other daemons cause at a target.
-    pub fn load_of(&self, target: u64) -> (u32, u64) {
+    /// Load that the other daemons cause at a target.
+    pub fn load_of(&self, target: u64) -> LoadSum {
         self.loads.get(&target).copied().unwrap_or_default()
     }
 
@@ -121,8 +132,9 @@
             }
             for load in &peer.report.loads {
                 let sum = self.loads.entry(load.target).or_default();
-                sum.0 += load.running;
-                sum.1 += u64::from(load.backlog);
+                sum.running += load.running;
+                sum.backlog += u64::from(load.backlog);
+                sum.transfer_ms += u64::from(load.transfer_ms);
             }
         }
     }
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -93,6 +93,7 @@
         target: target.hash,
         running: target.running.get(),
         backlog: u32::try_from(target.backlog.get()).unwrap_or(u32::MAX),
+        transfer_ms: u32::try_from(target.transfer_ms.get()).unwrap_or(u32::MAX),
     });
     entries.collect()
 }
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -26,6 +26,9 @@
 /// Time after which an order without an answer can no longer be carried out.
 const OPEN_ORDER_MS: u64 = 13_000;
 
+/// Time between the news that an engine changes its stage and the order: the other daemons stop
+/// sending, and what they have sent starts.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
 /// Time for which an engine is away while it changes its stage, besides what the platform states.
 const SWITCH_SLACK_MS: u64 = 300;
 
@@ -138,13 +141,14 @@
         let staying = targets.of_service(service).iter();
         let staying = staying.filter(|target| !target.is_leaving.get());
         let duty = |target: &rc::Rc<target::TargetState>| {
-            let (others, _) = peers.load_of(target.hash);
+            let others = peers.load_of(target.hash);
             Some(stage::EngineDuty {
                 target: target.hash,
                 zone: target.zone_hash,
                 stage: target.stage.get()?,
                 is_switching: target.away_until_ms.get() > now_ms,
-                running: others + target.running.get(),
+                running: others.running + target.running.get(),
+                backlog_tokens: others.backlog + target.backlog.get(),
                 slots: target.entry.slots,
                 changed_ms: self.changed.get(&target.hash).copied(),
             })
@@ -182,10 +186,13 @@
             expected_orders: report.orders,
         };
         self.changed.insert(target.hash, now_ms);
+        let leave_ms = LEAVE_TIME.as_millis() as u64;
         target
             .away_until_ms
-            .set(now_ms + switch_ms + SWITCH_SLACK_MS);
+            .set(now_ms + leave_ms + switch_ms + SWITCH_SLACK_MS);
         state.report_now.notify_one();
+        // Requests that are under way to the engine are not refused by it.
+        tokio::time::sleep(LEAVE_TIME).await;
         let answer = order::send_order(&state, target, &terms, grant.act_until_ms).await;
         log::info!(
             target_id = target.entry.id.as_str(), stage:? = to, fence = grant.term,
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -213,7 +213,12 @@
         let daemons = self.peers.borrow().known() + 1;
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
-        budget.try_spend(&self.settings.budget, daemons, count, crate::clock::now_ms())
+        budget.try_spend(
+            &self.settings.budget,
+            daemons,
+            count,
+            crate::clock::now_ms(),
+        )
     }
 }
 
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -32,6 +32,8 @@
     pub running: Cell<u32>,
     /// Prompt tokens of this daemon's requests that are not processed yet.
     pub backlog: Cell<u64>,
+    /// Time that transfers of KV cache to it are expected to take for this daemon's requests.
+    pub transfer_ms: Cell<u64>,
     /// Standing.
     pub judge: RefCell<judge::TargetJudge>,
     /// Prompt parts that it is believed to hold.
@@ -49,6 +51,7 @@
             pool: connection::IdlePool::default(),
             running: Cell::new(0),
             backlog: Cell::new(0),
+            transfer_ms: Cell::new(0),
             judge: RefCell::default(),
             parts: RefCell::new(parts::PartIndex::new(kv_tokens)),
             entry,
@@ -73,23 +76,33 @@
     /// The target.
     pub target: rc::Rc<TargetState>,
     tokens: Cell<u64>,
+    transfer_ms: Cell<u64>,
 }
 
 impl TargetWork {
-    /// Counts a request with prompt tokens to process.
-    pub fn start(target: &rc::Rc<TargetState>, tokens: u64) -> Self {
+    /// Counts a request with prompt tokens to process, or a KV cache to fetch.
+    pub fn start(target: &rc::Rc<TargetState>, tokens: u64, transfer_ms: u64) -> Self {
         target.running.set(target.running.get() + 1);
         target.backlog.set(target.backlog.get() + tokens);
+        target
+            .transfer_ms
+            .set(target.transfer_ms.get() + transfer_ms);
         Self {
             target: rc::Rc::clone(target),
             tokens: Cell::new(tokens),
+            transfer_ms: Cell::new(transfer_ms),
         }
     }
 
-    /// The prompt has been processed.
+    /// The prompt has been processed, or its KV cache fetched.
     pub fn end_prefill(&self) {
-        let tokens = self.tokens.take();
-        self.target.backlog.set(self.target.backlog.get() - tokens);
+        let target = &self.target;
+        target
+            .backlog
+            .set(target.backlog.get() - self.tokens.take());
+        target
+            .transfer_ms
+            .set(target.transfer_ms.get() - self.transfer_ms.take());
     }
 }
 
