--- /dev/null
+++ b/crates/core/tests/place.rs
@@ -0,0 +1,174 @@
+//! Placing of generation requests and the memory of prompt parts.
+
+use acaciabank_core::{parts, place};
+
+const RATES: place::EngineRates = place::EngineRates {
+    prefill_tokens_per_ms: 50.0,
+    decode_prefill_tokens_per_ms: 25.0,
+    transfer_ms_per_k: 0.8,
+    handover_ms: 14.0,
+    running_ms: 0.5,
+};
+
+fn engine(stage: place::EngineStage, zone: u64) -> place::EngineView {
+    place::EngineView {
+        usable: true,
+        stage,
+        backlog_tokens: 0,
+        running: 0,
+        transfer_ms: 0.0,
+        slots: 64,
+        cached_tokens: 0,
+        ready_tokens: 0,
+        home_rank: 0,
+        distance_ms: 0.2,
+        zone,
+        penalty_ms: 0.0,
+    }
+}
+
+fn fleet() -> Vec<place::EngineView> {
+    let stages = [place::EngineStage::Prefill, place::EngineStage::Decode];
+    let engines = stages
+        .iter()
+        .flat_map(|stage| (0..3).map(|zone| engine(*stage, zone)));
+    let ranked = engines.enumerate().map(|(rank, engine)| place::EngineView {
+        home_rank: rank as u64,
+        ..engine
+    });
+    ranked.collect()
+}
+
+/// Guards against prompts at decode engines, which slow down every stream there.
+#[test]
+fn long_prompts_are_processed_by_prefill_engines() {
+    let mut engines = fleet();
+    engines.iter_mut().for_each(|engine| engine.running = 8);
+    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    let prefill = choice.plan.prefill.expect("a prefill engine");
+    assert_eq!(engines[prefill].stage, place::EngineStage::Prefill);
+    assert_eq!(
+        engines[choice.plan.decode].stage,
+        place::EngineStage::Decode
+    );
+}
+
+/// Guards against a fleet that stops when its last prefill engine is lost.
+#[test]
+fn decode_engines_do_everything_when_no_prefill_engine_is_usable() {
+    let mut engines = fleet();
+    engines[..3]
+        .iter_mut()
+        .for_each(|engine| engine.usable = false);
+    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    assert_eq!(choice.plan.prefill, None);
+}
+
+#[test]
+fn nothing_is_placed_without_a_decode_engine() {
+    let mut engines = fleet();
+    engines[3..]
+        .iter_mut()
+        .for_each(|engine| engine.usable = false);
+    assert_eq!(place::choose_plan(1_000, &RATES, &engines), None);
+}
+
+/// Guards against processing a shared part again that another engine holds.
+#[test]
+fn a_part_that_another_engine_holds_is_fetched() {
+    let mut engines = fleet();
+    engines[1].cached_tokens = 13_300;
+    engines[1].ready_tokens = 13_300;
+    // The holder is too busy to process the prompt itself.
+    engines[1].running = 12;
+    engines[1].backlog_tokens = 90_000;
+    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    assert_ne!(choice.plan.prefill, Some(1));
+    assert_eq!(choice.plan.source, Some(1));
+    assert_eq!(choice.uncached_tokens, 3_700);
+}
+
+/// Guards against fetching what the source has not processed itself yet.
+#[test]
+fn a_part_that_is_not_processed_yet_is_no_source() {
+    let mut engines = fleet();
+    engines[1].cached_tokens = 13_300;
+    engines[1].running = 12;
+    engines[1].backlog_tokens = 90_000;
+    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    assert_eq!(choice.plan.source, None);
+}
+
+/// Guards against long transfers between availability zones while a near engine is free.
+#[test]
+fn the_stream_goes_to_a_decode_engine_near_the_prompt() {
+    let engines = fleet();
+    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    let prefill = choice.plan.prefill.expect("a prefill engine");
+    assert_eq!(engines[prefill].zone, engines[choice.plan.decode].zone);
+}
+
+/// Guards against herding on one decode engine whose links are busy.
+#[test]
+fn busy_links_are_avoided_for_a_prompt_that_is_processed() {
+    let mut engines = fleet();
+    engines[3].transfer_ms = 400.0;
+    let choice = place::choose_decode(17_000, 0, &RATES, &engines).expect("a plan");
+    assert_ne!(choice.plan.decode, 3);
+    assert_eq!(choice.plan.prefill, Some(0));
+}
+
+/// Guards against expecting that a short prompt waits for long ones: engines work in turns.
+#[test]
+fn a_short_prompt_waits_less_than_a_long_one() {
+    let mut engines = fleet();
+    engines[..3].iter_mut().for_each(|engine| {
+        engine.running = 4;
+        engine.backlog_tokens = 40_000;
+    });
+    let short = place::choose_plan(1_000, &RATES, &engines).expect("a plan");
+    let long = place::choose_plan(12_000, &RATES, &engines).expect("a plan");
+    assert!(short.wait_ms < long.wait_ms / 4.0, "{short:?} {long:?}");
+}
+
+fn prompt(ids: &[(&str, u32)]) -> Vec<parts::PromptPart> {
+    parts::chain_parts("m", ids.iter().copied())
+}
+
+/// Guards against taking a part as cached when the parts before it are others.
+#[test]
+fn a_part_counts_only_behind_the_same_parts() {
+    let mut index = parts::PartIndex::new(100_000);
+    index.record_use(&prompt(&[("a", 800), ("b", 400), ("own", 250)]), 0, 0);
+    assert_eq!(
+        index.cached_tokens(&prompt(&[("a", 800), ("b", 400), ("x", 9)])),
+        1_200
+    );
+    assert_eq!(index.cached_tokens(&prompt(&[("z", 800), ("b", 400)])), 0);
+}
+
+#[test]
+fn parts_become_a_source_when_they_are_processed() {
+    let mut index = parts::PartIndex::new(100_000);
+    let parts = prompt(&[("a", 800)]);
+    index.record_use(&parts, 0, 300);
+    assert_eq!(index.ready_tokens(&parts, 299), 0);
+    assert_eq!(index.ready_tokens(&parts, 300), 800);
+    // A later use does not make it unavailable again.
+    index.record_use(&parts, 400, 900);
+    assert_eq!(index.ready_tokens(&parts, 400), 800);
+}
+
+/// Guards against memory that grows without bound, and against dropping what is in use.
+#[test]
+fn the_least_recently_used_parts_yield() {
+    let mut index = parts::PartIndex::new(10_000);
+    let kept = prompt(&[("kept", 1_000)]);
+    for number in 0..1_000 {
+        let id = number.to_string();
+        index.record_use(&prompt(&[(&id, 100)]), number, number);
+        index.record_use(&kept, number, number);
+    }
+    assert_eq!(index.cached_tokens(&kept), 1_000);
+    assert_eq!(index.cached_tokens(&prompt(&[("0", 100)])), 0);
+}
--- /dev/null
+++ b/crates/core/tests/stage.rs
@@ -0,0 +1,264 @@
+//! Stages of engines, refusal at intake, standing of targets and the shared retry budget.
+
+use acaciabank_core::{budget, judge, place::EngineStage, refuse, stage};
+
+fn duty(target: u64, stage: EngineStage) -> stage::EngineDuty {
+    stage::EngineDuty {
+        target,
+        zone: target % 3,
+        stage,
+        is_switching: false,
+        running: 0,
+        slots: 64,
+        backlog_tokens: 0,
+        changed_ms: None,
+    }
+}
+
+fn fleet(prefills: u64, decodes: u64) -> Vec<stage::EngineDuty> {
+    let prefill = (0..prefills).map(|target| duty(target, EngineStage::Prefill));
+    let decode = (prefills..prefills + decodes).map(|target| duty(target, EngineStage::Decode));
+    prefill.chain(decode).collect()
+}
+
+/// Applies changes until none follows; an engine is away for six looks.
+fn settle(engines: &mut [stage::EngineDuty]) -> u32 {
+    let mut planner = stage::StagePlanner::default();
+    let mut changes = 0;
+    let mut open: Vec<(u64, stage::StageChange)> = Vec::new();
+    for look in 0..200 {
+        let now_ms = look * 500;
+        open.retain(|(done_ms, change)| {
+            let engine = engines
+                .iter_mut()
+                .find(|engine| engine.target == change.target);
+            if let Some(engine) = engine.filter(|_| *done_ms <= now_ms) {
+                engine.stage = change.to;
+                engine.is_switching = false;
+            }
+            *done_ms > now_ms
+        });
+        if let Some(change) = planner.next_change(now_ms, engines) {
+            let engine = engines
+                .iter_mut()
+                .find(|engine| engine.target == change.target);
+            let engine = engine.expect("an engine");
+            engine.is_switching = true;
+            engine.changed_ms = Some(now_ms);
+            open.push((now_ms + 3_000, change));
+            changes += 1;
+        }
+    }
+    changes
+}
+
+#[test]
+fn idle_engines_take_the_usual_shares_with_the_fewest_changes() {
+    let mut engines = fleet(4, 8);
+    assert_eq!(settle(&mut engines), 4);
+    let decodes = engines
+        .iter()
+        .filter(|engine| engine.stage == EngineStage::Decode);
+    let zones: std::collections::HashSet<u64> = decodes.map(|engine| engine.zone).collect();
+    assert_eq!(
+        zones.len(),
+        3,
+        "every availability zone keeps one that generates"
+    );
+}
+
+/// Guards against stages that swing to and fro under a steady load on both sides.
+#[test]
+fn an_overload_of_both_stages_changes_nothing() {
+    let mut engines = fleet(6, 3);
+    for engine in &mut engines {
+        engine.running = 60;
+        engine.backlog_tokens = 60_000;
+    }
+    assert_eq!(settle(&mut engines), 0);
+}
+
+/// Guards against a change for a load that lasts a moment.
+#[test]
+fn pressure_must_last_before_a_stage_changes() {
+    let mut engines = fleet(5, 5);
+    engines[..5]
+        .iter_mut()
+        .for_each(|engine| engine.backlog_tokens = 60_000);
+    engines[5..]
+        .iter_mut()
+        .for_each(|engine| engine.running = 16);
+    let mut planner = stage::StagePlanner::default();
+    assert_eq!(planner.next_change(0, &engines), None);
+    assert_eq!(planner.next_change(1_000, &engines), None);
+    let change = planner.next_change(2_500, &engines).expect("a change");
+    assert_eq!(change.to, EngineStage::Prefill);
+}
+
+/// Guards against a fleet without an engine that generates.
+#[test]
+fn the_last_engine_of_a_stage_stays() {
+    let mut engines = fleet(2, 1);
+    engines[..2]
+        .iter_mut()
+        .for_each(|engine| engine.backlog_tokens = 90_000);
+    assert_eq!(settle(&mut engines), 0);
+    let mut engines = fleet(3, 0);
+    settle(&mut engines);
+    assert!(
+        engines
+            .iter()
+            .any(|engine| engine.stage == EngineStage::Decode)
+    );
+}
+
+fn terms(priority: u8) -> refuse::IntakeTerms {
+    refuse::IntakeTerms {
+        target_latency_ms: 1_000,
+        priority,
+        left_ms: 8_000,
+        is_return: false,
+    }
+}
+
+fn is_accepted(terms: &refuse::IntakeTerms, wait_ms: f64) -> bool {
+    refuse::decide(terms, wait_ms, wait_ms + 100.0, 0.5) == refuse::IntakeVerdict::Accept
+}
+
+/// Guards against serving less urgent work better than more urgent work.
+#[test]
+fn what_is_less_urgent_is_refused_first() {
+    let limit = |priority| {
+        (0..5_000)
+            .step_by(10)
+            .find(|wait| !is_accepted(&terms(priority), f64::from(*wait)))
+    };
+    assert!(limit(0) > limit(1));
+    assert!(limit(1) > limit(2));
+}
+
+/// Guards against starving long prompts: only the work of others counts.
+#[test]
+fn the_size_of_the_own_prompt_does_not_count() {
+    let verdict = refuse::decide(&terms(2), 100.0, 3_000.0, 0.5);
+    assert_eq!(verdict, refuse::IntakeVerdict::Accept);
+}
+
+/// Guards against holding a request that cannot be answered before its deadline.
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once() {
+    let late = refuse::IntakeTerms {
+        left_ms: 200,
+        ..terms(0)
+    };
+    let verdict = refuse::decide(&late, 0.0, 300.0, 0.5);
+    assert!(matches!(verdict, refuse::IntakeVerdict::Refuse { .. }));
+}
+
+/// Guards against callers that are asked to wait longer than they do, or that return together.
+#[test]
+fn returns_are_spread_within_a_third_of_the_time() {
+    let returns: Vec<u64> = (0..10)
+        .filter_map(|step| {
+            match refuse::decide(&terms(1), 3_000.0, 3_200.0, f64::from(step) / 10.0) {
+                refuse::IntakeVerdict::Refuse { retry_after_ms } => Some(retry_after_ms),
+                refuse::IntakeVerdict::Accept => None,
+            }
+        })
+        .collect();
+    assert_eq!(returns.len(), 10);
+    assert!(
+        returns
+            .iter()
+            .all(|retry_ms| (250..=2_666).contains(retry_ms)),
+        "{returns:?}"
+    );
+}
+
+/// Guards against sending to a target whose health check is good while its requests fail.
+#[test]
+fn a_target_that_fails_requests_is_left_aside_and_tried_again() {
+    let mut judge = judge::TargetJudge::default();
+    (0..3).for_each(|_| judge.record(judge::TargetOutcome::Failed, 0));
+    assert!(!judge.is_in(500));
+    assert!(judge.is_in(1_000));
+    judge.record(judge::TargetOutcome::Failed, 1_000);
+    assert!(
+        !judge.is_in(2_000),
+        "a failed trial leaves it aside for longer"
+    );
+}
+
+/// Guards against leaving a target aside for the failures that every target has.
+#[test]
+fn some_failures_leave_a_target_in() {
+    let mut judge = judge::TargetJudge::default();
+    for round in 0..100 {
+        let outcome = match round % 7 {
+            0 => judge::TargetOutcome::Failed,
+            _ => judge::TargetOutcome::Answered,
+        };
+        judge.record(outcome, round * 10);
+        assert!(judge.is_in(round * 10), "round {round}");
+    }
+}
+
+const BUDGET: budget::BudgetTerms = budget::BudgetTerms {
+    window_ms: 10_000,
+    ratio: 0.2,
+    extra: 54.0,
+};
+
+/// Guards against daemons that spend more together than the fleet may, in any window.
+#[test]
+fn the_sum_of_all_daemons_keeps_to_the_budget_in_every_window() {
+    let daemons = 7;
+    let mut budgets = vec![budget::WindowBudget::default(); daemons];
+    let mut requests: Vec<u64> = Vec::new();
+    let mut retries: Vec<u64> = Vec::new();
+    for now_ms in (0..40_000).step_by(10) {
+        let own = (now_ms / 10) as usize % daemons;
+        let load = if (15_000..20_000).contains(&now_ms) {
+            1
+        } else {
+            2
+        };
+        for _ in 0..load {
+            requests.push(now_ms);
+            budgets[own].record_request(&BUDGET, now_ms);
+        }
+        while budgets[own].try_spend(&BUDGET, daemons, 2, now_ms) {
+            retries.extend([now_ms, now_ms]);
+        }
+    }
+    for start in (0..30_000).step_by(100) {
+        let within = |times: &[u64]| {
+            times
+                .iter()
+                .filter(|time| (start..start + 10_000).contains(*time))
+                .count()
+        };
+        let before = |times: &[u64]| {
+            let from = u64::saturating_sub(start, 10_000);
+            times
+                .iter()
+                .filter(|time| (from..start).contains(*time))
+                .count()
+        };
+        let most = within(&requests).max(before(&requests));
+        let allowed = 0.2 * most as f64 + 54.0;
+        assert!(within(&retries) as f64 <= allowed, "window at {start} ms");
+    }
+}
+
+/// Guards against a budget that refuses what costs nothing.
+#[test]
+fn a_retry_without_a_counted_call_is_always_allowed() {
+    let mut budget = budget::WindowBudget::default();
+    let terms = budget::BudgetTerms {
+        extra: 0.0,
+        ..BUDGET
+    };
+    assert!(budget.try_spend(&terms, 1, 0, 0));
+    assert!(!budget.try_spend(&terms, 1, 1, 0));
+}
