Let two daemons watch the store and tell the others; add the stand-in of the platform

Change: two daemons read the store closely and report changes to the others, who read it themselves when news are stale and now and then. Targets are learned from another daemon while the store is away. A request whose time is over after a run is answered 504. The testbed gains the platform's store and runners; 19 tests play the relay as processes before them. The tests failed first on the outage and on the status at the timeout.

--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -9,7 +9,7 @@
 //! behind it.
 
 /// Stage that an engine is in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub enum EngineStage {
     /// Processes prompts and hands over their KV cache.
     Prefill,
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -306,14 +306,22 @@
     progress.verdict = progress.verdict.and(failure.verdict);
     progress.avoided.push(target.hash);
     progress.runs += u32::from(failure.verdict != Verdict::NotRun);
-    let refuse = |cause| Err(RefusalAnswer::after(cause, progress.verdict));
+    let is_over = request.left().is_zero();
+    let refuse = |cause| {
+        let cause = if is_over {
+            RefusalCause::DeadlinePassed
+        } else {
+            cause
+        };
+        Err(RefusalAnswer::after(cause, progress.verdict))
+    };
     if !progress
         .verdict
         .allows_retry(request.route.kind.is_repeatable())
     {
         return refuse(failure.cause);
     }
-    if progress.runs >= request.route.max_attempts || request.left().is_zero() {
+    if progress.runs >= request.route.max_attempts || is_over {
         return refuse(failure.cause);
     }
     if progress.sends >= MAX_REFUSED_SENDS + progress.runs {
--- a/crates/relay/src/edge/mod.rs
+++ b/crates/relay/src/edge/mod.rs
@@ -124,8 +124,10 @@
 }
 
 /// An incarnation of a target as the platform lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct TargetEntry {
+    /// Version of the entry; a later one replaces it.
+    pub version: u64,
     /// Id of the incarnation.
     pub id: String,
     /// Unix milliseconds of its start; the same id with another start is another incarnation.
@@ -145,14 +147,14 @@
 }
 
 /// Changes of the list of targets.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct TargetChanges {
     /// Whether `present` is the whole list.
     pub is_complete: bool,
     /// Targets that are listed.
     pub present: Vec<TargetEntry>,
-    /// Ids that are no longer listed, or whose entry cannot be read.
-    pub absent: Vec<String>,
+    /// Ids that are no longer listed, or whose entry cannot be read, with the versions of that.
+    pub absent: Vec<(String, u64)>,
     /// Version to go on from.
     pub version: u64,
 }
--- a/crates/relay/src/follow/mod.rs
+++ b/crates/relay/src/follow/mod.rs
@@ -1,10 +1,10 @@
 //! Tasks that follow the platform's store: configuration, targets and the other daemons.
 
-use std::{net, rc, time::Duration};
+use std::{net, time::Duration};
 
 use bytes::Bytes;
 
-use crate::{clock, edge, state};
+use crate::{clock, edge, ingress, state, watch};
 
 /// Time that the store may hold a question for the configuration: an answer that is lost on a silent
 /// connection is noticed within the time in which a configuration must be in force.
@@ -12,9 +12,11 @@
 /// Time between two questions for targets. A leaving target must get no request two seconds after
 /// the store has acknowledged it, and every call is priced.
 const TARGET_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks whether the store has to be read.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two readings of the registered daemons. Reports between the daemons spread what
 /// changes in between.
-const HOST_INTERVAL: Duration = Duration::from_secs(8);
+const HOST_INTERVAL: Duration = Duration::from_secs(15);
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
@@ -49,6 +51,14 @@
     }
 }
 
+/// Position of this daemon among those that are ready; the first ones watch the store.
+fn rank<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+) -> usize {
+    let host = &state.settings.host;
+    state.peers.borrow().rank(host, clock::now_ms())
+}
+
 /// Follows the configuration.
 pub async fn run_config<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: state::SharedState<Codec, Store>,
@@ -56,15 +66,32 @@
     let mut pause = RetryPause::new("config");
     let mut after = None;
     loop {
-        match state.store.next_config(after, CONFIG_WAIT_MS).await {
+        let rank = rank(&state);
+        let sent_ms = clock::now_ms();
+        if after.is_some() && !state.watch.config.is_due(rank, sent_ms) {
+            tokio::time::sleep(IDLE_INTERVAL).await;
+            continue;
+        }
+        // A daemon that only checks does not hold the store.
+        let wait_ms = if rank < watch::WATCHERS {
+            CONFIG_WAIT_MS
+        } else {
+            0
+        };
+        match state.store.next_config(after, wait_ms).await {
             Ok((version, document)) => {
                 pause.succeeded();
-                let waits = after.is_none() && document.is_none();
+                if after.is_none() && document.is_none() {
+                    log::info!("config_absent");
+                }
                 after = Some(version);
                 if let Some(document) = document {
                     state.take_document(&document, "store");
-                } else if waits {
-                    log::info!("config_absent");
+                }
+                // The question waited at the store, and the answer holds for the end of the wait.
+                state.watch.config.record_direct(clock::now_ms());
+                if state.config.borrow().is_none() {
+                    tokio::time::sleep(IDLE_INTERVAL).await;
                 }
             }
             Err(edge::StoreError::HistoryGone) => after = None,
@@ -80,11 +107,17 @@
     let mut pause = RetryPause::new("targets");
     let mut after = None;
     loop {
+        let sent_ms = clock::now_ms();
+        if after.is_some() && !state.watch.targets.is_due(rank(&state), sent_ms) {
+            tokio::time::sleep(IDLE_INTERVAL).await;
+            continue;
+        }
         match state.store.next_targets(after).await {
             Ok(changes) => {
                 pause.succeeded();
                 after = Some(changes.version);
                 state.apply_targets(changes);
+                state.watch.targets.record_direct(sent_ms);
                 let part = 0.8 + 0.2 * rand::random::<f64>();
                 tokio::time::sleep(TARGET_INTERVAL.mul_f64(part)).await;
             }
@@ -92,11 +125,35 @@
                 log::info!("target_history_gone");
                 after = None;
             }
-            Err(error) => pause.failed(&error).await,
+            Err(error) => {
+                if after.is_none() {
+                    learn_targets(&state).await;
+                }
+                pause.failed(&error).await;
+            }
         }
     }
 }
 
+/// Learns the targets from another daemon, for a daemon that starts while the store is away.
+async fn learn_targets<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+) {
+    let Some(address) = state.peers.borrow().any_ready(clock::now_ms()) else {
+        return;
+    };
+    let fetched = fetch_document(address, ingress::TARGETS_PATH).await;
+    let changes = fetched
+        .and_then(|document| serde_json::from_slice(&document).map_err(|error| error.to_string()));
+    match changes {
+        Ok(changes) => {
+            log::info!(peer:% = address; "targets_learned");
+            state.apply_targets(changes);
+        }
+        Err(error) => log::warn!(peer:% = address, error = error.as_str(); "peer_targets_failed"),
+    }
+}
+
 /// Registers this daemon and reads which others are registered.
 pub async fn run_hosts<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: state::SharedState<Codec, Store>,
@@ -144,13 +201,15 @@
 ) {
     loop {
         state.config_behind.notified().await;
-        // The store usually answers first.
-        tokio::time::sleep(FIRST_PAUSE * 4).await;
+        if rank(&state) < watch::WATCHERS {
+            // The store usually answers first.
+            tokio::time::sleep(FIRST_PAUSE * 4).await;
+        }
         let newer = state.peers.borrow().newer_config(state.config_version());
         let Some(address) = newer else {
             continue;
         };
-        match fetch_document(&state, address).await {
+        match fetch_document(address, ingress::DOCUMENT_PATH).await {
             Ok(document) => {
                 state.take_document(&document, "peer");
             }
@@ -161,16 +220,13 @@
     }
 }
 
-async fn fetch_document<Codec, Store>(
-    _state: &rc::Rc<state::RelayState<Codec, Store>>,
-    address: net::SocketAddr,
-) -> Result<Bytes, String> {
+async fn fetch_document(address: net::SocketAddr, path: &str) -> Result<Bytes, String> {
     use http_body_util::BodyExt;
     let call = async {
         let mut connection = crate::connection::TargetConnection::connect(address, PEER_TIMEOUT)
             .await
             .map_err(|error| error.to_string())?;
-        let request = http::Request::get(crate::ingress::DOCUMENT_PATH)
+        let request = http::Request::get(path)
             .header(http::header::HOST, address.to_string())
             .body(http_body_util::Full::default())
             .map_err(|error| error.to_string())?;
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -6,13 +6,15 @@
 mod table;
 mod task;
 
-pub use table::PeerTable;
+pub use table::{PeerTable, TakenReport};
 pub use task::{announce, run};
 
 use std::net;
 
 use serde::{Deserialize, Serialize};
 
+use crate::edge;
+
 /// Load that one daemon causes at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadEntry {
@@ -60,7 +62,7 @@
 }
 
 /// State of one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeerReport {
     /// Name of the daemon.
     pub host: String,
@@ -78,6 +80,13 @@
     pub is_leaving: bool,
     /// Version of the configuration in force there.
     pub config_version: u64,
+    /// Age of what the sender has read itself of the configuration in the store.
+    pub config_age_ms: Option<u64>,
+    /// Age of what the sender has read itself of the targets in the store, unless the report does
+    /// not hold all recent changes.
+    pub targets_age_ms: Option<u64>,
+    /// Recent changes of targets.
+    pub target_news: edge::TargetChanges,
     /// Loads that the daemon causes.
     pub loads: Vec<LoadEntry>,
     /// Engines that it has ordered to change their stage.
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -8,6 +8,9 @@
 const SILENT_MS: u64 = 1_500;
 /// Age from which its loads no longer count.
 const STALE_LOADS_MS: u64 = 1_500;
+/// Silence of a daemon after which changes that it told may have been missed. Changes are repeated
+/// for longer.
+const GAP_MS: u64 = 1_200;
 /// Age from which a daemon is forgotten.
 const FORGET_MS: u64 = 20_000;
 /// Time for which an address stays known that has never answered.
@@ -28,6 +31,17 @@
     loads: HashMap<u64, LoadSum>,
 }
 
+/// How a report follows those before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakenReport {
+    /// It is older than what is known, or the same.
+    Old,
+    /// The first one, or one after a silence in which changes may have been missed.
+    AfterGap,
+    /// It follows closely.
+    Following,
+}
+
 /// Load that the other daemons cause at a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadSum {
@@ -45,13 +59,16 @@
         self.contacts.entry(address).or_insert(now_ms + CONTACT_MS);
     }
 
-    /// Takes a report; tells whether it is news.
-    pub fn take(&mut self, report: PeerReport, now_ms: u64) -> bool {
+    /// Takes a report.
+    pub fn take(&mut self, report: PeerReport, now_ms: u64) -> TakenReport {
         let order = (report.boot, report.number);
         let known = self.peers.get(&report.host);
         if known.is_some_and(|known| (known.report.boot, known.report.number) >= order) {
-            return false;
+            return TakenReport::Old;
         }
+        let is_following = known.is_some_and(|known| {
+            known.report.boot == report.boot && now_ms.saturating_sub(known.heard_ms) < GAP_MS
+        });
         let is_new = known.is_none_or(|known| known.report.boot != report.boot);
         if is_new {
             log::info!(peer = report.host.as_str(), address:% = report.peer; "peer_found");
@@ -66,7 +83,10 @@
         };
         self.peers.insert(state.report.host.clone(), state);
         self.sum_loads(now_ms);
-        true
+        match is_following {
+            true => TakenReport::Following,
+            false => TakenReport::AfterGap,
+        }
     }
 
     /// Forgets daemons and addresses that have been silent for long.
@@ -115,6 +135,14 @@
         self.loads.get(&target).copied().unwrap_or_default()
     }
 
+    /// A daemon that is ready.
+    pub fn any_ready(&self, now_ms: u64) -> Option<net::SocketAddr> {
+        let mut ready = self.peers.values().filter(|peer| {
+            peer.report.is_ready && now_ms.saturating_sub(peer.heard_ms) < SILENT_MS
+        });
+        ready.next().map(|peer| peer.report.peer)
+    }
+
     /// Daemon with the newest configuration, if it is newer than the given version.
     pub fn newer_config(&self, version: u64) -> Option<net::SocketAddr> {
         let newest = self
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::{parts, suspect};
 use tokio::net::UdpSocket;
 
-use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry};
+use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry, TakenReport};
 use crate::{clock, edge, state};
 
 /// Time between two reports: loads change within some hundred milliseconds.
@@ -69,6 +69,8 @@
     let number = NUMBER.get() + 1;
     NUMBER.set(number);
     let settings = &state.settings;
+    let now_ms = clock::now_ms();
+    let (target_news, is_cut) = state.watch.recent_news(now_ms);
     PeerReport {
         host: settings.host.clone(),
         boot: state.boot,
@@ -78,6 +80,12 @@
         is_ready: state.is_ready(),
         is_leaving: state.phase.get() == state::RelayPhase::Draining,
         config_version: state.config_version(),
+        config_age_ms: state.watch.config.direct_age_ms(now_ms),
+        targets_age_ms: match is_cut {
+            true => None,
+            false => state.watch.targets.direct_age_ms(now_ms),
+        },
+        target_news,
         loads: loads(state),
         away: away(state),
         parts: part_news(state),
@@ -188,10 +196,27 @@
     }
     take_away(state, &report.away, now_ms);
     take_parts(state, &report.parts, now_ms);
+    state.apply_targets(report.target_news.clone());
     let is_newer = report.config_version > state.config_version();
-    let is_news = state.peers.borrow_mut().take(report, now_ms);
-    if is_news && is_newer {
+    let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
+    let taken = state.peers.borrow_mut().take(report, now_ms);
+    if taken == TakenReport::Old {
+        return;
+    }
+    if is_newer {
         state.config_behind.notify_one();
+    } else if let Some(age_ms) = config_age_ms {
+        state
+            .watch
+            .config
+            .record_fresh(now_ms.saturating_sub(age_ms));
+    }
+    // After a gap in the reports, changes may have been missed.
+    if let Some(age_ms) = targets_age_ms.filter(|_| taken == TakenReport::Following) {
+        state
+            .watch
+            .targets
+            .record_fresh(now_ms.saturating_sub(age_ms));
     }
 }
 
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -13,6 +13,8 @@
 
 /// Path under which a daemon gives its configuration to others.
 pub const DOCUMENT_PATH: &str = "/config";
+/// Path under which a daemon gives the targets that it knows to others.
+pub const TARGETS_PATH: &str = "/targets";
 /// Connections that wait for acceptance. A full queue costs the caller seconds.
 const BACKLOG: u32 = 1_024;
 /// Idle time of a caller's connection until a configuration is known.
@@ -128,6 +130,7 @@
         ListenerRole::Peers if path == DOCUMENT_PATH => {
             plain(http::StatusCode::OK, state.document.borrow().clone())
         }
+        ListenerRole::Peers if path == TARGETS_PATH => targets(&state),
         ListenerRole::Metrics => {
             let text = telemetry::install_metrics().render();
             plain(http::StatusCode::OK, Bytes::from(text))
@@ -148,6 +151,18 @@
     reply
 }
 
+fn targets<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+) -> dispatch::Reply {
+    match serde_json::to_vec(&state.targets.borrow().export()) {
+        Ok(body) => plain(http::StatusCode::OK, Bytes::from(body)),
+        Err(error) => {
+            log::error!("the targets cannot be encoded: {error}");
+            plain(http::StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
 fn readiness<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::RelayState<Codec, Store>,
 ) -> dispatch::Reply {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,3 +26,4 @@
 mod state;
 mod target;
 pub mod telemetry;
+mod watch;
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -13,6 +13,8 @@
 const LEASE_NAME: &str = "stages";
 /// Time between two looks at the engines and the lease.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while another daemon may hold the lease, as every look reads the store.
+const CHALLENGE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// The holder acts for `ttl - margin` after a renewal; a challenger waits `ttl + margin` after it
 /// has first seen the row. Orders of two holders are therefore at least two margins apart, which is
 /// over the three seconds that engines without a check of fencing tokens need.
@@ -45,7 +47,11 @@
         is_holder: false,
     };
     loop {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        let interval = match task.is_holder {
+            true => LOOK_INTERVAL,
+            false => CHALLENGE_INTERVAL,
+        };
+        tokio::time::sleep(interval).await;
         if task.state.phase.get() == state::RelayPhase::Draining {
             return;
         }
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -8,7 +8,7 @@
 
 use acaciabank_core::{budget, parts, suspect};
 
-use crate::{config, edge, gossip, target};
+use crate::{config, edge, gossip, target, watch};
 
 /// Settings of the process.
 #[derive(Clone, Debug)]
@@ -90,6 +90,8 @@
     pub config_behind: tokio::sync::Notify,
     /// Prompt parts that went to engines since the last report to the other daemons.
     pub part_news: RefCell<Vec<gossip::PartEntry>>,
+    /// What this daemon has read from the store, and when.
+    pub watch: watch::StoreWatch,
     /// Crash suspects.
     pub suspects: RefCell<suspect::SuspectTable>,
     /// Retry budgets by service.
@@ -118,6 +120,7 @@
             boot: unix_ms(),
             config_behind: tokio::sync::Notify::new(),
             part_news: RefCell::default(),
+            watch: watch::StoreWatch::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
@@ -170,7 +173,10 @@
             let engine = spec.and_then(|spec| spec.engine.as_ref());
             engine.map_or(UNKNOWN_KV_TOKENS, |engine| engine.kv_tokens)
         };
-        self.targets.borrow_mut().apply(changes, kv_tokens);
+        let news = self.targets.borrow_mut().apply(changes, kv_tokens);
+        if self.watch.record_news(news, crate::clock::now_ms()) {
+            self.report_now.notify_one();
+        }
     }
 
     /// Records that an engine processes a prompt in `prompt_ms`, for this daemon and the others.
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -58,6 +58,18 @@
         }
     }
 
+    fn export(&self, versions: &HashMap<String, u64>) -> edge::TargetEntry {
+        edge::TargetEntry {
+            version: versions
+                .get(&self.entry.id)
+                .copied()
+                .unwrap_or(self.entry.version),
+            is_draining: self.is_leaving.get(),
+            stage: self.stage.get(),
+            ..self.entry.clone()
+        }
+    }
+
     /// Whether it takes new work and its standing allows it.
     pub fn is_accepting(&self, now_ms: u64) -> bool {
         let is_here = !self.is_leaving.get() && now_ms >= self.away_until_ms.get();
@@ -118,25 +130,74 @@
 pub struct TargetRegistry {
     by_id: HashMap<String, rc::Rc<TargetState>>,
     by_service: HashMap<String, Vec<rc::Rc<TargetState>>>,
+    /// Newest versions by id, also of targets that are gone.
+    versions: HashMap<String, u64>,
 }
 
 impl TargetRegistry {
-    /// Applies changes of the platform's list. `kv_tokens` gives the memory of a service's engines.
-    pub fn apply(&mut self, changes: edge::TargetChanges, kv_tokens: impl Fn(&str) -> u64) {
+    /// Applies changes of the platform's list, from the store or from another daemon; returns those
+    /// that are news. `kv_tokens` gives the memory of a service's engines.
+    pub fn apply(
+        &mut self,
+        changes: edge::TargetChanges,
+        kv_tokens: impl Fn(&str) -> u64,
+    ) -> edge::TargetChanges {
+        let mut news = edge::TargetChanges {
+            is_complete: false,
+            present: Vec::new(),
+            absent: Vec::new(),
+            version: changes.version,
+        };
+        let mut absent = changes.absent;
         if changes.is_complete {
             let is_listed = |id: &str| changes.present.iter().any(|entry| entry.id == id);
-            let gone: Vec<String> = self
-                .by_id
-                .keys()
-                .filter(|id| !is_listed(id))
-                .cloned()
-                .collect();
-            gone.iter().for_each(|id| self.remove(id));
+            let gone = self.by_id.keys().filter(|id| !is_listed(id));
+            absent.extend(gone.map(|id| (id.clone(), changes.version)));
+        }
+        for (id, version) in absent {
+            if self.take_version(&id, version) {
+                self.remove(&id);
+                news.absent.push((id, version));
+            }
         }
-        changes.absent.iter().for_each(|id| self.remove(id));
         for entry in changes.present {
-            let tokens = kv_tokens(&entry.service);
-            self.insert(entry, tokens);
+            if self.take_version(&entry.id, entry.version) {
+                let tokens = kv_tokens(&entry.service);
+                if self.insert(&entry, tokens) {
+                    news.present.push(entry);
+                }
+            }
+        }
+        news
+    }
+
+    /// Whether a version is newer than what is known of an id.
+    fn take_version(&mut self, id: &str, version: u64) -> bool {
+        match self.versions.get_mut(id) {
+            Some(known) if *known >= version => false,
+            Some(known) => {
+                *known = version;
+                true
+            }
+            None => {
+                self.versions.insert(id.to_owned(), version);
+                true
+            }
+        }
+    }
+
+    /// All targets as a list for another daemon.
+    pub fn export(&self) -> edge::TargetChanges {
+        let present: Vec<_> = self
+            .by_id
+            .values()
+            .map(|target| target.export(&self.versions))
+            .collect();
+        edge::TargetChanges {
+            is_complete: false,
+            version: present.iter().map(|entry| entry.version).max().unwrap_or(0),
+            present,
+            absent: Vec::new(),
         }
     }
 
@@ -155,27 +216,27 @@
         self.by_id.values()
     }
 
-    fn insert(&mut self, entry: edge::TargetEntry, kv_tokens: u64) {
+    /// Tells whether something has changed.
+    fn insert(&mut self, entry: &edge::TargetEntry, kv_tokens: u64) -> bool {
         if let Some(known) = self.by_id.get(&entry.id) {
             let is_same = known.entry.born_ms == entry.born_ms
                 && known.entry.address == entry.address
                 && known.entry.service == entry.service;
             if is_same {
-                update(known, &entry);
-                return;
+                return update(known, entry);
             }
-            let id = entry.id.clone();
-            self.remove(&id);
+            self.remove(&entry.id);
         }
         log::info!(
             target_id = entry.id.as_str(), address:% = entry.address, zone = entry.zone.as_str(),
             service = entry.service.as_str(), draining = entry.is_draining;
             "target_listed"
         );
-        let target = rc::Rc::new(TargetState::new(entry, kv_tokens));
+        let target = rc::Rc::new(TargetState::new(entry.clone(), kv_tokens));
         let service = self.by_service.entry(target.entry.service.clone());
         service.or_default().push(rc::Rc::clone(&target));
         self.by_id.insert(target.entry.id.clone(), target);
+        true
     }
 
     fn remove(&mut self, id: &str) {
@@ -190,13 +251,17 @@
     }
 }
 
-fn update(known: &TargetState, entry: &edge::TargetEntry) {
+fn update(known: &TargetState, entry: &edge::TargetEntry) -> bool {
+    let mut is_changed = false;
     if known.is_leaving.get() != entry.is_draining {
         known.is_leaving.set(entry.is_draining);
+        is_changed = true;
         log::info!(target_id = entry.id.as_str(), draining = entry.is_draining; "target_state");
     }
     if known.stage.get() != entry.stage {
         known.stage.set(entry.stage);
+        is_changed = true;
         log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
     }
+    is_changed
 }
--- /dev/null
+++ b/crates/relay/src/watch/mod.rs
@@ -0,0 +1,101 @@
+//! Who reads the store, and how what was read spreads.
+//!
+//! Calls to the store are limited for all daemons together, so two of them watch it closely and tell
+//! the others what has changed. A daemon that hears no fresh news from them reads the store itself,
+//! and every daemon does so now and then to make up for news that were lost.
+
+use std::cell::{Cell, RefCell};
+
+use crate::edge;
+
+/// Daemons that watch the store closely: one more than may be lost without notice.
+pub const WATCHERS: usize = 2;
+/// Age of the news from which a daemon reads the store itself: what changes has to be known two
+/// seconds after the store has acknowledged it.
+const STALE_MS: u64 = 1_300;
+/// Time after which a daemon reads the store whatever it hears.
+const RECHECK_MS: u64 = 6_000;
+/// Time for which changes are repeated in reports, so that some may be lost.
+const REPEAT_MS: u64 = 1_500;
+/// Changes in a report at most; what is left out is read from the store by the others.
+const MAX_NEWS: usize = 64;
+
+/// One kind of what the store holds.
+#[derive(Debug, Default)]
+pub struct WatchAge {
+    /// Time of the last answer of the store to this daemon.
+    direct_ms: Cell<Option<u64>>,
+    /// Time of the newest answer of the store that this daemon knows the content of.
+    fresh_ms: Cell<u64>,
+}
+
+impl WatchAge {
+    /// The store has answered a question that was sent at the given time.
+    pub fn record_direct(&self, sent_ms: u64) {
+        self.direct_ms.set(Some(sent_ms));
+        self.record_fresh(sent_ms);
+    }
+
+    /// Another daemon has told what the store answered at the given time.
+    pub fn record_fresh(&self, fresh_ms: u64) {
+        self.fresh_ms.set(self.fresh_ms.get().max(fresh_ms));
+    }
+
+    /// Age of what this daemon has read itself.
+    pub fn direct_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.direct_ms
+            .get()
+            .map(|direct_ms| now_ms.saturating_sub(direct_ms))
+    }
+
+    /// Whether this daemon, at the given position among all, reads the store now.
+    pub fn is_due(&self, rank: usize, now_ms: u64) -> bool {
+        let is_rechecked = self
+            .direct_age_ms(now_ms)
+            .is_some_and(|age_ms| age_ms < RECHECK_MS);
+        let is_fresh = now_ms.saturating_sub(self.fresh_ms.get()) < STALE_MS;
+        rank < WATCHERS || !is_fresh || !is_rechecked
+    }
+}
+
+/// What this daemon knows of the store.
+#[derive(Debug, Default)]
+pub struct StoreWatch {
+    /// Configuration.
+    pub config: WatchAge,
+    /// Targets.
+    pub targets: WatchAge,
+    news: RefCell<Vec<(u64, edge::TargetChanges)>>,
+}
+
+impl StoreWatch {
+    /// Keeps changes of targets for the next reports; tells whether there are any.
+    pub fn record_news(&self, news: edge::TargetChanges, now_ms: u64) -> bool {
+        let has_news = !news.present.is_empty() || !news.absent.is_empty();
+        if has_news {
+            self.news.borrow_mut().push((now_ms + REPEAT_MS, news));
+        }
+        has_news
+    }
+
+    /// Changes that the next report repeats, and whether some were left out.
+    pub fn recent_news(&self, now_ms: u64) -> (edge::TargetChanges, bool) {
+        let mut kept = self.news.borrow_mut();
+        kept.retain(|(until_ms, _)| *until_ms > now_ms);
+        let mut all = edge::TargetChanges {
+            is_complete: false,
+            present: Vec::new(),
+            absent: Vec::new(),
+            version: 0,
+        };
+        for (_, news) in kept.iter() {
+            all.present.extend(news.present.iter().cloned());
+            all.absent.extend(news.absent.iter().cloned());
+            all.version = all.version.max(news.version);
+        }
+        let is_cut = all.present.len() > MAX_NEWS || all.absent.len() > MAX_NEWS;
+        all.present.truncate(MAX_NEWS);
+        all.absent.truncate(MAX_NEWS);
+        (all, is_cut)
+    }
+}
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -6,7 +6,7 @@
 use bpaf::{Parser, construct, long};
 use hyper::{Request, body::Incoming};
 
-use crate::{engine, journal, platform, proxy, service, web};
+use crate::{emulator, engine, journal, platform, proxy, service, web};
 
 /// Services and the table execute what they have read, also for clients that have left.
 const RUN_TO_END: web::ServeOptions = web::ServeOptions {
@@ -17,7 +17,7 @@
 /// Entry point of the program `testbed`; does not return.
 pub fn main() -> ! {
     run_if_role();
-    eprintln!("usage: testbed engine|service|platform|proxy|daemon|cli ...");
+    eprintln!("usage: testbed engine|service|platform|proxy|store|runner|daemon|relay|cli ...");
     process::exit(2);
 }
 
@@ -33,6 +33,9 @@
         Some("platform") => run_platform(rest),
         Some("proxy") => run_proxy(rest),
         Some("daemon") => acaciabank_daemon::run(rest),
+        Some("store") => run_store(rest),
+        Some("runner") => run_runner(rest),
+        Some("relay") => run_relay(),
         Some("cli") => acaciabank_cli::run(rest),
         _ => return,
     };
@@ -105,6 +108,63 @@
     }
 }
 
+fn run_store(arguments: &[ffi::OsString]) -> i32 {
+    let address = parse(listen(), arguments);
+    run_server(address, RUN_TO_END, |_| {
+        let store = emulator::StoreStandIn::default();
+        Ok(move |request| store.clone().handle(request))
+    })
+}
+
+struct RunnerArguments {
+    listen: net::SocketAddr,
+    journal_file: Option<path::PathBuf>,
+    options: emulator::RunnerOptions,
+}
+
+fn runner_arguments() -> impl Parser<RunnerArguments> {
+    let id = argument("id", "r-1".to_owned());
+    let service = argument("service", "service".to_owned());
+    let zone = argument("zone", "zone-a".to_owned());
+    let stage = long("stage").argument::<String>("NAME").optional();
+    let work_ms = argument("work-ms", 5);
+    let store = long("store").argument("ADDRESS");
+    let options = construct!(emulator::RunnerOptions {
+        id,
+        service,
+        zone,
+        stage,
+        work_ms,
+        store,
+    });
+    let (listen, journal_file) = (listen(), journal_file());
+    construct!(RunnerArguments {
+        listen,
+        journal_file,
+        options,
+    })
+}
+
+fn run_runner(arguments: &[ffi::OsString]) -> i32 {
+    let arguments = parse(runner_arguments(), arguments);
+    run_server(arguments.listen, web::ServeOptions::default(), |address| {
+        let journal = journal::Journal::open(arguments.journal_file.as_deref())?;
+        let journal = sync::Arc::new(journal);
+        let runner = emulator::RunnerStandIn::new(arguments.options, address, journal);
+        Ok(move |request| runner.clone().handle(request))
+    })
+}
+
+fn run_relay() -> i32 {
+    match acaciabank_platform::run() {
+        Ok(()) => 0,
+        Err(error) => {
+            eprintln!("testbed relay: {error}");
+            1
+        }
+    }
+}
+
 fn engine_options() -> impl Parser<engine::EngineOptions> {
     let defaults = engine::EngineOptions::default();
     let name = argument("name", defaults.name);
--- a/crates/testbed/src/web/mod.rs
+++ b/crates/testbed/src/web/mod.rs
@@ -220,10 +220,10 @@
     let handshake = client::conn::http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = tokio::spawn(connection);
-    let mut builder = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", address.to_string());
+    let mut builder = Request::builder().method(method).uri(path);
+    if headers.iter().all(|(name, _)| *name != "host") {
+        builder = builder.header("host", address.to_string());
+    }
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
--- /dev/null
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -0,0 +1,164 @@
+//! Configuration, leaving targets, outages of the store, shutdown and orders.
+
+use std::{collections::HashSet, time::Duration};
+
+use acaciabank_testbed::harness;
+use serde_json::json;
+
+use crate::fixture::{Fixture, LIMIT, event_ids};
+
+/// Guards against serving before a configuration is known, and against a return to an older one.
+#[tokio::test]
+async fn a_configuration_is_followed_and_never_left_for_an_older_one() {
+    let mut fixture = Fixture::start().await;
+    let _runner = fixture.runner("r-1", "ledger", None).await;
+    let relay = fixture.relay(&[]).await;
+    harness::wait_until(LIMIT, "the relay answers 503", async || {
+        let answer = relay.send("GET", "/safe/a", "c-0", &[], "").await;
+        answer.is_ok_and(|answer| answer.status == 503)
+    })
+    .await;
+    assert_eq!(relay.readiness().await, 503);
+    fixture
+        .configure(5, |config| config["routes"][0]["prefix"] = "/five/".into())
+        .await;
+    relay.wait_serving("/five/a").await;
+    assert_eq!(relay.readiness().await, 200);
+    // The older version is acknowledged by the store later.
+    fixture.configure(4, |_| {}).await;
+    fixture
+        .configure(6, |config| config["routes"][1]["prefix"] = "/six/".into())
+        .await;
+    relay.wait_serving("/safe/a").await;
+    let answer = relay
+        .send("GET", "/five/a", "c-1", &[], "")
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, 404);
+}
+
+/// Guards against sending to a runner that leaves.
+#[tokio::test]
+async fn a_draining_runner_gets_no_new_work() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let runners = [
+        fixture.runner("r-1", "ledger", None).await,
+        fixture.runner("r-2", "ledger", None).await,
+    ];
+    let relay = fixture.relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    runners[0].control(json!({"is_draining": true})).await;
+    harness::wait_until(LIMIT, "requests go to the other runner alone", async || {
+        let before = runners[0].journal().await.len();
+        for number in 0..6 {
+            let attempt = format!("d-{number}");
+            let answer = relay
+                .send("GET", "/safe/a", &attempt, &[], "")
+                .await
+                .expect("an answer");
+            assert_eq!(answer.status, 200);
+        }
+        runners[0].journal().await.len() == before
+    })
+    .await;
+}
+
+/// Guards against an outage of the store that stops the service or a restarted daemon.
+#[tokio::test]
+async fn an_outage_of_the_store_stops_neither_service_nor_restart() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let _runner = fixture.runner("r-1", "ledger", None).await;
+    let first = fixture.relay(&[]).await;
+    let mut second = fixture.relay(&[&first]).await;
+    first.wait_serving("/safe/a").await;
+    second.wait_serving("/safe/a").await;
+    fixture.store.control(json!({"is_silent": true})).await;
+    second.process.restart().expect("a restart");
+    second.wait_serving("/safe/a").await;
+    let answer = first
+        .send("GET", "/safe/a", "o-1", &[], "")
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, 200);
+}
+
+/// Guards against a shutdown that cuts a stream or leaves callers without an address.
+#[tokio::test]
+async fn a_shutdown_leaves_the_addresses_and_cuts_nothing() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let _engine = fixture.runner("d-1", "models", Some("decode")).await;
+    let first = fixture.relay(&[]).await;
+    let mut second = fixture.relay(&[&first]).await;
+    for relay in [&first, &second] {
+        harness::wait_until(LIMIT, "both relays are named", async || {
+            relay.addresses().await.len() == 2
+        })
+        .await;
+    }
+    harness::wait_until(LIMIT, "a stream is served", async || {
+        let answer = second.stream("/stream/a", "probe", 2).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    let events = 200;
+    let (stream, ()) = tokio::join!(second.stream("/stream/a", "t-1", events), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        second.process.terminate();
+    });
+    assert_eq!(
+        event_ids(&stream.expect("a whole stream").body).len(),
+        events as usize
+    );
+    harness::wait_until(LIMIT, "the other relay names itself alone", async || {
+        first.addresses().await == [first.front.to_string()]
+    })
+    .await;
+    harness::wait_until(LIMIT, "the relay has ended", async || {
+        second.process.exit_status().is_some()
+    })
+    .await;
+    assert!(
+        second
+            .process
+            .exit_status()
+            .is_some_and(|status| status.success())
+    );
+}
+
+/// Guards against orders of two daemons at the same time, and against a fleet whose stages nobody
+/// orders after the holder is gone.
+#[tokio::test]
+async fn one_daemon_at_a_time_orders_stages() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let mut engines = Vec::new();
+    for number in 0..4 {
+        let id = format!("d-{number}");
+        engines.push(fixture.runner(&id, "models", Some("decode")).await);
+    }
+    let first = fixture.relay(&[]).await;
+    let second = fixture.relay(&[&first]).await;
+    harness::wait_until(LIMIT, "three of four engines process prompts", async || {
+        let mut orders = 0;
+        for engine in &engines {
+            let entries = engine.journal().await;
+            orders += entries
+                .iter()
+                .filter(|entry| !entry["order"].is_null())
+                .count();
+        }
+        orders == 3
+    })
+    .await;
+    let mut holders = HashSet::new();
+    for engine in &engines {
+        let entries = engine.journal().await;
+        let orders = entries.iter().filter(|entry| !entry["order"].is_null());
+        holders.extend(orders.map(|entry| entry["order"]["holder"].to_string()));
+    }
+    assert_eq!(holders.len(), 1, "{holders:?}");
+    drop((first, second));
+}
--- /dev/null
+++ b/crates/testbed/tests/relay/main.rs
@@ -0,0 +1,7 @@
+//! The relay before the stand-in of the users' platform: promises are checked against what the
+//! runners ran and what callers got.
+
+mod fixture;
+mod lifecycle;
+mod promises;
+mod streams;
