Hold an ordered stage until the platform's list shows it

Change: the ordered stage holds for the holder and, by its reports, for the others. An engine with an order that may still be carried out gets no other one, also where its time lies ahead.

--- a/crates/core/src/stage/mod.rs
+++ b/crates/core/src/stage/mod.rs
@@ -46,7 +46,7 @@
     pub target: u64,
     /// Its availability zone, as a number that only serves to compare.
     pub zone: u64,
-    /// Its stage.
+    /// Its stage, or the one that it is changing to.
     pub stage: EngineStage,
     /// Whether an order is being carried out.
     pub is_switching: bool,
@@ -56,7 +56,7 @@
     pub slots: u32,
     /// Prompt tokens that are not processed yet.
     pub backlog_tokens: u64,
-    /// Time of its last order, if any.
+    /// Time of its last order, or a later one until which an order may still be carried out.
     pub changed_ms: Option<u64>,
 }
 
@@ -149,40 +149,30 @@
 }
 
 fn mean(engines: &[EngineDuty], stage: EngineStage, value: impl Fn(&EngineDuty) -> f64) -> f64 {
-    let here = engines.iter().filter(|engine| stage_after(engine) == stage);
+    let here = engines.iter().filter(|engine| engine.stage == stage);
     let (sum, count) = here.fold((0.0, 0), |(sum, count), engine| {
         (sum + value(engine), count + 1)
     });
     sum / f64::from(count.max(1))
 }
 
-/// Engines of a stage, an engine that changes counted where it comes from: the platform tells the
-/// new stage when it is in force.
 fn count(engines: &[EngineDuty], stage: EngineStage) -> usize {
     engines
         .iter()
-        .filter(|engine| stage_after(engine) == stage)
+        .filter(|engine| engine.stage == stage)
         .count()
 }
 
-fn stage_after(engine: &EngineDuty) -> EngineStage {
-    match (engine.stage, engine.is_switching) {
-        (stage, false) => stage,
-        (EngineStage::Prefill, true) => EngineStage::Decode,
-        (EngineStage::Decode, true) => EngineStage::Prefill,
-    }
-}
-
 /// The engine with the least work in the availability zone that has most engines of the stage.
 fn pick_engine(now_ms: u64, engines: &[EngineDuty], from: EngineStage) -> Option<u64> {
     let in_zone = |zone: u64| {
         let same = engines.iter().filter(|engine| engine.zone == zone);
-        same.filter(|engine| stage_after(engine) == from).count()
+        same.filter(|engine| engine.stage == from).count()
     };
     let is_free = |engine: &&EngineDuty| {
         let is_rested = engine
             .changed_ms
-            .is_none_or(|changed| now_ms - changed >= DWELL_MS);
+            .is_none_or(|changed| now_ms.saturating_sub(changed) >= DWELL_MS);
         engine.stage == from && !engine.is_switching && is_rested
     };
     let free = engines.iter().filter(is_free);
--- a/crates/core/tests/stage.rs
+++ b/crates/core/tests/stage.rs
@@ -33,7 +33,6 @@
                 .iter_mut()
                 .find(|engine| engine.target == change.target);
             if let Some(engine) = engine.filter(|_| *done_ms <= now_ms) {
-                engine.stage = change.to;
                 engine.is_switching = false;
             }
             *done_ms > now_ms
@@ -44,6 +43,7 @@
                 .find(|engine| engine.target == change.target);
             let engine = engine.expect("an engine");
             engine.is_switching = true;
+            engine.stage = change.to;
             engine.changed_ms = Some(now_ms);
             open.push((now_ms + 3_000, change));
             changes += 1;
@@ -262,3 +262,15 @@
     assert!(budget.try_spend(&terms, 1, 0, 0));
     assert!(!budget.try_spend(&terms, 1, 1, 0));
 }
+
+/// Guards against ordering an engine again while an earlier order may still be carried out.
+#[test]
+fn an_engine_with_an_open_order_gets_no_other() {
+    let mut engines = fleet(0, 4);
+    engines
+        .iter_mut()
+        .for_each(|engine| engine.changed_ms = Some(13_000));
+    let mut planner = stage::StagePlanner::default();
+    assert_eq!(planner.next_change(5_000, &engines), None);
+    assert!(planner.next_change(26_000, &engines).is_some());
+}
--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -188,7 +188,7 @@
         let is_near = target.entry.zone == state.settings.zone;
         place::EngineView {
             usable: target.is_accepting(now_ms) && !progress.avoided.contains(&target.hash),
-            stage: target.stage.get().unwrap_or(place::EngineStage::Decode),
+            stage: target.stage(now_ms).unwrap_or(place::EngineStage::Decode),
             backlog_tokens: others.backlog + target.backlog.get(),
             running: others.running + target.running.get(),
             transfer_ms: (others.transfer_ms + target.transfer_ms.get()) as f64,
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -11,6 +11,7 @@
 
 use std::net;
 
+use acaciabank_core::place::EngineStage;
 use serde::{Deserialize, Serialize};
 
 use crate::edge;
@@ -48,6 +49,8 @@
     pub target: u64,
     /// Time after which it is expected back.
     pub left_ms: u32,
+    /// Stage that was ordered, and the time for which it holds whatever the platform lists.
+    pub ordered: Option<(EngineStage, u32)>,
 }
 
 /// A crash suspect, as `acaciabank_core::suspect` describes it.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry, TakenReport};
-use crate::{clock, edge, state};
+use crate::{clock, edge, state, target};
 
 /// Time between two reports: loads change within some hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -14,6 +14,8 @@
 const LEAST_INTERVAL: Duration = Duration::from_millis(25);
 /// Largest datagram; a report of some hundred targets fits.
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
+/// Difference by which the end of an order that several daemons report may vary.
+const REPEATED_ORDER_MS: u64 = 500;
 /// Prompt parts in a report at most; others lose the news of the rest.
 const MAX_PARTS: usize = 512;
 /// Crash suspects in a report at most; the others follow in later ones.
@@ -106,19 +108,25 @@
     entries.collect()
 }
 
-/// Engines that are known to be away, whoever has ordered it: what others told stays true.
+/// Engines that are known to be away or to have another stage than listed, whoever has ordered it:
+/// what others told stays true.
 fn away<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<AwayEntry> {
     let now_ms = clock::now_ms();
+    let left = |until_ms: u64| u32::try_from(until_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
     let targets = state.targets.borrow();
-    let entries = targets.iter().filter_map(|target| {
-        let left_ms = target.away_until_ms.get().checked_sub(now_ms)?;
-        let left_ms = u32::try_from(left_ms).ok().filter(|left_ms| *left_ms > 0)?;
-        Some(AwayEntry {
-            target: target.hash,
-            left_ms,
-        })
+    let entries = targets.iter().map(|target| AwayEntry {
+        target: target.hash,
+        left_ms: left(target.away_until_ms.get()),
+        ordered: target
+            .ordered
+            .get()
+            .map(|ordered| (ordered.stage, left(ordered.until_ms))),
     });
-    entries.collect()
+    let is_current = |entry: &AwayEntry| {
+        let is_ordered = entry.ordered.is_some_and(|(_, left_ms)| left_ms > 0);
+        entry.left_ms > 0 || is_ordered
+    };
+    entries.filter(is_current).collect()
 }
 
 fn take_away<Codec, Store>(
@@ -128,11 +136,22 @@
 ) {
     let targets = state.targets.borrow();
     for entry in entries {
-        if let Some(target) = targets.by_hash(entry.target) {
-            let until_ms = now_ms + u64::from(entry.left_ms);
+        let Some(target) = targets.by_hash(entry.target) else {
+            continue;
+        };
+        let until_ms = now_ms + u64::from(entry.left_ms);
+        let away_ms = target.away_until_ms.get();
+        target.away_until_ms.set(away_ms.max(until_ms));
+        let Some((stage, left_ms)) = entry.ordered else {
+            continue;
+        };
+        let until_ms = now_ms + u64::from(left_ms);
+        let known_ms = target.ordered.get().map_or(0, |ordered| ordered.until_ms);
+        // Daemons repeat each other with the delay of the network; only a later order is news.
+        if until_ms > known_ms + REPEATED_ORDER_MS {
             target
-                .away_until_ms
-                .set(target.away_until_ms.get().max(until_ms));
+                .ordered
+                .set(Some(target::OrderedStage { stage, until_ms }));
         }
     }
 }
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -31,6 +31,9 @@
 /// Time between the news that an engine changes its stage and the order: the other daemons stop
 /// sending, and what they have sent starts.
 const LEAVE_TIME: Duration = Duration::from_millis(300);
+/// Time after a change of a stage within which the platform's list may still show the old one: two
+/// heartbeats of an engine.
+const LIST_LAG_MS: u64 = 3_000;
 /// Time for which an engine is away while it changes its stage, besides what the platform states.
 const SWITCH_SLACK_MS: u64 = 300;
 
@@ -151,7 +154,7 @@
             Some(stage::EngineDuty {
                 target: target.hash,
                 zone: target.zone_hash,
-                stage: target.stage.get()?,
+                stage: target.stage(now_ms)?,
                 is_switching: target.away_until_ms.get() > now_ms,
                 running: others.running + target.running.get(),
                 backlog_tokens: others.backlog + target.backlog.get(),
@@ -178,6 +181,7 @@
         };
         if report.is_busy || report.stage == Some(to) {
             target.away_until_ms.set(clock::now_ms() + SWITCH_SLACK_MS);
+            set_ordered(target, to, clock::now_ms() + LIST_LAG_MS);
             return;
         }
         let now_ms = clock::now_ms();
@@ -195,7 +199,7 @@
         let leave_ms = LEAVE_TIME.as_millis() as u64;
         target
             .away_until_ms
-            .set(now_ms + leave_ms + switch_ms + SWITCH_SLACK_MS);
+            .set(now_ms + leave_ms + SWITCH_SLACK_MS);
         state.report_now.notify_one();
         // Requests that are under way to the engine are not refused by it.
         tokio::time::sleep(LEAVE_TIME).await;
@@ -206,7 +210,12 @@
             "order"
         );
         match answer {
-            edge::OrderAnswer::Accepted | edge::OrderAnswer::InForce => {}
+            edge::OrderAnswer::Accepted | edge::OrderAnswer::InForce => {
+                let back_ms = clock::now_ms() + switch_ms + SWITCH_SLACK_MS;
+                target.away_until_ms.set(back_ms);
+                set_ordered(target, to, back_ms + LIST_LAG_MS);
+                state.report_now.notify_one();
+            }
             edge::OrderAnswer::Refused | edge::OrderAnswer::Unsent => {
                 target.away_until_ms.set(now_ms);
             }
@@ -218,3 +227,9 @@
         }
     }
 }
+
+fn set_ordered(target: &target::TargetState, stage: EngineStage, until_ms: u64) {
+    target
+        .ordered
+        .set(Some(target::OrderedStage { stage, until_ms }));
+}
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -20,8 +20,10 @@
     pub hash: u64,
     /// Its availability zone, as a number that only serves to compare.
     pub zone_hash: u64,
-    /// Stage in force.
-    pub stage: Cell<Option<place::EngineStage>>,
+    /// Stage that the platform lists.
+    pub listed_stage: Cell<Option<place::EngineStage>>,
+    /// Stage that a daemon has ordered, until the platform's list is sure to show it.
+    pub ordered: Cell<Option<OrderedStage>>,
     /// Whether it takes no new work.
     pub is_leaving: Cell<bool>,
     /// Time until which it takes no new work because its stage changes.
@@ -45,7 +47,8 @@
         Self {
             hash: hash_id(&entry),
             zone_hash: xxhash_rust::xxh3::xxh3_64(entry.zone.as_bytes()),
-            stage: Cell::new(entry.stage),
+            listed_stage: Cell::new(entry.stage),
+            ordered: Cell::new(None),
             is_leaving: Cell::new(entry.is_draining),
             away_until_ms: Cell::new(0),
             pool: connection::IdlePool::default(),
@@ -65,11 +68,22 @@
                 .copied()
                 .unwrap_or(self.entry.version),
             is_draining: self.is_leaving.get(),
-            stage: self.stage.get(),
+            stage: self.listed_stage.get(),
             ..self.entry.clone()
         }
     }
 
+    /// Stage in force, or the one that it is changing to.
+    pub fn stage(&self, now_ms: u64) -> Option<place::EngineStage> {
+        let ordered = self
+            .ordered
+            .get()
+            .filter(|ordered| now_ms < ordered.until_ms);
+        ordered
+            .map(|ordered| ordered.stage)
+            .or(self.listed_stage.get())
+    }
+
     /// Whether it takes new work and its standing allows it.
     pub fn is_accepting(&self, now_ms: u64) -> bool {
         let is_here = !self.is_leaving.get() && now_ms >= self.away_until_ms.get();
@@ -77,6 +91,15 @@
     }
 }
 
+/// A stage that was ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderedStage {
+    /// The stage.
+    pub stage: place::EngineStage,
+    /// Time until which it holds whatever the platform lists.
+    pub until_ms: u64,
+}
+
 /// Short name of an incarnation.
 fn hash_id(entry: &edge::TargetEntry) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(entry.id.as_bytes(), entry.born_ms)
@@ -258,8 +281,8 @@
         is_changed = true;
         log::info!(target_id = entry.id.as_str(), draining = entry.is_draining; "target_state");
     }
-    if known.stage.get() != entry.stage {
-        known.stage.set(entry.stage);
+    if known.listed_stage.get() != entry.stage {
+        known.listed_stage.set(entry.stage);
         is_changed = true;
         log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
     }
