--- a/crates/cli/src/arguments/mod.rs
+++ b/crates/cli/src/arguments/mod.rs
@@ -220,6 +220,19 @@
     /// Runs a scripted mix against a running system and reports what callers saw
     #[bpaf(command)]
     Load(#[bpaf(external(load_call))] LoadCall),
+    /// Tells from logs what became of a request
+    #[bpaf(command)]
+    Explain {
+        /// Log of one or more daemons, as JSON lines; may be given more than once
+        #[bpaf(long, argument("FILE"), some("at least one log is needed"))]
+        log: Vec<path::PathBuf>,
+        /// Prints JSON in place of text
+        #[bpaf(long)]
+        json: bool,
+        /// Id of the request
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
     /// Compares saved reports of load runs in one SVG picture
     #[bpaf(command)]
     Plot {
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod check;
 mod config;
+mod explain;
 mod load;
 mod operator;
 
@@ -25,6 +26,7 @@
             zone,
         } => caller::addresses(&caller_endpoint, zone.as_deref()).await,
         Options::Load(call) => load::load(call).await,
+        Options::Explain { log, json, id } => explain::explain(&log, json, &id),
         Options::Plot { svg, reports } => load::plot(&svg, &reports),
         Options::Complete {
             caller_endpoint,
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -78,3 +78,15 @@
     assert_eq!(output.status.code(), Some(4));
     assert_one_line(&output, &["127.0.0.1:1 does not answer"]);
 }
+
+/// Guards against a key that is given twice, of which one value would be lost without a word.
+#[test]
+fn a_key_that_is_given_twice_is_refused() {
+    let text = fs::read_to_string(example_file()).expect("example settings");
+    let doubled = text.replacen("\"slots\":", "\"slots\": 8, \"slots\":", 1);
+    assert_ne!(text, doubled);
+    let file = temporary_file("doubled.json", &doubled);
+    let output = acaciabank(&["check", file.to_str().expect("UTF-8 path")]);
+    assert_eq!(output.status.code(), Some(2));
+    assert_one_line(&output, &["deployment.engines[0].slots", "given twice"]);
+}
--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -3,7 +3,7 @@
 use acaciabank_protocol::{reason, settings};
 
 const SETTINGS_PAGE: &str = include_str!("../../../docs/settings.md");
-const OPERATIONS_PAGE: &str = include_str!("../../../docs/operations.md");
+const OPERATIONS_PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 const COMMANDS_PAGE: &str = include_str!("../../../docs/commands.md");
 
 const COMMANDS: &[&[&str]] = &[
@@ -26,6 +26,7 @@
     &["log-level"],
     &["addresses"],
     &["load"],
+    &["explain"],
     &["plot"],
     &["complete"],
 ];
@@ -103,7 +104,7 @@
         let row = format!("| `{}` | {} |", reason.as_str(), reason.status());
         assert!(
             OPERATIONS_PAGE.contains(&row),
-            "docs/operations.md lacks {row}"
+            "docs/OPERATIONS.md lacks {row}"
         );
     }
     for reason in [
@@ -118,7 +119,7 @@
         let name = format!("`{}`", reason.as_str());
         assert!(
             OPERATIONS_PAGE.contains(&name),
-            "docs/operations.md lacks {name}"
+            "docs/OPERATIONS.md lacks {name}"
         );
     }
 }
--- a/crates/protocol/src/settings/check.rs
+++ b/crates/protocol/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, fmt};
 
-use super::{Deployment, ProcessSettings, Settings, fleet, ranges};
+use super::{Deployment, ProcessSettings, Settings, fleet, ranges, unique};
 
 /// One fault in a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,6 +67,9 @@
 fn read<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Problem> {
     let document: serde_json::Value = serde_json::from_str(text)
         .map_err(|error| Problem::new("$", "not JSON", format!("expected JSON: {error}")))?;
+    if let Some(path) = unique::find_repeated_key(text) {
+        return Err(Problem::new(path, "given twice", "each key is given once"));
+    }
     serde_path_to_error::deserialize(&document).map_err(|error| {
         let path = error.path().to_string();
         let value = value_at(&document, error.path());
--- a/crates/protocol/src/settings/mod.rs
+++ b/crates/protocol/src/settings/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod process;
 mod ranges;
+mod unique;
 
 pub use check::{Problem, check, check_deployment, parse, parse_deployment};
 pub use deployment::{
