Pay for each call when it is made; spread reports between many daemons

Reports of 63 daemons to all others cost half a gigabyte between zones.

Change: the budget is asked before each call beyond the free ones, and a call that reached no target is taken back; a KV cache is kept when an engine cannot be reached; the constant is shared by the listed daemons and left alone during the first window of a process. Daemons report to twelve near and twelve far ones a tick; the two that watch the store report to all.

Test: a_prompt_is_kept_while_engines_that_generate_are_unreachable.

--- a/crates/core/src/budget/window.rs
+++ b/crates/core/src/budget/window.rs
@@ -32,25 +32,29 @@
         self.requests.push_back(now_ms);
     }
 
-    /// Takes `count` retries; tells whether the budget of this daemon, one of `daemons`, had them.
-    pub fn try_spend(
-        &mut self,
-        terms: &BudgetTerms,
-        daemons: usize,
-        count: u32,
-        now_ms: u64,
-    ) -> bool {
+    /// Takes one retry; tells whether the budget of this daemon had one. `part` is its part of the
+    /// constant: one divided by the number of daemons.
+    pub fn try_spend(&mut self, terms: &BudgetTerms, part: f64, now_ms: u64) -> bool {
         self.expire(terms, now_ms);
-        let part = terms.extra / daemons.max(1) as f64;
-        let allowed = SAFETY * (self.requests.len() as f64 * terms.ratio + part);
-        if count > 0 && self.retries.len() as f64 + f64::from(count) > allowed {
+        let constant = terms.extra * part;
+        let allowed = SAFETY * (self.requests.len() as f64 * terms.ratio + constant);
+        if self.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
-        let spent = std::iter::repeat_n(now_ms, count as usize);
-        self.retries.extend(spent);
+        self.spend(now_ms);
         true
     }
 
+    /// Counts a retry that is made whatever the budget.
+    pub fn spend(&mut self, now_ms: u64) {
+        self.retries.push_back(now_ms);
+    }
+
+    /// Takes back the last retry.
+    pub fn refund(&mut self) {
+        self.retries.pop_back();
+    }
+
     fn expire(&mut self, terms: &BudgetTerms, now_ms: u64) {
         let start = now_ms.saturating_sub(terms.window_ms);
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Whether no byte of the request has reached the target.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self.retry,
+            RetryReason::ConnectFailed | RetryReason::NotWritten
+        )
+    }
+
     /// The target states that it has not run the request.
     pub fn refused(status: http::StatusCode) -> Self {
         Self {
@@ -289,7 +297,7 @@
     });
 }
 
-/// Records a failure and decides whether another attempt may be made. Counts it against the budget.
+/// Records a failure and decides whether another attempt may be made.
 pub fn decide_retry<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
@@ -306,6 +314,9 @@
     progress.verdict = progress.verdict.and(failure.verdict);
     progress.avoided.push(target.hash);
     progress.runs += u32::from(failure.verdict != Verdict::NotRun);
+    if failure.is_unsent() {
+        refund_run(state, &request.service, progress);
+    }
     let is_over = request.left().is_zero();
     let refuse = |cause| {
         let cause = if is_over {
@@ -327,20 +338,71 @@
     if progress.sends >= MAX_REFUSED_SENDS + progress.runs {
         return refuse(failure.cause);
     }
-    // A connection that could not be opened has reached no target.
-    let is_unsent = matches!(
-        failure.retry,
-        RetryReason::ConnectFailed | RetryReason::NotWritten
-    );
-    let unpaid = if is_unsent {
-        0
-    } else {
-        progress.unpaid_after_retry()
-    };
-    if !state.try_spend_retries(&request.service, unpaid) {
-        return refuse(RefusalCause::BudgetSpent);
-    }
-    progress.paid += unpaid;
     telemetry::count_retry(failure.retry);
     Ok(())
 }
+
+/// Pays for a call that runs the request, unless it is the first one.
+pub fn pay_run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    service: &str,
+    progress: &mut RequestProgress,
+) -> Result<(), RefusalAnswer> {
+    if progress.arrivals > 0 && !state.try_spend_retry(service) {
+        return Err(RefusalAnswer::after(
+            RefusalCause::BudgetSpent,
+            progress.verdict,
+        ));
+    }
+    progress.arrivals += 1;
+    Ok(())
+}
+
+/// Takes back a call that has reached no target.
+fn refund_run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    service: &str,
+    progress: &mut RequestProgress,
+) {
+    progress.arrivals = progress.arrivals.saturating_sub(1);
+    if progress.arrivals > 0 {
+        state.refund_retry(service);
+    }
+}
+
+/// Pays for a call that only has the prompt processed, unless it is the first one.
+pub fn pay_prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    service: &str,
+    progress: &RequestProgress,
+) -> Result<(), RefusalAnswer> {
+    match progress.has_prefill && !state.try_spend_retry(service) {
+        true => Err(RefusalAnswer::after(
+            RefusalCause::BudgetSpent,
+            progress.verdict,
+        )),
+        false => Ok(()),
+    }
+}
+
+/// Counts the outcome of such a call: the first one that an engine accepts is free, a failed one
+/// counts like a run.
+pub fn count_prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    service: &str,
+    progress: &mut RequestProgress,
+    is_accepted: bool,
+) {
+    if progress.has_prefill {
+        // It was paid for.
+        return;
+    }
+    if is_accepted {
+        progress.has_prefill = true;
+        return;
+    }
+    if progress.arrivals > 0 {
+        state.spend_retry(service);
+    }
+    progress.arrivals += 1;
+}
--- a/crates/relay/src/dispatch/generate.rs
+++ b/crates/relay/src/dispatch/generate.rs
@@ -121,9 +121,12 @@
             check_intake(request, progress, &plan)?;
         }
         if let (None, Some(engine)) = (&handle, &plan.prefill) {
+            if let Err(refusal) = attempt::pay_prefill(state, &request.service, progress) {
+                return failed_answer.ok_or(refusal);
+            }
             let until = first_event_until(request, progress, &plan);
             let result = prefill(state, request, &plan, engine, until).await;
-            progress.count_prefill(result.is_ok());
+            attempt::count_prefill(state, &request.service, progress, result.is_ok());
             match result {
                 Ok(taken) => handle = Some(taken),
                 Err(failure) => {
@@ -135,8 +138,10 @@
             }
             continue;
         }
+        if let Err(refusal) = attempt::pay_run(state, &request.service, progress) {
+            return failed_answer.ok_or(refusal);
+        }
         progress.sends += 1;
-        progress.count_arrival();
         let result = attempt(state, request, progress, &plan, handle.as_ref(), last_event).await;
         let failure = match result {
             Ok(StreamStart::Answered(reply, status))
@@ -152,7 +157,9 @@
             }
             Err(failure) => failure,
         };
-        if failure.retry != RetryReason::TargetRefused || progress.sends > MAX_HANDLE_SENDS {
+        let is_refused = failure.retry == RetryReason::TargetRefused;
+        let may_keep = failure.is_unsent() || (is_refused && progress.sends <= MAX_HANDLE_SENDS);
+        if !may_keep {
             handle = None;
         }
         let decided = attempt::decide_retry(state, request, &plan.decode, progress, &failure);
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -157,10 +157,8 @@
     pub runs: u32,
     /// Requests that were sent to targets.
     pub sends: u32,
-    /// Calls to targets that count against the retry budget beyond the first one.
+    /// Calls to targets that the retry budget counts; the first one is free.
     pub arrivals: u32,
-    /// Calls that the retry budget has paid for.
-    pub paid: u32,
     /// Whether an engine has processed the prompt for another one; the first such call is free.
     pub has_prefill: bool,
     /// Short names of the targets that failed it.
@@ -174,31 +172,8 @@
             runs: 0,
             sends: 0,
             arrivals: 0,
-            paid: 0,
             has_prefill: false,
             avoided: Vec::new(),
         }
     }
 }
-
-impl RequestProgress {
-    /// Counts a call that runs the request.
-    pub fn count_arrival(&mut self) {
-        self.arrivals += 1;
-    }
-
-    /// Counts a call that only has the prompt processed.
-    pub fn count_prefill(&mut self, is_accepted: bool) {
-        match is_accepted && !self.has_prefill {
-            true => self.has_prefill = true,
-            false => self.arrivals += 1,
-        }
-    }
-
-    /// Retries that have to be paid for before the next attempt: the calls that were made, and
-    /// those of the attempt, of which the first one of the request is free.
-    pub fn unpaid_after_retry(&self) -> u32 {
-        let next = 1 + u32::from(self.has_prefill);
-        (self.arrivals + next).saturating_sub(1 + self.paid)
-    }
-}
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -33,8 +33,10 @@
             Ok(target) => target,
             Err(refusal) => return failed_answer.ok_or(refusal),
         };
+        if let Err(refusal) = attempt::pay_run(state, &request.service, &mut progress) {
+            return failed_answer.ok_or(refusal);
+        }
         progress.sends += 1;
-        progress.count_arrival();
         let failure = match attempt(state, request, &progress, &target).await {
             Ok((head, body)) => {
                 let is_last = !head.status.is_server_error() || !request.route.kind.is_repeatable();
--- a/crates/relay/src/follow/mod.rs
+++ b/crates/relay/src/follow/mod.rs
@@ -173,6 +173,7 @@
         let is_registered = match listed {
             Ok(hosts) => {
                 let now_ms = clock::now_ms();
+                state.listed_hosts.set(hosts.len().saturating_sub(1));
                 for host in hosts.iter().filter(|host| host.name != own.name) {
                     state.peers.borrow_mut().add_contact(host.peer, now_ms);
                 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -98,6 +98,10 @@
     pub parts: Vec<PartEntry>,
     /// Crash suspects that it knows.
     pub suspects: Vec<SuspectEntry>,
-    /// Addresses of other daemons that it knows.
+    /// Its availability zone, as a number that only serves to compare.
+    pub zone: u64,
+    /// Time until its next report to the same receivers.
+    pub interval_ms: u32,
+    /// Addresses of some other daemons that it knows.
     pub known: Vec<net::SocketAddr>,
 }
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -4,10 +4,9 @@
 
 use super::PeerReport;
 
-/// Age from which a daemon is not named to callers: six intervals of its reports.
-const SILENT_MS: u64 = 1_500;
-/// Age from which its loads no longer count.
-const STALE_LOADS_MS: u64 = 1_500;
+/// Age from which a daemon is not named to callers and its loads no longer count, beyond two of the
+/// intervals that it states: one report may be lost, and hosts are slow at times.
+const SILENT_MS: u64 = 1_000;
 /// Silence of a daemon after which changes that it told may have been missed. Changes are repeated
 /// for longer.
 const GAP_MS: u64 = 1_200;
@@ -22,6 +21,17 @@
     heard_ms: u64,
 }
 
+impl PeerState {
+    fn is_heard(&self, now_ms: u64) -> bool {
+        let silent_ms = SILENT_MS + 2 * u64::from(self.report.interval_ms);
+        now_ms.saturating_sub(self.heard_ms) < silent_ms
+    }
+
+    fn is_ready(&self, now_ms: u64) -> bool {
+        self.report.is_ready && self.is_heard(now_ms)
+    }
+}
+
 /// The other daemons.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
@@ -107,6 +117,18 @@
         self.contacts.keys().copied().collect()
     }
 
+    /// Addresses to report to, those of daemons in an availability zone first. A daemon that has not
+    /// been heard yet counts as far.
+    pub fn contacts_by_zone(&self, zone: u64) -> (Vec<net::SocketAddr>, Vec<net::SocketAddr>) {
+        let near = self.peers.values().filter(|peer| peer.report.zone == zone);
+        let near: Vec<net::SocketAddr> = near.map(|peer| peer.report.peer).collect();
+        let far = self
+            .contacts
+            .keys()
+            .filter(|address| !near.contains(address));
+        (near.clone(), far.copied().collect())
+    }
+
     /// Daemons that are known and not leaving.
     pub fn known(&self) -> usize {
         let peers = self.peers.values();
@@ -115,18 +137,14 @@
 
     /// Caller addresses of daemons that can be named to callers.
     pub fn ready_addresses(&self, now_ms: u64) -> Vec<net::SocketAddr> {
-        let ready = self.peers.values().filter(|peer| {
-            peer.report.is_ready && now_ms.saturating_sub(peer.heard_ms) < SILENT_MS
-        });
+        let ready = self.peers.values().filter(|peer| peer.is_ready(now_ms));
         ready.map(|peer| peer.report.caller).collect()
     }
 
     /// Position of a daemon among those that are ready, by name; all daemons that hear each other
     /// agree on it.
     pub fn rank(&self, own: &str, now_ms: u64) -> usize {
-        let ready = self.peers.iter().filter(|(_, peer)| {
-            peer.report.is_ready && now_ms.saturating_sub(peer.heard_ms) < SILENT_MS
-        });
+        let ready = self.peers.iter().filter(|(_, peer)| peer.is_ready(now_ms));
         ready.filter(|(host, _)| host.as_str() < own).count()
     }
 
@@ -137,9 +155,7 @@
 
     /// A daemon that is ready.
     pub fn any_ready(&self, now_ms: u64) -> Option<net::SocketAddr> {
-        let mut ready = self.peers.values().filter(|peer| {
-            peer.report.is_ready && now_ms.saturating_sub(peer.heard_ms) < SILENT_MS
-        });
+        let mut ready = self.peers.values().filter(|peer| peer.is_ready(now_ms));
         ready.next().map(|peer| peer.report.peer)
     }
 
@@ -155,7 +171,7 @@
     fn sum_loads(&mut self, now_ms: u64) {
         self.loads.clear();
         for peer in self.peers.values() {
-            if now_ms.saturating_sub(peer.heard_ms) >= STALE_LOADS_MS {
+            if !peer.is_heard(now_ms) {
                 continue;
             }
             for load in &peer.report.loads {
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry, TakenReport};
-use crate::{clock, edge, state, target};
+use crate::{clock, edge, state, target, watch};
 
 /// Time between two reports: loads change within some hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -16,6 +16,14 @@
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 /// Difference by which the end of an order that several daemons report may vary.
 const REPEATED_ORDER_MS: u64 = 500;
+/// Daemons of one group, in the same or in other availability zones, that get a report in a tick.
+const CONTACTS_PER_TICK: usize = 12;
+/// Addresses of other daemons in a report at most.
+const MAX_KNOWN: usize = 8;
+/// Time for which prompt parts are kept for reports; the longest interval between two of them.
+const MAX_PART_AGE_MS: u64 = 3_000;
+/// Time by which the parts of two reports overlap.
+const PART_OVERLAP_MS: u64 = 30;
 /// Prompt parts in a report at most; others lose the news of the rest.
 const MAX_PARTS: usize = 512;
 /// Crash suspects in a report at most; the others follow in later ones.
@@ -28,12 +36,13 @@
 ) {
     let receiver = receive(rc::Rc::clone(&state), rc::Rc::clone(&socket));
     tokio::task::spawn_local(receiver);
-    loop {
-        announce(&state, &socket).await;
+    let mut is_urgent = true;
+    for tick in 0.. {
+        send_reports(&state, &socket, tick, is_urgent).await;
         tokio::time::sleep(LEAST_INTERVAL).await;
         let rest = REPORT_INTERVAL - LEAST_INTERVAL;
-        // The timeout is the usual case: nothing urgent happened in the interval.
-        let _ = tokio::time::timeout(rest, state.report_now.notified()).await;
+        let notified = tokio::time::timeout(rest, state.report_now.notified()).await;
+        is_urgent = notified.is_ok();
     }
 }
 
@@ -41,37 +50,76 @@
     static NUMBER: Cell<u64> = const { Cell::new(0) };
 }
 
-/// Sends one report to every known daemon.
+/// Tells every known daemon the state at once.
 pub async fn announce<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     socket: &UdpSocket,
 ) {
-    state.peers.borrow_mut().expire(clock::now_ms());
-    let report = build_report(state);
-    let contacts = state.peers.borrow().contacts();
-    let datagram = match postcard::to_stdvec(&report) {
-        Ok(datagram) => datagram,
-        Err(error) => {
-            log::error!("a report cannot be encoded: {error}");
-            return;
+    send_reports(state, socket, 0, true).await;
+}
+
+/// Sends reports to the daemons whose turn it is, or to all when there is urgent news. Daemons in
+/// other availability zones have their turn less often where there are many: bytes between zones
+/// are dear, and a tick's work must stay small on a small host.
+async fn send_reports<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    socket: &UdpSocket,
+    tick: u64,
+    is_urgent: bool,
+) {
+    let now_ms = clock::now_ms();
+    state.peers.borrow_mut().expire(now_ms);
+    let rank = state.peers.borrow().rank(&state.settings.host, now_ms);
+    let (near, far) = state.peers.borrow().contacts_by_zone(state.zone_hash);
+    for contacts in [near, far] {
+        let turns = match rank < watch::WATCHERS {
+            // The others rely on the news of these daemons.
+            true => 1,
+            false => contacts.len().div_ceil(CONTACTS_PER_TICK).max(1) as u64,
+        };
+        let is_due =
+            |address: &net::SocketAddr| is_urgent || turn_of(address) % turns == tick % turns;
+        let due: Vec<net::SocketAddr> = contacts.into_iter().filter(is_due).collect();
+        if due.is_empty() {
+            continue;
         }
-    };
+        let interval = REPORT_INTERVAL * u32::try_from(turns).unwrap_or(1);
+        let report = build_report(state, now_ms, interval);
+        match postcard::to_stdvec(&report) {
+            Ok(datagram) => send_all(state, socket, &datagram, &due).await,
+            Err(error) => log::error!("a report cannot be encoded: {error}"),
+        }
+    }
+}
+
+/// A number that spreads addresses over the turns.
+fn turn_of(address: &net::SocketAddr) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
+}
+
+async fn send_all<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    socket: &UdpSocket,
+    datagram: &[u8],
+    contacts: &[net::SocketAddr],
+) {
     for address in contacts {
-        if address == state.settings.peer {
+        if *address == state.settings.peer {
             continue;
         }
         // A host that is gone refuses datagrams; its silence is judged by its reports.
-        let _: io::Result<usize> = socket.send_to(&datagram, address).await;
+        let _: io::Result<usize> = socket.send_to(datagram, address).await;
     }
 }
 
 fn build_report<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::RelayState<Codec, Store>,
+    now_ms: u64,
+    interval: Duration,
 ) -> PeerReport {
     let number = NUMBER.get() + 1;
     NUMBER.set(number);
     let settings = &state.settings;
-    let now_ms = clock::now_ms();
     let (target_news, is_cut) = state.watch.recent_news(now_ms);
     PeerReport {
         host: settings.host.clone(),
@@ -90,9 +138,11 @@
         target_news,
         loads: loads(state),
         away: away(state),
-        parts: part_news(state),
+        parts: part_news(state, now_ms, interval),
         suspects: suspects(state),
-        known: state.peers.borrow().contacts(),
+        known: some_contacts(state),
+        zone: state.zone_hash,
+        interval_ms: interval.as_millis() as u32,
     }
 }
 
@@ -156,14 +206,30 @@
     }
 }
 
-fn part_news<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<PartEntry> {
+/// Prompt parts that have been sent within the interval since the last report to the receivers.
+fn part_news<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    now_ms: u64,
+    interval: Duration,
+) -> Vec<PartEntry> {
     let mut news = state.part_news.borrow_mut();
-    if news.len() > MAX_PARTS {
-        metrics::counter!("acaciabank_part_news_dropped_total")
-            .increment((news.len() - MAX_PARTS) as u64);
-        news.truncate(MAX_PARTS);
-    }
-    std::mem::take(&mut *news)
+    let kept_ms = now_ms.saturating_sub(MAX_PART_AGE_MS);
+    news.retain(|(sent_ms, _)| *sent_ms >= kept_ms);
+    // Reports leave a little late; parts that are told twice do no harm.
+    let since_ms = now_ms.saturating_sub(interval.as_millis() as u64 + PART_OVERLAP_MS);
+    let recent = news
+        .iter()
+        .rev()
+        .take_while(|(sent_ms, _)| *sent_ms >= since_ms);
+    recent.map(|(_, entry)| *entry).take(MAX_PARTS).collect()
+}
+
+/// Some of the addresses that this daemon knows, others each time: enough to join, and small.
+fn some_contacts<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<net::SocketAddr> {
+    let contacts = state.peers.borrow().contacts();
+    let first = rand::random_range(0..contacts.len().max(1));
+    let turned = contacts.iter().cycle().skip(first).take(contacts.len());
+    turned.take(MAX_KNOWN).copied().collect()
 }
 
 fn suspects<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<SuspectEntry> {
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -86,10 +86,16 @@
     pub report_now: tokio::sync::Notify,
     /// Distinguishes this run of the daemon from earlier ones; a later run has a higher one.
     pub boot: u64,
+    /// Start of the process, by the clock of [`crate::clock`].
+    pub started_ms: u64,
+    /// Other daemons that the store lists.
+    pub listed_hosts: Cell<usize>,
     /// Tells that another daemon has a newer configuration.
     pub config_behind: tokio::sync::Notify,
-    /// Prompt parts that went to engines since the last report to the other daemons.
-    pub part_news: RefCell<Vec<gossip::PartEntry>>,
+    /// Prompt parts that went to engines lately, with the time, for reports to the other daemons.
+    pub part_news: RefCell<Vec<(u64, gossip::PartEntry)>>,
+    /// Availability zone, as a number that only serves to compare.
+    pub zone_hash: u64,
     /// What this daemon has read from the store, and when.
     pub watch: watch::StoreWatch,
     /// Crash suspects.
@@ -109,7 +115,6 @@
     /// State of a process that has not started any task yet.
     pub fn new(settings: RelaySettings, codec: Codec, store: Store) -> Self {
         Self {
-            settings,
             codec,
             store,
             config: RefCell::default(),
@@ -118,13 +123,17 @@
             peers: RefCell::default(),
             report_now: tokio::sync::Notify::new(),
             boot: unix_ms(),
+            started_ms: crate::clock::now_ms(),
+            listed_hosts: Cell::new(0),
             config_behind: tokio::sync::Notify::new(),
             part_news: RefCell::default(),
+            zone_hash: xxhash_rust::xxh3::xxh3_64(settings.zone.as_bytes()),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
             active: rc::Rc::default(),
+            settings,
         }
     }
 
@@ -198,33 +207,49 @@
             tokens: part.tokens,
             ready_in_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
         });
+        let entries = entries.map(|entry| (now_ms, entry));
         self.part_news.borrow_mut().extend(entries);
     }
 
     /// Counts a request of a caller for the retry budget.
     pub fn record_request(&self, service: &str) {
-        let mut budgets = self.budgets.borrow_mut();
         let now_ms = crate::clock::now_ms();
-        match budgets.get_mut(service) {
-            Some(budget) => budget.record_request(&self.settings.budget, now_ms),
-            None => {
-                let budget = budgets.entry(service.to_owned()).or_default();
-                budget.record_request(&self.settings.budget, now_ms);
-            }
-        }
+        let terms = &self.settings.budget;
+        self.with_budget(service, |budget| budget.record_request(terms, now_ms));
+    }
+
+    /// Takes one retry from the budget of a service; tells whether it had one.
+    pub fn try_spend_retry(&self, service: &str) -> bool {
+        let now_ms = crate::clock::now_ms();
+        let terms = &self.settings.budget;
+        // What an earlier run of this daemon has spent is unknown, and how many share the constant.
+        let is_new = now_ms.saturating_sub(self.started_ms) < terms.window_ms;
+        let daemons = self.peers.borrow().known().max(self.listed_hosts.get()) + 1;
+        let part = if is_new { 0.0 } else { 1.0 / daemons as f64 };
+        self.with_budget(service, |budget| budget.try_spend(terms, part, now_ms))
     }
 
-    /// Takes retries from the budget of a service; tells whether it had them.
-    pub fn try_spend_retries(&self, service: &str, count: u32) -> bool {
-        let daemons = self.peers.borrow().known() + 1;
+    /// Counts a retry that could not be foreseen.
+    pub fn spend_retry(&self, service: &str) {
+        let now_ms = crate::clock::now_ms();
+        self.with_budget(service, |budget| budget.spend(now_ms));
+    }
+
+    /// Takes back the last retry: it has reached no target.
+    pub fn refund_retry(&self, service: &str) {
+        self.with_budget(service, budget::WindowBudget::refund);
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &str,
+        change: impl FnOnce(&mut budget::WindowBudget) -> T,
+    ) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.try_spend(
-            &self.settings.budget,
-            daemons,
-            count,
-            crate::clock::now_ms(),
-        )
+        match budgets.get_mut(service) {
+            Some(budget) => change(budget),
+            None => change(budgets.entry(service.to_owned()).or_default()),
+        }
     }
 }
 
--- a/crates/testbed/tests/relay/streams.rs
+++ b/crates/testbed/tests/relay/streams.rs
@@ -144,3 +144,27 @@
         }
     }
 }
+
+/// Guards against prompts that are processed again and again while no engine can be reached that
+/// generates: such calls spent the budget of all daemons on a bench day.
+#[tokio::test]
+async fn a_prompt_is_kept_while_engines_that_generate_are_unreachable() {
+    let Engines {
+        _fixture,
+        prefills,
+        decodes,
+        relay,
+    } = start().await;
+    drop(decodes);
+    let answer = relay.stream("/resumable/a", "g-6", EVENTS).await;
+    assert_eq!(answer.expect("an answer").status, 503);
+    let mut calls = 0;
+    for engine in &prefills {
+        let entries = engine.journal().await;
+        calls += entries
+            .iter()
+            .filter(|entry| entry["prefilled"] == "g-6")
+            .count();
+    }
+    assert!(calls <= 1, "{calls} prefills");
+}
