Tell other daemons only what was read from the store, and suspects for a while

Change: only what a daemon has read from the store itself is told; crash suspects are named for three seconds and then a few at a time; urgent reports are rarer with more daemons.

--- a/crates/relay/src/follow/mod.rs
+++ b/crates/relay/src/follow/mod.rs
@@ -116,7 +116,7 @@
             Ok(changes) => {
                 pause.succeeded();
                 after = Some(changes.version);
-                state.apply_targets(changes);
+                state.apply_targets(changes, state::ChangeSource::Store);
                 state.watch.targets.record_direct(sent_ms);
                 let part = 0.8 + 0.2 * rand::random::<f64>();
                 tokio::time::sleep(TARGET_INTERVAL.mul_f64(part)).await;
@@ -148,7 +148,7 @@
     match changes {
         Ok(changes) => {
             log::info!(peer:% = address; "targets_learned");
-            state.apply_targets(changes);
+            state.apply_targets(changes, state::ChangeSource::Peer);
         }
         Err(error) => log::warn!(peer:% = address, error = error.as_str(); "peer_targets_failed"),
     }
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -10,7 +10,8 @@
 
 /// Time between two reports: loads change within some hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// Least time between two reports, however much happens.
+/// Least time between two reports for each dozen of other daemons, however much happens: hosts with
+/// slow links must not be flooded when many targets crash together.
 const LEAST_INTERVAL: Duration = Duration::from_millis(25);
 /// Largest datagram; a report of some hundred targets fits.
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
@@ -26,7 +27,11 @@
 const PART_OVERLAP_MS: u64 = 30;
 /// Prompt parts in a report at most; others lose the news of the rest.
 const MAX_PARTS: usize = 512;
-/// Crash suspects in a report at most; the others follow in later ones.
+/// Age up to which every report names a crash suspect: long enough that some reports may be lost.
+const RECENT_SUSPECT_MS: u64 = 3_000;
+/// Older suspects in a report, others each time, for daemons that have started since.
+const MAX_OLDER_SUSPECTS: usize = 4;
+/// Recent crash suspects in a report at most.
 const MAX_SUSPECTS: usize = 64;
 
 /// Sends and receives reports until the process ends.
@@ -39,8 +44,11 @@
     let mut is_urgent = true;
     for tick in 0.. {
         send_reports(&state, &socket, tick, is_urgent).await;
-        tokio::time::sleep(LEAST_INTERVAL).await;
-        let rest = REPORT_INTERVAL - LEAST_INTERVAL;
+        let contacts = state.peers.borrow().contacts().len();
+        let least = LEAST_INTERVAL * contacts.div_ceil(CONTACTS_PER_TICK).max(1) as u32;
+        let least = least.min(REPORT_INTERVAL);
+        tokio::time::sleep(least).await;
+        let rest = REPORT_INTERVAL - least;
         let notified = tokio::time::timeout(rest, state.report_now.notified()).await;
         is_urgent = notified.is_ok();
     }
@@ -235,7 +243,20 @@
 fn suspects<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<SuspectEntry> {
     let mut records = state.suspects.borrow_mut().export(clock::now_ms());
     records.sort_by_key(|record| record.age_ms);
-    let entries = records.into_iter().take(MAX_SUSPECTS);
+    let recent = records.partition_point(|record| record.age_ms < RECENT_SUSPECT_MS);
+    let older = records.split_off(recent);
+    records.truncate(MAX_SUSPECTS);
+    if !older.is_empty() {
+        let drawn = rand::random_range(0..older.len());
+        records.extend(
+            older
+                .iter()
+                .cycle()
+                .skip(drawn)
+                .take(MAX_OLDER_SUSPECTS.min(older.len())),
+        );
+    }
+    let entries = records.into_iter();
     let entries = entries.map(|record| SuspectEntry {
         fingerprint: record.fingerprint,
         target: record.target,
@@ -281,7 +302,7 @@
     }
     take_away(state, &report.away, now_ms);
     take_parts(state, &report.parts, now_ms);
-    state.apply_targets(report.target_news.clone());
+    state.apply_targets(report.target_news.clone(), state::ChangeSource::Peer);
     let is_newer = report.config_version > state.config_version();
     let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
     let taken = state.peers.borrow_mut().take(report, now_ms);
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -108,6 +108,15 @@
     pub active: rc::Rc<Cell<u32>>,
 }
 
+/// Where changes of targets come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeSource {
+    /// The platform's store.
+    Store,
+    /// Another daemon.
+    Peer,
+}
+
 /// The state as the tasks of the process share it.
 pub type SharedState<Codec, Store> = rc::Rc<RelayState<Codec, Store>>;
 
@@ -174,8 +183,9 @@
         true
     }
 
-    /// Applies changes of the list of targets.
-    pub fn apply_targets(&self, changes: edge::TargetChanges) {
+    /// Applies changes of the list of targets. Those that this daemon has read from the store itself
+    /// are told to the others; passing on what others told would multiply the reports.
+    pub fn apply_targets(&self, changes: edge::TargetChanges, source: ChangeSource) {
         let config = self.config();
         let kv_tokens = |service: &str| {
             let spec = config.as_ref().and_then(|config| config.service(service));
@@ -183,7 +193,7 @@
             engine.map_or(UNKNOWN_KV_TOKENS, |engine| engine.kv_tokens)
         };
         let news = self.targets.borrow_mut().apply(changes, kv_tokens);
-        if self.watch.record_news(news, crate::clock::now_ms()) {
+        if source == ChangeSource::Store && self.watch.record_news(news, crate::clock::now_ms()) {
             self.report_now.notify_one();
         }
     }
