Spread fetches over holders; use the speeds of engines that requests see

Change: speeds and a base time for each prompt as requests see them; one of the holders in each availability zone, drawn anew, is the source; the home and the sources are found once a request. The log tells what was expected when the request was taken in.

Ruled out: waits alone: engines without other work took twice the expected time as well.

--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -8,6 +8,8 @@
 //! earliest first token wins; the engine time it uses counts as well, since that delays the requests
 //! behind it.
 
+use crate::route;
+
 /// Stage that an engine is in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub enum EngineStage {
@@ -24,6 +26,8 @@
     pub prefill_tokens_per_ms: f64,
     /// The same for a decode engine that prefills by itself.
     pub decode_prefill_tokens_per_ms: f64,
+    /// Time for a prompt besides its tokens.
+    pub prompt_base_ms: f64,
     /// Time to move the KV cache of a thousand tokens inside an availability zone.
     pub transfer_ms_per_k: f64,
     /// Time from a prefill to the first token that no other term covers.
@@ -107,18 +111,15 @@
 const HOME_MS: f64 = 40.0;
 
 /// Chooses the plan with the lowest cost for a prompt of `prompt_tokens`; `None` when no decode
-/// engine is usable.
+/// engine is usable. `seed`, a fresh random number, spreads fetches over the engines that hold a
+/// part.
 pub fn choose_plan(
     prompt_tokens: u64,
     rates: &EngineRates,
     engines: &[EngineView],
+    seed: u64,
 ) -> Option<PlacementChoice> {
-    let scene = Scene {
-        prompt_tokens,
-        rates,
-        engines,
-        source: best_source(engines),
-    };
+    let scene = Scene::new(prompt_tokens, rates, engines, seed);
     let whole = scene
         .usable(EngineStage::Decode)
         .map(|decode| scene.price_whole(decode));
@@ -142,12 +143,7 @@
     rates: &EngineRates,
     engines: &[EngineView],
 ) -> Option<PlacementChoice> {
-    let scene = Scene {
-        prompt_tokens,
-        rates,
-        engines,
-        source: None,
-    };
+    let scene = Scene::new(prompt_tokens, rates, engines, 0);
     let done = PromptPrice {
         done_ms: 0.0,
         wait_ms: 0.0,
@@ -161,13 +157,31 @@
     best.map(|(_, choice)| choice)
 }
 
-/// The engine that holds most of the prompt, whatever its stage; one that is leaving still serves
-/// as a source.
-fn best_source(engines: &[EngineView]) -> Option<usize> {
+/// Share of the longest held beginning from which an engine serves as a source as well: transfers of
+/// an engine run one after another, so a part that several hold is not always fetched from one.
+const SOURCE_SHARE: f64 = 0.9;
+
+/// One of the engines that hold most of the prompt in each availability zone, whatever its stage; one
+/// that is leaving still serves as a source. Drawn anew for each request.
+fn best_sources(engines: &[EngineView], seed: u64) -> Vec<usize> {
+    let most = engines
+        .iter()
+        .map(|view| view.ready_tokens)
+        .max()
+        .unwrap_or(0);
+    let least = ((most as f64 * SOURCE_SHARE) as u64).max(LEAST_FETCH_TOKENS);
     let holders = engines.iter().enumerate();
-    let holders = holders.filter(|(_, view)| view.ready_tokens >= LEAST_FETCH_TOKENS);
-    let best = holders.max_by_key(|(_, view)| view.ready_tokens);
-    best.map(|(position, _)| position)
+    let holders = holders.filter(|(_, view)| view.ready_tokens >= least);
+    let mut drawn: Vec<usize> = holders.map(|(position, _)| position).collect();
+    drawn.sort_by_key(|position| route::mix(seed, *position));
+    let mut zones = Vec::new();
+    drawn.retain(|position| {
+        let zone = engines[*position].zone;
+        let is_first = !zones.contains(&zone);
+        zones.push(zone);
+        is_first
+    });
+    drawn
 }
 
 /// One request before the engines.
@@ -175,7 +189,10 @@
     prompt_tokens: u64,
     rates: &'a EngineRates,
     engines: &'a [EngineView],
-    source: Option<usize>,
+    /// Engines to fetch from, those of different availability zones apart.
+    sources: Vec<usize>,
+    /// The prefill engine that is the home of the shared part.
+    home: Option<usize>,
 }
 
 /// Expected course of the prompt at one engine.
@@ -191,23 +208,51 @@
     source: Option<usize>,
 }
 
-impl Scene<'_> {
+impl<'a> Scene<'a> {
+    fn new(
+        prompt_tokens: u64,
+        rates: &'a EngineRates,
+        engines: &'a [EngineView],
+        seed: u64,
+    ) -> Self {
+        let prefills = engines.iter().enumerate();
+        let prefills =
+            prefills.filter(|(_, view)| view.usable && view.stage == EngineStage::Prefill);
+        let home = prefills.min_by_key(|(_, view)| view.home_rank);
+        Self {
+            prompt_tokens,
+            rates,
+            engines,
+            sources: best_sources(engines, seed),
+            home: home.map(|(position, _)| position),
+        }
+    }
+
+    /// The source for an engine, in its own availability zone if there is one.
+    fn source_for(&self, position: usize) -> Option<usize> {
+        let zone = self.engines[position].zone;
+        let others = self
+            .sources
+            .iter()
+            .copied()
+            .filter(|source| *source != position);
+        let near = others
+            .clone()
+            .find(|source| self.engines[*source].zone == zone);
+        near.or_else(|| others.clone().next())
+    }
+
     fn usable(&self, stage: EngineStage) -> impl Iterator<Item = usize> + '_ {
         let engines = self.engines.iter().enumerate();
         let usable = engines.filter(move |(_, view)| view.usable && view.stage == stage);
         usable.map(|(position, _)| position)
     }
 
-    /// The engine with the lowest rank has the advantage of a home.
     fn home_ms(&self, position: usize) -> f64 {
-        let view = &self.engines[position];
-        let mut same = self
-            .engines
-            .iter()
-            .filter(|other| other.usable && other.stage == view.stage);
-        match same.any(|other| other.home_rank < view.home_rank) {
-            true => 0.0,
-            false => HOME_MS,
+        if self.home == Some(position) {
+            HOME_MS
+        } else {
+            0.0
         }
     }
 
@@ -231,11 +276,12 @@
             }
         };
         let price = |uncached_tokens: u64, fetch_ms: f64, source| {
-            let work_ms = uncached_tokens as f64 / speed;
+            let work_ms = uncached_tokens as f64 / speed + self.rates.prompt_base_ms;
             // An engine works on all its prompts in turn, so a short one does not wait for the end
             // of long ones.
             let ahead = u64::from(view.running).saturating_mul(uncached_tokens);
-            let wait_ms = view.backlog_tokens.min(ahead) as f64 / speed;
+            let steps_ms = f64::from(view.running) * self.rates.prompt_base_ms;
+            let wait_ms = view.backlog_tokens.min(ahead) as f64 / speed + steps_ms;
             let harm_ms = match stage {
                 EngineStage::Prefill => work_ms,
                 EngineStage::Decode => work_ms + wait_ms,
@@ -253,7 +299,7 @@
             0.0,
             None,
         );
-        let Some(source) = self.source.filter(|source| *source != position) else {
+        let Some(source) = self.source_for(position) else {
             return own;
         };
         let held = self.engines[source].ready_tokens.min(self.prompt_tokens);
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -5,6 +5,7 @@
 const RATES: place::EngineRates = place::EngineRates {
     prefill_tokens_per_ms: 50.0,
     decode_prefill_tokens_per_ms: 25.0,
+    prompt_base_ms: 12.0,
     transfer_ms_per_k: 0.8,
     handover_ms: 14.0,
     running_ms: 0.5,
@@ -44,7 +45,7 @@
 fn long_prompts_are_processed_by_prefill_engines() {
     let mut engines = fleet();
     engines.iter_mut().for_each(|engine| engine.running = 8);
-    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
     let prefill = choice.plan.prefill.expect("a prefill engine");
     assert_eq!(engines[prefill].stage, place::EngineStage::Prefill);
     assert_eq!(
@@ -60,7 +61,7 @@
     engines[..3]
         .iter_mut()
         .for_each(|engine| engine.usable = false);
-    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
     assert_eq!(choice.plan.prefill, None);
 }
 
@@ -70,7 +71,7 @@
     engines[3..]
         .iter_mut()
         .for_each(|engine| engine.usable = false);
-    assert_eq!(place::choose_plan(1_000, &RATES, &engines), None);
+    assert_eq!(place::choose_plan(1_000, &RATES, &engines, 1), None);
 }
 
 /// Guards against processing a shared part again that another engine holds.
@@ -82,12 +83,33 @@
     // The holder is too busy to process the prompt itself.
     engines[1].running = 12;
     engines[1].backlog_tokens = 90_000;
-    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
     assert_ne!(choice.plan.prefill, Some(1));
     assert_eq!(choice.plan.source, Some(1));
     assert_eq!(choice.uncached_tokens, 3_700);
 }
 
+/// Guards against fetching a hot part always from the same engine, whose transfers run one after
+/// another.
+#[test]
+fn fetches_of_a_hot_part_spread_over_its_holders() {
+    let mut engines: Vec<place::EngineView> = (0..8)
+        .map(|_| engine(place::EngineStage::Prefill, 0))
+        .collect();
+    engines.push(engine(place::EngineStage::Decode, 0));
+    for holder in &mut engines[..4] {
+        holder.cached_tokens = 13_300;
+        holder.ready_tokens = 13_300;
+        holder.running = 12;
+        holder.backlog_tokens = 90_000;
+    }
+    let sources: std::collections::HashSet<Option<usize>> = (0..50)
+        .filter_map(|seed| place::choose_plan(17_000, &RATES, &engines, seed))
+        .map(|choice| choice.plan.source)
+        .collect();
+    assert_eq!(sources.len(), 4, "{sources:?}");
+}
+
 /// Guards against fetching what the source has not processed itself yet.
 #[test]
 fn a_part_that_is_not_processed_yet_is_no_source() {
@@ -95,7 +117,7 @@
     engines[1].cached_tokens = 13_300;
     engines[1].running = 12;
     engines[1].backlog_tokens = 90_000;
-    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
     assert_eq!(choice.plan.source, None);
 }
 
@@ -103,7 +125,7 @@
 #[test]
 fn the_stream_goes_to_a_decode_engine_near_the_prompt() {
     let engines = fleet();
-    let choice = place::choose_plan(17_000, &RATES, &engines).expect("a plan");
+    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
     let prefill = choice.plan.prefill.expect("a prefill engine");
     assert_eq!(engines[prefill].zone, engines[choice.plan.decode].zone);
 }
@@ -126,8 +148,8 @@
         engine.running = 4;
         engine.backlog_tokens = 40_000;
     });
-    let short = place::choose_plan(1_000, &RATES, &engines).expect("a plan");
-    let long = place::choose_plan(12_000, &RATES, &engines).expect("a plan");
+    let short = place::choose_plan(1_000, &RATES, &engines, 1).expect("a plan");
+    let long = place::choose_plan(12_000, &RATES, &engines, 1).expect("a plan");
     assert!(short.wait_ms < long.wait_ms / 4.0, "{short:?} {long:?}");
 }
 
--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -21,9 +21,11 @@
 /// One-way distances inside an availability zone and between zones.
 const NEAR_MS: f64 = 0.2;
 const FAR_MS: f64 = 1.5;
-/// Speeds of the engines; see docs/CAPACITY.md.
-const PREFILL_TOKENS_PER_MS: f64 = 50.0;
-const DECODE_PREFILL_TOKENS_PER_MS: f64 = 25.0;
+/// Speeds of the engines as requests see them; see docs/CAPACITY.md.
+const PREFILL_TOKENS_PER_MS: f64 = 38.0;
+const DECODE_PREFILL_TOKENS_PER_MS: f64 = 19.0;
+/// Time for a prompt besides its tokens: a step of the engine and the way there.
+const PROMPT_BASE_MS: f64 = 12.0;
 /// Time from a prefill to the first token besides the transfer: one step and the set-up of it.
 const HANDOVER_MS: f64 = 14.0;
 /// Time that each running request adds to a step.
@@ -145,7 +147,7 @@
     );
     let tokens = request.prompt_tokens();
     let choice = match prefilled {
-        None => place::choose_plan(tokens, &rates, &views)?,
+        None => place::choose_plan(tokens, &rates, &views, rand::random())?,
         Some(engine) => {
             let is_engine = |target: &rc::Rc<target::TargetState>| rc::Rc::ptr_eq(target, engine);
             let position = targets.iter().position(is_engine)?;
@@ -212,6 +214,7 @@
     place::EngineRates {
         prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
         decode_prefill_tokens_per_ms: DECODE_PREFILL_TOKENS_PER_MS,
+        prompt_base_ms: PROMPT_BASE_MS,
         transfer_ms_per_k,
         handover_ms: HANDOVER_MS,
         running_ms: RUNNING_MS,
--- a/crates/relay/src/dispatch/generate.rs
+++ b/crates/relay/src/dispatch/generate.rs
@@ -42,6 +42,17 @@
     plan: choose::EnginePlan,
     /// Time from the arrival of the request until its prompt was processed elsewhere.
     prefill_ms: u64,
+    /// What was expected when the request was taken in.
+    intake: IntakeView,
+}
+
+/// What was expected of a request when it was taken in, for its log line.
+#[derive(Clone, Copy, Debug, Default)]
+struct IntakeView {
+    uncached_tokens: u64,
+    first_token_ms: f64,
+    wait_ms: f64,
+    is_fetched: bool,
 }
 
 /// What an attempt ends in.
@@ -106,6 +117,7 @@
 ) -> Result<StreamStart, RefusalAnswer> {
     let mut failed_answer = None;
     let mut handle: Option<KvHandle> = None;
+    let mut intake = IntakeView::default();
     loop {
         let prefilled = handle.as_ref().map(|handle| &handle.engine);
         let plan = match choose::engine_plan(state, request, progress, prefilled).await {
@@ -119,6 +131,12 @@
         };
         if handle.is_none() {
             check_intake(request, progress, &plan)?;
+            intake = IntakeView {
+                uncached_tokens: plan.uncached_tokens,
+                first_token_ms: plan.first_token_ms,
+                wait_ms: plan.wait_ms,
+                is_fetched: plan.source.is_some(),
+            };
         }
         if let (None, Some(engine)) = (&handle, &plan.prefill) {
             if let Err(refusal) = attempt::pay_prefill(state, &request.service, progress) {
@@ -151,8 +169,11 @@
                 let message = format!("the engine answered with status {status}");
                 AttemptFailure::broken(message)
             }
-            Ok(started) => {
+            Ok(mut started) => {
                 handle.into_iter().for_each(KvHandle::close);
+                if let StreamStart::Open(_, stream) = &mut started {
+                    stream.intake = intake;
+                }
                 return Ok(started);
             }
             Err(failure) => failure,
@@ -307,6 +328,7 @@
                 first,
                 plan: plan.clone(),
                 prefill_ms: 0,
+                intake: IntakeView::default(),
             };
             Ok(StreamStart::Open(Box::new(head), Box::new(stream)))
         }
@@ -568,7 +590,7 @@
 
     fn log_end(&self, event: &'static str, stream: &OpenStream) {
         let request = &self.request;
-        let plan = &stream.plan;
+        let (plan, intake) = (&stream.plan, &stream.intake);
         let prefill = plan
             .prefill
             .as_ref()
@@ -578,7 +600,8 @@
             id = request.id.as_str(), route = request.route.name.as_str(),
             target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
             sends = self.progress.sends, prompt = request.prompt_tokens(),
-            uncached = plan.uncached_tokens, fetched = plan.source.is_some(), expected_ms = plan.first_token_ms,
+            uncached = intake.uncached_tokens, fetched = intake.is_fetched,
+            expected_ms = intake.first_token_ms, wait_ms = intake.wait_ms,
             prefill_ms = stream.prefill_ms, first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
             config = request.config_version, elapsed_ms = request.elapsed_ms();
             "{event}"
