--- a/crates/daemon/src/dispatch/service.rs
+++ b/crates/daemon/src/dispatch/service.rs
@@ -3,23 +3,11 @@
 use std::time::Duration;
 
 use acaciabank_protocol::{reason, verdict::Verdict, wire};
+use acaciabank_relay::connection;
 use http_body_util::Full;
 
 use super::{RequestWork, attempt, run, sink::CallerSink};
 
-/// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "content-length",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    wire::VERDICT_HEADER,
-];
-
 /// Makes one attempt and streams the answer back.
 pub(super) async fn attempt(
     context: &run::RunContext<'_>,
@@ -63,8 +51,7 @@
 
 fn end_to_end(headers: &http::HeaderMap) -> http::HeaderMap {
     let mut headers = headers.clone();
-    HOP_HEADERS
-        .iter()
-        .for_each(|name| while headers.remove(*name).is_some() {});
+    connection::remove_hop_headers(&mut headers);
+    headers.remove(wire::VERDICT_HEADER);
     headers
 }
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -18,8 +18,10 @@
     net::TcpStream,
 };
 
+mod hop;
 mod limit;
 
+pub use hop::remove_hop_headers;
 pub use limit::WriteLimit;
 
 use limit::WriteGate;
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -184,7 +184,7 @@
     };
     let (head, body) = response.into_parts();
     let answer = state.codec.read_answer(head.status, &head.headers);
-    check_answer(state, request, target, &head, &answer)?;
+    check_answer(request, target, &head, &answer)?;
     Ok(OpenAnswer {
         head,
         terms: answer,
@@ -239,8 +239,7 @@
     }
 }
 
-fn check_answer<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
-    state: &state::SharedState<Codec, Store>,
+fn check_answer(
     request: &RelayRequest,
     target: &rc::Rc<target::TargetState>,
     head: &http::response::Parts,
@@ -257,7 +256,6 @@
         .is_some_and(|id| *id != request.id);
     if is_other {
         metrics::counter!("acaciabank_crossed_answers_total").increment(1);
-        let _ = state;
         return Err(AttemptFailure {
             retry: RetryReason::CrossedAnswer,
             ..AttemptFailure::broken("the target answered another request")
--- /dev/null
+++ b/crates/relay/src/dispatch/generate/handle.rs
@@ -0,0 +1,133 @@
+//! KV caches that one engine hands to another.
+
+use std::{
+    rc,
+    time::{Duration, Instant},
+};
+
+use acaciabank_core::judge;
+use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
+use http_body_util::Full;
+
+use super::MAX_URGENCY;
+use crate::{
+    clock,
+    dispatch::{
+        attempt::{self, AttemptFailure},
+        choose,
+        request::RelayRequest,
+    },
+    edge, state, target,
+    telemetry::RefusalCause,
+};
+
+/// Time to release a KV cache that is not used.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A KV cache that an engine keeps for another one. It is released when dropped unused.
+pub struct KvHandle {
+    /// The engine that keeps it.
+    pub engine: rc::Rc<target::TargetState>,
+    /// Its name there.
+    pub name: String,
+    path: Option<String>,
+}
+
+impl KvHandle {
+    /// The KV cache was taken.
+    pub fn close(mut self) {
+        self.path = None;
+    }
+}
+
+impl Drop for KvHandle {
+    fn drop(&mut self) {
+        let Some(path) = self.path.take() else {
+            return;
+        };
+        let engine = rc::Rc::clone(&self.engine);
+        tokio::task::spawn_local(async move {
+            let released = tokio::time::timeout(RELEASE_TIMEOUT, release(&engine, path)).await;
+            let message = match released {
+                Ok(Ok(())) => return,
+                Ok(Err(message)) => message,
+                Err(_) => "no answer in time".to_owned(),
+            };
+            // The engine drops the KV cache by itself after its lifetime.
+            log::info!(target_id = engine.entry.id.as_str(), error = message.as_str(); "release_failed");
+        });
+    }
+}
+
+async fn release(engine: &target::TargetState, path: String) -> Result<(), String> {
+    let mut connection = engine.open(RELEASE_TIMEOUT).await?;
+    let message = http::Request::delete(path)
+        .header(http::header::HOST, engine.entry.address.to_string())
+        .body(Full::default())
+        .map_err(|error| error.to_string())?;
+    let answer = connection
+        .send(message)
+        .await
+        .map_err(|error| error.to_string())?;
+    let body = http_body_util::BodyExt::collect(answer.into_body()).await;
+    body.map_err(|error| error.to_string())?;
+    engine.pool.put(connection, None);
+    Ok(())
+}
+
+/// Has an engine process the prompt. A prompt that was processed has not run.
+pub async fn prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    plan: &choose::EnginePlan,
+    engine: &rc::Rc<target::TargetState>,
+    until: Instant,
+) -> Result<KvHandle, AttemptFailure> {
+    let work = target::TargetWork::start(engine, plan.uncached_tokens, 0);
+    state.record_parts(engine, &request.parts, plan.prompt_ms as u64);
+    let terms = edge::SendTerms {
+        target_id: &engine.entry.id,
+        deadline_ms: request.left_ms(),
+        urgency: Some(request.route.priority.min(MAX_URGENCY)),
+        work: edge::SendWork::Prefill,
+        fetch_from: plan.source,
+        last_event: None,
+    };
+    let not_run = |failure: AttemptFailure| AttemptFailure {
+        verdict: Verdict::NotRun,
+        ..failure
+    };
+    let answer = attempt::exchange(state, request, engine, &terms, until)
+        .await
+        .map_err(not_run)?;
+    let record = |outcome| engine.judge.borrow_mut().record(outcome, clock::now_ms());
+    let failed = |message: &str| AttemptFailure {
+        verdict: Verdict::NotRun,
+        retry: RetryReason::ConnectionBroken,
+        cause: RefusalCause::TargetFailed,
+        message: message.to_owned(),
+    };
+    match answer.collect(until).await {
+        Ok((head, body)) if head.status == http::StatusCode::OK => {
+            work.end_prefill();
+            record(judge::TargetOutcome::Answered);
+            let name = state
+                .codec
+                .read_handle(&body)
+                .ok_or(failed("no handle in the answer"))?;
+            Ok(KvHandle {
+                engine: rc::Rc::clone(engine),
+                path: Some(state.codec.handle_path(&name)),
+                name,
+            })
+        }
+        Ok((head, _)) => {
+            record(judge::TargetOutcome::Failed);
+            Err(failed(&format!("prefill: status {}", head.status)))
+        }
+        Err(error) => {
+            record(judge::TargetOutcome::Failed);
+            Err(failed(&format!("prefill: {error:?}")))
+        }
+    }
+}
--- a/crates/relay/src/dispatch/generate.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -1,4 +1,7 @@
-//! Generation requests: the prompt and the stream at one engine or at two, and resumption.
+//! Generation requests: the prompt and the stream at one engine or at two.
+
+mod handle;
+mod pump;
 
 use std::{
     io, rc,
@@ -6,7 +9,7 @@
 };
 
 use acaciabank_core::{judge, refuse};
-use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
+use acaciabank_protocol::reason::RetryReason;
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{Either, Full, StreamBody};
@@ -19,19 +22,14 @@
     events::{EventReader, ReadError},
     refusal::{RefusalAnswer, Reply},
     request::{RelayRequest, RequestProgress},
-    service::remove_hop_headers,
 };
-use crate::{clock, connection, edge, state, target, telemetry, telemetry::RefusalCause};
+use crate::{clock, connection, edge, state, target, telemetry::RefusalCause};
+use handle::KvHandle;
 
 /// Parts of a stream that wait for the caller; a caller that does not read stops the engine.
 const CHANNEL_PARTS: usize = 8;
-/// Longest silence of an engine in a stream that another engine can go on with. Callers leave after
-/// two seconds.
-const MAX_GAP: Duration = Duration::from_millis(1_000);
 /// Time for the first event of such a stream, besides twice the expected one.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_500);
-/// Time to release a KV cache that is not used.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A stream whose first events have arrived.
 struct OpenStream {
@@ -83,7 +81,7 @@
         StreamStart::Open(head, stream) => (head, stream),
     };
     let (sender, receiver) = mpsc::channel(CHANNEL_PARTS);
-    let pump = StreamPump {
+    let pump = pump::StreamPump {
         state: rc::Rc::clone(state),
         request,
         progress,
@@ -104,7 +102,7 @@
     let mut reply = http::Response::new(Either::Right(StreamBody::new(parts.boxed_local())));
     *reply.status_mut() = head.status;
     *reply.headers_mut() = head.headers;
-    remove_hop_headers(reply.headers_mut());
+    connection::remove_hop_headers(reply.headers_mut());
     reply
 }
 
@@ -143,7 +141,7 @@
                 return failed_answer.ok_or(refusal);
             }
             let until = first_event_until(request, progress, &plan);
-            let result = prefill(state, request, &plan, engine, until).await;
+            let result = handle::prefill(state, request, &plan, engine, until).await;
             attempt::count_prefill(state, &request.service, progress, result.is_ok());
             match result {
                 Ok(taken) => handle = Some(taken),
@@ -306,7 +304,7 @@
         return match answer.collect(request.deadline).await {
             Ok((head, body)) => {
                 let mut reply = http::Response::from_parts(head, Either::Left(Full::new(body)));
-                remove_hop_headers(reply.headers_mut());
+                connection::remove_hop_headers(reply.headers_mut());
                 Ok(StreamStart::Answered(reply, status))
             }
             Err(_) => Err(AttemptFailure::broken("the answer broke off")),
@@ -345,266 +343,3 @@
         ReadError::Late => AttemptFailure::timeout(request),
     }
 }
-
-/// A KV cache that an engine keeps for another one. It is released when dropped unused.
-struct KvHandle {
-    engine: rc::Rc<target::TargetState>,
-    name: String,
-    path: Option<String>,
-}
-
-impl KvHandle {
-    /// The KV cache was taken.
-    fn close(mut self) {
-        self.path = None;
-    }
-}
-
-impl Drop for KvHandle {
-    fn drop(&mut self) {
-        let Some(path) = self.path.take() else {
-            return;
-        };
-        let engine = rc::Rc::clone(&self.engine);
-        tokio::task::spawn_local(async move {
-            let released = tokio::time::timeout(RELEASE_TIMEOUT, release(&engine, path)).await;
-            let message = match released {
-                Ok(Ok(())) => return,
-                Ok(Err(message)) => message,
-                Err(_) => "no answer in time".to_owned(),
-            };
-            // The engine drops the KV cache by itself after its lifetime.
-            log::info!(target_id = engine.entry.id.as_str(), error = message.as_str(); "release_failed");
-        });
-    }
-}
-
-async fn release(engine: &target::TargetState, path: String) -> Result<(), String> {
-    let mut connection = match engine.pool.take() {
-        Some(connection) => connection,
-        None => connection::TargetConnection::connect(engine.entry.address, RELEASE_TIMEOUT)
-            .await
-            .map_err(|error| error.to_string())?,
-    };
-    let message = http::Request::delete(path)
-        .header(http::header::HOST, engine.entry.address.to_string())
-        .body(Full::default())
-        .map_err(|error| error.to_string())?;
-    let answer = connection
-        .send(message)
-        .await
-        .map_err(|error| error.to_string())?;
-    let body = http_body_util::BodyExt::collect(answer.into_body()).await;
-    body.map_err(|error| error.to_string())?;
-    engine.pool.put(connection, None);
-    Ok(())
-}
-
-/// Has an engine process the prompt. A prompt that was processed has not run.
-async fn prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
-    state: &state::SharedState<Codec, Store>,
-    request: &RelayRequest,
-    plan: &choose::EnginePlan,
-    engine: &rc::Rc<target::TargetState>,
-    until: Instant,
-) -> Result<KvHandle, AttemptFailure> {
-    let work = target::TargetWork::start(engine, plan.uncached_tokens, 0);
-    state.record_parts(engine, &request.parts, plan.prompt_ms as u64);
-    let terms = edge::SendTerms {
-        target_id: &engine.entry.id,
-        deadline_ms: request.left_ms(),
-        urgency: Some(request.route.priority.min(MAX_URGENCY)),
-        work: edge::SendWork::Prefill,
-        fetch_from: plan.source,
-        last_event: None,
-    };
-    let not_run = |failure: AttemptFailure| AttemptFailure {
-        verdict: Verdict::NotRun,
-        ..failure
-    };
-    let answer = attempt::exchange(state, request, engine, &terms, until)
-        .await
-        .map_err(not_run)?;
-    let record = |outcome| engine.judge.borrow_mut().record(outcome, clock::now_ms());
-    let failed = |message: &str| AttemptFailure {
-        verdict: Verdict::NotRun,
-        retry: RetryReason::ConnectionBroken,
-        cause: RefusalCause::TargetFailed,
-        message: message.to_owned(),
-    };
-    match answer.collect(until).await {
-        Ok((head, body)) if head.status == http::StatusCode::OK => {
-            work.end_prefill();
-            record(judge::TargetOutcome::Answered);
-            let name = state
-                .codec
-                .read_handle(&body)
-                .ok_or(failed("no handle in the answer"))?;
-            Ok(KvHandle {
-                engine: rc::Rc::clone(engine),
-                path: Some(state.codec.handle_path(&name)),
-                name,
-            })
-        }
-        Ok((head, _)) => {
-            record(judge::TargetOutcome::Failed);
-            Err(failed(&format!("prefill: status {}", head.status)))
-        }
-        Err(error) => {
-            record(judge::TargetOutcome::Failed);
-            Err(failed(&format!("prefill: {error:?}")))
-        }
-    }
-}
-
-/// Forwards a stream to its caller.
-struct StreamPump<Codec, Store> {
-    state: state::SharedState<Codec, Store>,
-    request: rc::Rc<RelayRequest>,
-    progress: RequestProgress,
-    sender: mpsc::Sender<StreamPart>,
-    first_event: Instant,
-}
-
-/// How a stream at one engine ended.
-enum StreamEnd {
-    /// Its last event was forwarded.
-    Complete,
-    /// The caller left.
-    Left,
-    /// It broke.
-    Failed(AttemptFailure),
-}
-
-impl<Codec: edge::CodecEdge, Store: edge::StoreEdge> StreamPump<Codec, Store> {
-    async fn run(mut self, mut stream: OpenStream) {
-        loop {
-            let end = self.forward(&mut stream).await;
-            let failure = match end {
-                StreamEnd::Complete => return self.complete(stream),
-                StreamEnd::Left => return self.log_end("caller_left", &stream),
-                StreamEnd::Failed(failure) => failure,
-            };
-            let target = rc::Rc::clone(&stream.plan.decode);
-            target
-                .judge
-                .borrow_mut()
-                .record(judge::TargetOutcome::Failed, clock::now_ms());
-            let last_event = stream.reader.last_id();
-            self.log_end("stream_broken", &stream);
-            // Closes the connection, so that the engine stops before another one goes on.
-            drop(stream);
-            match self.resume(&target, failure, last_event).await {
-                Some(next) => stream = next,
-                None => return self.abort().await,
-            }
-        }
-    }
-
-    async fn forward(&self, stream: &mut OpenStream) -> StreamEnd {
-        let mut part = Ok(stream.first.take());
-        loop {
-            match part {
-                Ok(Some(events)) => {
-                    if self.sender.send(Ok(Frame::data(events))).await.is_err() {
-                        return StreamEnd::Left;
-                    }
-                }
-                Ok(None) => return StreamEnd::Complete,
-                Err(error) => return StreamEnd::Failed(read_failure(&self.request, error)),
-            }
-            part = tokio::select! {
-                () = self.sender.closed() => return StreamEnd::Left,
-                part = stream.reader.next(self.next_until()) => part,
-            };
-        }
-    }
-
-    fn next_until(&self) -> Instant {
-        match may_go_on(&self.request, &self.progress) {
-            true => self.request.deadline.min(Instant::now() + MAX_GAP),
-            false => self.request.deadline,
-        }
-    }
-
-    /// Goes on with the stream at another engine.
-    async fn resume(
-        &mut self,
-        target: &target::TargetState,
-        failure: AttemptFailure,
-        last_event: Option<u64>,
-    ) -> Option<OpenStream> {
-        let (state, request) = (&self.state, &self.request);
-        let decided = attempt::decide_retry(state, request, target, &mut self.progress, &failure);
-        let started = match decided {
-            Ok(()) => {
-                let start = start(state, request, &mut self.progress, last_event);
-                tokio::select! {
-                    () = self.sender.closed() => return None,
-                    started = start => started,
-                }
-            }
-            Err(refusal) => Err(refusal),
-        };
-        match started {
-            Ok(StreamStart::Open(_, stream)) => {
-                telemetry::count_retry(RetryReason::StreamResumed);
-                log::info!(
-                    id = request.id.as_str(), last_event = last_event.unwrap_or(0),
-                    target_id = stream.plan.decode.entry.id.as_str();
-                    "stream_resumed"
-                );
-                Some(*stream)
-            }
-            Ok(StreamStart::Answered(_, status)) => {
-                log::info!(id = request.id.as_str(), status = status.as_u16(); "resume_failed");
-                None
-            }
-            Err(refusal) => {
-                log::info!(id = request.id.as_str(), cause = refusal.cause.as_str(); "resume_failed");
-                None
-            }
-        }
-    }
-
-    fn complete(self, stream: OpenStream) {
-        let judge = &stream.plan.decode.judge;
-        judge
-            .borrow_mut()
-            .record(judge::TargetOutcome::Answered, clock::now_ms());
-        telemetry::record_latency(
-            &self.request.route.name,
-            self.first_event - self.request.arrival,
-        );
-        self.log_end("answered", &stream);
-        stream.connection.close();
-        drop(stream.work);
-    }
-
-    /// Breaks the connection to the caller off, so that the stream does not look complete.
-    async fn abort(self) {
-        let error = io::Error::other("the stream broke off");
-        // The caller may have left in the meantime.
-        let _ = self.sender.send(Err(error)).await;
-    }
-
-    fn log_end(&self, event: &'static str, stream: &OpenStream) {
-        let request = &self.request;
-        let (plan, intake) = (&stream.plan, &stream.intake);
-        let prefill = plan
-            .prefill
-            .as_ref()
-            .map_or("", |engine| engine.entry.id.as_str());
-        let first_ms = (self.first_event - request.arrival).as_millis() as u64;
-        log::info!(
-            id = request.id.as_str(), route = request.route.name.as_str(),
-            target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
-            sends = self.progress.sends, prompt = request.prompt_tokens(),
-            uncached = intake.uncached_tokens, fetched = intake.is_fetched,
-            expected_ms = intake.first_token_ms, wait_ms = intake.wait_ms,
-            prefill_ms = stream.prefill_ms, first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
-            config = request.config_version, elapsed_ms = request.elapsed_ms();
-            "{event}"
-        );
-    }
-}
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -15,7 +15,7 @@
     refusal::{RefusalAnswer, Reply},
     request::{RelayRequest, RequestProgress},
 };
-use crate::{clock, edge, state, target, telemetry};
+use crate::{clock, connection, edge, state, target, telemetry};
 
 /// Share of the target latency after which an idempotent request is given up at a target that has
 /// not answered, while another one may still answer in time.
@@ -113,29 +113,10 @@
     let mut reply = http::Response::new(Either::Left(Full::new(body)));
     *reply.status_mut() = head.status;
     *reply.headers_mut() = head.headers;
-    remove_hop_headers(reply.headers_mut());
+    connection::remove_hop_headers(reply.headers_mut());
     reply
 }
 
-/// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [&str; 8] = [
-    "connection",
-    "content-length",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Removes the headers that belong to one connection.
-pub fn remove_hop_headers(headers: &mut http::HeaderMap) {
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
-}
-
 fn log_end(
     request: &RelayRequest,
     target: &target::TargetState,
--- a/crates/relay/src/planner/order.rs
+++ b/crates/relay/src/planner/order.rs
@@ -16,7 +16,7 @@
     target: &target::TargetState,
 ) -> Result<edge::EngineReport, String> {
     let call = async {
-        let mut connection = open(target).await?;
+        let mut connection = target.open(CALL_TIMEOUT).await?;
         let message = http::Request::get(state.codec.report_path())
             .header(http::header::HOST, target.entry.address.to_string())
             .body(Full::default())
@@ -40,15 +40,6 @@
     }
 }
 
-async fn open(target: &target::TargetState) -> Result<connection::TargetConnection, String> {
-    match target.pool.take() {
-        Some(connection) => Ok(connection),
-        None => connection::TargetConnection::connect(target.entry.address, CALL_TIMEOUT)
-            .await
-            .map_err(|error| error.to_string()),
-    }
-}
-
 /// Sends an order. Nothing is written after `act_until_ms`, when another daemon may hold the lease.
 pub async fn send_order<Codec: edge::CodecEdge, Store>(
     state: &state::RelayState<Codec, Store>,
@@ -56,7 +47,7 @@
     terms: &edge::OrderTerms<'_>,
     act_until_ms: u64,
 ) -> edge::OrderAnswer {
-    let Ok(mut connection) = open(target).await else {
+    let Ok(mut connection) = target.open(CALL_TIMEOUT).await else {
         return edge::OrderAnswer::Unsent;
     };
     let mut message = http::Request::new(Full::new(Bytes::from(state.codec.write_order(terms))));
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc,
+    time::Duration,
 };
 
 use acaciabank_core::{judge, parts, place};
@@ -73,6 +74,16 @@
         }
     }
 
+    /// An idle connection, or a new one that opens within `timeout`.
+    pub async fn open(&self, timeout: Duration) -> Result<connection::TargetConnection, String> {
+        match self.pool.take() {
+            Some(connection) => Ok(connection),
+            None => connection::TargetConnection::connect(self.entry.address, timeout)
+                .await
+                .map_err(|error| error.to_string()),
+        }
+    }
+
     /// Stage in force, or the one that it is changing to.
     pub fn stage(&self, now_ms: u64) -> Option<place::EngineStage> {
         let ordered = self
