Pay for every counted call before it is made; leave replaced and refusing targets alone

Change: a ledger of a request's calls says what is due before each one; an answer of another incarnation ends sending to the old one, and a refusal pauses the target for 150 ms.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -1,8 +1,10 @@
 //! Retry budget: retries are limited to a share of the requests, so that a failing fleet is not
 //! loaded further by repeated work.
 
+mod ledger;
 mod window;
 
+pub use ledger::{CallLedger, CallOutcome};
 pub use window::{BudgetTerms, WindowBudget};
 
 /// Retries allowed before any request has been recorded, and in an idle daemon.
--- a/crates/core/src/budget/window.rs
+++ b/crates/core/src/budget/window.rs
@@ -41,13 +41,8 @@
         if self.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
-        self.spend(now_ms);
-        true
-    }
-
-    /// Counts a retry that is made whatever the budget.
-    pub fn spend(&mut self, now_ms: u64) {
         self.retries.push_back(now_ms);
+        true
     }
 
     /// Takes back the last retry.
--- a/crates/core/tests/stage.rs
+++ b/crates/core/tests/stage.rs
@@ -280,3 +280,55 @@
     assert_eq!(planner.next_change(5_000, &engines), None);
     assert!(planner.next_change(26_000, &engines).is_some());
 }
+
+/// What the rules count for a request: calls that reach a target beyond the first, without the first
+/// accepted call that only has the prompt processed.
+fn counted(calls: &[(bool, budget::CallOutcome)]) -> u32 {
+    let mut count = 0;
+    let mut has_prefill = false;
+    for (is_prefill, outcome) in calls {
+        let is_free = *is_prefill && *outcome == budget::CallOutcome::Accepted && !has_prefill;
+        has_prefill |= is_free;
+        count += u32::from(*outcome != budget::CallOutcome::Unsent && !is_free);
+    }
+    count.saturating_sub(1)
+}
+
+/// Guards against calls that the rules count and nobody pays for, such as prompts that one engine
+/// after the other refuses, in every course of five calls.
+#[test]
+fn every_counted_call_is_paid_for_before_it_is_made() {
+    let outcomes = [
+        budget::CallOutcome::Unsent,
+        budget::CallOutcome::Accepted,
+        budget::CallOutcome::Failed,
+    ];
+    let kinds: Vec<(bool, budget::CallOutcome)> = [true, false]
+        .iter()
+        .flat_map(|is_prefill| outcomes.map(|outcome| (*is_prefill, outcome)))
+        .collect();
+    for course in 0..kinds.len().pow(5) {
+        let calls: Vec<_> = (0..5)
+            .map(|step| kinds[course / kinds.len().pow(step) % kinds.len()])
+            .collect();
+        let mut ledger = budget::CallLedger::default();
+        let mut paid = 0;
+        for (number, (is_prefill, outcome)) in calls.iter().enumerate() {
+            let is_due = match is_prefill {
+                true => ledger.is_prefill_due(),
+                false => ledger.is_due(),
+            };
+            if is_due {
+                ledger.record_payment();
+                paid += 1;
+            }
+            assert!(paid >= counted(&calls[..=number]), "{calls:?}");
+            let is_returned = match is_prefill {
+                true => ledger.settle_prefill(*outcome),
+                false => ledger.settle_run(*outcome),
+            };
+            paid -= u32::from(is_returned);
+            assert!(paid >= counted(&calls[..=number]), "{calls:?}");
+        }
+    }
+}
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_core::judge;
+use acaciabank_core::{budget, judge};
 use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -248,6 +248,7 @@
     let record = |outcome| target.judge.borrow_mut().record(outcome, clock::now_ms());
     if answer.not_run {
         record(judge::TargetOutcome::Refused);
+        leave_alone(target, answer);
         return Err(AttemptFailure::refused(head.status));
     }
     let is_other = answer
@@ -264,6 +265,27 @@
     Ok(())
 }
 
+/// Time for which a target that has refused is left alone: it is full, or changes its stage.
+const REFUSED_PAUSE_MS: u64 = 150;
+
+/// Sends nothing more to an incarnation whose address another one has, and for a moment nothing to
+/// one that refuses: every refusal costs the retry budget.
+fn leave_alone(target: &target::TargetState, answer: &edge::AnswerTerms) {
+    let is_other = answer
+        .instance
+        .as_ref()
+        .is_some_and(|id| *id != target.entry.id);
+    if is_other {
+        target.is_replaced.set(true);
+        log::info!(target_id = target.entry.id.as_str(), instance:? = answer.instance; "target_replaced");
+        return;
+    }
+    let until_ms = clock::now_ms() + REFUSED_PAUSE_MS;
+    target
+        .paused_until_ms
+        .set(target.paused_until_ms.get().max(until_ms));
+}
+
 /// Counts a crash when the target no longer accepts connections: a connection also breaks for other
 /// reasons.
 fn confirm_crash<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
@@ -296,8 +318,7 @@
 }
 
 /// Records a failure and decides whether another attempt may be made.
-pub fn decide_retry<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
-    state: &state::SharedState<Codec, Store>,
+pub fn decide_retry(
     request: &RelayRequest,
     target: &target::TargetState,
     progress: &mut RequestProgress,
@@ -312,9 +333,6 @@
     progress.verdict = progress.verdict.and(failure.verdict);
     progress.avoided.push(target.hash);
     progress.runs += u32::from(failure.verdict != Verdict::NotRun);
-    if failure.is_unsent() {
-        refund_run(state, &request.service, progress);
-    }
     let is_over = request.left().is_zero();
     let refuse = |cause| {
         let cause = if is_over {
@@ -340,67 +358,55 @@
     Ok(())
 }
 
-/// Pays for a call that runs the request, unless it is the first one.
-pub fn pay_run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
-    state: &state::RelayState<Codec, Store>,
-    service: &str,
-    progress: &mut RequestProgress,
-) -> Result<(), RefusalAnswer> {
-    if progress.arrivals > 0 && !state.try_spend_retry(service) {
-        return Err(RefusalAnswer::after(
-            RefusalCause::BudgetSpent,
-            progress.verdict,
-        ));
-    }
-    progress.arrivals += 1;
-    Ok(())
+/// Which kind of call is paid for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// One that runs the request.
+    Run,
+    /// One that only has the prompt processed.
+    Prefill,
 }
 
-/// Takes back a call that has reached no target.
-fn refund_run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+/// Pays for the next call.
+pub fn pay<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::RelayState<Codec, Store>,
-    service: &str,
+    request: &RelayRequest,
     progress: &mut RequestProgress,
-) {
-    progress.arrivals = progress.arrivals.saturating_sub(1);
-    if progress.arrivals > 0 {
-        state.refund_retry(service);
-    }
-}
-
-/// Pays for a call that only has the prompt processed, unless it is the first one.
-pub fn pay_prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
-    state: &state::RelayState<Codec, Store>,
-    service: &str,
-    progress: &RequestProgress,
+    kind: CallKind,
 ) -> Result<(), RefusalAnswer> {
-    match progress.has_prefill && !state.try_spend_retry(service) {
-        true => Err(RefusalAnswer::after(
-            RefusalCause::BudgetSpent,
-            progress.verdict,
-        )),
-        false => Ok(()),
+    let is_due = match kind {
+        CallKind::Run => progress.ledger.is_due(),
+        CallKind::Prefill => progress.ledger.is_prefill_due(),
+    };
+    if !is_due {
+        return Ok(());
+    }
+    if !state.try_spend_retry(&request.service) {
+        let cause = RefusalCause::BudgetSpent;
+        return Err(RefusalAnswer::after(cause, progress.verdict));
     }
+    progress.ledger.record_payment();
+    Ok(())
 }
 
-/// Counts the outcome of such a call: the first one that an engine accepts is free, a failed one
-/// counts like a run.
-pub fn count_prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+/// Records how the call ended, and takes its payment back where it was free after all.
+pub fn settle<Codec: edge::CodecEdge, Store: edge::StoreEdge, Answer>(
     state: &state::RelayState<Codec, Store>,
-    service: &str,
+    request: &RelayRequest,
     progress: &mut RequestProgress,
-    is_accepted: bool,
+    kind: CallKind,
+    result: &Result<Answer, AttemptFailure>,
 ) {
-    if progress.has_prefill {
-        // It was paid for.
-        return;
-    }
-    if is_accepted {
-        progress.has_prefill = true;
-        return;
-    }
-    if progress.arrivals > 0 {
-        state.spend_retry(service);
+    let outcome = match result {
+        Ok(_) => budget::CallOutcome::Accepted,
+        Err(failure) if failure.is_unsent() => budget::CallOutcome::Unsent,
+        Err(_) => budget::CallOutcome::Failed,
+    };
+    let is_returned = match kind {
+        CallKind::Run => progress.ledger.settle_run(outcome),
+        CallKind::Prefill => progress.ledger.settle_prefill(outcome),
+    };
+    if is_returned {
+        state.refund_retry(&request.service);
     }
-    progress.arrivals += 1;
 }
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -137,16 +137,17 @@
             };
         }
         if let (None, Some(engine)) = (&handle, &plan.prefill) {
-            if let Err(refusal) = attempt::pay_prefill(state, &request.service, progress) {
+            let kind = attempt::CallKind::Prefill;
+            if let Err(refusal) = attempt::pay(state, request, progress, kind) {
                 return failed_answer.ok_or(refusal);
             }
             let until = first_event_until(request, progress, &plan);
             let result = handle::prefill(state, request, &plan, engine, until).await;
-            attempt::count_prefill(state, &request.service, progress, result.is_ok());
+            attempt::settle(state, request, progress, kind, &result);
             match result {
                 Ok(taken) => handle = Some(taken),
                 Err(failure) => {
-                    let decided = attempt::decide_retry(state, request, engine, progress, &failure);
+                    let decided = attempt::decide_retry(request, engine, progress, &failure);
                     if let Err(refusal) = decided {
                         return failed_answer.ok_or(refusal);
                     }
@@ -154,11 +155,13 @@
             }
             continue;
         }
-        if let Err(refusal) = attempt::pay_run(state, &request.service, progress) {
+        let kind = attempt::CallKind::Run;
+        if let Err(refusal) = attempt::pay(state, request, progress, kind) {
             return failed_answer.ok_or(refusal);
         }
         progress.sends += 1;
         let result = attempt(state, request, progress, &plan, handle.as_ref(), last_event).await;
+        attempt::settle(state, request, progress, kind, &result);
         let failure = match result {
             Ok(StreamStart::Answered(reply, status))
                 if status.is_server_error() && request.route.kind.is_repeatable() =>
@@ -181,7 +184,7 @@
         if !may_keep {
             handle = None;
         }
-        let decided = attempt::decide_retry(state, request, &plan.decode, progress, &failure);
+        let decided = attempt::decide_retry(request, &plan.decode, progress, &failure);
         if let Err(refusal) = decided {
             return failed_answer.ok_or(refusal);
         }
@@ -201,7 +204,7 @@
         target_latency_ms: request.route.target_latency_ms,
         priority: request.route.priority,
         left_ms: request.left_ms(),
-        is_return: progress.arrivals > 0 || progress.has_prefill,
+        is_return: progress.ledger.has_calls(),
     };
     let decided = refuse::decide(&terms, plan.wait_ms, plan.first_token_ms, rand::random());
     let refuse::IntakeVerdict::Refuse { retry_after_ms } = decided else {
--- a/crates/relay/src/dispatch/generate/pump.rs
+++ b/crates/relay/src/dispatch/generate/pump.rs
@@ -104,7 +104,7 @@
         last_event: Option<u64>,
     ) -> Option<OpenStream> {
         let (state, request) = (&self.state, &self.request);
-        let decided = attempt::decide_retry(state, request, target, &mut self.progress, &failure);
+        let decided = attempt::decide_retry(request, target, &mut self.progress, &failure);
         let started = match decided {
             Ok(()) => {
                 let start = start(state, request, &mut self.progress, last_event);
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use acaciabank_core::parts;
+use acaciabank_core::{budget, parts};
 use acaciabank_protocol::verdict::Verdict;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -157,10 +157,8 @@
     pub runs: u32,
     /// Requests that were sent to targets.
     pub sends: u32,
-    /// Calls to targets that the retry budget counts; the first one is free.
-    pub arrivals: u32,
-    /// Whether an engine has processed the prompt for another one; the first such call is free.
-    pub has_prefill: bool,
+    /// Calls and what they cost the retry budget.
+    pub ledger: budget::CallLedger,
     /// Short names of the targets that failed it.
     pub avoided: Vec<u64>,
 }
@@ -171,8 +169,7 @@
             verdict: Verdict::NotRun,
             runs: 0,
             sends: 0,
-            arrivals: 0,
-            has_prefill: false,
+            ledger: budget::CallLedger::default(),
             avoided: Vec::new(),
         }
     }
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -33,11 +33,14 @@
             Ok(target) => target,
             Err(refusal) => return failed_answer.ok_or(refusal),
         };
-        if let Err(refusal) = attempt::pay_run(state, &request.service, &mut progress) {
+        let kind = attempt::CallKind::Run;
+        if let Err(refusal) = attempt::pay(state, request, &mut progress, kind) {
             return failed_answer.ok_or(refusal);
         }
         progress.sends += 1;
-        let failure = match attempt(state, request, &progress, &target).await {
+        let result = attempt(state, request, &progress, &target).await;
+        attempt::settle(state, request, &mut progress, kind, &result);
+        let failure = match result {
             Ok((head, body)) => {
                 let is_last = !head.status.is_server_error() || !request.route.kind.is_repeatable();
                 let status = head.status;
@@ -51,9 +54,7 @@
             }
             Err(failure) => failure,
         };
-        if let Err(refusal) =
-            attempt::decide_retry(state, request, &target, &mut progress, &failure)
-        {
+        if let Err(refusal) = attempt::decide_retry(request, &target, &mut progress, &failure) {
             return failed_answer.ok_or(refusal);
         }
     }
--- a/crates/relay/src/edge/mod.rs
+++ b/crates/relay/src/edge/mod.rs
@@ -76,6 +76,8 @@
     pub attempt_id: Option<String>,
     /// Whether the target states that it has not run the request.
     pub not_run: bool,
+    /// Incarnation that answers, where it says so.
+    pub instance: Option<String>,
     /// Whether the answer bears the target's signature.
     pub signed: bool,
     /// Whole seconds for which the target keeps an idle connection.
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -239,12 +239,6 @@
         self.with_budget(service, |budget| budget.try_spend(terms, part, now_ms))
     }
 
-    /// Counts a retry that could not be foreseen.
-    pub fn spend_retry(&self, service: &str) {
-        let now_ms = crate::clock::now_ms();
-        self.with_budget(service, |budget| budget.spend(now_ms));
-    }
-
     /// Takes back the last retry: it has reached no target.
     pub fn refund_retry(&self, service: &str) {
         self.with_budget(service, budget::WindowBudget::refund);
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -29,6 +29,10 @@
     pub is_leaving: Cell<bool>,
     /// Time until which it takes no new work because its stage changes.
     pub away_until_ms: Cell<u64>,
+    /// Time until which it is left alone because it has refused a request.
+    pub paused_until_ms: Cell<u64>,
+    /// Whether another incarnation has its address.
+    pub is_replaced: Cell<bool>,
     /// Idle connections.
     pub pool: connection::IdlePool,
     /// Requests of this daemon that run there.
@@ -52,6 +56,8 @@
             ordered: Cell::new(None),
             is_leaving: Cell::new(entry.is_draining),
             away_until_ms: Cell::new(0),
+            paused_until_ms: Cell::new(0),
+            is_replaced: Cell::new(false),
             pool: connection::IdlePool::default(),
             running: Cell::new(0),
             backlog: Cell::new(0),
@@ -97,8 +103,9 @@
 
     /// Whether it takes new work and its standing allows it.
     pub fn is_accepting(&self, now_ms: u64) -> bool {
-        let is_here = !self.is_leaving.get() && now_ms >= self.away_until_ms.get();
-        is_here && self.judge.borrow().is_in(now_ms)
+        let is_here = !self.is_leaving.get() && !self.is_replaced.get();
+        let is_free = now_ms >= self.away_until_ms.get().max(self.paused_until_ms.get());
+        is_here && is_free && self.judge.borrow().is_in(now_ms)
     }
 }
 
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -232,6 +232,7 @@
     /// A refusal that states that the request was not run.
     fn refusal(&self, status: StatusCode, attempt: &str) -> Response<web::ReplyBody> {
         let mut reply = web::error_reply(status, "refused");
+        set(&mut reply, "x-acaciabank-instance-id", &self.options.id);
         set(&mut reply, "x-acaciabank-not-executed", "1");
         set(&mut reply, "x-acaciabank-attempt-id", attempt);
         self.journal
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -15,7 +15,7 @@
 
 /// A process and its address.
 pub struct Member {
-    _process: harness::Process,
+    pub process: harness::Process,
     pub address: net::SocketAddr,
 }
 
@@ -44,10 +44,7 @@
         let process = process.expect("store");
         let peer_port = address.port();
         Self {
-            store: Member {
-                _process: process,
-                address,
-            },
+            store: Member { process, address },
             launcher,
             peer_port,
             relays: 0,
@@ -57,6 +54,17 @@
     /// A runner of a plain service, or an engine with a stage.
     pub async fn runner(&self, id: &str, service: &str, stage: Option<&str>) -> Member {
         let address = self.launcher.next_address().expect("address");
+        self.runner_at(address, id, service, stage).await
+    }
+
+    /// The same at a given address.
+    pub async fn runner_at(
+        &self,
+        address: net::SocketAddr,
+        id: &str,
+        service: &str,
+        stage: Option<&str>,
+    ) -> Member {
         let journal = self.launcher.journal_file(id).display().to_string();
         let mut arguments = vec![
             "--listen".to_owned(),
@@ -77,7 +85,7 @@
         );
         let process = self.launcher.start_ready(id, "runner", arguments).await;
         Member {
-            _process: process.expect("runner"),
+            process: process.expect("runner"),
             address,
         }
     }
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -162,3 +162,32 @@
     assert_eq!(holders.len(), 1, "{holders:?}");
     drop((first, second));
 }
+
+/// Guards against sending again and again to an incarnation whose address another one has: each
+/// refusal costs the retry budget, and one bench day broke it so.
+#[tokio::test]
+async fn a_replaced_runner_is_left_alone_after_one_refusal() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let mut old = fixture.runner("r-1", "ledger", None).await;
+    let relay = fixture.relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    old.process.kill();
+    // The entry of the old incarnation is still listed.
+    let new = fixture.runner_at(old.address, "r-2", "ledger", None).await;
+    relay.wait_serving("/safe/a").await;
+    for number in 0..10 {
+        let attempt = format!("a-{number}");
+        let answer = relay
+            .send("GET", "/safe/a", &attempt, &[], "")
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    let entries = new.journal().await;
+    let refused = entries
+        .iter()
+        .filter(|entry| entry["status"] == 421)
+        .count();
+    assert!(refused <= 1, "{refused} requests for the old incarnation");
+}
