Tell all that was read from the store; read it again after a silence

Change: who tells a fresh reading tells all changes that it has read; only the two watching daemons tell them; after a silence of one of them a daemon reads the store itself.

--- a/crates/relay/src/edge/mod.rs
+++ b/crates/relay/src/edge/mod.rs
@@ -149,7 +149,7 @@
 }
 
 /// Changes of the list of targets.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct TargetChanges {
     /// Whether `present` is the whole list.
     pub is_complete: bool,
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -92,7 +92,7 @@
             continue;
         }
         let interval = REPORT_INTERVAL * u32::try_from(turns).unwrap_or(1);
-        let report = build_report(state, now_ms, interval);
+        let report = build_report(state, now_ms, interval, rank < watch::WATCHERS);
         match postcard::to_stdvec(&report) {
             Ok(datagram) => send_all(state, socket, &datagram, &due).await,
             Err(error) => log::error!("a report cannot be encoded: {error}"),
@@ -124,6 +124,7 @@
     state: &state::RelayState<Codec, Store>,
     now_ms: u64,
     interval: Duration,
+    is_watcher: bool,
 ) -> PeerReport {
     let number = NUMBER.get() + 1;
     NUMBER.set(number);
@@ -139,11 +140,15 @@
         is_leaving: state.phase.get() == state::RelayPhase::Draining,
         config_version: state.config_version(),
         config_age_ms: state.watch.config.direct_age_ms(now_ms),
-        targets_age_ms: match is_cut {
-            true => None,
-            false => state.watch.targets.direct_age_ms(now_ms),
+        // The others rely on the news of the daemons that watch the store closely alone.
+        targets_age_ms: match is_watcher && !is_cut {
+            true => state.watch.targets.direct_age_ms(now_ms),
+            false => None,
+        },
+        target_news: match is_watcher {
+            true => target_news,
+            false => edge::TargetChanges::default(),
         },
-        target_news,
         loads: loads(state),
         away: away(state),
         parts: part_news(state, now_ms, interval),
@@ -317,12 +322,14 @@
             .config
             .record_fresh(now_ms.saturating_sub(age_ms));
     }
-    // After a gap in the reports, changes may have been missed.
-    if let Some(age_ms) = targets_age_ms.filter(|_| taken == TakenReport::Following) {
-        state
-            .watch
-            .targets
-            .record_fresh(now_ms.saturating_sub(age_ms));
+    match (targets_age_ms, taken) {
+        (Some(age_ms), TakenReport::Following) => {
+            let fresh_ms = now_ms.saturating_sub(age_ms);
+            state.watch.targets.record_fresh(fresh_ms);
+        }
+        // Changes are repeated for a while only, so those of a longer silence may have been missed.
+        (Some(_), _) => state.watch.targets.record_gap(),
+        (None, _) => {}
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,4 +26,4 @@
 mod state;
 mod target;
 pub mod telemetry;
-mod watch;
+pub mod watch;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -184,7 +184,8 @@
     }
 
     /// Applies changes of the list of targets. Those that this daemon has read from the store itself
-    /// are told to the others; passing on what others told would multiply the reports.
+    /// are told to the others, also when it has heard of them before: who tells that its reading is
+    /// fresh must tell all of it. Passing on what others told would multiply the reports.
     pub fn apply_targets(&self, changes: edge::TargetChanges, source: ChangeSource) {
         let config = self.config();
         let kv_tokens = |service: &str| {
@@ -192,10 +193,11 @@
             let engine = spec.and_then(|spec| spec.engine.as_ref());
             engine.map_or(UNKNOWN_KV_TOKENS, |engine| engine.kv_tokens)
         };
-        let news = self.targets.borrow_mut().apply(changes, kv_tokens);
-        if source == ChangeSource::Store && self.watch.record_news(news, crate::clock::now_ms()) {
+        let now_ms = crate::clock::now_ms();
+        if source == ChangeSource::Store && self.watch.record_news(&changes, now_ms) {
             self.report_now.notify_one();
         }
+        self.targets.borrow_mut().apply(changes, kv_tokens);
     }
 
     /// Records that an engine processes a prompt in `prompt_ms`, for this daemon and the others.
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -176,19 +176,9 @@
 }
 
 impl TargetRegistry {
-    /// Applies changes of the platform's list, from the store or from another daemon; returns those
-    /// that are news. `kv_tokens` gives the memory of a service's engines.
-    pub fn apply(
-        &mut self,
-        changes: edge::TargetChanges,
-        kv_tokens: impl Fn(&str) -> u64,
-    ) -> edge::TargetChanges {
-        let mut news = edge::TargetChanges {
-            is_complete: false,
-            present: Vec::new(),
-            absent: Vec::new(),
-            version: changes.version,
-        };
+    /// Applies changes of the platform's list, from the store or from another daemon. `kv_tokens`
+    /// gives the memory of a service's engines.
+    pub fn apply(&mut self, changes: edge::TargetChanges, kv_tokens: impl Fn(&str) -> u64) {
         let mut absent = changes.absent;
         if changes.is_complete {
             let is_listed = |id: &str| changes.present.iter().any(|entry| entry.id == id);
@@ -198,18 +188,14 @@
         for (id, version) in absent {
             if self.take_version(&id, version) {
                 self.remove(&id);
-                news.absent.push((id, version));
             }
         }
         for entry in changes.present {
             if self.take_version(&entry.id, entry.version) {
                 let tokens = kv_tokens(&entry.service);
-                if self.insert(&entry, tokens) {
-                    news.present.push(entry);
-                }
+                self.insert(&entry, tokens);
             }
         }
-        news
     }
 
     /// Whether a version is newer than what is known of an id.
@@ -257,14 +243,14 @@
         self.by_id.values()
     }
 
-    /// Tells whether something has changed.
-    fn insert(&mut self, entry: &edge::TargetEntry, kv_tokens: u64) -> bool {
+    fn insert(&mut self, entry: &edge::TargetEntry, kv_tokens: u64) {
         if let Some(known) = self.by_id.get(&entry.id) {
             let is_same = known.entry.born_ms == entry.born_ms
                 && known.entry.address == entry.address
                 && known.entry.service == entry.service;
             if is_same {
-                return update(known, entry);
+                update(known, entry);
+                return;
             }
             self.remove(&entry.id);
         }
@@ -277,7 +263,6 @@
         let service = self.by_service.entry(target.entry.service.clone());
         service.or_default().push(rc::Rc::clone(&target));
         self.by_id.insert(target.entry.id.clone(), target);
-        true
     }
 
     fn remove(&mut self, id: &str) {
@@ -292,17 +277,13 @@
     }
 }
 
-fn update(known: &TargetState, entry: &edge::TargetEntry) -> bool {
-    let mut is_changed = false;
+fn update(known: &TargetState, entry: &edge::TargetEntry) {
     if known.is_leaving.get() != entry.is_draining {
         known.is_leaving.set(entry.is_draining);
-        is_changed = true;
         log::info!(target_id = entry.id.as_str(), draining = entry.is_draining; "target_state");
     }
     if known.listed_stage.get() != entry.stage {
         known.listed_stage.set(entry.stage);
-        is_changed = true;
         log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
     }
-    is_changed
 }
--- a/crates/relay/src/watch/mod.rs
+++ b/crates/relay/src/watch/mod.rs
@@ -41,6 +41,11 @@
         self.fresh_ms.set(self.fresh_ms.get().max(fresh_ms));
     }
 
+    /// Changes may have been missed: the store is read again whatever others tell.
+    pub fn record_gap(&self) {
+        self.direct_ms.set(None);
+    }
+
     /// Age of what this daemon has read itself.
     pub fn direct_age_ms(&self, now_ms: u64) -> Option<u64> {
         self.direct_ms
@@ -69,11 +74,13 @@
 }
 
 impl StoreWatch {
-    /// Keeps changes of targets for the next reports; tells whether there are any.
-    pub fn record_news(&self, news: edge::TargetChanges, now_ms: u64) -> bool {
+    /// Keeps changes of targets that were read from the store for the next reports; tells whether
+    /// there are any.
+    pub fn record_news(&self, news: &edge::TargetChanges, now_ms: u64) -> bool {
         let has_news = !news.present.is_empty() || !news.absent.is_empty();
         if has_news {
-            self.news.borrow_mut().push((now_ms + REPEAT_MS, news));
+            let until_ms = now_ms + REPEAT_MS;
+            self.news.borrow_mut().push((until_ms, news.clone()));
         }
         has_news
     }
@@ -82,12 +89,7 @@
     pub fn recent_news(&self, now_ms: u64) -> (edge::TargetChanges, bool) {
         let mut kept = self.news.borrow_mut();
         kept.retain(|(until_ms, _)| *until_ms > now_ms);
-        let mut all = edge::TargetChanges {
-            is_complete: false,
-            present: Vec::new(),
-            absent: Vec::new(),
-            version: 0,
-        };
+        let mut all = edge::TargetChanges::default();
         for (_, news) in kept.iter() {
             all.present.extend(news.present.iter().cloned());
             all.absent.extend(news.absent.iter().cloned());
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -4,4 +4,5 @@
 mod fixture;
 mod lifecycle;
 mod promises;
+mod soak;
 mod streams;
