Send a part that nobody holds to its home

Change: the home of a part that no engine is known to hold has an advantage of half the time to process it; a part that is known to be held is fetched instead, whatever its home.

--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -65,6 +65,15 @@
     pub penalty_ms: f64,
 }
 
+/// Tokens of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptSize {
+    /// All tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of its beginning that other requests share.
+    pub shared_tokens: u64,
+}
+
 /// Engines that a request is placed on, by their positions in the list of views.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementPlan {
@@ -106,20 +115,22 @@
 const FAR_TRANSFER: f64 = 2.0;
 /// Tokens from which fetching the beginning of a prompt is worth a call between engines.
 const LEAST_FETCH_TOKENS: u64 = 256;
-/// Advantage of the home of a shared part, so that parts that nobody holds yet spread over the
-/// engines and two daemons send the same part to the same engine.
-const HOME_MS: f64 = 40.0;
+/// Advantage of the home of a shared part that no engine is known to hold, as a share of the time to
+/// process it: another daemon may have sent it there a moment ago.
+const HOME_SHARE: f64 = 0.5;
+/// Least advantage of a home, so that two daemons that see the same loads choose the same engine.
+const LEAST_HOME_MS: f64 = 10.0;
 
-/// Chooses the plan with the lowest cost for a prompt of `prompt_tokens`; `None` when no decode
+/// Chooses the plan with the lowest cost for a prompt; `None` when no decode
 /// engine is usable. `seed`, a fresh random number, spreads fetches over the engines that hold a
 /// part.
 pub fn choose_plan(
-    prompt_tokens: u64,
+    size: PromptSize,
     rates: &EngineRates,
     engines: &[EngineView],
     seed: u64,
 ) -> Option<PlacementChoice> {
-    let scene = Scene::new(prompt_tokens, rates, engines, seed);
+    let scene = Scene::new(size, rates, engines, seed);
     let whole = scene
         .usable(EngineStage::Decode)
         .map(|decode| scene.price_whole(decode));
@@ -138,12 +149,12 @@
 
 /// Chooses the decode engine for a prompt that the engine at position `prefill` has processed.
 pub fn choose_decode(
-    prompt_tokens: u64,
+    size: PromptSize,
     prefill: usize,
     rates: &EngineRates,
     engines: &[EngineView],
 ) -> Option<PlacementChoice> {
-    let scene = Scene::new(prompt_tokens, rates, engines, 0);
+    let scene = Scene::new(size, rates, engines, 0);
     let done = PromptPrice {
         done_ms: 0.0,
         wait_ms: 0.0,
@@ -193,6 +204,7 @@
     sources: Vec<usize>,
     /// The prefill engine that is the home of the shared part.
     home: Option<usize>,
+    home_advantage_ms: f64,
 }
 
 /// Expected course of the prompt at one engine.
@@ -209,20 +221,23 @@
 }
 
 impl<'a> Scene<'a> {
-    fn new(
-        prompt_tokens: u64,
-        rates: &'a EngineRates,
-        engines: &'a [EngineView],
-        seed: u64,
-    ) -> Self {
+    fn new(size: PromptSize, rates: &'a EngineRates, engines: &'a [EngineView], seed: u64) -> Self {
         let prefills = engines.iter().enumerate();
         let prefills =
             prefills.filter(|(_, view)| view.usable && view.stage == EngineStage::Prefill);
         let home = prefills.min_by_key(|(_, view)| view.home_rank);
+        let held = engines
+            .iter()
+            .map(|view| view.cached_tokens)
+            .max()
+            .unwrap_or(0);
+        let unknown = size.shared_tokens.saturating_sub(held) as f64;
+        let home_advantage_ms = HOME_SHARE * unknown / rates.prefill_tokens_per_ms;
         Self {
-            prompt_tokens,
+            prompt_tokens: size.prompt_tokens,
             rates,
             engines,
+            home_advantage_ms: home_advantage_ms.max(LEAST_HOME_MS),
             sources: best_sources(engines, seed),
             home: home.map(|(position, _)| position),
         }
@@ -250,7 +265,7 @@
 
     fn home_ms(&self, position: usize) -> f64 {
         if self.home == Some(position) {
-            HOME_MS
+            self.home_advantage_ms
         } else {
             0.0
         }
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -11,6 +11,13 @@
     running_ms: 0.5,
 };
 
+fn size(prompt_tokens: u64) -> place::PromptSize {
+    place::PromptSize {
+        prompt_tokens,
+        shared_tokens: prompt_tokens / 4 * 3,
+    }
+}
+
 fn engine(stage: place::EngineStage, zone: u64) -> place::EngineView {
     place::EngineView {
         usable: true,
@@ -45,7 +52,7 @@
 fn long_prompts_are_processed_by_prefill_engines() {
     let mut engines = fleet();
     engines.iter_mut().for_each(|engine| engine.running = 8);
-    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
+    let choice = place::choose_plan(size(17_000), &RATES, &engines, 1).expect("a plan");
     let prefill = choice.plan.prefill.expect("a prefill engine");
     assert_eq!(engines[prefill].stage, place::EngineStage::Prefill);
     assert_eq!(
@@ -61,7 +68,7 @@
     engines[..3]
         .iter_mut()
         .for_each(|engine| engine.usable = false);
-    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
+    let choice = place::choose_plan(size(17_000), &RATES, &engines, 1).expect("a plan");
     assert_eq!(choice.plan.prefill, None);
 }
 
@@ -71,7 +78,7 @@
     engines[3..]
         .iter_mut()
         .for_each(|engine| engine.usable = false);
-    assert_eq!(place::choose_plan(1_000, &RATES, &engines, 1), None);
+    assert_eq!(place::choose_plan(size(1_000), &RATES, &engines, 1), None);
 }
 
 /// Guards against processing a shared part again that another engine holds.
@@ -83,7 +90,7 @@
     // The holder is too busy to process the prompt itself.
     engines[1].running = 12;
     engines[1].backlog_tokens = 90_000;
-    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
+    let choice = place::choose_plan(size(17_000), &RATES, &engines, 1).expect("a plan");
     assert_ne!(choice.plan.prefill, Some(1));
     assert_eq!(choice.plan.source, Some(1));
     assert_eq!(choice.uncached_tokens, 3_700);
@@ -104,7 +111,7 @@
         holder.backlog_tokens = 90_000;
     }
     let sources: std::collections::HashSet<Option<usize>> = (0..50)
-        .filter_map(|seed| place::choose_plan(17_000, &RATES, &engines, seed))
+        .filter_map(|seed| place::choose_plan(size(17_000), &RATES, &engines, seed))
         .map(|choice| choice.plan.source)
         .collect();
     assert_eq!(sources.len(), 4, "{sources:?}");
@@ -117,7 +124,7 @@
     engines[1].cached_tokens = 13_300;
     engines[1].running = 12;
     engines[1].backlog_tokens = 90_000;
-    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
+    let choice = place::choose_plan(size(17_000), &RATES, &engines, 1).expect("a plan");
     assert_eq!(choice.plan.source, None);
 }
 
@@ -125,7 +132,7 @@
 #[test]
 fn the_stream_goes_to_a_decode_engine_near_the_prompt() {
     let engines = fleet();
-    let choice = place::choose_plan(17_000, &RATES, &engines, 1).expect("a plan");
+    let choice = place::choose_plan(size(17_000), &RATES, &engines, 1).expect("a plan");
     let prefill = choice.plan.prefill.expect("a prefill engine");
     assert_eq!(engines[prefill].zone, engines[choice.plan.decode].zone);
 }
@@ -135,7 +142,7 @@
 fn busy_links_are_avoided_for_a_prompt_that_is_processed() {
     let mut engines = fleet();
     engines[3].transfer_ms = 400.0;
-    let choice = place::choose_decode(17_000, 0, &RATES, &engines).expect("a plan");
+    let choice = place::choose_decode(size(17_000), 0, &RATES, &engines).expect("a plan");
     assert_ne!(choice.plan.decode, 3);
     assert_eq!(choice.plan.prefill, Some(0));
 }
@@ -148,8 +155,8 @@
         engine.running = 4;
         engine.backlog_tokens = 40_000;
     });
-    let short = place::choose_plan(1_000, &RATES, &engines, 1).expect("a plan");
-    let long = place::choose_plan(12_000, &RATES, &engines, 1).expect("a plan");
+    let short = place::choose_plan(size(1_000), &RATES, &engines, 1).expect("a plan");
+    let long = place::choose_plan(size(12_000), &RATES, &engines, 1).expect("a plan");
     assert!(short.wait_ms < long.wait_ms / 4.0, "{short:?} {long:?}");
 }
 
@@ -194,3 +201,19 @@
     assert_eq!(index.cached_tokens(&kept), 1_000);
     assert_eq!(index.cached_tokens(&prompt(&[("0", 100)])), 0);
 }
+
+/// Guards against processing a part several times because daemons with different loads before their
+/// eyes send it to different engines before they hear of each other.
+#[test]
+fn a_part_that_nobody_holds_goes_to_its_home() {
+    let mut engines = fleet();
+    engines[0].running = 2;
+    engines[0].backlog_tokens = 4_000;
+    let choice = place::choose_plan(size(17_000), &RATES, &engines, 1).expect("a plan");
+    assert_eq!(choice.plan.prefill, Some(0));
+    // A part that is known to be held elsewhere does not wait for its home.
+    engines[1].cached_tokens = 12_750;
+    engines[1].ready_tokens = 12_750;
+    let choice = place::choose_plan(size(17_000), &RATES, &engines, 1).expect("a plan");
+    assert_eq!(choice.plan.prefill, Some(1));
+}
--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -145,13 +145,17 @@
             .service(&request.service)
             .and_then(|spec| spec.engine.as_ref()),
     );
-    let tokens = request.prompt_tokens();
+    let shared = shared_parts(&request.parts).iter();
+    let size = place::PromptSize {
+        prompt_tokens: request.prompt_tokens(),
+        shared_tokens: shared.map(|part| u64::from(part.tokens)).sum(),
+    };
     let choice = match prefilled {
-        None => place::choose_plan(tokens, &rates, &views, rand::random())?,
+        None => place::choose_plan(size, &rates, &views, rand::random())?,
         Some(engine) => {
             let is_engine = |target: &rc::Rc<target::TargetState>| rc::Rc::ptr_eq(target, engine);
             let position = targets.iter().position(is_engine)?;
-            place::choose_decode(tokens, position, &rates, &views)?
+            place::choose_decode(size, position, &rates, &views)?
         }
     };
     let target = |position: usize| rc::Rc::clone(&targets[position]);
