Refuse streams that a stopping daemon cannot finish; serve late connections

The test for it found that connections opened after SIGTERM could be closed before their request was read.

Change: callers keep an answer about addresses for one second, so a stopping daemon is done with them after three; a stream is refused as not run when less than four seconds are left; a connection that is opened while the daemon stops is served once and closed by its answer.

Ruled out: a longer stay, as the grace period ends it.

Test: a_stopping_relay_refuses_what_it_cannot_finish, which failed before.

--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -10,7 +10,10 @@
 
 pub use refusal::Reply;
 
-use std::rc;
+use std::{
+    rc,
+    time::{Duration, Instant},
+};
 
 use acaciabank_core::suspect;
 use acaciabank_protocol::verdict::Verdict;
@@ -62,6 +65,7 @@
     state: &state::SharedState<Codec, Store>,
     request: rc::Rc<RelayRequest>,
 ) -> Result<Reply, RefusalAnswer> {
+    check_stop(state, &request)?;
     check_suspect(state, &request)?;
     let progress = RequestProgress::default();
     match request.is_generation() {
@@ -70,6 +74,30 @@
     }
 }
 
+/// Time that a stream is given to end before the daemon does; few take longer.
+const STREAM_TIME: Duration = Duration::from_millis(4_000);
+
+/// Refuses what would be cut off by the end of the process; the caller is served elsewhere at once.
+fn check_stop<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+) -> Result<(), RefusalAnswer> {
+    let Some(stop_at) = state.stop_at.get() else {
+        return Ok(());
+    };
+    let needed = match request.route.kind.is_stream() {
+        true => STREAM_TIME.min(request.left()),
+        false => request.left(),
+    };
+    match Instant::now() + needed > stop_at {
+        true => Err(RefusalAnswer {
+            retry_after_ms: Some(0),
+            ..RefusalAnswer::not_run(RefusalCause::Stopping)
+        }),
+        false => Ok(()),
+    }
+}
+
 fn check_suspect<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -28,8 +28,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Addresses in an answer at most.
 const MAX_ADDRESSES: usize = 64;
-/// Time for which callers keep an answer about addresses.
-pub const TTL_S: u64 = 2;
+/// Time for which callers keep an answer about addresses. Some keep it three times as long, and a
+/// stopping daemon has to serve all of them.
+pub const TTL_S: u64 = 1;
 
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,9 +106,12 @@
         .max_buf_size((2 * header_bytes).max(DEFAULT_HEADER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // A connection that is opened later is of a caller with an old answer: its first request is
+    // served, and the answer to that closes it.
+    let is_late = stop.is_cancelled();
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = stop.cancelled() => {
+        () = stop.cancelled(), if !is_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -139,6 +139,7 @@
     let kept_s = settings.max_ttl_s.min(ingress::TTL_S) * KEPT_ANSWER_FACTOR;
     let kept_until = Instant::now() + Duration::from_secs(kept_s);
     state.phase.set(state::RelayPhase::Draining);
+    state.stop_at.set(Some(end.into_std()));
     log::info!(active = state.active.get(); "stopping");
     gossip::announce(state, socket).await;
     if let Err(error) = state.store.drop_host(&settings.host).await {
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -106,6 +106,8 @@
     pub phase: Cell<RelayPhase>,
     /// Requests that run now.
     pub active: rc::Rc<Cell<u32>>,
+    /// End of the process, once it is stopping.
+    pub stop_at: Cell<Option<time::Instant>>,
 }
 
 /// Where changes of targets come from.
@@ -142,6 +144,7 @@
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
             active: rc::Rc::default(),
+            stop_at: Cell::new(None),
             settings,
         }
     }
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -17,6 +17,8 @@
         NoTarget,
         /// The answer cannot be ready in time.
         TooLate,
+        /// The daemon stops before the request could end.
+        Stopping,
         /// The time of the request is over.
         DeadlinePassed,
         /// Targets crashed while they ran this request.
@@ -40,6 +42,7 @@
             Self::BodyIncomplete => "body_incomplete",
             Self::NoTarget => "no_target",
             Self::TooLate => "too_late",
+            Self::Stopping => "stopping",
             Self::DeadlinePassed => "deadline_passed",
             Self::CrashSuspect => "crash_suspect",
             Self::TargetFailed => "target_failed",
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -191,3 +191,40 @@
         .count();
     assert!(refused <= 1, "{refused} requests for the old incarnation");
 }
+
+/// Guards against taking a stream that the end of the process would cut: on a bench day one that was
+/// taken five seconds after SIGTERM was given up two seconds later.
+#[tokio::test]
+async fn a_stopping_relay_refuses_what_it_cannot_finish() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let engine = fixture.runner("d-1", "models", Some("decode")).await;
+    let mut relay = fixture.relay(&[]).await;
+    harness::wait_until(LIMIT, "a stream is served", async || {
+        let answer = relay.stream("/stream/a", "probe", 2).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    relay.process.terminate();
+    // A stream that was taken in time keeps the process up until it ends.
+    let (long, refused) = tokio::join!(relay.stream("/stream/a", "k-long", 800), async {
+        for number in 0.. {
+            let attempt = format!("k-{number}");
+            match relay.stream("/stream/a", &attempt, 2).await {
+                Ok(answer) if answer.status == 503 => return Some(attempt),
+                Ok(answer) => assert_eq!(answer.status, 200),
+                // The process has ended.
+                Err(_) => return None,
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        None
+    });
+    assert_eq!(event_ids(&long.expect("a whole stream").body).len(), 800);
+    let refused = refused.expect("a late stream is refused");
+    assert_eq!(engine.runs(&refused).await, 0);
+    harness::wait_until(LIMIT, "the relay has ended", async || {
+        relay.process.exit_status().is_some()
+    })
+    .await;
+}
