Order targets by a random addition to their load alone

Cause: cache_changes_reach_the_other_daemon found 13 of 16 prompts once beside busy processes. The adaptive choice added up to a quarter of the whole score, which includes the time to generate. Where engines are seen to be slow, that addition is larger than what a cached prompt saves, and a target without the prompt is chosen.

Change: the addition is a quarter of what the load adds to the score, plus up to 255 us so that equal targets are chosen in turn.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -64,6 +64,17 @@
     pub distance_us: u32,
 }
 
+impl CandidateView {
+    /// The same target without any load.
+    fn idle(&self) -> Self {
+        Self {
+            load: 0,
+            waiting_prefill_tokens: 0,
+            ..*self
+        }
+    }
+}
+
 /// Requests at a target now: the report, this daemon's change since then, and the growth caused by
 /// other daemons, extrapolated from their growth between the last two reports.
 pub fn estimated_load(reported: u32, own_at_report: u32, own_now: u32, others_growth: u32) -> u32 {
@@ -141,12 +152,16 @@
     let prefills = usable
         .clone()
         .filter(|(_, view)| view.role == EngineRole::Prefill);
-    let ranked = prefills.map(|(position, view)| {
-        // The prefill call generates one token, which nobody uses, and takes another round trip.
-        let score = prefill_score(cost, &view)
+    // The prefill call generates one token, which nobody uses, and takes another round trip.
+    let prefill_call = |view: &CandidateView| {
+        prefill_score(cost, view)
             .saturating_add(view.speed.decode_us * u64::from(view.load + 1))
-            .saturating_add(2 * u64::from(view.distance_us));
-        (spread(score, seed, position), score, position)
+            .saturating_add(2 * u64::from(view.distance_us))
+    };
+    let ranked = prefills.map(|(position, view)| {
+        let score = prefill_call(&view);
+        let idle = prefill_call(&view.idle());
+        (spread(idle, score, seed, position), score, position)
     });
     // The random addition orders the targets; it must not decide whether a split pays.
     let (_, prefill, position) = ranked.min()?;
@@ -197,8 +212,8 @@
     ranked.min().map(|(_, _, position)| position)
 }
 
-/// Takes the lowest score after a random addition of up to a quarter. The addition keeps daemons
-/// with the same stale report from choosing the same target.
+/// Takes the lowest score after a random addition. The addition keeps daemons with the same stale
+/// report from choosing the same target.
 fn choose_adaptive(
     cost: &RequestCost,
     candidates: impl Iterator<Item = CandidateView>,
@@ -206,14 +221,24 @@
 ) -> Option<usize> {
     let usable = candidates.enumerate().filter(|(_, view)| view.usable);
     let ranked =
-        usable.map(|(position, view)| (spread(score(cost, &view), seed, position), position));
+        usable.map(|(position, view)| (spread_score(cost, &view, seed, position), position));
     ranked.min().map(|(_, position)| position)
 }
 
-/// Adds a pseudo-random part of up to a quarter.
-pub fn spread(score: u64, seed: u64, position: usize) -> u64 {
+/// Score with a random addition.
+pub fn spread_score(cost: &RequestCost, view: &CandidateView, seed: u64, position: usize) -> u64 {
+    let idle = score(cost, &view.idle());
+    spread(idle, score(cost, view), seed, position)
+}
+
+/// Adds a pseudo-random part of up to a quarter of what the load adds to the score of an idle target,
+/// and up to 255 us so that equal targets are chosen in turn. The rest of the score is known exactly:
+/// an addition to it would outweigh a cached prompt where a request generates for long.
+fn spread(idle: u64, score: u64, seed: u64, position: usize) -> u64 {
     let share = mix(seed, position) & 0xff;
-    score.saturating_add((score >> 10).saturating_mul(share))
+    let load = score.saturating_sub(idle);
+    let addition = (load >> 10).saturating_mul(share).saturating_add(share);
+    score.saturating_add(addition)
 }
 
 /// Pseudo-random rank of a position (the finaliser of SplitMix64).
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -19,10 +19,55 @@
 fn choose_naive(cost: &RequestCost, views: &[CandidateView], seed: u64) -> Option<usize> {
     let usable = (0..views.len()).filter(|i| views[*i].usable);
     let mut all: Vec<usize> = usable.collect();
-    all.sort_by_key(|i| (route::spread(route::score(cost, &views[*i]), seed, *i), *i));
+    all.sort_by_key(|i| (route::spread_score(cost, &views[*i], seed, *i), *i));
     all.first().copied()
 }
 
+/// Guards against a random addition that outweighs a cached beginning of the prompt: it must order
+/// targets that differ by their load alone, however long the request generates.
+#[test]
+fn idle_target_with_the_prompt_cached_is_always_chosen() {
+    let idle = CandidateView {
+        usable: true,
+        load: 0,
+        waiting_prefill_tokens: 0,
+        cached_pieces: 0,
+        ..view(&[1, 0, 0, 0])
+    };
+    let cached = CandidateView {
+        cached_pieces: 3,
+        ..idle
+    };
+    let cost = RequestCost {
+        prompt_tokens: 400,
+        max_tokens: 100,
+        piece_tokens: 100,
+    };
+    for seed in 0..1_000 {
+        let views = [idle, cached, idle];
+        let chosen = route::choose(RoutingPolicy::Adaptive, &cost, views.into_iter(), seed);
+        assert_eq!(chosen, Some(1), "seed {seed}");
+    }
+}
+
+/// Guards against daemons that all choose the same one of several equal targets.
+#[test]
+fn equal_targets_are_chosen_in_turn() {
+    let idle = view(&[1, 0, 0, 0]);
+    let cost = RequestCost {
+        prompt_tokens: 400,
+        max_tokens: 100,
+        piece_tokens: 100,
+    };
+    let mut chosen = [0; 4];
+    for seed in 0..1_000 {
+        let views = [idle; 4];
+        let position = route::choose(RoutingPolicy::Adaptive, &cost, views.into_iter(), seed);
+        chosen[position.expect("a target")] += 1;
+    }
+    assert!(chosen.iter().all(|count| *count > 150), "{chosen:?}");
+}
+
 /// Guards against an error in the single-pass choice: it must equal filtering and sorting.
 #[test]
 fn adaptive_choice_equals_naive_choice() {
