Place the prompts of all daemons at one of them

Prompts piled up at some engines (first events after 969 ms at the median of sheet reviews where 213 ms were expected) and 15 to 25 of 83 million prompt tokens were shared parts processed again.

Ruled out: more frequent reports between all daemons (bytes between zones are dear, and small links and processors bound them); deterministic homes alone (they spread parts, not queues).

Change: a scheduler, the daemon on the largest host that has run for a while, answers questions by datagram and counts what it has placed; standbys hear of loads and parts every 250 ms; a daemon without an answer in 20 ms asks a standby, then places by itself. Outcomes of requests at engines go to the scheduler, so that faulty ones are found by all.

--- a/crates/core/src/judge/mod.rs
+++ b/crates/core/src/judge/mod.rs
@@ -19,7 +19,7 @@
 const PENALTY_MS: f64 = 800.0;
 
 /// What a request saw at a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum TargetOutcome {
     /// A whole answer of its own.
     Answered,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod plan;
 pub mod refuse;
 pub mod route;
+pub mod scheduler;
 pub mod stage;
 pub mod suspect;
--- a/crates/core/src/refuse/mod.rs
+++ b/crates/core/src/refuse/mod.rs
@@ -25,7 +25,7 @@
 const MAX_RETURN_SHARE: f64 = 0.3;
 
 /// What the decision knows of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct IntakeTerms {
     /// Time within which an answer is on time.
     pub target_latency_ms: u64,
--- /dev/null
+++ b/crates/core/src/scheduler/mod.rs
@@ -0,0 +1,125 @@
+//! Which daemon places the prompts of all daemons.
+//!
+//! Load answered: many daemons with a few requests each before engines whose queues change within a
+//! hundred milliseconds. Reports between all of them are a second old by then, so prompts pile up at
+//! some engines and shared parts are processed again. A few daemons therefore place for all: they
+//! know what they have sent where. Each prompt belongs to one of them by the hash of its shared part.
+//! They hold no authority, so any daemon that is asked may answer, and nothing breaks when two
+//! daemons disagree on who schedules.
+//!
+//! # Example
+//!
+//! ```
+//! use acaciabank_core::scheduler::{SchedulerCandidate, SchedulerStanding, order, rank};
+//!
+//! let candidate = |name, capacity| SchedulerCandidate { name, capacity, is_warm: true };
+//! let mut candidates = vec![candidate(1, 120), candidate(2, 500), candidate(3, 120)];
+//! rank(&mut candidates);
+//! let standing = SchedulerStanding::default();
+//! assert_eq!(order(&candidates, 77, &standing, 0).next(), Some(2));
+//! ```
+
+use std::collections::HashMap;
+
+use crate::route;
+
+/// Daemons for which one scheduler places: a question takes it some hundred microseconds, and each
+/// daemon asks some ten times a second.
+const DAEMONS_PER_SCHEDULER: usize = 80;
+/// Daemons that are kept informed beside each scheduler, to replace it: one for a crash and one for
+/// a crash during that.
+const STANDBYS_PER_SCHEDULER: usize = 2;
+/// Questions in a row without an answer after which a scheduler is avoided: one datagram may be lost.
+const SILENT_QUESTIONS: u32 = 2;
+/// Time for which a silent scheduler is avoided at first, and at most: it doubles while it stays
+/// silent.
+const FIRST_AVOID_MS: u64 = 1_000;
+const MAX_AVOID_MS: u64 = 8_000;
+
+/// A daemon that can place for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SchedulerCandidate {
+    /// Short name.
+    pub name: u64,
+    /// Processor time of its host, in thousandths of a core.
+    pub capacity: u32,
+    /// Whether it has run for long enough to know what the engines hold.
+    pub is_warm: bool,
+}
+
+/// Orders candidates, the best one first. Daemons that know the same candidates agree on it.
+pub fn rank(candidates: &mut [SchedulerCandidate]) {
+    candidates.sort_unstable_by_key(|candidate| {
+        let spread = route::mix(candidate.name, 0);
+        let power = std::cmp::Reverse((candidate.is_warm, candidate.capacity));
+        (power, spread)
+    });
+}
+
+/// Schedulers of a number of daemons.
+pub fn count(daemons: usize) -> usize {
+    daemons.div_ceil(DAEMONS_PER_SCHEDULER).max(1)
+}
+
+/// Daemons, from the first of the ranked ones on, that are told what the schedulers know.
+pub fn informed(daemons: usize) -> usize {
+    (count(daemons) * (1 + STANDBYS_PER_SCHEDULER)).min(daemons)
+}
+
+/// Daemons to ask about a prompt, by the hash of its shared part, from the one that it belongs to.
+/// `ranked` are all candidates as [`rank`] orders them.
+pub fn order<'a>(
+    ranked: &'a [SchedulerCandidate],
+    chain: u64,
+    standing: &'a SchedulerStanding,
+    now_ms: u64,
+) -> impl Iterator<Item = u64> + 'a {
+    let schedulers = count(ranked.len());
+    let informed = informed(ranked.len());
+    let seat = (route::mix(chain, 1) % schedulers as u64) as usize;
+    let own = std::iter::once(seat);
+    // A scheduler's standbys are those that no other scheduler has.
+    let standbys = (schedulers..informed).filter(move |position| position % schedulers == seat);
+    let positions = own.chain(standbys);
+    let names = positions.filter_map(|position| ranked.get(position));
+    let names = names.map(|candidate| candidate.name);
+    names.filter(move |name| standing.is_in(*name, now_ms))
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct SilenceRecord {
+    questions: u32,
+    until_ms: u64,
+}
+
+/// Which schedulers answer this daemon.
+#[derive(Clone, Debug, Default)]
+pub struct SchedulerStanding {
+    silent: HashMap<u64, SilenceRecord>,
+}
+
+impl SchedulerStanding {
+    /// Whether a scheduler may be asked.
+    pub fn is_in(&self, name: u64, now_ms: u64) -> bool {
+        let record = self.silent.get(&name);
+        record.is_none_or(|record| now_ms >= record.until_ms)
+    }
+
+    /// A scheduler has answered; tells whether it had been avoided.
+    pub fn record_answer(&mut self, name: u64) -> bool {
+        let record = self.silent.remove(&name);
+        record.is_some_and(|record| record.until_ms > 0)
+    }
+
+    /// A scheduler has not answered in time; tells whether it is avoided from now on.
+    pub fn record_silence(&mut self, name: u64, now_ms: u64) -> bool {
+        let record = self.silent.entry(name).or_default();
+        record.questions += 1;
+        if record.questions < SILENT_QUESTIONS || now_ms < record.until_ms {
+            return false;
+        }
+        let doublings = (record.questions - SILENT_QUESTIONS).min(3);
+        record.until_ms = now_ms + (FIRST_AVOID_MS << doublings).min(MAX_AVOID_MS);
+        true
+    }
+}
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -175,7 +175,7 @@
                 RetryReason::ConnectFailed => judge::TargetOutcome::Unreachable,
                 _ => judge::TargetOutcome::Failed,
             };
-            target.judge.borrow_mut().record(outcome, clock::now_ms());
+            state.record_outcome(target, outcome);
             if failure.retry == RetryReason::ConnectionBroken {
                 confirm_crash(state, request.fingerprint, target);
             }
@@ -184,7 +184,7 @@
     };
     let (head, body) = response.into_parts();
     let answer = state.codec.read_answer(head.status, &head.headers);
-    check_answer(request, target, &head, &answer)?;
+    check_answer(state, request, target, &head, &answer)?;
     Ok(OpenAnswer {
         head,
         terms: answer,
@@ -239,15 +239,15 @@
     }
 }
 
-fn check_answer(
+fn check_answer<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     target: &rc::Rc<target::TargetState>,
     head: &http::response::Parts,
     answer: &edge::AnswerTerms,
 ) -> Result<(), AttemptFailure> {
-    let record = |outcome| target.judge.borrow_mut().record(outcome, clock::now_ms());
     if answer.not_run {
-        record(judge::TargetOutcome::Refused);
+        state.record_outcome(target, judge::TargetOutcome::Refused);
         leave_alone(target, answer);
         return Err(AttemptFailure::refused(head.status));
     }
@@ -302,8 +302,7 @@
         match connected {
             Ok(connection) => target.pool.put(connection, None),
             Err(error) => {
-                let outcome = judge::TargetOutcome::Unreachable;
-                target.judge.borrow_mut().record(outcome, now_ms);
+                state.record_outcome(&target, judge::TargetOutcome::Unreachable);
                 let mut suspects = state.suspects.borrow_mut();
                 suspects.record_crash(fingerprint, target.hash as u32, now_ms);
                 log::info!(
--- a/crates/relay/src/dispatch/generate/handle.rs
+++ b/crates/relay/src/dispatch/generate/handle.rs
@@ -11,7 +11,6 @@
 
 use super::MAX_URGENCY;
 use crate::{
-    clock,
     dispatch::{
         attempt::{self, AttemptFailure},
         choose,
@@ -83,14 +82,13 @@
     engine: &rc::Rc<target::TargetState>,
     until: Instant,
 ) -> Result<KvHandle, AttemptFailure> {
-    let work = target::TargetWork::start(engine, plan.uncached_tokens, 0);
-    state.record_parts(engine, &request.parts, plan.prompt_ms as u64);
+    let work = plan.start_work(state, &request.parts, false);
     let terms = edge::SendTerms {
         target_id: &engine.entry.id,
         deadline_ms: request.left_ms(),
         urgency: Some(request.route.priority.min(MAX_URGENCY)),
         work: edge::SendWork::Prefill,
-        fetch_from: plan.source,
+        fetch_from: plan.source_address(),
         last_event: None,
     };
     let not_run = |failure: AttemptFailure| AttemptFailure {
@@ -100,7 +98,7 @@
     let answer = attempt::exchange(state, request, engine, &terms, until)
         .await
         .map_err(not_run)?;
-    let record = |outcome| engine.judge.borrow_mut().record(outcome, clock::now_ms());
+    let record = |outcome| state.record_outcome(engine, outcome);
     let failed = |message: &str| AttemptFailure {
         verdict: Verdict::NotRun,
         retry: RetryReason::ConnectionBroken,
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -23,7 +23,7 @@
     refusal::{RefusalAnswer, Reply},
     request::{RelayRequest, RequestProgress},
 };
-use crate::{clock, connection, edge, state, target, telemetry::RefusalCause};
+use crate::{connection, edge, state, telemetry::RefusalCause};
 use handle::KvHandle;
 
 /// Parts of a stream that wait for the caller; a caller that does not read stops the engine.
@@ -35,7 +35,7 @@
 struct OpenStream {
     reader: EventReader,
     connection: attempt::OpenConnection,
-    work: target::TargetWork,
+    work: choose::EngineWork,
     first: Option<Bytes>,
     plan: choose::EnginePlan,
     /// Time from the arrival of the request until its prompt was processed elsewhere.
@@ -200,12 +200,7 @@
     progress: &RequestProgress,
     plan: &choose::EnginePlan,
 ) -> Result<(), RefusalAnswer> {
-    let terms = refuse::IntakeTerms {
-        target_latency_ms: request.route.target_latency_ms,
-        priority: request.route.priority,
-        left_ms: request.left_ms(),
-        is_return: progress.ledger.has_calls(),
-    };
+    let terms = request.intake_terms(progress);
     let decided = refuse::decide(&terms, plan.wait_ms, plan.first_token_ms, rand::random());
     let refuse::IntakeVerdict::Refuse { retry_after_ms } = decided else {
         return Ok(());
@@ -232,12 +227,7 @@
 ) -> Result<StreamStart, AttemptFailure> {
     let until = first_event_until(request, progress, plan);
     let prefill_ms = request.elapsed_ms();
-    let (tokens, transfer_ms, prompt_ms) = match handle {
-        None => (plan.uncached_tokens, 0, plan.prompt_ms as u64),
-        Some(_) => (0, (plan.first_token_ms - plan.wait_ms) as u64, 0),
-    };
-    let work = target::TargetWork::start(&plan.decode, tokens, transfer_ms);
-    state.record_parts(&plan.decode, &request.parts, prompt_ms);
+    let work = plan.start_work(state, &request.parts, handle.is_some());
     let terms = edge::SendTerms {
         target_id: &plan.decode.entry.id,
         deadline_ms: request.left_ms(),
@@ -250,13 +240,13 @@
             },
         },
         fetch_from: match handle {
-            None => plan.source,
+            None => plan.source_address(),
             Some(_) => None,
         },
         last_event,
     };
     let answer = attempt::exchange(state, request, &plan.decode, &terms, until).await?;
-    let mut started = read_start(request, plan, answer, work, until, last_event).await;
+    let mut started = read_start(state, request, plan, answer, work, until, last_event).await;
     if let Ok(StreamStart::Open(_, stream)) = &mut started {
         stream.prefill_ms = prefill_ms;
         stream.plan.prefill = handle.map(|handle| rc::Rc::clone(&handle.engine));
@@ -288,20 +278,16 @@
     request.route.kind.is_repeatable() && progress.runs + 1 < request.route.max_attempts
 }
 
-async fn read_start(
+async fn read_start<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     plan: &choose::EnginePlan,
     answer: attempt::OpenAnswer,
-    work: target::TargetWork,
+    work: choose::EngineWork,
     until: Instant,
     last_event: Option<u64>,
 ) -> Result<StreamStart, AttemptFailure> {
-    let record = |outcome| {
-        plan.decode
-            .judge
-            .borrow_mut()
-            .record(outcome, clock::now_ms())
-    };
+    let record = |outcome| state.record_outcome(&plan.decode, outcome);
     let status = answer.head.status;
     if !status.is_success() {
         return match answer.collect(request.deadline).await {
--- a/crates/relay/src/dispatch/generate/pump.rs
+++ b/crates/relay/src/dispatch/generate/pump.rs
@@ -12,7 +12,6 @@
 
 use super::{OpenStream, StreamPart, StreamStart, may_go_on, read_failure, start};
 use crate::{
-    clock,
     dispatch::{
         attempt::{self, AttemptFailure},
         request::{RelayRequest, RequestProgress},
@@ -55,10 +54,8 @@
                 StreamEnd::Failed(failure) => failure,
             };
             let target = rc::Rc::clone(&stream.plan.decode);
-            target
-                .judge
-                .borrow_mut()
-                .record(judge::TargetOutcome::Failed, clock::now_ms());
+            self.state
+                .record_outcome(&target, judge::TargetOutcome::Failed);
             let last_event = stream.reader.last_id();
             self.log_end("stream_broken", &stream);
             // Closes the connection, so that the engine stops before another one goes on.
@@ -137,10 +134,8 @@
     }
 
     fn complete(self, stream: OpenStream) {
-        let judge = &stream.plan.decode.judge;
-        judge
-            .borrow_mut()
-            .record(judge::TargetOutcome::Answered, clock::now_ms());
+        self.state
+            .record_outcome(&stream.plan.decode, judge::TargetOutcome::Answered);
         telemetry::record_latency(
             &self.request.route.name,
             self.first_event - self.request.arrival,
@@ -164,11 +159,15 @@
             .prefill
             .as_ref()
             .map_or("", |engine| engine.entry.id.as_str());
+        let placed_by = match plan.assigned {
+            Some(_) => "scheduler",
+            None => "own",
+        };
         let first_ms = (self.first_event - request.arrival).as_millis() as u64;
         log::info!(
             id = request.id.as_str(), route = request.route.name.as_str(),
             target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
-            sends = self.progress.sends, prompt = request.prompt_tokens(),
+            placed_by = placed_by, sends = self.progress.sends, prompt = request.prompt_tokens(),
             uncached = intake.uncached_tokens, fetched = intake.is_fetched,
             expected_ms = intake.first_token_ms, wait_ms = intake.wait_ms,
             prefill_ms = stream.prefill_ms, first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod request;
 mod service;
 
+pub use choose::{PromptView, pick_engines};
 pub use refusal::Reply;
 
 use std::{
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use acaciabank_core::{budget, parts};
+use acaciabank_core::{budget, parts, refuse};
 use acaciabank_protocol::verdict::Verdict;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -114,6 +114,16 @@
         generation.map_or(0, |generation| generation.prompt_tokens)
     }
 
+    /// Terms by which it is refused for load.
+    pub fn intake_terms(&self, progress: &RequestProgress) -> refuse::IntakeTerms {
+        refuse::IntakeTerms {
+            target_latency_ms: self.route.target_latency_ms,
+            priority: self.route.priority,
+            left_ms: self.left_ms(),
+            is_return: progress.ledger.has_calls(),
+        }
+    }
+
     /// Milliseconds since the arrival.
     pub fn elapsed_ms(&self) -> u64 {
         self.arrival.elapsed().as_millis() as u64
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -15,7 +15,7 @@
     refusal::{RefusalAnswer, Reply},
     request::{RelayRequest, RequestProgress},
 };
-use crate::{clock, connection, edge, state, target, telemetry};
+use crate::{connection, edge, state, target, telemetry};
 
 /// Share of the target latency after which an idempotent request is given up at a target that has
 /// not answered, while another one may still answer in time.
@@ -76,7 +76,7 @@
     let answer = attempt::exchange(state, request, target, &terms, until).await?;
     let is_signed = answer.terms.signed;
     let collected = answer.collect(until).await;
-    let record = |outcome| target.judge.borrow_mut().record(outcome, clock::now_ms());
+    let record = |outcome| state.record_outcome(target, outcome);
     match collected {
         Ok((head, _)) if head.status.is_success() && !is_signed => {
             record(judge::TargetOutcome::Failed);
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -100,6 +100,10 @@
     pub suspects: Vec<SuspectEntry>,
     /// Its availability zone, as a number that only serves to compare.
     pub zone: u64,
+    /// Processor time of its host, in thousandths of a core.
+    pub capacity: u32,
+    /// Time since its start.
+    pub age_ms: u64,
     /// Time until its next report to the same receivers.
     pub interval_ms: u32,
     /// Addresses of some other daemons that it knows.
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, net};
 
+use acaciabank_core::scheduler::SchedulerCandidate;
+
 use super::PeerReport;
+use crate::{scheduler, state};
 
 /// Age from which a daemon is not named to callers and its loads no longer count, beyond two of the
 /// intervals that it states: one report may be lost, and hosts are slow at times.
@@ -19,6 +22,8 @@
 struct PeerState {
     report: PeerReport,
     heard_ms: u64,
+    /// Short name of the daemon.
+    name: u64,
 }
 
 impl PeerState {
@@ -89,6 +94,7 @@
         }
         let state = PeerState {
             heard_ms: now_ms,
+            name: state::hash_name(&report.host),
             report,
         };
         self.peers.insert(state.report.host.clone(), state);
@@ -141,6 +147,27 @@
         ready.map(|peer| peer.report.caller).collect()
     }
 
+    /// Daemons that can place prompts for others.
+    pub fn schedulers(&self, now_ms: u64) -> Vec<SchedulerCandidate> {
+        let ready = self.peers.values().filter(|peer| peer.is_ready(now_ms));
+        let candidates = ready.map(|peer| {
+            let age_ms = peer.report.age_ms + now_ms.saturating_sub(peer.heard_ms);
+            SchedulerCandidate {
+                name: peer.name,
+                capacity: peer.report.capacity,
+                is_warm: scheduler::is_warm(age_ms),
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Address of the daemon with a short name.
+    pub fn address_of(&self, name: u64) -> Option<net::SocketAddr> {
+        let mut peers = self.peers.values();
+        let peer = peers.find(|peer| peer.name == name);
+        peer.map(|peer| peer.report.peer)
+    }
+
     /// Position of a daemon among those that are ready, by name; all daemons that hear each other
     /// agree on it.
     pub fn rank(&self, own: &str, now_ms: u64) -> usize {
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -2,11 +2,11 @@
 
 use std::{cell::Cell, io, net, rc, time::Duration};
 
-use acaciabank_core::{parts, suspect};
+use acaciabank_core::{parts, scheduler as duty, suspect};
 use tokio::net::UdpSocket;
 
 use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry, TakenReport};
-use crate::{clock, edge, state, target, watch};
+use crate::{clock, edge, scheduler, state, target, watch};
 
 /// Time between two reports: loads change within some hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -77,10 +77,14 @@
 ) {
     let now_ms = clock::now_ms();
     state.peers.borrow_mut().expire(now_ms);
+    state.scheduler.expire(now_ms);
     let rank = state.peers.borrow().rank(&state.settings.host, now_ms);
-    let (near, far) = state.peers.borrow().contacts_by_zone(state.zone_hash);
-    for contacts in [near, far] {
-        let turns = match rank < watch::WATCHERS {
+    let (mut near, mut far) = state.peers.borrow().contacts_by_zone(state.zone_hash);
+    let informed = informed(state, now_ms);
+    near.retain(|address| !informed.contains(address));
+    far.retain(|address| !informed.contains(address));
+    for (contacts, is_informed) in [(informed, true), (near, false), (far, false)] {
+        let turns = match is_informed || rank < watch::WATCHERS {
             // The others rely on the news of these daemons.
             true => 1,
             false => contacts.len().div_ceil(CONTACTS_PER_TICK).max(1) as u64,
@@ -92,14 +96,31 @@
             continue;
         }
         let interval = REPORT_INTERVAL * u32::try_from(turns).unwrap_or(1);
-        let report = build_report(state, now_ms, interval, rank < watch::WATCHERS);
-        match postcard::to_stdvec(&report) {
+        let mut report = build_report(state, now_ms, interval, rank < watch::WATCHERS);
+        if !is_informed {
+            report.parts.clear();
+        }
+        let message = scheduler::PeerMessage::Report(Box::new(report));
+        match postcard::to_stdvec(&message) {
             Ok(datagram) => send_all(state, socket, &datagram, &due).await,
             Err(error) => log::error!("a report cannot be encoded: {error}"),
         }
     }
 }
 
+/// Addresses of the daemons that know what the schedulers know, to replace them.
+fn informed<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    now_ms: u64,
+) -> Vec<net::SocketAddr> {
+    let candidates = scheduler::candidates(state, now_ms);
+    let informed = candidates.iter().take(duty::informed(candidates.len()));
+    let peers = state.peers.borrow();
+    informed
+        .filter_map(|candidate| peers.address_of(candidate.name))
+        .collect()
+}
+
 /// A number that spreads addresses over the turns.
 fn turn_of(address: &net::SocketAddr) -> u64 {
     xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
@@ -155,6 +176,8 @@
         suspects: suspects(state),
         known: some_contacts(state),
         zone: state.zone_hash,
+        capacity: settings.capacity,
+        age_ms: now_ms.saturating_sub(state.started_ms),
         interval_ms: interval.as_millis() as u32,
     }
 }
@@ -285,17 +308,27 @@
 }
 
 fn take<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
-    state: &state::RelayState<Codec, Store>,
+    state: &state::SharedState<Codec, Store>,
     datagram: &[u8],
     sender: net::SocketAddr,
 ) {
-    let report = match postcard::from_bytes::<PeerReport>(datagram) {
-        Ok(report) => report,
+    match postcard::from_bytes::<scheduler::PeerMessage>(datagram) {
+        Ok(scheduler::PeerMessage::Report(report)) => take_report(state, *report),
+        Ok(scheduler::PeerMessage::Question(question)) => {
+            scheduler::answer(state, &question, sender);
+        }
+        Ok(scheduler::PeerMessage::Answer(answer)) => scheduler::take_answer(state, answer),
+        Ok(scheduler::PeerMessage::News(news)) => scheduler::take_news(state, &news),
         Err(error) => {
-            log::warn!(sender:% = sender, error:% = error; "peer_report_unreadable");
-            return;
+            log::warn!(sender:% = sender, error:% = error; "peer_message_unreadable");
         }
-    };
+    }
+}
+
+fn take_report<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    report: PeerReport,
+) {
     let now_ms = clock::now_ms();
     for entry in &report.suspects {
         let record = suspect::SuspectRecord {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod ingress;
 mod planner;
 pub mod process;
+mod scheduler;
 mod state;
 mod target;
 pub mod telemetry;
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -9,7 +9,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{clock, edge, follow, gossip, ingress, planner, state, telemetry};
+use crate::{clock, edge, follow, gossip, ingress, planner, scheduler, state, telemetry};
 
 pub use crate::state::RelaySettings;
 
@@ -54,6 +54,8 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
     let socket = UdpSocket::bind(state.settings.peer).await;
     let socket = rc::Rc::new(socket.map_err(|error| format!("peer socket: {error}"))?);
+    // The state is new, so the cell is empty.
+    let _: Result<(), _> = state.scheduler.socket.set(rc::Rc::clone(&socket));
     let stop = CancellationToken::new();
     start_listeners(&state, &stop)?;
     start_tasks(&state, &socket);
@@ -108,6 +110,7 @@
     tokio::task::spawn_local(follow::run_hosts(rc::Rc::clone(state)));
     tokio::task::spawn_local(follow::run_peer_config(rc::Rc::clone(state)));
     tokio::task::spawn_local(planner::run(rc::Rc::clone(state)));
+    tokio::task::spawn_local(scheduler::run(rc::Rc::clone(state)));
     tokio::task::spawn_local(gossip::run(rc::Rc::clone(state), rc::Rc::clone(socket)));
     tokio::task::spawn_local(async {
         let mut interval = tokio::time::interval(METRICS_UPKEEP);
--- /dev/null
+++ b/crates/relay/src/scheduler/mod.rs
@@ -0,0 +1,237 @@
+//! Placing of prompts by one daemon for others.
+//!
+//! A daemon asks the scheduler of a prompt by one datagram and gets the engines by another. The
+//! scheduler counts the work as its own until it is told that it has ended. Without an answer within
+//! [`QUESTION_TIMEOUT`] the daemon asks a standby, and then places by what it knows itself.
+
+mod ask;
+mod serve;
+
+pub use ask::{AssignedWork, ask, take_answer};
+pub use serve::{answer, take_news};
+
+use std::{
+    cell::{OnceCell, RefCell},
+    collections::HashMap,
+    net, rc,
+    time::Duration,
+};
+
+use acaciabank_core::{judge, refuse, scheduler};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, oneshot},
+};
+
+use crate::{clock, edge, gossip, state, target};
+
+/// Time for an answer: two ways between availability zones, and the turns of other tasks on a small
+/// host.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time for which news for a scheduler are collected.
+const NEWS_DELAY: Duration = Duration::from_millis(8);
+/// Time after which a daemon knows most of what the engines hold: shared parts come back about every
+/// ten seconds.
+const WARM_MS: u64 = 8_000;
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartKey {
+    /// The chain that ends with the part.
+    pub chain: u64,
+    /// Tokens of the part.
+    pub tokens: u32,
+}
+
+/// A question for the engines of a prompt.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlaceQuestion {
+    /// Random number of the question.
+    pub id: u64,
+    /// Service.
+    pub service: String,
+    /// Availability zone of the daemon that asks, as a number that only serves to compare.
+    pub zone: u64,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Parts of the prompt.
+    pub parts: Vec<PartKey>,
+    /// Short names of engines that have failed the request.
+    pub avoided: Vec<u64>,
+    /// Short name of the engine that has processed the prompt.
+    pub prefilled: Option<u64>,
+    /// Terms by which the request is refused.
+    pub terms: refuse::IntakeTerms,
+}
+
+/// Engines of a prompt, by their short names.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct PlacedEngines {
+    /// Engine that processes the prompt for another one.
+    pub prefill: Option<u64>,
+    /// Engine that generates.
+    pub decode: u64,
+    /// Engine that holds the beginning of the prompt.
+    pub source: Option<u64>,
+    /// Prompt tokens that have to be processed.
+    pub uncached_tokens: u64,
+    /// Expected time to the first token.
+    pub first_token_ms: f64,
+    /// Expected time until the prompt is processed.
+    pub prompt_ms: f64,
+    /// The part of the time to the first token that other requests cause.
+    pub wait_ms: f64,
+}
+
+/// An answer to a question.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct PlaceAnswer {
+    /// Number of the question.
+    pub id: u64,
+    /// The engines, unless none accepts work.
+    pub engines: Option<PlacedEngines>,
+}
+
+/// What became of prompts that a scheduler has placed.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct PlaceNews {
+    /// Numbers of questions whose prompt has been processed.
+    pub started: Vec<u64>,
+    /// Numbers of questions whose work has ended.
+    pub ended: Vec<u64>,
+    /// Short names of engines and what requests saw there.
+    pub outcomes: Vec<(u64, judge::TargetOutcome)>,
+}
+
+/// A message between daemons.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// State of the sender.
+    Report(Box<gossip::PeerReport>),
+    /// See [`PlaceQuestion`].
+    Question(PlaceQuestion),
+    /// See [`PlaceAnswer`].
+    Answer(PlaceAnswer),
+    /// See [`PlaceNews`].
+    News(PlaceNews),
+}
+
+/// News that wait for the next datagram to each scheduler.
+#[derive(Debug, Default)]
+pub struct NewsBox {
+    waiting: RefCell<HashMap<net::SocketAddr, PlaceNews>>,
+    queued: Notify,
+}
+
+impl NewsBox {
+    fn add(&self, scheduler: net::SocketAddr, change: impl FnOnce(&mut PlaceNews)) {
+        change(self.waiting.borrow_mut().entry(scheduler).or_default());
+        self.queued.notify_one();
+    }
+}
+
+/// What a daemon keeps as one that asks and as one that is asked.
+#[derive(Debug, Default)]
+pub struct SchedulerState {
+    /// Socket for datagrams between daemons.
+    pub socket: OnceCell<rc::Rc<UdpSocket>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<PlaceAnswer>>>,
+    standing: RefCell<scheduler::SchedulerStanding>,
+    news: rc::Rc<NewsBox>,
+    placed: RefCell<HashMap<u64, PlacedWork>>,
+}
+
+/// Work that this daemon has placed for another one.
+#[derive(Debug)]
+struct PlacedWork {
+    work: target::TargetWork,
+    /// Time after which it has ended, should the news of it be lost.
+    until_ms: u64,
+}
+
+impl SchedulerState {
+    fn send(&self, message: &PeerMessage, to: net::SocketAddr) {
+        let datagram = match postcard::to_stdvec(message) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                log::error!("a message to another daemon cannot be encoded: {error}");
+                return;
+            }
+        };
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        // What does not fit into the socket's buffer is lost like a datagram on its way: the
+        // question times out, and lost news expire.
+        if let Err(error) = socket.try_send_to(&datagram, to) {
+            log::debug!("datagram to {to}: {error}");
+        }
+    }
+
+    /// Forgets work whose time is over: the news of its end were lost.
+    pub fn expire(&self, now_ms: u64) {
+        let mut placed = self.placed.borrow_mut();
+        placed.retain(|_, kept| kept.until_ms > now_ms);
+    }
+}
+
+/// Sends news to schedulers until the process ends.
+pub async fn run<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+) {
+    let scheduler = &state.scheduler;
+    loop {
+        scheduler.news.queued.notified().await;
+        tokio::time::sleep(NEWS_DELAY).await;
+        let waiting = scheduler.news.waiting.take();
+        for (address, news) in waiting {
+            scheduler.send(&PeerMessage::News(news), address);
+        }
+    }
+}
+
+/// Candidates in the order of their rank, with the addresses of the other daemons.
+pub fn candidates<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    now_ms: u64,
+) -> Vec<scheduler::SchedulerCandidate> {
+    let mut candidates = state.peers.borrow().schedulers(now_ms);
+    if state.is_ready() {
+        candidates.push(scheduler::SchedulerCandidate {
+            name: state.host_hash,
+            capacity: state.settings.capacity,
+            is_warm: is_warm(now_ms.saturating_sub(state.started_ms)),
+        });
+    }
+    scheduler::rank(&mut candidates);
+    candidates
+}
+
+/// Whether a daemon that has run for the given time knows most of what the engines hold.
+pub fn is_warm(age_ms: u64) -> bool {
+    age_ms >= WARM_MS
+}
+
+/// Tells the first schedulers what a request saw at an engine, as each daemon alone sees too few.
+pub fn report_outcome<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    target: &target::TargetState,
+    outcome: judge::TargetOutcome,
+) {
+    if target.entry.stage.is_none() {
+        return;
+    }
+    let candidates = candidates(state, clock::now_ms());
+    let told = scheduler::count(candidates.len());
+    for candidate in candidates.iter().take(told) {
+        let address = state.peers.borrow().address_of(candidate.name);
+        if let Some(address) = address {
+            let entry = (target.hash, outcome);
+            state
+                .scheduler
+                .news
+                .add(address, |news| news.outcomes.push(entry));
+        }
+    }
+}
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -6,9 +6,9 @@
     net, rc, time,
 };
 
-use acaciabank_core::{budget, parts, suspect};
+use acaciabank_core::{budget, judge, parts, suspect};
 
-use crate::{config, edge, gossip, target, watch};
+use crate::{config, edge, gossip, scheduler, target, watch};
 
 /// Settings of the process.
 #[derive(Clone, Debug)]
@@ -35,6 +35,8 @@
     pub max_ttl_s: u64,
     /// Retry budget of each service.
     pub budget: budget::BudgetTerms,
+    /// Processor time of the host, in thousandths of a core.
+    pub capacity: u32,
     /// Level of the log.
     pub log_level: log::LevelFilter,
 }
@@ -96,6 +98,10 @@
     pub part_news: RefCell<Vec<(u64, gossip::PartEntry)>>,
     /// Availability zone, as a number that only serves to compare.
     pub zone_hash: u64,
+    /// Short name of the daemon.
+    pub host_hash: u64,
+    /// Placing for other daemons and by them.
+    pub scheduler: scheduler::SchedulerState,
     /// What this daemon has read from the store, and when.
     pub watch: watch::StoreWatch,
     /// Crash suspects.
@@ -138,7 +144,9 @@
             listed_hosts: Cell::new(0),
             config_behind: tokio::sync::Notify::new(),
             part_news: RefCell::default(),
-            zone_hash: xxhash_rust::xxh3::xxh3_64(settings.zone.as_bytes()),
+            zone_hash: hash_name(&settings.zone),
+            host_hash: hash_name(&settings.host),
+            scheduler: scheduler::SchedulerState::default(),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
@@ -226,6 +234,13 @@
         self.part_news.borrow_mut().extend(entries);
     }
 
+    /// Records what a request saw at a target, for this daemon and the schedulers.
+    pub fn record_outcome(&self, target: &target::TargetState, outcome: judge::TargetOutcome) {
+        let now_ms = crate::clock::now_ms();
+        target.judge.borrow_mut().record(outcome, now_ms);
+        scheduler::report_outcome(self, target, outcome);
+    }
+
     /// Counts a request of a caller for the retry budget.
     pub fn record_request(&self, service: &str) {
         let now_ms = crate::clock::now_ms();
@@ -262,6 +277,11 @@
     }
 }
 
+/// Short name of a daemon or an availability zone.
+pub fn hash_name(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
+
 fn unix_ms() -> u64 {
     let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
     now.map_or(0, |elapsed| elapsed.as_millis() as u64)
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -170,6 +170,7 @@
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
     by_id: HashMap<String, rc::Rc<TargetState>>,
+    by_hash: HashMap<u64, rc::Rc<TargetState>>,
     by_service: HashMap<String, Vec<rc::Rc<TargetState>>>,
     /// Newest versions by id, also of targets that are gone.
     versions: HashMap<String, u64>,
@@ -235,7 +236,7 @@
 
     /// The target with a short name.
     pub fn by_hash(&self, hash: u64) -> Option<&rc::Rc<TargetState>> {
-        self.by_id.values().find(|target| target.hash == hash)
+        self.by_hash.get(&hash)
     }
 
     /// All targets.
@@ -262,6 +263,7 @@
         let target = rc::Rc::new(TargetState::new(entry.clone(), kv_tokens));
         let service = self.by_service.entry(target.entry.service.clone());
         service.or_default().push(rc::Rc::clone(&target));
+        self.by_hash.insert(target.hash, rc::Rc::clone(&target));
         self.by_id.insert(target.entry.id.clone(), target);
     }
 
@@ -269,6 +271,7 @@
         let Some(target) = self.by_id.remove(id) else {
             return;
         };
+        self.by_hash.remove(&target.hash);
         target.is_leaving.set(true);
         log::info!(target_id = id; "target_gone");
         if let Some(targets) = self.by_service.get_mut(&target.entry.service) {
