Order the stages of many engines at once

Cause: on the grown deployments 35% of the engines process prompts at the start and 70% are wanted.

Change: the planner returns all changes up to a fifth of the engines, and for a lasting pressure 4% of them; the holder of the lease sends them side by side.

--- a/crates/core/src/stage/mod.rs
+++ b/crates/core/src/stage/mod.rs
@@ -14,8 +14,8 @@
 //!     slots: 64, backlog_tokens: 0, changed_ms: None,
 //! };
 //! let engines: Vec<EngineDuty> = (0..4).map(duty).collect();
-//! let change = StagePlanner::default().next_change(0, &engines).unwrap();
-//! assert_eq!(change.to, EngineStage::Prefill);
+//! let changes = StagePlanner::default().next_changes(0, &engines);
+//! assert_eq!(changes[0].to, EngineStage::Prefill);
 //! ```
 
 use crate::place::EngineStage;
@@ -38,6 +38,9 @@
 const DWELL_MS: u64 = 12_000;
 /// Engines that change at once at most, as a share of all.
 const SWITCHING_SHARE: f64 = 0.2;
+/// Engines that change for a pressure that has lasted, as a share of all: small against what the
+/// others can take over, and large enough to follow a shift within some seconds.
+const PRESSURE_SHARE: f64 = 0.04;
 
 /// What the planner knows of an engine that accepts work.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -87,37 +90,47 @@
 }
 
 impl StagePlanner {
-    /// The next change to order, if any.
-    pub fn next_change(&mut self, now_ms: u64, engines: &[EngineDuty]) -> Option<StageChange> {
+    /// The next changes to order.
+    pub fn next_changes(&mut self, now_ms: u64, engines: &[EngineDuty]) -> Vec<StageChange> {
         if engines.len() < 2 {
-            return None;
+            return Vec::new();
         }
-        let pressure = pressure_of(engines);
-        let is_lasting = self.lasts(pressure, now_ms);
-        let switching = engines.iter().filter(|engine| engine.is_switching).count();
+        let wanted = self.wanted_decodes(now_ms, engines);
         let limit = (engines.len() as f64 * SWITCHING_SHARE).ceil() as usize;
-        if switching >= limit {
-            return None;
+        let mut engines = engines.to_vec();
+        let mut changes = Vec::new();
+        while let Some(change) = change_towards(wanted, limit, now_ms, &engines) {
+            changes.push(change);
+            let changed = engines
+                .iter_mut()
+                .filter(|engine| engine.target == change.target);
+            for engine in changed {
+                engine.stage = change.to;
+                engine.is_switching = true;
+            }
+        }
+        if !changes.is_empty() {
+            self.pressing = None;
         }
+        changes
+    }
+
+    /// Engines that should generate.
+    fn wanted_decodes(&mut self, now_ms: u64, engines: &[EngineDuty]) -> usize {
+        let pressure = pressure_of(engines);
+        let is_lasting = self.lasts(pressure, now_ms);
         let decodes = count(engines, EngineStage::Decode);
         let usual = (engines.len() as f64 * (1.0 - PREFILL_SHARE)).round() as usize;
         let usual = usual.clamp(1, engines.len() - 1);
-        let wanted = match pressure {
+        let step = (engines.len() as f64 * PRESSURE_SHARE).ceil() as usize;
+        match pressure {
             _ if decodes == 0 => 1,
             _ if decodes == engines.len() => decodes - 1,
             Pressure::Idle => usual,
-            Pressure::Prefill if is_lasting => (decodes - 1).max(usual.min(decodes)),
-            Pressure::Decode if is_lasting => (decodes + 1).min(engines.len() - 1),
+            Pressure::Prefill if is_lasting => decodes.saturating_sub(step).max(usual.min(decodes)),
+            Pressure::Decode if is_lasting => (decodes + step).min(engines.len() - 1),
             _ => decodes,
-        };
-        let (from, to) = match decodes.cmp(&wanted) {
-            std::cmp::Ordering::Greater => (EngineStage::Decode, EngineStage::Prefill),
-            std::cmp::Ordering::Less => (EngineStage::Prefill, EngineStage::Decode),
-            std::cmp::Ordering::Equal => return None,
-        };
-        let target = pick_engine(now_ms, engines, from)?;
-        self.pressing = None;
-        Some(StageChange { target, to })
+        }
     }
 
     /// Whether a pressure has lasted for [`CONFIRM_MS`].
@@ -132,6 +145,28 @@
     }
 }
 
+/// One more change towards the wanted number of engines that generate, while fewer than `limit`
+/// engines change.
+fn change_towards(
+    wanted: usize,
+    limit: usize,
+    now_ms: u64,
+    engines: &[EngineDuty],
+) -> Option<StageChange> {
+    let switching = engines.iter().filter(|engine| engine.is_switching).count();
+    if switching >= limit {
+        return None;
+    }
+    let decodes = count(engines, EngineStage::Decode);
+    let (from, to) = match decodes.cmp(&wanted) {
+        std::cmp::Ordering::Greater => (EngineStage::Decode, EngineStage::Prefill),
+        std::cmp::Ordering::Less => (EngineStage::Prefill, EngineStage::Decode),
+        std::cmp::Ordering::Equal => return None,
+    };
+    let target = pick_engine(now_ms, engines, from)?;
+    Some(StageChange { target, to })
+}
+
 fn pressure_of(engines: &[EngineDuty]) -> Pressure {
     let fill = mean(engines, EngineStage::Decode, |engine| {
         f64::from(engine.running) / f64::from(engine.slots.max(1))
--- a/crates/core/tests/stage.rs
+++ b/crates/core/tests/stage.rs
@@ -37,7 +37,7 @@
             }
             *done_ms > now_ms
         });
-        if let Some(change) = planner.next_change(now_ms, engines) {
+        for change in planner.next_changes(now_ms, engines) {
             let engine = engines
                 .iter_mut()
                 .find(|engine| engine.target == change.target);
@@ -67,6 +67,29 @@
     );
 }
 
+/// Guards against a large fleet that takes minutes to get ready: every order takes three seconds, and
+/// callers come soon after the start.
+#[test]
+fn a_large_idle_fleet_takes_the_usual_shares_within_ten_seconds() {
+    let mut engines = fleet(49, 91);
+    let mut planner = stage::StagePlanner::default();
+    for round in 0..3 {
+        let changes = planner.next_changes(round * 3_300, &engines);
+        assert!(changes.len() <= 28, "a fifth of the engines at once");
+        for change in changes {
+            let mut all = engines.iter_mut();
+            let engine = all.find(|engine| engine.target == change.target);
+            let engine = engine.expect("an engine");
+            engine.stage = change.to;
+            engine.changed_ms = Some(round * 3_300);
+        }
+    }
+    let prefills = engines
+        .iter()
+        .filter(|engine| engine.stage == EngineStage::Prefill);
+    assert_eq!(prefills.count(), 98);
+}
+
 /// Guards against stages that swing to and fro under a steady load on both sides.
 #[test]
 fn an_overload_of_both_stages_changes_nothing() {
@@ -89,10 +112,11 @@
         .iter_mut()
         .for_each(|engine| engine.running = 16);
     let mut planner = stage::StagePlanner::default();
-    assert_eq!(planner.next_change(0, &engines), None);
-    assert_eq!(planner.next_change(1_000, &engines), None);
-    let change = planner.next_change(2_500, &engines).expect("a change");
-    assert_eq!(change.to, EngineStage::Prefill);
+    assert_eq!(planner.next_changes(0, &engines), []);
+    assert_eq!(planner.next_changes(1_000, &engines), []);
+    let changes = planner.next_changes(2_500, &engines);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].to, EngineStage::Prefill);
 }
 
 /// Guards against a fleet without an engine that generates.
@@ -277,8 +301,8 @@
         .iter_mut()
         .for_each(|engine| engine.changed_ms = Some(13_000));
     let mut planner = stage::StagePlanner::default();
-    assert_eq!(planner.next_change(5_000, &engines), None);
-    assert!(planner.next_change(26_000, &engines).is_some());
+    assert_eq!(planner.next_changes(5_000, &engines), []);
+    assert!(!planner.next_changes(26_000, &engines).is_empty());
 }
 
 /// What the rules count for a request: calls that reach a target beyond the first, without the first
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -133,13 +133,28 @@
             };
             let duties = self.duties(&spec.name);
             let planner = self.planners.entry(spec.name.clone()).or_default();
-            let Some(change) = planner.next_change(clock::now_ms(), &duties) else {
-                continue;
+            let changes = planner.next_changes(clock::now_ms(), &duties);
+            let Some(grant) = self.seat.grant(clock::now_ms()) else {
+                return;
             };
-            let found = self.state.targets.borrow().by_hash(change.target).cloned();
-            if let Some(target) = found {
-                self.order(&target, change.to, engine.switch_ms).await;
-            }
+            let orders = changes.iter().filter_map(|change| {
+                let target = self
+                    .state
+                    .targets
+                    .borrow()
+                    .by_hash(change.target)
+                    .cloned()?;
+                let state = rc::Rc::clone(&self.state);
+                Some(change_stage(
+                    state,
+                    target,
+                    change.to,
+                    engine.switch_ms,
+                    grant,
+                ))
+            });
+            let ended = futures::future::join_all(orders).await;
+            self.changed.extend(ended.into_iter().flatten());
         }
     }
 
@@ -164,68 +179,67 @@
         };
         staying.filter_map(duty).collect()
     }
+}
 
-    async fn order(
-        &mut self,
-        target: &rc::Rc<target::TargetState>,
-        to: EngineStage,
-        switch_ms: u64,
-    ) {
-        let state = rc::Rc::clone(&self.state);
-        let report = match order::read_report(&state, target).await {
-            Ok(report) => report,
-            Err(error) => {
-                log::info!(target_id = target.entry.id.as_str(), error = error.as_str(); "report_failed");
-                return;
-            }
-        };
-        if report.is_busy || report.stage == Some(to) {
-            target.away_until_ms.set(clock::now_ms() + SWITCH_SLACK_MS);
-            set_ordered(target, to, clock::now_ms() + LIST_LAG_MS);
-            return;
+/// Has one engine change its stage; returns its short name and the time until which it gets no other
+/// order, if one was sent.
+async fn change_stage<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: state::SharedState<Codec, Store>,
+    target: rc::Rc<target::TargetState>,
+    to: EngineStage,
+    switch_ms: u64,
+    grant: lease::LeaseGrant,
+) -> Option<(u64, u64)> {
+    let report = match order::read_report(&state, &target).await {
+        Ok(report) => report,
+        Err(error) => {
+            log::info!(target_id = target.entry.id.as_str(), error = error.as_str(); "report_failed");
+            return None;
         }
-        let now_ms = clock::now_ms();
-        let Some(grant) = self.seat.grant(now_ms) else {
-            return;
-        };
-        let terms = edge::OrderTerms {
-            target_id: &target.entry.id,
-            holder: &state.settings.host,
-            fence: grant.term,
-            stage: to,
-            expected_orders: report.orders,
-        };
-        self.changed.insert(target.hash, now_ms);
-        let leave_ms = LEAVE_TIME.as_millis() as u64;
-        target
-            .away_until_ms
-            .set(now_ms + leave_ms + SWITCH_SLACK_MS);
-        state.report_now.notify_one();
-        // Requests that are under way to the engine are not refused by it.
-        tokio::time::sleep(LEAVE_TIME).await;
-        let answer = order::send_order(&state, target, &terms, grant.act_until_ms).await;
-        log::info!(
-            target_id = target.entry.id.as_str(), stage:? = to, fence = grant.term,
-            orders = report.orders, answer:? = answer;
-            "order"
-        );
-        match answer {
-            edge::OrderAnswer::Accepted | edge::OrderAnswer::InForce => {
-                let back_ms = clock::now_ms() + switch_ms + SWITCH_SLACK_MS;
-                target.away_until_ms.set(back_ms);
-                set_ordered(target, to, back_ms + LIST_LAG_MS);
-                state.report_now.notify_one();
-            }
-            edge::OrderAnswer::Refused | edge::OrderAnswer::Unsent => {
-                target.away_until_ms.set(now_ms);
-            }
-            // It may be carried out later; until then the engine works and gets no other order.
-            edge::OrderAnswer::Unknown => {
-                target.away_until_ms.set(now_ms + SWITCH_SLACK_MS);
-                self.changed.insert(target.hash, now_ms + OPEN_ORDER_MS);
-            }
+    };
+    if report.is_busy || report.stage == Some(to) {
+        target.away_until_ms.set(clock::now_ms() + SWITCH_SLACK_MS);
+        set_ordered(&target, to, clock::now_ms() + LIST_LAG_MS);
+        return None;
+    }
+    let now_ms = clock::now_ms();
+    let terms = edge::OrderTerms {
+        target_id: &target.entry.id,
+        holder: &state.settings.host,
+        fence: grant.term,
+        stage: to,
+        expected_orders: report.orders,
+    };
+    let leave_ms = LEAVE_TIME.as_millis() as u64;
+    target
+        .away_until_ms
+        .set(now_ms + leave_ms + SWITCH_SLACK_MS);
+    state.report_now.notify_one();
+    // Requests that are under way to the engine are not refused by it.
+    tokio::time::sleep(LEAVE_TIME).await;
+    let answer = order::send_order(&state, &target, &terms, grant.act_until_ms).await;
+    log::info!(
+        target_id = target.entry.id.as_str(), stage:? = to, fence = grant.term,
+        orders = report.orders, answer:? = answer;
+        "order"
+    );
+    match answer {
+        edge::OrderAnswer::Accepted | edge::OrderAnswer::InForce => {
+            let back_ms = clock::now_ms() + switch_ms + SWITCH_SLACK_MS;
+            target.away_until_ms.set(back_ms);
+            set_ordered(&target, to, back_ms + LIST_LAG_MS);
+            state.report_now.notify_one();
+        }
+        edge::OrderAnswer::Refused | edge::OrderAnswer::Unsent => {
+            target.away_until_ms.set(now_ms);
+        }
+        // It may be carried out later; until then the engine works and gets no other order.
+        edge::OrderAnswer::Unknown => {
+            target.away_until_ms.set(now_ms + SWITCH_SLACK_MS);
+            return Some((target.hash, now_ms + OPEN_ORDER_MS));
         }
     }
+    Some((target.hash, now_ms))
 }
 
 fn set_ordered(target: &target::TargetState, stage: EngineStage, until_ms: u64) {
