Notice lost news of targets by their versions; read the store less often

A daemon that missed all repeats would still have been late by up to 6 s.

Change: news carry the version of the store after which they are complete. A daemon that knows less reads the store at once; rereading without cause is left at 60 s.

--- a/crates/relay/src/follow/mod.rs
+++ b/crates/relay/src/follow/mod.rs
@@ -15,8 +15,8 @@
 /// Time between two looks whether the store has to be read.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two readings of the registered daemons. Reports between the daemons spread what
-/// changes in between.
-const HOST_INTERVAL: Duration = Duration::from_secs(15);
+/// changes in between; the list only joins groups that have lost each other.
+const HOST_INTERVAL: Duration = Duration::from_secs(60);
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
@@ -89,7 +89,7 @@
                     state.take_document(&document, "store");
                 }
                 // The question waited at the store, and the answer holds for the end of the wait.
-                state.watch.config.record_direct(clock::now_ms());
+                state.watch.config.record_direct(clock::now_ms(), version);
                 if state.config.borrow().is_none() {
                     tokio::time::sleep(IDLE_INTERVAL).await;
                 }
@@ -115,9 +115,13 @@
         match state.store.next_targets(after).await {
             Ok(changes) => {
                 pause.succeeded();
-                after = Some(changes.version);
-                state.apply_targets(changes, state::ChangeSource::Store);
-                state.watch.targets.record_direct(sent_ms);
+                let version = changes.version;
+                let source = state::ChangeSource::Store {
+                    after: after.unwrap_or(0),
+                };
+                after = Some(version);
+                state.apply_targets(changes, source);
+                state.watch.targets.record_direct(sent_ms, version);
                 let part = 0.8 + 0.2 * rand::random::<f64>();
                 tokio::time::sleep(TARGET_INTERVAL.mul_f64(part)).await;
             }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -6,7 +6,7 @@
 mod table;
 mod task;
 
-pub use table::{PeerTable, TakenReport};
+pub use table::PeerTable;
 pub use task::{announce, run};
 
 use std::net;
@@ -90,6 +90,8 @@
     pub targets_age_ms: Option<u64>,
     /// Recent changes of targets.
     pub target_news: edge::TargetChanges,
+    /// Version of the store after which these are complete.
+    pub news_after: u64,
     /// Loads that the daemon causes.
     pub loads: Vec<LoadEntry>,
     /// Engines that it has ordered to change their stage.
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -10,9 +10,6 @@
 /// Age from which a daemon is not named to callers and its loads no longer count, beyond two of the
 /// intervals that it states: one report may be lost, and hosts are slow at times.
 const SILENT_MS: u64 = 1_000;
-/// Silence of a daemon after which changes that it told may have been missed. Changes are repeated
-/// for longer.
-const GAP_MS: u64 = 1_200;
 /// Age from which a daemon is forgotten.
 const FORGET_MS: u64 = 20_000;
 /// Time for which an address stays known that has never answered.
@@ -46,17 +43,6 @@
     loads: HashMap<u64, LoadSum>,
 }
 
-/// How a report follows those before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TakenReport {
-    /// It is older than what is known, or the same.
-    Old,
-    /// The first one, or one after a silence in which changes may have been missed.
-    AfterGap,
-    /// It follows closely.
-    Following,
-}
-
 /// Load that the other daemons cause at a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadSum {
@@ -74,16 +60,13 @@
         self.contacts.entry(address).or_insert(now_ms + CONTACT_MS);
     }
 
-    /// Takes a report.
-    pub fn take(&mut self, report: PeerReport, now_ms: u64) -> TakenReport {
+    /// Takes a report; tells whether it is newer than what is known.
+    pub fn take(&mut self, report: PeerReport, now_ms: u64) -> bool {
         let order = (report.boot, report.number);
         let known = self.peers.get(&report.host);
         if known.is_some_and(|known| (known.report.boot, known.report.number) >= order) {
-            return TakenReport::Old;
+            return false;
         }
-        let is_following = known.is_some_and(|known| {
-            known.report.boot == report.boot && now_ms.saturating_sub(known.heard_ms) < GAP_MS
-        });
         let is_new = known.is_none_or(|known| known.report.boot != report.boot);
         if is_new {
             log::info!(peer = report.host.as_str(), address:% = report.peer; "peer_found");
@@ -99,10 +82,7 @@
         };
         self.peers.insert(state.report.host.clone(), state);
         self.sum_loads(now_ms);
-        match is_following {
-            true => TakenReport::Following,
-            false => TakenReport::AfterGap,
-        }
+        true
     }
 
     /// Forgets daemons and addresses that have been silent for long.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::{parts, scheduler as duty, suspect};
 use tokio::net::UdpSocket;
 
-use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry, TakenReport};
+use super::{AwayEntry, LoadEntry, PartEntry, PeerReport, SuspectEntry};
 use crate::{clock, edge, scheduler, state, target, watch};
 
 /// Time between two reports: loads change within some hundred milliseconds.
@@ -150,7 +150,7 @@
     let number = NUMBER.get() + 1;
     NUMBER.set(number);
     let settings = &state.settings;
-    let (target_news, is_cut) = state.watch.recent_news(now_ms);
+    let news = state.watch.recent_news(now_ms);
     PeerReport {
         host: settings.host.clone(),
         boot: state.boot,
@@ -162,14 +162,15 @@
         config_version: state.config_version(),
         config_age_ms: state.watch.config.direct_age_ms(now_ms),
         // The others rely on the news of the daemons that watch the store closely alone.
-        targets_age_ms: match is_watcher && !is_cut {
+        targets_age_ms: match is_watcher && !news.is_cut {
             true => state.watch.targets.direct_age_ms(now_ms),
             false => None,
         },
         target_news: match is_watcher {
-            true => target_news,
+            true => news.changes,
             false => edge::TargetChanges::default(),
         },
+        news_after: news.after,
         loads: loads(state),
         away: away(state),
         parts: part_news(state, now_ms, interval),
@@ -343,8 +344,9 @@
     state.apply_targets(report.target_news.clone(), state::ChangeSource::Peer);
     let is_newer = report.config_version > state.config_version();
     let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
-    let taken = state.peers.borrow_mut().take(report, now_ms);
-    if taken == TakenReport::Old {
+    let (after, version) = (report.news_after, report.target_news.version);
+    let is_new = state.peers.borrow_mut().take(report, now_ms);
+    if !is_new {
         return;
     }
     if is_newer {
@@ -355,14 +357,9 @@
             .config
             .record_fresh(now_ms.saturating_sub(age_ms));
     }
-    match (targets_age_ms, taken) {
-        (Some(age_ms), TakenReport::Following) => {
-            let fresh_ms = now_ms.saturating_sub(age_ms);
-            state.watch.targets.record_fresh(fresh_ms);
-        }
-        // Changes are repeated for a while only, so those of a longer silence may have been missed.
-        (Some(_), _) => state.watch.targets.record_gap(),
-        (None, _) => {}
+    if let Some(age_ms) = targets_age_ms {
+        let fresh_ms = now_ms.saturating_sub(age_ms);
+        state.watch.targets.record_told(fresh_ms, after, version);
     }
 }
 
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -119,8 +119,11 @@
 /// Where changes of targets come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChangeSource {
-    /// The platform's store.
-    Store,
+    /// The platform's store, asked for what changed after a version.
+    Store {
+        /// The version; zero for a whole list.
+        after: u64,
+    },
     /// Another daemon.
     Peer,
 }
@@ -205,7 +208,9 @@
             engine.map_or(UNKNOWN_KV_TOKENS, |engine| engine.kv_tokens)
         };
         let now_ms = crate::clock::now_ms();
-        if source == ChangeSource::Store && self.watch.record_news(&changes, now_ms) {
+        if let ChangeSource::Store { after } = source
+            && self.watch.record_news(after, &changes, now_ms)
+        {
             self.report_now.notify_one();
         }
         self.targets.borrow_mut().apply(changes, kv_tokens);
--- a/crates/relay/src/watch/mod.rs
+++ b/crates/relay/src/watch/mod.rs
@@ -13,8 +13,9 @@
 /// Age of the news from which a daemon reads the store itself: what changes has to be known two
 /// seconds after the store has acknowledged it.
 const STALE_MS: u64 = 1_300;
-/// Time after which a daemon reads the store whatever it hears.
-const RECHECK_MS: u64 = 6_000;
+/// Time after which a daemon reads the store whatever it hears. News that were lost are noticed by
+/// their versions, so this only bounds the effect of a fault in the news themselves.
+const RECHECK_MS: u64 = 60_000;
 /// Time for which changes are repeated in reports, so that some may be lost.
 const REPEAT_MS: u64 = 1_500;
 /// Changes in a report at most; what is left out is read from the store by the others.
@@ -27,15 +28,33 @@
     direct_ms: Cell<Option<u64>>,
     /// Time of the newest answer of the store that this daemon knows the content of.
     fresh_ms: Cell<u64>,
+    /// Version of the store up to which this daemon knows the content.
+    version: Cell<u64>,
 }
 
 impl WatchAge {
-    /// The store has answered a question that was sent at the given time.
-    pub fn record_direct(&self, sent_ms: u64) {
+    /// The store has answered a question that was sent at the given time, with all up to a version.
+    pub fn record_direct(&self, sent_ms: u64, version: u64) {
         self.direct_ms.set(Some(sent_ms));
+        self.version.set(self.version.get().max(version));
         self.record_fresh(sent_ms);
     }
 
+    /// Another daemon has told all that changed after one version up to another, as the store
+    /// answered at the given time. What changed before may have been missed, unless this daemon has
+    /// newer news already.
+    pub fn record_told(&self, fresh_ms: u64, after: u64, version: u64) {
+        if fresh_ms <= self.fresh_ms.get() {
+            return;
+        }
+        if after > self.version.get() {
+            self.record_gap();
+            return;
+        }
+        self.version.set(self.version.get().max(version));
+        self.record_fresh(fresh_ms);
+    }
+
     /// Another daemon has told what the store answered at the given time.
     pub fn record_fresh(&self, fresh_ms: u64) {
         self.fresh_ms.set(self.fresh_ms.get().max(fresh_ms));
@@ -70,34 +89,60 @@
     pub config: WatchAge,
     /// Targets.
     pub targets: WatchAge,
-    news: RefCell<Vec<(u64, edge::TargetChanges)>>,
+    news: RefCell<Vec<KeptNews>>,
+}
+
+/// One answer of the store about targets.
+#[derive(Debug)]
+struct KeptNews {
+    /// Time until which it is repeated.
+    until_ms: u64,
+    /// Version that it follows.
+    after: u64,
+    changes: edge::TargetChanges,
+}
+
+/// Changes of targets for a report.
+#[derive(Clone, Debug, Default)]
+pub struct RecentNews {
+    /// The changes, and the version up to which they are known.
+    pub changes: edge::TargetChanges,
+    /// Version after which they are complete.
+    pub after: u64,
+    /// Whether some were left out, or the store has not answered lately.
+    pub is_cut: bool,
 }
 
 impl StoreWatch {
-    /// Keeps changes of targets that were read from the store for the next reports; tells whether
-    /// there are any.
-    pub fn record_news(&self, news: &edge::TargetChanges, now_ms: u64) -> bool {
-        let has_news = !news.present.is_empty() || !news.absent.is_empty();
-        if has_news {
-            let until_ms = now_ms + REPEAT_MS;
-            self.news.borrow_mut().push((until_ms, news.clone()));
-        }
-        has_news
+    /// Keeps an answer of the store about what changed after a version for the next reports; tells
+    /// whether anything has changed.
+    pub fn record_news(&self, after: u64, changes: &edge::TargetChanges, now_ms: u64) -> bool {
+        self.news.borrow_mut().push(KeptNews {
+            until_ms: now_ms + REPEAT_MS,
+            after,
+            changes: changes.clone(),
+        });
+        !changes.present.is_empty() || !changes.absent.is_empty()
     }
 
-    /// Changes that the next report repeats, and whether some were left out.
-    pub fn recent_news(&self, now_ms: u64) -> (edge::TargetChanges, bool) {
+    /// Changes that the next report repeats.
+    pub fn recent_news(&self, now_ms: u64) -> RecentNews {
         let mut kept = self.news.borrow_mut();
-        kept.retain(|(until_ms, _)| *until_ms > now_ms);
-        let mut all = edge::TargetChanges::default();
-        for (_, news) in kept.iter() {
-            all.present.extend(news.present.iter().cloned());
-            all.absent.extend(news.absent.iter().cloned());
-            all.version = all.version.max(news.version);
+        kept.retain(|news| news.until_ms > now_ms);
+        let mut recent = RecentNews {
+            after: kept.iter().map(|news| news.after).min().unwrap_or(u64::MAX),
+            ..RecentNews::default()
+        };
+        let all = &mut recent.changes;
+        for news in kept.iter() {
+            all.present.extend(news.changes.present.iter().cloned());
+            all.absent.extend(news.changes.absent.iter().cloned());
+            all.version = all.version.max(news.changes.version);
         }
-        let is_cut = all.present.len() > MAX_NEWS || all.absent.len() > MAX_NEWS;
+        recent.is_cut =
+            kept.is_empty() || all.present.len() > MAX_NEWS || all.absent.len() > MAX_NEWS;
         all.present.truncate(MAX_NEWS);
         all.absent.truncate(MAX_NEWS);
-        (all, is_cut)
+        recent
     }
 }
