Let parts be fetched only once they are processed

Cause: a scheduler knows at once what it has sent where, and believed a prompt to be ready after the expected time, at a decode engine even at once.

Change: parts count as ready when the prompt was seen to be processed, or after twice the expected time and 200 ms if that news is lost.

--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -125,10 +125,17 @@
 }
 
 impl EngineWork {
-    /// The prompt has been processed, or its KV cache fetched.
-    pub fn end_prefill(&self) {
+    /// The prompt has been processed, or its KV cache fetched: the engine holds its parts.
+    pub fn end_prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+        &self,
+        state: &state::RelayState<Codec, Store>,
+        parts: &[parts::PromptPart],
+    ) {
         match self {
-            Self::Own(work) => work.end_prefill(),
+            Self::Own(work) => {
+                work.end_prefill();
+                state.record_parts(&work.target, parts, state::PartsReady::Now);
+            }
             Self::Assigned(work) => work.end_prefill(),
         }
     }
@@ -163,11 +170,13 @@
     ) -> target::TargetWork {
         if is_prefilled {
             let transfer_ms = (self.first_token_ms - self.wait_ms) as u64;
-            state.record_parts(&self.decode, parts, 0);
+            let ready = state::PartsReady::Expected(transfer_ms);
+            state.record_parts(&self.decode, parts, ready);
             return target::TargetWork::start(&self.decode, 0, transfer_ms);
         }
         let engine = self.prefill.as_ref().unwrap_or(&self.decode);
-        state.record_parts(engine, parts, self.prompt_ms as u64);
+        let ready = state::PartsReady::Expected(self.prompt_ms as u64);
+        state.record_parts(engine, parts, ready);
         target::TargetWork::start(engine, self.uncached_tokens, 0)
     }
 }
--- a/crates/relay/src/dispatch/generate/handle.rs
+++ b/crates/relay/src/dispatch/generate/handle.rs
@@ -107,7 +107,7 @@
     };
     match answer.collect(until).await {
         Ok((head, body)) if head.status == http::StatusCode::OK => {
-            work.end_prefill();
+            work.end_prefill(state, &request.parts);
             record(judge::TargetOutcome::Answered);
             let name = state
                 .codec
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -307,7 +307,7 @@
     let mut reader = EventReader::new(body, last_event);
     match reader.next(until).await {
         Ok(first) => {
-            work.end_prefill();
+            work.end_prefill(state, &request.parts);
             let stream = OpenStream {
                 reader,
                 connection,
--- a/crates/relay/src/scheduler/mod.rs
+++ b/crates/relay/src/scheduler/mod.rs
@@ -17,7 +17,7 @@
     time::Duration,
 };
 
-use acaciabank_core::{judge, refuse, scheduler};
+use acaciabank_core::{judge, parts, refuse, scheduler};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -146,6 +146,8 @@
 #[derive(Debug)]
 struct PlacedWork {
     work: target::TargetWork,
+    /// Parts that its engine holds when the prompt has been processed.
+    parts: Vec<parts::PromptPart>,
     /// Time after which it has ended, should the news of it be lost.
     until_ms: u64,
 }
--- a/crates/relay/src/scheduler/serve.rs
+++ b/crates/relay/src/scheduler/serve.rs
@@ -61,7 +61,12 @@
         let mut placed = state.scheduler.placed.borrow_mut();
         if placed.len() < MAX_PLACED {
             let until_ms = now_ms + question.terms.left_ms + EXPIRY_SLACK_MS;
-            placed.insert(question.id, PlacedWork { work, until_ms });
+            let kept = PlacedWork {
+                work,
+                parts,
+                until_ms,
+            };
+            placed.insert(question.id, kept);
         }
     }
     Some(PlacedEngines {
@@ -84,6 +89,7 @@
     for id in &news.started {
         if let Some(kept) = placed.get(id) {
             kept.work.end_prefill();
+            state.record_parts(&kept.work.target, &kept.parts, state::PartsReady::Now);
         }
     }
     for id in &news.ended {
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -116,6 +116,20 @@
     pub stop_at: Cell<Option<time::Instant>>,
 }
 
+/// When the parts of a prompt can be fetched from an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartsReady {
+    /// They have been processed.
+    Now,
+    /// They are expected after some milliseconds.
+    Expected(u64),
+}
+
+/// Time by which parts may be later than expected: who fetches them too early processes them again.
+/// The news that they are ready replaces the expectation.
+const LATE_FACTOR: u64 = 2;
+const LATE_MS: u64 = 200;
+
 /// Where changes of targets come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChangeSource {
@@ -216,14 +230,18 @@
         self.targets.borrow_mut().apply(changes, kv_tokens);
     }
 
-    /// Records that an engine processes a prompt in `prompt_ms`, for this daemon and the others.
+    /// Records that an engine is sent a prompt or has processed it, for this daemon and the others.
     pub fn record_parts(
         &self,
         engine: &target::TargetState,
         parts: &[parts::PromptPart],
-        prompt_ms: u64,
+        ready: PartsReady,
     ) {
         let now_ms = crate::clock::now_ms();
+        let prompt_ms = match ready {
+            PartsReady::Now => 0,
+            PartsReady::Expected(expected_ms) => expected_ms * LATE_FACTOR + LATE_MS,
+        };
         let ready_ms = now_ms + prompt_ms;
         engine
             .parts
