Register a daemon before it reads the list of daemons

Cause: daemons that start together each read the list before the others were in it.

Change: register first, then read. Of two that start together the later one finds the other. The test with delayed answers of the store failed before.

--- a/crates/relay/src/follow/mod.rs
+++ b/crates/relay/src/follow/mod.rs
@@ -169,37 +169,48 @@
         peer: settings.peer,
         caller: settings.caller,
     };
+    // The daemon registers before it reads the list: of two that start together, the one that
+    // registers last finds the other.
+    let mut is_registered = false;
     loop {
         if state.phase.get() == state::RelayPhase::Draining {
             return;
         }
-        let listed = state.store.list_hosts().await;
-        let is_registered = match listed {
-            Ok(hosts) => {
-                let now_ms = clock::now_ms();
-                state.listed_hosts.set(hosts.len().saturating_sub(1));
-                for host in hosts.iter().filter(|host| host.name != own.name) {
-                    state.peers.borrow_mut().add_contact(host.peer, now_ms);
-                }
-                Ok(hosts.contains(&own))
-            }
-            Err(error) => Err(error),
-        };
         let result = match is_registered {
-            Ok(false) => state.store.put_host(&own).await,
-            Ok(true) => Ok(()),
+            true => Ok(()),
+            false => state.store.put_host(&own).await,
+        };
+        let listed = match result {
+            Ok(()) => state.store.list_hosts().await,
             Err(error) => Err(error),
         };
-        match result {
-            Ok(()) => {
+        match listed {
+            Ok(hosts) => {
                 pause.succeeded();
-                tokio::time::sleep(HOST_INTERVAL.mul_f64(0.8 + 0.4 * rand::random::<f64>())).await;
+                take_hosts(&state, &own, &hosts);
+                is_registered = hosts.contains(&own);
+                if is_registered {
+                    let part = 0.8 + 0.4 * rand::random::<f64>();
+                    tokio::time::sleep(HOST_INTERVAL.mul_f64(part)).await;
+                }
             }
             Err(error) => pause.failed(&error).await,
         }
     }
 }
 
+fn take_hosts<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    own: &edge::HostEntry,
+    hosts: &[edge::HostEntry],
+) {
+    let now_ms = clock::now_ms();
+    state.listed_hosts.set(hosts.len().saturating_sub(1));
+    for host in hosts.iter().filter(|host| host.name != own.name) {
+        state.peers.borrow_mut().add_contact(host.peer, now_ms);
+    }
+}
+
 /// Fetches a newer configuration from another daemon, for when this one cannot reach the store.
 pub async fn run_peer_config<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: state::SharedState<Codec, Store>,
--- a/crates/testbed/src/emulator/store.rs
+++ b/crates/testbed/src/emulator/store.rs
@@ -29,6 +29,8 @@
     pub loses_answers: bool,
     /// History before this version is gone.
     pub forgotten: u64,
+    /// Calls are performed at once and answered after this time.
+    pub answer_delay_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -118,6 +120,7 @@
             (Method::GET, "/rows-feed") => self.feed(&query).await,
             _ => web::error_reply(StatusCode::NOT_FOUND, "no such call"),
         };
+        tokio::time::sleep(Duration::from_millis(faults.answer_delay_ms)).await;
         if faults.loses_answers && head.uri.path() == "/rows-tx" {
             return Err(io::Error::other("the answer is lost"));
         }
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -3,6 +3,7 @@
 
 mod fixture;
 mod lifecycle;
+mod peers;
 mod promises;
 mod soak;
 mod streams;
--- /dev/null
+++ b/crates/testbed/tests/relay/peers.rs
@@ -0,0 +1,111 @@
+//! Daemons that find each other and place prompts for each other.
+
+use acaciabank_testbed::harness;
+use serde_json::json;
+
+use crate::fixture::{Fixture, LIMIT, Relay, event_ids};
+
+const EVENTS: u32 = 4;
+
+async fn wait_acquainted(relays: &[&Relay]) {
+    harness::wait_until(LIMIT, "every relay names all", async || {
+        for relay in relays {
+            if relay.addresses().await.len() < relays.len() {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
+
+/// Guards against daemons that start together and each read the list of daemons before the others
+/// are in it: seven daemons never heard of each other, and each spent the whole retry budget.
+#[tokio::test]
+async fn daemons_that_start_together_find_each_other() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let delay = json!({"answer_delay_ms": 700});
+    fixture.store.control(delay).await;
+    let relays = [
+        fixture.relay(&[]).await,
+        fixture.relay(&[]).await,
+        fixture.relay(&[]).await,
+    ];
+    wait_acquainted(&relays.each_ref()).await;
+}
+
+async fn placed_by(fixture: &Fixture, relay: &Relay, attempt: &str) -> Option<String> {
+    let answer = relay.stream("/stream/a", attempt, EVENTS).await.ok()?;
+    assert_eq!(answer.status, 200, "{attempt}");
+    assert_eq!(event_ids(&answer.body).len(), EVENTS as usize);
+    let story = relay.story(&fixture.launcher, attempt);
+    let answered = story.iter().find(|line| line["event"] == "answered");
+    let placed_by = answered?["placed_by"].as_str();
+    placed_by.map(str::to_owned)
+}
+
+/// Guards against prompts that every daemon places by what it knows alone, and against a scheduler
+/// that is paused or gone and takes the others with it.
+#[tokio::test]
+async fn one_daemon_places_for_all_and_is_replaced() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let _engines = [
+        fixture.runner("p-1", "models", Some("prefill")).await,
+        fixture.runner("p-2", "models", Some("prefill")).await,
+        fixture.runner("d-1", "models", Some("decode")).await,
+    ];
+    let first = fixture.relay(&[]).await;
+    let relays = [first, fixture.relay(&[]).await, fixture.relay(&[]).await];
+    wait_acquainted(&relays.each_ref()).await;
+    for relay in &relays {
+        harness::wait_until(LIMIT, "streams are served", async || {
+            let answer = relay.stream("/stream/a", "probe", EVENTS).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+    let mut scheduler = None;
+    harness::wait_until(LIMIT, "two of three ask the third", async || {
+        let mut own = Vec::new();
+        for (position, relay) in relays.iter().enumerate() {
+            let attempt = format!("s-{position}-{}", rand::random::<u32>());
+            if placed_by(&fixture, relay, &attempt).await.as_deref() == Some("own") {
+                own.push(position);
+            }
+        }
+        scheduler = own.first().copied();
+        own.len() == 1
+    })
+    .await;
+    let lost = &relays[scheduler.expect("a scheduler")];
+    lost.process.pause();
+    let others = || {
+        relays
+            .iter()
+            .filter(|relay| relay.process.name() != lost.process.name())
+    };
+    // Nothing fails meanwhile: a daemon places by itself when nobody answers.
+    harness::wait_until(LIMIT, "one of the others places for both", async || {
+        let mut own = 0;
+        for relay in others() {
+            let attempt = format!("l-{}", rand::random::<u32>());
+            let placed = placed_by(&fixture, relay, &attempt).await;
+            own += usize::from(placed.as_deref() == Some("own"));
+        }
+        own == 1
+    })
+    .await;
+    lost.process.resume();
+    harness::wait_until(LIMIT, "the first scheduler places again", async || {
+        let mut own = 0;
+        for relay in others() {
+            let attempt = format!("b-{}", rand::random::<u32>());
+            let placed = placed_by(&fixture, relay, &attempt).await;
+            own += usize::from(placed.as_deref() == Some("own"));
+        }
+        own == 0
+    })
+    .await;
+}
