Soak: faults of links, crashed runners, leaving runners and configurations

The soak now runs the links to runners and from relays to the store through the fault-injecting proxy (cut, held both ways or one way, delayed, answers dropped), kills and restarts runners, has them leave and writes configurations in between. Journals are read from their files, so that a runner's earlier runs count.

--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -35,6 +35,8 @@
     pub work_ms: u64,
     /// The platform's store.
     pub store: net::SocketAddr,
+    /// Address that the entry in the store names, if it is not the one that the runner listens at.
+    pub advertised: Option<net::SocketAddr>,
 }
 
 /// Faults of a runner.
@@ -108,7 +110,8 @@
             let entry = {
                 let state = self.state.lock().expect("runner lock");
                 let mut entry = json!({
-                    "service": self.options.service, "address": self.address,
+                    "service": self.options.service,
+                    "address": self.options.advertised.unwrap_or(self.address),
                     "zone": self.options.zone, "slots": 8, "seq": beat, "born": self.born_ms,
                     "state": if state.faults.is_draining { "draining" } else { "ready" },
                 });
--- a/crates/testbed/src/harness/links.rs
+++ b/crates/testbed/src/harness/links.rs
@@ -39,7 +39,12 @@
 }
 
 impl LinkProxy {
-    pub(super) async fn start(launcher: &Launcher) -> io::Result<Self> {
+    /// Starts a proxy without links.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting the process.
+    pub async fn start(launcher: &Launcher) -> io::Result<Self> {
         let address = launcher.next_address()?;
         let arguments = ["--listen".to_owned(), address.to_string()];
         let process = launcher.start_ready("proxy", "proxy", arguments).await?;
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -129,6 +129,7 @@
     let stage = long("stage").argument::<String>("NAME").optional();
     let work_ms = argument("work-ms", 5);
     let store = long("store").argument("ADDRESS");
+    let advertised = long("advertise").argument("ADDRESS").optional();
     let options = construct!(emulator::RunnerOptions {
         id,
         service,
@@ -136,6 +137,7 @@
         stage,
         work_ms,
         store,
+        advertised,
     });
     let (listen, journal_file) = (listen(), journal_file());
     construct!(RunnerArguments {
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -31,6 +31,8 @@
 pub struct Fixture {
     pub launcher: harness::Launcher,
     pub store: Member,
+    /// Proxy of the links to runners and from relays to the store, if they run through one.
+    pub proxy: Option<harness::LinkProxy>,
     peer_port: u16,
     relays: u32,
 }
@@ -46,11 +48,30 @@
         Self {
             store: Member { process, address },
             launcher,
+            proxy: None,
             peer_port,
             relays: 0,
         }
     }
 
+    /// The same with the links to runners and to the store behind a proxy.
+    pub async fn start_proxied() -> Self {
+        let fixture = Self::start().await;
+        let proxy = harness::LinkProxy::start(&fixture.launcher).await;
+        Self {
+            proxy: Some(proxy.expect("proxy")),
+            ..fixture
+        }
+    }
+
+    /// The address at which a link is reached: its own without a proxy.
+    async fn linked(&self, name: &str, address: net::SocketAddr) -> net::SocketAddr {
+        match &self.proxy {
+            Some(proxy) => proxy.add(name, address).await.expect("link"),
+            None => address,
+        }
+    }
+
     /// A runner of a plain service, or an engine with a stage.
     pub async fn runner(&self, id: &str, service: &str, stage: Option<&str>) -> Member {
         let address = self.launcher.next_address().expect("address");
@@ -77,6 +98,8 @@
             service.to_owned(),
             "--store".to_owned(),
             self.store.address.to_string(),
+            "--advertise".to_owned(),
+            self.linked(id, address).await.to_string(),
         ];
         arguments.extend(
             stage
@@ -97,6 +120,7 @@
         let ip = self.launcher.next_ip();
         let address = || self.launcher.free_address(ip).expect("address");
         let (front, ready, directory) = (address(), address(), address());
+        let store = self.linked(&name, self.store.address).await;
         let seeds: Vec<String> = seeds.iter().map(|seed| seed.front.to_string()).collect();
         let settings = format!(
             r#"node = "{name}"
@@ -118,7 +142,6 @@
 address = "{store}"
 "#,
             peer = self.peer_port,
-            store = self.store.address,
         );
         let path = self.launcher.folder().join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
@@ -137,7 +160,8 @@
     }
 
     /// Writes a configuration with the usual routes and those of `change`.
-    pub async fn configure(&self, version: u64, change: impl Fn(&mut Value)) {
+    /// Tells whether the store has accepted it.
+    pub async fn try_configure(&self, version: u64, change: impl Fn(&mut Value)) -> bool {
         let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
             json!({
                 "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
@@ -168,7 +192,12 @@
         let row = json!({"table": "op", "part": "", "key": "config", "value": value});
         let call = json!({"expected_rev": [], "writes": [row], "deletes": []}).to_string();
         let answer = web::call(self.store.address, "POST", "/rows-tx", &[], call).await;
-        assert_eq!(answer.expect("an answer").status, 200);
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// The same; the store must accept it.
+    pub async fn configure(&self, version: u64, change: impl Fn(&mut Value)) {
+        assert!(self.try_configure(version, change).await, "accepted");
     }
 }
 
@@ -195,6 +224,14 @@
             .collect()
     }
 
+    /// Entries of the journals of all runs of the process.
+    pub fn all_runs(&self, launcher: &harness::Launcher) -> Vec<Value> {
+        let path = launcher.journal_file(self.process.name());
+        let text = fs::read_to_string(path).expect("a journal");
+        let entries = text.lines().map(serde_json::from_str);
+        entries.map(|entry| entry.expect("an entry")).collect()
+    }
+
     /// How often the runner ran an attempt.
     pub async fn runs(&self, attempt: &str) -> usize {
         let entries = self.journal().await;
--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_testbed::harness;
+use acaciabank_testbed::{
+    harness,
+    proxy::{FaultKind, LinkFault},
+};
 use rand::{RngExt, SeedableRng, rngs};
 use serde_json::{Value, json};
 
@@ -21,7 +24,6 @@
 /// Time in which faults start.
 const RUN: Duration = Duration::from_secs(6);
 const RELAYS: usize = 3;
-const SERVICES: usize = 3;
 const CALLERS: usize = 6;
 const EVENTS: u32 = 8;
 /// Time within which a caller of the soak waits, in milliseconds.
@@ -34,9 +36,28 @@
     PauseRelay(usize),
     StopRelay(usize),
     Runner(usize, Value),
+    KillRunner(usize),
+    /// A link to a runner, or from a relay to the store, by its name.
+    Link(String, FaultKind),
     Store(Value),
+    /// A new configuration with another timeout.
+    Configure,
 }
 
+/// Faults of links: one way, both ways, or late.
+const LINK_FAULTS: [FaultKind; 6] = [
+    FaultKind::Cut,
+    FaultKind::Blackhole,
+    FaultKind::BlackholeUp,
+    FaultKind::BlackholeDown,
+    FaultKind::Delay,
+    FaultKind::DropAnswers,
+];
+/// Delay of each read of a delayed link, in milliseconds.
+const LINK_DELAY_MS: u64 = 60;
+/// Names of the runners, plain services first.
+const RUNNERS: [&str; 8] = ["r-0", "r-1", "r-2", "p-1", "p-2", "p-3", "d-1", "d-2"];
+
 #[derive(Clone, Debug)]
 struct PlannedFault {
     start: Duration,
@@ -45,14 +66,15 @@
 }
 
 /// The schedule of a seed; faults come in series and overlap.
-fn schedule(seed: u64, runners: usize) -> Vec<PlannedFault> {
+fn schedule(seed: u64) -> Vec<PlannedFault> {
     let mut random = rngs::StdRng::seed_from_u64(seed);
     let mut planned = Vec::new();
     let mut start = Duration::from_millis(300);
     while start < RUN {
         let relay = random.random_range(0..RELAYS);
-        let runner = random.random_range(0..runners);
-        let fault = match random.random_range(0..12) {
+        let runner = random.random_range(0..RUNNERS.len());
+        let link_fault = LINK_FAULTS[random.random_range(0..LINK_FAULTS.len())];
+        let fault = match random.random_range(0..18) {
             0 => SoakFault::KillRelay(relay),
             1 => SoakFault::PauseRelay(relay),
             2 => SoakFault::StopRelay(relay),
@@ -64,6 +86,11 @@
             8 => SoakFault::Runner(runner, json!({"crosses_answers": true})),
             9 => SoakFault::Runner(runner, json!({"breaks_after": random.random_range(0..6)})),
             10 => SoakFault::Runner(runner, json!({"cuts_bodies": true})),
+            11 => SoakFault::KillRunner(runner),
+            12 | 13 => SoakFault::Link(RUNNERS[runner].to_owned(), link_fault),
+            14 => SoakFault::Link(format!("relay-{}", relay + 1), link_fault),
+            15 => SoakFault::Configure,
+            16 => SoakFault::Runner(runner, json!({"is_draining": true})),
             _ => SoakFault::Runner(runner, json!({"is_mute": true})),
         };
         let end = start + Duration::from_millis(random.random_range(200..1_800));
@@ -86,24 +113,21 @@
     fixture: Fixture,
     relays: Vec<Relay>,
     runners: Vec<Member>,
+    version: u64,
 }
 
 impl Soak {
     async fn start() -> Self {
-        let mut fixture = Fixture::start().await;
+        let mut fixture = Fixture::start_proxied().await;
         fixture.configure(1, |_| {}).await;
         let mut runners = Vec::new();
-        for number in 0..SERVICES {
-            runners.push(fixture.runner(&format!("r-{number}"), "ledger", None).await);
-        }
-        for (id, stage) in [
-            ("p-1", "prefill"),
-            ("p-2", "prefill"),
-            ("p-3", "prefill"),
-            ("d-1", "decode"),
-            ("d-2", "decode"),
-        ] {
-            runners.push(fixture.runner(id, "models", Some(stage)).await);
+        for id in RUNNERS {
+            let (service, stage) = match id.split_once('-') {
+                Some(("p", _)) => ("models", Some("prefill")),
+                Some(("d", _)) => ("models", Some("decode")),
+                _ => ("ledger", None),
+            };
+            runners.push(fixture.runner(id, service, stage).await);
         }
         let first = fixture.relay(&[]).await;
         let mut relays = vec![first];
@@ -123,6 +147,7 @@
             fixture,
             relays,
             runners,
+            version: 1,
         }
     }
 
@@ -155,9 +180,43 @@
             SoakFault::Store(patch) => {
                 self.fixture.store.control(patch.clone()).await;
             }
-            SoakFault::Runner(runner, patch) => {
-                self.runners[*runner].control(patch.clone()).await;
-            }
+            SoakFault::Runner(runner, patch) => self.control(*runner, patch.clone()).await,
+            SoakFault::KillRunner(runner) => self.runners[*runner].process.kill(),
+            SoakFault::Link(name, kind) => self.set_link(name, *kind).await,
+            SoakFault::Configure => self.configure().await,
+        }
+    }
+
+    /// Switches a runner's faults; one that was killed has none.
+    async fn control(&self, runner: usize, patch: Value) {
+        let runner = &self.runners[runner];
+        if runner.process.id().is_some() {
+            runner.control(patch).await;
+        }
+    }
+
+    async fn set_link(&self, name: &str, kind: FaultKind) {
+        let proxy = self.fixture.proxy.as_ref().expect("a proxied fixture");
+        let fault = LinkFault {
+            kind,
+            delay_ms: LINK_DELAY_MS,
+            source: None,
+        };
+        proxy.set_fault(name, &fault).await.expect("a link");
+    }
+
+    /// Writes a configuration, unless the store does not answer now.
+    async fn configure(&mut self) {
+        let version = self.version + 1;
+        let write = self.fixture.try_configure(version, |config| {
+            config["routes"][0]["timeout_ms"] = (10_000 + version).into();
+        });
+        // The stand-in may be silent or refuse; the operator tries again with the next change.
+        if tokio::time::timeout(Duration::from_millis(500), write)
+            .await
+            .is_ok_and(|is_written| is_written)
+        {
+            self.version = version;
         }
     }
 
@@ -196,9 +255,16 @@
             SoakFault::Store(patch) => {
                 self.fixture.store.control(cleared(patch)).await;
             }
-            SoakFault::Runner(runner, patch) => {
-                self.runners[*runner].control(cleared(patch)).await;
+            SoakFault::Runner(runner, patch) => self.control(*runner, cleared(patch)).await,
+            SoakFault::KillRunner(runner) => {
+                let process = &mut self.runners[*runner].process;
+                if process.id().is_none() {
+                    process.restart().expect("a restart");
+                    process.wait_ready().await;
+                }
             }
+            SoakFault::Link(name, _) => self.set_link(name, FaultKind::None).await,
+            SoakFault::Configure => {}
         }
     }
 }
@@ -291,7 +357,7 @@
 
 async fn run_seed(seed: u64) {
     let mut soak = Soak::start().await;
-    let planned = schedule(seed, soak.runners.len());
+    let planned = schedule(seed);
     println!("seed {seed}: {planned:?}");
     let is_over = Arc::new(atomic::AtomicBool::new(false));
     let records = Arc::new(Mutex::new(Vec::new()));
@@ -314,7 +380,7 @@
     }
     let mut runs: HashMap<String, usize> = HashMap::new();
     for runner in &soak.runners {
-        for entry in runner.journal().await {
+        for entry in runner.all_runs(&soak.fixture.launcher) {
             if let Some(attempt) = entry["ran"].as_str() {
                 *runs.entry(attempt.to_owned()).or_default() += 1;
             }
@@ -355,7 +421,7 @@
 /// Guards against a soak that cannot be repeated from its seed.
 #[test]
 fn the_schedule_depends_on_the_seed_alone() {
-    let text = |seed| format!("{:?}", schedule(seed, 8));
+    let text = |seed| format!("{:?}", schedule(seed));
     assert_eq!(text(7), text(7));
     assert_ne!(text(7), text(8));
 }
