Have a scheduler read what the engines hold when it has not heard of it

Change: a daemon that becomes a scheduler without having heard the news for 8 s asks each engine for its parts, 16 at once, when most listed daemons have been heard. Parts are named by model and id as the engines do. One copy of a call with its whole answer.

--- a/crates/core/src/parts/mod.rs
+++ b/crates/core/src/parts/mod.rs
@@ -1,32 +1,30 @@
 //! What a daemon believes of the prompt parts in the memory of each engine.
 //!
 //! A prompt is a chain of parts. A cached part spares its prefill only when every part before it is
-//! cached too, so a part is identified by the hash of the chain that ends with it.
+//! cached too.
 
 use std::collections::HashMap;
 
 use xxhash_rust::xxh3;
 
-/// A part of a prompt, identified by the chain that ends with it.
+/// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
-    /// Hash of this part and all before it.
-    pub chain: u64,
+    /// Hash of its model and id, as engines name what they hold.
+    pub key: u64,
     /// Tokens of this part alone.
     pub tokens: u32,
 }
 
-/// Builds the chain of a prompt from the ids and token counts of its parts.
-pub fn chain_parts<'a>(
-    model: &str,
-    parts: impl Iterator<Item = (&'a str, u32)>,
-) -> Vec<PromptPart> {
-    let mut chain = xxh3::xxh3_64(model.as_bytes());
-    let link = |(id, tokens): (&str, u32)| {
-        chain = xxh3::xxh3_64_with_seed(id.as_bytes(), chain);
-        PromptPart { chain, tokens }
-    };
-    parts.map(link).collect()
+impl PromptPart {
+    /// The part of a model's prompts with an id.
+    pub fn new(model: &str, id: &str, tokens: u32) -> Self {
+        let seed = xxh3::xxh3_64(model.as_bytes());
+        Self {
+            key: xxh3::xxh3_64_with_seed(id.as_bytes(), seed),
+            tokens,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -67,7 +65,7 @@
 
     fn leading_tokens(&self, parts: &[PromptPart], until_ms: u64) -> u64 {
         let is_held = |part: &&PromptPart| {
-            let held = self.held.get(&part.chain);
+            let held = self.held.get(&part.key);
             held.is_some_and(|held| held.ready_ms <= until_ms)
         };
         let cached = parts.iter().take_while(is_held);
@@ -77,7 +75,7 @@
     /// Records that the engine is sent a prompt, which it will have processed at `ready_ms`.
     pub fn record_use(&mut self, parts: &[PromptPart], now_ms: u64, ready_ms: u64) {
         for part in parts {
-            let held = self.held.entry(part.chain).or_insert_with(|| {
+            let held = self.held.entry(part.key).or_insert_with(|| {
                 self.tokens += u64::from(part.tokens);
                 HeldPart {
                     tokens: part.tokens,
@@ -99,22 +97,22 @@
         let mut ages: Vec<(u64, u64)> = self
             .held
             .iter()
-            .map(|(chain, held)| (held.used_ms, *chain))
+            .map(|(key, held)| (held.used_ms, *key))
             .collect();
         ages.sort_unstable();
-        for (_, chain) in ages {
+        for (_, key) in ages {
             if self.tokens <= self.capacity / 4 * 3 {
                 break;
             }
-            if let Some(held) = self.held.remove(&chain) {
+            if let Some(held) = self.held.remove(&key) {
                 self.tokens -= u64::from(held.tokens);
             }
         }
     }
 }
 
-/// Rank of an engine as the home of a chain (rendezvous hashing): all daemons that know the same
+/// Rank of an engine as the home of a part (rendezvous hashing): all daemons that know the same
 /// engines agree on the order without talking to each other. The lowest rank is the home.
-pub fn home_rank(chain: u64, target: u64) -> u64 {
-    crate::route::mix(chain ^ target.rotate_left(32), 0)
+pub fn home_rank(part: u64, target: u64) -> u64 {
+    crate::route::mix(part ^ target.rotate_left(32), 0)
 }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -66,17 +66,17 @@
     (count(daemons) * (1 + STANDBYS_PER_SCHEDULER)).min(daemons)
 }
 
-/// Daemons to ask about a prompt, by the hash of its shared part, from the one that it belongs to.
+/// Daemons to ask about a prompt, by the key of its shared part, from the one that it belongs to.
 /// `ranked` are all candidates as [`rank`] orders them.
 pub fn order<'a>(
     ranked: &'a [SchedulerCandidate],
-    chain: u64,
+    part: u64,
     standing: &'a SchedulerStanding,
     now_ms: u64,
 ) -> impl Iterator<Item = u64> + 'a {
     let schedulers = count(ranked.len());
     let informed = informed(ranked.len());
-    let seat = (route::mix(chain, 1) % schedulers as u64) as usize;
+    let seat = (route::mix(part, 1) % schedulers as u64) as usize;
     let own = std::iter::once(seat);
     // A scheduler's standbys are those that no other scheduler has.
     let standbys = (schedulers..informed).filter(move |position| position % schedulers == seat);
--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -197,10 +197,10 @@
 }
 
 impl PromptView<'_> {
-    /// Hash of the part that the prompt shares with most others.
-    fn shared_chain(&self) -> u64 {
+    /// Key of the part that the prompt shares with most others.
+    fn shared_key(&self) -> u64 {
         let shared = shared_parts(self.parts).last();
-        shared.map_or(0, |part| part.chain)
+        shared.map_or(0, |part| part.key)
     }
 }
 
@@ -240,7 +240,7 @@
     prefilled: Option<&rc::Rc<target::TargetState>>,
 ) -> Option<EnginePlan> {
     let keys = prompt.parts.iter().map(|part| scheduler::PartKey {
-        chain: part.chain,
+        key: part.key,
         tokens: part.tokens,
     });
     let question = scheduler::PlaceQuestion {
@@ -253,7 +253,7 @@
         prefilled: prefilled.map(|engine| engine.hash),
         terms,
     };
-    let (placed, work) = scheduler::ask(state, &question, prompt.shared_chain()).await?;
+    let (placed, work) = scheduler::ask(state, &question, prompt.shared_key()).await?;
     let now_ms = clock::now_ms();
     let targets = state.targets.borrow();
     let accepting = |hash: u64, stage: place::EngineStage| {
@@ -332,7 +332,7 @@
 ) -> Vec<place::EngineView> {
     let peers = state.peers.borrow();
     let now_ms = clock::now_ms();
-    let chain = prompt.shared_chain();
+    let shared = prompt.shared_key();
     let view = |target: &rc::Rc<target::TargetState>| {
         let others = peers.load_of(target.hash);
         let is_near = target.zone_hash == prompt.zone;
@@ -345,7 +345,7 @@
             slots: target.entry.slots,
             cached_tokens: target.parts.borrow().cached_tokens(prompt.parts),
             ready_tokens: target.parts.borrow().ready_tokens(prompt.parts, now_ms),
-            home_rank: parts::home_rank(chain, target.hash),
+            home_rank: parts::home_rank(shared, target.hash),
             distance_ms: if is_near { NEAR_MS } else { FAR_MS },
             zone: target.zone_hash,
             penalty_ms: target.judge.borrow().penalty_ms(),
--- a/crates/relay/src/dispatch/generate/handle.rs
+++ b/crates/relay/src/dispatch/generate/handle.rs
@@ -7,7 +7,6 @@
 
 use acaciabank_core::judge;
 use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
-use http_body_util::Full;
 
 use super::MAX_URGENCY;
 use crate::{
@@ -46,34 +45,15 @@
         };
         let engine = rc::Rc::clone(&self.engine);
         tokio::task::spawn_local(async move {
-            let released = tokio::time::timeout(RELEASE_TIMEOUT, release(&engine, path)).await;
-            let message = match released {
-                Ok(Ok(())) => return,
-                Ok(Err(message)) => message,
-                Err(_) => "no answer in time".to_owned(),
-            };
-            // The engine drops the KV cache by itself after its lifetime.
-            log::info!(target_id = engine.entry.id.as_str(), error = message.as_str(); "release_failed");
+            let method = http::Method::DELETE;
+            if let Err(error) = engine.call(method, &path, RELEASE_TIMEOUT).await {
+                // The engine drops the KV cache by itself after its lifetime.
+                log::info!(target_id = engine.entry.id.as_str(), error = error.as_str(); "release_failed");
+            }
         });
     }
 }
 
-async fn release(engine: &target::TargetState, path: String) -> Result<(), String> {
-    let mut connection = engine.open(RELEASE_TIMEOUT).await?;
-    let message = http::Request::delete(path)
-        .header(http::header::HOST, engine.entry.address.to_string())
-        .body(Full::default())
-        .map_err(|error| error.to_string())?;
-    let answer = connection
-        .send(message)
-        .await
-        .map_err(|error| error.to_string())?;
-    let body = http_body_util::BodyExt::collect(answer.into_body()).await;
-    body.map_err(|error| error.to_string())?;
-    engine.pool.put(connection, None);
-    Ok(())
-}
-
 /// Has an engine process the prompt. A prompt that was processed has not run.
 pub async fn prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -70,10 +70,10 @@
         let service = service.ok_or(RefusalAnswer::not_run(RefusalCause::NoTarget))?;
         let parts = terms.generation.as_ref().map_or(Vec::new(), |generation| {
             let parts = generation.parts.iter();
-            parts::chain_parts(
-                &generation.model,
-                parts.map(|(id, tokens)| (id.as_str(), *tokens)),
-            )
+            let part = |(id, tokens): &(String, u32)| {
+                parts::PromptPart::new(&generation.model, id, *tokens)
+            };
+            parts.map(part).collect()
         });
         Ok(Self {
             id: terms.attempt_id.clone().unwrap_or_default(),
--- a/crates/relay/src/edge/mod.rs
+++ b/crates/relay/src/edge/mod.rs
@@ -125,6 +125,17 @@
     pub orders: u64,
 }
 
+/// A prompt part that an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldPart {
+    /// Model.
+    pub model: String,
+    /// Id of the part.
+    pub id: String,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
 /// An incarnation of a target as the platform lists it.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct TargetEntry {
@@ -252,6 +263,12 @@
     /// Reads an engine's report.
     fn read_report(&self, body: &[u8]) -> Option<EngineReport>;
 
+    /// Path of the question what an engine holds.
+    fn holdings_path(&self) -> &'static str;
+
+    /// The parts that an engine holds.
+    fn read_holdings(&self, body: &[u8]) -> Option<Vec<HeldPart>>;
+
     /// Path for orders.
     fn order_path(&self) -> &'static str;
 
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -34,8 +34,8 @@
 pub struct PartEntry {
     /// Short name of the engine.
     pub target: u64,
-    /// The chain that ends with the part.
-    pub chain: u64,
+    /// Hash of its model and id.
+    pub key: u64,
     /// Tokens of the part.
     pub tokens: u32,
     /// Time after which it is expected to be processed.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -374,7 +374,7 @@
             continue;
         };
         let part = parts::PromptPart {
-            chain: entry.chain,
+            key: entry.key,
             tokens: entry.tokens,
         };
         let ready_ms = now_ms + u64::from(entry.ready_in_ms);
--- a/crates/relay/src/planner/order.rs
+++ b/crates/relay/src/planner/order.rs
@@ -15,29 +15,10 @@
     state: &state::RelayState<Codec, Store>,
     target: &target::TargetState,
 ) -> Result<edge::EngineReport, String> {
-    let call = async {
-        let mut connection = target.open(CALL_TIMEOUT).await?;
-        let message = http::Request::get(state.codec.report_path())
-            .header(http::header::HOST, target.entry.address.to_string())
-            .body(Full::default())
-            .map_err(|error| error.to_string())?;
-        let answer = connection
-            .send(message)
-            .await
-            .map_err(|error| error.to_string())?;
-        let body = answer
-            .into_body()
-            .collect()
-            .await
-            .map_err(|error| error.to_string())?;
-        target.pool.put(connection, None);
-        let report = state.codec.read_report(&body.to_bytes());
-        report.ok_or_else(|| "the report cannot be read".to_owned())
-    };
-    match tokio::time::timeout(CALL_TIMEOUT, call).await {
-        Ok(result) => result,
-        Err(_) => Err("no answer in time".to_owned()),
-    }
+    let path = state.codec.report_path();
+    let body = target.call(http::Method::GET, path, CALL_TIMEOUT).await?;
+    let report = state.codec.read_report(&body);
+    report.ok_or_else(|| "the report cannot be read".to_owned())
 }
 
 /// Sends an order. Nothing is written after `act_until_ms`, when another daemon may hold the lease.
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -111,6 +111,7 @@
     tokio::task::spawn_local(follow::run_peer_config(rc::Rc::clone(state)));
     tokio::task::spawn_local(planner::run(rc::Rc::clone(state)));
     tokio::task::spawn_local(scheduler::run(rc::Rc::clone(state)));
+    tokio::task::spawn_local(scheduler::run_holdings(rc::Rc::clone(state)));
     tokio::task::spawn_local(gossip::run(rc::Rc::clone(state), rc::Rc::clone(socket)));
     tokio::task::spawn_local(async {
         let mut interval = tokio::time::interval(METRICS_UPKEEP);
--- a/crates/relay/src/scheduler/ask.rs
+++ b/crates/relay/src/scheduler/ask.rs
@@ -47,17 +47,17 @@
 }
 
 /// Asks the schedulers of a prompt for its engines; `None` when this daemon has to place it itself.
-/// `chain` is the hash of the shared part.
+/// `shared` is the key of its shared part.
 pub async fn ask<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     question: &PlaceQuestion,
-    chain: u64,
+    shared: u64,
 ) -> Option<(PlacedEngines, AssignedWork)> {
     let now_ms = clock::now_ms();
     let candidates = super::candidates(state, now_ms);
     let asked: Vec<u64> = {
         let standing = state.scheduler.standing.borrow();
-        let order = scheduler::order(&candidates, chain, &standing, now_ms);
+        let order = scheduler::order(&candidates, shared, &standing, now_ms);
         order.take(MAX_ASKED).collect()
     };
     for name in asked {
--- a/crates/relay/src/scheduler/mod.rs
+++ b/crates/relay/src/scheduler/mod.rs
@@ -5,9 +5,11 @@
 //! [`QUESTION_TIMEOUT`] the daemon asks a standby, and then places by what it knows itself.
 
 mod ask;
+mod holdings;
 mod serve;
 
 pub use ask::{AssignedWork, ask, take_answer};
+pub use holdings::run as run_holdings;
 pub use serve::{answer, take_news};
 
 use std::{
@@ -38,8 +40,8 @@
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartKey {
-    /// The chain that ends with the part.
-    pub chain: u64,
+    /// Hash of its model and id.
+    pub key: u64,
     /// Tokens of the part.
     pub tokens: u32,
 }
--- a/crates/relay/src/scheduler/serve.rs
+++ b/crates/relay/src/scheduler/serve.rs
@@ -32,7 +32,7 @@
 ) -> Option<PlacedEngines> {
     let now_ms = clock::now_ms();
     let parts = question.parts.iter().map(|part| parts::PromptPart {
-        chain: part.chain,
+        key: part.key,
         tokens: part.tokens,
     });
     let parts: Vec<_> = parts.collect();
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -249,7 +249,7 @@
             .record_use(parts, now_ms, ready_ms);
         let entries = parts.iter().map(|part| gossip::PartEntry {
             target: engine.hash,
-            chain: part.chain,
+            key: part.key,
             tokens: part.tokens,
             ready_in_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
         });
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -1,5 +1,7 @@
 //! Targets and what this daemon knows of them.
 
+mod call;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -69,6 +69,8 @@
     holders: HashSet<String>,
     orders: u64,
     next_handle: u64,
+    /// Prompt parts in its memory: ids with tokens and model.
+    held: HashMap<String, (u64, String)>,
 }
 
 /// A runner.
@@ -151,6 +153,7 @@
                 return Ok(Response::new(web::full_body(self.journal.text())));
             }
             (&Method::GET, "/report") => return Ok(self.report()),
+            (&Method::GET, "/kv-list") => return Ok(self.holdings()),
             (&Method::POST, "/order") => return Ok(self.order(&body)),
             (&Method::DELETE, path) if path.starts_with("/kv-handle/") => {
                 let handle = path.trim_start_matches("/kv-handle/");
@@ -175,6 +178,8 @@
         let tokens = header("x-acaciabank-token-count");
         let (prompt, output) = tokens.split_once(',').unwrap_or_default();
         let prompt: u64 = prompt.parse().unwrap_or(0);
+        let model = header("x-acaciabank-model");
+        self.hold(&header("x-acaciabank-prompt-prefix"), &model);
         if header("x-acaciabank-stage") == "prefill" {
             return Ok(self.prefill(&attempt, prompt).await);
         }
@@ -218,6 +223,25 @@
         web::json_reply(StatusCode::OK, &report)
     }
 
+    fn holdings(&self) -> Response<web::ReplyBody> {
+        let state = self.state.lock().expect("runner lock");
+        let held = state.held.iter();
+        let held: Vec<_> = held
+            .map(|(id, (tokens, model))| json!(["", id, tokens, model]))
+            .collect();
+        let holdings = json!({"epoch": 1, "next": 0, "held": held});
+        web::json_reply(StatusCode::OK, &holdings)
+    }
+
+    /// Keeps the parts of a prompt, as the header lists them.
+    fn hold(&self, prefix: &str, model: &str) {
+        let mut state = self.state.lock().expect("runner lock");
+        for (id, tokens) in prefix.split(',').filter_map(|part| part.split_once(':')) {
+            let tokens = tokens.parse().unwrap_or(0);
+            state.held.insert(id.to_owned(), (tokens, model.to_owned()));
+        }
+    }
+
     fn order(&self, body: &[u8]) -> Response<web::ReplyBody> {
         let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
         let mut state = self.state.lock().expect("runner lock");
--- a/crates/testbed/tests/relay/peers.rs
+++ b/crates/testbed/tests/relay/peers.rs
@@ -109,3 +109,40 @@
     })
     .await;
 }
+
+/// Guards against processing all shared parts again after all daemons have started again: the engines
+/// still hold them.
+#[tokio::test]
+async fn a_restarted_daemon_learns_what_engines_hold() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let _engines = [
+        fixture.runner("p-1", "models", Some("prefill")).await,
+        fixture.runner("p-2", "models", Some("prefill")).await,
+        fixture.runner("d-1", "models", Some("decode")).await,
+    ];
+    let mut relay = fixture.relay(&[]).await;
+    harness::wait_until(LIMIT, "a stream is served", async || {
+        let answer = relay.stream("/stream/a", "probe", EVENTS).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    relay.process.restart().expect("a restart");
+    harness::wait_until(LIMIT, "the relay is ready again", async || {
+        relay.readiness().await == 200
+    })
+    .await;
+    let output = fixture.launcher.folder().join("relay-1.out");
+    harness::wait_until(LIMIT, "it has asked the engines", async || {
+        let text = std::fs::read_to_string(&output).unwrap_or_default();
+        text.contains("\"event\":\"holdings_read\"")
+    })
+    .await;
+    let answer = relay.stream("/stream/a", "again", EVENTS).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    let story = relay.story(&fixture.launcher, "again");
+    let answered = story.iter().find(|line| line["event"] == "answered");
+    // Of 2,000 tokens the request shares 1,500 with the one before.
+    let uncached = answered.expect("a line")["uncached"].as_u64();
+    assert!(uncached.is_some_and(|tokens| tokens <= 500), "{story:?}");
+}
