Tell orders and loads to those who use them; let the largest hosts watch the store

Change: all daemons hear of an order from its sender alone; loads are left out of reports that come less often than each second; the sum of loads is built when it is used. The daemons that watch the store and order stages are the first of the scheduler's ranks.

--- a/crates/relay/src/dispatch/choose.rs
+++ b/crates/relay/src/dispatch/choose.rs
@@ -71,9 +71,10 @@
     request: &RelayRequest,
     progress: &RequestProgress,
 ) -> Option<rc::Rc<target::TargetState>> {
+    let now_ms = clock::now_ms();
+    state.peers.borrow_mut().refresh_loads(now_ms);
     let targets = state.targets.borrow();
     let peers = state.peers.borrow();
-    let now_ms = clock::now_ms();
     let accepting = targets
         .of_service(&request.service)
         .iter()
@@ -330,8 +331,9 @@
     prompt: &PromptView<'_>,
     targets: &[rc::Rc<target::TargetState>],
 ) -> Vec<place::EngineView> {
-    let peers = state.peers.borrow();
     let now_ms = clock::now_ms();
+    state.peers.borrow_mut().refresh_loads(now_ms);
+    let peers = state.peers.borrow();
     let shared = prompt.shared_key();
     let view = |target: &rc::Rc<target::TargetState>| {
         let others = peers.load_of(target.hash);
--- a/crates/relay/src/follow/mod.rs
+++ b/crates/relay/src/follow/mod.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{clock, edge, ingress, state, watch};
+use crate::{clock, edge, ingress, scheduler, state, watch};
 
 /// Time that the store may hold a question for the configuration: an answer that is lost on a silent
 /// connection is noticed within the time in which a configuration must be in force.
@@ -51,14 +51,6 @@
     }
 }
 
-/// Position of this daemon among those that are ready; the first ones watch the store.
-fn rank<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
-    state: &state::RelayState<Codec, Store>,
-) -> usize {
-    let host = &state.settings.host;
-    state.peers.borrow().rank(host, clock::now_ms())
-}
-
 /// Follows the configuration.
 pub async fn run_config<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: state::SharedState<Codec, Store>,
@@ -66,8 +58,8 @@
     let mut pause = RetryPause::new("config");
     let mut after = None;
     loop {
-        let rank = rank(&state);
         let sent_ms = clock::now_ms();
+        let rank = scheduler::position(&state, sent_ms);
         if after.is_some() && !state.watch.config.is_due(rank, sent_ms) {
             tokio::time::sleep(IDLE_INTERVAL).await;
             continue;
@@ -108,7 +100,12 @@
     let mut after = None;
     loop {
         let sent_ms = clock::now_ms();
-        if after.is_some() && !state.watch.targets.is_due(rank(&state), sent_ms) {
+        if after.is_some()
+            && !state
+                .watch
+                .targets
+                .is_due(scheduler::position(&state, sent_ms), sent_ms)
+        {
             tokio::time::sleep(IDLE_INTERVAL).await;
             continue;
         }
@@ -217,7 +214,7 @@
 ) {
     loop {
         state.config_behind.notified().await;
-        if rank(&state) < watch::WATCHERS {
+        if scheduler::position(&state, clock::now_ms()) < watch::WATCHERS {
             // The store usually answers first.
             tokio::time::sleep(FIRST_PAUSE * 4).await;
         }
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -10,6 +10,8 @@
 /// Age from which a daemon is not named to callers and its loads no longer count, beyond two of the
 /// intervals that it states: one report may be lost, and hosts are slow at times.
 const SILENT_MS: u64 = 1_000;
+/// Time between two summings up of all loads: reports of hundreds of daemons come in between.
+const SUM_INTERVAL_MS: u64 = 20;
 /// Age from which a daemon is forgotten.
 const FORGET_MS: u64 = 20_000;
 /// Time for which an address stays known that has never answered.
@@ -41,6 +43,9 @@
     /// Addresses to report to, with the time until which they are kept without an answer.
     contacts: HashMap<net::SocketAddr, u64>,
     loads: HashMap<u64, LoadSum>,
+    /// Time of the last summing up of the loads, and whether reports have come since.
+    summed_ms: u64,
+    is_changed: bool,
 }
 
 /// Load that the other daemons cause at a target.
@@ -81,7 +86,7 @@
             report,
         };
         self.peers.insert(state.report.host.clone(), state);
-        self.sum_loads(now_ms);
+        self.is_changed = true;
         true
     }
 
@@ -95,7 +100,8 @@
             is_kept
         });
         self.contacts.retain(|_, until_ms| *until_ms > now_ms);
-        self.sum_loads(now_ms);
+        // Daemons that fall silent no longer count.
+        self.is_changed = true;
     }
 
     /// Addresses to report to.
@@ -148,11 +154,11 @@
         peer.map(|peer| peer.report.peer)
     }
 
-    /// Position of a daemon among those that are ready, by name; all daemons that hear each other
-    /// agree on it.
-    pub fn rank(&self, own: &str, now_ms: u64) -> usize {
-        let ready = self.peers.iter().filter(|(_, peer)| peer.is_ready(now_ms));
-        ready.filter(|(host, _)| host.as_str() < own).count()
+    /// Sums the loads of the other daemons up again if reports have come since the last time.
+    pub fn refresh_loads(&mut self, now_ms: u64) {
+        if self.is_changed && now_ms.saturating_sub(self.summed_ms) >= SUM_INTERVAL_MS {
+            self.sum_loads(now_ms);
+        }
     }
 
     /// Load that the other daemons cause at a target.
@@ -176,6 +182,8 @@
     }
 
     fn sum_loads(&mut self, now_ms: u64) {
+        self.summed_ms = now_ms;
+        self.is_changed = false;
         self.loads.clear();
         for peer in self.peers.values() {
             if !peer.is_heard(now_ms) {
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -21,6 +21,10 @@
 const CONTACTS_PER_TICK: usize = 12;
 /// Addresses of other daemons in a report at most.
 const MAX_KNOWN: usize = 8;
+/// Age from which loads of other daemons say nothing.
+const MAX_LOAD_AGE_MS: u32 = 1_000;
+/// Time for which an order is told to all daemons.
+const AWAY_REPEAT_MS: u64 = 2_000;
 /// Time for which prompt parts are kept for reports; the longest interval between two of them.
 const MAX_PART_AGE_MS: u64 = 3_000;
 /// Time by which the parts of two reports overlap.
@@ -78,7 +82,7 @@
     let now_ms = clock::now_ms();
     state.peers.borrow_mut().expire(now_ms);
     state.scheduler.expire(now_ms);
-    let rank = state.peers.borrow().rank(&state.settings.host, now_ms);
+    let rank = scheduler::position(state, now_ms);
     let (mut near, mut far) = state.peers.borrow().contacts_by_zone(state.zone_hash);
     let informed = informed(state, now_ms);
     near.retain(|address| !informed.contains(address));
@@ -98,7 +102,7 @@
         let interval = REPORT_INTERVAL * u32::try_from(turns).unwrap_or(1);
         let mut report = build_report(state, now_ms, interval, rank < watch::WATCHERS);
         if !is_informed {
-            report.parts.clear();
+            shorten(state, &mut report, now_ms);
         }
         let message = scheduler::PeerMessage::Report(Box::new(report));
         match postcard::to_stdvec(&message) {
@@ -108,6 +112,27 @@
     }
 }
 
+/// Leaves out what only schedulers and their standbys need: links of small hosts carry some hundred
+/// kilobytes a second, and there may be thousands of engines.
+fn shorten<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    report: &mut PeerReport,
+    now_ms: u64,
+) {
+    report.parts.clear();
+    if report.interval_ms > MAX_LOAD_AGE_MS {
+        report.loads.clear();
+    }
+    let targets = state.targets.borrow();
+    // Each daemon hears of an order from the one that has sent it.
+    let is_news = |entry: &AwayEntry| {
+        let target = targets.by_hash(entry.target);
+        let ordered_ms = target.and_then(|target| target.ordered_here_ms.get());
+        ordered_ms.is_some_and(|ordered_ms| now_ms.saturating_sub(ordered_ms) < AWAY_REPEAT_MS)
+    };
+    report.away.retain(is_news);
+}
+
 /// Addresses of the daemons that know what the schedulers know, to replace them.
 fn informed<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::RelayState<Codec, Store>,
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -7,7 +7,7 @@
 use acaciabank_core::{lease, place::EngineStage, stage};
 use acaciabank_protocol::ids;
 
-use crate::{clock, edge, state, target};
+use crate::{clock, edge, scheduler, state, target};
 
 /// Name of the lease.
 const LEASE_NAME: &str = "stages";
@@ -28,6 +28,8 @@
 /// Time after which an order without an answer can no longer be carried out.
 const OPEN_ORDER_MS: u64 = 13_000;
 
+/// Orders that are sent side by side: each takes a connection and some time of a small host.
+const MAX_ORDERS: usize = 32;
 /// Time between the news that an engine changes its stage and the order: the other daemons stop
 /// sending, and what they have sent starts.
 const LEAVE_TIME: Duration = Duration::from_millis(300);
@@ -73,11 +75,7 @@
 
 impl<Codec: edge::CodecEdge, Store: edge::StoreEdge> PlannerTask<Codec, Store> {
     async fn look(&mut self) {
-        let rank = self
-            .state
-            .peers
-            .borrow()
-            .rank(&self.state.settings.host, clock::now_ms());
+        let rank = scheduler::position(&self.state, clock::now_ms());
         if !self.is_holder && (rank > 1 || self.state.config().is_none()) {
             return;
         }
@@ -137,7 +135,7 @@
             let Some(grant) = self.seat.grant(clock::now_ms()) else {
                 return;
             };
-            let orders = changes.iter().filter_map(|change| {
+            let orders = changes.iter().take(MAX_ORDERS).filter_map(|change| {
                 let target = self
                     .state
                     .targets
@@ -160,6 +158,7 @@
 
     fn duties(&self, service: &str) -> Vec<stage::EngineDuty> {
         let now_ms = clock::now_ms();
+        self.state.peers.borrow_mut().refresh_loads(now_ms);
         let targets = self.state.targets.borrow();
         let peers = self.state.peers.borrow();
         let staying = targets.of_service(service).iter();
@@ -210,6 +209,7 @@
         stage: to,
         expected_orders: report.orders,
     };
+    target.ordered_here_ms.set(Some(now_ms));
     let leave_ms = LEAVE_TIME.as_millis() as u64;
     target
         .away_until_ms
--- a/crates/relay/src/scheduler/mod.rs
+++ b/crates/relay/src/scheduler/mod.rs
@@ -212,6 +212,19 @@
     candidates
 }
 
+/// Position of this daemon among the candidates; the first ones also watch the store and order stages,
+/// as they run on the largest hosts. One that is not ready takes the first position, as it knows
+/// nothing yet.
+pub fn position<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::RelayState<Codec, Store>,
+    now_ms: u64,
+) -> usize {
+    let candidates = candidates(state, now_ms);
+    let mut all = candidates.iter();
+    let position = all.position(|candidate| candidate.name == state.host_hash);
+    position.unwrap_or(0)
+}
+
 /// Whether a daemon that has run for the given time knows most of what the engines hold.
 pub fn is_warm(age_ms: u64) -> bool {
     age_ms >= WARM_MS
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -27,6 +27,8 @@
     pub listed_stage: Cell<Option<place::EngineStage>>,
     /// Stage that a daemon has ordered, until the platform's list is sure to show it.
     pub ordered: Cell<Option<OrderedStage>>,
+    /// Time of this daemon's last order to it.
+    pub ordered_here_ms: Cell<Option<u64>>,
     /// Whether it takes no new work.
     pub is_leaving: Cell<bool>,
     /// Time until which it takes no new work because its stage changes.
@@ -56,6 +58,7 @@
             zone_hash: xxhash_rust::xxh3::xxh3_64(entry.zone.as_bytes()),
             listed_stage: Cell::new(entry.stage),
             ordered: Cell::new(None),
+            ordered_here_ms: Cell::new(None),
             is_leaving: Cell::new(entry.is_draining),
             away_until_ms: Cell::new(0),
             paused_until_ms: Cell::new(0),
