--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -23,7 +23,7 @@
     refusal::{RefusalAnswer, Reply},
     request::{RelayRequest, RequestProgress},
 };
-use crate::{connection, edge, state, telemetry::RefusalCause};
+use crate::{connection, edge, state, target, telemetry::RefusalCause};
 use handle::KvHandle;
 
 /// Parts of a stream that wait for the caller; a caller that does not read stops the engine.
@@ -53,6 +53,17 @@
     is_fetched: bool,
 }
 
+impl IntakeView {
+    fn of(plan: &choose::EnginePlan) -> Self {
+        Self {
+            uncached_tokens: plan.uncached_tokens,
+            first_token_ms: plan.first_token_ms,
+            wait_ms: plan.wait_ms,
+            is_fetched: plan.source.is_some(),
+        }
+    }
+}
+
 /// What an attempt ends in.
 enum StreamStart {
     /// The stream has begun.
@@ -113,80 +124,116 @@
     progress: &mut RequestProgress,
     last_event: Option<u64>,
 ) -> Result<StreamStart, RefusalAnswer> {
-    let mut failed_answer = None;
-    let mut handle: Option<KvHandle> = None;
-    let mut intake = IntakeView::default();
+    let mut search = StartSearch::default();
     loop {
-        let prefilled = handle.as_ref().map(|handle| &handle.engine);
+        match search.step(state, request, progress, last_event).await {
+            Ok(Some(started)) => return Ok(started),
+            Ok(None) => {}
+            // An engine's own answer says more than a refusal.
+            Err(refusal) => return search.failed_answer.ok_or(refusal),
+        }
+    }
+}
+
+/// What the attempts to begin a stream have brought so far.
+#[derive(Default)]
+struct StartSearch {
+    /// KV cache of the prompt at an engine that has processed it.
+    handle: Option<KvHandle>,
+    /// Answer of an engine that failed, for when no other one succeeds.
+    failed_answer: Option<StreamStart>,
+    intake: IntakeView,
+}
+
+impl StartSearch {
+    /// One call to an engine; the stream if it has begun.
+    async fn step<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+        &mut self,
+        state: &state::SharedState<Codec, Store>,
+        request: &RelayRequest,
+        progress: &mut RequestProgress,
+        last_event: Option<u64>,
+    ) -> Result<Option<StreamStart>, RefusalAnswer> {
+        let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
         let plan = match choose::engine_plan(state, request, progress, prefilled).await {
             Ok(plan) => plan,
             // The engine with the KV cache may have gone; the others can still do all of it.
-            Err(_) if handle.is_some() => {
-                handle = None;
-                continue;
-            }
-            Err(refusal) => return failed_answer.ok_or(refusal),
+            Err(_) if self.handle.take().is_some() => return Ok(None),
+            Err(refusal) => return Err(refusal),
         };
-        if handle.is_none() {
+        if self.handle.is_none() {
             check_intake(request, progress, &plan)?;
-            intake = IntakeView {
-                uncached_tokens: plan.uncached_tokens,
-                first_token_ms: plan.first_token_ms,
-                wait_ms: plan.wait_ms,
-                is_fetched: plan.source.is_some(),
-            };
+            self.intake = IntakeView::of(&plan);
         }
-        if let (None, Some(engine)) = (&handle, &plan.prefill) {
-            let kind = attempt::CallKind::Prefill;
-            if let Err(refusal) = attempt::pay(state, request, progress, kind) {
-                return failed_answer.ok_or(refusal);
+        match &plan.prefill {
+            Some(engine) if self.handle.is_none() => {
+                let taken = prefill(state, request, progress, &plan, engine).await?;
+                self.handle = taken;
+                Ok(None)
             }
-            let until = first_event_until(request, progress, &plan);
-            let result = handle::prefill(state, request, &plan, engine, until).await;
-            attempt::settle(state, request, progress, kind, &result);
-            match result {
-                Ok(taken) => handle = Some(taken),
-                Err(failure) => {
-                    let decided = attempt::decide_retry(request, engine, progress, &failure);
-                    if let Err(refusal) = decided {
-                        return failed_answer.ok_or(refusal);
-                    }
-                }
-            }
-            continue;
+            _ => self.send(state, request, progress, &plan, last_event).await,
         }
+    }
+
+    /// Sends the request to the engine that generates.
+    async fn send<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+        &mut self,
+        state: &state::SharedState<Codec, Store>,
+        request: &RelayRequest,
+        progress: &mut RequestProgress,
+        plan: &choose::EnginePlan,
+        last_event: Option<u64>,
+    ) -> Result<Option<StreamStart>, RefusalAnswer> {
         let kind = attempt::CallKind::Run;
-        if let Err(refusal) = attempt::pay(state, request, progress, kind) {
-            return failed_answer.ok_or(refusal);
-        }
+        attempt::pay(state, request, progress, kind)?;
         progress.sends += 1;
-        let result = attempt(state, request, progress, &plan, handle.as_ref(), last_event).await;
+        let handle = self.handle.as_ref();
+        let result = attempt(state, request, progress, plan, handle, last_event).await;
         attempt::settle(state, request, progress, kind, &result);
         let failure = match result {
             Ok(StreamStart::Answered(reply, status))
                 if status.is_server_error() && request.route.kind.is_repeatable() =>
             {
-                failed_answer = Some(StreamStart::Answered(reply, status));
-                let message = format!("the engine answered with status {status}");
-                AttemptFailure::broken(message)
+                self.failed_answer = Some(StreamStart::Answered(reply, status));
+                AttemptFailure::broken(format!("the engine answered with status {status}"))
             }
             Ok(mut started) => {
-                handle.into_iter().for_each(KvHandle::close);
+                self.handle.take().into_iter().for_each(KvHandle::close);
                 if let StreamStart::Open(_, stream) = &mut started {
-                    stream.intake = intake;
+                    stream.intake = self.intake;
                 }
-                return Ok(started);
+                return Ok(Some(started));
             }
             Err(failure) => failure,
         };
         let is_refused = failure.retry == RetryReason::TargetRefused;
         let may_keep = failure.is_unsent() || (is_refused && progress.sends <= MAX_HANDLE_SENDS);
         if !may_keep {
-            handle = None;
+            self.handle = None;
         }
-        let decided = attempt::decide_retry(request, &plan.decode, progress, &failure);
-        if let Err(refusal) = decided {
-            return failed_answer.ok_or(refusal);
+        attempt::decide_retry(request, &plan.decode, progress, &failure)?;
+        Ok(None)
+    }
+}
+
+/// Has an engine process the prompt; nothing if it failed and another one may be tried.
+async fn prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &mut RequestProgress,
+    plan: &choose::EnginePlan,
+    engine: &rc::Rc<target::TargetState>,
+) -> Result<Option<KvHandle>, RefusalAnswer> {
+    let kind = attempt::CallKind::Prefill;
+    attempt::pay(state, request, progress, kind)?;
+    let until = first_event_until(request, progress, plan);
+    let result = handle::prefill(state, request, plan, engine, until).await;
+    attempt::settle(state, request, progress, kind, &result);
+    match result {
+        Ok(taken) => Ok(Some(taken)),
+        Err(failure) => {
+            attempt::decide_retry(request, engine, progress, &failure)?;
+            Ok(None)
         }
     }
 }
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -228,3 +228,24 @@
     })
     .await;
 }
+
+/// Guards against a log that blocks: a reader of the standard output that stops reading must stall no
+/// request.
+#[tokio::test]
+async fn a_reader_that_stops_reading_the_log_stalls_no_request() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let _runner = fixture.runner("r-1", "ledger", None).await;
+    let path = fixture.launcher.folder().join("relay-1.out");
+    nix::unistd::mkfifo(&path, nix::sys::stat::Mode::S_IRWXU).expect("a pipe");
+    let options = std::fs::File::options().read(true).write(true).clone();
+    let _unread = options.open(&path).expect("an end of the pipe");
+    let relay = fixture.relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    // Each request writes a line of some 200 bytes; a pipe holds 64 KiB.
+    for number in 0..600 {
+        let attempt = format!("log-{number}");
+        let answer = relay.send("GET", "/safe/a", &attempt, &[], "").await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+}
