Leave whole lists of targets out of the reports

Change: a whole list is no news, and news that do not fit are not sent in part; who hears none reads the store, as before.

--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -191,7 +191,7 @@
             true => state.watch.targets.direct_age_ms(now_ms),
             false => None,
         },
-        target_news: match is_watcher {
+        target_news: match is_watcher && !news.is_cut {
             true => news.changes,
             false => edge::TargetChanges::default(),
         },
--- a/crates/relay/src/watch/mod.rs
+++ b/crates/relay/src/watch/mod.rs
@@ -115,8 +115,13 @@
 
 impl StoreWatch {
     /// Keeps an answer of the store about what changed after a version for the next reports; tells
-    /// whether anything has changed.
+    /// whether anything has changed. A whole list is no news: hundreds of daemons that start together
+    /// would fill their links with lists that each of them reads anyway.
     pub fn record_news(&self, after: u64, changes: &edge::TargetChanges, now_ms: u64) -> bool {
+        if changes.is_complete {
+            self.news.borrow_mut().clear();
+            return false;
+        }
         self.news.borrow_mut().push(KeptNews {
             until_ms: now_ms + REPEAT_MS,
             after,
--- a/crates/relay/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -83,3 +83,21 @@
     age.record_told(2_300, 20, 21);
     assert!(!age.is_due(rank, 2_600));
 }
+
+/// Guards against daemons that start together and all send each other the whole list of targets: at
+/// 300 hosts and 3,000 targets callers were served again 30 s after a restart of all.
+#[test]
+fn a_whole_list_is_no_news() {
+    let store = watch::StoreWatch::default();
+    let list = edge::TargetChanges {
+        is_complete: true,
+        ..changes("t-1", 5)
+    };
+    assert!(!store.record_news(0, &list, 1_000));
+    let news = store.recent_news(1_010);
+    assert!(news.changes.absent.is_empty());
+    assert!(news.is_cut, "nobody may take it for complete");
+    store.record_news(5, &changes("t-2", 6), 1_500);
+    let news = store.recent_news(1_510);
+    assert_eq!((news.after, news.is_cut), (5, false));
+}
