Split the choice of engines from that of services; messages of the scheduler apart

No change of behaviour. The parts of a prompt are one type on the wire and inside, and the test of the scheduler says once how it finds who places.

--- a/crates/core/src/parts/mod.rs
+++ b/crates/core/src/parts/mod.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3;
 
 /// A part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PromptPart {
     /// Hash of its model and id, as engines name what they hold.
     pub key: u64,
--- a/crates/relay/src/dispatch/generate/handle.rs
+++ b/crates/relay/src/dispatch/generate/handle.rs
@@ -12,7 +12,7 @@
 use crate::{
     dispatch::{
         attempt::{self, AttemptFailure},
-        choose,
+        engines,
         request::RelayRequest,
     },
     edge, state, target,
@@ -58,7 +58,7 @@
 pub async fn prefill<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
-    plan: &choose::EnginePlan,
+    plan: &engines::EnginePlan,
     engine: &rc::Rc<target::TargetState>,
     until: Instant,
 ) -> Result<KvHandle, AttemptFailure> {
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -18,7 +18,7 @@
 
 use super::{
     attempt::{self, AttemptFailure},
-    choose,
+    engines,
     events::{EventReader, ReadError},
     refusal::{RefusalAnswer, Reply},
     request::{RelayRequest, RequestProgress},
@@ -35,9 +35,9 @@
 struct OpenStream {
     reader: EventReader,
     connection: attempt::OpenConnection,
-    work: choose::EngineWork,
+    work: engines::EngineWork,
     first: Option<Bytes>,
-    plan: choose::EnginePlan,
+    plan: engines::EnginePlan,
     /// Time from the arrival of the request until its prompt was processed elsewhere.
     prefill_ms: u64,
     /// What was expected when the request was taken in.
@@ -54,7 +54,7 @@
 }
 
 impl IntakeView {
-    fn of(plan: &choose::EnginePlan) -> Self {
+    fn of(plan: &engines::EnginePlan) -> Self {
         Self {
             uncached_tokens: plan.uncached_tokens,
             first_token_ms: plan.first_token_ms,
@@ -155,7 +155,7 @@
         last_event: Option<u64>,
     ) -> Result<Option<StreamStart>, RefusalAnswer> {
         let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
-        let plan = match choose::engine_plan(state, request, progress, prefilled).await {
+        let plan = match engines::engine_plan(state, request, progress, prefilled).await {
             Ok(plan) => plan,
             // The engine with the KV cache may have gone; the others can still do all of it.
             Err(_) if self.handle.take().is_some() => return Ok(None),
@@ -181,7 +181,7 @@
         state: &state::SharedState<Codec, Store>,
         request: &RelayRequest,
         progress: &mut RequestProgress,
-        plan: &choose::EnginePlan,
+        plan: &engines::EnginePlan,
         last_event: Option<u64>,
     ) -> Result<Option<StreamStart>, RefusalAnswer> {
         let kind = attempt::CallKind::Run;
@@ -221,7 +221,7 @@
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     progress: &mut RequestProgress,
-    plan: &choose::EnginePlan,
+    plan: &engines::EnginePlan,
     engine: &rc::Rc<target::TargetState>,
 ) -> Result<Option<KvHandle>, RefusalAnswer> {
     let kind = attempt::CallKind::Prefill;
@@ -245,7 +245,7 @@
 fn check_intake(
     request: &RelayRequest,
     progress: &RequestProgress,
-    plan: &choose::EnginePlan,
+    plan: &engines::EnginePlan,
 ) -> Result<(), RefusalAnswer> {
     let terms = request.intake_terms(progress);
     let decided = refuse::decide(&terms, plan.wait_ms, plan.first_token_ms, rand::random());
@@ -268,7 +268,7 @@
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     progress: &RequestProgress,
-    plan: &choose::EnginePlan,
+    plan: &engines::EnginePlan,
     handle: Option<&KvHandle>,
     last_event: Option<u64>,
 ) -> Result<StreamStart, AttemptFailure> {
@@ -308,7 +308,7 @@
 fn first_event_until(
     request: &RelayRequest,
     progress: &RequestProgress,
-    plan: &choose::EnginePlan,
+    plan: &engines::EnginePlan,
 ) -> Instant {
     match may_go_on(request, progress) {
         false => request.deadline,
@@ -328,9 +328,9 @@
 async fn read_start<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
-    plan: &choose::EnginePlan,
+    plan: &engines::EnginePlan,
     answer: attempt::OpenAnswer,
-    work: choose::EngineWork,
+    work: engines::EngineWork,
     until: Instant,
     last_event: Option<u64>,
 ) -> Result<StreamStart, AttemptFailure> {
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -2,13 +2,14 @@
 
 mod attempt;
 mod choose;
+mod engines;
 mod events;
 mod generate;
 mod refusal;
 mod request;
 mod service;
 
-pub use choose::{PromptView, pick_engines};
+pub use engines::{PromptView, pick_engines};
 pub use refusal::Reply;
 
 use std::{
--- a/crates/relay/src/scheduler/mod.rs
+++ b/crates/relay/src/scheduler/mod.rs
@@ -6,10 +6,12 @@
 
 mod ask;
 mod holdings;
+mod message;
 mod serve;
 
 pub use ask::{AssignedWork, ask, take_answer};
 pub use holdings::run as run_holdings;
+pub use message::{PeerMessage, PlaceAnswer, PlaceNews, PlaceQuestion, PlacedEngines};
 pub use serve::{answer, take_news};
 
 use std::{
@@ -19,14 +21,13 @@
     time::Duration,
 };
 
-use acaciabank_core::{judge, parts, refuse, scheduler};
-use serde::{Deserialize, Serialize};
+use acaciabank_core::{judge, parts, scheduler};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, oneshot},
 };
 
-use crate::{clock, edge, gossip, state, target};
+use crate::{clock, edge, state, target};
 
 /// Time for an answer: two ways between availability zones, and the turns of other tasks on a small
 /// host.
@@ -37,88 +38,6 @@
 /// ten seconds.
 const WARM_MS: u64 = 8_000;
 
-/// A part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartKey {
-    /// Hash of its model and id.
-    pub key: u64,
-    /// Tokens of the part.
-    pub tokens: u32,
-}
-
-/// A question for the engines of a prompt.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PlaceQuestion {
-    /// Random number of the question.
-    pub id: u64,
-    /// Service.
-    pub service: String,
-    /// Availability zone of the daemon that asks, as a number that only serves to compare.
-    pub zone: u64,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Parts of the prompt.
-    pub parts: Vec<PartKey>,
-    /// Short names of engines that have failed the request.
-    pub avoided: Vec<u64>,
-    /// Short name of the engine that has processed the prompt.
-    pub prefilled: Option<u64>,
-    /// Terms by which the request is refused.
-    pub terms: refuse::IntakeTerms,
-}
-
-/// Engines of a prompt, by their short names.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct PlacedEngines {
-    /// Engine that processes the prompt for another one.
-    pub prefill: Option<u64>,
-    /// Engine that generates.
-    pub decode: u64,
-    /// Engine that holds the beginning of the prompt.
-    pub source: Option<u64>,
-    /// Prompt tokens that have to be processed.
-    pub uncached_tokens: u64,
-    /// Expected time to the first token.
-    pub first_token_ms: f64,
-    /// Expected time until the prompt is processed.
-    pub prompt_ms: f64,
-    /// The part of the time to the first token that other requests cause.
-    pub wait_ms: f64,
-}
-
-/// An answer to a question.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct PlaceAnswer {
-    /// Number of the question.
-    pub id: u64,
-    /// The engines, unless none accepts work.
-    pub engines: Option<PlacedEngines>,
-}
-
-/// What became of prompts that a scheduler has placed.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct PlaceNews {
-    /// Numbers of questions whose prompt has been processed.
-    pub started: Vec<u64>,
-    /// Numbers of questions whose work has ended.
-    pub ended: Vec<u64>,
-    /// Short names of engines and what requests saw there.
-    pub outcomes: Vec<(u64, judge::TargetOutcome)>,
-}
-
-/// A message between daemons.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum PeerMessage {
-    /// State of the sender.
-    Report(Box<gossip::PeerReport>),
-    /// See [`PlaceQuestion`].
-    Question(PlaceQuestion),
-    /// See [`PlaceAnswer`].
-    Answer(PlaceAnswer),
-    /// See [`PlaceNews`].
-    News(PlaceNews),
-}
-
 /// News that wait for the next datagram to each scheduler.
 #[derive(Debug, Default)]
 pub struct NewsBox {
--- a/crates/relay/src/scheduler/serve.rs
+++ b/crates/relay/src/scheduler/serve.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use acaciabank_core::{parts, refuse};
+use acaciabank_core::refuse;
 
 use super::{PeerMessage, PlaceAnswer, PlaceNews, PlaceQuestion, PlacedEngines, PlacedWork};
 use crate::{clock, dispatch, edge, state};
@@ -31,11 +31,6 @@
     question: &PlaceQuestion,
 ) -> Option<PlacedEngines> {
     let now_ms = clock::now_ms();
-    let parts = question.parts.iter().map(|part| parts::PromptPart {
-        key: part.key,
-        tokens: part.tokens,
-    });
-    let parts: Vec<_> = parts.collect();
     let prefilled = question.prefilled.map(|hash| {
         let targets = state.targets.borrow();
         targets.by_hash(hash).cloned()
@@ -48,7 +43,7 @@
     };
     let prompt = dispatch::PromptView {
         service: &question.service,
-        parts: &parts,
+        parts: &question.parts,
         prompt_tokens: question.prompt_tokens,
         avoided: &question.avoided,
         zone: question.zone,
@@ -57,13 +52,13 @@
     let verdict = refuse::decide(&question.terms, plan.wait_ms, plan.first_token_ms, 0.0);
     // A request that is going to be refused is not counted.
     if prefilled.is_some() || verdict == refuse::IntakeVerdict::Accept {
-        let work = plan.commit(state, &parts, prefilled.is_some());
+        let work = plan.commit(state, &question.parts, prefilled.is_some());
         let mut placed = state.scheduler.placed.borrow_mut();
         if placed.len() < MAX_PLACED {
             let until_ms = now_ms + question.terms.left_ms + EXPIRY_SLACK_MS;
             let kept = PlacedWork {
                 work,
-                parts,
+                parts: question.parts.clone(),
                 until_ms,
             };
             placed.insert(question.id, kept);
--- a/crates/testbed/tests/relay/peers.rs
+++ b/crates/testbed/tests/relay/peers.rs
@@ -66,50 +66,43 @@
         })
         .await;
     }
-    let mut scheduler = None;
+    let mut own = Vec::new();
     harness::wait_until(LIMIT, "two of three ask the third", async || {
-        let mut own = Vec::new();
-        for (position, relay) in relays.iter().enumerate() {
-            let attempt = format!("s-{position}-{}", rand::random::<u32>());
-            if placed_by(&fixture, relay, &attempt).await.as_deref() == Some("own") {
-                own.push(position);
-            }
-        }
-        scheduler = own.first().copied();
+        own = placing_by_themselves(&fixture, &relays.each_ref()).await;
         own.len() == 1
     })
     .await;
-    let lost = &relays[scheduler.expect("a scheduler")];
+    let others: Vec<&Relay> = (0..relays.len())
+        .filter(|position| *position != own[0])
+        .map(|position| &relays[position])
+        .collect();
+    let lost = &relays[own[0]];
     lost.process.pause();
-    let others = || {
-        relays
-            .iter()
-            .filter(|relay| relay.process.name() != lost.process.name())
-    };
     // Nothing fails meanwhile: a daemon places by itself when nobody answers.
     harness::wait_until(LIMIT, "one of the others places for both", async || {
-        let mut own = 0;
-        for relay in others() {
-            let attempt = format!("l-{}", rand::random::<u32>());
-            let placed = placed_by(&fixture, relay, &attempt).await;
-            own += usize::from(placed.as_deref() == Some("own"));
-        }
-        own == 1
+        placing_by_themselves(&fixture, &others).await.len() == 1
     })
     .await;
     lost.process.resume();
     harness::wait_until(LIMIT, "the first scheduler places again", async || {
-        let mut own = 0;
-        for relay in others() {
-            let attempt = format!("b-{}", rand::random::<u32>());
-            let placed = placed_by(&fixture, relay, &attempt).await;
-            own += usize::from(placed.as_deref() == Some("own"));
-        }
-        own == 0
+        placing_by_themselves(&fixture, &others).await.is_empty()
     })
     .await;
 }
 
+/// Positions of the relays that choose the engines of a stream without a scheduler.
+async fn placing_by_themselves(fixture: &Fixture, relays: &[&Relay]) -> Vec<usize> {
+    let mut own = Vec::new();
+    for (position, relay) in relays.iter().enumerate() {
+        let attempt = format!("s-{}", rand::random::<u32>());
+        let placed = placed_by(fixture, relay, &attempt).await;
+        if placed.as_deref() == Some("own") {
+            own.push(position);
+        }
+    }
+    own
+}
+
 /// Guards against processing all shared parts again after all daemons have started again: the engines
 /// still hold them.
 #[tokio::test]
