--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -21,6 +21,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of the metric recorder's upkeep, which bounds the memory of its histograms.
 const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+/// Time for the last lines of the log. It ends within the margin of the grace period.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Stack of the threads of the runtime that resolve blocking calls; there are none on a request's
 /// path.
 const THREAD_STACK_BYTES: usize = 128 << 10;
@@ -44,7 +46,9 @@
         .map_err(|error| format!("runtime: {error}"))?;
     let local = tokio::task::LocalSet::new();
     let state = rc::Rc::new(state::RelayState::new(settings, codec, store));
-    runtime.block_on(local.run_until(run_daemon(state)))
+    let result = runtime.block_on(local.run_until(run_daemon(state)));
+    telemetry::flush_log(LOG_FLUSH_TIMEOUT);
+    result
 }
 
 async fn run_daemon<Codec: edge::CodecEdge, Store: edge::StoreEdge>(
--- a/crates/relay/src/telemetry/logging.rs
+++ b/crates/relay/src/telemetry/logging.rs
@@ -5,6 +5,7 @@
     fmt::Write as _,
     io::Write as _,
     sync::{
+        OnceLock,
         atomic::{AtomicU64, Ordering},
         mpsc,
     },
@@ -17,6 +18,26 @@
 const QUEUE_LINES: usize = 1_024;
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static QUEUE: OnceLock<mpsc::SyncSender<LogEntry>> = OnceLock::new();
+
+/// What the writer gets.
+enum LogEntry {
+    Line(String),
+    /// Answered when all lines before it are written.
+    Flush(mpsc::SyncSender<()>),
+}
+
+/// Waits until all lines are written, for `timeout` at most: a reader that stops reading must not
+/// keep the process from ending.
+pub fn flush(timeout: time::Duration) {
+    let (sender, receiver) = mpsc::sync_channel(1);
+    let queue = QUEUE.get();
+    let is_queued = queue.is_some_and(|queue| queue.try_send(LogEntry::Flush(sender)).is_ok());
+    if is_queued {
+        // After the timeout the lines are lost like those that a full queue drops.
+        let _: Result<(), mpsc::RecvTimeoutError> = receiver.recv_timeout(timeout);
+    }
+}
 
 /// Starts the log of the named daemon at the given level.
 ///
@@ -24,7 +45,8 @@
 ///
 /// Returns a message when a logger is already set or the writer cannot be started.
 pub fn install(host: &str, level: log::LevelFilter) -> Result<(), String> {
-    let (sender, receiver) = mpsc::sync_channel::<String>(QUEUE_LINES);
+    let (sender, receiver) = mpsc::sync_channel(QUEUE_LINES);
+    let queue = QUEUE.get_or_init(|| sender);
     let writer = std::thread::Builder::new().name("log".to_owned());
     writer
         .stack_size(64 << 10)
@@ -37,31 +59,44 @@
             out.finish(format_args!("{}", format_record(&host, record)));
         })
         .chain(fern::Output::call(move |record| {
-            if sender.try_send(record.args().to_string()).is_err() {
+            let line = LogEntry::Line(record.args().to_string());
+            if queue.try_send(line).is_err() {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }));
     dispatch.apply().map_err(|error| error.to_string())
 }
 
-fn write_lines(receiver: &mpsc::Receiver<String>) {
+fn write_lines(receiver: &mpsc::Receiver<LogEntry>) {
     let mut buffer = String::new();
-    while let Ok(line) = receiver.recv() {
+    while let Ok(first) = receiver.recv() {
         buffer.clear();
-        push_line(&mut buffer, &line);
-        while let Ok(line) = receiver.try_recv() {
-            push_line(&mut buffer, &line);
-        }
-        let dropped = DROPPED.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
-            metrics::counter!("acaciabank_log_lines_dropped_total").increment(dropped);
-            let _ = writeln!(
-                buffer,
-                "{{\"level\":\"WARN\",\"event\":\"log_dropped\",\"lines\":{dropped}}}"
-            );
+        let mut flushed = Vec::new();
+        for entry in std::iter::once(first).chain(receiver.try_iter()) {
+            match entry {
+                LogEntry::Line(line) => push_line(&mut buffer, &line),
+                LogEntry::Flush(done) => flushed.push(done),
+            }
         }
+        push_dropped(&mut buffer);
         // Nobody is left to tell when standard output is closed.
         let _ = std::io::stdout().write_all(buffer.as_bytes());
+        for done in flushed {
+            // Who waited may have given up.
+            let _ = done.try_send(());
+        }
+    }
+}
+
+/// Tells how many lines did not fit into the queue since the last time.
+fn push_dropped(buffer: &mut String) {
+    let dropped = DROPPED.swap(0, Ordering::Relaxed);
+    if dropped > 0 {
+        metrics::counter!("acaciabank_log_lines_dropped_total").increment(dropped);
+        let _ = writeln!(
+            buffer,
+            "{{\"level\":\"WARN\",\"event\":\"log_dropped\",\"lines\":{dropped}}}"
+        );
     }
 }
 
--- a/crates/relay/src/telemetry/mod.rs
+++ b/crates/relay/src/telemetry/mod.rs
@@ -4,7 +4,7 @@
 mod logging;
 
 pub use events::{RefusalCause, count_refusal, count_retry, record_latency};
-pub use logging::install as install_log;
+pub use logging::{flush as flush_log, install as install_log};
 
 use std::sync;
 
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -249,3 +249,23 @@
         assert_eq!(answer.expect("an answer").status, 200);
     }
 }
+
+/// Guards against a log that ends before the process: the line about its end, and those of the last
+/// requests, were still in the queue when the process ended.
+#[tokio::test]
+async fn the_last_line_of_the_log_tells_the_end() {
+    let mut fixture = Fixture::start().await;
+    fixture.configure(1, |_| {}).await;
+    let _runner = fixture.runner("r-1", "ledger", None).await;
+    let mut relay = fixture.relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    relay.process.terminate();
+    harness::wait_until(LIMIT, "the relay has ended", async || {
+        relay.process.exit_status().is_some()
+    })
+    .await;
+    let output = fixture.launcher.folder().join("relay-1.out");
+    let text = std::fs::read_to_string(output).expect("the log");
+    let last = text.lines().last().unwrap_or_default();
+    assert!(last.contains("\"event\":\"stopped\""), "{last}");
+}
