Reserve the addresses of test processes while their launcher exists

Cause: the harness found a free port with a listener, closed it and started the process. A child that another thread was starting at that moment inherited the listener and kept the port until it called exec, so that the process exited with "Address already in use".

Ruled out: equal addresses of two test binaries (they would need process ids equal modulo 62,500), outgoing connections (their source is 127.0.0.1 or the daemon's own address).

Change: an address is reserved with a socket that is bound with SO_REUSEADDR and never listens. The kernel gives its port to no other socket, and the process can still bind to it. The relay fixture also reserves the port between daemons.

--- a/crates/testbed/src/harness/launch.rs
+++ b/crates/testbed/src/harness/launch.rs
@@ -25,12 +25,18 @@
     }
 }
 
+/// Sockets that are bound to the addresses handed out and never listen. As long as they exist, the
+/// kernel gives these ports to no other socket that asks for any free port, and a socket with
+/// `SO_REUSEADDR` can still bind to them and listen.
+type Reservations = sync::Arc<sync::Mutex<Vec<socket2::Socket>>>;
+
 /// Starts the processes of one test or example and owns their temporary folder.
 #[derive(Clone, Debug)]
 pub struct Launcher {
     program: path::PathBuf,
     folder: sync::Arc<TempFolder>,
     environment: Vec<(String, String)>,
+    reservations: Reservations,
 }
 
 impl Launcher {
@@ -48,6 +54,7 @@
             program: program.into(),
             folder: sync::Arc::new(TempFolder(folder)),
             environment: Vec::new(),
+            reservations: Reservations::default(),
         })
     }
 
@@ -78,14 +85,33 @@
         net::Ipv4Addr::new(127, second, third, fourth)
     }
 
-    /// Returns an address with a free port on the given IP. The port is released before the return;
-    /// another process does not take it because the IP is used by one process only.
+    /// Returns an address with a free port on the given IP, reserved while the launcher exists.
+    ///
+    /// The port is not found with a listener that is closed again: a child process that another
+    /// thread is starting inherits such a listener and keeps the port until it calls `exec`.
     ///
     /// # Errors
     ///
     /// Returns the error of binding.
     pub fn free_address(&self, ip: net::Ipv4Addr) -> io::Result<net::SocketAddr> {
-        net::TcpListener::bind((ip, 0))?.local_addr()
+        self.reserve(net::SocketAddr::from((ip, 0)))
+    }
+
+    /// Reserves an address while the launcher exists. Port 0 stands for any free port; the returned
+    /// address has the port that the kernel assigned.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding, such as that of an address in use.
+    pub fn reserve(&self, address: net::SocketAddr) -> io::Result<net::SocketAddr> {
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        let address = socket.local_addr()?.as_socket();
+        let reservations = &mut self.reservations.lock().expect("reservation lock");
+        reservations.push(socket);
+        address.ok_or_else(|| io::Error::other("the socket has no IP address"))
     }
 
     /// Returns an address with a free port on an unused loopback IP.
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -125,6 +125,8 @@
         self.relay_count += 1;
         let name = format!("relay-{}", self.relay_count);
         let ip = self.launcher.next_ip();
+        let peer_address = net::SocketAddr::from((ip, self.peer_port));
+        self.launcher.reserve(peer_address).expect("peer address");
         let address = || self.launcher.free_address(ip).expect("address");
         let (caller_address, ready_address, directory_address) = (address(), address(), address());
         let store = self.link_address(&name, self.store.address).await;
--- a/crates/testbed/tests/stand_ins/main.rs
+++ b/crates/testbed/tests/stand_ins/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod fleet;
+mod launch;
 mod platform;
 mod proxy;
 mod service;
