--- a/crates/core/src/suspect/mod.rs
+++ b/crates/core/src/suspect/mod.rs
@@ -1,8 +1,12 @@
 //! Crash suspects: fingerprints of requests that were in flight when the connection to a target
 //! broke. A request that is suspected of crashing targets is isolated and then refused.
 
+mod turns;
+
 use std::collections::HashMap;
 
+pub use turns::{TurnStamp, TurnTable, TurnTicket};
+
 /// Number of crashes at which the requests of a fingerprint are refused.
 pub const REFUSE_MIN_CRASHES: usize = 2;
 /// Time for which a fingerprint stays a suspect after its last crash, in milliseconds.
@@ -96,15 +100,23 @@
             crashes.retain(|crash| is_recent(crash, now_ms));
             !crashes.is_empty()
         });
-        let mut records = Vec::new();
-        for (fingerprint, crashes) in &self.suspects {
-            records.extend(crashes.iter().map(|crash| SuspectRecord {
-                fingerprint: *fingerprint,
+        let fingerprints = self.suspects.keys();
+        fingerprints
+            .flat_map(|fingerprint| self.records(*fingerprint, now_ms))
+            .collect()
+    }
+
+    /// Returns the crashes of one fingerprint that have not expired.
+    pub fn records(&self, fingerprint: u64, now_ms: u64) -> Vec<SuspectRecord> {
+        let crashes = self.suspects.get(&fingerprint).into_iter().flatten();
+        let recent = crashes.filter(|crash| is_recent(crash, now_ms));
+        recent
+            .map(|crash| SuspectRecord {
+                fingerprint,
                 target_hash: crash.target_hash,
                 age_ms: now_ms.saturating_sub(crash.seen_ms),
-            }));
-        }
-        records
+            })
+            .collect()
     }
 
     fn insert(&mut self, fingerprint: u64, crash: SeenCrash, dedup_ms: u64) {
--- a/crates/daemon/src/dispatch/admission.rs
+++ b/crates/daemon/src/dispatch/admission.rs
@@ -39,12 +39,19 @@
 /// Piece size in the routing score of a service call, which has no prompt.
 const SERVICE_CALL_PIECE_TOKENS: u64 = 1;
 
+/// Crash suspects and the turns of identical requests, which must change together.
+#[derive(Debug, Default)]
+pub(super) struct CrashState {
+    pub(super) suspects: suspect::SuspectTable,
+    pub(super) turns: suspect::TurnTable,
+}
+
 /// Admission state of the daemon: pools, retry budget and crash suspects.
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionControl {
     pools: sync::RwLock<HashMap<PoolKey, sync::Arc<TargetPool>>>,
     budget: sync::Mutex<Option<budget::RetryBudget>>,
-    suspects: sync::Mutex<suspect::SuspectTable>,
+    crashes: sync::Mutex<CrashState>,
     arrivals: AtomicU64,
     /// Number of round-robin selections.
     turns: AtomicU64,
@@ -122,17 +129,13 @@
         budget.as_mut().is_none_or(budget::RetryBudget::try_spend)
     }
 
-    pub(super) fn record_crash(&self, fingerprint: u64, target_hash: u32) {
-        self.suspect_table()
-            .record_crash(fingerprint, target_hash, target::now_ms());
-    }
-
     pub(super) fn suspect_status(&self, fingerprint: u64) -> suspect::SuspectStatus {
-        self.suspect_table().status(fingerprint, target::now_ms())
+        let crashes = self.crash_state();
+        crashes.suspects.status(fingerprint, target::now_ms())
     }
 
-    fn suspect_table(&self) -> sync::MutexGuard<'_, suspect::SuspectTable> {
-        self.suspects
+    pub(super) fn crash_state(&self) -> sync::MutexGuard<'_, CrashState> {
+        self.crashes
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
@@ -141,14 +144,39 @@
 impl target::TargetRegistry {
     /// Crash suspects known to this daemon, for gossip to other daemons.
     pub fn export_suspects(&self) -> Vec<suspect::SuspectRecord> {
-        self.admission.suspect_table().export(target::now_ms())
+        let mut crashes = self.admission.crash_state();
+        crashes.suspects.export(target::now_ms())
+    }
+
+    /// Crashes known to this daemon that a fingerprint was seen in.
+    pub fn suspect_records(&self, fingerprint: u64) -> Vec<suspect::SuspectRecord> {
+        let crashes = self.admission.crash_state();
+        crashes.suspects.records(fingerprint, target::now_ms())
+    }
+
+    /// Answers another daemon that asks whether its request, a crash suspect, may run. Returns
+    /// whether a request of this daemon, named `own_daemon`, holds it back, and the logical clock.
+    pub fn answer_turn(
+        &self,
+        fingerprint: u64,
+        other: suspect::TurnStamp<'_>,
+        own_daemon: &str,
+    ) -> (bool, u64) {
+        let mut crashes = self.admission.crash_state();
+        let turns = &mut crashes.turns;
+        let is_held_back = turns.holds_back(fingerprint, other, own_daemon);
+        (is_held_back, turns.clock())
+    }
+
+    /// Moves the logical clock of turns to at least `clock`, which another daemon has reached.
+    pub fn advance_turn_clock(&self, clock: u64) {
+        self.admission.crash_state().turns.advance_clock(clock);
     }
 
     /// Merges a crash suspect received from another daemon.
     pub fn merge_suspect(&self, record: suspect::SuspectRecord) {
-        self.admission
-            .suspect_table()
-            .merge(record, target::now_ms());
+        let mut crashes = self.admission.crash_state();
+        crashes.suspects.merge(record, target::now_ms());
     }
 }
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod slot;
 mod sse;
 mod token_times;
+mod turn;
 
 use std::time;
 
--- a/crates/daemon/src/dispatch/retry.rs
+++ b/crates/daemon/src/dispatch/retry.rs
@@ -13,6 +13,7 @@
 
 use super::{
     CallerRequest, RequestWork, WriteDeadline, admission, attempt, completion, service, sink, slot,
+    turn,
 };
 use crate::{process, target};
 
@@ -125,6 +126,7 @@
 ) -> Result<(), reason::Refusal> {
     let request_start = Instant::now();
     let mut placement = admission::RequestPlacement::new(state, request);
+    let turn = turn::RequestTurn::enter(state, request.fingerprint);
     let mut stream = completion::CompletionStream::new(request);
     let outcome = (&*sink, &mut *history);
     prefill(
@@ -132,17 +134,22 @@
         request,
         &mut placement,
         &mut stream,
+        &turn,
         outcome,
         in_attempt,
     )
     .await?;
     loop {
+        turn.wait().await;
         let place = placement.place(request, &history.avoided);
         let placed = before_write_deadline(request.write_deadline, place).await;
         let slot = placed.map_err(|refusal| reason::Refusal {
             verdict: refusal.verdict.combine(history.verdict),
             ..refusal
         })?;
+        if !turn.try_start() {
+            continue;
+        }
         let context = AttemptContext {
             state,
             request,
@@ -167,9 +174,7 @@
             }
             Err(failure) => {
                 let failure = attempt::confirm_crash(state, &slot.target, failure).await;
-                if failure.may_have_crashed {
-                    record_crash(&context).await;
-                }
+                end_attempt(&context, &turn, &failure).await;
                 decide_retry(&context, sink, history, failure)?;
             }
         }
@@ -186,6 +191,7 @@
     request: &CallerRequest,
     placement: &mut admission::RequestPlacement,
     stream: &mut completion::CompletionStream,
+    turn: &turn::RequestTurn,
     (sink, history): (&sink::CallerSink, &mut AttemptHistory),
     in_attempt: &mut bool,
 ) -> Result<(), reason::Refusal> {
@@ -200,6 +206,9 @@
     let Some(slot) = placement.place_prefill() else {
         return Ok(());
     };
+    if !turn.try_start() {
+        return Ok(());
+    }
     let now = Instant::now();
     let context = AttemptContext {
         state,
@@ -215,6 +224,7 @@
     *in_attempt = false;
     match result {
         Ok(is_transferable) => {
+            turn.stop();
             count_attempt(Verdict::Ran);
             history.verdict = Verdict::MayHaveRun;
             history.prefills += 1;
@@ -223,9 +233,7 @@
         }
         Err(failure) => {
             let failure = attempt::confirm_crash(state, &slot.target, failure).await;
-            if failure.may_have_crashed {
-                record_crash(&context).await;
-            }
+            end_attempt(&context, turn, &failure).await;
             decide_retry(&context, sink, history, failure)
         }
     }
@@ -255,11 +263,18 @@
     metrics::counter!("acaciabank_attempts_total", "verdict" => verdict.as_str()).increment(1);
 }
 
-/// Records a crash for the request. The crash is announced to other daemons before the request is
+/// Ends the turn of a failed attempt. A crash is announced to other daemons before the request is
 /// retried or its caller gets a response, because the caller may resend it through any of them.
-async fn record_crash(context: &AttemptContext<'_>) {
-    let admission = &context.state.targets.admission;
-    admission.record_crash(context.request.fingerprint, context.target.hash);
+async fn end_attempt(
+    context: &AttemptContext<'_>,
+    turn: &turn::RequestTurn,
+    failure: &attempt::AttemptFailure,
+) {
+    if !failure.may_have_crashed {
+        turn.stop();
+        return;
+    }
+    turn.record_crash(context.target.hash);
     context
         .state
         .peers
--- a/crates/daemon/src/peer/client.rs
+++ b/crates/daemon/src/peer/client.rs
@@ -2,13 +2,16 @@
 
 use std::time;
 
-use acaciabank_core::member::{Heartbeat, MemberEntry};
+use acaciabank_core::{
+    member::{Heartbeat, MemberEntry, SuspectReport},
+    suspect::TurnStamp,
+};
 use acaciabank_protocol::{ids, peer_capnp};
 
 use super::{
     RemoteKeyState, convert, digest,
     digest::Digest,
-    link::{CALL_TIMEOUT, PeerLink},
+    link::{CALL_TIMEOUT, ConnectPolicy, PeerLink},
 };
 use crate::{config::ConfigVersion, dispatch, target::PieceDelta};
 
@@ -135,7 +138,46 @@
         let response = request.send().promise.await?;
         read_response(response.get()?.get_answer()?)
     };
-    link.call("fetch_answer", CALL_TIMEOUT, call).await
+    link.call_with(ConnectPolicy::AtOnce, "fetch_answer", CALL_TIMEOUT, call)
+        .await
+}
+
+/// Answer of another daemon to a request for a turn.
+pub(super) struct TurnAnswer {
+    /// Whether a request of that daemon holds the asking one back.
+    pub(super) is_held_back: bool,
+    /// Logical clock of that daemon.
+    pub(super) clock: u64,
+    /// Crashes of the fingerprint that it knows.
+    pub(super) suspects: Vec<SuspectReport>,
+}
+
+/// Asks another daemon whether a request with this fingerprint, which waits with `stamp`, may run.
+pub(super) async fn ask_for_turn(
+    link: &PeerLink,
+    fingerprint: u64,
+    stamp: TurnStamp<'_>,
+    suspects: &[SuspectReport],
+) -> Result<TurnAnswer, String> {
+    let call = |client: peer_capnp::peer::Client| async move {
+        let mut request = client.take_turn_request();
+        let mut params = request.get();
+        params.set_fingerprint(fingerprint);
+        params.set_clock(stamp.clock);
+        params.set_daemon(stamp.daemon);
+        let list = params.init_suspects(suspects.len() as u32);
+        convert::write_suspects(suspects, 0, list);
+        let response = request.send().promise.await?;
+        let results = response.get()?;
+        let suspects = results.get_suspects()?.iter();
+        Ok(TurnAnswer {
+            is_held_back: results.get_is_held_back(),
+            clock: results.get_clock(),
+            suspects: suspects.map(convert::read_suspect).collect(),
+        })
+    };
+    link.call_with(ConnectPolicy::AtOnce, "take_turn", CALL_TIMEOUT, call)
+        .await
 }
 
 fn read_response(
@@ -174,5 +216,6 @@
         })
     };
     let timeout = CALL_TIMEOUT + time::Duration::from_millis(wait_ms.into());
-    link.call("await_key", timeout, call).await
+    link.call_with(ConnectPolicy::AtOnce, "await_key", timeout, call)
+        .await
 }
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -36,6 +36,15 @@
     Box::new(twoparty::VatNetwork::new(reader, writer, side, options))
 }
 
+/// When a call may open a connection after an earlier attempt has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectPolicy {
+    /// After the backoff, for calls that are repeated anyway, such as gossip.
+    AfterBackoff,
+    /// At once, for calls that a caller waits for: the other daemon may just have started.
+    AtOnce,
+}
+
 struct OpenConnection {
     client: peer::Client,
     task: JoinHandle<()>,
@@ -59,6 +68,7 @@
     generation: cell::Cell<u64>,
     failures: cell::Cell<u32>,
     retry_at: cell::Cell<Option<time::Instant>>,
+    failed_at: cell::Cell<Option<time::Instant>>,
     is_gossiping: cell::Cell<bool>,
     /// Hashes of the targets whose last cache changes did not reach the daemon.
     pub(super) stale_targets: cell::RefCell<collections::BTreeSet<u32>>,
@@ -89,6 +99,7 @@
             generation: cell::Cell::new(0),
             failures: cell::Cell::new(0),
             retry_at: cell::Cell::new(None),
+            failed_at: cell::Cell::new(None),
             is_gossiping: cell::Cell::new(false),
             stale_targets: cell::RefCell::default(),
         }
@@ -112,7 +123,23 @@
         C: FnOnce(peer::Client) -> F,
         F: Future<Output = capnp::Result<T>>,
     {
-        let (client, generation) = self.client().await?;
+        let policy = ConnectPolicy::AfterBackoff;
+        self.call_with(policy, method, timeout, make_call).await
+    }
+
+    /// Like [`call`](Self::call), with the given policy for opening a connection.
+    pub(super) async fn call_with<T, C, F>(
+        &self,
+        policy: ConnectPolicy,
+        method: &'static str,
+        timeout: time::Duration,
+        make_call: C,
+    ) -> Result<T, String>
+    where
+        C: FnOnce(peer::Client) -> F,
+        F: Future<Output = capnp::Result<T>>,
+    {
+        let (client, generation) = self.client(policy).await?;
         meter::count_message(method);
         let message = match tokio::time::timeout(timeout, make_call(client)).await {
             Ok(Ok(value)) => {
@@ -126,18 +153,15 @@
         Err(message)
     }
 
-    async fn client(&self) -> Result<(peer::Client, u64), String> {
+    async fn client(&self, policy: ConnectPolicy) -> Result<(peer::Client, u64), String> {
+        let called_at = time::Instant::now();
         let _guard = self.connecting.lock().await;
         if let Some(open) = self.open.borrow().as_ref()
             && !open.task.is_finished()
         {
             return Ok((open.client.clone(), open.generation));
         }
-        if self
-            .retry_at
-            .get()
-            .is_some_and(|at| at > time::Instant::now())
-        {
+        if !self.may_connect(policy, called_at) {
             return Err("waiting before another try to connect".to_owned());
         }
         let connected = tokio::time::timeout(self.connect_timeout, self.connect()).await;
@@ -150,6 +174,20 @@
         Err(message)
     }
 
+    /// Whether a call that began at `called_at` may open a connection now. An attempt that failed
+    /// while the call waited for its turn counts for it too.
+    fn may_connect(&self, policy: ConnectPolicy, called_at: time::Instant) -> bool {
+        let is_backing_off = self
+            .retry_at
+            .get()
+            .is_some_and(|at| at > time::Instant::now());
+        let failed_since = self.failed_at.get().is_some_and(|at| at >= called_at);
+        match policy {
+            ConnectPolicy::AfterBackoff => !is_backing_off,
+            ConnectPolicy::AtOnce => !is_backing_off || !failed_since,
+        }
+    }
+
     /// Connects from the address that this daemon listens on, so that the addresses of a connection
     /// identify both daemons.
     async fn connect(&self) -> std::io::Result<tokio::net::TcpStream> {
@@ -199,7 +237,9 @@
         let doubled_ms = INITIAL_BACKOFF_MS << failures.min(10);
         let delay_ms = rand::random_range(doubled_ms / 2..=doubled_ms).min(MAX_BACKOFF_MS);
         self.failures.set(failures + 1);
-        let retry_at = time::Instant::now() + time::Duration::from_millis(delay_ms);
+        let now = time::Instant::now();
+        let retry_at = now + time::Duration::from_millis(delay_ms);
+        self.failed_at.set(Some(now));
         self.retry_at.set(Some(retry_at));
     }
 }
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -31,17 +31,24 @@
 
 /// Returns the crash suspects that this daemon knows.
 pub(super) fn local_suspects(state: &process::ProcessState) -> Vec<member::SuspectReport> {
+    to_reports(state.targets.export_suspects())
+}
+
+/// Returns the crashes known to this daemon that a fingerprint was seen in.
+pub(super) fn suspect_reports(
+    state: &process::ProcessState,
+    fingerprint: u64,
+) -> Vec<member::SuspectReport> {
+    to_reports(state.targets.suspect_records(fingerprint))
+}
+
+fn to_reports(records: Vec<suspect::SuspectRecord>) -> Vec<member::SuspectReport> {
     let to_report = |record: suspect::SuspectRecord| member::SuspectReport {
         fingerprint: record.fingerprint,
         target_hash: record.target_hash,
         age_ms: u32::try_from(record.age_ms).unwrap_or(u32::MAX),
     };
-    state
-        .targets
-        .export_suspects()
-        .into_iter()
-        .map(to_report)
-        .collect()
+    records.into_iter().map(to_report).collect()
 }
 
 /// Applies the loads and suspects that another daemon publishes. Loads of targets that this daemon
@@ -62,6 +69,11 @@
             state.targets.apply_summary(load);
         }
     }
+    apply_suspects(state, suspects);
+}
+
+/// Merges the crash suspects that another daemon knows.
+pub(super) fn apply_suspects(state: &process::ProcessState, suspects: &[member::SuspectReport]) {
     for report in suspects {
         state.targets.merge_suspect(suspect::SuspectRecord {
             fingerprint: report.fingerprint,
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -12,6 +12,7 @@
 mod pieces;
 mod regions;
 mod server;
+mod turns;
 
 use std::{collections, net, sync, time};
 
@@ -107,6 +108,11 @@
         wait_ms: u32,
         reply: oneshot::Sender<Result<RemoteKeyState, PeerError>>,
     },
+    AskForTurn {
+        fingerprint: u64,
+        clock: u64,
+        reply: oneshot::Sender<bool>,
+    },
     FetchConfigs {
         above: u64,
         reply: oneshot::Sender<FetchedConfigs>,
@@ -242,6 +248,19 @@
         response.await.unwrap_or_else(|_| Err(not_running(daemon)))
     }
 
+    /// Asks the daemons of this region whether a request that is a crash suspect may run. Returns
+    /// whether one of them holds it back; daemons that do not answer in time do not. Crashes of the
+    /// fingerprint become known on both sides.
+    pub async fn ask_for_turn(&self, fingerprint: u64, clock: u64) -> bool {
+        let (reply, response) = oneshot::channel();
+        self.send_command(Command::AskForTurn {
+            fingerprint,
+            clock,
+            reply,
+        });
+        response.await.unwrap_or(false)
+    }
+
     /// Asks every known daemon for its configuration if the version is above `above`. Ends within
     /// twice the timeout of one call.
     pub async fn fetch_configs(&self, above: u64) -> FetchedConfigs {
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -385,6 +385,17 @@
                     let _ = reply.send(result);
                 });
             }
+            Command::AskForTurn {
+                fingerprint,
+                clock,
+                reply,
+            } => {
+                let node = Rc::clone(self);
+                spawn_local(async move {
+                    // The request that sent the command may have ended.
+                    let _ = reply.send(node.is_turn_held_back(fingerprint, clock).await);
+                });
+            }
             Command::FetchConfigs { above, reply } => {
                 let links = self.all_links();
                 spawn_local(async move {
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, sync, time};
 
+use acaciabank_core::suspect::TurnStamp;
 use acaciabank_protocol::{ids, peer_capnp::peer};
 
 use super::{RemoteKeyState, convert, digest, digest::Digest, loads, meter, node::PeerNode};
@@ -143,6 +144,32 @@
         Ok(())
     }
 
+    async fn take_turn(
+        self: Rc<Self>,
+        params: peer::TakeTurnParams,
+        mut results: peer::TakeTurnResults,
+    ) -> capnp::Result<()> {
+        meter::count_message("take_turn");
+        let params = params.get()?;
+        let state = &self.node.state;
+        let fingerprint = params.get_fingerprint();
+        let suspects: Vec<_> = params.get_suspects()?.iter().collect();
+        let suspects: Vec<_> = suspects.into_iter().map(convert::read_suspect).collect();
+        loads::apply_suspects(state, &suspects);
+        let stamp = TurnStamp {
+            clock: params.get_clock(),
+            daemon: params.get_daemon()?.to_str()?,
+        };
+        let own_daemon = state.settings.daemon.as_str();
+        let (is_held_back, clock) = state.targets.answer_turn(fingerprint, stamp, own_daemon);
+        let known = loads::suspect_reports(state, fingerprint);
+        let mut builder = results.get();
+        builder.set_is_held_back(is_held_back);
+        builder.set_clock(clock);
+        convert::write_suspects(&known, 0, builder.init_suspects(known.len() as u32));
+        Ok(())
+    }
+
     async fn await_key(
         self: Rc<Self>,
         params: peer::AwaitKeyParams,
--- /dev/null
+++ b/crates/daemon/src/peer/turns.rs
@@ -0,0 +1,59 @@
+//! Questions to other daemons for the turns of crash suspects.
+
+use std::{rc::Rc, time};
+
+use acaciabank_core::{member::Liveness, suspect::TurnStamp};
+use futures::{StreamExt, stream::FuturesUnordered};
+
+use super::{client, link::PeerLink, loads, node::PeerNode};
+
+/// Longest wait for the answers of other daemons. One that does not answer in time, because it is
+/// cut off or suspended, holds no request back.
+const MAX_ANSWER_WAIT: time::Duration = time::Duration::from_millis(500);
+
+impl PeerNode {
+    /// Asks the daemons of this region whether a waiting request may run; returns whether one of
+    /// them holds it back.
+    pub(super) async fn is_turn_held_back(self: &Rc<Self>, fingerprint: u64, clock: u64) -> bool {
+        let state = &self.state;
+        let suspects = loads::suspect_reports(state, fingerprint);
+        let daemon = state.settings.daemon.as_str();
+        let stamp = TurnStamp { clock, daemon };
+        let links = self.region_links();
+        let questions = links
+            .iter()
+            .map(|link| client::ask_for_turn(link, fingerprint, stamp, &suspects));
+        let mut answers: FuturesUnordered<_> = questions.collect();
+        let deadline = tokio::time::Instant::now() + MAX_ANSWER_WAIT;
+        let mut is_held_back = false;
+        while let Ok(Some(answer)) = tokio::time::timeout_at(deadline, answers.next()).await {
+            match answer {
+                Ok(answer) => {
+                    state.targets.advance_turn_clock(answer.clock);
+                    loads::apply_suspects(state, &answer.suspects);
+                    is_held_back |= answer.is_held_back;
+                }
+                Err(error) => log::debug!("no answer about the turn of a suspect: {error}"),
+            }
+        }
+        is_held_back
+    }
+
+    /// Returns the links to the live daemons of this region.
+    fn region_links(&self) -> Vec<Rc<PeerLink>> {
+        let daemons: Vec<_> = {
+            let table = self.table.borrow();
+            let others = table.others(time::Instant::now());
+            others
+                .filter(|(entry, liveness, _)| {
+                    *liveness == Liveness::Alive && table.is_local(entry)
+                })
+                .map(|(entry, _, _)| entry.daemon.clone())
+                .collect()
+        };
+        daemons
+            .iter()
+            .filter_map(|daemon| self.link(daemon))
+            .collect()
+    }
+}
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -139,4 +139,9 @@
   fetchEntries @7 (daemons :List(UInt32)) -> (entries :List(Entry));
   # Exchange between regions: each side sends a few entries of its region, without loads.
   exchange @8 (entries :List(Entry)) -> (entries :List(Entry));
+  # Asks whether a request of the calling daemon, which is suspected of crashing targets, may run.
+  # `clock` is the logical clock of its turn; both sides pass on their clocks and the crashes that
+  # they know of this fingerprint.
+  takeTurn @9 (fingerprint :UInt64, clock :UInt64, daemon :Text, suspects :List(Suspect))
+    -> (isHeldBack :Bool, clock :UInt64, suspects :List(Suspect));
 }
--- a/crates/protocol/src/peer/peer_capnp.rs
+++ b/crates/protocol/src/peer/peer_capnp.rs
@@ -5079,6 +5079,10 @@
         ::capnp::capability::Params<crate::peer_capnp::peer::exchange_params::Owned>;
     pub type ExchangeResults =
         ::capnp::capability::Results<crate::peer_capnp::peer::exchange_results::Owned>;
+    pub type TakeTurnParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::take_turn_params::Owned>;
+    pub type TakeTurnResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::take_turn_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -5239,6 +5243,15 @@
             self.client
                 .new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
         }
+        pub fn take_turn_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::take_turn_params::Owned,
+            crate::peer_capnp::peer::take_turn_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn gossip(
@@ -5322,6 +5335,15 @@
                 "method peer::Server::exchange not implemented".to_string(),
             )))
         }
+        fn take_turn(
+            self: ::capnp::capability::Rc<Self>,
+            _: TakeTurnParams,
+            _: TakeTurnResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::take_turn not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -5449,6 +5471,14 @@
                     )),
                     false,
                 ),
+                9 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::take_turn(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -11394,4 +11424,839 @@
             pub(crate) const TYPE_ID: u64 = 0x9e3d_5c60_286f_ccb9;
         }
     }
+
+    pub mod take_turn_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_fingerprint(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_clock(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_daemon(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_daemon(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect::Owned>>
+            {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_suspects(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 2,
+                    pointers: 2,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_fingerprint(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_fingerprint(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_clock(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_clock(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_daemon(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_daemon(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_daemon(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_daemon(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned>>
+            {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_suspects(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_suspects(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(1),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_suspects(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(138, 104, 185, 196, 86, 39, 253, 183),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(116, 97, 107, 101, 84, 117, 114, 110),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+                ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 108, 111, 99, 107, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3];
+            pub(crate) const TYPE_ID: u64 = 0xb7fd_2756_c4b9_688a;
+        }
+    }
+
+    pub mod take_turn_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_is_held_back(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_clock(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect::Owned>>
+            {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_suspects(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 2,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_is_held_back(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_is_held_back(&mut self, value: bool) {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_clock(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_clock(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned>>
+            {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_suspects(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_suspects(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_suspects(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 69] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(107, 143, 188, 88, 242, 162, 159, 154),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(116, 97, 107, 101, 84, 117, 114, 110),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 115, 72, 101, 108, 100, 66, 97),
+                ::capnp::word(99, 107, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 108, 111, 99, 107, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) const TYPE_ID: u64 = 0x9a9f_a2f2_58bc_8f6b;
+        }
+    }
 }
--- a/crates/testbed/tests/access.rs
+++ b/crates/testbed/tests/access.rs
@@ -67,6 +67,18 @@
         .status
 }
 
+/// Waits until the second daemon lists `count` addresses to callers.
+async fn wait_listed(fleet: &harness::Fleet, count: usize) {
+    let address = fleet.daemons[1].caller_address;
+    harness::wait_until(TIMEOUT, "the daemon lists the addresses", async || {
+        let headers = [("authorization", "Bearer clubs-key")];
+        let call = web::call(address, "GET", "/v1/addresses", &headers, "").await;
+        let body = call.map(|response| response.json()).unwrap_or_default();
+        body["addresses"].as_array().map(Vec::len) == Some(count)
+    })
+    .await;
+}
+
 /// Guards against a team that reads another team's response by its request id, at the daemon that
 /// ran the request or at another one.
 #[tokio::test(flavor = "multi_thread")]
@@ -96,6 +108,32 @@
     }
 }
 
+/// Guards against a daemon that cannot return a response because it still waits before it connects
+/// again to the daemon that has the response, which was down and is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_is_found_at_a_daemon_that_has_just_returned() {
+    let mut fleet = start_fleet().await;
+    for round in 0..3 {
+        fleet.daemons[0].process.kill();
+        wait_listed(&fleet, 1).await;
+        fleet.daemons[0]
+            .process
+            .restart()
+            .expect("the daemon starts");
+        fleet.wait_daemon_ready(0).await;
+        let mut request = String::new();
+        harness::wait_until(TIMEOUT, "the daemon completes a request", async || {
+            let response = complete(&fleet, 0, Some("clubs-key")).await;
+            let id = &response.headers["x-request-id"];
+            request = id.to_str().expect("ASCII").to_owned();
+            response.status == 200
+        })
+        .await;
+        let status = fetch_status(&fleet, 1, &request, "clubs-key").await;
+        assert_eq!(status, 200, "round {round}");
+    }
+}
+
 /// Guards against a key rotation that takes effect only after a restart, and against a removed key
 /// that is still accepted.
 #[tokio::test(flavor = "multi_thread")]
