Pause the lease holder only after its last check in the tests of late orders

Cause: an_engine_with_fencing_refuses_the_late_order_of_a_paused_holder paused the holder as soon as its intent was in the table. A holder that had not yet read the response and made its last check then found its grant ended after the resume and, rightly, sent nothing, so that the engine had no late order to refuse.

Ruled out: the idle timeout of the engine's administration connection (the engine of this test has none).

Change: the daemon logs that an order waits under the test variable, after its last check, and both tests wait for that line. The check is as strict; the window is longer, so that a busy machine does not send the order before the pause.

--- a/crates/daemon/src/planner/task.rs
+++ b/crates/daemon/src/planner/task.rs
@@ -227,7 +227,7 @@
             self.record(&stored, &row, IntentState::Failed).await;
             return TaskOutcome::NotSent;
         }
-        pause_for_test().await;
+        pause_for_test(&row.order.order_id).await;
         let response = connection
             .admin
             .call(Method::POST, "/admin/orders", body, self.response_timeout())
@@ -397,11 +397,12 @@
     }
 }
 
-async fn pause_for_test() {
+async fn pause_for_test(order_id: &ids::OrderId) {
     let pause_ms = std::env::var(PAUSE_VARIABLE)
         .ok()
         .and_then(|text| text.parse().ok());
     if let Some(pause_ms) = pause_ms {
+        log::info!(order = order_id.as_str(); "order waits for {pause_ms} ms before it is sent");
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
--- a/crates/testbed/tests/orders.rs
+++ b/crates/testbed/tests/orders.rs
@@ -214,10 +214,20 @@
     .await;
 }
 
+/// Delay of an order between the last check and the write, within which a test pauses the daemon.
+const PAUSE_WINDOW_MS: u32 = 5_000;
+
 /// Pauses the lease holder between its last check and its write; returns the paused daemon once its
-/// successor's order is done.
+/// successor's order is done. The log line about the wait shows that the check has passed; the
+/// intent in the table is there before, and a holder that is paused before its check sends nothing.
 async fn pause_before_write(fleet: &harness::Fleet) -> usize {
     let paused = trigger_order(fleet).await;
+    let log_file = fleet.daemons[paused].process.log_file();
+    harness::wait_until(TIMEOUT, "the holder waits before the write", async || {
+        let log = std::fs::read_to_string(&log_file).unwrap_or_default();
+        log.contains("before it is sent")
+    })
+    .await;
     fleet.daemons[paused].process.pause();
     let journals = fleet.journals().expect("journals");
     assert_eq!(received_orders(&journals), [], "paused before the write");
@@ -253,7 +263,7 @@
 /// the write while another daemon took the lease over.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_with_fencing_refuses_the_late_order_of_a_paused_holder() {
-    let fleet = start_with_order_delay(spec(1, 2), 800).await;
+    let fleet = start_with_order_delay(spec(1, 2), PAUSE_WINDOW_MS).await;
     let paused = pause_before_write(&fleet).await;
     fleet.daemons[paused].process.resume();
     harness::wait_until(TIMEOUT, "the late order is refused", async || {
@@ -281,7 +291,9 @@
     let mut spec = spec(1, 2);
     spec.deployment.engines[0].fencing = settings::FencingSupport::Ignored;
     spec.deployment.engines[0].admin_idle_close_ms = Some(2_000);
-    let fleet = start_with_order_delay(spec, 800).await;
+    // The delay is shorter than the idle time after which the engine closes the connection, because
+    // the successor waits as long before its own order.
+    let fleet = start_with_order_delay(spec, 1_500).await;
     let paused = pause_before_write(&fleet).await;
     fleet.daemons[paused].process.resume();
     wait_lease_lost(&fleet, paused).await;
