--- a/crates/daemon/src/dispatch/attempt.rs
+++ b/crates/daemon/src/dispatch/attempt.rs
@@ -1,6 +1,10 @@
 //! A single attempt at a target up to the head of its response, and the verdict if it fails.
 
-use std::{future::Future, sync, time::Duration};
+use std::{
+    future::Future,
+    sync,
+    time::{Duration, Instant},
+};
 
 use acaciabank_protocol::{ids, reason, verdict::Verdict, wire};
 use bytes::Bytes;
@@ -65,13 +69,14 @@
 }
 
 impl OpenResponse {
-    /// Returns the next part of the body, or `None` at its end. `idle` is the longest wait.
+    /// Returns the next part of the body, or `None` at its end, waiting until `deadline`.
     pub(super) async fn next_part(
         &mut self,
-        idle: Duration,
+        deadline: Instant,
     ) -> Result<Option<Bytes>, AttemptFailure> {
         loop {
-            let frame = match tokio::time::timeout(idle, self.response.body_mut().frame()).await {
+            let frame = self.response.body_mut().frame();
+            let frame = match tokio::time::timeout_at(deadline.into(), frame).await {
                 Ok(frame) => frame,
                 Err(_) => {
                     return Err(AttemptFailure::timeout(
@@ -110,8 +115,8 @@
     let host = header_value(&target.address.to_string())?;
     headers.insert(http::header::HOST, host);
     headers.insert(wire::REQUEST_ID_HEADER, header_value(attempt.as_str())?);
-    let opened = exchange(state, target, write_deadline, &request).await?;
-    check_request_id(&opened.response, attempt)?;
+    let mut opened = exchange(state, target, write_deadline, &request).await?;
+    check_request_id(&mut opened, attempt)?;
     check_not_run(target, &opened.response)?;
     Ok(opened)
 }
@@ -200,8 +205,11 @@
     let host = header_value(&target.address.to_string())?;
     request.headers_mut().insert(http::header::HOST, host);
     let response = connection.send(request).await.map_err(broken)?;
-    let body = response.into_body().collect().await.map_err(broken)?;
-    let report = serde_json::from_slice::<wire::EngineState>(&body.to_bytes());
+    let timeout = Duration::from_millis(state.settings.timers.connect_timeout_ms);
+    let (limits, deadline) = (connection::BodyLimits::DOCUMENT, Instant::now() + timeout);
+    let body = connection::read_body(response.into_body(), limits, deadline).await;
+    let body = body.map_err(|error| AttemptFailure::broken(error.to_string()))?;
+    let report = serde_json::from_slice::<wire::EngineState>(&body);
     Ok(report.ok().map(|report| report.boot_id))
 }
 
@@ -244,23 +252,25 @@
     tokio::time::timeout(timeout, work).await.ok()
 }
 
-/// Rejects a response that carries the id of another attempt.
+/// Rejects a response that carries the id of another attempt, or none although the target has
+/// echoed ids on the connection before.
 fn check_request_id(
-    response: &http::Response<Incoming>,
+    opened: &mut OpenResponse,
     attempt: &ids::AttemptId,
 ) -> Result<(), AttemptFailure> {
-    match response.headers().get(wire::REQUEST_ID_HEADER) {
-        Some(echoed) if echoed.as_bytes() != attempt.as_str().as_bytes() => {
-            metrics::counter!("acaciabank_crossed_answers_total").increment(1);
-            log::warn!("attempt {attempt}: dropped a response that belongs to another attempt");
-            Err(AttemptFailure::new(
-                Verdict::MayHaveRun,
-                reason::RetryReason::MismatchedResponse,
-                "the target answered another request",
-            ))
-        }
-        _ => Ok(()),
+    let echoed = opened.response.headers().get(wire::REQUEST_ID_HEADER);
+    let is_plausible = opened.connection.record_echo(echoed.is_some());
+    let is_own = echoed.is_none_or(|echoed| echoed.as_bytes() == attempt.as_str().as_bytes());
+    if is_own && is_plausible {
+        return Ok(());
     }
+    metrics::counter!("acaciabank_crossed_answers_total").increment(1);
+    log::warn!("attempt {attempt}: dropped a response that belongs to another attempt");
+    Err(AttemptFailure::new(
+        Verdict::MayHaveRun,
+        reason::RetryReason::MismatchedResponse,
+        "the target answered another request",
+    ))
 }
 
 /// Recognizes a response whose target states that it refused the request before running it.
--- a/crates/daemon/src/dispatch/completion.rs
+++ b/crates/daemon/src/dispatch/completion.rs
@@ -93,7 +93,7 @@
             ));
         }
         let mut response = Vec::new();
-        while let Some(part) = opened.next_part(idle_timeout(context)).await? {
+        while let Some(part) = opened.next_part(idle_deadline(context)).await? {
             response.extend_from_slice(&part);
             if response.len() > MAX_UNSTREAMED_BYTES {
                 return Err(stream_failure("the prefill answer is too long".to_owned()));
@@ -130,7 +130,7 @@
             ));
         }
         let mut body = Vec::new();
-        while let Some(part) = opened.next_part(idle_timeout(context)).await? {
+        while let Some(part) = opened.next_part(idle_deadline(context)).await? {
             body.extend_from_slice(&part);
             if body.len() > MAX_UNSTREAMED_BYTES {
                 break;
@@ -154,8 +154,10 @@
         stream: bool,
     ) -> Result<(), attempt::AttemptFailure> {
         let mut parser = EventParser::default();
+        // Renewed by events, not by bytes: a stalled engine may send comments or parts of an event.
+        let mut event_deadline = idle_deadline(context);
         loop {
-            let part = match opened.next_part(idle_timeout(context)).await {
+            let part = match opened.next_part(event_deadline).await {
                 Ok(part) => part,
                 // After the finish reason only `[DONE]` is missing.
                 Err(_) if self.cursor.has_finished => return Ok(()),
@@ -174,7 +176,7 @@
                         return Err(stream_failure("the stream has no finish reason".to_owned()));
                     }
                     StreamEvent::Done => {
-                        let end = opened.next_part(MAX_TRAILER_WAIT).await;
+                        let end = opened.next_part(Instant::now() + MAX_TRAILER_WAIT).await;
                         if matches!(end, Ok(None)) {
                             opened.release_connection();
                         }
@@ -183,12 +185,21 @@
                     StreamEvent::Chunk(chunk) => {
                         self.handle_chunk(context, sink, chunk, stream).await?;
                         history.received |= self.cursor.delivered > 0;
+                        event_deadline = idle_deadline(context);
                     }
                 }
             }
             if sink.is_abandoned() {
                 return Err(stream_failure("the caller left".to_owned()));
             }
+            // Bytes that are always ready never reach the timeout above.
+            if Instant::now() >= event_deadline {
+                let message = "the target sends no events";
+                return Err(attempt::AttemptFailure::timeout(
+                    Verdict::MayHaveRun,
+                    message,
+                ));
+            }
         }
     }
 
@@ -281,8 +292,9 @@
     attempt::AttemptFailure::new(Verdict::MayHaveRun, retry, message)
 }
 
-fn idle_timeout(context: &retry::AttemptContext<'_>) -> Duration {
-    Duration::from_millis(context.state.settings.timers.idle_timeout_ms)
+/// Time until which an engine may send nothing.
+fn idle_deadline(context: &retry::AttemptContext<'_>) -> Instant {
+    Instant::now() + Duration::from_millis(context.state.settings.timers.idle_timeout_ms)
 }
 
 fn stream_headers() -> http::HeaderMap {
--- a/crates/daemon/src/dispatch/service.rs
+++ b/crates/daemon/src/dispatch/service.rs
@@ -1,6 +1,6 @@
 //! Attempts of a request to a plain service.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use acaciabank_protocol::{reason, verdict::Verdict, wire};
 use acaciabank_relay::connection;
@@ -35,15 +35,16 @@
     *request.headers_mut() = end_to_end_headers(headers);
     let mut opened = context.open(request).await?;
     let idle = Duration::from_millis(context.state.settings.timers.idle_timeout_ms);
+    let next_deadline = || Instant::now() + idle;
     // The head is delivered with the first part of the body, so that a request whose target fails
     // between the two can still be retried at another one.
-    let mut part = opened.next_part(idle).await?;
+    let mut part = opened.next_part(next_deadline()).await?;
     history.received = true;
     let headers = end_to_end_headers(opened.response.headers());
     sink.send_head(opened.response.status(), headers, Some(&context.target.id));
     while let Some(bytes) = part {
         sink.send_part(bytes).await;
-        part = opened.next_part(idle).await?;
+        part = opened.next_part(next_deadline()).await?;
     }
     opened.release_connection();
     Ok(())
--- a/crates/daemon/src/dispatch/sse.rs
+++ b/crates/daemon/src/dispatch/sse.rs
@@ -6,8 +6,9 @@
 
 /// Name of the SSE field that carries the chunk, with its colon.
 const DATA_FIELD: &[u8] = b"data:";
-/// Longest accepted event. A longer one means that the engine does not follow the protocol.
-const MAX_EVENT_BYTES: usize = 4 << 20;
+/// Longest accepted event: a token with the probabilities of its alternatives takes a few KiB. A
+/// longer one means that the engine does not follow the protocol.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// One event of a stream.
 #[derive(Debug)]
--- a/crates/daemon/src/process/listener.rs
+++ b/crates/daemon/src/process/listener.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 listener with a connection limit and graceful shutdown, for callers and operators.
 
-use std::{future::Future, io, time};
+use std::{future::Future, io, sync, time};
 
+use acaciabank_relay::connection;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
@@ -56,22 +57,10 @@
     ResponseFuture: Future<Output = HttpResponse> + Send + 'static,
 {
     let tracker = TaskTracker::new();
-    loop {
-        let accepted = tokio::select! {
-            () = options.stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(listener = options.name; "accepting a connection failed: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
+    let spawn = |stream: tokio::net::TcpStream| {
         if tracker.len() >= options.max_connections {
             metrics::counter!(names::CONNECTIONS_REFUSED, "listener" => options.name).increment(1);
-            continue;
+            return;
         }
         // Without TCP_NODELAY, streamed tokens wait until the caller acknowledges earlier ones.
         let _ = stream.set_nodelay(true);
@@ -82,8 +71,23 @@
             serve_stream(stream, options, handler).await;
             gauge.decrement(1.0);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            () = options.stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn(stream),
+            Err(error) => {
+                log::warn!(listener = options.name; "accepting a connection failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    for stream in connection::accept_pending(listener) {
+        spawn(stream);
     }
-    drop(listener);
     tracker.close();
     tracker.wait().await;
 }
@@ -118,19 +122,32 @@
     Handler: Fn(Request<Incoming>) -> ResponseFuture + Send + Sync + 'static,
     ResponseFuture: Future<Output = HttpResponse> + Send + 'static,
 {
+    let progress = sync::Arc::new(connection::HeadProgress::default());
     let service = service_fn(|request| {
-        let response = handler(request);
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
+        progress.begin_request();
+        let (response, progress) = (handler(request), &progress);
+        async move {
+            let response = response.await;
+            progress.end_request();
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
         .max_buf_size((2 * options.max_header_bytes).max(MIN_READ_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(connection::AcceptedStream::new(stream, &progress)),
+            service,
+        );
     let mut connection = std::pin::pin!(connection);
+    let stopped = async {
+        options.stop.cancelled().await;
+        connection::wait_between_requests(&progress).await;
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = options.stop.cancelled() => {
+        () = stopped => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/daemon/src/table/connection.rs
+++ b/crates/daemon/src/table/connection.rs
@@ -3,8 +3,9 @@
 use std::{sync, time};
 
 use acaciabank_protocol::settings;
+use acaciabank_relay::connection::{BodyLimits, read_body};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout_at};
@@ -13,6 +14,9 @@
 /// closed after the call if the pool is full.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// Largest accepted response: the service returns pages of at most 1 MiB, encoded as JSON.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
 type RequestSender = http1::SendRequest<Full<Bytes>>;
 
 /// Response of the service.
@@ -76,11 +80,12 @@
                 Ok(Ok(response)) => response,
             };
             let status = response.status().as_u16();
-            let body = match timeout_at(deadline, response.into_body().collect()).await {
-                Err(_) => return Err(CallError::NoResponse("timeout".to_owned())),
-                Ok(Err(error)) => return Err(CallError::NoResponse(error.to_string())),
-                Ok(Ok(body)) => body.to_bytes(),
+            let limits = BodyLimits {
+                max_bytes: MAX_RESPONSE_BYTES,
+                budget: None,
             };
+            let body = read_body(response.into_body(), limits, deadline.into_std()).await;
+            let body = body.map_err(|error| CallError::NoResponse(error.to_string()))?;
             self.put_back(sender);
             return Ok(CallResponse { status, body });
         }
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -5,7 +5,7 @@
     io, net,
     pin::Pin,
     sync,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     task::{Context, Poll},
     time::{Duration, Instant},
 };
@@ -19,9 +19,13 @@
     net::TcpStream,
 };
 
+mod accepted;
+mod body;
 mod hop_headers;
 mod write_deadline;
 
+pub use accepted::{AcceptedStream, HeadProgress, accept_pending, wait_between_requests};
+pub use body::{BodyError, BodyLimits, BufferBudget, MAX_DOCUMENT_BYTES, read_body};
 pub use hop_headers::remove_hop_headers;
 pub use write_deadline::WriteDeadline;
 
@@ -39,6 +43,13 @@
 /// connection; a healthy one acknowledges within milliseconds.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of the head of a response, and of the buffer that a connection reads into.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of bytes read between a request and the end of the response's head. It covers
+/// interim responses, of which a faulty target may send any number, and a full read buffer of the
+/// body behind the head.
+const MAX_BYTES_UNTIL_HEAD: usize = 2 * MAX_HEAD_BYTES;
+
 /// An HTTP/1 connection to a target that carries one request at a time.
 #[derive(Debug)]
 pub struct TargetConnection {
@@ -47,6 +58,9 @@
     idle_until: Instant,
     bytes_written: sync::Arc<AtomicU64>,
     deadline: sync::Arc<DeadlineCell>,
+    head_allowance: sync::Arc<HeadAllowance>,
+    /// Whether the target has named the request in an earlier response on the connection.
+    has_echoed_id: bool,
 }
 
 impl TargetConnection {
@@ -60,12 +74,17 @@
         socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let bytes_written = sync::Arc::new(AtomicU64::new(0));
         let deadline = sync::Arc::new(DeadlineCell::default());
+        let head_allowance = sync::Arc::new(HeadAllowance::default());
         let counted = CountedStream {
             stream,
             bytes_written: sync::Arc::clone(&bytes_written),
             deadline: sync::Arc::clone(&deadline),
+            head_allowance: sync::Arc::clone(&head_allowance),
         };
-        let handshake = http1::handshake(TokioIo::new(counted)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(counted))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -78,9 +97,20 @@
             idle_until: Instant::now(),
             bytes_written,
             deadline,
+            head_allowance,
+            has_echoed_id: false,
         })
     }
 
+    /// Records whether a response names its request; returns whether that fits the earlier
+    /// responses on the connection. A target that names the request once does so always, so a later
+    /// response without an id is not known to belong to the request that waits for it.
+    pub fn record_echo(&mut self, has_id: bool) -> bool {
+        let fits = has_id || !self.has_echoed_id;
+        self.has_echoed_id |= has_id;
+        fits
+    }
+
     fn is_usable(&self) -> bool {
         Instant::now() < self.idle_until && !self.sender.is_closed()
     }
@@ -112,7 +142,10 @@
         request: http::Request<Full<Bytes>>,
     ) -> hyper::Result<http::Response<Incoming>> {
         self.sender.ready().await?;
-        self.sender.send_request(request).await
+        self.head_allowance.start();
+        let response = self.sender.send_request(request).await?;
+        self.head_allowance.end();
+        Ok(response)
     }
 }
 
@@ -156,11 +189,47 @@
     }
 }
 
-/// A TCP stream that counts the bytes accepted by the socket and fails writes after a deadline.
+/// Bytes that may still be read until the head of a response is complete.
+#[derive(Debug)]
+struct HeadAllowance(AtomicUsize);
+
+impl Default for HeadAllowance {
+    fn default() -> Self {
+        Self(AtomicUsize::new(UNLIMITED))
+    }
+}
+
+/// Value of a [`HeadAllowance`] while no head is expected.
+const UNLIMITED: usize = usize::MAX;
+
+impl HeadAllowance {
+    fn start(&self) {
+        self.0.store(MAX_BYTES_UNTIL_HEAD, Ordering::Release);
+    }
+
+    fn end(&self) {
+        self.0.store(UNLIMITED, Ordering::Release);
+    }
+
+    /// Subtracts bytes that were read; returns whether they were allowed.
+    fn try_spend(&self, bytes: usize) -> bool {
+        let spend = |left: usize| match left {
+            UNLIMITED => Some(UNLIMITED),
+            left => left.checked_sub(bytes),
+        };
+        self.0
+            .try_update(Ordering::AcqRel, Ordering::Acquire, spend)
+            .is_ok()
+    }
+}
+
+/// A TCP stream that counts the bytes accepted by the socket, fails writes after a deadline and
+/// fails reads of a head without end.
 struct CountedStream {
     stream: TcpStream,
     bytes_written: sync::Arc<AtomicU64>,
     deadline: sync::Arc<DeadlineCell>,
+    head_allowance: sync::Arc<HeadAllowance>,
 }
 
 impl CountedStream {
@@ -188,7 +257,16 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let bytes = buffer.filled().len() - before;
+        match self.head_allowance.try_spend(bytes) {
+            true => result,
+            false => Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the head of the response is too long",
+            ))),
+        }
     }
 }
 
--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -1,10 +1,17 @@
 //! Tasks that read the configuration, the targets and the other daemons from the platform's store.
 
-use std::{net, time::Duration};
+use std::{
+    net,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 
-use crate::{clock, listener, platform, scheduler, state, watch};
+use crate::{
+    clock,
+    connection::{self, BodyLimits},
+    listener, platform, scheduler, state, watch,
+};
 
 /// Time for which the store may hold a request for changes of the configuration: short enough to
 /// notice a response lost on a dead connection within the time in which a new configuration must be
@@ -251,9 +258,8 @@
 
 /// Makes a GET request to another daemon and reads the whole body.
 async fn fetch_document(address: net::SocketAddr, path: &str) -> Result<Bytes, String> {
-    use http_body_util::BodyExt;
     let call = async {
-        let mut connection = crate::connection::TargetConnection::connect(address, PEER_TIMEOUT)
+        let mut connection = connection::TargetConnection::connect(address, PEER_TIMEOUT)
             .await
             .map_err(|error| error.to_string())?;
         let request = http::Request::get(path)
@@ -267,9 +273,9 @@
         if response.status() != http::StatusCode::OK {
             return Err(format!("unexpected status {}", response.status()));
         }
-        let body = response.into_body().collect().await;
-        body.map(|body| body.to_bytes())
-            .map_err(|error| error.to_string())
+        let (limits, deadline) = (BodyLimits::DOCUMENT, Instant::now() + PEER_TIMEOUT);
+        let body = connection::read_body(response.into_body(), limits, deadline).await;
+        body.map_err(|error| error.to_string())
     };
     match tokio::time::timeout(PEER_TIMEOUT, call).await {
         Ok(result) => result,
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -8,7 +8,7 @@
 use acaciabank_core::{budget, outlier};
 use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::{
@@ -23,6 +23,8 @@
 /// Timeout for opening a connection. A healthy target accepts within milliseconds, even in another
 /// availability zone; a lost packet is retransmitted after a few hundred milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of a response that is read completely before it is forwarded.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Number of refusals by targets after which a request is refused. Each one costs retry budget.
 const MAX_REFUSALS: u32 = 4;
 
@@ -107,21 +109,21 @@
 }
 
 impl OpenResponse {
-    /// Reads the body to its end and returns the connection to the pool.
+    /// Reads the body to its end and returns the connection to the pool. The connection of a body
+    /// that breaks a limit is closed.
     pub async fn collect(
         self,
+        buffers: &connection::BufferBudget,
         deadline: Instant,
-    ) -> Result<(http::response::Parts, Bytes), CollectError> {
-        let collected = tokio::time::timeout_at(deadline.into(), self.body.collect()).await;
-        match collected {
-            Ok(Ok(body)) => {
-                let keep_alive = self.metadata.keep_alive_s.map(Duration::from_secs);
-                self.target.pool.put(self.connection, keep_alive);
-                Ok((self.head, body.to_bytes()))
-            }
-            Ok(Err(error)) => Err(CollectError::Broken(error.to_string())),
-            Err(_) => Err(CollectError::Timeout),
-        }
+    ) -> Result<(http::response::Parts, Bytes), connection::BodyError> {
+        let limits = connection::BodyLimits {
+            max_bytes: MAX_RESPONSE_BYTES,
+            budget: Some(buffers),
+        };
+        let body = connection::read_body(self.body, limits, deadline).await?;
+        let keep_alive = self.metadata.keep_alive_s.map(Duration::from_secs);
+        self.target.pool.put(self.connection, keep_alive);
+        Ok((self.head, body))
     }
 
     /// Splits off the body. The returned [`OpenConnection`] keeps the connection open.
@@ -135,15 +137,6 @@
     }
 }
 
-/// Why a body could not be read to its end.
-#[derive(Debug)]
-pub enum CollectError {
-    /// The connection broke or the body is malformed.
-    Broken(String),
-    /// The body did not end in time.
-    Timeout,
-}
-
 /// The connection of a response that is still being read. Dropping it closes the connection, so
 /// that the target stops working on the request.
 #[derive(Debug)]
@@ -175,7 +168,7 @@
     state.codec.write_request(&mut headers, metadata);
     *message.headers_mut() = headers;
     let result = send(target, message, deadline).await;
-    let (response, connection) = match result {
+    let (response, mut connection) = match result {
         Ok(sent) => sent,
         Err(failure) => {
             let outcome = match failure.retry {
@@ -191,7 +184,10 @@
     };
     let (head, body) = response.into_parts();
     let response_metadata = state.codec.read_response(head.status, &head.headers);
-    check_response(state, request, target, &head, &response_metadata)?;
+    let echoed_id = response_metadata.attempt_id.as_deref();
+    let is_plausible = request.id.is_empty() || connection.record_echo(echoed_id.is_some());
+    let is_own = is_plausible && echoed_id.is_none_or(|id| id == request.id);
+    check_response(state, target, &head, &response_metadata, is_own)?;
     Ok(OpenResponse {
         head,
         metadata: response_metadata,
@@ -249,21 +245,17 @@
 
 fn check_response<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
-    request: &RelayRequest,
     target: &rc::Rc<target::TargetState>,
     head: &http::response::Parts,
     metadata: &platform::ResponseMetadata,
+    is_own: bool,
 ) -> Result<(), AttemptFailure> {
-    if metadata.not_run {
+    if metadata.not_run && is_own {
         state.record_outcome(target, outlier::TargetOutcome::Refused);
         back_off(target, metadata);
         return Err(AttemptFailure::refused(head.status));
     }
-    let is_mismatched = metadata
-        .attempt_id
-        .as_ref()
-        .is_some_and(|id| *id != request.id);
-    if is_mismatched {
+    if !is_own {
         metrics::counter!("acaciabank_crossed_answers_total").increment(1);
         return Err(AttemptFailure {
             retry: RetryReason::MismatchedResponse,
--- a/crates/relay/src/dispatch/events.rs
+++ b/crates/relay/src/dispatch/events.rs
@@ -6,8 +6,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Maximum size of an event. Engines send none that are larger.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event with the comments before it. An event holds a few tokens, and hundreds
+/// of streams of faulty engines must fit into the memory of a small host.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Why the next event could not be read.
 #[derive(Debug)]
@@ -42,19 +43,27 @@
     }
 
     /// Returns the complete events that have arrived, waiting for one until `deadline`, or `None`
-    /// at the end of the stream. Cancel safe: no data is lost if the future is dropped.
+    /// at the end of the stream. Comments and empty lines are no events: they are returned with the
+    /// next event, so that an engine that sends nothing else reaches the deadline. Cancel safe: no
+    /// data is lost if the future is dropped.
     pub async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, ReadError> {
         loop {
-            if let Some(end) = complete_events_end(&self.buffer) {
+            if let Some(end) = complete_events_end(&self.buffer)
+                && has_event(&self.buffer[..end])
+            {
                 let events = self.buffer.split_to(end).freeze();
                 self.last_id = last_id(&events).or(self.last_id);
                 return Ok(Some(events));
             }
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(ReadError::Broken(
-                    "an event is larger than 1 MiB".to_owned(),
+                    "an event is larger than 64 KiB".to_owned(),
                 ));
             }
+            // Bytes that are always ready would never reach the timeout below.
+            if Instant::now() >= deadline {
+                return Err(ReadError::Timeout);
+            }
             let frame = tokio::time::timeout_at(deadline.into(), self.body.frame()).await;
             match frame {
                 Err(_) => return Err(ReadError::Timeout),
@@ -65,6 +74,9 @@
                     }
                 }
                 Ok(None) if self.buffer.is_empty() => return Ok(None),
+                Ok(None) if complete_events_end(&self.buffer) == Some(self.buffer.len()) => {
+                    return Ok(Some(self.buffer.split().freeze()));
+                }
                 Ok(None) => {
                     let message = "the stream ended within an event";
                     return Err(ReadError::Broken(message.to_owned()));
@@ -88,6 +100,12 @@
     None
 }
 
+/// Whether complete lines contain a field of an event, other than comments and empty lines.
+fn has_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the id of the last event that has one.
 pub fn last_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|byte| *byte == b'\n').rev();
--- a/crates/relay/src/dispatch/generate/forwarder.rs
+++ b/crates/relay/src/dispatch/generate/forwarder.rs
@@ -1,16 +1,17 @@
 //! Forwards a stream to its caller and resumes it at another engine if it breaks.
 
 use std::{
-    io, rc,
+    cell::Cell,
+    rc,
     time::{Duration, Instant},
 };
 
 use acaciabank_core::outlier;
 use acaciabank_protocol::reason::RetryReason;
-use hyper::body::Frame;
+use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use super::{OpenStream, StreamFrame, StreamStart, may_retry, read_failure, start_stream};
+use super::{OpenStream, StreamStart, may_retry, read_failure, start_stream};
 use crate::{
     dispatch::{
         attempt::{self, AttemptFailure},
@@ -23,13 +24,19 @@
 /// seconds after which callers disconnect.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for a caller to read if the configuration states no idle timeout.
+const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Forwards the stream of a request to its caller.
 pub struct StreamForwarder<Codec, Store> {
     pub state: state::SharedState<Codec, Store>,
     pub request: rc::Rc<RelayRequest>,
     pub progress: RequestProgress,
     /// Channel to the body of the response.
-    pub sender: mpsc::Sender<StreamFrame>,
+    pub sender: mpsc::Sender<Bytes>,
+    /// Whether all events were sent to the caller. If it is not set when the channel closes, the
+    /// connection to the caller is closed.
+    pub is_complete: rc::Rc<Cell<bool>>,
     /// Time at which the first event arrived.
     pub first_event: Instant,
 }
@@ -40,6 +47,8 @@
     Complete,
     /// The caller disconnected.
     CallerLeft,
+    /// The caller has read nothing for a long time.
+    CallerStalled,
     /// The engine's stream failed.
     Failed(AttemptFailure),
 }
@@ -52,6 +61,7 @@
             let failure = match end {
                 StreamEnd::Complete => return self.complete(stream),
                 StreamEnd::CallerLeft => return self.log_end("caller_left", &stream),
+                StreamEnd::CallerStalled => return self.log_end("caller_stalled", &stream),
                 StreamEnd::Failed(failure) => failure,
             };
             let target = rc::Rc::clone(&stream.plan.decode);
@@ -63,18 +73,22 @@
             drop(stream);
             match self.resume(&target, failure, last_event).await {
                 Some(next) => stream = next,
-                None => return self.abort().await,
+                None => return,
             }
         }
     }
 
     async fn forward(&self, stream: &mut OpenStream) -> StreamEnd {
+        let stall_timeout = self.stall_timeout();
         let mut next = Ok(stream.first_events.take());
         loop {
             match next {
                 Ok(Some(events)) => {
-                    if self.sender.send(Ok(Frame::data(events))).await.is_err() {
-                        return StreamEnd::CallerLeft;
+                    let sent = tokio::time::timeout(stall_timeout, self.sender.send(events));
+                    match sent.await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(_)) => return StreamEnd::CallerLeft,
+                        Err(_) => return StreamEnd::CallerStalled,
                     }
                 }
                 Ok(None) => return StreamEnd::Complete,
@@ -87,6 +101,16 @@
         }
     }
 
+    /// Returns how long a caller may take to read the next events: as long as it may leave its
+    /// connection idle.
+    fn stall_timeout(&self) -> Duration {
+        let config = self.state.config();
+        let limits = config.as_ref().map(|config| &config.limits);
+        limits.map_or(DEFAULT_STALL_TIMEOUT, |limits| {
+            Duration::from_millis(limits.idle_timeout_ms)
+        })
+    }
+
     fn next_event_deadline(&self) -> Instant {
         match may_retry(&self.request, &self.progress) {
             true => self.request.deadline.min(Instant::now() + MAX_EVENT_GAP),
@@ -141,18 +165,12 @@
             &self.request.route.name,
             self.first_event - self.request.arrival,
         );
+        self.is_complete.set(true);
         self.log_end("answered", &stream);
         stream.connection.close();
         drop(stream.work);
     }
 
-    /// Closes the connection to the caller, so that it cannot take the stream for a complete one.
-    async fn abort(self) {
-        let error = io::Error::other("the engine's stream ended early");
-        // The caller may have disconnected in the meantime.
-        let _ = self.sender.send(Err(error)).await;
-    }
-
     fn log_end(&self, event: &'static str, stream: &OpenStream) {
         let request = &self.request;
         let (plan, estimate) = (&stream.plan, &stream.estimate);
--- a/crates/relay/src/dispatch/generate/kv_handle.rs
+++ b/crates/relay/src/dispatch/generate/kv_handle.rs
@@ -88,7 +88,7 @@
         cause: RefusalCause::TargetFailed,
         message: message.to_owned(),
     };
-    match response.collect(deadline).await {
+    match response.collect(&state.response_buffers, deadline).await {
         Ok((head, body)) if head.status == http::StatusCode::OK => {
             work.end_prefill(state, &request.parts);
             record(outlier::TargetOutcome::Answered);
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -5,6 +5,7 @@
 mod kv_handle;
 
 use std::{
+    cell::Cell,
     io, rc,
     time::{Duration, Instant},
 };
@@ -97,26 +98,37 @@
         StreamStart::Open(head, stream) => (head, stream),
     };
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+    let is_complete = rc::Rc::new(Cell::new(false));
     let forwarder = forwarder::StreamForwarder {
         state: rc::Rc::clone(state),
         request,
         progress,
         sender,
+        is_complete: rc::Rc::clone(&is_complete),
         first_event: Instant::now(),
     };
     tokio::task::spawn_local(forwarder.run(*stream));
-    Ok(stream_response(*head, receiver))
+    Ok(stream_response(*head, receiver, is_complete))
 }
 
-type StreamFrame = Result<Frame<Bytes>, io::Error>;
-
+/// Creates the response to the caller. Its body ends with an error, which closes the connection,
+/// unless `is_complete` is set when the last frame has been received: the caller cannot take a
+/// stream that was given up for a complete one.
 fn stream_response(
     head: http::response::Parts,
-    receiver: mpsc::Receiver<StreamFrame>,
+    receiver: mpsc::Receiver<Bytes>,
+    is_complete: rc::Rc<Cell<bool>>,
 ) -> HttpResponse {
-    let frames = futures::stream::unfold(receiver, |mut receiver| async move {
-        let frame = receiver.recv().await?;
-        Some((frame, receiver))
+    let frames = futures::stream::unfold(Some(receiver), move |receiver| {
+        let is_complete = rc::Rc::clone(&is_complete);
+        async move {
+            let mut receiver = receiver?;
+            match receiver.recv().await {
+                Some(events) => Some((Ok(Frame::data(events)), Some(receiver))),
+                None if is_complete.get() => None,
+                None => Some((Err(io::Error::other("the stream ended early")), None)),
+            }
+        }
     });
     let mut response = http::Response::new(Either::Right(StreamBody::new(frames.boxed_local())));
     *response.status_mut() = head.status;
@@ -349,7 +361,10 @@
     let record = |outcome| state.record_outcome(&plan.decode, outcome);
     let status = response.head.status;
     if !status.is_success() {
-        return match response.collect(request.deadline).await {
+        return match response
+            .collect(&state.response_buffers, request.deadline)
+            .await
+        {
             Ok((head, body)) => {
                 let mut response = http::Response::from_parts(head, Either::Left(Full::new(body)));
                 connection::remove_hop_headers(response.headers_mut());
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -76,7 +76,7 @@
     };
     let response = attempt::exchange(state, request, target, &metadata, deadline).await?;
     let is_signed = response.metadata.signed;
-    let collected = response.collect(deadline).await;
+    let collected = response.collect(&state.response_buffers, deadline).await;
     let record = |outcome| state.record_outcome(target, outcome);
     match collected {
         Ok((head, _)) if head.status.is_success() && !is_signed => {
@@ -87,13 +87,13 @@
             record(outlier::TargetOutcome::Answered);
             Ok((head, body))
         }
-        Err(attempt::CollectError::Broken(message)) => {
+        Err(connection::BodyError::Timeout) => {
             record(outlier::TargetOutcome::Failed);
-            Err(AttemptFailure::broken(message))
+            Err(AttemptFailure::timeout(request))
         }
-        Err(attempt::CollectError::Timeout) => {
+        Err(error) => {
             record(outlier::TargetOutcome::Failed);
-            Err(AttemptFailure::timeout(request))
+            Err(AttemptFailure::broken(error))
         }
     }
 }
--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::{clock, dispatch, platform, state, telemetry};
+use crate::{clock, connection, dispatch, platform, state, telemetry};
 
 /// Path at which a daemon serves its configuration to other daemons.
 pub const CONFIG_PATH: &str = "/config";
@@ -62,25 +62,42 @@
     bound().map_err(|error| format!("cannot listen on address {address}: {error}"))
 }
 
-/// Accepts connections until the process ends.
+/// When the connections of a listener end.
+#[derive(Clone, Debug, Default)]
+pub struct StopSignals {
+    /// Open connections end after their current request, and new ones after their first.
+    pub finish: CancellationToken,
+    /// The listener closes.
+    pub close: CancellationToken,
+}
+
+/// Accepts connections until the listener is to be closed.
 pub async fn serve<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
     listener: TcpListener,
     role: ListenerRole,
-    stop: CancellationToken,
+    stop: StopSignals,
 ) {
+    let spawn = |stream| {
+        let state = rc::Rc::clone(&state);
+        tokio::task::spawn_local(serve_connection(state, stream, role, stop.finish.clone()));
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let state = rc::Rc::clone(&state);
-                tokio::task::spawn_local(serve_connection(state, stream, role, stop.clone()));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.close.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn(stream),
             Err(error) => {
                 log::warn!(error:% = error; "accept_failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    connection::accept_pending(listener)
+        .into_iter()
+        .for_each(spawn);
 }
 
 async fn serve_connection<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -101,15 +118,24 @@
     let max_header_bytes =
         limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
     drop(config);
+    let progress = std::sync::Arc::new(connection::HeadProgress::default());
     let service = service_fn(|request| {
-        let state = rc::Rc::clone(&state);
-        async move { Ok::<_, Infallible>(respond(state, request, role).await) }
+        let (state, progress) = (rc::Rc::clone(&state), &progress);
+        progress.begin_request();
+        async move {
+            let response = respond(state, request, role).await;
+            progress.end_request();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR))
         .max_buf_size((2 * max_header_bytes).max(DEFAULT_MAX_HEADER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(connection::AcceptedStream::new(stream, &progress)),
+            service,
+        );
     let mut connection = std::pin::pin!(connection);
     // A connection opened during shutdown comes from a caller with an outdated address list: its
     // first request is served, and the response closes the connection.
@@ -117,8 +143,16 @@
     let result = tokio::select! {
         result = connection.as_mut() => result,
         () = stop.cancelled(), if !is_after_stop => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // The process does not end while a request is being read.
+            let _active = state::ActiveGuard::start(&state.active);
+            tokio::select! {
+                result = connection.as_mut() => result,
+                () = connection::wait_between_requests(&progress) => {
+                    connection.as_mut().graceful_shutdown();
+                    drop(_active);
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = result {
--- a/crates/relay/src/planner/order.rs
+++ b/crates/relay/src/planner/order.rs
@@ -1,9 +1,9 @@
 //! Calls to an engine to read its state and to order a stage change.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 
 use crate::{clock, connection, platform, state, target};
 
@@ -50,7 +50,10 @@
     match sent {
         Ok(Ok(response)) => {
             let status = response.status();
-            if response.into_body().collect().await.is_ok() {
+            let limits = connection::BodyLimits::DOCUMENT;
+            let deadline = Instant::now() + CALL_TIMEOUT;
+            let body = connection::read_body(response.into_body(), limits, deadline).await;
+            if body.is_ok() {
                 connection.set_write_deadline(None);
                 target.pool.put(connection, None);
             }
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -7,7 +7,6 @@
     signal::unix::{SignalKind, signal},
     time::Instant,
 };
-use tokio_util::sync::CancellationToken;
 
 use crate::{clock, discovery, gossip, listener, planner, platform, scheduler, state, telemetry};
 
@@ -61,7 +60,7 @@
         rc::Rc::new(socket.map_err(|error| format!("cannot bind the peer socket: {error}"))?);
     // The state was just created, so the cell is empty.
     let _: Result<(), _> = state.scheduler.socket.set(rc::Rc::clone(&socket));
-    let stop = CancellationToken::new();
+    let stop = listener::StopSignals::default();
     start_listeners(&state, &stop)?;
     start_tasks(&state, &socket);
     log_start(&state);
@@ -79,10 +78,10 @@
 
 fn start_listeners<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
-    stop: &CancellationToken,
+    stop: &listener::StopSignals,
 ) -> Result<(), String> {
     let settings = &state.settings;
-    let never_cancelled = CancellationToken::new();
+    let never_cancelled = listener::StopSignals::default();
     let listeners = [
         (
             settings.caller_address,
@@ -152,13 +151,23 @@
     );
 }
 
+/// Waits until no request is active, at most until `end`.
+async fn wait_idle<Codec, Store>(state: &state::RelayState<Codec, Store>, end: Instant) {
+    loop {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        if state.active.get() == 0 || Instant::now() >= end {
+            return;
+        }
+    }
+}
+
 /// Drains the daemon: it is no longer listed to callers from now on, but still serves the requests
 /// that arrive. Returns when no request runs and no caller can have its address cached any more, or
 /// when the grace period is over.
 async fn shut_down<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     socket: &UdpSocket,
-    stop: &CancellationToken,
+    stop: &listener::StopSignals,
 ) {
     let settings = &state.settings;
     let end = Instant::now() + Duration::from_millis(settings.grace_ms) - GRACE_MARGIN;
@@ -173,12 +182,12 @@
         // daemon that does not respond.
         log::warn!(error:% = error; "deregister_failed");
     }
-    stop.cancel();
-    while Instant::now() < end {
-        if Instant::now() >= cached_until && state.active.get() == 0 {
-            break;
-        }
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-    }
+    // Until then callers may use open connections too; their next response closes them.
+    tokio::time::sleep_until(cached_until.min(end)).await;
+    stop.finish.cancel();
+    wait_idle(state, end).await;
+    stop.close.cancel();
+    // Connections that were waiting to be accepted are served.
+    wait_idle(state, end).await;
     log::info!(active = state.active.get(); "stopped");
 }
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -8,7 +8,7 @@
 
 use acaciabank_core::{budget, outlier, prefix, suspect};
 
-use crate::{config, gossip, platform, scheduler, target, watch};
+use crate::{config, connection, gossip, platform, scheduler, target, watch};
 
 /// Settings of the process, fixed at startup.
 #[derive(Clone, Debug)]
@@ -35,6 +35,8 @@
     pub max_ttl_s: u64,
     /// Retry budget of each service.
     pub budget: budget::BudgetLimits,
+    /// Memory of the host, in bytes.
+    pub memory_bytes: usize,
     /// Processor capacity of the host, in thousandths of a core.
     pub capacity_millicores: u32,
     /// Least severe level that is logged.
@@ -116,8 +118,14 @@
     pub active: rc::Rc<Cell<u32>>,
     /// Latest time at which the process ends; set when it starts to drain.
     pub shutdown_deadline: Cell<Option<time::Instant>>,
+    /// Memory for responses that are read completely before they are forwarded.
+    pub response_buffers: connection::BufferBudget,
 }
 
+/// Share of the host's memory for responses that are being read: a quarter. A buffer takes up to
+/// twice its content while it grows, so that half of the memory is left for everything else.
+const BUFFER_MEMORY_DIVISOR: usize = 4;
+
 /// When the parts of a prompt can be fetched from an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartsReady {
@@ -172,6 +180,9 @@
             phase: Cell::new(RelayPhase::Serving),
             active: rc::Rc::default(),
             shutdown_deadline: Cell::new(None),
+            response_buffers: connection::BufferBudget::new(
+                settings.memory_bytes / BUFFER_MEMORY_DIVISOR,
+            ),
             settings,
         }
     }
--- a/crates/relay/src/target/call.rs
+++ b/crates/relay/src/target/call.rs
@@ -1,11 +1,12 @@
 //! Calls to a target that carry no caller's request.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 
 use super::TargetState;
+use crate::connection;
 
 impl TargetState {
     /// Sends a request without a body and returns the body of the response, whatever its status.
@@ -43,9 +44,10 @@
             .send(message)
             .await
             .map_err(|error| error.to_string())?;
-        let body = response.into_body().collect().await;
+        let (limits, deadline) = (connection::BodyLimits::DOCUMENT, Instant::now() + timeout);
+        let body = connection::read_body(response.into_body(), limits, deadline).await;
         let body = body.map_err(|error| error.to_string())?;
         self.pool.put(connection, None);
-        Ok(body.to_bytes())
+        Ok(body)
     }
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod multicall;
 pub mod platform;
 pub mod proxy;
+pub mod scripted;
 pub mod service;
 pub mod web;
--- a/crates/testbed/src/service/mod.rs
+++ b/crates/testbed/src/service/mod.rs
@@ -3,6 +3,7 @@
 use std::{io, path, process, sync, time};
 
 use acaciabank_protocol::{value_type, wire};
+use bytes::Bytes;
 use hyper::{Request, StatusCode, body::Incoming};
 use serde_json::json;
 
@@ -70,6 +71,18 @@
             }
             _ => {}
         }
+        let attempt = head.headers.get(wire::REQUEST_ID_HEADER).cloned();
+        let mut response = self.respond(&head, body).await?;
+        if let Some(attempt) = attempt {
+            let headers = response.headers_mut();
+            headers.insert(wire::REQUEST_ID_HEADER, attempt);
+        }
+        Ok(response)
+    }
+
+    /// Runs or refuses a request of a daemon.
+    async fn respond(&self, head: &http::request::Parts, body: Bytes) -> web::HandlerResult {
+        let path = head.uri.path();
         let header = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
         let entry = json!({
             "event": "received", "service": self.name, "method": head.method.as_str(),
@@ -100,17 +113,13 @@
         if faults.crash_after_executing {
             process::exit(crate::engine::CRASH_STATUS);
         }
-        let mut response = match path.as_str() {
+        let response = match path {
             "/notices" | "/certificates" => {
                 web::json_response(StatusCode::CREATED, &json!({"recorded": true}))
             }
             "/records" => web::json_response(StatusCode::OK, &json!({"records": self.executed()})),
             _ => hyper::Response::new(web::full_body(body)),
         };
-        if let Some(attempt) = head.headers.get(wire::REQUEST_ID_HEADER) {
-            let headers = response.headers_mut();
-            headers.insert(wire::REQUEST_ID_HEADER, attempt.clone());
-        }
         Ok(response)
     }
 
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -85,6 +85,28 @@
         self.start_runner_at(address, id, service, stage).await
     }
 
+    /// Writes the entry of a target that does not register itself to the store.
+    pub async fn register_target(
+        &self,
+        id: &str,
+        service: &str,
+        address: net::SocketAddr,
+        stage: Option<&str>,
+    ) {
+        let mut entry = json!({
+            "service": service, "address": address, "zone": "zone-a", "slots": 64, "seq": 1,
+            "born": 1, "state": "ready",
+        });
+        if let Some(stage) = stage {
+            entry["stage"] = stage.into();
+        }
+        let value = base64::engine::general_purpose::STANDARD.encode(entry.to_string());
+        let row = json!({"table": "servers", "part": "", "key": id, "value": value});
+        let transaction = json!({"expected_rev": [], "writes": [row], "deletes": []}).to_string();
+        let response = web::call(self.store.address, "POST", "/rows-tx", &[], transaction).await;
+        assert_eq!(response.expect("a response").status, 200);
+    }
+
     /// Like [`start_runner`](Self::start_runner), on the given address.
     pub async fn start_runner_at(
         &self,
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the relay with the platform emulator. Guarantees are checked against the journals of
 //! the runners and the responses that callers received.
 
+mod faulty_targets;
 mod fixture;
 mod guarantees;
 mod lifecycle;
 mod peers;
 mod soak;
+mod stops;
 mod streams;
--- /dev/null
+++ b/crates/testbed/tests/relay/stops.rs
@@ -0,0 +1,108 @@
+//! Requests that arrive around a planned stop.
+
+use std::time::Duration;
+
+use acaciabank_testbed::harness;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT};
+
+async fn start() -> (Fixture, EmulatorProcess, Relay) {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let runner = fixture.start_runner("r-1", "ledger", None).await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    (fixture, runner, relay)
+}
+
+fn request_text(attempt: &str) -> String {
+    format!(
+        "POST /once/a HTTP/1.1\r\nhost: host.example\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+         x-acaciabank-deadline-ms: 2000\r\ncontent-length: 6\r\n\r\nnotice"
+    )
+}
+
+async fn send(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).await.expect("a write");
+}
+
+/// Reads until the response has a body that starts with `expected`; returns everything read.
+async fn read_response(stream: &mut TcpStream, expected: &str) -> String {
+    let mut text = String::new();
+    let body = format!("\r\n\r\n{expected}");
+    while !text.contains(&body) {
+        let mut buffer = [0; 4_096];
+        let read = tokio::time::timeout(TIMEOUT, stream.read(&mut buffer)).await;
+        match read.expect("a response in time") {
+            Ok(count) if count > 0 => text += &String::from_utf8_lossy(&buffer[..count]),
+            ended => panic!("{expected}: the connection ended ({ended:?}) after {text:?}"),
+        }
+    }
+    text
+}
+
+/// Guards against a stop that closes a kept connection on which a request is arriving: its head has
+/// been read in part.
+#[tokio::test]
+async fn a_head_that_is_read_in_part_at_a_stop_is_served() {
+    let (_fixture, _runner, relay) = start().await;
+    let mut caller = TcpStream::connect(relay.caller_address)
+        .await
+        .expect("a connection");
+    send(&mut caller, &request_text("first")).await;
+    read_response(&mut caller, "first").await;
+    let second = request_text("second");
+    let (start, rest) = second.split_at(40);
+    send(&mut caller, start).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    relay.process.terminate();
+    // Later than the time for which callers may cache the relay's address.
+    tokio::time::sleep(Duration::from_millis(3_600)).await;
+    send(&mut caller, rest).await;
+    read_response(&mut caller, "second").await;
+}
+
+/// Guards against a stop that closes idle connections while callers still use the relay's address.
+#[tokio::test]
+async fn a_kept_connection_is_served_once_more_after_a_stop() {
+    let (_fixture, _runner, relay) = start().await;
+    let mut caller = TcpStream::connect(relay.caller_address)
+        .await
+        .expect("a connection");
+    send(&mut caller, &request_text("first")).await;
+    read_response(&mut caller, "first").await;
+    relay.process.terminate();
+    harness::wait_until(TIMEOUT, "the relay is no longer ready", async || {
+        relay.readiness_status().await == 503
+    })
+    .await;
+    send(&mut caller, &request_text("second")).await;
+    let response = read_response(&mut caller, "second").await;
+    assert!(
+        response.to_lowercase().contains("connection: close"),
+        "{response}"
+    );
+}
+
+/// Guards against a stop that resets connections which were waiting to be accepted.
+#[tokio::test]
+async fn connections_that_wait_to_be_accepted_at_a_stop_are_served() {
+    let (_fixture, _runner, relay) = start().await;
+    relay.process.pause();
+    relay.process.terminate();
+    let mut callers = Vec::new();
+    for number in 0..20 {
+        let connected = TcpStream::connect(relay.caller_address).await;
+        let mut caller = connected.expect("a connection");
+        send(&mut caller, &request_text(&format!("w-{number}"))).await;
+        callers.push(caller);
+    }
+    relay.process.resume();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        read_response(caller, &format!("w-{number}")).await;
+    }
+}
