Keep targets that left out of the list of a restarted daemon

Cause: a daemon that had read the complete list of targets took over one that had left before, when a daemon that was cut off from the store still reported it, because only ids that it had seen itself have a version. During an outage of the store, the first answer of a daemon that was cut off earlier stayed in use, because lists from other daemons never counted as complete.

Change: the registry keeps the version up to which it includes all changes. Unknown ids with an older version are ignored, and a list that a daemon gives to another one is complete as of that version, so that a newer one corrects it.

Tests for the daemon's own interface: stalled, slow and endless targets, and requests that arrive around a stop.

--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -18,6 +18,9 @@
     net::TcpListener,
 };
 
+/// Pause between two parts of a slow or stalled response.
+const SLOW_PAUSE: Duration = Duration::from_millis(200);
+
 const STATE_RESPONSE: &str =
     "HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
@@ -33,6 +36,15 @@
     Refuse,
     /// Responds with the id of another request.
     Mismatched,
+    /// Streams the tokens up to `until`, and then comments without end.
+    Stalled { until: u64 },
+    /// Streams six tokens with pauses, each in two parts.
+    Slow,
+    /// Sends these bytes and then `filler` without end.
+    Endless {
+        start: &'static str,
+        filler: &'static str,
+    },
     /// Processes the prompt and offers its KV cache; rejects calls that do not ask for that.
     Prefill,
 }
@@ -56,13 +68,46 @@
             }
             let number = count.fetch_add(1, Ordering::SeqCst);
             let script = scripts[number.min(scripts.len() - 1)];
-            let response = scripted_response(script, &id, &body);
-            let _ = stream.write_all(response.as_bytes()).await;
+            tokio::spawn(async move {
+                // The daemon closes the connection of a faulty target.
+                let _ = serve_script(stream, script, &id, &body).await;
+            });
         }
     });
     (address, served)
 }
 
+async fn serve_script(
+    mut stream: tokio::net::TcpStream,
+    script: Script,
+    id: &str,
+    body: &serde_json::Value,
+) -> std::io::Result<()> {
+    let response = scripted_response(script, id, body);
+    match script {
+        Script::Slow => {
+            for part in response.split_inclusive("\"usage\"") {
+                stream.write_all(part.as_bytes()).await?;
+                tokio::time::sleep(SLOW_PAUSE).await;
+            }
+            return Ok(());
+        }
+        _ => stream.write_all(response.as_bytes()).await?,
+    }
+    loop {
+        match script {
+            Script::Stalled { .. } => {
+                stream.write_all(b": wait\n\n").await?;
+                tokio::time::sleep(SLOW_PAUSE).await;
+            }
+            Script::Endless { filler, .. } => {
+                stream.write_all(filler.repeat(1_000).as_bytes()).await?;
+            }
+            _ => return Ok(()),
+        }
+    }
+}
+
 /// Reads one request; returns its path, request id and body.
 async fn read_request(
     stream: &mut tokio::net::TcpStream,
@@ -95,6 +140,18 @@
     let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\n";
     match script {
         Script::Close => String::new(),
+        Script::Endless { start, .. } => start.to_owned(),
+        Script::Stalled { until } => {
+            let tokens = Script::Tokens { until, ends: false };
+            scripted_response(tokens, id, body)
+        }
+        Script::Slow => {
+            let tokens = Script::Tokens {
+                until: 6,
+                ends: true,
+            };
+            scripted_response(tokens, id, body)
+        }
         Script::Refuse => {
             "HTTP/1.1 503 Busy\r\nx-verdict: not_run\r\ncontent-length: 0\r\n\r\n".to_owned()
         }
@@ -156,6 +213,7 @@
         "daemon": "daemon-1", "region": "perth", "zone": "perth-a",
         "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
         "peer_address": "127.0.0.1:0", "table": {"address": "127.0.0.1:1"},
+        "timers": {"idle_timeout_ms": 600, "first_byte_timeout_ms": 3_000},
     }))
     .unwrap();
     let state = process::ProcessState {
@@ -343,3 +401,66 @@
     let response = dispatch::dispatch(&state, request).await.unwrap();
     assert_eq!(completion_text(response).await, "t1 t2 t3 t4 t5 t6 ");
 }
+
+const COMPLETE: Script = Script::Tokens {
+    until: 6,
+    ends: true,
+};
+
+/// Time within which another target takes over from a stalled one; far below the deadline.
+const TAKEOVER_TIME: Duration = Duration::from_secs(8);
+
+/// Guards against a stalled stream that never ends because its target sends comments: only events
+/// are progress.
+#[tokio::test]
+async fn a_stalled_stream_with_comments_is_resumed() {
+    let (address, served) = start_target(vec![Script::Stalled { until: 3 }, COMPLETE]).await;
+    let state = state_with_targets(&[address]);
+    let started = Instant::now();
+    let response = dispatch::dispatch(&state, completion_request(&state, true))
+        .await
+        .unwrap();
+    assert_eq!(completion_text(response).await, "t1 t2 t3 t4 t5 t6 ");
+    assert_eq!(served.load(Ordering::SeqCst), 2);
+    assert!(started.elapsed() < TAKEOVER_TIME, "{:?}", started.elapsed());
+}
+
+/// Guards against a slow but sound stream that is cut: each event comes within the idle timeout,
+/// the whole stream takes several times as long.
+#[tokio::test]
+async fn a_slow_stream_is_not_cut() {
+    let (address, served) = start_target(vec![Script::Slow]).await;
+    let state = state_with_targets(&[address]);
+    let response = dispatch::dispatch(&state, completion_request(&state, true))
+        .await
+        .unwrap();
+    assert_eq!(completion_text(response).await, "t1 t2 t3 t4 t5 t6 ");
+    assert_eq!(served.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against bytes without end in a head, a chunk or an event, which keep a request waiting
+/// until its deadline or fill the memory.
+#[tokio::test]
+async fn bytes_without_end_fail_only_the_attempt() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (start, filler) in [
+        ("HTTP/1.1 200 ", "O"),
+        (head, "x-filler: 0\r\n"),
+        ("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\ndata: ", "x"),
+        ("HTTP/1.1 200 OK\r\n\r\n", ": wait\n\n"),
+        (chunked, "0"),
+    ] {
+        let endless = Script::Endless { start, filler };
+        let (address, served) = start_target(vec![endless, COMPLETE]).await;
+        let state = state_with_targets(&[address]);
+        let started = Instant::now();
+        let response = dispatch::dispatch(&state, completion_request(&state, true)).await;
+        let text = completion_text(response.unwrap()).await;
+        assert_eq!(text, "t1 t2 t3 t4 t5 t6 ", "{start:?} {filler:?}");
+        assert_eq!(served.load(Ordering::SeqCst), 2, "{start:?} {filler:?}");
+        let elapsed = started.elapsed();
+        assert!(elapsed < TAKEOVER_TIME, "{start:?} {filler:?}: {elapsed:?}");
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,6 @@
 pub mod process;
 mod scheduler;
 mod state;
-mod target;
+pub mod target;
 pub mod telemetry;
 pub mod watch;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -242,7 +242,12 @@
         {
             self.report_now.notify_one();
         }
-        self.targets.borrow_mut().apply(changes, kv_tokens);
+        let version = changes.version;
+        let mut targets = self.targets.borrow_mut();
+        targets.apply(changes, kv_tokens);
+        if let ChangeSource::Store { .. } = source {
+            targets.record_complete(version);
+        }
     }
 
     /// Records that the parts of a prompt were sent to an engine or processed by it, for this
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -186,6 +186,9 @@
     by_service: HashMap<String, Vec<rc::Rc<TargetState>>>,
     /// Newest known version by id, including removed targets.
     versions: HashMap<String, u64>,
+    /// Version of the store up to which all changes are included; zero before the first complete
+    /// list.
+    complete_version: u64,
 }
 
 impl TargetRegistry {
@@ -193,7 +196,9 @@
     /// `kv_tokens` returns the KV cache capacity of a service's engines in tokens.
     pub fn apply(&mut self, changes: platform::TargetChanges, kv_tokens: impl Fn(&str) -> u64) {
         let mut absent = changes.absent;
+        let complete_version = self.complete_version;
         if changes.is_complete {
+            self.record_complete(changes.version);
             let is_listed = |id: &str| changes.present.iter().any(|entry| entry.id == id);
             let unlisted = self.by_id.keys().filter(|id| !is_listed(id));
             absent.extend(unlisted.map(|id| (id.clone(), changes.version)));
@@ -204,6 +209,12 @@
             }
         }
         for entry in changes.present {
+            let is_known = self.versions.contains_key(&entry.id);
+            if !is_known && entry.version <= complete_version {
+                // It had left before this daemon read the list; a daemon that is cut off from the
+                // store may still report it.
+                continue;
+            }
             if self.advance_version(&entry.id, entry.version) {
                 let tokens = kv_tokens(&entry.service);
                 self.insert(&entry, tokens);
@@ -211,6 +222,11 @@
         }
     }
 
+    /// Records that the registry includes all changes up to a version of the store.
+    pub fn record_complete(&mut self, version: u64) {
+        self.complete_version = self.complete_version.max(version);
+    }
+
     /// Records the version of an id; returns whether it is newer than the known one.
     fn advance_version(&mut self, id: &str, version: u64) -> bool {
         match self.versions.get_mut(id) {
@@ -226,17 +242,16 @@
         }
     }
 
-    /// Returns all targets as changes that another daemon can apply.
+    /// Returns all targets as a list that another daemon can apply. It is complete if this daemon
+    /// has read the list from the store.
     pub fn export(&self) -> platform::TargetChanges {
-        let present: Vec<_> = self
-            .by_id
-            .values()
-            .map(|target| target.export(&self.versions))
-            .collect();
+        let targets = self.by_id.values();
         platform::TargetChanges {
-            is_complete: false,
-            version: present.iter().map(|entry| entry.version).max().unwrap_or(0),
-            present,
+            is_complete: self.complete_version > 0,
+            version: self.complete_version,
+            present: targets
+                .map(|target| target.export(&self.versions))
+                .collect(),
             absent: Vec::new(),
         }
     }
--- a/crates/testbed/tests/shutdown.rs
+++ b/crates/testbed/tests/shutdown.rs
@@ -7,6 +7,10 @@
     load, web,
 };
 use serde_json::Value;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_testbed");
 /// Maximum wait for a condition; generous because the machine may be busy.
@@ -238,3 +242,72 @@
         "{executions:?}"
     );
 }
+
+/// Sends a completion request on a new connection without waiting for the response.
+async fn open_request(address: net::SocketAddr, prompt: &str) -> TcpStream {
+    let body = serde_json::json!({"model": "drafting", "prompt": prompt, "max_tokens": 2});
+    let body = body.to_string();
+    let text = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: test\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(text.as_bytes()).await.expect("a write");
+    stream
+}
+
+/// Reads a response until its text contains `expected`.
+async fn read_until(stream: &mut TcpStream, expected: &str) {
+    let mut text = String::new();
+    while !text.contains(expected) {
+        let mut buffer = [0; 4_096];
+        let read = tokio::time::timeout(TIMEOUT, stream.read(&mut buffer)).await;
+        match read.expect("a response in time") {
+            Ok(count) if count > 0 => text += &String::from_utf8_lossy(&buffer[..count]),
+            ended => panic!("the connection ended ({ended:?}) after {text:?}"),
+        }
+    }
+}
+
+/// Guards against a shutdown that resets connections which were waiting to be accepted when the
+/// listener closed: a daemon that did not run for a while finds many of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_wait_to_be_accepted_are_served() {
+    let _permit = harness::acquire_fleet_permit().await;
+    let mut fleet = start_fleet().await;
+    let address = fleet.daemons[0].caller_address;
+    fleet.daemons[0].process.pause();
+    fleet.daemons[0].process.terminate();
+    let mut callers = Vec::new();
+    for number in 0..40 {
+        callers.push(open_request(address, &format!("waiting {number}")).await);
+    }
+    // Longer than the daemon accepts connections once it shuts down.
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    fleet.daemons[0].process.resume();
+    for caller in &mut callers {
+        read_until(caller, "200 OK").await;
+    }
+    drop(callers);
+    wait_clean_exit(&mut fleet, 0).await;
+}
+
+/// Guards against a shutdown that closes a kept connection on which a request is arriving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_that_is_read_in_part_is_served() {
+    let _permit = harness::acquire_fleet_permit().await;
+    let mut fleet = start_fleet().await;
+    let address = fleet.daemons[0].caller_address;
+    let mut caller = open_request(address, "the first").await;
+    read_until(&mut caller, "usage").await;
+    let second = "GET /v1/models HTTP/1.1\r\nhost: test\r\n\r\n";
+    let (start, rest) = second.split_at(20);
+    caller.write_all(start.as_bytes()).await.expect("a write");
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    fleet.daemons[0].process.terminate();
+    // Longer than the daemon accepts connections once it shuts down.
+    tokio::time::sleep(time::Duration::from_millis(1_600)).await;
+    caller.write_all(rest.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "\"object\":\"list\"").await;
+    wait_clean_exit(&mut fleet, 0).await;
+}
