Learn the speed of engines from the prompts that they process

Cause: the relay assumed 38 prompt tokens per millisecond for every engine, a figure that fits one kind. The configuration does not state the speed.

Change: core::prompt_speed follows the median of the observed speeds of a service's prefill engines. Whoever counts a prompt as load of an engine, mostly a scheduler, observes those that had the engine to themselves. Decode engines process prompts at half of that speed, by the platform's contract.

--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -243,7 +243,7 @@
             _ => placement::EngineStage::Decode,
         };
         placement::EngineCandidate {
-            is_available: fields[0] % 7 != 0,
+            is_available: !fields[0].is_multiple_of(7),
             backlog_tokens: u64::from(fields[1]) * 150,
             running: u32::from(fields[2] % 80),
             transfer_ms: f64::from(fields[3] % 50),
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -15,13 +15,11 @@
 const SAME_ZONE_MS: f64 = 0.2;
 /// One-way network latency between availability zones.
 const OTHER_ZONE_MS: f64 = 1.5;
-/// Prefill speed of a prefill engine as requests see it; see docs/CAPACITY.md.
-const PREFILL_TOKENS_PER_MS: f64 = 38.0;
-/// Prefill speed of a decode engine as requests see it; see docs/CAPACITY.md.
-const DECODE_PREFILL_TOKENS_PER_MS: f64 = 19.0;
+/// Prefill speed of a decode engine, as a share of that of a prefill engine.
+const DECODE_PREFILL_SHARE: f64 = 0.5;
 /// Time of a prefill that does not depend on the prompt's length: one engine step and the network
 /// latency.
-const PREFILL_OVERHEAD_MS: f64 = 12.0;
+pub const PREFILL_OVERHEAD_MS: f64 = 12.0;
 /// Time from a prefill to the first token besides the KV cache transfer: one engine step and the
 /// set-up of the transfer.
 const HANDOVER_OVERHEAD_MS: f64 = 14.0;
@@ -68,7 +66,9 @@
     ) {
         match self {
             Self::Own(work) => {
-                work.end_prefill();
+                if let Some(processed) = work.end_prefill() {
+                    state.record_prompt_speed(&work.target, processed, PREFILL_OVERHEAD_MS);
+                }
                 state.record_parts(&work.target, parts, state::PartsReady::Now);
             }
             Self::Assigned(work) => work.end_prefill(),
@@ -113,7 +113,12 @@
         let engine = self.prefill.as_ref().unwrap_or(&self.decode);
         let ready = state::PartsReady::Expected(self.prompt_ms as u64);
         state.record_parts(engine, parts, ready);
-        target::TargetWork::start(engine, self.uncached_tokens, 0)
+        let work = target::TargetWork::start(engine, self.uncached_tokens, 0);
+        // The time of these prompts includes a fetch, or the tokens of other requests.
+        match self.prefill.is_none() || self.source.is_some() {
+            true => work.without_timer(),
+            false => work,
+        }
     }
 }
 
@@ -225,10 +230,10 @@
     let targets = targets.of_service(prompt.service);
     let candidates = candidates(state, prompt, targets);
     let config = state.config()?;
+    let spec = config.service(prompt.service);
     let rates = engine_rates(
-        config
-            .service(prompt.service)
-            .and_then(|spec| spec.engine.as_ref()),
+        spec.and_then(|spec| spec.engine.as_ref()),
+        state.prompt_tokens_per_ms(prompt.service),
     );
     let shared = shared_parts(prompt.parts).iter();
     let size = placement::PromptSize {
@@ -297,14 +302,17 @@
     targets.iter().map(candidate).collect()
 }
 
-fn engine_rates(spec: Option<&config::EngineSpec>) -> placement::EngineRates {
+fn engine_rates(
+    spec: Option<&config::EngineSpec>,
+    prefill_tokens_per_ms: f64,
+) -> placement::EngineRates {
     let transfer_ms_per_k_tokens = spec.map_or(0.0, |spec| {
         let bits = spec.kv_bytes_per_token as f64 * 8.0 * 1_000.0;
         bits / (spec.link_mbps * 1_000.0)
     });
     placement::EngineRates {
-        prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
-        decode_prefill_tokens_per_ms: DECODE_PREFILL_TOKENS_PER_MS,
+        prefill_tokens_per_ms,
+        decode_prefill_tokens_per_ms: prefill_tokens_per_ms * DECODE_PREFILL_SHARE,
         prompt_base_ms: PREFILL_OVERHEAD_MS,
         transfer_ms_per_k_tokens,
         handover_ms: HANDOVER_OVERHEAD_MS,
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -9,7 +9,7 @@
 mod selection;
 mod service;
 
-pub use engines::{PromptView, pick_engines};
+pub use engines::{PREFILL_OVERHEAD_MS, PromptView, pick_engines};
 pub use refusal::HttpResponse;
 
 use std::{
--- a/crates/relay/src/scheduler/server.rs
+++ b/crates/relay/src/scheduler/server.rs
@@ -14,6 +14,10 @@
 /// Placed prompts that are counted as load. Further ones are placed without being counted.
 const MAX_PLACED: usize = 20_000;
 
+/// Time from the end of a prompt until its scheduler hears of it: the delay of an update and the
+/// way of the request and the update.
+const REPORT_DELAY_MS: f64 = 10.0;
+
 /// Places a prompt for another daemon and sends it the response.
 pub fn handle_request<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
@@ -87,7 +91,10 @@
     let mut placed = state.scheduler.placed.borrow_mut();
     for id in &update.prefill_ended {
         if let Some(entry) = placed.get(id) {
-            entry.work.end_prefill();
+            if let Some(processed) = entry.work.end_prefill() {
+                let overhead_ms = dispatch::PREFILL_OVERHEAD_MS + REPORT_DELAY_MS;
+                state.record_prompt_speed(&entry.work.target, processed, overhead_ms);
+            }
             state.record_parts(&entry.work.target, &entry.parts, state::PartsReady::Now);
         }
     }
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -6,7 +6,7 @@
     net, rc, time,
 };
 
-use acaciabank_core::{budget, outlier, prefix, suspect};
+use acaciabank_core::{budget, outlier, prefix, prompt_speed, suspect};
 
 use crate::{config, connection, gossip, platform, scheduler, target, watch};
 
@@ -110,6 +110,8 @@
     pub watch: watch::StoreWatch,
     /// Requests suspected of crashing targets.
     pub suspects: RefCell<suspect::SuspectTable>,
+    /// Estimated speeds of the prefill engines by service.
+    pub prompt_speeds: RefCell<HashMap<String, prompt_speed::SpeedEstimate>>,
     /// Retry budgets by service.
     pub budgets: RefCell<HashMap<String, budget::WindowBudget>>,
     /// Lifecycle phase of this daemon.
@@ -176,6 +178,7 @@
             scheduler: scheduler::SchedulerState::default(),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::default(),
+            prompt_speeds: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
             active: rc::Rc::default(),
@@ -278,6 +281,37 @@
         self.recent_parts.borrow_mut().extend(entries);
     }
 
+    /// Records how long an engine took for a prompt, of which `overhead_ms` do not depend on its
+    /// length.
+    pub fn record_prompt_speed(
+        &self,
+        engine: &target::TargetState,
+        processed: target::ProcessedPrompt,
+        overhead_ms: f64,
+    ) {
+        let elapsed_ms = processed.elapsed.as_secs_f64() * 1_000.0;
+        let observation = prompt_speed::PromptObservation {
+            tokens: processed.tokens,
+            work_ms: elapsed_ms - overhead_ms,
+        };
+        let mut speeds = self.prompt_speeds.borrow_mut();
+        match speeds.get_mut(&engine.entry.service) {
+            Some(estimate) => estimate.record(observation),
+            None => {
+                let mut estimate = prompt_speed::SpeedEstimate::default();
+                estimate.record(observation);
+                speeds.insert(engine.entry.service.clone(), estimate);
+            }
+        }
+    }
+
+    /// Returns the estimated speed of a service's prefill engines, in prompt tokens per millisecond.
+    pub fn prompt_tokens_per_ms(&self, service: &str) -> f64 {
+        let speeds = self.prompt_speeds.borrow();
+        let estimate = speeds.get(service).copied().unwrap_or_default();
+        estimate.tokens_per_ms()
+    }
+
     /// Records the outcome of a request at a target, for this daemon and the schedulers.
     pub fn record_outcome(&self, target: &target::TargetState, outcome: outlier::TargetOutcome) {
         let now_ms = crate::clock::now_ms();
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -6,7 +6,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use acaciabank_core::{outlier, placement, prefix};
@@ -44,6 +44,8 @@
     pub running: Cell<u32>,
     /// Prompt tokens of this daemon's requests that it has not processed yet.
     pub backlog_tokens: Cell<u64>,
+    /// Number of prompts that were sent to it so far.
+    pub prompt_count: Cell<u64>,
     /// Expected time of the KV cache transfers to it for this daemon's requests, in milliseconds.
     pub transfer_ms: Cell<u64>,
     /// Detects from request outcomes that the target is failing.
@@ -67,6 +69,7 @@
             pool: connection::IdlePool::default(),
             running: Cell::new(0),
             backlog_tokens: Cell::new(0),
+            prompt_count: Cell::new(0),
             transfer_ms: Cell::new(0),
             detector: RefCell::default(),
             parts: RefCell::new(prefix::PrefixIndex::new(kv_tokens)),
@@ -140,11 +143,39 @@
     pub target: rc::Rc<TargetState>,
     pending_tokens: Cell<u64>,
     transfer_ms: Cell<u64>,
+    timer: Cell<Option<PromptTimer>>,
+}
+
+/// Start of a prompt at an engine that had no other request.
+#[derive(Clone, Copy, Debug)]
+struct PromptTimer {
+    started: Instant,
+    tokens: u64,
+    /// [`TargetState::prompt_count`] after the start.
+    prompt_count: u64,
+}
+
+/// A prompt that an engine has processed without any other prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessedPrompt {
+    /// Prompt tokens that were processed.
+    pub tokens: u64,
+    /// Time from the placement until the prompt was processed.
+    pub elapsed: Duration,
 }
 
 impl TargetWork {
     /// Counts a request with `prefill_tokens` to process and a KV cache transfer of `transfer_ms`.
     pub fn start(target: &rc::Rc<TargetState>, prefill_tokens: u64, transfer_ms: u64) -> Self {
+        let is_idle = target.running.get() == 0;
+        if prefill_tokens > 0 {
+            target.prompt_count.set(target.prompt_count.get() + 1);
+        }
+        let timer = (is_idle && prefill_tokens > 0).then(|| PromptTimer {
+            started: Instant::now(),
+            tokens: prefill_tokens,
+            prompt_count: target.prompt_count.get(),
+        });
         target.running.set(target.running.get() + 1);
         target
             .backlog_tokens
@@ -156,11 +187,20 @@
             target: rc::Rc::clone(target),
             pending_tokens: Cell::new(prefill_tokens),
             transfer_ms: Cell::new(transfer_ms),
+            timer: Cell::new(timer),
         }
     }
 
-    /// Stops counting the prompt: it has been processed, or its KV cache has been fetched.
-    pub fn end_prefill(&self) {
+    /// Makes [`end_prefill`](Self::end_prefill) return no processed prompt, because the engine does
+    /// something else for it too.
+    pub fn without_timer(self) -> Self {
+        self.timer.set(None);
+        self
+    }
+
+    /// Stops counting the prompt: it has been processed, or its KV cache has been fetched. Returns
+    /// the prompt if it was processed and no other one was sent to the engine meanwhile.
+    pub fn end_prefill(&self) -> Option<ProcessedPrompt> {
         let target = &self.target;
         target
             .backlog_tokens
@@ -168,6 +208,12 @@
         target
             .transfer_ms
             .set(target.transfer_ms.get() - self.transfer_ms.take());
+        let timer = self.timer.take()?;
+        let is_alone = target.prompt_count.get() == timer.prompt_count;
+        is_alone.then(|| ProcessedPrompt {
+            tokens: timer.tokens,
+            elapsed: timer.started.elapsed(),
+        })
     }
 }
 
