--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -107,6 +107,14 @@
         assert_eq!(response.expect("a response").status, 200);
     }
 
+    /// Removes the entry of a target from the store.
+    pub async fn deregister_target(&self, id: &str) {
+        let row = json!({"table": "servers", "part": "", "key": id});
+        let transaction = json!({"expected_rev": [], "writes": [], "deletes": [row]}).to_string();
+        let response = web::call(self.store.address, "POST", "/rows-tx", &[], transaction).await;
+        assert_eq!(response.expect("a response").status, 200);
+    }
+
     /// Like [`start_runner`](Self::start_runner), on the given address.
     pub async fn start_runner_at(
         &self,
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod guarantees;
 mod lifecycle;
 mod peers;
+mod silences;
 mod soak;
 mod stops;
 mod streams;
