Split the placement of a request from the daemon's admission state

The wait for a served stream stood seven times in the relay's tests, and two commands of the RPC thread made the same call.

Change: RequestPlacement moves to dispatch/placement.rs, the preset deployments of the harness to presets.rs; Relay::wait_streaming and call_known take the place of the copies. No behaviour changes.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod candidate;
 mod completion;
 mod partition;
+mod placement;
 mod pool;
 mod response_buffer;
 mod retry;
@@ -24,7 +25,7 @@
 use tokio::sync::oneshot;
 
 pub use acaciabank_relay::connection::WriteDeadline;
-pub use admission::choose_target;
+pub use placement::choose_target;
 pub use response_buffer::{BufferedResponse, ResponseBuffer};
 
 use crate::{config, process};
--- a/crates/daemon/src/dispatch/retry.rs
+++ b/crates/daemon/src/dispatch/retry.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 
 use super::{
-    CallerRequest, RequestWork, WriteDeadline, admission, attempt, completion, service, sink, slot,
+    CallerRequest, RequestWork, WriteDeadline, attempt, completion, placement, service, sink, slot,
     turn,
 };
 use crate::{process, target};
@@ -125,7 +125,7 @@
     in_attempt: &mut bool,
 ) -> Result<(), reason::Refusal> {
     let request_start = Instant::now();
-    let mut placement = admission::RequestPlacement::new(state, request);
+    let mut placement = placement::RequestPlacement::new(state, request);
     let turn = turn::RequestTurn::enter(state, request.fingerprint);
     let mut stream = completion::CompletionStream::new(request);
     let outcome = (&*sink, &mut *history);
@@ -189,7 +189,7 @@
 async fn prefill(
     state: &process::SharedState,
     request: &CallerRequest,
-    placement: &mut admission::RequestPlacement,
+    placement: &mut placement::RequestPlacement,
     stream: &mut completion::CompletionStream,
     turn: &turn::RequestTurn,
     (sink, history): (&sink::CallerSink, &mut AttemptHistory),
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -355,16 +355,12 @@
                 team,
                 reply,
             } => {
-                let link = self.link(&daemon);
+                let link = self.link(&daemon).ok_or(PeerError::UnknownDaemon(daemon));
                 spawn_local(async move {
-                    let result = match link {
-                        None => Err(PeerError::UnknownDaemon(daemon)),
-                        Some(link) => client::fetch_response(&link, &request, &team)
-                            .await
-                            .map_err(|error| PeerError::Unreachable(daemon, error)),
-                    };
+                    let call =
+                        async |link: &PeerLink| client::fetch_response(link, &request, &team).await;
                     // The request that sent the command may have ended.
-                    let _ = reply.send(result);
+                    let _ = reply.send(call_known(link, call).await);
                 });
             }
             Command::AwaitKey {
@@ -374,15 +370,11 @@
                 wait_ms,
                 reply,
             } => {
-                let link = self.link(&daemon);
+                let link = self.link(&daemon).ok_or(PeerError::UnknownDaemon(daemon));
                 spawn_local(async move {
-                    let result = match link {
-                        None => Err(PeerError::UnknownDaemon(daemon)),
-                        Some(link) => client::await_key(&link, &team, &key, wait_ms)
-                            .await
-                            .map_err(|error| PeerError::Unreachable(daemon, error)),
-                    };
-                    let _ = reply.send(result);
+                    let call =
+                        async |link: &PeerLink| client::await_key(link, &team, &key, wait_ms).await;
+                    let _ = reply.send(call_known(link, call).await);
                 });
             }
             Command::AskForTurn {
@@ -533,3 +525,13 @@
         suspects: loads::local_suspects(state),
     }
 }
+
+/// Makes a call to a daemon, if it is known.
+async fn call_known<T>(
+    link: Result<Rc<PeerLink>, PeerError>,
+    call: impl AsyncFnOnce(&PeerLink) -> Result<T, String>,
+) -> Result<T, PeerError> {
+    let link = link?;
+    let called = call(&link).await;
+    called.map_err(|error| PeerError::Unreachable(link.daemon.clone(), error))
+}
--- a/crates/testbed/src/harness/mod.rs
+++ b/crates/testbed/src/harness/mod.rs
@@ -6,6 +6,7 @@
 mod journals;
 mod launch;
 mod links;
+mod presets;
 
 use std::time;
 
--- a/crates/testbed/tests/relay/faulty_targets.rs
+++ b/crates/testbed/tests/relay/faulty_targets.rs
@@ -195,11 +195,7 @@
         },
     );
     let engine = engine.await;
-    harness::wait_until(TIMEOUT, "a stream is served", async || {
-        let response = relay.request_stream("/stream/a", "probe", 5).await;
-        response.is_ok_and(|response| response.status == 200)
-    })
-    .await;
+    relay.wait_streaming("/stream/a", 5).await;
     for number in 0..20 {
         let attempt = format!("t-{number}");
         let response = relay.request_stream("/stream/a", &attempt, 5).await;
@@ -476,11 +472,7 @@
         }
     });
     let engine = engine.await;
-    harness::wait_until(TIMEOUT, "a stream is served", async || {
-        let response = relay.request_stream("/stream/a", "probe", 2).await;
-        response.is_ok_and(|response| response.status == 200)
-    })
-    .await;
+    relay.wait_streaming("/stream/a", 2).await;
     let connected = tokio::net::TcpStream::connect(relay.caller_address).await;
     let mut caller = connected.expect("a connection");
     let head = "POST /stream/a HTTP/1.1\r\nhost: host.example\r\n\
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -300,6 +300,16 @@
         .await;
     }
 
+    /// Waits until the relay serves a stream of `events` events.
+    pub async fn wait_streaming(&self, path: &str, events: u32) {
+        let description = format!("{} streams {path}", self.process.name());
+        harness::wait_until(TIMEOUT, &description, async || {
+            let response = self.request_stream(path, "probe", events).await;
+            response.is_ok_and(|response| response.status == 200)
+        })
+        .await;
+    }
+
     /// Sends a request with an attempt id and a deadline.
     pub async fn send(
         &self,
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -104,11 +104,7 @@
         })
         .await;
     }
-    harness::wait_until(TIMEOUT, "a stream is served", async || {
-        let response = second.request_stream("/stream/a", "probe", 2).await;
-        response.is_ok_and(|response| response.status == 200)
-    })
-    .await;
+    second.wait_streaming("/stream/a", 2).await;
     let events = 200;
     let (stream, ()) = tokio::join!(second.request_stream("/stream/a", "t-1", events), async {
         tokio::time::sleep(Duration::from_millis(200)).await;
@@ -212,11 +208,7 @@
     fixture.write_config(1, |_| {}).await;
     let engine = fixture.start_runner("d-1", "models", Some("decode")).await;
     let mut relay = fixture.start_relay(&[]).await;
-    harness::wait_until(TIMEOUT, "a stream is served", async || {
-        let response = relay.request_stream("/stream/a", "probe", 2).await;
-        response.is_ok_and(|response| response.status == 200)
-    })
-    .await;
+    relay.wait_streaming("/stream/a", 2).await;
     relay.process.terminate();
     // A stream that was accepted in time keeps the process running until it ends.
     let (long, refused) = tokio::join!(relay.request_stream("/stream/a", "k-long", 800), async {
--- a/crates/testbed/tests/relay/peers.rs
+++ b/crates/testbed/tests/relay/peers.rs
@@ -133,13 +133,7 @@
         fixture.start_runner("d-1", "models", Some("decode")).await,
     ];
     let mut relay = fixture.start_relay(&[]).await;
-    harness::wait_until(TIMEOUT, "a stream is served", async || {
-        let response = relay
-            .request_stream("/stream/a", "probe", EVENT_COUNT)
-            .await;
-        response.is_ok_and(|response| response.status == 200)
-    })
-    .await;
+    relay.wait_streaming("/stream/a", EVENT_COUNT).await;
     relay.process.restart().expect("the process restarts");
     harness::wait_until(TIMEOUT, "the relay is ready again", async || {
         relay.readiness_status().await == 200
--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -11,10 +11,7 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_testbed::{
-    harness,
-    proxy::{FaultKind, LinkFault},
-};
+use acaciabank_testbed::proxy::{FaultKind, LinkFault};
 use rand::{RngExt, SeedableRng, rngs};
 use serde_json::{Value, json};
 
@@ -143,11 +140,7 @@
         }
         for relay in &relays {
             relay.wait_serving("/safe/a").await;
-            harness::wait_until(TIMEOUT, "a stream is served", async || {
-                let response = relay.request_stream("/stream/a", "probe", 2).await;
-                response.is_ok_and(|response| response.status == 200)
-            })
-            .await;
+            relay.wait_streaming("/stream/a", 2).await;
         }
         Self {
             fixture,
--- a/crates/testbed/tests/relay/streams.rs
+++ b/crates/testbed/tests/relay/streams.rs
@@ -1,9 +1,8 @@
 //! Streams: separate prefill and decode engines, resumption, and streams that cannot be resumed.
 
-use acaciabank_testbed::harness;
 use serde_json::json;
 
-use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT, event_ids};
+use crate::fixture::{EmulatorProcess, Fixture, Relay, event_ids};
 
 const EVENT_COUNT: u32 = 6;
 
@@ -30,13 +29,7 @@
         fixture.start_runner("d-2", "models", Some("decode")).await,
     ];
     let relay = fixture.start_relay(&[]).await;
-    harness::wait_until(TIMEOUT, "a stream is served", async || {
-        let response = relay
-            .request_stream("/stream/a", "probe", EVENT_COUNT)
-            .await;
-        response.is_ok_and(|response| response.status == 200)
-    })
-    .await;
+    relay.wait_streaming("/stream/a", EVENT_COUNT).await;
     EngineFixture {
         _fixture: fixture,
         prefill_engines,
