Give back the memory of buffered responses once they are read

The buffer of a body is empty when it is dropped after a complete read, so that its share of the budget was never given back: after a quarter of the host's memory in responses, a relay would have failed every further one.

Change: the buffer keeps what it took from the budget.

After: 40 responses are served.

--- a/crates/relay/src/connection/body.rs
+++ b/crates/relay/src/connection/body.rs
@@ -78,6 +78,8 @@
 struct BodyBuffer<'a> {
     limits: BodyLimits<'a>,
     bytes: BytesMut,
+    /// Bytes taken from the budget.
+    taken: usize,
 }
 
 impl BodyBuffer<'_> {
@@ -90,15 +92,21 @@
         if budget.is_some_and(|budget| !budget.try_take(part.len())) {
             return Err(BodyError::OutOfMemory);
         }
+        self.taken += part.len();
         self.bytes.extend_from_slice(part);
         Ok(())
     }
+
+    /// Returns the body. Its share of the budget is given back.
+    fn close(mut self) -> Bytes {
+        std::mem::take(&mut self.bytes).freeze()
+    }
 }
 
 impl Drop for BodyBuffer<'_> {
     fn drop(&mut self) {
         if let Some(budget) = self.limits.budget {
-            budget.give_back(self.bytes.len());
+            budget.give_back(self.taken);
         }
     }
 }
@@ -116,11 +124,12 @@
     let mut buffer = BodyBuffer {
         limits,
         bytes: BytesMut::new(),
+        taken: 0,
     };
     loop {
         let frame = tokio::time::timeout_at(deadline.into(), body.frame()).await;
         let Some(frame) = frame.map_err(|_| BodyError::Timeout)? else {
-            return Ok(buffer.bytes.split().freeze());
+            return Ok(buffer.close());
         };
         if let Ok(part) = frame?.into_data() {
             buffer.push(&part)?;
--- a/crates/testbed/tests/relay/faulty_targets.rs
+++ b/crates/testbed/tests/relay/faulty_targets.rs
@@ -494,3 +494,21 @@
     assert!(elapsed < Duration::from_secs(10), "{elapsed:?}");
     drop(caller);
 }
+
+/// Guards against a budget for buffered responses that is not given back: together these responses
+/// are larger than it.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_memory_for_responses_is_used_again() {
+    let mut fixture = Fixture::start().await;
+    fixture.relay_memory_mb = 1;
+    fixture.write_config(1, |_| {}).await;
+    let _sound = fixture.start_runner("sound", "ledger", None).await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    let body = "x".repeat(20_000);
+    for number in 0..40 {
+        let attempt = format!("b-{number}");
+        let response = relay.send("POST", "/once/a", &attempt, &[], &body).await;
+        assert_eq!(response.expect("a response").status, 200, "{attempt}");
+    }
+}
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -33,6 +33,8 @@
     pub store: EmulatorProcess,
     /// Proxy of the links to runners and from relays to the store, if the links are proxied.
     pub proxy: Option<harness::LinkProxy>,
+    /// Memory that the settings of a relay state, in megabytes.
+    pub relay_memory_mb: u32,
     peer_port: u16,
     relay_count: u32,
 }
@@ -50,6 +52,7 @@
             store: EmulatorProcess { process, address },
             launcher,
             proxy: None,
+            relay_memory_mb: 160,
             peer_port,
             relay_count: 0,
         }
@@ -177,6 +180,7 @@
 [limits]
 cpu_share = 0.25
 cores = 1
+memory_mb = {memory_mb}
 [bounds]
 grace_s = 8
 ttl_max_s = 1
@@ -187,6 +191,7 @@
 address = "{store}"
 "#,
             peer = self.peer_port,
+            memory_mb = self.relay_memory_mb,
         );
         let path = self.launcher.folder().join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
