--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -144,12 +144,12 @@
         result = connection.as_mut() => result,
         () = stop.cancelled(), if !is_after_stop => {
             // The process does not end while a request is being read.
-            let _active = state::ActiveGuard::start(&state.active);
+            let active = state::ActiveGuard::start(&state.active);
             tokio::select! {
                 result = connection.as_mut() => result,
                 () = connection::wait_between_requests(&progress) => {
                     connection.as_mut().graceful_shutdown();
-                    drop(_active);
+                    drop(active);
                     connection.await
                 }
             }
