--- a/crates/protocol/src/settings/deployment.rs
+++ b/crates/protocol/src/settings/deployment.rs
@@ -89,7 +89,7 @@
 }
 
 value_type!(
-    /// Inference phase that an engine is tuned for.
+    /// Inference phase that an engine serves.
     pub enum EngineRole {
         /// Prompt processing and token generation.
         Mixed,
--- a/crates/relay/src/connection/body.rs
+++ b/crates/relay/src/connection/body.rs
@@ -10,8 +10,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Maximum size of a document from the store, a target or another daemon. The list of 1,300 targets
-/// takes about 0.4 MB and a page of the store's rows at most 1.4 MB.
+/// Maximum size of a document from the store, a target or another daemon. A page of the
+/// store's rows has at most 1 MB before its values are encoded as base64; a list of more than a
+/// thousand targets, each of a few hundred bytes, fits several times.
 pub const MAX_DOCUMENT_BYTES: usize = 4 << 20;
 
 /// Why a body was not read to its end.
--- a/crates/testbed/examples/shift_bench.rs
+++ b/crates/testbed/examples/shift_bench.rs
@@ -11,7 +11,7 @@
 //! The reported `limit` is an upper bound on the goodput, computed from the cost model of the
 //! simulated engines. A request costs its uncached prompt tokens divided by the prefill speed,
 //! plus, for each output token, the step time of a full batch divided by the slots; each part is
-//! computed at the speed of the role that is tuned for it. Prefixes shared by a group count as
+//! computed at the speed of the role that serves it. Prefixes shared by a group count as
 //! cached. Within each phase of the script, requests are taken in ascending order of cost until the
 //! engines' time in that phase is used up. Role changes, queueing, network distance and deadlines
 //! cost nothing, so no policy can reach the bound, except through work carried over the end of a
