Load the role change test above the planner's threshold

After two changes to the decode role the capacity counts as 8 engines, so the load of the decode phase is 0.094, below the 0.1 at which the threshold planner does nothing. The third change happened only when a load report of the first seconds was outdated.

Ruled out: leases, drains and orders (a kept log of a stalled run shows two orders ended as Done and no further one planned for 27 s).

Change: 48 requests in flight, a load of 0.19 after two changes. No bound of the test changes.

--- a/crates/testbed/tests/roles.rs
+++ b/crates/testbed/tests/roles.rs
@@ -10,8 +10,10 @@
 /// Maximum wait for the role changes: 40 s were not enough on a machine with a load of twice its
 /// cores.
 const ROLE_CHANGE_TIMEOUT: time::Duration = time::Duration::from_secs(120);
-/// Number of requests in flight at a time.
-const CONCURRENCY: usize = 24;
+/// Number of requests in flight at a time: a quarter of the fleet's 192 slots. The threshold planner
+/// does nothing below a load of 0.1, and each change to the decode role adds capacity, so that an
+/// eighth of the slots is below this load from the second change on.
+const CONCURRENCY: usize = 48;
 /// Number of role changes to wait for.
 const MIN_ROLE_CHANGES: usize = 3;
 
