Order the runs of a daemon without the time of day

Cause: other daemons took the run with the higher id for the newer one, and the id came from the time of day. After a host's clock was set back, a restarted daemon was ignored: on the platform interface for the 20 s until its former report expired (not listed to callers, its loads not counted), on the own interface until the clock was corrected.

Ruled out: leases, deadlines, orders, retry windows (monotonic clocks throughout; the lease compares ids for equality only). Log lines keep the time of day.

Change: a relay's report carries its uptime, so its receiver orders runs by their start on its own clock; the id is random. A daemon that gets another one's own entry with a lower id than it knows sends back what it knows, and the restarted daemon takes a higher id (RunIds); rows of keys written under the earlier id stay its own. ReportAge compares the stated times of one target's reports with each other only.

A response that the relay has no memory to buffer no longer counts as a failure of its target.

Each test failed before: reports (3 of 4), restarted_daemon_is_accepted_ after_its_clock_was_set_back (with the notice taken out: 30 s timeout). The ages have no test of the former code, which had no seam for one.

--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -204,6 +204,18 @@
         self.own.forward_ticks = FORWARD_TICKS;
     }
 
+    /// Gives this daemon's run another id, which must be higher than the last one, and gossips its
+    /// full entry again.
+    pub fn restart_own(&mut self, boot_id: u64) {
+        self.own.entry.version = EntryVersion {
+            boot_id,
+            sequence: 0,
+        };
+        self.own.forward_ticks = FORWARD_TICKS;
+        self.own.entry_ticks = FORWARD_TICKS;
+        self.own.report = None;
+    }
+
     /// Increments this daemon's sequence number and returns its heartbeat as the response to a
     /// probe, without gossiping it.
     pub fn respond_to_probe(&mut self, now: time::Instant) -> Heartbeat {
--- a/crates/daemon/src/peer/gossip.rs
+++ b/crates/daemon/src/peer/gossip.rs
@@ -23,7 +23,7 @@
         sender_hash: u32,
     ) {
         let now = time::Instant::now();
-        let mut changed = self.apply_entries(entries, now);
+        let mut changed = self.apply_entries(entries, sender_hash, now);
         let mut unknown_hashes = Vec::new();
         for heartbeat in &digest.heartbeats {
             let applied = self.table.borrow_mut().apply_heartbeat(heartbeat, now);
@@ -46,13 +46,23 @@
     }
 
     /// Returns whether any entry changed the table.
-    fn apply_entries(&self, entries: Vec<MemberEntry>, now: time::Instant) -> bool {
+    fn apply_entries(
+        self: &Rc<Self>,
+        entries: Vec<MemberEntry>,
+        sender_hash: u32,
+        now: time::Instant,
+    ) -> bool {
         let mut changed = false;
         for entry in entries {
             let applied = self.table.borrow_mut().apply(entry.clone(), now);
             match applied {
-                Applied::Ignored => continue,
-                Applied::IdConflict => self.log_id_conflict(&entry),
+                Applied::Ignored => {
+                    if daemon_hash(&entry.daemon) == sender_hash {
+                        self.report_newer_run(&entry, now);
+                    }
+                    continue;
+                }
+                Applied::IdConflict => self.handle_id_conflict(&entry),
                 Applied::Refreshed => {}
                 Applied::Changed => changed = true,
             }
@@ -61,6 +71,21 @@
         changed
     }
 
+    /// Tells a daemon whose own entry was ignored that a run with a higher id is known.
+    fn report_newer_run(&self, ignored: &MemberEntry, now: time::Instant) {
+        let known = self.table.borrow().entry(&ignored.daemon).cloned();
+        let Some(known) = known else {
+            return;
+        };
+        if known.version.boot_id <= ignored.version.boot_id {
+            return;
+        }
+        let settings = &self.state.settings;
+        let link = PeerLink::new(ignored.daemon.clone(), ignored.peer_address, settings);
+        let message = self.message(vec![(known, now)], &Digest::default(), now);
+        spawn_local(async move { client::gossip(&link, &message).await });
+    }
+
     /// Probes the suspected daemons, and passes new suspicions on.
     fn apply_suspicions(self: &Rc<Self>, suspicions: &[Heartbeat], now: time::Instant) {
         let mut new_suspicions = Vec::new();
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Process lifecycle: startup, listeners, TLS, signals and graceful shutdown.
 
 pub mod listener;
+mod run_id;
 mod shutdown;
 mod startup;
 pub mod tls;
@@ -8,21 +9,21 @@
 use std::{
     sync,
     sync::atomic::{AtomicU8, Ordering},
-    time,
 };
 
 use acaciabank_protocol::settings;
 
 use crate::{config, dispatch, idempotency, peer, table, target};
 
+pub use run_id::RunIds;
 pub use startup::run;
 
 /// Process-wide state, shared by all tasks.
 pub struct ProcessState {
     /// Settings that were read at startup.
     pub settings: settings::ProcessSettings,
-    /// Distinguishes this run of the daemon from earlier ones; a later run has a higher id.
-    pub boot_id: u64,
+    /// Ids that distinguish this run of the daemon from others.
+    pub run_ids: RunIds,
     /// Current phase of the process.
     pub phase: PhaseCell,
     /// Store of the current configuration.
@@ -43,7 +44,7 @@
     /// Creates the state of a process that has not started any task.
     pub fn new(settings: settings::ProcessSettings) -> Self {
         Self {
-            boot_id: new_boot_id(),
+            run_ids: RunIds::from_time_of_day(),
             phase: PhaseCell::default(),
             config: config::ConfigStore::default(),
             targets: target::TargetRegistry::default(),
@@ -59,19 +60,6 @@
     }
 }
 
-/// Number of random bits in a boot id, so that two runs started in the same millisecond differ.
-const BOOT_ID_RANDOM_BITS: u32 = 20;
-
-/// Returns wall-clock milliseconds followed by random bits. Other daemons ignore a run whose id is
-/// lower than the last one they saw, so after a host's clock was set back, it must be corrected
-/// before the daemon can rejoin.
-fn new_boot_id() -> u64 {
-    let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    let unix_ms = since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64);
-    let random_bits = rand::random::<u64>() & ((1 << BOOT_ID_RANDOM_BITS) - 1);
-    unix_ms << BOOT_ID_RANDOM_BITS | random_bits
-}
-
 /// Phase of the process. Phases follow each other in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
--- a/crates/daemon/src/target/mod.rs
+++ b/crates/daemon/src/target/mod.rs
@@ -8,6 +8,7 @@
 mod peer_update;
 mod poll;
 mod registry;
+mod report_age;
 mod tracker;
 
 use std::{net, sync, sync::OnceLock, sync::atomic::AtomicU32, time};
@@ -19,6 +20,7 @@
 pub use peer_update::PieceDelta;
 pub use poll::run;
 pub use registry::{TargetRegistry, TargetRoute, TargetSnapshot};
+pub use report_age::ReportAge;
 pub use tracker::TargetTracker;
 
 /// Milliseconds since the first use of this clock in the process; monotonic.
--- a/crates/daemon/src/target/poll.rs
+++ b/crates/daemon/src/target/poll.rs
@@ -1,18 +1,13 @@
 //! Polls of owned targets and of the platform's host list.
 
-use std::{
-    collections::HashSet,
-    net, sync,
-    sync::atomic::Ordering,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::HashSet, net, sync, sync::atomic::Ordering, time::Duration};
 
 use acaciabank_protocol::{ids, wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use serde::de::DeserializeOwned;
 
-use super::{PieceDelta, TargetKind, TargetState, WithdrawalCause, tracker::PollSession};
+use super::{PieceDelta, TargetKind, TargetState, WithdrawalCause, now_ms, tracker::PollSession};
 use acaciabank_relay::connection;
 
 use crate::process;
@@ -51,7 +46,7 @@
                 if polls.is_multiple_of(POLLS_PER_EXPIRY)
                     && let Ok(mut piece_index) = state.targets.piece_index.write()
                 {
-                    piece_index.expire(super::now_ms());
+                    piece_index.expire(now_ms());
                 }
                 polls = polls.wrapping_add(1);
                 start_polls(&state, &owned);
@@ -134,8 +129,8 @@
 ) -> Result<(), PollError> {
     let report: wire::EngineState = fetch(state, target.address, session, "/admin/state").await?;
     let load: wire::EngineLoad = fetch(state, target.address, session, "/admin/load").await?;
-    let age_ms = unix_ms().saturating_sub(load.as_of_unix_ms);
-    target.record_load(load, Duration::from_millis(age_ms));
+    let age = session.load_age.record(load.as_of_unix_ms, now_ms());
+    target.record_load(load, age);
     let lacks_model =
         !report.models.is_empty() && !report.models.iter().any(|loaded| loaded.model == *model);
     let switching = report.switching.is_some() || lacks_model;
@@ -302,11 +297,6 @@
     Duration::from_millis(state.settings.timers.connect_timeout_ms)
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 #[derive(serde::Deserialize)]
 struct HostList {
     hosts: Vec<HostRow>,
--- a/crates/daemon/src/target/tracker.rs
+++ b/crates/daemon/src/target/tracker.rs
@@ -10,7 +10,7 @@
 use acaciabank_protocol::wire;
 use tokio::sync::Mutex;
 
-use super::{TargetCondition, TargetState, WithdrawalCause};
+use super::{ReportAge, TargetCondition, TargetState, WithdrawalCause};
 use acaciabank_relay::connection;
 
 /// Consecutive successful polls after which a target returns to service.
@@ -54,6 +54,8 @@
     pub(super) boot_id: String,
     /// Sequence number up to which the cache events of this boot have been read.
     pub(super) next_event: u64,
+    /// Ages of the engine's load reports.
+    pub(super) load_age: ReportAge,
     /// Whether a service is known to have no `/admin/state`.
     pub(super) lacks_state_path: bool,
 }
--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -50,6 +50,17 @@
     seeds: &[(&str, net::SocketAddr)],
 ) -> TestDaemon {
     let listener = net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    start_on(listener, name, boot_id, table_address, seeds)
+}
+
+/// Starts a daemon that listens for others on the given socket.
+pub fn start_on(
+    listener: net::TcpListener,
+    name: &str,
+    boot_id: u64,
+    table_address: net::SocketAddr,
+    seeds: &[(&str, net::SocketAddr)],
+) -> TestDaemon {
     let peer_address = listener.local_addr().expect("address");
     let peers: Vec<_> = seeds
         .iter()
@@ -74,7 +85,7 @@
     }))
     .expect("settings");
     let state = sync::Arc::new(process::ProcessState {
-        boot_id,
+        run_ids: process::RunIds::new(boot_id),
         phase: process::PhaseCell::default(),
         config: config::ConfigStore::default(),
         targets: target::TargetRegistry::default(),
--- a/crates/daemon/tests/control/peer.rs
+++ b/crates/daemon/tests/control/peer.rs
@@ -80,6 +80,49 @@
     }
 }
 
+/// Guards against a restarted daemon that all others ignore, because its host's clock was set back
+/// and its run has a lower id than the former one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_daemon_is_accepted_after_its_clock_was_set_back() {
+    let table = closed_address();
+    let a = fleet::start("a", 1, table, &[]);
+    let c = fleet::start("c", 1, table, &[("a", a.peer_address)]);
+    let seeds = [("a", a.peer_address)];
+    let (former_id, id) = (1 << 40, 1 << 30);
+    let former = fleet::start("b", former_id, table, &seeds);
+    let known_run = |daemon: &fleet::TestDaemon| {
+        let members = daemon.state.peers.members();
+        let found = members.iter().find(|member| member.daemon.as_str() == "b");
+        found.map(|member| member.boot_id)
+    };
+    for other in [&a, &c] {
+        wait_for("the former run known", || {
+            known_run(other) == Some(former_id)
+        })
+        .await;
+    }
+    let address = former.peer_address;
+    drop(former);
+    let mut listener = None;
+    wait_for("the address is free", || {
+        listener = net::TcpListener::bind(address).ok();
+        listener.is_some()
+    })
+    .await;
+    let listener = listener.expect("a listener");
+    let restarted = fleet::start_on(listener, "b", id, table, &seeds);
+    for other in [&a, &c] {
+        wait_for("the restarted daemon known", || {
+            known_run(other).is_some_and(|run| run > former_id)
+        })
+        .await;
+    }
+    let run_ids = &restarted.state.run_ids;
+    assert_eq!(known_run(&a), Some(run_ids.current()));
+    // The rows of its keys carry the id that it had when it wrote them.
+    assert!(run_ids.contains(id));
+}
+
 /// Sends `receiver` the entry of a daemon that does not exist, listening at `peer_address`.
 async fn gossip_absent_daemon(receiver: net::SocketAddr, peer_address: net::SocketAddr) {
     let stream = tokio::net::TcpStream::connect(receiver)
--- a/crates/daemon/tests/idempotency.rs
+++ b/crates/daemon/tests/idempotency.rs
@@ -19,7 +19,7 @@
     Arc::new(process::ProcessState {
         table: table::TableClient::new(settings.table.clone()),
         settings,
-        boot_id: 7,
+        run_ids: process::RunIds::new(7),
         phase: process::PhaseCell::default(),
         config: config::ConfigStore::default(),
         targets: target::TargetRegistry::default(),
--- a/crates/daemon/tests/target.rs
+++ b/crates/daemon/tests/target.rs
@@ -11,7 +11,7 @@
 use acaciabank_core::member::TargetLoad;
 use acaciabank_daemon::{
     config, dispatch, idempotency, peer, process, table,
-    target::{PieceDelta, TargetRegistry, WithdrawalCause, run},
+    target::{PieceDelta, ReportAge, TargetRegistry, WithdrawalCause, run},
 };
 use acaciabank_protocol::{ids, settings};
 use serde_json::json;
@@ -164,7 +164,7 @@
     let state = Arc::new(process::ProcessState {
         table: table::TableClient::new(settings.table.clone()),
         settings,
-        boot_id: 1,
+        run_ids: process::RunIds::new(1),
         phase: process::PhaseCell::default(),
         config: config::ConfigStore::default(),
         targets: TargetRegistry::default(),
@@ -190,3 +190,52 @@
     assert_eq!(deltas[0].stored, [255]);
     state.phase.advance(process::Phase::Left);
 }
+
+/// Guards against loads that count as outdated, or as new, because the time of day of this host or
+/// of the target was set.
+#[test]
+fn ages_of_reports_do_not_depend_on_the_time_of_day() {
+    // The target's time of day when the monotonic clock of this process shows 0, an hour of
+    // difference in either direction.
+    for offset_ms in [1_796_000_000_000_u64, 1_796_003_600_000, 0] {
+        let mut ages = ReportAge::default();
+        for (stated_ms, received_ms) in [
+            (1_000, 1_003),
+            (1_500, 1_502),
+            (1_500, 2_502),
+            (3_000, 3_052),
+        ] {
+            let age = ages.record(offset_ms + stated_ms, received_ms);
+            let real = Duration::from_millis(received_ms - stated_ms);
+            // The shortest transit, of 2 ms, does not count, and the clocks may drift apart by a
+            // thousandth of the 1.6 s from the first report to the last.
+            let error = real.abs_diff(age);
+            assert!(
+                error <= Duration::from_micros(2_000 + 1_600),
+                "{age:?} instead of {real:?}"
+            );
+        }
+    }
+}
+
+/// Guards against reports that count as old forever after the target's clock was set back, and
+/// against an age that grows while one clock runs slower than the other.
+#[test]
+fn ages_of_reports_recover_after_the_clock_of_the_target_was_set() {
+    let mut ages = ReportAge::default();
+    let hour_ms = 3_600_000;
+    ages.record(2 * hour_ms, 1_000);
+    assert_eq!(ages.record(hour_ms, 1_500), Duration::ZERO);
+    assert_eq!(ages.record(hour_ms + 500, 2_000), Duration::ZERO);
+    assert_eq!(ages.record(3 * hour_ms, 2_500), Duration::ZERO);
+    // Half a second between reports, on a clock that loses 100 microseconds in a second.
+    let mut stated_us = 3 * hour_ms * 1_000;
+    for report in 1..100_000_u64 {
+        stated_us += 500_000 - 50;
+        let age = ages.record(stated_us / 1_000, 2_500 + report * 500);
+        assert!(
+            age <= Duration::from_millis(2),
+            "{age:?} at report {report}"
+        );
+    }
+}
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -91,6 +91,8 @@
             record(outlier::TargetOutcome::Failed);
             Err(AttemptFailure::timeout(request))
         }
+        // Other responses take this daemon's memory, which says nothing about the target.
+        Err(error @ connection::BodyError::OutOfMemory) => Err(AttemptFailure::broken(error)),
         Err(error) => {
             record(outlier::TargetOutcome::Failed);
             Err(AttemptFailure::broken(error))
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -70,7 +70,7 @@
 pub struct PeerReport {
     /// Name of the daemon.
     pub host: String,
-    /// Distinguishes runs of a daemon; a later run has a higher id.
+    /// Random number that distinguishes runs of a daemon.
     pub boot_id: u64,
     /// Sequence number of the report within the run.
     pub sequence: u64,
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -24,11 +24,22 @@
 struct PeerState {
     report: PeerReport,
     received_ms: u64,
+    /// Start of the daemon's run on this host's clock; negative if this host booted later.
+    started_ms: i64,
     /// Hash of the daemon's name.
     daemon_hash: u64,
 }
 
 impl PeerState {
+    /// Whether a report is newer than the last one. Runs are ordered by their start, not by an id
+    /// taken from the sender's time of day, which may have been set back between two runs.
+    fn is_replaced_by(&self, report: &PeerReport, now_ms: u64) -> bool {
+        if report.boot_id == self.report.boot_id {
+            return report.sequence > self.report.sequence;
+        }
+        run_start_ms(report, now_ms) > self.started_ms || !self.is_alive(now_ms)
+    }
+
     fn is_alive(&self, now_ms: u64) -> bool {
         let timeout_ms = LIVENESS_MARGIN_MS + 2 * u64::from(self.report.interval_ms);
         now_ms.saturating_sub(self.received_ms) < timeout_ms
@@ -76,14 +87,20 @@
     /// Stores a report unless it is older than the last one of its sender; returns whether it was
     /// stored.
     pub fn apply_report(&mut self, report: PeerReport, now_ms: u64) -> bool {
-        let version = (report.boot_id, report.sequence);
         let known = self.peers.get(&report.host);
-        if known.is_some_and(|known| (known.report.boot_id, known.report.sequence) >= version) {
+        if known.is_some_and(|known| !known.is_replaced_by(&report, now_ms)) {
             return false;
         }
-        let is_new = known.is_none_or(|known| known.report.boot_id != report.boot_id);
-        if is_new {
-            log::info!(peer = report.host.as_str(), address:% = report.peer_address; "peer_found");
+        let mut started_ms = run_start_ms(&report, now_ms);
+        match known.filter(|known| known.report.boot_id == report.boot_id) {
+            // The report with the shortest delay gives the best estimate.
+            Some(known) => started_ms = started_ms.min(known.started_ms),
+            None => {
+                log::info!(
+                    peer = report.host.as_str(), address:% = report.peer_address;
+                    "peer_found"
+                );
+            }
         }
         self.contacts
             .insert(report.peer_address, now_ms + CONTACT_TTL_MS);
@@ -92,6 +109,7 @@
         }
         let state = PeerState {
             received_ms: now_ms,
+            started_ms,
             daemon_hash: state::hash_name(&report.host),
             report,
         };
@@ -214,3 +232,9 @@
         }
     }
 }
+
+/// Returns the start of the sender's run on this host's clock, later by the delay of the report.
+fn run_start_ms(report: &PeerReport, now_ms: u64) -> i64 {
+    let signed = |ms: u64| i64::try_from(ms).unwrap_or(i64::MAX);
+    signed(now_ms).saturating_sub(signed(report.age_ms))
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod connection;
 mod discovery;
 mod dispatch;
-mod gossip;
+pub mod gossip;
 mod listener;
 mod planner;
 pub mod platform;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -168,7 +168,7 @@
             targets: RefCell::default(),
             peers: RefCell::default(),
             report_now: tokio::sync::Notify::new(),
-            boot_id: unix_ms(),
+            boot_id: rand::random(),
             started_ms: crate::clock::now_ms(),
             registered_hosts: Cell::new(0),
             newer_config_reported: tokio::sync::Notify::new(),
@@ -370,10 +370,5 @@
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
 
-fn unix_ms() -> u64 {
-    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    now.map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
-
 /// KV cache capacity assumed for an engine that is listed before the configuration is known.
 const DEFAULT_KV_TOKENS: u64 = 400_000;
