Count the prompts at an engine by priority

Cause: placement assumed that an engine processes its prompts in turns, so a short prompt was expected to wait for little behind a long one and was sent there for the sake of a cached part. With several long ones waiting it takes no longer, so the more urgent prompt is processed first but interrupts none. Apart from that the expected duration of a transfer counted the whole time to the first token, which made links look busy, and the fixed time of a prompt was counted for every request that ran.

Change: PromptBacklog counts prompts by priority; a prompt waits for those that are at least as urgent and for half of a less urgent one. Reports between daemons carry it. Transfers count their time on the link. A prompt at a decode engine costs half as much as before: it delays streams, but these are late only if a pause becomes too long.

Also: both parsers of event streams split with one EventBuffer, which looks at every byte a bounded number of times. Before, the daemon copied the whole unfinished event and the relay searched it for every part, the square of its size.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod outlier;
 pub mod placement;
 pub mod prefix;
+pub mod prompt_backlog;
 pub mod prompt_speed;
 pub mod role_planner;
 pub mod route;
--- a/crates/core/src/load_shed/mod.rs
+++ b/crates/core/src/load_shed/mod.rs
@@ -1,7 +1,7 @@
 //! Load shedding: refusal of requests that the engines cannot serve in time.
 //!
-//! An engine interleaves the processing of its prompts, so under overload a few excess prompts make
-//! all of them late. A request is therefore refused at once if the work of other requests would
+//! An engine processes its prompts one after another, so under overload every excess prompt delays
+//! all that follow it. A request is therefore refused at once if the work of other requests would
 //! take most of its target latency. The size of its own prompt does not count, so that long prompts
 //! are not starved. Less urgent requests are refused first.
 //!
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -8,7 +8,7 @@
 //! with the lowest cost wins: the expected time to the first token, plus the engine time that the
 //! plan uses, since that delays the requests behind it.
 
-use crate::route;
+use crate::{prompt_backlog::WorkAhead, route};
 
 /// Stage of generation that an engine serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
@@ -46,6 +46,8 @@
     pub stage: EngineStage,
     /// Prompt tokens that all daemons have sent to the engine and that it has not processed yet.
     pub backlog_tokens: u64,
+    /// Those that the engine processes before the request's prompt.
+    pub ahead: WorkAhead,
     /// Running requests; at a prefill engine, prompts that are being processed.
     pub running: u32,
     /// Expected time of the KV cache transfers to the engine that have not ended yet.
@@ -98,6 +100,8 @@
     pub prompt_ms: f64,
     /// Part of the time to the first token that other requests cause.
     pub wait_ms: f64,
+    /// Time for which the KV cache transfer to the decode engine occupies its link.
+    pub transfer_ms: f64,
     /// Prompt tokens that have to be processed.
     pub uncached_tokens: u64,
     /// Cost by which plans are compared: the time to the first token and the weighted engine and
@@ -108,9 +112,10 @@
 /// Weight of the prefill engine time that a plan uses, relative to the time that its caller waits:
 /// half of the requests find another one at the engine.
 const PREFILL_WORK_WEIGHT: f64 = 0.5;
-/// Weight of the decode engine time that a prompt uses, for each request that the engine runs: a
-/// prompt there delays every token of every stream.
-const DECODE_WORK_WEIGHT: f64 = 1.0;
+/// Weight of the decode engine time that a prompt uses, for each request that the engine runs. A
+/// prompt there delays every token of every stream, but a stream is late only if the pause between
+/// two of its events becomes too long.
+const DECODE_WORK_WEIGHT: f64 = 0.5;
 /// Minimum number of requests that a prompt at a decode engine is assumed to delay, as more arrive
 /// while it is processed.
 const MIN_DELAYED_REQUESTS: f64 = 3.0;
@@ -334,12 +339,10 @@
         };
         let estimate = |uncached_tokens: u64, fetch_ms: f64, source| {
             let work_ms = uncached_tokens as f64 / tokens_per_ms + self.rates.prompt_base_ms;
-            // An engine interleaves the processing of its prompts, so a short one does not wait for
-            // the end of long ones.
-            let interleaved_tokens = u64::from(candidate.running).saturating_mul(uncached_tokens);
-            let steps_ms = f64::from(candidate.running) * self.rates.prompt_base_ms;
-            let wait_ms =
-                candidate.backlog_tokens.min(interleaved_tokens) as f64 / tokens_per_ms + steps_ms;
+            let ahead = &candidate.ahead;
+            // Short prompts are processed together in one step.
+            let step_ms = ahead.prompts.min(1.0) * self.rates.prompt_base_ms;
+            let wait_ms = ahead.tokens / tokens_per_ms + step_ms;
             let occupied_ms = match stage {
                 EngineStage::Prefill => work_ms,
                 EngineStage::Decode => work_ms + wait_ms,
@@ -403,6 +406,7 @@
             first_token_ms,
             prompt_ms: prompt.done_ms,
             wait_ms: prompt.wait_ms + batch_wait_ms,
+            transfer_ms: 0.0,
             uncached_tokens: prompt.uncached_tokens,
             cost_ms: first_token_ms + prompt.extra_cost_ms,
         }
@@ -430,6 +434,7 @@
             first_token_ms,
             prompt_ms: prompt.done_ms,
             wait_ms: prompt.wait_ms + queue_ms,
+            transfer_ms,
             uncached_tokens: prompt.uncached_tokens,
             cost_ms: first_token_ms + extra_cost_ms - self.home_discount_ms(prefill),
         }
--- a/crates/daemon/src/dispatch/completion.rs
+++ b/crates/daemon/src/dispatch/completion.rs
@@ -169,8 +169,8 @@
                     false => Err(attempt::AttemptFailure::broken("the stream ended early")),
                 };
             };
-            parser.push(part);
-            while let Some(event) = parser.next().map_err(stream_failure)? {
+            parser.push(&part);
+            while let Some(event) = parser.next_event().map_err(stream_failure)? {
                 match event {
                     StreamEvent::Done if !self.cursor.has_finished => {
                         return Err(stream_failure("the stream has no finish reason".to_owned()));
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -14,7 +14,7 @@
 mod service;
 mod sink;
 mod slot;
-mod sse;
+pub mod sse;
 mod token_times;
 mod turn;
 
--- a/crates/daemon/src/dispatch/sse.rs
+++ b/crates/daemon/src/dispatch/sse.rs
@@ -1,5 +1,6 @@
 //! Server-sent events of an engine's stream and the position of delivered tokens.
 
+use acaciabank_relay::event_stream::EventBuffer;
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::{Value, value::RawValue};
@@ -12,7 +13,7 @@
 
 /// One event of a stream.
 #[derive(Debug)]
-pub(super) enum StreamEvent {
+pub enum StreamEvent {
     /// A chunk of the completion.
     Chunk(StreamChunk),
     /// The `[DONE]` marker at the end of the stream.
@@ -21,28 +22,28 @@
 
 /// A chunk of a completion as received.
 #[derive(Debug)]
-pub(super) struct StreamChunk {
+pub struct StreamChunk {
     /// The encoded event with its trailing blank line, ready for delivery.
     event: Bytes,
     /// Fields that decide whether the chunk is delivered.
-    pub(super) summary: ChunkSummary,
+    pub summary: ChunkSummary,
 }
 
 /// The fields of a chunk that determine its position in the completion.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) struct ChunkSummary {
+pub struct ChunkSummary {
     /// JSON text of the id; empty if there is none.
-    pub(super) id: Bytes,
+    pub id: Bytes,
     /// Whether there is a choice; a chunk with only the usage has none.
-    pub(super) has_choice: bool,
+    pub has_choice: bool,
     /// Whether the choice has text.
-    pub(super) has_text: bool,
+    pub has_text: bool,
     /// Whether the choice states its finish reason.
-    pub(super) has_finish_reason: bool,
+    pub has_finish_reason: bool,
     /// Number of tokens generated so far, if stated.
-    pub(super) completion_tokens: Option<u64>,
+    pub completion_tokens: Option<u64>,
     /// Whether the chunk reports an error.
-    pub(super) is_error: bool,
+    pub is_error: bool,
 }
 
 /// The fields of a chunk that are read. Everything else is skipped without building a JSON tree,
@@ -83,7 +84,11 @@
 
 impl ChunkSummary {
     /// Parses the data of an event; a chunk of an unexpected shape is parsed as a JSON tree.
-    fn parse(data: &Bytes) -> Result<Self, String> {
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if the data are not JSON.
+    pub fn parse(data: &Bytes) -> Result<Self, String> {
         let Ok(fields) = serde_json::from_slice::<ChunkFields<'_>>(data) else {
             let chunk: Value = serde_json::from_slice(data).map_err(|error| error.to_string())?;
             return Ok(Self::from_value(&chunk));
@@ -109,7 +114,8 @@
         })
     }
 
-    fn from_value(chunk: &Value) -> Self {
+    /// Reads the same fields from a JSON tree.
+    pub fn from_value(chunk: &Value) -> Self {
         let choice = &chunk["choices"][0];
         let id = match &chunk["id"] {
             Value::Null => Bytes::new(),
@@ -133,7 +139,7 @@
 impl StreamChunk {
     /// The event to deliver with the given id: a completion keeps the id of its first chunk over
     /// all attempts.
-    pub(super) fn into_event(self, id: &Bytes) -> Result<Bytes, String> {
+    pub fn into_event(self, id: &Bytes) -> Result<Bytes, String> {
         if self.summary.id == *id {
             return Ok(self.event);
         }
@@ -143,7 +149,7 @@
     }
 
     /// Parses the chunk into a JSON tree.
-    pub(super) fn to_value(&self) -> Result<Value, String> {
+    pub fn to_value(&self) -> Result<Value, String> {
         let data = event_data(&self.event);
         serde_json::from_slice(&data).map_err(|error| error.to_string())
     }
@@ -151,23 +157,24 @@
 
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
-pub(super) struct EventParser {
-    buffer: Bytes,
+pub struct EventParser {
+    buffer: EventBuffer,
 }
 
 impl EventParser {
-    /// Appends received bytes. Most parts hold complete events, which are returned without a copy.
-    pub(super) fn push(&mut self, part: Bytes) {
-        self.buffer = match self.buffer.is_empty() {
-            true => part,
-            false => Bytes::from([&self.buffer[..], &part[..]].concat()),
-        };
+    /// Appends received bytes.
+    pub fn push(&mut self, part: &[u8]) {
+        self.buffer.push(part);
     }
 
-    /// The next complete event, or `None` if more bytes are needed.
-    pub(super) fn next(&mut self) -> Result<Option<StreamEvent>, String> {
-        while let Some((length, separator)) = find_event_end(&self.buffer) {
-            let event = self.buffer.split_to(length + separator);
+    /// Returns the next complete event, or `None` if more bytes are needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if the event is longer than 256 KiB or is not JSON.
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, String> {
+        while let Some(event) = self.buffer.take_event() {
+            let length = event.trim_ascii_end().len();
             let single_line = is_single_line(&event, length);
             let data = match single_line {
                 true => event.slice_ref(event[DATA_FIELD.len()..length].trim_ascii()),
@@ -201,24 +208,6 @@
         && !event[..length].contains(&b'\r')
 }
 
-/// Length of the first event and length of the line breaks that end it.
-fn find_event_end(buffer: &[u8]) -> Option<(usize, usize)> {
-    let ends = buffer
-        .iter()
-        .enumerate()
-        .filter(|(_, byte)| **byte == b'\n');
-    for (position, _) in ends {
-        let rest = &buffer[position + 1..];
-        if rest.starts_with(b"\n") {
-            return Some((position, 2));
-        }
-        if rest.starts_with(b"\r\n") {
-            return Some((position, 3));
-        }
-    }
-    None
-}
-
 /// Joins the `data` lines of an event.
 fn event_data(event: &[u8]) -> Bytes {
     let lines = event.split(|byte| *byte == b'\n');
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -43,6 +43,8 @@
     pub prompt_ms: f64,
     /// Part of `first_token_ms` that is spent waiting for other requests.
     pub wait_ms: f64,
+    /// Time for which the KV cache transfer to the decode engine occupies its link.
+    pub transfer_ms: f64,
     /// Load counted by the scheduler; `None` if this daemon selected the engines.
     pub assigned: Option<rc::Rc<scheduler::AssignedWork>>,
 }
@@ -88,11 +90,12 @@
         &self,
         state: &state::RelayState<Codec, Store>,
         parts: &[prefix::PromptPart],
+        priority: u8,
         is_prefilled: bool,
     ) -> EngineWork {
         match &self.assigned {
             Some(work) => EngineWork::Assigned(rc::Rc::clone(work)),
-            None => EngineWork::Own(self.reserve(state, parts, is_prefilled)),
+            None => EngineWork::Own(self.reserve(state, parts, priority, is_prefilled)),
         }
     }
 
@@ -102,18 +105,19 @@
         &self,
         state: &state::RelayState<Codec, Store>,
         parts: &[prefix::PromptPart],
+        priority: u8,
         is_prefilled: bool,
     ) -> target::TargetWork {
         if is_prefilled {
-            let transfer_ms = (self.first_token_ms - self.wait_ms) as u64;
-            let ready = state::PartsReady::Expected(transfer_ms);
+            let first_token_ms = (self.first_token_ms - self.wait_ms) as u64;
+            let ready = state::PartsReady::Expected(first_token_ms);
             state.record_parts(&self.decode, parts, ready);
-            return target::TargetWork::start(&self.decode, 0, transfer_ms);
+            return target::TargetWork::start(&self.decode, self.transfer_ms as u64);
         }
         let engine = self.prefill.as_ref().unwrap_or(&self.decode);
         let ready = state::PartsReady::Expected(self.prompt_ms as u64);
         state.record_parts(engine, parts, ready);
-        let work = target::TargetWork::start(engine, self.uncached_tokens, 0);
+        let work = target::TargetWork::start_prompt(engine, priority, self.uncached_tokens);
         // The time of these prompts includes a fetch, or the tokens of other requests.
         match self.prefill.is_none() || self.source.is_some() {
             true => work.without_timer(),
@@ -131,6 +135,8 @@
     pub parts: &'a [prefix::PromptPart],
     /// Length of the prompt in tokens.
     pub prompt_tokens: u64,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
     /// Hashes of engines that failed the request and are not selected again.
     pub excluded: &'a [u64],
     /// Hash of the availability zone of the daemon that handles the request.
@@ -159,6 +165,7 @@
         service: &request.service,
         parts: &request.parts,
         prompt_tokens: request.prompt_tokens(),
+        priority: request.route.priority,
         excluded: &progress.excluded,
         zone_hash: state.zone_hash,
     };
@@ -216,6 +223,7 @@
         first_token_ms: placed.first_token_ms,
         prompt_ms: placed.prompt_ms,
         wait_ms: placed.wait_ms,
+        transfer_ms: placed.transfer_ms,
         assigned: Some(rc::Rc::new(work)),
     })
 }
@@ -257,6 +265,7 @@
         first_token_ms: choice.first_token_ms,
         prompt_ms: choice.prompt_ms,
         wait_ms: choice.wait_ms,
+        transfer_ms: choice.transfer_ms,
         assigned: None,
     })
 }
@@ -278,12 +287,15 @@
     let candidate = |target: &rc::Rc<target::TargetState>| {
         let peer_load = peers.load_of(target.hash);
         let is_same_zone = target.zone_hash == prompt.zone_hash;
+        let mut backlog = target.backlog.get();
+        backlog.merge(&peer_load.backlog);
         placement::EngineCandidate {
             is_available: target.is_accepting(now_ms) && !prompt.excluded.contains(&target.hash),
             stage: target
                 .stage(now_ms)
                 .unwrap_or(placement::EngineStage::Decode),
-            backlog_tokens: peer_load.backlog_tokens + target.backlog_tokens.get(),
+            backlog_tokens: backlog.tokens(),
+            ahead: backlog.ahead_of(prompt.priority),
             running: peer_load.running + target.running.get(),
             transfer_ms: (peer_load.transfer_ms + target.transfer_ms.get()) as f64,
             slots: target.entry.slots,
--- a/crates/relay/src/dispatch/events.rs
+++ b/crates/relay/src/dispatch/events.rs
@@ -2,10 +2,12 @@
 
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::event_stream::EventBuffer;
+
 /// Maximum size of an event with the comments before it. An event holds a few tokens, and hundreds
 /// of streams of faulty engines must fit into the memory of a small host.
 const MAX_EVENT_BYTES: usize = 64 << 10;
@@ -23,7 +25,7 @@
 #[derive(Debug)]
 pub struct EventReader {
     body: Incoming,
-    buffer: BytesMut,
+    buffer: EventBuffer,
     last_id: Option<u64>,
 }
 
@@ -32,7 +34,7 @@
     pub fn new(body: Incoming, last_id: Option<u64>) -> Self {
         Self {
             body,
-            buffer: BytesMut::new(),
+            buffer: EventBuffer::default(),
             last_id,
         }
     }
@@ -48,10 +50,7 @@
     /// data is lost if the future is dropped.
     pub async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, ReadError> {
         loop {
-            if let Some(end) = complete_events_end(&self.buffer)
-                && has_event(&self.buffer[..end])
-            {
-                let events = self.buffer.split_to(end).freeze();
+            if let Some(events) = self.buffer.take_events() {
                 self.last_id = last_id(&events).or(self.last_id);
                 return Ok(Some(events));
             }
@@ -70,12 +69,12 @@
                 Ok(Some(Err(error))) => return Err(ReadError::Broken(error.to_string())),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
+                        self.buffer.push(&data);
                     }
                 }
                 Ok(None) if self.buffer.is_empty() => return Ok(None),
-                Ok(None) if complete_events_end(&self.buffer) == Some(self.buffer.len()) => {
-                    return Ok(Some(self.buffer.split().freeze()));
+                Ok(None) if self.buffer.is_complete() => {
+                    return Ok(Some(self.buffer.take_rest()));
                 }
                 Ok(None) => {
                     let message = "the stream ended within an event";
@@ -86,28 +85,8 @@
     }
 }
 
-/// Returns the end of the last complete event, which is after the last empty line.
-pub fn complete_events_end(bytes: &[u8]) -> Option<usize> {
-    let mut end = bytes.len();
-    while let Some(newline) = bytes[..end].iter().rposition(|byte| *byte == b'\n') {
-        let before = &bytes[..newline];
-        let before = before.strip_suffix(b"\r").unwrap_or(before);
-        if before.ends_with(b"\n") {
-            return Some(newline + 1);
-        }
-        end = newline;
-    }
-    None
-}
-
-/// Whether complete lines contain a field of an event, other than comments and empty lines.
-fn has_event(bytes: &[u8]) -> bool {
-    let mut lines = bytes.split(|byte| *byte == b'\n');
-    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
-}
-
 /// Returns the id of the last event that has one.
-pub fn last_id(events: &[u8]) -> Option<u64> {
+fn last_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|byte| *byte == b'\n').rev();
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()
--- a/crates/relay/src/dispatch/generate/kv_handle.rs
+++ b/crates/relay/src/dispatch/generate/kv_handle.rs
@@ -65,7 +65,7 @@
     engine: &rc::Rc<target::TargetState>,
     deadline: Instant,
 ) -> Result<KvHandle, AttemptFailure> {
-    let work = plan.start_work(state, &request.parts, false);
+    let work = plan.start_work(state, &request.parts, request.route.priority, false);
     let metadata = platform::ForwardMetadata {
         target_id: &engine.entry.id,
         deadline_ms: request.remaining_ms(),
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -296,7 +296,12 @@
 ) -> Result<StreamStart, AttemptFailure> {
     let deadline = first_event_deadline(request, progress, plan);
     let prefill_ms = request.elapsed_ms();
-    let work = plan.start_work(state, &request.parts, handle.is_some());
+    let work = plan.start_work(
+        state,
+        &request.parts,
+        request.route.priority,
+        handle.is_some(),
+    );
     let metadata = platform::ForwardMetadata {
         target_id: &plan.decode.entry.id,
         deadline_ms: request.remaining_ms(),
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -68,7 +68,7 @@
     target: &rc::Rc<target::TargetState>,
 ) -> Result<(http::response::Parts, Bytes), AttemptFailure> {
     let deadline = attempt_deadline(request, progress);
-    let _work = target::TargetWork::start(target, 0, 0);
+    let _work = target::TargetWork::start(target, 0);
     let metadata = platform::ForwardMetadata {
         target_id: &target.entry.id,
         deadline_ms: request.remaining_ms(),
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -11,7 +11,7 @@
 
 use std::net;
 
-use acaciabank_core::placement::EngineStage;
+use acaciabank_core::{placement::EngineStage, prompt_backlog::PromptBacklog};
 use serde::{Deserialize, Serialize};
 
 use crate::platform;
@@ -23,8 +23,8 @@
     pub target_hash: u64,
     /// Requests that run there.
     pub running: u32,
-    /// Prompt tokens that are not processed yet.
-    pub backlog_tokens: u32,
+    /// Prompts that are not processed yet.
+    pub backlog: PromptBacklog,
     /// Time that pending transfers of KV cache to the target are expected to take.
     pub transfer_ms: u32,
 }
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net};
 
-use acaciabank_core::scheduler::SchedulerCandidate;
+use acaciabank_core::{prompt_backlog::PromptBacklog, scheduler::SchedulerCandidate};
 
 use super::PeerReport;
 use crate::{scheduler, state};
@@ -70,8 +70,8 @@
 pub struct LoadSum {
     /// Requests that run there.
     pub running: u32,
-    /// Prompt tokens that are not processed yet.
-    pub backlog_tokens: u64,
+    /// Prompts that are not processed yet.
+    pub backlog: PromptBacklog,
     /// Time that pending transfers of KV cache to the target are expected to take.
     pub transfer_ms: u64,
 }
@@ -226,7 +226,7 @@
             for load in &peer.report.loads {
                 let sum = self.loads.entry(load.target_hash).or_default();
                 sum.running += load.running;
-                sum.backlog_tokens += u64::from(load.backlog_tokens);
+                sum.backlog.merge(&load.backlog);
                 sum.transfer_ms += u64::from(load.transfer_ms);
             }
         }
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -223,7 +223,7 @@
     let entries = busy.map(|target| LoadEntry {
         target_hash: target.hash,
         running: target.running.get(),
-        backlog_tokens: u32::try_from(target.backlog_tokens.get()).unwrap_or(u32::MAX),
+        backlog: target.backlog.get(),
         transfer_ms: u32::try_from(target.transfer_ms.get()).unwrap_or(u32::MAX),
     });
     entries.collect()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod connection;
 mod discovery;
 mod dispatch;
+pub mod event_stream;
 pub mod gossip;
 mod listener;
 mod planner;
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -181,7 +181,7 @@
                 stage: target.stage(now_ms)?,
                 is_switching: target.switching_until_ms.get() > now_ms,
                 running: peer_load.running + target.running.get(),
-                backlog_tokens: peer_load.backlog_tokens + target.backlog_tokens.get(),
+                backlog_tokens: peer_load.backlog.tokens() + target.backlog.get().tokens(),
                 slots: target.entry.slots,
                 changed_ms: self.changed_ms.get(&target.hash).copied(),
             })
--- a/crates/relay/src/scheduler/message.rs
+++ b/crates/relay/src/scheduler/message.rs
@@ -43,6 +43,8 @@
     pub prompt_ms: f64,
     /// The part of `first_token_ms` that is spent waiting for other requests.
     pub wait_ms: f64,
+    /// Time for which the KV cache transfer to the engine that generates occupies its link.
+    pub transfer_ms: f64,
 }
 
 /// Response to a [`PlacementRequest`].
--- a/crates/relay/src/scheduler/server.rs
+++ b/crates/relay/src/scheduler/server.rs
@@ -53,6 +53,7 @@
         service: &request.service,
         parts: &request.parts,
         prompt_tokens: request.prompt_tokens,
+        priority: request.intake.priority,
         excluded: &request.excluded,
         zone_hash: request.zone_hash,
     };
@@ -60,7 +61,12 @@
     let decision = load_shed::decide(&request.intake, plan.wait_ms, plan.first_token_ms, 0.0);
     // A request that the other daemon will refuse is not counted as load.
     if prefilled.is_some() || decision == load_shed::IntakeDecision::Accept {
-        let work = plan.reserve(state, &request.parts, prefilled.is_some());
+        let work = plan.reserve(
+            state,
+            &request.parts,
+            request.intake.priority,
+            prefilled.is_some(),
+        );
         let mut placed = state.scheduler.placed.borrow_mut();
         if placed.len() < MAX_PLACED {
             let expires_ms = now_ms + request.intake.remaining_ms + EXPIRY_SLACK_MS;
@@ -80,6 +86,7 @@
         first_token_ms: plan.first_token_ms,
         prompt_ms: plan.prompt_ms,
         wait_ms: plan.wait_ms,
+        transfer_ms: plan.transfer_ms,
     })
 }
 
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_core::{outlier, placement, prefix};
+use acaciabank_core::{outlier, placement, prefix, prompt_backlog::PromptBacklog};
 
 use crate::{connection, platform};
 
@@ -42,8 +42,8 @@
     pub pool: connection::IdlePool,
     /// Number of this daemon's requests that are running on it.
     pub running: Cell<u32>,
-    /// Prompt tokens of this daemon's requests that it has not processed yet.
-    pub backlog_tokens: Cell<u64>,
+    /// Prompts of this daemon's requests that it has not processed yet.
+    pub backlog: Cell<PromptBacklog>,
     /// Number of prompts that were sent to it so far.
     pub prompt_count: Cell<u64>,
     /// Expected time of the KV cache transfers to it for this daemon's requests, in milliseconds.
@@ -68,7 +68,7 @@
             is_replaced: Cell::new(false),
             pool: connection::IdlePool::default(),
             running: Cell::new(0),
-            backlog_tokens: Cell::new(0),
+            backlog: Cell::default(),
             prompt_count: Cell::new(0),
             transfer_ms: Cell::new(0),
             detector: RefCell::default(),
@@ -77,6 +77,12 @@
         }
     }
 
+    fn change_backlog(&self, change: impl FnOnce(&mut PromptBacklog)) {
+        let mut backlog = self.backlog.get();
+        change(&mut backlog);
+        self.backlog.set(backlog);
+    }
+
     fn export(&self, versions: &HashMap<String, u64>) -> platform::TargetEntry {
         platform::TargetEntry {
             version: versions
@@ -141,7 +147,8 @@
 pub struct TargetWork {
     /// Target that runs the request.
     pub target: rc::Rc<TargetState>,
-    pending_tokens: Cell<u64>,
+    /// Priority and tokens of the prompt until it is processed.
+    pending: Cell<Option<(u8, u64)>>,
     transfer_ms: Cell<u64>,
     timer: Cell<Option<PromptTimer>>,
 }
@@ -165,32 +172,35 @@
 }
 
 impl TargetWork {
-    /// Counts a request with `prefill_tokens` to process and a KV cache transfer of `transfer_ms`.
-    pub fn start(target: &rc::Rc<TargetState>, prefill_tokens: u64, transfer_ms: u64) -> Self {
-        let is_idle = target.running.get() == 0;
-        if prefill_tokens > 0 {
-            target.prompt_count.set(target.prompt_count.get() + 1);
-        }
-        let timer = (is_idle && prefill_tokens > 0).then(|| PromptTimer {
-            started: Instant::now(),
-            tokens: prefill_tokens,
-            prompt_count: target.prompt_count.get(),
-        });
+    /// Counts a request without a prompt to process, and a KV cache transfer of `transfer_ms`.
+    pub fn start(target: &rc::Rc<TargetState>, transfer_ms: u64) -> Self {
         target.running.set(target.running.get() + 1);
-        target
-            .backlog_tokens
-            .set(target.backlog_tokens.get() + prefill_tokens);
         target
             .transfer_ms
             .set(target.transfer_ms.get() + transfer_ms);
         Self {
             target: rc::Rc::clone(target),
-            pending_tokens: Cell::new(prefill_tokens),
+            pending: Cell::default(),
             transfer_ms: Cell::new(transfer_ms),
-            timer: Cell::new(timer),
+            timer: Cell::default(),
         }
     }
 
+    /// Counts a request with a prompt of which `tokens` have to be processed.
+    pub fn start_prompt(target: &rc::Rc<TargetState>, priority: u8, tokens: u64) -> Self {
+        let is_idle = target.running.get() == 0;
+        let work = Self::start(target, 0);
+        target.prompt_count.set(target.prompt_count.get() + 1);
+        target.change_backlog(|backlog| backlog.add(priority, tokens));
+        work.pending.set(Some((priority, tokens)));
+        work.timer.set(is_idle.then(|| PromptTimer {
+            started: Instant::now(),
+            tokens,
+            prompt_count: target.prompt_count.get(),
+        }));
+        work
+    }
+
     /// Makes [`end_prefill`](Self::end_prefill) return no processed prompt, because the engine does
     /// something else for it too.
     pub fn without_timer(self) -> Self {
@@ -202,9 +212,9 @@
     /// the prompt if it was processed and no other one was sent to the engine meanwhile.
     pub fn end_prefill(&self) -> Option<ProcessedPrompt> {
         let target = &self.target;
-        target
-            .backlog_tokens
-            .set(target.backlog_tokens.get() - self.pending_tokens.take());
+        if let Some((priority, tokens)) = self.pending.take() {
+            target.change_backlog(|backlog| backlog.remove(priority, tokens));
+        }
         target
             .transfer_ms
             .set(target.transfer_ms.get() - self.transfer_ms.take());
