Test the hand-over of the relays' lease with processes

The proof of the hand-over rested on the lease of the own interface and on the model in core. Three tests now kill, pause and stop the relay that holds the lease for stage orders, before engines that check no fencing token: orders of two holders are at least 3 s apart, fencing tokens rise, and the successor orders what is due. The paused one is caught in the 300 ms between its announcement and its orders.

--- a/crates/testbed/src/harness/launch.rs
+++ b/crates/testbed/src/harness/launch.rs
@@ -210,8 +210,8 @@
         self.launcher.folder().join(format!("{}.log", self.name))
     }
 
-    /// Path of the file with the standard output of the last run.
-    fn output_file(&self) -> path::PathBuf {
+    /// Returns the path of the file with the standard output of the last run.
+    pub fn output_file(&self) -> path::PathBuf {
         self.launcher.folder().join(format!("{}.out", self.name))
     }
 
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod faulty_targets;
 mod fixture;
 mod guarantees;
+mod handover;
 mod lifecycle;
 mod peers;
 mod silences;
