--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -345,6 +345,63 @@
     assert_eq!(served.load(Ordering::SeqCst), 2);
 }
 
+/// Returns a complete stream of six tokens for a connection that stays open.
+fn kept_response(id: &str, id_header: &str, word: &str) -> String {
+    let mut events = String::new();
+    for token in 1..=6 {
+        let finish = (token == 6).then_some("length");
+        let chunk = json!({"id": id, "object": "text_completion",
+            "choices": [{"index": 0, "text": format!("{word}{token} "), "finish_reason": finish}],
+            "usage": {"completion_tokens": token}});
+        events.push_str(&format!("data: {chunk}\n\n"));
+    }
+    events.push_str("data: [DONE]\n\n");
+    let length = events.len();
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{id_header}\
+         content-length: {length}\r\n\r\n{events}"
+    )
+}
+
+/// Guards against the delivery of a second copy of an earlier response that carries no id, on a
+/// connection on which the target has echoed ids before.
+#[tokio::test]
+async fn a_copy_without_an_id_on_a_kept_connection_is_dropped() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let copies = Arc::new(AtomicUsize::new(0));
+    let sent_copies = Arc::clone(&copies);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let sent_copies = Arc::clone(&sent_copies);
+            tokio::spawn(async move {
+                let mut former = None;
+                while let Some((path, id, _)) = read_request(&mut stream).await {
+                    let response = match former.replace(id.clone()) {
+                        _ if path == "/admin/state" => STATE_RESPONSE.to_owned(),
+                        None => kept_response(&id, &format!("x-request-id: {id}\r\n"), "t"),
+                        Some(former) => {
+                            sent_copies.fetch_add(1, Ordering::SeqCst);
+                            kept_response(&former, "", "copy")
+                        }
+                    };
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let state = state_with_targets(&[address]);
+    for _ in 0..2 {
+        let response = dispatch::dispatch(&state, completion_request(&state, true))
+            .await
+            .unwrap();
+        assert_eq!(completion_text(response).await, "t1 t2 t3 t4 t5 t6 ");
+    }
+    assert_eq!(copies.load(Ordering::SeqCst), 1);
+}
+
 /// A request whose prompt is long enough to be processed at a prefill target.
 fn long_completion_request(
     state: &process::ProcessState,
