--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -342,6 +342,19 @@
         .await
     }
 
+    /// Like [`send`](Self::send), for a request that must get a response.
+    pub async fn response(
+        &self,
+        method: &str,
+        path: &str,
+        attempt: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> web::BufferedResponse {
+        let sent = self.send(method, path, attempt, headers, body).await;
+        sent.expect("a response")
+    }
+
     /// Requests a stream of `events` events.
     pub async fn request_stream(
         &self,
--- a/crates/testbed/tests/relay/guarantees.rs
+++ b/crates/testbed/tests/relay/guarantees.rs
@@ -56,9 +56,8 @@
 async fn responses_are_passed_on_unchanged_with_their_signature() {
     let (_fixture, runners, relay) = start_fixture().await;
     let response = relay
-        .send("POST", "/once/a?b=c", "n-1", &[], "notice")
-        .await
-        .expect("a response");
+        .response("POST", "/once/a?b=c", "n-1", &[], "notice")
+        .await;
     assert_eq!(response.status, 200);
     assert_eq!(response.body, "n-1:notice");
     assert!(
@@ -74,10 +73,7 @@
 async fn a_lost_response_does_not_retry_a_non_idempotent_request() {
     let (fixture, runners, relay) = start_fixture().await;
     control_all(&runners, json!({"loses_answers": true})).await;
-    let response = relay
-        .send("POST", "/once/a", "n-2", &[], "x")
-        .await
-        .expect("a response");
+    let response = relay.response("POST", "/once/a", "n-2", &[], "x").await;
     assert_eq!(
         response.status, 502,
         "the request may have run; 429 and 503 would state that it did not"
@@ -103,10 +99,7 @@
     runners[0].control(json!({"loses_answers": true})).await;
     for number in 0..6 {
         let attempt = format!("s-{number}");
-        let response = relay
-            .send("GET", "/safe/a", &attempt, &[], "")
-            .await
-            .expect("a response");
+        let response = relay.response("GET", "/safe/a", &attempt, &[], "").await;
         assert_eq!(response.status, 200, "{attempt}");
     }
 }
@@ -116,10 +109,7 @@
 async fn a_request_is_refused_only_if_no_runner_ran_it() {
     let (fixture, runners, relay) = start_fixture().await;
     control_all(&runners, json!({"refuses": true})).await;
-    let response = relay
-        .send("POST", "/once/a", "n-3", &[], "x")
-        .await
-        .expect("a response");
+    let response = relay.response("POST", "/once/a", "n-3", &[], "x").await;
     assert_eq!(response.status, 503);
     assert!(response.headers.contains_key("retry-after"));
     assert_eq!(total_run_count(&runners, "n-3").await, 0);
@@ -135,15 +125,9 @@
 async fn a_response_to_another_request_reaches_no_caller() {
     let (_fixture, runners, relay) = start_fixture().await;
     control_all(&runners, json!({"crosses_answers": true})).await;
-    let response = relay
-        .send("POST", "/once/a", "n-4", &[], "x")
-        .await
-        .expect("a response");
+    let response = relay.response("POST", "/once/a", "n-4", &[], "x").await;
     assert_eq!(response.status, 502);
-    let response = relay
-        .send("GET", "/safe/a", "s-9", &[], "")
-        .await
-        .expect("a response");
+    let response = relay.response("GET", "/safe/a", "s-9", &[], "").await;
     assert_eq!(response.status, 502);
 }
 
@@ -152,10 +136,7 @@
 async fn a_truncated_response_is_not_passed_on_as_complete() {
     let (_fixture, runners, relay) = start_fixture().await;
     control_all(&runners, json!({"cuts_bodies": true})).await;
-    let response = relay
-        .send("POST", "/once/a", "n-5", &[], "x")
-        .await
-        .expect("a response");
+    let response = relay.response("POST", "/once/a", "n-5", &[], "x").await;
     assert_eq!(response.status, 502);
     assert_eq!(total_run_count(&runners, "n-5").await, 1);
 }
@@ -169,10 +150,7 @@
         .await;
     control_all(&runners, json!({"is_mute": true})).await;
     harness::wait_until(TIMEOUT, "the new timeout takes effect", async || {
-        let response = relay
-            .send("POST", "/once/a", "n-6", &[], "x")
-            .await
-            .expect("a response");
+        let response = relay.response("POST", "/once/a", "n-6", &[], "x").await;
         response.status == 504
     })
     .await;
@@ -188,9 +166,8 @@
         ("x-acaciabank-stage", "prefill"),
     ];
     let response = relay
-        .send("POST", "/once/a", "n-7", &headers, "x")
-        .await
-        .expect("a response");
+        .response("POST", "/once/a", "n-7", &headers, "x")
+        .await;
     assert_eq!(response.status, 200);
     for runner in &runners {
         let entries = runner.journal().await;
@@ -203,10 +180,7 @@
 #[tokio::test]
 async fn a_path_without_a_route_gets_404_and_a_large_body_413() {
     let (_fixture, _runners, relay) = start_fixture().await;
-    let response = relay
-        .send("GET", "/unknown/a", "u-1", &[], "")
-        .await
-        .expect("a response");
+    let response = relay.response("GET", "/unknown/a", "u-1", &[], "").await;
     assert_eq!(response.status, 404);
     let body = "x".repeat(1_000_001);
     let response = relay.send("POST", "/once/a", "u-2", &[], &body).await;
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -31,10 +31,7 @@
         .write_config(6, |config| config["routes"][1]["prefix"] = "/six/".into())
         .await;
     relay.wait_serving("/safe/a").await;
-    let response = relay
-        .send("GET", "/five/a", "c-1", &[], "")
-        .await
-        .expect("a response");
+    let response = relay.response("GET", "/five/a", "c-1", &[], "").await;
     assert_eq!(response.status, 404);
 }
 
@@ -57,10 +54,7 @@
             let before = runners[0].journal().await.len();
             for number in 0..6 {
                 let attempt = format!("d-{number}");
-                let response = relay
-                    .send("GET", "/safe/a", &attempt, &[], "")
-                    .await
-                    .expect("a response");
+                let response = relay.response("GET", "/safe/a", &attempt, &[], "").await;
                 assert_eq!(response.status, 200);
             }
             runners[0].journal().await.len() == before
@@ -83,10 +77,7 @@
     fixture.store.control(json!({"is_silent": true})).await;
     second.process.restart().expect("the process restarts");
     second.wait_serving("/safe/a").await;
-    let response = first
-        .send("GET", "/safe/a", "o-1", &[], "")
-        .await
-        .expect("a response");
+    let response = first.response("GET", "/safe/a", "o-1", &[], "").await;
     assert_eq!(response.status, 200);
 }
 
@@ -186,10 +177,7 @@
     relay.wait_serving("/safe/a").await;
     for number in 0..10 {
         let attempt = format!("a-{number}");
-        let response = relay
-            .send("GET", "/safe/a", &attempt, &[], "")
-            .await
-            .expect("a response");
+        let response = relay.response("GET", "/safe/a", &attempt, &[], "").await;
         assert_eq!(response.status, 200);
     }
     let entries = new.journal().await;
--- a/crates/testbed/tests/relay/stops.rs
+++ b/crates/testbed/tests/relay/stops.rs
@@ -45,16 +45,21 @@
     text
 }
 
+/// Opens a connection, has a first request served on it and keeps it open.
+async fn connect_and_call(relay: &Relay, id: &str) -> TcpStream {
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    send(&mut caller, &request_text(id)).await;
+    read_response(&mut caller, id).await;
+    caller
+}
+
 /// Guards against a stop that closes a kept connection on which a request is arriving: its head has
 /// been read in part.
 #[tokio::test]
 async fn a_head_that_is_read_in_part_at_a_stop_is_served() {
     let (_fixture, _runner, relay) = start().await;
-    let mut caller = TcpStream::connect(relay.caller_address)
-        .await
-        .expect("a connection");
-    send(&mut caller, &request_text("first")).await;
-    read_response(&mut caller, "first").await;
+    let mut caller = connect_and_call(&relay, "first").await;
     let second = request_text("second");
     let (start, rest) = second.split_at(40);
     send(&mut caller, start).await;
@@ -70,11 +75,7 @@
 #[tokio::test]
 async fn a_kept_connection_is_served_once_more_after_a_stop() {
     let (_fixture, _runner, relay) = start().await;
-    let mut caller = TcpStream::connect(relay.caller_address)
-        .await
-        .expect("a connection");
-    send(&mut caller, &request_text("first")).await;
-    read_response(&mut caller, "first").await;
+    let mut caller = connect_and_call(&relay, "first").await;
     relay.process.terminate();
     harness::wait_until(TIMEOUT, "the relay is no longer ready", async || {
         relay.readiness_status().await == 503
