Wait for the log line that ends a request in the relay's tests

The relay writes its log in the background; the kept log has the line. Three other readers of the log had the same race.

Change: request_log waits for the event that ends the request. What the tests check of the lines does not change.

--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -389,16 +389,21 @@
         texts.map(str::to_owned).collect()
     }
 
-    /// Returns the log lines of the relay that carry the attempt id of a request.
-    pub fn request_log(&self, launcher: &harness::Launcher, attempt: &str) -> Vec<Value> {
-        let path = launcher
-            .folder()
-            .join(format!("{}.out", self.process.name()));
-        let text = fs::read_to_string(path).unwrap_or_default();
-        let lines = text
-            .lines()
-            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        lines.filter(|line| line["id"] == attempt).collect()
+    /// Returns the log lines of the relay that carry the attempt id of a request. The relay writes
+    /// its log in the background, so this waits for the line of the given event, which ends the
+    /// request.
+    pub async fn request_log(&self, attempt: &str, last_event: &str) -> Vec<Value> {
+        let mut lines = Vec::new();
+        let description = format!("the line {last_event} of request {attempt}");
+        harness::wait_until(TIMEOUT, &description, async || {
+            let text = fs::read_to_string(self.process.output_file()).unwrap_or_default();
+            let parsed = text.lines().map(serde_json::from_str::<Value>);
+            let of_request = parsed.flatten().filter(|line| line["id"] == attempt);
+            lines = of_request.collect();
+            lines.iter().any(|line| line["event"] == last_event)
+        })
+        .await;
+        lines
     }
 }
 
--- a/crates/testbed/tests/relay/guarantees.rs
+++ b/crates/testbed/tests/relay/guarantees.rs
@@ -71,7 +71,7 @@
 /// Guards against a retry of a non-idempotent request that may have run.
 #[tokio::test]
 async fn a_lost_response_does_not_retry_a_non_idempotent_request() {
-    let (fixture, runners, relay) = start_fixture().await;
+    let (_fixture, runners, relay) = start_fixture().await;
     control_all(&runners, json!({"loses_answers": true})).await;
     let response = relay.response("POST", "/once/a", "n-2", &[], "x").await;
     assert_eq!(
@@ -80,7 +80,7 @@
     );
     assert_eq!(total_run_count(&runners, "n-2").await, 1);
     // The log alone must lead from the attempt id to the cause.
-    let log = relay.request_log(&fixture.launcher, "n-2");
+    let log = relay.request_log("n-2", "refused").await;
     assert!(
         log.iter()
             .any(|line| { line["event"] == "attempt_failed" && line["verdict"] == "may_have_run" }),
@@ -107,13 +107,13 @@
 /// Guards against a refusal, which states that the request did not run, of a request that ran.
 #[tokio::test]
 async fn a_request_is_refused_only_if_no_runner_ran_it() {
-    let (fixture, runners, relay) = start_fixture().await;
+    let (_fixture, runners, relay) = start_fixture().await;
     control_all(&runners, json!({"refuses": true})).await;
     let response = relay.response("POST", "/once/a", "n-3", &[], "x").await;
     assert_eq!(response.status, 503);
     assert!(response.headers.contains_key("retry-after"));
     assert_eq!(total_run_count(&runners, "n-3").await, 0);
-    let log = relay.request_log(&fixture.launcher, "n-3");
+    let log = relay.request_log("n-3", "refused").await;
     assert!(
         log.iter().any(|line| line["reason"] == "target_refused"),
         "{log:?}"
--- a/crates/testbed/tests/relay/peers.rs
+++ b/crates/testbed/tests/relay/peers.rs
@@ -38,14 +38,14 @@
 
 /// Requests a stream from a relay; returns `placed_by` from its log line, or `None` if the request
 /// failed.
-async fn placement_source(fixture: &Fixture, relay: &Relay, attempt: &str) -> Option<String> {
+async fn placement_source(relay: &Relay, attempt: &str) -> Option<String> {
     let response = relay
         .request_stream("/stream/a", attempt, EVENT_COUNT)
         .await
         .ok()?;
     assert_eq!(response.status, 200, "{attempt}");
     assert_eq!(event_ids(&response.body).len(), EVENT_COUNT as usize);
-    let log = relay.request_log(&fixture.launcher, attempt);
+    let log = relay.request_log(attempt, "answered").await;
     let answered = log.iter().find(|line| line["event"] == "answered");
     let source = answered?["placed_by"].as_str();
     source.map(str::to_owned)
@@ -83,7 +83,7 @@
         TIMEOUT,
         "two of three relays place through the third",
         async || {
-            local_indices = local_placer_indices(&fixture, &relays.each_ref()).await;
+            local_indices = local_placer_indices(&relays.each_ref()).await;
             local_indices.len() == 1
         },
     )
@@ -98,22 +98,22 @@
     harness::wait_until(
         TIMEOUT,
         "one of the other relays places for both",
-        async || local_placer_indices(&fixture, &others).await.len() == 1,
+        async || local_placer_indices(&others).await.len() == 1,
     )
     .await;
     scheduler.process.resume();
     harness::wait_until(TIMEOUT, "the first scheduler places again", async || {
-        local_placer_indices(&fixture, &others).await.is_empty()
+        local_placer_indices(&others).await.is_empty()
     })
     .await;
 }
 
 /// Returns the indices of the relays that place streams locally, without asking another relay.
-async fn local_placer_indices(fixture: &Fixture, relays: &[&Relay]) -> Vec<usize> {
+async fn local_placer_indices(relays: &[&Relay]) -> Vec<usize> {
     let mut local_indices = Vec::new();
     for (index, relay) in relays.iter().enumerate() {
         let attempt = format!("s-{}", rand::random::<u32>());
-        let source = placement_source(fixture, relay, &attempt).await;
+        let source = placement_source(relay, &attempt).await;
         if source.as_deref() == Some("own") {
             local_indices.push(index);
         }
@@ -149,7 +149,7 @@
         .request_stream("/stream/a", "again", EVENT_COUNT)
         .await;
     assert_eq!(response.expect("a response").status, 200);
-    let log = relay.request_log(&fixture.launcher, "again");
+    let log = relay.request_log("again", "answered").await;
     let answered = log.iter().find(|line| line["event"] == "answered");
     // The request shares 1,500 of its 2,000 tokens with the previous one.
     let uncached = answered.expect("a log line")["uncached"].as_u64();
