Bound the share of engines that are ejected at the same time

Change: at most half of the reachable engines of a stage are left out. Engines that refuse connections are left out in any case.

The test in core fails without the bound.

--- a/crates/core/tests/load_control.rs
+++ b/crates/core/tests/load_control.rs
@@ -363,3 +363,55 @@
         }
     }
 }
+
+/// Guards against the loss of most of a service's capacity when most engines fail a few of their
+/// requests: all of them would be ejected, and the others would refuse what they cannot hold.
+#[test]
+fn most_engines_stay_in_service_while_each_fails_a_fifth_of_its_requests() {
+    let mut detectors = vec![outlier::OutlierDetector::default(); 21];
+    let mut least_usable = detectors.len();
+    let mut least_unbounded = detectors.len();
+    for now_ms in (0..8_000).step_by(20) {
+        let ejected = detectors
+            .iter()
+            .filter(|engine| !engine.is_available(now_ms));
+        let ejected = ejected.count();
+        least_unbounded = least_unbounded.min(detectors.len() - ejected);
+        let is_bounded = !outlier::may_eject(ejected, detectors.len());
+        let mut usable = 0;
+        for (engine, detector) in detectors.iter_mut().enumerate() {
+            if !is_bounded && !detector.is_available(now_ms) {
+                continue;
+            }
+            usable += 1;
+            // Four engines are sound; the others fail a fifth of their requests, in bursts of three.
+            let is_failed = engine >= 4 && (now_ms / 20 + 5 * engine as u64) % 15 < 3;
+            let outcome = match is_failed {
+                true => outlier::TargetOutcome::Failed,
+                false => outlier::TargetOutcome::Answered,
+            };
+            detector.record(outcome, now_ms);
+        }
+        least_usable = least_usable.min(usable);
+    }
+    assert!(
+        least_unbounded <= 10,
+        "{least_unbounded} of 21 were not ejected at any time"
+    );
+    assert!(
+        least_usable >= 10,
+        "{least_usable} of 21 were usable at some time"
+    );
+}
+
+/// Guards against requests to engines that refuse connections because most others fail.
+#[test]
+fn an_unreachable_engine_is_left_out_however_many_others_fail() {
+    let mut detector = outlier::OutlierDetector::default();
+    detector.record(outlier::TargetOutcome::Unreachable, 1_000);
+    assert!(!detector.is_reachable(1_100));
+    assert!(!detector.is_available(1_100));
+    assert!(detector.is_reachable(1_500));
+    assert!(!outlier::may_eject(11, 21));
+    assert!(outlier::may_eject(10, 21));
+}
