--- a/crates/core/src/outlier/mod.rs
+++ b/crates/core/src/outlier/mod.rs
@@ -15,9 +15,6 @@
 /// Ejection after a failed connection attempt: short, because a restart takes seconds and a failed
 /// attempt does not run the request.
 const UNREACHABLE_EJECT_MS: u64 = 500;
-/// Largest share of the reachable targets that may be ejected at the same time. Beyond it the
-/// others would be overloaded, while targets that fail some of their requests still serve most.
-const MAX_EJECTED_SHARE: f64 = 0.5;
 /// Delay that a failure rate of 1 adds to the expected time at a target.
 const FAILURE_PENALTY_MS: f64 = 800.0;
 
@@ -40,8 +37,6 @@
     failure_rate: f64,
     ejections: u32,
     ejected_until_ms: u64,
-    /// Time until which no connection is attempted after a failed one.
-    unreachable_until_ms: u64,
 }
 
 impl OutlierDetector {
@@ -59,7 +54,7 @@
                 .min((self.failure_rate > 0.1) as u32 * self.ejections);
         }
         if outcome == TargetOutcome::Unreachable {
-            self.unreachable_until_ms = now_ms + UNREACHABLE_EJECT_MS;
+            self.ejected_until_ms = self.ejected_until_ms.max(now_ms + UNREACHABLE_EJECT_MS);
         }
         if self.failure_rate >= EJECT_FAILURE_RATE {
             let eject_ms = MIN_EJECT_MS << self.ejections.min(4);
@@ -71,14 +66,9 @@
         }
     }
 
-    /// Whether requests may be sent to the target, that is, whether it is reachable and not ejected.
+    /// Whether requests may be sent to the target, that is, whether it is not ejected.
     pub fn is_available(&self, now_ms: u64) -> bool {
-        self.is_reachable(now_ms) && now_ms >= self.ejected_until_ms
-    }
-
-    /// Whether no connection to the target has failed within the last half second.
-    pub fn is_reachable(&self, now_ms: u64) -> bool {
-        now_ms >= self.unreachable_until_ms
+        now_ms >= self.ejected_until_ms
     }
 
     /// Delay to add to the expected time at the target because of recent failures, in milliseconds.
@@ -86,9 +76,3 @@
         self.failure_rate * FAILURE_PENALTY_MS
     }
 }
-
-/// Whether `ejected` of the `reachable` targets of a kind may be left out. If they are more than
-/// half, requests go to all of them, those with failures at a penalty.
-pub fn may_eject(ejected: usize, reachable: usize) -> bool {
-    ejected as f64 <= MAX_EJECTED_SHARE * reachable as f64
-}
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -2,7 +2,7 @@
 
 use std::{net, rc};
 
-use acaciabank_core::{load_shed, outlier, placement, prefix};
+use acaciabank_core::{load_shed, placement, prefix};
 
 use super::{
     refusal::RefusalResponse,
@@ -202,10 +202,9 @@
     let (placed, work) = scheduler::request_placement(state, &request, prompt.shared_key()).await?;
     let now_ms = clock::now_ms();
     let targets = state.targets.borrow();
-    let ejection = EjectionRule::new(targets.of_service(prompt.service), now_ms);
     let accepting = |hash: u64, stage: placement::EngineStage| {
         let target = targets.by_hash(hash)?;
-        let is_available = ejection.accepts(target) && target.stage(now_ms) == Some(stage);
+        let is_available = target.is_accepting(now_ms) && target.stage(now_ms) == Some(stage);
         (is_available && !prompt.excluded.contains(&hash)).then(|| rc::Rc::clone(target))
     };
     let prefill = match placed.prefill {
@@ -276,46 +275,6 @@
     parts.split_last().map_or(&[], |(_, shared)| shared)
 }
 
-/// The stages of a service in which engines with failures are left out.
-struct EjectionRule {
-    now_ms: u64,
-    stages: Vec<placement::EngineStage>,
-}
-
-impl EjectionRule {
-    fn new(targets: &[rc::Rc<target::TargetState>], now_ms: u64) -> Self {
-        let stages = [
-            placement::EngineStage::Prefill,
-            placement::EngineStage::Decode,
-        ];
-        let leaves_out = |stage: &placement::EngineStage| {
-            let of_stage = targets
-                .iter()
-                .filter(|target| target.is_ready(now_ms) && target.stage(now_ms) == Some(*stage));
-            let (mut ready, mut ejected) = (0, 0);
-            for target in of_stage {
-                ready += 1;
-                ejected += usize::from(!target.is_accepting(now_ms));
-            }
-            outlier::may_eject(ejected, ready)
-        };
-        Self {
-            now_ms,
-            stages: stages.into_iter().filter(leaves_out).collect(),
-        }
-    }
-
-    /// Whether requests may be sent to an engine.
-    fn accepts(&self, target: &target::TargetState) -> bool {
-        let stage = target.stage(self.now_ms);
-        let leaves_out = stage.is_none_or(|stage| self.stages.contains(&stage));
-        match leaves_out {
-            true => target.is_accepting(self.now_ms),
-            false => target.is_ready(self.now_ms),
-        }
-    }
-}
-
 fn candidates<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
     prompt: &PromptView<'_>,
@@ -325,14 +284,13 @@
     state.peers.borrow_mut().refresh_loads(now_ms);
     let peers = state.peers.borrow();
     let shared_key = prompt.shared_key();
-    let ejection = EjectionRule::new(targets, now_ms);
     let candidate = |target: &rc::Rc<target::TargetState>| {
         let peer_load = peers.load_of(target.hash);
         let is_same_zone = target.zone_hash == prompt.zone_hash;
         let mut backlog = target.backlog.get();
         backlog.merge(&peer_load.backlog);
         placement::EngineCandidate {
-            is_available: ejection.accepts(target) && !prompt.excluded.contains(&target.hash),
+            is_available: target.is_accepting(now_ms) && !prompt.excluded.contains(&target.hash),
             stage: target
                 .stage(now_ms)
                 .unwrap_or(placement::EngineStage::Decode),
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -118,18 +118,13 @@
 
     /// Whether it accepts new requests and is not ejected for failures.
     pub fn is_accepting(&self, now_ms: u64) -> bool {
-        self.is_ready(now_ms) && self.detector.borrow().is_available(now_ms)
-    }
-
-    /// Whether it accepts new requests, whatever became of the last ones.
-    pub fn is_ready(&self, now_ms: u64) -> bool {
         let is_active = !self.is_draining.get() && !self.is_replaced.get();
         let is_ready = now_ms
             >= self
                 .switching_until_ms
                 .get()
                 .max(self.backoff_until_ms.get());
-        is_active && is_ready && self.detector.borrow().is_reachable(now_ms)
+        is_active && is_ready && self.detector.borrow().is_available(now_ms)
     }
 }
 
