--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -206,7 +206,7 @@
 
     /// Gives this daemon's run another id, which must be higher than the last one, and gossips its
     /// full entry again.
-    pub fn restart_own(&mut self, boot_id: u64) {
+    pub fn raise_boot_id(&mut self, boot_id: u64) {
         self.own.entry.version = EntryVersion {
             boot_id,
             sequence: 0,
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -119,6 +119,9 @@
 /// Minimum number of requests that a prompt at a decode engine is assumed to delay, as more arrive
 /// while it is processed.
 const MIN_DELAYED_REQUESTS: f64 = 3.0;
+/// Number of running requests as which each request beyond an engine's slots counts: it has to wait
+/// until another one ends.
+const EXCESS_REQUEST_FACTOR: u32 = 20;
 /// Weight of the time for which a transfer occupies the links.
 const TRANSFER_WEIGHT: f64 = 1.0;
 /// Factor of the transfer time between availability zones, relative to inside one.
@@ -378,11 +381,11 @@
         }
     }
 
-    /// Returns the expected time until a decode engine admits one more request to its batch. Each
-    /// request beyond its slots counts as 20 further running ones.
+    /// Returns the expected time until a decode engine admits one more request to its batch.
     fn batch_wait_ms(&self, candidate: &EngineCandidate) -> f64 {
         let excess = (candidate.running + 1).saturating_sub(candidate.slots);
-        self.rates.per_running_request_ms * f64::from(candidate.running + 20 * excess)
+        self.rates.per_running_request_ms
+            * f64::from(candidate.running + EXCESS_REQUEST_FACTOR * excess)
     }
 
     /// Returns the expected time until a decode engine can start a request whose KV cache it
--- a/crates/daemon/src/admin/state_routes.rs
+++ b/crates/daemon/src/admin/state_routes.rs
@@ -32,7 +32,7 @@
         "region": state.settings.region,
         "zone": state.settings.zone,
         "version": env!("CARGO_PKG_VERSION"),
-        "boot_id": state.run_ids.current(),
+        "boot_id": state.boot_ids.current(),
         "phase": phase,
         "config_version": state.config.version(),
         "members": *state.peers.members(),
--- a/crates/daemon/src/idempotency/row.rs
+++ b/crates/daemon/src/idempotency/row.rs
@@ -66,7 +66,7 @@
             request: request.clone(),
             fingerprint: fingerprint_hex(fingerprint),
             daemon: state.settings.daemon.clone(),
-            boot_id: state.run_ids.current(),
+            boot_id: state.boot_ids.current(),
             status: None,
             content_type: None,
             answer: None,
@@ -113,7 +113,7 @@
     /// Which process wrote the intent, as seen from this daemon.
     pub(super) fn holder(&self, state: &process::ProcessState) -> HolderKind {
         if self.daemon == state.settings.daemon {
-            return match state.run_ids.contains(self.boot_id) {
+            return match state.boot_ids.contains(self.boot_id) {
                 true => HolderKind::Local,
                 false => HolderKind::Gone,
             };
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -161,7 +161,7 @@
         let peer_address = settings.advertised_peer_address.unwrap_or(local_address);
         let own = own_entry(&state, peer_address);
         let table = MemberTable::new(own, timers, time::Instant::now());
-        let rng = StdRng::seed_from_u64(state.run_ids.current());
+        let rng = StdRng::seed_from_u64(state.boot_ids.current());
         Self {
             state,
             main_runtime,
@@ -220,13 +220,13 @@
     /// Handles an entry with this daemon's name and a higher id of its run. A former run at the same
     /// address cannot be alive: its id is higher because the time of day was set back since.
     pub(super) fn handle_id_conflict(self: &Rc<Self>, entry: &MemberEntry) {
-        let (run_ids, id) = (&self.state.run_ids, entry.version.boot_id);
-        if entry.peer_address != self.peer_address || !run_ids.raise_above(id) {
+        let (boot_ids, id) = (&self.state.boot_ids, entry.version.boot_id);
+        if entry.peer_address != self.peer_address || !boot_ids.raise_above(id) {
             self.log_id_conflict(entry);
             return;
         }
         log::warn!("a former run of this daemon has the higher boot id {id}; taking one above it");
-        self.table.borrow_mut().restart_own(run_ids.current());
+        self.table.borrow_mut().raise_boot_id(boot_ids.current());
         drop(self.announce());
     }
 
@@ -520,7 +520,7 @@
         region: settings.region.clone(),
         zone: settings.zone.clone(),
         version: EntryVersion {
-            boot_id: state.run_ids.current(),
+            boot_id: state.boot_ids.current(),
             sequence: 0,
         },
         state: match state.phase.get() {
--- a/crates/daemon/src/planner/lease.rs
+++ b/crates/daemon/src/planner/lease.rs
@@ -53,7 +53,7 @@
         stop: CancellationToken,
     ) -> Self {
         let daemon = state.settings.daemon.clone();
-        let elector = LeaseElector::new(daemon, state.run_ids.current(), timers(&state));
+        let elector = LeaseElector::new(daemon, state.boot_ids.current(), timers(&state));
         Self {
             state,
             model,
--- a/crates/daemon/src/process/run_id.rs
+++ b/crates/daemon/src/process/boot_id.rs
@@ -11,9 +11,9 @@
 /// time of day, which may have been set back since the former run; a daemon that hears of a former
 /// run with a higher id takes one above it.
 #[derive(Debug)]
-pub struct RunIds(sync::RwLock<Vec<u64>>);
+pub struct BootIds(sync::RwLock<Vec<u64>>);
 
-impl RunIds {
+impl BootIds {
     /// Creates the ids of a run that starts with the given one.
     pub fn new(first: u64) -> Self {
         Self(sync::RwLock::new(vec![first]))
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -1,7 +1,7 @@
 //! Process lifecycle: startup, listeners, TLS, signals and graceful shutdown.
 
+mod boot_id;
 pub mod listener;
-mod run_id;
 mod shutdown;
 mod startup;
 pub mod tls;
@@ -15,7 +15,7 @@
 
 use crate::{config, dispatch, idempotency, peer, table, target};
 
-pub use run_id::RunIds;
+pub use boot_id::BootIds;
 pub use startup::run;
 
 /// Process-wide state, shared by all tasks.
@@ -23,7 +23,7 @@
     /// Settings that were read at startup.
     pub settings: settings::ProcessSettings,
     /// Ids that distinguish this run of the daemon from others.
-    pub run_ids: RunIds,
+    pub boot_ids: BootIds,
     /// Current phase of the process.
     pub phase: PhaseCell,
     /// Store of the current configuration.
@@ -44,7 +44,7 @@
     /// Creates the state of a process that has not started any task.
     pub fn new(settings: settings::ProcessSettings) -> Self {
         Self {
-            run_ids: RunIds::from_time_of_day(),
+            boot_ids: BootIds::from_time_of_day(),
             phase: PhaseCell::default(),
             config: config::ConfigStore::default(),
             targets: target::TargetRegistry::default(),
--- a/crates/daemon/src/process/startup.rs
+++ b/crates/daemon/src/process/startup.rs
@@ -218,7 +218,7 @@
     let settings = &state.settings;
     log::info!(
         daemon = settings.daemon.as_str(),
-        boot_id = state.run_ids.current(),
+        boot_id = state.boot_ids.current(),
         caller_address:% = settings.caller_address,
         admin_address:% = settings.admin_address,
         peer_address:% = settings.peer_address,
--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -85,7 +85,7 @@
     }))
     .expect("settings");
     let state = sync::Arc::new(process::ProcessState {
-        run_ids: process::RunIds::new(boot_id),
+        boot_ids: process::BootIds::new(boot_id),
         phase: process::PhaseCell::default(),
         config: config::ConfigStore::default(),
         targets: target::TargetRegistry::default(),
--- a/crates/daemon/tests/control/peer.rs
+++ b/crates/daemon/tests/control/peer.rs
@@ -117,10 +117,10 @@
         })
         .await;
     }
-    let run_ids = &restarted.state.run_ids;
-    assert_eq!(known_run(&a), Some(run_ids.current()));
+    let boot_ids = &restarted.state.boot_ids;
+    assert_eq!(known_run(&a), Some(boot_ids.current()));
     // The rows of its keys carry the id that it had when it wrote them.
-    assert!(run_ids.contains(id));
+    assert!(boot_ids.contains(id));
 }
 
 /// Sends `receiver` the entry of a daemon that does not exist, listening at `peer_address`.
--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -219,7 +219,7 @@
     let state = process::ProcessState {
         table: table::TableClient::new(process.table.clone()),
         settings: process,
-        run_ids: process::RunIds::new(1),
+        boot_ids: process::BootIds::new(1),
         phase: process::PhaseCell::default(),
         config: config::ConfigStore::default(),
         targets: target::TargetRegistry::default(),
--- a/crates/daemon/tests/idempotency.rs
+++ b/crates/daemon/tests/idempotency.rs
@@ -19,7 +19,7 @@
     Arc::new(process::ProcessState {
         table: table::TableClient::new(settings.table.clone()),
         settings,
-        run_ids: process::RunIds::new(7),
+        boot_ids: process::BootIds::new(7),
         phase: process::PhaseCell::default(),
         config: config::ConfigStore::default(),
         targets: target::TargetRegistry::default(),
--- a/crates/daemon/tests/target.rs
+++ b/crates/daemon/tests/target.rs
@@ -164,7 +164,7 @@
     let state = Arc::new(process::ProcessState {
         table: table::TableClient::new(settings.table.clone()),
         settings,
-        run_ids: process::RunIds::new(1),
+        boot_ids: process::BootIds::new(1),
         phase: process::PhaseCell::default(),
         config: config::ConfigStore::default(),
         targets: TargetRegistry::default(),
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -109,8 +109,8 @@
         is_prefilled: bool,
     ) -> target::TargetWork {
         if is_prefilled {
-            let first_token_ms = (self.first_token_ms - self.wait_ms) as u64;
-            let ready = state::PartsReady::Expected(first_token_ms);
+            let unloaded_ms = (self.first_token_ms - self.wait_ms) as u64;
+            let ready = state::PartsReady::Expected(unloaded_ms);
             state.record_parts(&self.decode, parts, ready);
             return target::TargetWork::start(&self.decode, self.transfer_ms as u64);
         }
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -407,6 +407,16 @@
     }
 }
 
+/// Starts a runner of a plain service and a relay that serves it.
+pub async fn start_serving() -> (Fixture, EmulatorProcess, Relay) {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let runner = fixture.start_runner("r-1", "ledger", None).await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    (fixture, runner, relay)
+}
+
 /// Returns the event ids in the body of a stream, in order.
 pub fn event_ids(body: &[u8]) -> Vec<u64> {
     let text = String::from_utf8_lossy(body);
--- a/crates/testbed/tests/relay/silences.rs
+++ b/crates/testbed/tests/relay/silences.rs
@@ -9,21 +9,11 @@
 };
 use serde_json::json;
 
-use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT};
+use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT, start_serving};
 
 /// Time for which a runner does not run; shorter than the timeout of the routes.
 const SILENCE: Duration = Duration::from_secs(3);
 
-/// Starts a runner of a plain service and a relay that serves it.
-async fn start() -> (Fixture, EmulatorProcess, Relay) {
-    let mut fixture = Fixture::start().await;
-    fixture.write_config(1, |_| {}).await;
-    let runner = fixture.start_runner("silent", "ledger", None).await;
-    let relay = fixture.start_relay(&[]).await;
-    relay.wait_serving("/safe/a").await;
-    (fixture, runner, relay)
-}
-
 /// Sends requests that may run once only while the runner is paused; `meanwhile` runs before it is
 /// resumed. Checks that each gets its response and ran once.
 async fn check_requests(
@@ -54,7 +44,7 @@
 /// Guards against a runner whose requests are given up because it does not run for three seconds.
 #[tokio::test]
 async fn a_runner_that_does_not_run_for_a_while_keeps_its_requests() {
-    let (_fixture, runner, relay) = start().await;
+    let (_fixture, runner, relay) = start_serving().await;
     check_requests(&runner, &relay, async {}).await;
 }
 
@@ -62,7 +52,7 @@
 /// lapses.
 #[tokio::test]
 async fn a_runner_whose_entry_lapses_keeps_its_requests() {
-    let (fixture, runner, relay) = start().await;
+    let (fixture, runner, relay) = start_serving().await;
     let other = fixture.start_runner("other", "ledger", None).await;
     // Requests go to the silent runner only.
     other.control(json!({"is_draining": true})).await;
@@ -74,7 +64,7 @@
     .await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let lapse = async {
-        fixture.deregister_target("silent").await;
+        fixture.deregister_target("r-1").await;
         other.control(json!({"is_draining": false})).await;
     };
     check_requests(&runner, &relay, lapse).await;
--- a/crates/testbed/tests/relay/stops.rs
+++ b/crates/testbed/tests/relay/stops.rs
@@ -8,16 +8,7 @@
     net::TcpStream,
 };
 
-use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT};
-
-async fn start() -> (Fixture, EmulatorProcess, Relay) {
-    let mut fixture = Fixture::start().await;
-    fixture.write_config(1, |_| {}).await;
-    let runner = fixture.start_runner("r-1", "ledger", None).await;
-    let relay = fixture.start_relay(&[]).await;
-    relay.wait_serving("/safe/a").await;
-    (fixture, runner, relay)
-}
+use crate::fixture::{Relay, TIMEOUT, start_serving};
 
 fn request_text(attempt: &str) -> String {
     format!(
@@ -58,7 +49,7 @@
 /// been read in part.
 #[tokio::test]
 async fn a_head_that_is_read_in_part_at_a_stop_is_served() {
-    let (_fixture, _runner, relay) = start().await;
+    let (_fixture, _runner, relay) = start_serving().await;
     let mut caller = connect_and_call(&relay, "first").await;
     let second = request_text("second");
     let (start, rest) = second.split_at(40);
@@ -74,7 +65,7 @@
 /// Guards against a stop that closes idle connections while callers still use the relay's address.
 #[tokio::test]
 async fn a_kept_connection_is_served_once_more_after_a_stop() {
-    let (_fixture, _runner, relay) = start().await;
+    let (_fixture, _runner, relay) = start_serving().await;
     let mut caller = connect_and_call(&relay, "first").await;
     relay.process.terminate();
     harness::wait_until(TIMEOUT, "the relay is no longer ready", async || {
@@ -92,7 +83,7 @@
 /// Guards against a stop that resets connections which were waiting to be accepted.
 #[tokio::test]
 async fn connections_that_wait_to_be_accepted_at_a_stop_are_served() {
-    let (_fixture, _runner, relay) = start().await;
+    let (_fixture, _runner, relay) = start_serving().await;
     relay.process.pause();
     relay.process.terminate();
     let mut callers = Vec::new();
