Test requests that share a prompt part which crashes engines

Callers of sound requests get 502 and 503 for as long as requests with one crashing prompt part come: each of them takes down the engines that begin to write its answer. Cause: a crash is attributed to path and body of the whole request, no two of these requests are alike, and a crash after the head of the response is attributed to nothing.

The emulated engine has a fault that ends its process when it begins to write the answer of a request with such a part (not the last one), after the head of the response. `--crash-part` and `--first-event-delay-ms` set faults that hold across restarts; `prefill_delay_ms` keeps a request in prefill.

The tests play three relays with eight prefill and four decode engines, which are started again 0.8 s after they ended. With three prefill engines of seven the planner takes live decode engines to prefill while others are down, and the tests would show that fault in place of this one.

--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    io, net,
+    io, net, process,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -21,6 +21,18 @@
 /// Time between two writes of the runner's entry to the store.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Exit status of a process that a prompt part has crashed.
+const CRASH_STATUS: i32 = 70;
+
+/// Events of a stream that an engine generates.
+#[derive(Clone, Copy, Debug)]
+struct EventRange {
+    first: u64,
+    end: u64,
+    /// Whether the process ends in place of the first event.
+    is_crashing: bool,
+}
+
 /// Parameters of an emulated runner.
 #[derive(Clone, Debug)]
 pub struct RunnerOptions {
@@ -39,6 +51,8 @@
     pub store: net::SocketAddr,
     /// Address in the store entry, if it differs from the one that the runner listens on.
     pub advertised_address: Option<net::SocketAddr>,
+    /// Faults at the start of the process.
+    pub initial_faults: RunnerFaults,
 }
 
 /// Faults of a runner, set through `/control`.
@@ -61,6 +75,25 @@
     pub refuses_fetch: bool,
     /// Reports the state `draining` in the store entry instead of `ready`.
     pub is_draining: bool,
+    /// Ids of prompt parts that end the process when an engine begins to write the answer of a
+    /// request that holds one of them in front of its last part.
+    pub crash_parts: Vec<String>,
+    /// Additional time to the first event of a stream, in milliseconds.
+    pub first_event_delay_ms: u64,
+    /// Additional time that an engine takes to process a prompt, in milliseconds.
+    pub prefill_delay_ms: u64,
+}
+
+impl RunnerFaults {
+    /// Returns whether a prompt ends the process; `prefix` lists its parts as
+    /// `id:tokens,id:tokens`.
+    fn is_crashed_by(&self, prefix: &str) -> bool {
+        let Some((shared, _)) = prefix.rsplit_once(',') else {
+            return false;
+        };
+        let mut ids = shared.split(',').filter_map(|part| part.split_once(':'));
+        ids.any(|(id, _)| self.crash_parts.iter().any(|crash_part| crash_part == id))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -97,6 +130,7 @@
     ) -> Self {
         let state = RunnerState {
             stage: options.stage.clone(),
+            faults: options.initial_faults.clone(),
             ..RunnerState::default()
         };
         let runner = Self {
@@ -191,8 +225,11 @@
         let (prompt_tokens, output_tokens) = tokens.split_once(',').unwrap_or_default();
         let prompt_tokens: u64 = prompt_tokens.parse().unwrap_or(0);
         let model = header("x-acaciabank-model");
-        self.cache_parts(&header("x-acaciabank-prompt-prefix"), &model);
+        let prefix = header("x-acaciabank-prompt-prefix");
+        self.cache_parts(&prefix, &model);
         if header("x-acaciabank-stage") == "prefill" {
+            let delay = Duration::from_millis(faults.prefill_delay_ms);
+            tokio::time::sleep(delay).await;
             return Ok(self.prefill(&attempt, prompt_tokens).await);
         }
         let source = header("x-acaciabank-kv-source");
@@ -217,8 +254,12 @@
         let first_event = header("last-event-id")
             .parse()
             .map_or(0, |last: u64| last + 1);
-        let event_count: u64 = output_tokens.parse().unwrap_or(4);
-        Ok(self.stream_events(&attempt, &faults, first_event, event_count))
+        let stream = EventRange {
+            first: first_event,
+            end: output_tokens.parse().unwrap_or(4),
+            is_crashing: faults.is_crashed_by(&prefix),
+        };
+        Ok(self.stream_events(&attempt, &faults, stream))
     }
 
     fn control(&self, body: &[u8]) -> Response<web::ResponseBody> {
@@ -344,22 +385,29 @@
         Ok(response)
     }
 
-    /// Streams the events from `first_event` to the end of a stream of `event_count` events.
+    /// Streams the events of a range. The head of the response is sent before the first event, so
+    /// that a crash breaks a response that has begun.
     fn stream_events(
         &self,
         attempt: &str,
         faults: &RunnerFaults,
-        first_event: u64,
-        event_count: u64,
+        range: EventRange,
     ) -> Response<web::ResponseBody> {
         let (sender, receiver) = mpsc::unbounded_channel();
         let event_interval = Duration::from_millis(self.options.work_ms);
+        let first_event_delay = Duration::from_millis(faults.first_event_delay_ms);
         let breaks_after = faults.breaks_after;
+        let (journal, crashed_attempt) = (Arc::clone(&self.journal), attempt.to_owned());
         tokio::spawn(async move {
-            for number in first_event..event_count {
+            tokio::time::sleep(first_event_delay).await;
+            for number in range.first..range.end {
                 tokio::time::sleep(event_interval).await;
+                if range.is_crashing {
+                    journal.record(json!({"crashed": crashed_attempt}));
+                    process::exit(CRASH_STATUS);
+                }
                 let event = format!("id: {number}\ndata: token {number}\n\n");
-                if breaks_after.is_some_and(|limit| number >= first_event + limit) {
+                if breaks_after.is_some_and(|limit| number >= range.first + limit) {
                     // Sends half of an event and then breaks the connection.
                     let half = event[..event.len() / 2].to_owned();
                     let _ = sender.send(Ok(Bytes::from(half)));
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -125,6 +125,19 @@
     options: emulator::RunnerOptions,
 }
 
+/// Faults that hold across restarts of a runner, unlike those set through `/control`.
+fn initial_faults() -> impl Parser<emulator::RunnerFaults> {
+    let crash_parts = long("crash-part").argument::<String>("ID").many();
+    let first_event_delay_ms = argument("first-event-delay-ms", 0);
+    construct!(crash_parts, first_event_delay_ms).map(|(crash_parts, first_event_delay_ms)| {
+        emulator::RunnerFaults {
+            crash_parts,
+            first_event_delay_ms,
+            ..emulator::RunnerFaults::default()
+        }
+    })
+}
+
 fn runner_arguments() -> impl Parser<RunnerArguments> {
     let id = argument("id", "r-1".to_owned());
     let service = argument("service", "service".to_owned());
@@ -133,6 +146,7 @@
     let work_ms = argument("work-ms", 5);
     let store = long("store").argument("ADDRESS");
     let advertised_address = long("advertise").argument("ADDRESS").optional();
+    let initial_faults = initial_faults();
     let options = construct!(emulator::RunnerOptions {
         id,
         service,
@@ -141,6 +155,7 @@
         work_ms,
         store,
         advertised_address,
+        initial_faults,
     });
     let (listen, journal_file) = (listen(), journal_file());
     construct!(RunnerArguments {
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -35,6 +35,8 @@
     pub proxy: Option<harness::LinkProxy>,
     /// Memory that the settings of a relay state, in megabytes.
     pub relay_memory_mb: u32,
+    /// Further arguments of the runners that are started from now on.
+    pub runner_arguments: Vec<String>,
     peer_port: u16,
     relay_count: u32,
 }
@@ -53,6 +55,7 @@
             launcher,
             proxy: None,
             relay_memory_mb: 160,
+            runner_arguments: Vec::new(),
             peer_port,
             relay_count: 0,
         }
@@ -146,6 +149,7 @@
                 .iter()
                 .flat_map(|stage| ["--stage".to_owned(), stage.to_string()]),
         );
+        arguments.extend(self.runner_arguments.iter().cloned());
         let process = self.launcher.start_ready(id, "runner", arguments).await;
         EmulatorProcess {
             process: process.expect("runner"),
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay with the platform emulator. Guarantees are checked against the journals of
 //! the runners and the responses that callers received.
 
+mod crashing_parts;
 mod faulty_targets;
 mod fixture;
 mod guarantees;
