Test streams without length and chunks that end with their connection

A stream without length and chunks ends with its connection. If its last event is complete, callers get it as a complete stream and it runs once; if it ends within an event, it is resumed at another engine, or its caller's connection is closed early. No test covered this.

--- a/crates/testbed/tests/relay/faulty_targets.rs
+++ b/crates/testbed/tests/relay/faulty_targets.rs
@@ -452,6 +452,82 @@
     assert_eq!(runs.load(Ordering::Relaxed), 2, "each stream runs once");
 }
 
+/// An event stream without length and chunks, which ends with its connection: its head and `body`.
+fn unframed_stream(request: &ScriptedRequest, body: &str) -> Vec<ScriptStep> {
+    let headers = origin_headers(request);
+    let head =
+        format!("HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\nconnection: close");
+    let bytes = format!("{head}\r\n\r\n{body}").into_bytes();
+    vec![ScriptStep::Send(bytes), ScriptStep::Close]
+}
+
+/// The events of a stream, as text without chunks.
+fn event_texts(count: u64) -> String {
+    let event = |number| format!("id: {number}\ndata: token {number}\n\n");
+    (0..count).map(event).collect()
+}
+
+/// Guards against complete streams that are taken for interrupted ones because they have neither a
+/// length nor chunks, and against callers that cannot tell that their stream was complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_complete_stream_that_ends_with_its_connection_is_complete() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let relay = fixture.start_relay(&[]).await;
+    let engine = start_target(&fixture, "d-1", "models", Some("decode"), |request| {
+        unframed_stream(request, &event_texts(5))
+    });
+    let engine = engine.await;
+    relay.wait_streaming("/stream/a", 5).await;
+    let first_count = engine.request_count();
+    for (number, path) in ["/stream/a", "/resumable/a"].iter().enumerate() {
+        let attempt = format!("u-{number}");
+        let response = relay.request_stream(path, &attempt, 5).await;
+        let response = response.expect("a complete response");
+        assert_eq!(response.status, 200, "{path}");
+        assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4], "{path}");
+    }
+    assert_eq!(engine.request_count(), first_count + 2, "each runs once");
+}
+
+/// Guards against a stream that ends within an event with its connection and is passed on as a
+/// complete one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_within_an_event_with_its_connection_is_incomplete() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let relay = fixture.start_relay(&[]).await;
+    let cut = start_target(&fixture, "d-1", "models", Some("decode"), |request| {
+        unframed_stream(request, &format!("{}id: 2\nda", event_texts(2)))
+    });
+    let cut = cut.await;
+    harness::wait_until(TIMEOUT, "the engine gets requests", async || {
+        let _ = relay.request_stream("/stream/a", "probe", 5).await;
+        cut.request_count() > 0
+    })
+    .await;
+    let response = relay.request_stream("/stream/a", "cut", 5).await;
+    let is_refused = response
+        .as_ref()
+        .is_ok_and(|response| response.status >= 500);
+    assert!(response.is_err() || is_refused, "{response:?}");
+    let _sound = fixture.start_runner("d-2", "models", Some("decode")).await;
+    let first_count = cut.request_count();
+    let mut number = 0;
+    while cut.request_count() < first_count + 2 {
+        assert!(number < 200, "the engine gets no stream");
+        let attempt = format!("r-{number}");
+        let response = relay.request_stream("/resumable/a", &attempt, 5).await;
+        if let Ok(response) = response
+            && response.status == 200
+        {
+            assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4], "{attempt}");
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        number += 1;
+    }
+}
+
 /// Guards against a caller that stops reading: its stream must not hold the engine for ever.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_caller_stops_reading_ends() {
