Log why no target accepts a request, and what was in flight at a crash

What callers saw: beside requests with a prompt part that crashes engines, sound requests were refused with 503 within 0.15 s. The log said `no_target` and could not tell whether the engines were down, ejected as outliers, changing their stage or excluded, and `target_crashed` named only the hash of a whole request, so that suspicion of a wrong part could not be ruled out either.

Change: `targets_unavailable` counts the targets of the service by the reason why they get no request; `target_crashed` names the request, the ids of the prompt parts that others may share, and how long it was in flight. Suspects move to a module of their own; no decision changes.

--- a/crates/core/src/prefix/mod.rs
+++ b/crates/core/src/prefix/mod.rs
@@ -28,6 +28,11 @@
     }
 }
 
+/// Returns the parts of a prompt that other requests may share: all but the last one.
+pub fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
 #[derive(Clone, Copy, Debug)]
 struct CacheEntry {
     tokens: u32,
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -14,6 +14,7 @@
 use super::{
     refusal::RefusalResponse,
     request::{RelayRequest, RequestProgress},
+    suspects,
 };
 use crate::{
     clock, connection, platform, state, target,
@@ -167,6 +168,7 @@
     let mut headers = request.headers.clone();
     state.codec.write_request(&mut headers, metadata);
     *message.headers_mut() = headers;
+    let sent_ms = clock::now_ms();
     let result = send(target, message, deadline).await;
     let (response, mut connection) = match result {
         Ok(sent) => sent,
@@ -177,7 +179,7 @@
             };
             state.record_outcome(target, outcome);
             if failure.retry == RetryReason::ConnectionBroken {
-                confirm_crash(state, request.fingerprint, target);
+                suspects::confirm_crash(state, request, target, sent_ms);
             }
             return Err(failure);
         }
@@ -287,36 +289,6 @@
         .set(target.backoff_until_ms.get().max(until_ms));
 }
 
-/// Records a crash if the target no longer accepts connections. A broken connection alone is not
-/// enough, because connections also break for other reasons.
-fn confirm_crash<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
-    state: &state::SharedState<Codec, Store>,
-    fingerprint: u64,
-    target: &rc::Rc<target::TargetState>,
-) {
-    let state = rc::Rc::clone(state);
-    let target = rc::Rc::clone(target);
-    tokio::task::spawn_local(async move {
-        let connected =
-            connection::TargetConnection::connect(target.entry.address, CONNECT_TIMEOUT).await;
-        let now_ms = clock::now_ms();
-        match connected {
-            Ok(connection) => target.pool.put(connection, None),
-            Err(error) => {
-                state.record_outcome(&target, outlier::TargetOutcome::Unreachable);
-                let mut suspects = state.suspects.borrow_mut();
-                suspects.record_crash(fingerprint, target.hash as u32, now_ms);
-                log::info!(
-                    target_id = target.entry.id.as_str(), fingerprint = fingerprint,
-                    error:% = error;
-                    "target_crashed"
-                );
-                state.report_now.notify_one();
-            }
-        }
-    });
-}
-
 /// Records a failed attempt and decides whether the request may be retried.
 pub fn decide_retry(
     request: &RelayRequest,
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -146,7 +146,7 @@
 impl PromptView<'_> {
     /// Returns the key of the last part that other requests share; 0 if there is none.
     fn shared_key(&self) -> u64 {
-        let shared = shared_parts(self.parts).last();
+        let shared = prefix::shared_parts(self.parts).last();
         shared.map_or(0, |part| part.key)
     }
 }
@@ -177,7 +177,7 @@
         if let Some(plan) = pick_engines(state, &prompt, prefilled) {
             return Ok(plan);
         }
-        selection::wait_for_poll(deadline, progress).await?;
+        selection::wait_for_poll(state, request, progress, deadline).await?;
     }
 }
 
@@ -243,7 +243,7 @@
         spec.and_then(|spec| spec.engine.as_ref()),
         state.prompt_tokens_per_ms(prompt.service),
     );
-    let shared = shared_parts(prompt.parts).iter();
+    let shared = prefix::shared_parts(prompt.parts).iter();
     let size = placement::PromptSize {
         prompt_tokens: prompt.prompt_tokens,
         shared_tokens: shared.map(|part| u64::from(part.tokens)).sum(),
@@ -270,11 +270,6 @@
     })
 }
 
-/// Returns the parts that other requests share: all but the last one.
-fn shared_parts(parts: &[prefix::PromptPart]) -> &[prefix::PromptPart] {
-    parts.split_last().map_or(&[], |(_, shared)| shared)
-}
-
 fn candidates<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
     prompt: &PromptView<'_>,
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod request;
 mod selection;
 mod service;
+mod suspects;
 
 pub use engines::{PREFILL_OVERHEAD_MS, PromptView, pick_engines};
 pub use refusal::HttpResponse;
@@ -17,11 +18,9 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_core::suspect;
-use acaciabank_protocol::verdict::Verdict;
 use hyper::body::Incoming;
 
-use crate::{clock, config, platform, state, telemetry::RefusalCause};
+use crate::{config, platform, state, telemetry::RefusalCause};
 use refusal::RefusalResponse;
 use request::{RelayRequest, RequestProgress};
 
@@ -68,8 +67,8 @@
     request: rc::Rc<RelayRequest>,
 ) -> Result<HttpResponse, RefusalResponse> {
     check_shutdown(state, &request)?;
-    check_suspect(state, &request)?;
     let progress = RequestProgress::default();
+    suspects::check(state, &request, progress.verdict)?;
     match request.is_generation() {
         true => generate::run(state, request, progress).await,
         false => service::run(state, &request, progress).await,
@@ -100,18 +99,3 @@
         false => Ok(()),
     }
 }
-
-fn check_suspect<Codec, Store>(
-    state: &state::RelayState<Codec, Store>,
-    request: &RelayRequest,
-) -> Result<(), RefusalResponse> {
-    let suspects = state.suspects.borrow();
-    match suspects.status(request.fingerprint, clock::now_ms()) {
-        suspect::SuspectStatus::Refused => Err(RefusalResponse {
-            cause: RefusalCause::CrashSuspect,
-            verdict: Verdict::MayHaveRun,
-            retry_after_ms: None,
-        }),
-        _ => Ok(()),
-    }
-}
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -45,6 +45,8 @@
     pub metadata: platform::RequestMetadata,
     /// Parts of the prompt; empty for plain services.
     pub parts: Vec<prefix::PromptPart>,
+    /// Keys of the parts that other requests may share: all but the last one.
+    pub shared_keys: Vec<u64>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
     _active: state::ActiveGuard,
@@ -80,7 +82,9 @@
                 };
                 parts.map(part).collect()
             });
+        let shared = prefix::shared_parts(&parts).iter();
         Ok(Self {
+            shared_keys: shared.map(|part| part.key).collect(),
             id: metadata.attempt_id.clone().unwrap_or_default(),
             service: service.to_owned(),
             route: route.clone(),
@@ -119,6 +123,14 @@
         generation.map_or(0, |generation| generation.prompt_tokens)
     }
 
+    /// Returns the ids of the parts that other requests may share, in the order of `shared_keys`.
+    pub fn shared_part_ids(&self) -> Vec<&str> {
+        let generation = self.metadata.generation.iter();
+        let ids = generation.flat_map(|generation| &generation.parts);
+        let shared = ids.take(self.shared_keys.len());
+        shared.map(|(id, _)| id.as_str()).collect()
+    }
+
     /// Returns the properties that decide whether it is refused because of load.
     pub fn intake_request(&self, progress: &RequestProgress) -> load_shed::IntakeRequest {
         load_shed::IntakeRequest {
--- a/crates/relay/src/dispatch/selection.rs
+++ b/crates/relay/src/dispatch/selection.rs
@@ -31,7 +31,7 @@
         if let Some(target) = pick_service_target(state, request, progress) {
             return Ok(target);
         }
-        wait_for_poll(deadline, progress).await?;
+        wait_for_poll(state, request, progress, deadline).await?;
     }
 }
 
@@ -44,11 +44,14 @@
 }
 
 /// Waits for one poll interval; refuses the request once `deadline` has passed.
-pub async fn wait_for_poll(
-    deadline: Instant,
+pub async fn wait_for_poll<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
     progress: &RequestProgress,
+    deadline: Instant,
 ) -> Result<(), RefusalResponse> {
     if Instant::now() >= deadline {
+        log_unavailable(state, request, progress);
         return Err(RefusalResponse::after(
             RefusalCause::NoTarget,
             progress.verdict,
@@ -58,6 +61,37 @@
     Ok(())
 }
 
+/// Logs how many targets of the service of a request get no requests, by reason. Targets that have
+/// crashed are missing, or ejected until the platform removes them from its list.
+fn log_unavailable<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+) {
+    use target::TargetAvailability as Availability;
+    let now_ms = clock::now_ms();
+    let targets = state.targets.borrow();
+    let targets = targets.of_service(&request.service);
+    let count = |availability: Availability| {
+        let matching = targets
+            .iter()
+            .filter(|target| target.availability(now_ms) == availability);
+        matching.count()
+    };
+    let accepting = targets.iter().filter(|target| target.is_accepting(now_ms));
+    let decode = accepting.filter(|target| {
+        target.stage(now_ms) == Some(acaciabank_core::placement::EngineStage::Decode)
+    });
+    log::info!(
+        id = request.id.as_str(), service = request.service.as_str(), listed = targets.len(),
+        accepting = count(Availability::Accepting), decode = decode.count(),
+        leaving = count(Availability::Leaving), switching = count(Availability::Switching),
+        backing_off = count(Availability::BackingOff), ejected = count(Availability::Ejected),
+        excluded = progress.excluded.len();
+        "targets_unavailable"
+    );
+}
+
 fn pick_service_target<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
--- /dev/null
+++ b/crates/relay/src/dispatch/suspects.rs
@@ -0,0 +1,98 @@
+//! Refusal of requests that crash targets, and detection of crashes.
+
+use std::{io, rc, time::Duration};
+
+use acaciabank_core::{outlier, suspect};
+use acaciabank_protocol::verdict::Verdict;
+
+use super::{refusal::RefusalResponse, request::RelayRequest};
+use crate::{clock, connection, platform, state, target, telemetry::RefusalCause};
+
+/// Timeout of the connection attempt that tells whether a target has crashed.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Refuses a request that targets have crashed on.
+/// `verdict` is that of the attempts so far.
+pub fn check<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    verdict: Verdict,
+) -> Result<(), RefusalResponse> {
+    let now_ms = clock::now_ms();
+    let refuse = |cause| {
+        Err(RefusalResponse {
+            cause,
+            // The caller must not be told to send the request again.
+            verdict: verdict.combine(Verdict::MayHaveRun),
+            retry_after_ms: None,
+        })
+    };
+    let status = state.suspects.borrow().status(request.fingerprint, now_ms);
+    if status == suspect::SuspectStatus::Refused {
+        return refuse(RefusalCause::CrashSuspect);
+    }
+    Ok(())
+}
+
+/// A request whose connection broke before the target sent any output of it.
+#[derive(Clone, Debug)]
+struct BrokenCall {
+    id: String,
+    fingerprint: u64,
+    /// Ids of the shared parts, for the log.
+    part_ids: String,
+    /// Time by [`clock::now_ms`] at which it was sent to the target.
+    sent_ms: u64,
+    /// Time at which the connection broke.
+    broken_ms: u64,
+}
+
+/// Records a crash if a target no longer accepts connections after the connection of a request broke
+/// that had no output yet. A broken connection alone is not enough, because connections also break
+/// for other reasons.
+pub fn confirm_crash<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    target: &rc::Rc<target::TargetState>,
+    sent_ms: u64,
+) {
+    let call = BrokenCall {
+        id: request.id.clone(),
+        fingerprint: request.fingerprint,
+        part_ids: request.shared_part_ids().join(","),
+        sent_ms,
+        broken_ms: clock::now_ms(),
+    };
+    let state = rc::Rc::clone(state);
+    let target = rc::Rc::clone(target);
+    tokio::task::spawn_local(async move {
+        let address = target.entry.address;
+        match connection::TargetConnection::connect(address, CONFIRM_TIMEOUT).await {
+            Ok(connection) => target.pool.put(connection, None),
+            Err(error) => {
+                state.record_outcome(&target, outlier::TargetOutcome::Unreachable);
+                record_crash(&state, &target, &call, &error);
+            }
+        }
+    });
+}
+
+fn record_crash<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    target: &target::TargetState,
+    call: &BrokenCall,
+    error: &io::Error,
+) {
+    log::info!(
+        id = call.id.as_str(), target_id = target.entry.id.as_str(),
+        fingerprint = call.fingerprint, parts = call.part_ids.as_str(),
+        in_flight_ms = call.broken_ms.saturating_sub(call.sent_ms), error:% = error;
+        "target_crashed"
+    );
+    let target_hash = target.hash as u32;
+    state
+        .suspects
+        .borrow_mut()
+        .record_crash(call.fingerprint, target_hash, call.broken_ms);
+    state.report_now.notify_one();
+}
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -118,14 +118,40 @@
 
     /// Whether it accepts new requests and is not ejected for failures.
     pub fn is_accepting(&self, now_ms: u64) -> bool {
-        let is_active = !self.is_draining.get() && !self.is_replaced.get();
-        let is_ready = now_ms
-            >= self
-                .switching_until_ms
-                .get()
-                .max(self.backoff_until_ms.get());
-        is_active && is_ready && self.detector.borrow().is_available(now_ms)
+        self.availability(now_ms) == TargetAvailability::Accepting
     }
+
+    /// Returns whether it gets new requests, or why not.
+    pub fn availability(&self, now_ms: u64) -> TargetAvailability {
+        if self.is_draining.get() || self.is_replaced.get() {
+            return TargetAvailability::Leaving;
+        }
+        if now_ms < self.switching_until_ms.get() {
+            return TargetAvailability::Switching;
+        }
+        if now_ms < self.backoff_until_ms.get() {
+            return TargetAvailability::BackingOff;
+        }
+        match self.detector.borrow().is_available(now_ms) {
+            true => TargetAvailability::Accepting,
+            false => TargetAvailability::Ejected,
+        }
+    }
+}
+
+/// Whether a target gets new requests, or why not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetAvailability {
+    /// It gets requests.
+    Accepting,
+    /// It is draining, or another incarnation has taken over its address.
+    Leaving,
+    /// It is changing its stage.
+    Switching,
+    /// It has just refused a request.
+    BackingOff,
+    /// It is ejected because requests to it failed.
+    Ejected,
 }
 
 /// A stage that a daemon has ordered.
