Attribute a crash to requests whose response head had arrived

What callers saw: requests that crash engines were sent on to one engine after the other. A crash was attributed only to requests whose response head had not arrived. Engines send the head before the first token, so the request that crashed its engine was left out, while those that waited behind it were recorded.

Change: a connection that breaks after the head and before the first event is examined like one that breaks before the head. A stream with events is not suspected: the engine had begun its answer.

--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -24,8 +24,9 @@
     events::{EventReader, ReadError},
     refusal::{HttpResponse, RefusalResponse},
     request::{RelayRequest, RequestProgress},
+    suspects,
 };
-use crate::{connection, platform, state, target, telemetry::RefusalCause};
+use crate::{clock, connection, platform, state, target, telemetry::RefusalCause};
 use kv_handle::KvHandle;
 
 /// Capacity of the channel between engine and caller, in frames. A full channel propagates the
@@ -319,11 +320,18 @@
         },
         last_event,
     };
+    let sent_ms = clock::now_ms();
     let response = attempt::exchange(state, request, &plan.decode, &metadata, deadline).await?;
     let mut started = read_start(state, request, plan, response, work, deadline, last_event).await;
-    if let Ok(StreamStart::Open(_, stream)) = &mut started {
-        stream.prefill_ms = prefill_ms;
-        stream.plan.prefill = handle.map(|handle| rc::Rc::clone(&handle.engine));
+    match &mut started {
+        Ok(StreamStart::Open(_, stream)) => {
+            stream.prefill_ms = prefill_ms;
+            stream.plan.prefill = handle.map(|handle| rc::Rc::clone(&handle.engine));
+        }
+        Err(failure) if failure.retry == RetryReason::ConnectionBroken => {
+            suspects::confirm_crash(state, request, &plan.decode, sent_ms);
+        }
+        _ => {}
     }
     started
 }
