Do not take a network partition for a crash of the target

What callers would see: a connection that broke was taken for a crash of its target also if the confirming connection attempt timed out. A daemon that is partitioned from the targets then suspected every request that was in flight, and refused those that came twice, on all daemons for ten minutes.

Change: only a refused connection confirms a crash, as docs/OPERATIONS.md has always said: the host answers, and the process is gone. A target whose host is gone is still recorded as unreachable for outlier detection. What stays open: a process that crashes together with its host is not attributed to a request.

--- a/crates/relay/src/dispatch/suspects.rs
+++ b/crates/relay/src/dispatch/suspects.rs
@@ -47,9 +47,9 @@
     broken_ms: u64,
 }
 
-/// Records a crash if a target no longer accepts connections after the connection of a request broke
-/// that had no output yet. A broken connection alone is not enough, because connections also break
-/// for other reasons.
+/// Records a crash if a target refuses connections after the connection of a request broke that had
+/// no output yet. A broken connection alone is not enough, because connections also break for other
+/// reasons, nor is an unanswered connection attempt: the network may be cut.
 pub fn confirm_crash<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
@@ -71,7 +71,9 @@
             Ok(connection) => target.pool.put(connection, None),
             Err(error) => {
                 state.record_outcome(&target, outlier::TargetOutcome::Unreachable);
-                record_crash(&state, &target, &call, &error);
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    record_crash(&state, &target, &call);
+                }
             }
         }
     });
@@ -81,12 +83,11 @@
     state: &state::RelayState<Codec, Store>,
     target: &target::TargetState,
     call: &BrokenCall,
-    error: &io::Error,
 ) {
     log::info!(
         id = call.id.as_str(), target_id = target.entry.id.as_str(),
         fingerprint = call.fingerprint, parts = call.part_ids.as_str(),
-        in_flight_ms = call.broken_ms.saturating_sub(call.sent_ms), error:% = error;
+        in_flight_ms = call.broken_ms.saturating_sub(call.sent_ms);
         "target_crashed"
     );
     let target_hash = target.hash as u32;
