Check suspects before every call and not only at the arrival of a request

What callers saw: a request that crashes targets was sent to a further one after it was known, because suspects were checked only when the request arrived. A prompt is processed for up to seconds before the call that generates, and a retry or a resumed stream comes later still; other daemons report crashes meanwhile.

Change: the check comes before each call to a target, of streams and of plain services. A request that was refused by the check after an attempt gets 502, or the error response of a target if there is one.

--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -176,6 +176,8 @@
         progress: &mut RequestProgress,
         last_event: Option<u64>,
     ) -> Result<Option<StreamStart>, RefusalResponse> {
+        // Another daemon may have reported a crash since the last call.
+        suspects::check(state, request, progress.verdict)?;
         let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
         let plan = match engines::plan_engines(state, request, progress, prefilled).await {
             Ok(plan) => plan,
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -13,7 +13,7 @@
     attempt::{self, AttemptFailure},
     refusal::{HttpResponse, RefusalResponse},
     request::{RelayRequest, RequestProgress},
-    selection,
+    selection, suspects,
 };
 use crate::{connection, platform, state, target, telemetry};
 
@@ -34,7 +34,9 @@
             Err(refusal) => return failed_response.ok_or(refusal),
         };
         let kind = attempt::CallKind::Run;
-        if let Err(refusal) = attempt::reserve_retry(state, request, &mut progress, kind) {
+        let allowed = suspects::check(state, request, progress.verdict)
+            .and_then(|()| attempt::reserve_retry(state, request, &mut progress, kind));
+        if let Err(refusal) = allowed {
             return failed_response.ok_or(refusal);
         }
         progress.sends += 1;
