Refuse requests with a prompt part that crashes engines

Cause: a crash was attributed to path and body of the whole request. No two of these requests are alike; what they share is one part of their prompt. Each one crashed two engines and nothing was learned.

Change: each crash is recorded with the parts of the requests that waited for their first output at the target, all but the last part of a prompt, and is reported to all daemons. An answer that begins clears the parts of its prompt, which is reported too. A part is refused after three crashes in a row if it explains more of them than each other suspect that the request does not have. So a first part that sound and crashing requests share stays in use even if it was never answered, requests that waited at the same engine are not suspected for long, and a failure of many engines at once counts as one crash.

--- a/crates/core/src/suspect/mod.rs
+++ b/crates/core/src/suspect/mod.rs
@@ -1,10 +1,12 @@
 //! Crash suspects: fingerprints of requests that were in flight when the connection to a target
 //! broke. A request that is suspected of crashing targets is isolated and then refused.
 
+mod parts;
 mod turns;
 
 use std::collections::HashMap;
 
+pub use parts::{PartCrashRecord, PartStartRecord, PartSuspects, REFUSE_MIN_PART_CRASHES};
 pub use turns::{TurnStamp, TurnTable, TurnTicket};
 
 /// Number of crashes at which the requests of a fingerprint are refused.
--- /dev/null
+++ b/crates/core/tests/part_suspects.rs
@@ -0,0 +1,350 @@
+//! Prompt parts that crash targets: the part is found after few crashes, and sound parts that were
+//! at the same targets are not refused.
+
+use acaciabank_core::suspect::{
+    PartCrashRecord, PartStartRecord, PartSuspects, REFUSE_MIN_PART_CRASHES, SUSPECT_LIFETIME_MS,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// A part that crashes every target that answers a prompt with it.
+const CRASHING: u64 = 1;
+/// A sound part with which all prompts begin.
+const FIRST: u64 = 2;
+const TARGET_COUNT: u32 = 8;
+/// Time after the fifth crash within which the part is known to all daemons.
+const CONTACT_MS: u64 = 3_000;
+/// Interval between reports of the daemons. A crash is reported at once, at most every 25 ms.
+const EXCHANGE_INTERVAL_MS: u64 = 30;
+/// Requests with the crashing part that may reach targets after that.
+const MAX_LATE_REQUESTS: u32 = 3;
+
+/// Records a crash at `now_ms` of a request that was sent 100 ms before.
+fn crash(suspects: &mut PartSuspects, parts: &[u64], target: u32, now_ms: u64) {
+    suspects.record_crash(parts, target, now_ms - 100, now_ms);
+}
+
+/// Records as many crashes in a row as refuse a part, one second apart.
+fn crash_in_a_row(suspects: &mut PartSuspects, parts: &[u64], first_ms: u64) {
+    for number in 0..REFUSE_MIN_PART_CRASHES as u32 {
+        let now_ms = first_ms + u64::from(number) * 1_000;
+        crash(suspects, parts, number, now_ms);
+    }
+}
+
+/// Guards against a part that goes on crashing targets because no two requests are alike.
+#[test]
+fn a_part_is_refused_after_crashes_in_a_row() {
+    let mut suspects = PartSuspects::default();
+    for number in 0..REFUSE_MIN_PART_CRASHES as u32 {
+        assert_eq!(suspects.refused_part(&[CRASHING], 5_000), None);
+        let own = 100 + u64::from(number);
+        crash(
+            &mut suspects,
+            &[own, CRASHING],
+            number,
+            1_000 + u64::from(number) * 500,
+        );
+    }
+    assert_eq!(
+        suspects.refused_part(&[200, CRASHING], 5_000),
+        Some(CRASHING)
+    );
+    assert_eq!(suspects.refused_part(&[100], 5_000), None);
+}
+
+/// Guards against refusing what happened to be in flight when many targets failed at once.
+#[test]
+fn crashes_at_the_same_time_count_once() {
+    let mut suspects = PartSuspects::default();
+    for target in 0..TARGET_COUNT {
+        suspects.record_crash(&[FIRST], target, 900, 1_000 + u64::from(target));
+    }
+    assert_eq!(suspects.refused_part(&[FIRST], 2_000), None);
+}
+
+/// Guards against refusing all requests that begin like those that crash targets.
+#[test]
+fn a_request_with_one_of_two_inseparable_parts_runs() {
+    let mut suspects = PartSuspects::default();
+    crash_in_a_row(&mut suspects, &[FIRST, CRASHING], 1_000);
+    assert!(suspects.refused_part(&[FIRST, CRASHING], 5_000).is_some());
+    assert_eq!(suspects.refused_part(&[FIRST], 5_000), None);
+    suspects.record_start(&[FIRST], 6_000);
+    assert_eq!(suspects.refused_part(&[FIRST, 3], 7_000), None);
+    assert_eq!(suspects.refused_part(&[3, CRASHING], 7_000), Some(CRASHING));
+}
+
+/// Guards against refusing a part whose requests waited each time at the target that another
+/// request crashed.
+#[test]
+fn a_crash_counts_for_the_part_that_explains_most_crashes() {
+    let mut suspects = PartSuspects::default();
+    crash_in_a_row(&mut suspects, &[CRASHING], 1_000);
+    crash_in_a_row(&mut suspects, &[3], 1_002);
+    crash(&mut suspects, &[CRASHING], 5, 5_000);
+    assert_eq!(suspects.refused_part(&[FIRST, 3], 6_000), None);
+    assert_eq!(
+        suspects.refused_part(&[FIRST, CRASHING], 6_000),
+        Some(CRASHING)
+    );
+}
+
+/// Guards against suspecting a part that is answered all the time in place of a new one.
+#[test]
+fn a_part_that_was_answered_is_not_suspected_beside_a_new_one() {
+    let mut suspects = PartSuspects::default();
+    suspects.record_start(&[FIRST], 500);
+    crash_in_a_row(&mut suspects, &[FIRST, CRASHING], 1_000);
+    assert_eq!(suspects.refused_part(&[FIRST], 5_000), None);
+    assert_eq!(
+        suspects.refused_part(&[FIRST, CRASHING], 5_000),
+        Some(CRASHING)
+    );
+}
+
+/// Guards against a part that crashes targets unhindered because it was answered earlier, for
+/// example by another version of the model.
+#[test]
+fn a_part_that_begins_to_crash_targets_is_refused_until_it_is_answered() {
+    let mut suspects = PartSuspects::default();
+    suspects.record_start(&[FIRST], 500);
+    crash_in_a_row(&mut suspects, &[FIRST], 1_000);
+    assert_eq!(suspects.refused_part(&[FIRST], 5_000), Some(FIRST));
+    suspects.record_start(&[FIRST], 6_000);
+    assert_eq!(suspects.refused_part(&[FIRST], 7_000), None);
+}
+
+/// Guards against a daemon that refuses a part although another one has had it answered, and
+/// against one that does not learn of a crashing part.
+#[test]
+fn daemons_exchange_crashes_and_answers() {
+    let mut source = PartSuspects::default();
+    crash_in_a_row(&mut source, &[FIRST, CRASHING], 1_000);
+    crash_in_a_row(&mut source, &[7], 5_000);
+    source.record_start(&[FIRST, 7], 9_000);
+    let crashes = source.export_crashes(10_000);
+    let parts = crashes.iter().flat_map(|crash| crash.parts.iter().copied());
+    let starts = source.export_starts(parts, 10_000);
+    let mut copy = PartSuspects::default();
+    // The clocks of the daemons differ.
+    for _ in 0..2 {
+        crashes
+            .iter()
+            .for_each(|crash| copy.merge_crash(crash, 90_000));
+        starts
+            .iter()
+            .for_each(|start| copy.merge_start(*start, 90_000));
+    }
+    assert_eq!(copy.refused_part(&[CRASHING], 90_100), Some(CRASHING));
+    assert_eq!(copy.refused_part(&[FIRST], 90_100), None);
+    assert_eq!(copy.refused_part(&[7], 90_100), None);
+    assert_eq!(copy.export_crashes(90_000).len(), crashes.len());
+}
+
+/// Guards against a part that stays refused for ever, and against old reports that renew it.
+#[test]
+fn crashes_expire() {
+    let mut suspects = PartSuspects::default();
+    crash_in_a_row(&mut suspects, &[CRASHING], 1_000);
+    let crashes = suspects.export_crashes(4_000);
+    let later_ms = 4_000 + SUSPECT_LIFETIME_MS;
+    assert_eq!(suspects.refused_part(&[CRASHING], later_ms), None);
+    let old = PartCrashRecord {
+        age_ms: SUSPECT_LIFETIME_MS,
+        ..crashes[0].clone()
+    };
+    suspects.merge_crash(&old, later_ms);
+    assert!(suspects.export_crashes(later_ms).is_empty());
+}
+
+/// Guards against memory that grows with the crashes and answers of a long run.
+#[test]
+fn the_memory_of_crashes_and_answers_is_bounded() {
+    let mut suspects = PartSuspects::default();
+    for number in 0..100_000 {
+        let now_ms = 1_000 + number * 10;
+        crash(&mut suspects, &[number], number as u32, now_ms);
+        suspects.record_start(&[number], now_ms);
+    }
+    assert!(suspects.export_crashes(1_001_000).len() <= 128);
+    assert!(suspects.export_starts(0..100_000, 1_001_000).len() <= 8_192);
+}
+
+/// A daemon of the model with the requests that wait at targets for their first output.
+#[derive(Debug, Default)]
+struct ModelDaemon {
+    suspects: PartSuspects,
+    waiting: Vec<WaitingRequest>,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingRequest {
+    parts: Vec<u64>,
+    target: u32,
+    sent_ms: u64,
+    begins_ms: u64,
+    retries: u32,
+}
+
+/// Daemons that send sound and crashing prompts to targets at random, and exchange what they know.
+struct CrashModel {
+    daemons: Vec<ModelDaemon>,
+    /// Time until which each target is down.
+    down_until_ms: [u64; TARGET_COUNT as usize],
+    crash_times_ms: Vec<u64>,
+    sound_sent: u32,
+    sound_refused: u32,
+    crashing_sent_late: u32,
+}
+
+impl CrashModel {
+    fn run(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut model = Self {
+            daemons: (0..5).map(|_| ModelDaemon::default()).collect(),
+            down_until_ms: [0; TARGET_COUNT as usize],
+            crash_times_ms: Vec::new(),
+            sound_sent: 0,
+            sound_refused: 0,
+            crashing_sent_late: 0,
+        };
+        for now_ms in (10_000..40_000).step_by(10) {
+            let daemon = rng.random_range(0..model.daemons.len());
+            if rng.random_ratio(1, 8) {
+                // Beginnings that few prompts share are those that are hard to clear.
+                let parts = vec![FIRST, 100 + rng.random_range(0..60)];
+                model.send(daemon, parts, 0, now_ms, &mut rng);
+            }
+            if rng.random_ratio(1, 100) {
+                let beginning = 100 + rng.random_range(0..4);
+                model.send(
+                    daemon,
+                    vec![FIRST, beginning, CRASHING],
+                    0,
+                    now_ms,
+                    &mut rng,
+                );
+            }
+            model.begin_answers(now_ms, &mut rng);
+            if now_ms % EXCHANGE_INTERVAL_MS == 0 {
+                model.exchange(now_ms);
+            }
+        }
+        model
+    }
+
+    fn send(
+        &mut self,
+        daemon: usize,
+        parts: Vec<u64>,
+        retries: u32,
+        now_ms: u64,
+        rng: &mut StdRng,
+    ) {
+        let is_crashing = parts.contains(&CRASHING);
+        let suspects = &self.daemons[daemon].suspects;
+        let is_refused = suspects.refused_part(&parts, now_ms).is_some();
+        if !is_crashing {
+            self.sound_sent += 1;
+            self.sound_refused += u32::from(is_refused);
+        }
+        let up = (0..TARGET_COUNT).filter(|target| self.down_until_ms[*target as usize] <= now_ms);
+        let up: Vec<u32> = up.collect();
+        if is_refused || up.is_empty() {
+            return;
+        }
+        let is_late = self
+            .crash_times_ms
+            .get(4)
+            .is_some_and(|fifth| now_ms > fifth + CONTACT_MS);
+        self.crashing_sent_late += u32::from(is_crashing && is_late);
+        self.daemons[daemon].waiting.push(WaitingRequest {
+            parts,
+            target: up[rng.random_range(0..up.len())],
+            sent_ms: now_ms,
+            begins_ms: now_ms + rng.random_range(20..200),
+            retries,
+        });
+    }
+
+    /// Begins the answers that are due; crashes the targets of those with the crashing part.
+    fn begin_answers(&mut self, now_ms: u64, rng: &mut StdRng) {
+        for daemon in 0..self.daemons.len() {
+            let waiting = &mut self.daemons[daemon].waiting;
+            let due: Vec<_> = waiting
+                .extract_if(.., |request| request.begins_ms <= now_ms)
+                .collect();
+            for request in due {
+                match request.parts.contains(&CRASHING) {
+                    true => self.crash(request, daemon, now_ms, rng),
+                    false => self.daemons[daemon]
+                        .suspects
+                        .record_start(&request.parts, now_ms),
+                }
+            }
+        }
+    }
+
+    fn crash(&mut self, cause: WaitingRequest, owner: usize, now_ms: u64, rng: &mut StdRng) {
+        let target = cause.target;
+        if self.down_until_ms[target as usize] > now_ms {
+            return;
+        }
+        self.down_until_ms[target as usize] = now_ms + 3_000;
+        self.crash_times_ms.push(now_ms);
+        self.daemons[owner].waiting.push(cause);
+        for daemon in 0..self.daemons.len() {
+            let waiting = &mut self.daemons[daemon].waiting;
+            let broken: Vec<_> = waiting
+                .extract_if(.., |request| request.target == target)
+                .collect();
+            for request in broken {
+                let suspects = &mut self.daemons[daemon].suspects;
+                suspects.record_crash(&request.parts, target, request.sent_ms, now_ms);
+                if request.retries < 1 {
+                    self.send(daemon, request.parts, request.retries + 1, now_ms, rng);
+                }
+            }
+        }
+    }
+
+    fn exchange(&mut self, now_ms: u64) {
+        let mut crashes: Vec<PartCrashRecord> = Vec::new();
+        let mut starts: Vec<PartStartRecord> = Vec::new();
+        for daemon in &mut self.daemons {
+            let own = daemon.suspects.export_crashes(now_ms);
+            let parts = own.iter().flat_map(|crash| crash.parts.iter().copied());
+            starts.extend(daemon.suspects.export_starts(parts, now_ms));
+            crashes.extend(own);
+        }
+        for daemon in &mut self.daemons {
+            let suspects = &mut daemon.suspects;
+            crashes
+                .iter()
+                .for_each(|crash| suspects.merge_crash(crash, now_ms));
+            starts
+                .iter()
+                .for_each(|start| suspects.merge_start(*start, now_ms));
+        }
+    }
+}
+
+/// Guards against a part that takes down one target after the other, and against sound requests
+/// that are refused because they waited at the same targets.
+#[test]
+fn few_targets_crash_and_sound_requests_run() {
+    for seed in 0..60 {
+        let model = CrashModel::run(seed);
+        assert!(!model.crash_times_ms.is_empty(), "seed {seed}");
+        assert!(
+            model.crashing_sent_late <= MAX_LATE_REQUESTS,
+            "seed {seed}: {} requests",
+            model.crashing_sent_late
+        );
+        assert_eq!(
+            model.sound_refused, 0,
+            "seed {seed}: of {} sound requests",
+            model.sound_sent
+        );
+    }
+}
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -327,6 +327,8 @@
     let mut started = read_start(state, request, plan, response, work, deadline, last_event).await;
     match &mut started {
         Ok(StreamStart::Open(_, stream)) => {
+            let mut suspects = state.part_suspects.borrow_mut();
+            suspects.record_start(&request.shared_keys, clock::now_ms());
             stream.prefill_ms = prefill_ms;
             stream.plan.prefill = handle.map(|handle| rc::Rc::clone(&handle.engine));
         }
--- a/crates/relay/src/dispatch/suspects.rs
+++ b/crates/relay/src/dispatch/suspects.rs
@@ -11,7 +11,7 @@
 /// Timeout of the connection attempt that tells whether a target has crashed.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Refuses a request that targets have crashed on.
+/// Refuses a request that targets have crashed on, or that has a prompt part on which they have.
 /// `verdict` is that of the attempts so far.
 pub fn check<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
@@ -31,7 +31,17 @@
     if status == suspect::SuspectStatus::Refused {
         return refuse(RefusalCause::CrashSuspect);
     }
-    Ok(())
+    let suspects = state.part_suspects.borrow();
+    match suspects.refused_part(&request.shared_keys, now_ms) {
+        Some(part) => {
+            let position = request.shared_keys.iter().position(|key| *key == part);
+            let ids = request.shared_part_ids();
+            let part_id = position.map_or("", |position| ids[position]);
+            log::info!(id = request.id.as_str(), part = part_id; "part_refused");
+            refuse(RefusalCause::CrashPart)
+        }
+        None => Ok(()),
+    }
 }
 
 /// A request whose connection broke before the target sent any output of it.
@@ -39,6 +49,7 @@
 struct BrokenCall {
     id: String,
     fingerprint: u64,
+    shared_keys: Vec<u64>,
     /// Ids of the shared parts, for the log.
     part_ids: String,
     /// Time by [`clock::now_ms`] at which it was sent to the target.
@@ -59,6 +70,7 @@
     let call = BrokenCall {
         id: request.id.clone(),
         fingerprint: request.fingerprint,
+        shared_keys: request.shared_keys.clone(),
         part_ids: request.shared_part_ids().join(","),
         sent_ms,
         broken_ms: clock::now_ms(),
@@ -95,5 +107,11 @@
         .suspects
         .borrow_mut()
         .record_crash(call.fingerprint, target_hash, call.broken_ms);
+    state.part_suspects.borrow_mut().record_crash(
+        &call.shared_keys,
+        target_hash,
+        call.sent_ms,
+        call.broken_ms,
+    );
     state.report_now.notify_one();
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -3,6 +3,7 @@
 //! Each report replaces the sender's earlier ones, so a lost datagram delays changes by one
 //! interval. A report contains addresses of other daemons, so that one contact suffices to join.
 
+mod suspects;
 mod table;
 mod task;
 
@@ -65,6 +66,29 @@
     pub age_ms: u64,
 }
 
+/// A crash of a target while a request waited for its first output there; see
+/// `acaciabank_core::suspect`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrashEntry {
+    /// Keys of the prompt parts of the request that other requests may share.
+    pub parts: Vec<u64>,
+    /// Hash of the crashed target.
+    pub target_hash: u32,
+    /// Time since the crash.
+    pub age_ms: u64,
+    /// Time from the sending of the request to the crash.
+    pub in_flight_ms: u64,
+}
+
+/// A prompt part of a crash suspect that has been answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartStartEntry {
+    /// Key of the part.
+    pub part: u64,
+    /// Time since the last answer began.
+    pub age_ms: u64,
+}
+
 /// State of one daemon at the time of sending.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeerReport {
@@ -101,6 +125,10 @@
     pub parts: Vec<PartEntry>,
     /// Crash suspects, recent ones first.
     pub suspects: Vec<SuspectEntry>,
+    /// Crashes with suspected prompt parts, the most recent ones and some older ones.
+    pub part_crashes: Vec<PartCrashEntry>,
+    /// When the parts of `part_crashes` were last answered.
+    pub part_starts: Vec<PartStartEntry>,
     /// Hash of the daemon's availability zone, used only to compare zones.
     pub zone_hash: u64,
     /// Processor capacity of the host, in thousandths of a core.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::Cell, io, net, rc, time::Duration};
 
-use acaciabank_core::{prefix, scheduler as core_scheduler, suspect};
+use acaciabank_core::{prefix, scheduler as core_scheduler};
 use tokio::net::UdpSocket;
 
-use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, SuspectEntry};
+use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, suspects};
 use crate::{clock, platform, scheduler, state, target, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
@@ -34,14 +34,6 @@
 /// Largest number of prompt parts in a report; the oldest ones beyond it are left out, and the
 /// receivers do not learn of them.
 const MAX_PARTS: usize = 512;
-/// Age up to which every report contains a crash suspect, as some reports may be lost.
-const RECENT_SUSPECT_MS: u64 = 3_000;
-/// Largest number of older suspects in a report, different ones each time, for daemons that have
-/// started since.
-const MAX_OLDER_SUSPECTS: usize = 4;
-/// Largest number of recent crash suspects in a report.
-const MAX_RECENT_SUSPECTS: usize = 64;
-
 /// Sends and receives reports until the process ends.
 pub async fn run<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
@@ -185,6 +177,7 @@
     SEQUENCE.set(sequence);
     let settings = &state.settings;
     let recent = state.watch.recent_changes(now_ms);
+    let part_crashes = suspects::report_crashes(state, now_ms);
     PeerReport {
         host: settings.host.clone(),
         boot_id: state.boot_id,
@@ -208,7 +201,9 @@
         loads: loads(state),
         stage_changes: stage_changes(state),
         parts: recent_parts(state, now_ms, interval),
-        suspects: suspects(state),
+        suspects: suspects::report_requests(state, now_ms),
+        part_starts: suspects::report_starts(state, &part_crashes, now_ms),
+        part_crashes,
         known: sample_contacts(state),
         zone_hash: state.zone_hash,
         capacity_millicores: settings.capacity_millicores,
@@ -309,33 +304,6 @@
     rotated.take(MAX_KNOWN_ADDRESSES).copied().collect()
 }
 
-/// Returns the crash suspects for a report: the most recent ones and a random selection of older
-/// ones.
-fn suspects<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<SuspectEntry> {
-    let mut records = state.suspects.borrow_mut().export(clock::now_ms());
-    records.sort_by_key(|record| record.age_ms);
-    let recent = records.partition_point(|record| record.age_ms < RECENT_SUSPECT_MS);
-    let older = records.split_off(recent);
-    records.truncate(MAX_RECENT_SUSPECTS);
-    if !older.is_empty() {
-        let first = rand::random_range(0..older.len());
-        records.extend(
-            older
-                .iter()
-                .cycle()
-                .skip(first)
-                .take(MAX_OLDER_SUSPECTS.min(older.len())),
-        );
-    }
-    let entries = records.into_iter();
-    let entries = entries.map(|record| SuspectEntry {
-        fingerprint: record.fingerprint,
-        target_hash: record.target_hash,
-        age_ms: record.age_ms,
-    });
-    entries.collect()
-}
-
 async fn receive<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
     socket: rc::Rc<UdpSocket>,
@@ -375,14 +343,7 @@
     report: PeerReport,
 ) {
     let now_ms = clock::now_ms();
-    for entry in &report.suspects {
-        let record = suspect::SuspectRecord {
-            fingerprint: entry.fingerprint,
-            target_hash: entry.target_hash,
-            age_ms: entry.age_ms,
-        };
-        state.suspects.borrow_mut().merge(record, now_ms);
-    }
+    suspects::apply(state, &report, now_ms);
     apply_stage_changes(state, &report.stage_changes, now_ms);
     apply_parts(state, &report.parts, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -23,6 +23,8 @@
         DeadlinePassed,
         /// Targets crashed while they ran the same request.
         CrashSuspect,
+        /// Targets crashed on a part of the prompt.
+        CrashPart,
         /// The target failed and the request must not be sent again.
         TargetFailed,
         /// Every target that was tried refused the request.
@@ -45,6 +47,7 @@
             Self::Stopping => "stopping",
             Self::DeadlinePassed => "deadline_passed",
             Self::CrashSuspect => "crash_suspect",
+            Self::CrashPart => "crash_part",
             Self::TargetFailed => "target_failed",
             Self::TargetRefused => "target_refused",
             Self::BudgetSpent => "budget_spent",
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -35,6 +35,8 @@
         stage_changes: Vec::new(),
         parts: Vec::new(),
         suspects: Vec::new(),
+        part_crashes: Vec::new(),
+        part_starts: Vec::new(),
         zone_hash: 1,
         capacity_millicores: 250,
         age_ms,
