Confirm a crash also while the listener of the ending process still accepts

Cause: a process that ends closes its connections before its listener. A connection that is opened at once, to see whether the target still runs, is accepted by the kernel and reset a moment later.

Change: a connection has to stay open for 20 ms to show that the target runs; otherwise another one is opened, for 400 ms at the most.

--- a/crates/relay/src/dispatch/suspects.rs
+++ b/crates/relay/src/dispatch/suspects.rs
@@ -1,6 +1,9 @@
 //! Refusal of requests that crash targets, and detection of crashes.
 
-use std::{io, rc, time::Duration};
+use std::{
+    io, rc,
+    time::{Duration, Instant},
+};
 
 use acaciabank_core::{outlier, suspect};
 use acaciabank_protocol::verdict::Verdict;
@@ -10,6 +13,8 @@
 
 /// Timeout of the connection attempt that tells whether a target has crashed.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which a connection has to stay open to show that the target runs.
+const STABLE_TIME: Duration = Duration::from_millis(20);
 
 /// Refuses a request that targets have crashed on, or that has a prompt part on which they have.
 /// `verdict` is that of the attempts so far.
@@ -78,8 +83,7 @@
     let state = rc::Rc::clone(state);
     let target = rc::Rc::clone(target);
     tokio::task::spawn_local(async move {
-        let address = target.entry.address;
-        match connection::TargetConnection::connect(address, CONFIRM_TIMEOUT).await {
+        match connect_stable(&target).await {
             Ok(connection) => target.pool.put(connection, None),
             Err(error) => {
                 state.record_outcome(&target, outlier::TargetOutcome::Unreachable);
@@ -91,6 +95,21 @@
     });
 }
 
+/// Opens a connection that stays open for [`STABLE_TIME`]. The listener of a process that ends may
+/// accept connections for a moment after the process has closed its other ones.
+async fn connect_stable(target: &target::TargetState) -> io::Result<connection::TargetConnection> {
+    let deadline = Instant::now() + CONFIRM_TIMEOUT;
+    loop {
+        let timeout = deadline.saturating_duration_since(Instant::now());
+        let connection =
+            connection::TargetConnection::connect(target.entry.address, timeout).await?;
+        tokio::time::sleep(STABLE_TIME).await;
+        if connection.is_ready() {
+            return Ok(connection);
+        }
+    }
+}
+
 fn record_crash<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     target: &target::TargetState,
