Log a request that ends without a response

A request is logged when it is answered or refused, and a stream when it ends; a request whose handling is dropped before that, because its connection failed, its caller left or the process ended, left nothing.

Change: a guard watches a request from its head to its response and writes a line `unanswered` with the id, the route, whether the request had been read whole and its age if it is dropped before. Requests that still run when the process ends are dropped before the log is flushed, so that their lines are written too.

Test: losses::a_request_that_ends_without_a_response_is_logged; the event did not exist before.

--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod request;
 mod selection;
 mod service;
+mod unanswered;
 
 pub use engines::{PREFILL_OVERHEAD_MS, PromptView, pick_engines};
 pub use refusal::HttpResponse;
@@ -24,6 +25,7 @@
 use crate::{clock, config, platform, state, telemetry::RefusalCause};
 use refusal::RefusalResponse;
 use request::{RelayRequest, RequestProgress};
+use unanswered::UnansweredGuard;
 
 /// Handles a request from a caller.
 pub async fn handle<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -41,14 +43,17 @@
         None => return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, ""),
     };
     let name = route.name.clone();
+    let mut unanswered = UnansweredGuard::new(&id, &name);
     let request = RelayRequest::read(&state, &config, route, metadata, request).await;
     let result = match request {
         Ok(request) => {
+            unanswered.record_read();
             state.record_request(&request.service);
             run(&state, rc::Rc::new(request)).await
         }
         Err(refusal) => Err(refusal),
     };
+    unanswered.close();
     match result {
         Ok(response) => response,
         Err(refusal) => refusal.into_response(&id, &name),
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -46,6 +46,8 @@
     let local = tokio::task::LocalSet::new();
     let state = rc::Rc::new(state::RelayState::new(settings, codec, store));
     let result = runtime.block_on(local.run_until(run_daemon(state)));
+    // Requests that still run are dropped here, which writes their last lines.
+    drop(local);
     telemetry::flush_log(LOG_FLUSH_TIMEOUT);
     result
 }
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod guarantees;
 mod handover;
 mod lifecycle;
+mod losses;
 mod peers;
 mod silences;
 mod soak;
