Read the body of a request that is refused before it was read

What callers saw: around a change of the configuration, a request for a route that a daemon does not know (404), for a daemon that has no configuration yet (503) or with a body over the limit (413) was answered while its body was still arriving. The connection was then closed without `Connection: close` in the answer, so that the next request on it was lost; a caller that was still writing got a broken pipe, and the kernel's reset can discard the refusal before it is read.

Cause: these refusals dropped the unread body. The HTTP library then reads once more, and closes the connection unless the body has ended by then. Bodies in the segment of their head were not affected, which is why tests passed.

--- a/crates/relay/src/connection/body.rs
+++ b/crates/relay/src/connection/body.rs
@@ -141,3 +141,17 @@
         }
     }
 }
+
+/// Reads a body that nobody needs, so that the connection can carry the next request. Reading ends
+/// with the body, after `max_bytes` or at the deadline; the connection is closed unless the body
+/// has ended.
+pub async fn discard_body(mut body: Incoming, max_bytes: usize, deadline: Instant) {
+    let mut left = max_bytes;
+    while let Ok(Some(Ok(frame))) = tokio::time::timeout_at(deadline.into(), body.frame()).await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        match left.checked_sub(length) {
+            Some(rest) if Instant::now() < deadline => left = rest,
+            _ => return,
+        }
+    }
+}
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -25,7 +25,7 @@
 mod write_deadline;
 
 pub use accepted::{AcceptedStream, HeadProgress, accept_pending, wait_between_requests};
-pub use body::{BodyError, BodyLimits, BufferBudget, MAX_DOCUMENT_BYTES, read_body};
+pub use body::{BodyError, BodyLimits, BufferBudget, MAX_DOCUMENT_BYTES, discard_body, read_body};
 pub use hop_headers::remove_hop_headers;
 pub use write_deadline::WriteDeadline;
 
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod selection;
 mod service;
 mod unanswered;
+mod unread;
 
 pub use engines::{PREFILL_OVERHEAD_MS, PromptView, pick_engines};
 pub use refusal::HttpResponse;
@@ -33,6 +34,7 @@
     request: http::Request<Incoming>,
 ) -> HttpResponse {
     let Some(config) = state.config() else {
+        unread::discard(request, None);
         let refusal = RefusalResponse::not_run(RefusalCause::NotConfigured);
         return refusal.into_response("", "");
     };
@@ -40,7 +42,10 @@
     let id = metadata.attempt_id.clone().unwrap_or_default();
     let route = match find_route(&config, &request) {
         Some(route) => route,
-        None => return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, ""),
+        None => {
+            unread::discard(request, Some(&config.limits));
+            return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, "");
+        }
     };
     let name = route.name.clone();
     let mut unanswered = UnansweredGuard::new(&id, &name);
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::refusal::RefusalResponse;
+use super::{refusal::RefusalResponse, unread};
 use crate::{config, platform, state, telemetry::RefusalCause};
 
 /// Time before the caller's deadline at which the final response is sent, for its way to the
@@ -67,7 +67,7 @@
         let deadline =
             timeout.min(caller_deadline - RESPONSE_MARGIN.min(caller_deadline - arrival));
         let (head, body) = request.into_parts();
-        let body = read_body(body, config.limits.max_body_bytes, deadline).await?;
+        let body = read_body(body, &config.limits, deadline).await?;
         let service = route.pick_service(rand::random());
         let service = service.ok_or(RefusalResponse::not_run(RefusalCause::NoTarget))?;
         let parts = metadata
@@ -136,14 +136,15 @@
 }
 
 async fn read_body(
-    body: Incoming,
-    limit: usize,
+    mut body: Incoming,
+    limits: &config::CallerLimits,
     deadline: Instant,
 ) -> Result<Bytes, RefusalResponse> {
-    let collect = Limited::new(body, limit).collect();
+    let collect = Limited::new(&mut body, limits.max_body_bytes).collect();
     match tokio::time::timeout_at(deadline.into(), collect).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            unread::discard_rest(body, Some(limits));
             Err(RefusalResponse::not_run(RefusalCause::BodyTooLarge))
         }
         Ok(Err(error)) => {
