Keep a silent engine's stream until another engine works on it

What callers saw: a stream that had begun ended without its last events and without an error status, although its engine was sound: it had been silent for a second and would have gone on. With a change of the configuration at that moment, which took the engine's service away, nothing could replace it.

Cause: after `MAX_EVENT_GAP` (1 s) without an event the forwarder closed the connection to the engine first and looked for another engine afterwards. If none was left, the retry budget was spent or the other engine refused, the caller's connection was closed in the middle of the stream.

Change: the silent stream stays open while another engine is looked for. If the silent engine goes on before that, the attempt at the other one is dropped. If no other engine takes the request, the silent one is waited for until the request's deadline, and another engine is looked for after each further second. A takeover that did not come about counts the sends and charges that were made, but not the silent engine as failed, neither for `max_attempts` nor for its ejection. A line `stream_silent` tells this case from `stream_broken`.

Evidence, four tests in `losses`.

Ruled out: an entry that leaves the list, a removed route and a removed service do not cut a running request by themselves.

--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -13,7 +13,7 @@
 
 use super::{
     refusal::RefusalResponse,
-    request::{RelayRequest, RequestProgress},
+    request::{RelayRequest, RequestProgress, SentSignal},
 };
 use crate::{
     clock, connection, platform, state, target,
@@ -26,7 +26,7 @@
 /// Maximum size of a response that is read completely before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Number of refusals by targets after which a request is refused. Each one costs retry budget.
-const MAX_REFUSALS: u32 = 4;
+pub const MAX_REFUSALS: u32 = 4;
 
 /// Why an attempt failed.
 #[derive(Clone, Debug)]
@@ -167,7 +167,9 @@
     let mut headers = request.headers.clone();
     state.codec.write_request(&mut headers, metadata);
     *message.headers_mut() = headers;
-    let result = send(target, message, deadline).await;
+    let is_run = !matches!(metadata.task, platform::EngineTask::Prefill);
+    let sent = is_run.then_some(&request.sent);
+    let result = send(target, message, deadline, sent).await;
     let (response, mut connection) = match result {
         Ok(sent) => sent,
         Err(failure) => {
@@ -205,10 +207,13 @@
     target: &rc::Rc<target::TargetState>,
     message: http::Request<Full<Bytes>>,
     deadline: Instant,
+    sent: Option<&SentSignal>,
 ) -> Result<SentResponse, AttemptFailure> {
     while let Some(connection) = target.pool.take() {
-        match send_on(connection, message.clone(), deadline).await {
-            Err(failure) if failure.retry == RetryReason::NotWritten => continue,
+        match send_on(connection, message.clone(), deadline, sent).await {
+            Err(failure) if failure.retry == RetryReason::NotWritten => {
+                sent.inspect(|sent| _ = sent.end());
+            }
             result => return result,
         }
     }
@@ -216,15 +221,17 @@
     let connected = connection::TargetConnection::connect(target.entry.address, timeout).await;
     let connection =
         connected.map_err(|error| AttemptFailure::unsent(RetryReason::ConnectFailed, error))?;
-    send_on(connection, message, deadline).await
+    send_on(connection, message, deadline, sent).await
 }
 
 async fn send_on(
     mut connection: connection::TargetConnection,
     message: http::Request<Full<Bytes>>,
     deadline: Instant,
+    sent: Option<&SentSignal>,
 ) -> Result<SentResponse, AttemptFailure> {
     let bytes_before = connection.bytes_written();
+    sent.inspect(|sent| sent.start());
     let result = tokio::time::timeout_at(deadline.into(), connection.send(message)).await;
     let is_written = connection.bytes_written() > bytes_before;
     match result {
--- a/crates/relay/src/dispatch/generate/forwarder.rs
+++ b/crates/relay/src/dispatch/generate/forwarder.rs
@@ -11,17 +11,22 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use super::{OpenStream, StreamStart, may_retry, read_failure, start_stream};
+use super::{
+    OpenStream, StreamStart, may_retry, read_failure, start_stream,
+    takeover::{StreamTakeover, TakeoverEnd},
+};
 use crate::{
     dispatch::{
         attempt::{self, AttemptFailure},
+        events::ReadError,
         request::{RelayRequest, RequestProgress},
     },
     platform, state, target, telemetry,
 };
 
-/// Maximum time between two events of a stream that another engine can resume. It is below the two
-/// seconds after which callers disconnect.
+/// Time without an event after which another engine is looked for that can resume the stream. It is
+/// below the two seconds after which callers disconnect. The silent engine may be sound, so it is
+/// given up only for another one.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1_000);
 
 /// Longest wait for a caller to read if the configuration states no idle timeout.
@@ -49,6 +54,8 @@
     CallerLeft,
     /// The caller has read nothing for a long time.
     CallerStalled,
+    /// The engine has sent no event for [`MAX_EVENT_GAP`], and another one may resume the stream.
+    Silent,
     /// The engine's stream failed.
     Failed(AttemptFailure),
 }
@@ -62,6 +69,13 @@
                 StreamEnd::Complete => return self.complete(stream),
                 StreamEnd::CallerLeft => return self.log_end("caller_left", &stream),
                 StreamEnd::CallerStalled => return self.log_end("caller_stalled", &stream),
+                StreamEnd::Silent => match self.take_over(stream).await {
+                    Some(next) => {
+                        stream = next;
+                        continue;
+                    }
+                    None => return,
+                },
                 StreamEnd::Failed(failure) => failure,
             };
             let target = rc::Rc::clone(&stream.plan.decode);
@@ -80,24 +94,29 @@
 
     async fn forward(&self, stream: &mut OpenStream) -> StreamEnd {
         let stall_timeout = self.stall_timeout();
-        let mut next = Ok(stream.first_events.take());
         loop {
-            match next {
-                Ok(Some(events)) => {
-                    let sent = tokio::time::timeout(stall_timeout, self.sender.send(events));
-                    match sent.await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(_)) => return StreamEnd::CallerLeft,
-                        Err(_) => return StreamEnd::CallerStalled,
-                    }
+            // A stream without events that has ended does not return any when it is read again.
+            if let Some(events) = stream.first_events.take() {
+                let sent = tokio::time::timeout(stall_timeout, self.sender.send(events));
+                match sent.await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return StreamEnd::CallerLeft,
+                    Err(_) => return StreamEnd::CallerStalled,
                 }
-                Ok(None) => return StreamEnd::Complete,
-                Err(error) => return StreamEnd::Failed(read_failure(&self.request, error)),
             }
-            next = tokio::select! {
+            let deadline = self.next_event_deadline();
+            let next = tokio::select! {
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
-                events = stream.reader.next(self.next_event_deadline()) => events,
+                events = stream.reader.next(deadline) => events,
             };
+            match next {
+                Ok(Some(events)) => stream.first_events = Some(events),
+                Ok(None) => return StreamEnd::Complete,
+                Err(ReadError::Timeout) if deadline < self.request.deadline => {
+                    return StreamEnd::Silent;
+                }
+                Err(error) => return StreamEnd::Failed(read_failure(&self.request, error)),
+            }
         }
     }
 
@@ -118,6 +137,59 @@
         }
     }
 
+    /// Has another engine go on with the stream of a silent one, or keeps the silent one; `None` if
+    /// neither goes on or the caller has left.
+    async fn take_over(&mut self, stream: OpenStream) -> Option<OpenStream> {
+        let target = rc::Rc::clone(&stream.plan.decode);
+        let last_event = stream.reader.last_id();
+        self.log_end("stream_silent", &stream);
+        let takeover = StreamTakeover {
+            state: &self.state,
+            request: &self.request,
+            progress: &mut self.progress,
+        };
+        let end = tokio::select! {
+            () = self.sender.closed() => {
+                log::info!(id = self.request.id.as_str(); "caller_left");
+                return None;
+            }
+            end = takeover.run(stream) => end,
+        };
+        let record_failed = || {
+            let outcome = outlier::TargetOutcome::Failed;
+            self.state.record_outcome(&target, outcome);
+        };
+        let id = self.request.id.as_str();
+        match end {
+            TakeoverEnd::Kept(stream) => Some(stream),
+            TakeoverEnd::TakenOver(stream) => {
+                record_failed();
+                telemetry::count_retry(RetryReason::FirstTokenTimeout);
+                self.log_resumed(&stream, last_event);
+                Some(stream)
+            }
+            TakeoverEnd::Failed(Ok(status)) => {
+                record_failed();
+                log::info!(id = id, status = status.as_u16(); "resume_failed");
+                None
+            }
+            TakeoverEnd::Failed(Err(refusal)) => {
+                record_failed();
+                log::info!(id = id, cause = refusal.cause.as_str(); "resume_failed");
+                None
+            }
+        }
+    }
+
+    fn log_resumed(&self, stream: &OpenStream, last_event: Option<u64>) {
+        telemetry::count_retry(RetryReason::StreamResumed);
+        log::info!(
+            id = self.request.id.as_str(), last_event = last_event.unwrap_or(0),
+            target_id = stream.plan.decode.entry.id.as_str();
+            "stream_resumed"
+        );
+    }
+
     /// Resumes the stream at another engine; `None` if that is not possible.
     async fn resume(
         &mut self,
@@ -139,12 +211,7 @@
         };
         match started {
             Ok(StreamStart::Open(_, stream)) => {
-                telemetry::count_retry(RetryReason::StreamResumed);
-                log::info!(
-                    id = request.id.as_str(), last_event = last_event.unwrap_or(0),
-                    target_id = stream.plan.decode.entry.id.as_str();
-                    "stream_resumed"
-                );
+                self.log_resumed(&stream, last_event);
                 Some(*stream)
             }
             Ok(StreamStart::ErrorResponse(_, status)) => {
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -3,6 +3,7 @@
 
 mod forwarder;
 mod kv_handle;
+mod takeover;
 
 use std::{
     cell::Cell,
@@ -211,6 +212,7 @@
         let handle = self.handle.as_ref();
         let result = run_attempt(state, request, progress, plan, handle, last_event).await;
         attempt::record_call(state, request, progress, kind, &result);
+        request.sent.end();
         let failure = match result {
             Ok(StreamStart::ErrorResponse(response, status))
                 if status.is_server_error() && request.route.kind.is_repeatable() =>
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{refusal::RefusalResponse, unread};
@@ -47,6 +48,8 @@
     pub parts: Vec<prefix::PromptPart>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
+    /// Attempt that a target is working on.
+    pub sent: SentSignal,
     _active: state::ActiveGuard,
 }
 
@@ -94,6 +97,7 @@
             metadata,
             parts,
             config_version: config.version,
+            sent: SentSignal::default(),
             _active: active,
         })
     }
@@ -164,8 +168,43 @@
     hasher.digest()
 }
 
+/// Time at which the current attempt was sent to a target that may run it.
+#[derive(Debug, Default)]
+pub struct SentSignal(watch::Sender<Option<Instant>>);
+
+impl SentSignal {
+    /// Records that an attempt is being sent.
+    pub fn start(&self) {
+        self.0.send_replace(Some(Instant::now()));
+    }
+
+    /// Records that the attempt has ended; returns whether one had been sent.
+    pub fn end(&self) -> bool {
+        self.0.send_replace(None).is_some()
+    }
+
+    /// Waits until an attempt has been under way for this long.
+    pub async fn wait_elapsed(&self, time: Duration) {
+        let mut sent = self.0.subscribe();
+        loop {
+            let since = *sent.borrow_and_update();
+            let elapsed = async {
+                match since {
+                    Some(since) => tokio::time::sleep_until((since + time).into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = elapsed => return,
+                // The sender lives as long as `self`.
+                _ = sent.changed() => {}
+            }
+        }
+    }
+}
+
 /// State of a request's attempts.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct RequestProgress {
     /// Whether a target may have run the request, over all attempts so far.
     pub verdict: Verdict,
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -1,16 +1,24 @@
 //! Requests that were accepted and must be answered: around silent engines, changes of the
 //! configuration, refusals before the body has been read and stops.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use acaciabank_testbed::harness;
+use acaciabank_testbed::{
+    harness,
+    scripted::{ScriptStep, ScriptedRequest, ScriptedTarget},
+};
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 
-use crate::fixture::{Fixture, Relay, TIMEOUT, start_serving};
+use crate::fixture::{Fixture, Relay, TIMEOUT, event_ids, start_serving};
+
+/// Silence of a sound engine; longer than the gap after which a relay looks for another engine.
+const SILENCE: Duration = Duration::from_millis(1_700);
+/// Longest time for which two engines may work on the same request.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
 fn request_text(path: &str, attempt: &str, framing: &str) -> String {
     format!(
@@ -33,6 +41,59 @@
     text
 }
 
+/// The head of an event stream that ends with its connection.
+fn stream_head(request: &ScriptedRequest) -> String {
+    let attempt = request.header("x-acaciabank-attempt-id");
+    format!(
+        "HTTP/1.1 200 OK\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+         x-acaciabank-response-signature: s\r\ncontent-type: text/event-stream\r\n\
+         connection: close\r\n\r\n"
+    )
+}
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: token {number}\n\n")
+}
+
+/// A stream of five events that ends with its connection, with a pause after the second event.
+fn paused_stream(request: &ScriptedRequest, pause: ScriptStep) -> Vec<ScriptStep> {
+    let start = stream_head(request) + &event(0) + &event(1);
+    let rest: String = (2..5).map(event).collect();
+    vec![
+        ScriptStep::Send(start.into_bytes()),
+        pause,
+        ScriptStep::Send(rest.into_bytes()),
+        ScriptStep::Close,
+    ]
+}
+
+/// Starts a scripted engine and registers it in the store.
+async fn start_engine<Script>(fixture: &Fixture, id: &str, script: Script) -> ScriptedTarget
+where
+    Script: Fn(&ScriptedRequest) -> Vec<ScriptStep> + Send + Sync + 'static,
+{
+    let address = fixture.launcher.next_address().expect("address");
+    let target = ScriptedTarget::start(address, move |request| {
+        match request.header("x-acaciabank-attempt-id") {
+            "" => vec![ScriptStep::Close],
+            _ => script(request),
+        }
+    });
+    let target = target.await.expect("a target");
+    let stage = Some("decode");
+    fixture.register_target(id, "models", address, stage).await;
+    target
+}
+
+/// Starts a store and a relay without targets.
+async fn start_relay() -> (Fixture, Relay) {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let relay = fixture.start_relay(&[]).await;
+    wait_listening(&relay).await;
+    (fixture, relay)
+}
+
 async fn wait_listening(relay: &Relay) {
     harness::wait_until(TIMEOUT, "the relay listens", async || {
         TcpStream::connect(relay.caller_address).await.is_ok()
@@ -40,6 +101,33 @@
     .await;
 }
 
+/// Waits until the relay applies a version of the configuration.
+async fn wait_config(relay: &Relay, version: u64) {
+    harness::wait_until(TIMEOUT, "the configuration is in force", async || {
+        let text = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+        let mut lines = text.lines().filter(|line| line.contains("config_in_force"));
+        lines.any(|line| line.contains(&format!("\"version\":{version}")))
+    })
+    .await;
+}
+
+/// Requests streams until `is_reached` holds after one that was served.
+async fn check_streams(relay: &Relay, is_reached: impl Fn() -> bool) {
+    for number in 0..200 {
+        let attempt = format!("k-{number}");
+        let response = relay.request_stream("/resumable/a", &attempt, 5).await;
+        let response = response.expect("a complete response");
+        if response.status == 200 {
+            assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4], "{attempt}");
+            if is_reached() {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the engines get no streams");
+}
+
 /// Guards against a request that was read whole and of which the log does not tell that its
 /// connection ended without a response.
 #[tokio::test]
@@ -63,6 +151,83 @@
     );
 }
 
+/// Guards against a stream that is cut because its engine is silent for a while although no other
+/// engine exists.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_the_silence_of_the_only_engine() {
+    let (fixture, relay) = start_relay().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let engine = start_engine(&fixture, "d-1", script).await;
+    check_streams(&relay, || engine.request_count() > 0).await;
+}
+
+/// Guards against a stream that is cut because its engine is silent for a while and the other
+/// engine refuses to go on with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_silence_while_the_other_engine_refuses() {
+    let (fixture, relay) = start_relay().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let engine = start_engine(&fixture, "d-1", script).await;
+    let refuse = |request: &ScriptedRequest| {
+        let attempt = request.header("x-acaciabank-attempt-id");
+        let response = format!(
+            "HTTP/1.1 503 Full\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+             x-acaciabank-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        vec![ScriptStep::Send(response.into_bytes())]
+    };
+    check_streams(&relay, || engine.request_count() > 0).await;
+    let full = start_engine(&fixture, "d-2", refuse).await;
+    check_streams(&relay, || full.request_count() > 0).await;
+}
+
+/// Guards against a silent engine that goes on working on a stream which another engine has taken
+/// over, and against a stream that the other engine does not take over at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_another_engine_takes_over_leaves_the_silent_one() {
+    let (fixture, relay) = start_relay().await;
+    let silent = start_engine(&fixture, "d-1", |request| {
+        let comment = ScriptStep::Drip(b": wait\n\n".to_vec(), Duration::from_millis(10));
+        paused_stream(request, comment)
+    });
+    let silent = silent.await;
+    let stream = async {
+        let mut response = None;
+        harness::wait_until(TIMEOUT, "the stream is served", async || {
+            response = relay.request_stream("/resumable/a", "over", 5).await.ok();
+            response
+                .as_ref()
+                .is_some_and(|response| response.status == 200)
+        })
+        .await;
+        response.expect("a response")
+    };
+    let takeover = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the stream", async || {
+            silent.pouring_connections() > 0
+        })
+        .await;
+        let second = start_engine(&fixture, "d-2", |request| {
+            let rest: String = (2..5).map(event).collect();
+            let work = ScriptStep::Wait(Duration::from_secs(2));
+            let text = stream_head(request) + &rest;
+            vec![work, ScriptStep::Send(text.into_bytes()), ScriptStep::Close]
+        });
+        let second = second.await;
+        while second.request_count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let started = Instant::now();
+        while silent.pouring_connections() > 0 && started.elapsed() < TIMEOUT {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        (second, started.elapsed())
+    };
+    let (response, (_second, overlap)) = tokio::join!(stream, takeover);
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    assert!(overlap < MAX_OVERLAP, "{overlap:?}");
+}
+
 /// Sends a head and its body 100 ms later; checks the refusal and that the connection serves the
 /// next request.
 async fn check_refusal_before_body(caller: &mut TcpStream, path: &str, status: &str) {
@@ -134,3 +299,38 @@
     caller.write_all(next.as_bytes()).await.expect("a write");
     read_until(&mut caller, "next:notice").await;
 }
+
+/// Guards against requests that are cut because a configuration without their route and service
+/// arrives and their target is no longer listed: a plain one and a stream that ends with its
+/// connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_without_the_service_keeps_its_requests() {
+    let (fixture, runner, relay) = start_serving().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let engine = start_engine(&fixture, "d-1", script).await;
+    relay.wait_streaming("/stream/a", 5).await;
+    let before = engine.request_count();
+    runner.process.pause();
+    let change = async {
+        harness::wait_until(TIMEOUT, "the stream runs", async || {
+            engine.request_count() > before
+        })
+        .await;
+        let adjust = |config: &mut serde_json::Value| {
+            config["routes"] = json!([]);
+            config["services"] = json!([]);
+        };
+        fixture.write_config(2, adjust).await;
+        wait_config(&relay, 2).await;
+        fixture.deregister_target("d-1").await;
+        fixture.deregister_target("r-1").await;
+        runner.process.resume();
+    };
+    let (plain, stream, ()) = tokio::join!(
+        relay.send("POST", "/once/a", "plain", &[], "notice"),
+        relay.request_stream("/resumable/a", "stream", 5),
+        change
+    );
+    assert_eq!(plain.expect("a response").body, "plain:notice");
+    assert_eq!(event_ids(&stream.expect("a stream").body), [0, 1, 2, 3, 4]);
+}
