Apply a changed idle timeout to open connections

What callers saw: after a configuration that lengthens `idle_timeout_ms`, a kept connection was still closed after the earlier, shorter time, while its caller may reuse it for up to four fifths of the new one. The next request on it met a closed connection. A connection that was opened before a daemon had a configuration kept the default in the same way.

Cause: the timeout was given to the HTTP library once, when a connection was accepted.

Change: the connection's own task watches the time since the last byte that was written, or since the first byte of a head, and reads the timeout of the configuration in use each time it wakes. A request that has arrived is read before the connection counts as idle, and a response that is being written is completed.

Tests in `losses`: a_longer_idle_timeout_applies_to_open_connections, which failed before ("second: the connection ended (Ok(0))", 3 s after a change from 1.5 s to 10 s), and idle_connections_and_partial_heads_are_closed, which guards what the library did until now.

Open: the limit for heads is still the one at the time of the accept.

--- a/crates/relay/src/connection/accepted.rs
+++ b/crates/relay/src/connection/accepted.rs
@@ -4,7 +4,7 @@
     io,
     pin::Pin,
     sync,
-    sync::atomic::{AtomicU8, Ordering},
+    sync::atomic::{AtomicU8, AtomicU64, Ordering},
     task::{Context, Poll},
     time::Duration,
 };
@@ -15,6 +15,8 @@
     sync::Notify,
 };
 
+use crate::clock;
+
 /// Time in which a stopping connection still reads what had arrived before the stop.
 const READ_TIME: Duration = Duration::from_millis(10);
 /// Longest wait for the rest of a head. A caller sends a head at once, so that only the network
@@ -26,11 +28,25 @@
 const PARTIAL_HEAD: u8 = 1;
 const IN_REQUEST: u8 = 2;
 
-/// Whether a part of a request's head has been read from a connection.
-#[derive(Debug, Default)]
+/// Whether a part of a request's head has been read from a connection, and since when the
+/// connection waits for the rest.
+#[derive(Debug)]
 pub struct HeadProgress {
     phase: AtomicU8,
     changed: Notify,
+    /// Time of the last byte that was written, or of the first byte of a head, by
+    /// [`clock::now_ms`].
+    active_ms: AtomicU64,
+}
+
+impl Default for HeadProgress {
+    fn default() -> Self {
+        Self {
+            phase: AtomicU8::new(NO_REQUEST),
+            changed: Notify::new(),
+            active_ms: AtomicU64::new(clock::now_ms()),
+        }
+    }
 }
 
 impl HeadProgress {
@@ -62,7 +78,24 @@
             Ordering::Acquire,
         );
         // Other phases do not change: the bytes belong to a head that is known or to a body.
-        let _: Result<u8, u8> = exchanged;
+        if exchanged.is_ok() {
+            self.record_activity();
+        }
+    }
+
+    fn record_activity(&self) {
+        self.active_ms.store(clock::now_ms(), Ordering::Release);
+    }
+
+    /// Returns how long the connection has waited for a request; `None` while one is handled.
+    fn idle_time(&self) -> Option<Duration> {
+        if self.phase.load(Ordering::Acquire) == IN_REQUEST {
+            return None;
+        }
+        let active_ms = self.active_ms.load(Ordering::Acquire);
+        Some(Duration::from_millis(
+            clock::now_ms().saturating_sub(active_ms),
+        ))
     }
 
     async fn wait_not_partial(&self) {
@@ -122,6 +155,20 @@
     let _ = tokio::time::timeout(MAX_HEAD_WAIT, progress.wait_not_partial()).await;
 }
 
+/// Waits until a connection has been idle, or has waited for the rest of a head, for the time that
+/// `timeout` returns. It is asked again each time, so that a changed timeout applies to connections
+/// that are open.
+pub async fn wait_idle_timeout(progress: &HeadProgress, timeout: impl Fn() -> Duration) {
+    loop {
+        let timeout = timeout();
+        let idle_time = progress.idle_time().unwrap_or_default();
+        match timeout.checked_sub(idle_time) {
+            Some(left) if !left.is_zero() => tokio::time::sleep(left).await,
+            _ => return,
+        }
+    }
+}
+
 impl<Stream: AsyncRead + Unpin> AsyncRead for AcceptedStream<Stream> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -143,6 +190,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.progress.record_activity();
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
@@ -151,6 +199,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.progress.record_activity();
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -24,7 +24,9 @@
 mod hop_headers;
 mod write_deadline;
 
-pub use accepted::{AcceptedStream, HeadProgress, accept_pending, wait_between_requests};
+pub use accepted::{
+    AcceptedStream, HeadProgress, accept_pending, wait_between_requests, wait_idle_timeout,
+};
 pub use body::{BodyError, BodyLimits, BufferBudget, MAX_DOCUMENT_BYTES, discard_body, read_body};
 pub use hop_headers::remove_hop_headers;
 pub use write_deadline::WriteDeadline;
--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -110,14 +110,9 @@
         log::debug!("cannot set TCP_NODELAY on an accepted connection: {error}");
         return;
     }
-    let config = state.config();
-    let limits = config.as_ref().map(|config| &config.limits);
-    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
-        Duration::from_millis(limits.idle_timeout_ms)
+    let max_header_bytes = state.config().map_or(DEFAULT_MAX_HEADER_BYTES, |config| {
+        config.limits.max_header_bytes
     });
-    let max_header_bytes =
-        limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
-    drop(config);
     let progress = std::sync::Arc::new(connection::HeadProgress::default());
     let service = service_fn(|request| {
         let (state, progress) = (rc::Rc::clone(&state), &progress);
@@ -130,7 +125,8 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR))
+        // The idle timeout below can change while the connection is open.
+        .header_read_timeout(None)
         .max_buf_size((2 * max_header_bytes).max(DEFAULT_MAX_HEADER_BYTES))
         .serve_connection(
             TokioIo::new(connection::AcceptedStream::new(stream, &progress)),
@@ -140,8 +136,19 @@
     // A connection opened during shutdown comes from a caller with an outdated address list: its
     // first request is served, and the response closes the connection.
     let is_after_stop = stop.is_cancelled();
+    let idle_timeout = connection::wait_idle_timeout(&progress, || idle_timeout(&state));
     let result = tokio::select! {
+        // A request that has arrived is read before the connection counts as idle.
+        biased;
         result = connection.as_mut() => result,
+        () = idle_timeout => match progress.is_partial() {
+            true => Ok(()),
+            false => {
+                // Completes a response that is being written.
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        },
         () = stop.cancelled(), if !is_after_stop => {
             // The process does not end while a request is being read.
             let active = state::ActiveGuard::start(&state.active);
@@ -160,6 +167,16 @@
     }
 }
 
+/// Returns the idle time after which a connection is closed, by the configuration in use.
+fn idle_timeout<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+) -> Duration {
+    let timeout = state.config().map_or(DEFAULT_IDLE_TIMEOUT, |config| {
+        Duration::from_millis(config.limits.idle_timeout_ms)
+    });
+    timeout.mul_f64(IDLE_TIMEOUT_FACTOR)
+}
+
 async fn respond<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
     request: http::Request<Incoming>,
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -300,6 +300,31 @@
     read_until(&mut caller, "next:notice").await;
 }
 
+/// Guards against a kept connection that is closed by the idle timeout of an earlier configuration
+/// while callers may still use it.
+#[tokio::test]
+async fn a_longer_idle_timeout_applies_to_open_connections() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let write = async |version, idle_ms: u64| {
+        let adjust = |config: &mut serde_json::Value| {
+            config["limits"]["idle_timeout_ms"] = idle_ms.into();
+        };
+        fixture.write_config(version, adjust).await;
+        wait_config(&relay, version).await;
+    };
+    write(2, 1_500).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let first = request_text("/once/a", "first", "content-length: 0");
+    caller.write_all(first.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "first:").await;
+    write(3, 10_000).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let second = request_text("/once/a", "second", "content-length: 0");
+    caller.write_all(second.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "second:").await;
+}
+
 /// Guards against requests that are cut because a configuration without their route and service
 /// arrives and their target is no longer listed: a plain one and a stream that ends with its
 /// connection.
@@ -334,3 +359,25 @@
     assert_eq!(plain.expect("a response").body, "plain:notice");
     assert_eq!(event_ids(&stream.expect("a stream").body), [0, 1, 2, 3, 4]);
 }
+
+/// Guards against idle connections that are never closed, and against a head that is never
+/// complete.
+#[tokio::test]
+async fn idle_connections_and_partial_heads_are_closed() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let adjust = |config: &mut serde_json::Value| {
+        config["limits"]["idle_timeout_ms"] = 500.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(&relay, 2).await;
+    for start in ["", "POST /once/a HTTP/1.1\r\nhost: "] {
+        let connected = TcpStream::connect(relay.caller_address).await;
+        let mut caller = connected.expect("a connection");
+        let first = request_text("/once/a", "first", "content-length: 0");
+        caller.write_all(first.as_bytes()).await.expect("a write");
+        read_until(&mut caller, "first:").await;
+        caller.write_all(start.as_bytes()).await.expect("a write");
+        let ended = tokio::time::timeout(Duration::from_secs(5), caller.read(&mut [0; 16])).await;
+        assert!(!matches!(ended.expect("the end"), Ok(1..)), "{start:?}");
+    }
+}
