Stop only when responses to slow callers have been written

What callers saw: a response that its caller read slowly was cut when the daemon was stopped, long before the end of the grace period.

Cause: a stopping daemon waits until no request is active, but a request counts as active only until its response has been created (a plain one) or its last events are in the channel to the connection (a stream). What the caller had not read was lost with the process.

Change: a connection counts as active from the stop until it has ended, and one that is opened after the stop from its first request. Idle connections and those with a part of a head end as before and delay nothing.

--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -1,6 +1,6 @@
 //! Listeners for callers, address discovery, readiness checks, other daemons and metrics.
 
-use std::{convert::Infallible, net, rc, time::Duration};
+use std::{cell, convert::Infallible, net, rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -114,9 +114,15 @@
         config.limits.max_header_bytes
     });
     let progress = std::sync::Arc::new(connection::HeadProgress::default());
+    // Held until the connection has ended: the process does not end before the last response on a
+    // stopping connection has been written.
+    let unwritten = cell::RefCell::new(None);
     let service = service_fn(|request| {
         let (state, progress) = (rc::Rc::clone(&state), &progress);
         progress.begin_request();
+        if stop.is_cancelled() {
+            unwritten.replace(Some(state::ActiveGuard::start(&state.active)));
+        }
         async move {
             let response = respond(state, request, role).await;
             progress.end_request();
@@ -151,12 +157,14 @@
         },
         () = stop.cancelled(), if !is_after_stop => {
             // The process does not end while a request is being read.
-            let active = state::ActiveGuard::start(&state.active);
+            unwritten.replace(Some(state::ActiveGuard::start(&state.active)));
             tokio::select! {
                 result = connection.as_mut() => result,
                 () = connection::wait_between_requests(&progress) => {
                     connection.as_mut().graceful_shutdown();
-                    drop(active);
+                    if progress.is_partial() {
+                        unwritten.take();
+                    }
                     connection.await
                 }
             }
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 use crate::fixture::{Fixture, Relay, TIMEOUT, event_ids, start_serving};
@@ -360,6 +360,56 @@
     assert_eq!(event_ids(&stream.expect("a stream").body), [0, 1, 2, 3, 4]);
 }
 
+/// Guards against a stop that cuts a response which its caller reads slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_is_read_slowly_survives_a_stop() {
+    /// More than the buffers of both sockets hold.
+    const RESPONSE_BYTES: usize = 7 << 20;
+
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let address = fixture.launcher.next_address().expect("address");
+    let target = ScriptedTarget::start(address, |request| {
+        let attempt = request.header("x-acaciabank-attempt-id");
+        let length = match attempt {
+            "slow" => RESPONSE_BYTES,
+            _ => 1,
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+             x-acaciabank-response-signature: s\r\ncontent-length: {length}\r\n\r\n"
+        );
+        vec![
+            ScriptStep::Send(head.into_bytes()),
+            ScriptStep::Send(vec![b'x'; length]),
+        ]
+    });
+    let _target = target.await.expect("a target");
+    fixture
+        .register_target("large", "ledger", address, None)
+        .await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(8_192).expect("a buffer size");
+    let connected = socket.connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let text = request_text("/once/a", "slow", "content-length: 0");
+    caller.write_all(text.as_bytes()).await.expect("a write");
+    relay.request_log("slow", "answered").await;
+    relay.process.terminate();
+    // Later than the time for which callers may cache the relay's address.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(TIMEOUT, caller.read_to_end(&mut bytes)).await;
+    let read = read.expect("the end of the connection");
+    assert!(
+        bytes.len() > RESPONSE_BYTES,
+        "{} bytes of the response, then {read:?}",
+        bytes.len()
+    );
+}
+
 /// Guards against idle connections that are never closed, and against a head that is never
 /// complete.
 #[tokio::test]
@@ -381,3 +431,32 @@
         assert!(!matches!(ended.expect("the end"), Ok(1..)), "{start:?}");
     }
 }
+
+/// Guards against a stop that is delayed to the end of its grace period by idle connections: one
+/// without a request, one after a request and one with a part of a head.
+#[tokio::test]
+async fn a_stop_does_not_wait_for_idle_connections() {
+    let (_fixture, _runner, relay) = start_serving().await;
+    let mut callers = Vec::new();
+    for _ in 0..3 {
+        let connected = TcpStream::connect(relay.caller_address).await;
+        callers.push(connected.expect("a connection"));
+    }
+    let first = request_text("/once/a", "first", "content-length: 0");
+    let written = callers[1].write_all(first.as_bytes()).await;
+    written.expect("a write");
+    read_until(&mut callers[1], "first:").await;
+    let written = callers[2].write_all(&first.as_bytes()[..20]).await;
+    written.expect("a write");
+    relay.process.terminate();
+    let stopped = Instant::now();
+    harness::wait_until(TIMEOUT, "the relay has stopped", async || {
+        let text = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+        text.contains("\"event\":\"stopped\"")
+    })
+    .await;
+    // Three seconds for outdated address lists and two for the rest of the head.
+    let elapsed = stopped.elapsed();
+    assert!(elapsed < Duration::from_millis(6_500), "{elapsed:?}");
+    drop(callers);
+}
