Give up a silent target before its response only for another one

What callers saw: an idempotent request or a resumable stream whose target was silent for longer than the target latency, or than twice the expected time to the first event and 1.5 s, was answered 502 although the target was sound and no other one could run the request.

Cause: the attempt was given up at a fixed time, without a look at whether the next one is possible.

Change: after that time the attempt is given up when a retry is left in the budget and another target accepts the request; until then the first target is waited for, up to the request's deadline. The first connection is closed before the request is sent again, as before.

Tests in `losses`: a_request_survives_the_silence_of_the_only_target and a_stream_survives_a_silence_before_its_first_event (a silence of 2.5 s).

Open: if the other target then refuses, the request is answered 502. Calls that only process a prompt still end at the fixed time; the request is then refused as not run.

--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -14,6 +14,7 @@
 use super::{
     refusal::RefusalResponse,
     request::{RelayRequest, RequestProgress, SentSignal},
+    selection,
 };
 use crate::{
     clock, connection, platform, state, target,
@@ -365,6 +366,24 @@
     Ok(())
 }
 
+/// Waits until an attempt may be given up for another one: `time` has passed, a retry is left in
+/// the budget and another target accepts the request. Never returns if the request's deadline is
+/// not later than `time`.
+pub async fn wait_replaceable<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    time: Instant,
+    has_other: impl Fn() -> bool,
+) {
+    if time >= request.deadline {
+        std::future::pending().await
+    }
+    tokio::time::sleep_until(time.into()).await;
+    while !(has_other() && state.has_retry(&request.service)) {
+        tokio::time::sleep(selection::POLL_INTERVAL).await;
+    }
+}
+
 /// What a call to a target is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -143,7 +143,23 @@
     pub zone_hash: u64,
 }
 
-impl PromptView<'_> {
+impl<'a> PromptView<'a> {
+    /// The prompt of a request, with the engines that have failed it.
+    fn of<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+        state: &state::RelayState<Codec, Store>,
+        request: &'a RelayRequest,
+        progress: &'a RequestProgress,
+    ) -> Self {
+        Self {
+            service: &request.service,
+            parts: &request.parts,
+            prompt_tokens: request.prompt_tokens(),
+            priority: request.route.priority,
+            excluded: &progress.excluded,
+            zone_hash: state.zone_hash,
+        }
+    }
+
     /// Returns the key of the last part that other requests share; 0 if there is none.
     fn shared_key(&self) -> u64 {
         let shared = shared_parts(self.parts).last();
@@ -161,14 +177,7 @@
     prefilled: Option<&rc::Rc<target::TargetState>>,
 ) -> Result<EnginePlan, RefusalResponse> {
     let deadline = selection::wait_deadline(request);
-    let prompt = PromptView {
-        service: &request.service,
-        parts: &request.parts,
-        prompt_tokens: request.prompt_tokens(),
-        priority: request.route.priority,
-        excluded: &progress.excluded,
-        zone_hash: state.zone_hash,
-    };
+    let prompt = PromptView::of(state, request, progress);
     let intake = request.intake_request(progress);
     loop {
         if let Some(plan) = scheduled_plan(state, &prompt, intake, prefilled).await {
@@ -181,6 +190,22 @@
     }
 }
 
+/// Whether engines other than the decode engine of `plan` accept the request.
+pub fn has_other_engine<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+    plan: &EnginePlan,
+) -> bool {
+    let mut excluded = progress.excluded.clone();
+    excluded.push(plan.decode.hash);
+    let prompt = PromptView {
+        excluded: &excluded,
+        ..PromptView::of(state, request, progress)
+    };
+    pick_engines(state, &prompt, None).is_some()
+}
+
 /// Asks a scheduler for engines; `None` if it assigns none or if they do not accept requests
 /// according to this daemon's state.
 async fn scheduled_plan<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -210,7 +210,16 @@
         attempt::reserve_retry(state, request, progress, kind)?;
         progress.sends += 1;
         let handle = self.handle.as_ref();
-        let result = run_attempt(state, request, progress, plan, handle, last_event).await;
+        let time = first_event_deadline(request, progress, plan);
+        let has_other = || engines::has_other_engine(state, request, progress, plan);
+        let result = tokio::select! {
+            biased;
+            result = run_attempt(state, request, plan, handle, last_event) => result,
+            () = attempt::wait_replaceable(state, request, time, has_other) => {
+                state.record_outcome(&plan.decode, outlier::TargetOutcome::Failed);
+                Err(AttemptFailure::timeout(request))
+            }
+        };
         attempt::record_call(state, request, progress, kind, &result);
         request.sent.end();
         let failure = match result {
@@ -291,12 +300,11 @@
 async fn run_attempt<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
-    progress: &RequestProgress,
     plan: &engines::EnginePlan,
     handle: Option<&KvHandle>,
     last_event: Option<u64>,
 ) -> Result<StreamStart, AttemptFailure> {
-    let deadline = first_event_deadline(request, progress, plan);
+    let deadline = request.deadline;
     let prefill_ms = request.elapsed_ms();
     let work = plan.start_work(
         state,
@@ -333,7 +341,8 @@
 /// Largest urgency value that engines distinguish; larger values are less urgent.
 const MAX_URGENCY: u8 = 9;
 
-/// Returns the time until which this attempt waits for the first event.
+/// Returns the time until which this attempt waits for the first event if another engine accepts
+/// the request.
 fn first_event_deadline(
     request: &RelayRequest,
     progress: &RequestProgress,
--- a/crates/relay/src/dispatch/selection.rs
+++ b/crates/relay/src/dispatch/selection.rs
@@ -12,7 +12,7 @@
 use crate::{clock, platform, state, target, telemetry::RefusalCause};
 
 /// Interval at which a waiting request looks for a target.
-const POLL_INTERVAL: Duration = Duration::from_millis(40);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Longest wait of a request while no target accepts requests, as a share of the target latency. A
 /// refusal would cost the caller its single retry, and most targets accept requests again almost
 /// immediately.
@@ -58,6 +58,23 @@
     Ok(())
 }
 
+/// Whether a target of a plain service other than `target` accepts the request.
+pub fn has_other_target<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &RequestProgress,
+    target: &target::TargetState,
+) -> bool {
+    let now_ms = clock::now_ms();
+    let targets = state.targets.borrow();
+    let mut others = targets.of_service(&request.service).iter().filter(|other| {
+        other.hash != target.hash
+            && other.is_accepting(now_ms)
+            && !progress.excluded.contains(&other.hash)
+    });
+    others.next().is_some()
+}
+
 fn pick_service_target<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -18,7 +18,7 @@
 use crate::{connection, platform, state, target, telemetry};
 
 /// Share of the target latency after which an attempt at a target is abandoned if the request may
-/// be retried, so that another target can still respond in time.
+/// be retried and another target accepts it, so that the other one can still respond in time.
 const ATTEMPT_TIMEOUT_SHARE: f64 = 1.0;
 
 /// Runs a request to its final response.
@@ -38,7 +38,7 @@
             return failed_response.ok_or(refusal);
         }
         progress.sends += 1;
-        let result = run_attempt(state, request, &progress, &target).await;
+        let result = run_until_replaced(state, request, &progress, &target).await;
         attempt::record_call(state, request, &mut progress, kind, &result);
         let failure = match result {
             Ok((head, body)) => {
@@ -61,13 +61,31 @@
     }
 }
 
-async fn run_attempt<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+/// Runs an attempt. A target that has not responded for long is given up once another one accepts
+/// requests: it may be sound, and go on.
+async fn run_until_replaced<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     progress: &RequestProgress,
     target: &rc::Rc<target::TargetState>,
 ) -> Result<(http::response::Parts, Bytes), AttemptFailure> {
-    let deadline = attempt_deadline(request, progress);
+    let has_other = || selection::has_other_target(state, request, progress, target);
+    tokio::select! {
+        biased;
+        result = run_attempt(state, request, target) => result,
+        () = attempt::wait_replaceable(state, request, attempt_deadline(request, progress), has_other) => {
+            state.record_outcome(target, outlier::TargetOutcome::Failed);
+            Err(AttemptFailure::timeout(request))
+        }
+    }
+}
+
+async fn run_attempt<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    target: &rc::Rc<target::TargetState>,
+) -> Result<(http::response::Parts, Bytes), AttemptFailure> {
+    let deadline = request.deadline;
     let _work = target::TargetWork::start(target, 0);
     let metadata = platform::ForwardMetadata {
         target_id: &target.entry.id,
@@ -100,7 +118,7 @@
     }
 }
 
-/// Returns the time until which this attempt waits for the response.
+/// Returns the time until which this attempt waits for the response if another target accepts it.
 fn attempt_deadline(request: &RelayRequest, progress: &RequestProgress) -> Instant {
     let may_retry =
         request.route.kind.is_repeatable() && progress.runs + 1 < request.route.max_attempts;
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -101,6 +101,15 @@
     .await;
 }
 
+/// Waits until the relay has logged an event.
+async fn wait_logged(relay: &Relay, event: &str) {
+    harness::wait_until(TIMEOUT, event, async || {
+        let text = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+        text.contains(&format!("\"event\":\"{event}\""))
+    })
+    .await;
+}
+
 /// Waits until the relay applies a version of the configuration.
 async fn wait_config(relay: &Relay, version: u64) {
     harness::wait_until(TIMEOUT, "the configuration is in force", async || {
@@ -450,13 +459,59 @@
     written.expect("a write");
     relay.process.terminate();
     let stopped = Instant::now();
-    harness::wait_until(TIMEOUT, "the relay has stopped", async || {
-        let text = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
-        text.contains("\"event\":\"stopped\"")
-    })
-    .await;
+    wait_logged(&relay, "stopped").await;
     // Three seconds for outdated address lists and two for the rest of the head.
     let elapsed = stopped.elapsed();
     assert!(elapsed < Duration::from_millis(6_500), "{elapsed:?}");
     drop(callers);
 }
+
+/// Guards against a request that is given up because its target is silent for longer than the
+/// target latency, although no other target can run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_survives_the_silence_of_the_only_target() {
+    let (fixture, relay) = start_relay().await;
+    let address = fixture.launcher.next_address().expect("address");
+    let target = ScriptedTarget::start(address, |request| {
+        let attempt = request.header("x-acaciabank-attempt-id");
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+             x-acaciabank-response-signature: s\r\ncontent-length: 5\r\n\r\nsound"
+        );
+        // The target latency of the route is two seconds.
+        let silence = ScriptStep::Wait(Duration::from_millis(2_500));
+        vec![silence, ScriptStep::Send(response.into_bytes())]
+    });
+    let target = target.await.expect("a target");
+    fixture
+        .register_target("slow", "ledger", address, None)
+        .await;
+    wait_logged(&relay, "target_listed").await;
+    let response = relay.response("GET", "/safe/a", "slow", &[], "").await;
+    assert_eq!((response.status, &response.body[..]), (200, &b"sound"[..]));
+    assert_eq!(target.request_count(), 1);
+}
+
+/// Guards against a stream that is given up because its only engine is silent before the first
+/// event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_silence_before_its_first_event() {
+    let (fixture, relay) = start_relay().await;
+    let engine = start_engine(&fixture, "d-1", |request| {
+        let events: String = (0..5).map(event).collect();
+        let silence = ScriptStep::Wait(Duration::from_millis(2_500));
+        let text = stream_head(request) + &events;
+        vec![
+            silence,
+            ScriptStep::Send(text.into_bytes()),
+            ScriptStep::Close,
+        ]
+    });
+    let engine = engine.await;
+    wait_logged(&relay, "target_listed").await;
+    let response = relay.request_stream("/resumable/a", "late", 5).await;
+    let response = response.expect("a response");
+    assert_eq!(response.status, 200);
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    assert!(engine.request_count() > 0);
+}
