--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -13,8 +13,8 @@
 
 use super::{
     refusal::RefusalResponse,
-    request::{RelayRequest, RequestProgress},
-    suspects,
+    request::{RelayRequest, RequestProgress, SentSignal},
+    selection, suspects,
 };
 use crate::{
     clock, connection, platform, state, target,
@@ -27,7 +27,7 @@
 /// Maximum size of a response that is read completely before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Number of refusals by targets after which a request is refused. Each one costs retry budget.
-const MAX_REFUSALS: u32 = 4;
+pub const MAX_REFUSALS: u32 = 4;
 
 /// Why an attempt failed.
 #[derive(Clone, Debug)]
@@ -169,7 +169,9 @@
     state.codec.write_request(&mut headers, metadata);
     *message.headers_mut() = headers;
     let sent_ms = clock::now_ms();
-    let result = send(target, message, deadline).await;
+    let is_run = !matches!(metadata.task, platform::EngineTask::Prefill);
+    let sent = is_run.then_some(&request.sent);
+    let result = send(target, message, deadline, sent).await;
     let (response, mut connection) = match result {
         Ok(sent) => sent,
         Err(failure) => {
@@ -207,10 +209,13 @@
     target: &rc::Rc<target::TargetState>,
     message: http::Request<Full<Bytes>>,
     deadline: Instant,
+    sent: Option<&SentSignal>,
 ) -> Result<SentResponse, AttemptFailure> {
     while let Some(connection) = target.pool.take() {
-        match send_on(connection, message.clone(), deadline).await {
-            Err(failure) if failure.retry == RetryReason::NotWritten => continue,
+        match send_on(connection, message.clone(), deadline, sent).await {
+            Err(failure) if failure.retry == RetryReason::NotWritten => {
+                sent.inspect(|sent| _ = sent.end());
+            }
             result => return result,
         }
     }
@@ -218,15 +223,17 @@
     let connected = connection::TargetConnection::connect(target.entry.address, timeout).await;
     let connection =
         connected.map_err(|error| AttemptFailure::unsent(RetryReason::ConnectFailed, error))?;
-    send_on(connection, message, deadline).await
+    send_on(connection, message, deadline, sent).await
 }
 
 async fn send_on(
     mut connection: connection::TargetConnection,
     message: http::Request<Full<Bytes>>,
     deadline: Instant,
+    sent: Option<&SentSignal>,
 ) -> Result<SentResponse, AttemptFailure> {
     let bytes_before = connection.bytes_written();
+    sent.inspect(|sent| sent.start());
     let result = tokio::time::timeout_at(deadline.into(), connection.send(message)).await;
     let is_written = connection.bytes_written() > bytes_before;
     match result {
@@ -330,6 +337,24 @@
     Ok(())
 }
 
+/// Waits until an attempt may be given up for another one: `time` has passed, a retry is left in
+/// the budget and another target accepts the request. Never returns if the request's deadline is
+/// not later than `time`.
+pub async fn wait_replaceable<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    time: Instant,
+    has_other: impl Fn() -> bool,
+) {
+    if time >= request.deadline {
+        std::future::pending().await
+    }
+    tokio::time::sleep_until(time.into()).await;
+    while !(has_other() && state.has_retry(&request.service)) {
+        tokio::time::sleep(selection::POLL_INTERVAL).await;
+    }
+}
+
 /// What a call to a target is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -9,6 +9,8 @@
 mod selection;
 mod service;
 mod suspects;
+mod unanswered;
+mod unread;
 
 pub use engines::{PREFILL_OVERHEAD_MS, PromptView, pick_engines};
 pub use refusal::HttpResponse;
@@ -23,6 +25,7 @@
 use crate::{config, platform, state, telemetry::RefusalCause};
 use refusal::RefusalResponse;
 use request::{RelayRequest, RequestProgress};
+use unanswered::UnansweredGuard;
 
 /// Handles a request from a caller.
 pub async fn handle<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -30,6 +33,7 @@
     request: http::Request<Incoming>,
 ) -> HttpResponse {
     let Some(config) = state.config() else {
+        unread::discard(request, None);
         let refusal = RefusalResponse::not_run(RefusalCause::NotConfigured);
         return refusal.into_response("", "");
     };
@@ -37,17 +41,23 @@
     let id = metadata.attempt_id.clone().unwrap_or_default();
     let route = match find_route(&config, &request) {
         Some(route) => route,
-        None => return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, ""),
+        None => {
+            unread::discard(request, Some(&config.limits));
+            return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, "");
+        }
     };
     let name = route.name.clone();
+    let mut unanswered = UnansweredGuard::new(&id, &name);
     let request = RelayRequest::read(&state, &config, route, metadata, request).await;
     let result = match request {
         Ok(request) => {
+            unanswered.record_read();
             state.record_request(&request.service);
             run(&state, rc::Rc::new(request)).await
         }
         Err(refusal) => Err(refusal),
     };
+    unanswered.close();
     match result {
         Ok(response) => response,
         Err(refusal) => refusal.into_response(&id, &name),
--- /dev/null
+++ b/crates/testbed/tests/relay/losses.rs
@@ -0,0 +1,517 @@
+//! Requests that were accepted and must be answered: around silent engines, changes of the
+//! configuration, refusals before the body has been read and stops.
+
+use std::time::{Duration, Instant};
+
+use acaciabank_testbed::{
+    harness,
+    scripted::{ScriptStep, ScriptedRequest, ScriptedTarget},
+};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+};
+
+use crate::fixture::{Fixture, Relay, TIMEOUT, event_ids, start_serving};
+
+/// Silence of a sound engine; longer than the gap after which a relay looks for another engine.
+const SILENCE: Duration = Duration::from_millis(1_700);
+/// Longest time for which two engines may work on the same request.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+fn request_text(path: &str, attempt: &str, framing: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: host.example\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+         x-acaciabank-deadline-ms: 9000\r\n{framing}\r\n\r\n"
+    )
+}
+
+/// Reads from a connection until `expected` has arrived; returns everything read.
+async fn read_until(stream: &mut TcpStream, expected: &str) -> String {
+    let mut text = String::new();
+    while !text.contains(expected) {
+        let mut buffer = [0; 4_096];
+        let read = tokio::time::timeout(TIMEOUT, stream.read(&mut buffer)).await;
+        match read.expect("a response in time") {
+            Ok(count) if count > 0 => text += &String::from_utf8_lossy(&buffer[..count]),
+            ended => panic!("{expected}: the connection ended ({ended:?}) after {text:?}"),
+        }
+    }
+    text
+}
+
+/// The head of an event stream that ends with its connection.
+fn stream_head(request: &ScriptedRequest) -> String {
+    let attempt = request.header("x-acaciabank-attempt-id");
+    format!(
+        "HTTP/1.1 200 OK\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+         x-acaciabank-response-signature: s\r\ncontent-type: text/event-stream\r\n\
+         connection: close\r\n\r\n"
+    )
+}
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: token {number}\n\n")
+}
+
+/// A stream of five events that ends with its connection, with a pause after the second event.
+fn paused_stream(request: &ScriptedRequest, pause: ScriptStep) -> Vec<ScriptStep> {
+    let start = stream_head(request) + &event(0) + &event(1);
+    let rest: String = (2..5).map(event).collect();
+    vec![
+        ScriptStep::Send(start.into_bytes()),
+        pause,
+        ScriptStep::Send(rest.into_bytes()),
+        ScriptStep::Close,
+    ]
+}
+
+/// Starts a scripted engine and registers it in the store.
+async fn start_engine<Script>(fixture: &Fixture, id: &str, script: Script) -> ScriptedTarget
+where
+    Script: Fn(&ScriptedRequest) -> Vec<ScriptStep> + Send + Sync + 'static,
+{
+    let address = fixture.launcher.next_address().expect("address");
+    let target = ScriptedTarget::start(address, move |request| {
+        match request.header("x-acaciabank-attempt-id") {
+            "" => vec![ScriptStep::Close],
+            _ => script(request),
+        }
+    });
+    let target = target.await.expect("a target");
+    let stage = Some("decode");
+    fixture.register_target(id, "models", address, stage).await;
+    target
+}
+
+/// Starts a store and a relay without targets.
+async fn start_relay() -> (Fixture, Relay) {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let relay = fixture.start_relay(&[]).await;
+    wait_listening(&relay).await;
+    (fixture, relay)
+}
+
+async fn wait_listening(relay: &Relay) {
+    harness::wait_until(TIMEOUT, "the relay listens", async || {
+        TcpStream::connect(relay.caller_address).await.is_ok()
+    })
+    .await;
+}
+
+/// Waits until the relay has logged an event.
+async fn wait_logged(relay: &Relay, event: &str) {
+    harness::wait_until(TIMEOUT, event, async || {
+        let text = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+        text.contains(&format!("\"event\":\"{event}\""))
+    })
+    .await;
+}
+
+/// Waits until the relay applies a version of the configuration.
+async fn wait_config(relay: &Relay, version: u64) {
+    harness::wait_until(TIMEOUT, "the configuration is in force", async || {
+        let text = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+        let mut lines = text.lines().filter(|line| line.contains("config_in_force"));
+        lines.any(|line| line.contains(&format!("\"version\":{version}")))
+    })
+    .await;
+}
+
+/// Requests streams until `is_reached` holds after one that was served.
+async fn check_streams(relay: &Relay, is_reached: impl Fn() -> bool) {
+    for number in 0..200 {
+        let attempt = format!("k-{number}");
+        let response = relay.request_stream("/resumable/a", &attempt, 5).await;
+        let response = response.expect("a complete response");
+        if response.status == 200 {
+            assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4], "{attempt}");
+            if is_reached() {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the engines get no streams");
+}
+
+/// Guards against a request that was read whole and of which the log does not tell that its
+/// connection ended without a response.
+#[tokio::test]
+async fn a_request_that_ends_without_a_response_is_logged() {
+    let (_fixture, runner, relay) = start_serving().await;
+    runner.control(json!({"is_mute": true})).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let text = request_text("/once/a", "left", "content-length: 0");
+    caller.write_all(text.as_bytes()).await.expect("a write");
+    harness::wait_until(TIMEOUT, "the request runs", async || {
+        runner.run_count("left").await == 1
+    })
+    .await;
+    drop(caller);
+    let lines = relay.request_log("left", "unanswered").await;
+    let line = lines.last().expect("a line");
+    assert_eq!(
+        (&line["route"], &line["read"]),
+        (&json!("once"), &json!(true))
+    );
+}
+
+/// Guards against a stream that is cut because its engine is silent for a while although no other
+/// engine exists.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_the_silence_of_the_only_engine() {
+    let (fixture, relay) = start_relay().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let engine = start_engine(&fixture, "d-1", script).await;
+    check_streams(&relay, || engine.request_count() > 0).await;
+}
+
+/// Guards against a stream that is cut because its engine is silent for a while and the other
+/// engine refuses to go on with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_silence_while_the_other_engine_refuses() {
+    let (fixture, relay) = start_relay().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let engine = start_engine(&fixture, "d-1", script).await;
+    let refuse = |request: &ScriptedRequest| {
+        let attempt = request.header("x-acaciabank-attempt-id");
+        let response = format!(
+            "HTTP/1.1 503 Full\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+             x-acaciabank-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        vec![ScriptStep::Send(response.into_bytes())]
+    };
+    check_streams(&relay, || engine.request_count() > 0).await;
+    let full = start_engine(&fixture, "d-2", refuse).await;
+    check_streams(&relay, || full.request_count() > 0).await;
+}
+
+/// Guards against a silent engine that goes on working on a stream which another engine has taken
+/// over, and against a stream that the other engine does not take over at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_another_engine_takes_over_leaves_the_silent_one() {
+    let (fixture, relay) = start_relay().await;
+    let silent = start_engine(&fixture, "d-1", |request| {
+        let comment = ScriptStep::Drip(b": wait\n\n".to_vec(), Duration::from_millis(10));
+        paused_stream(request, comment)
+    });
+    let silent = silent.await;
+    let stream = async {
+        let mut response = None;
+        harness::wait_until(TIMEOUT, "the stream is served", async || {
+            response = relay.request_stream("/resumable/a", "over", 5).await.ok();
+            response
+                .as_ref()
+                .is_some_and(|response| response.status == 200)
+        })
+        .await;
+        response.expect("a response")
+    };
+    let takeover = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the stream", async || {
+            silent.pouring_connections() > 0
+        })
+        .await;
+        let second = start_engine(&fixture, "d-2", |request| {
+            let rest: String = (2..5).map(event).collect();
+            let work = ScriptStep::Wait(Duration::from_secs(2));
+            let text = stream_head(request) + &rest;
+            vec![work, ScriptStep::Send(text.into_bytes()), ScriptStep::Close]
+        });
+        let second = second.await;
+        while second.request_count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let started = Instant::now();
+        while silent.pouring_connections() > 0 && started.elapsed() < TIMEOUT {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        (second, started.elapsed())
+    };
+    let (response, (_second, overlap)) = tokio::join!(stream, takeover);
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    assert!(overlap < MAX_OVERLAP, "{overlap:?}");
+}
+
+/// Sends a head and its body 100 ms later; checks the refusal and that the connection serves the
+/// next request.
+async fn check_refusal_before_body(caller: &mut TcpStream, path: &str, status: &str) {
+    for (framing, body) in [
+        ("content-length: 6", "notice"),
+        ("transfer-encoding: chunked", "6\r\nnotice\r\n0\r\n\r\n"),
+    ] {
+        let head = request_text(path, "refused", framing);
+        caller.write_all(head.as_bytes()).await.expect("a write");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let written = caller.write_all(body.as_bytes()).await;
+        written.unwrap_or_else(|error| panic!("{framing}: {error}"));
+        let response = read_until(caller, "\r\n\r\n").await;
+        assert!(response.contains(status), "{framing}: {response}");
+        // The rest of the refusal's body.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let _ = caller.try_read(&mut [0; 1_024]);
+    }
+}
+
+/// Guards against a request without a route whose caller does not see the refusal, or loses the
+/// next request on its connection, because the body had not arrived when it was refused.
+#[tokio::test]
+async fn a_request_without_a_route_is_refused_without_losing_its_connection() {
+    let (_fixture, _runner, relay) = start_serving().await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    check_refusal_before_body(&mut caller, "/unknown/a", " 404 ").await;
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+}
+
+/// Guards against a request that gets no refusal, and a connection that is lost, while a relay has
+/// no configuration yet.
+#[tokio::test]
+async fn a_relay_without_a_configuration_refuses_without_losing_the_connection() {
+    let mut fixture = Fixture::start().await;
+    let relay = fixture.start_relay(&[]).await;
+    wait_listening(&relay).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    check_refusal_before_body(&mut caller, "/once/a", " 503 ").await;
+    let _runner = fixture.start_runner("r-1", "ledger", None).await;
+    fixture.write_config(1, |_| {}).await;
+    relay.wait_serving("/safe/a").await;
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+}
+
+/// Guards against a caller that does not see why its body is refused, because the relay closes the
+/// connection without reading the rest of it.
+#[tokio::test]
+async fn a_body_that_is_too_large_is_refused_without_losing_its_connection() {
+    let (_fixture, _runner, relay) = start_serving().await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let head = request_text("/once/a", "large", "content-length: 1800000");
+    caller.write_all(head.as_bytes()).await.expect("a write");
+    for _ in 0..18 {
+        let written = caller.write_all(&[b'x'; 100_000]).await;
+        written.expect("the body is read");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let response = read_until(&mut caller, "body_too_large").await;
+    assert!(response.contains(" 413 "), "{response}");
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+}
+
+/// Guards against a kept connection that is closed by the idle timeout of an earlier configuration
+/// while callers may still use it.
+#[tokio::test]
+async fn a_longer_idle_timeout_applies_to_open_connections() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let write = async |version, idle_ms: u64| {
+        let adjust = |config: &mut serde_json::Value| {
+            config["limits"]["idle_timeout_ms"] = idle_ms.into();
+        };
+        fixture.write_config(version, adjust).await;
+        wait_config(&relay, version).await;
+    };
+    write(2, 1_500).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let first = request_text("/once/a", "first", "content-length: 0");
+    caller.write_all(first.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "first:").await;
+    write(3, 10_000).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let second = request_text("/once/a", "second", "content-length: 0");
+    caller.write_all(second.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "second:").await;
+}
+
+/// Guards against requests that are cut because a configuration without their route and service
+/// arrives and their target is no longer listed: a plain one and a stream that ends with its
+/// connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_without_the_service_keeps_its_requests() {
+    let (fixture, runner, relay) = start_serving().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let engine = start_engine(&fixture, "d-1", script).await;
+    relay.wait_streaming("/stream/a", 5).await;
+    let before = engine.request_count();
+    runner.process.pause();
+    let change = async {
+        harness::wait_until(TIMEOUT, "the stream runs", async || {
+            engine.request_count() > before
+        })
+        .await;
+        let adjust = |config: &mut serde_json::Value| {
+            config["routes"] = json!([]);
+            config["services"] = json!([]);
+        };
+        fixture.write_config(2, adjust).await;
+        wait_config(&relay, 2).await;
+        fixture.deregister_target("d-1").await;
+        fixture.deregister_target("r-1").await;
+        runner.process.resume();
+    };
+    let (plain, stream, ()) = tokio::join!(
+        relay.send("POST", "/once/a", "plain", &[], "notice"),
+        relay.request_stream("/resumable/a", "stream", 5),
+        change
+    );
+    assert_eq!(plain.expect("a response").body, "plain:notice");
+    assert_eq!(event_ids(&stream.expect("a stream").body), [0, 1, 2, 3, 4]);
+}
+
+/// Guards against a stop that cuts a response which its caller reads slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_is_read_slowly_survives_a_stop() {
+    /// More than the buffers of both sockets hold.
+    const RESPONSE_BYTES: usize = 7 << 20;
+
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let address = fixture.launcher.next_address().expect("address");
+    let target = ScriptedTarget::start(address, |request| {
+        let attempt = request.header("x-acaciabank-attempt-id");
+        let length = match attempt {
+            "slow" => RESPONSE_BYTES,
+            _ => 1,
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+             x-acaciabank-response-signature: s\r\ncontent-length: {length}\r\n\r\n"
+        );
+        vec![
+            ScriptStep::Send(head.into_bytes()),
+            ScriptStep::Send(vec![b'x'; length]),
+        ]
+    });
+    let _target = target.await.expect("a target");
+    fixture
+        .register_target("large", "ledger", address, None)
+        .await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(8_192).expect("a buffer size");
+    let connected = socket.connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let text = request_text("/once/a", "slow", "content-length: 0");
+    caller.write_all(text.as_bytes()).await.expect("a write");
+    relay.request_log("slow", "answered").await;
+    relay.process.terminate();
+    // Later than the time for which callers may cache the relay's address.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(TIMEOUT, caller.read_to_end(&mut bytes)).await;
+    let read = read.expect("the end of the connection");
+    assert!(
+        bytes.len() > RESPONSE_BYTES,
+        "{} bytes of the response, then {read:?}",
+        bytes.len()
+    );
+}
+
+/// Guards against idle connections that are never closed, and against a head that is never
+/// complete.
+#[tokio::test]
+async fn idle_connections_and_partial_heads_are_closed() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let adjust = |config: &mut serde_json::Value| {
+        config["limits"]["idle_timeout_ms"] = 500.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(&relay, 2).await;
+    for start in ["", "POST /once/a HTTP/1.1\r\nhost: "] {
+        let connected = TcpStream::connect(relay.caller_address).await;
+        let mut caller = connected.expect("a connection");
+        let first = request_text("/once/a", "first", "content-length: 0");
+        caller.write_all(first.as_bytes()).await.expect("a write");
+        read_until(&mut caller, "first:").await;
+        caller.write_all(start.as_bytes()).await.expect("a write");
+        let ended = tokio::time::timeout(Duration::from_secs(5), caller.read(&mut [0; 16])).await;
+        assert!(!matches!(ended.expect("the end"), Ok(1..)), "{start:?}");
+    }
+}
+
+/// Guards against a stop that is delayed to the end of its grace period by idle connections: one
+/// without a request, one after a request and one with a part of a head.
+#[tokio::test]
+async fn a_stop_does_not_wait_for_idle_connections() {
+    let (_fixture, _runner, relay) = start_serving().await;
+    let mut callers = Vec::new();
+    for _ in 0..3 {
+        let connected = TcpStream::connect(relay.caller_address).await;
+        callers.push(connected.expect("a connection"));
+    }
+    let first = request_text("/once/a", "first", "content-length: 0");
+    let written = callers[1].write_all(first.as_bytes()).await;
+    written.expect("a write");
+    read_until(&mut callers[1], "first:").await;
+    let written = callers[2].write_all(&first.as_bytes()[..20]).await;
+    written.expect("a write");
+    relay.process.terminate();
+    let stopped = Instant::now();
+    wait_logged(&relay, "stopped").await;
+    // Three seconds for outdated address lists and two for the rest of the head.
+    let elapsed = stopped.elapsed();
+    assert!(elapsed < Duration::from_millis(6_500), "{elapsed:?}");
+    drop(callers);
+}
+
+/// Guards against a request that is given up because its target is silent for longer than the
+/// target latency, although no other target can run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_survives_the_silence_of_the_only_target() {
+    let (fixture, relay) = start_relay().await;
+    let address = fixture.launcher.next_address().expect("address");
+    let target = ScriptedTarget::start(address, |request| {
+        let attempt = request.header("x-acaciabank-attempt-id");
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+             x-acaciabank-response-signature: s\r\ncontent-length: 5\r\n\r\nsound"
+        );
+        // The target latency of the route is two seconds.
+        let silence = ScriptStep::Wait(Duration::from_millis(2_500));
+        vec![silence, ScriptStep::Send(response.into_bytes())]
+    });
+    let target = target.await.expect("a target");
+    fixture
+        .register_target("slow", "ledger", address, None)
+        .await;
+    wait_logged(&relay, "target_listed").await;
+    let response = relay.response("GET", "/safe/a", "slow", &[], "").await;
+    assert_eq!((response.status, &response.body[..]), (200, &b"sound"[..]));
+    assert_eq!(target.request_count(), 1);
+}
+
+/// Guards against a stream that is given up because its only engine is silent before the first
+/// event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_silence_before_its_first_event() {
+    let (fixture, relay) = start_relay().await;
+    let engine = start_engine(&fixture, "d-1", |request| {
+        let events: String = (0..5).map(event).collect();
+        let silence = ScriptStep::Wait(Duration::from_millis(2_500));
+        let text = stream_head(request) + &events;
+        vec![
+            silence,
+            ScriptStep::Send(text.into_bytes()),
+            ScriptStep::Close,
+        ]
+    });
+    let engine = engine.await;
+    wait_logged(&relay, "target_listed").await;
+    let response = relay.request_stream("/resumable/a", "late", 5).await;
+    let response = response.expect("a response");
+    assert_eq!(response.status, 200);
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    assert!(engine.request_count() > 0);
+}
