--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -7,9 +7,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::refusal::RefusalResponse;
+use super::{refusal::RefusalResponse, unread};
 use crate::{config, platform, state, telemetry::RefusalCause};
 
 /// Time before the caller's deadline at which the final response is sent, for its way to the
@@ -49,6 +50,8 @@
     pub shared_keys: Vec<u64>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
+    /// Attempt that a target is working on.
+    pub sent: SentSignal,
     _active: state::ActiveGuard,
 }
 
@@ -69,7 +72,7 @@
         let deadline =
             timeout.min(caller_deadline - RESPONSE_MARGIN.min(caller_deadline - arrival));
         let (head, body) = request.into_parts();
-        let body = read_body(body, config.limits.max_body_bytes, deadline).await?;
+        let body = read_body(body, &config.limits, deadline).await?;
         let service = route.pick_service(rand::random());
         let service = service.ok_or(RefusalResponse::not_run(RefusalCause::NoTarget))?;
         let parts = metadata
@@ -98,6 +101,7 @@
             metadata,
             parts,
             config_version: config.version,
+            sent: SentSignal::default(),
             _active: active,
         })
     }
@@ -148,14 +152,15 @@
 }
 
 async fn read_body(
-    body: Incoming,
-    limit: usize,
+    mut body: Incoming,
+    limits: &config::CallerLimits,
     deadline: Instant,
 ) -> Result<Bytes, RefusalResponse> {
-    let collect = Limited::new(body, limit).collect();
+    let collect = Limited::new(&mut body, limits.max_body_bytes).collect();
     match tokio::time::timeout_at(deadline.into(), collect).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            unread::discard_rest(body, Some(limits));
             Err(RefusalResponse::not_run(RefusalCause::BodyTooLarge))
         }
         Ok(Err(error)) => {
@@ -175,8 +180,43 @@
     hasher.digest()
 }
 
+/// Time at which the current attempt was sent to a target that may run it.
+#[derive(Debug, Default)]
+pub struct SentSignal(watch::Sender<Option<Instant>>);
+
+impl SentSignal {
+    /// Records that an attempt is being sent.
+    pub fn start(&self) {
+        self.0.send_replace(Some(Instant::now()));
+    }
+
+    /// Records that the attempt has ended; returns whether one had been sent.
+    pub fn end(&self) -> bool {
+        self.0.send_replace(None).is_some()
+    }
+
+    /// Waits until an attempt has been under way for this long.
+    pub async fn wait_elapsed(&self, time: Duration) {
+        let mut sent = self.0.subscribe();
+        loop {
+            let since = *sent.borrow_and_update();
+            let elapsed = async {
+                match since {
+                    Some(since) => tokio::time::sleep_until((since + time).into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = elapsed => return,
+                // The sender lives as long as `self`.
+                _ = sent.changed() => {}
+            }
+        }
+    }
+}
+
 /// State of a request's attempts.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct RequestProgress {
     /// Whether a target may have run the request, over all attempts so far.
     pub verdict: Verdict,
