Honour targets that say that they leave or ask for a pause

What callers would see: a daemon went on sending to a target that had stated in its responses (Server-Leaving) that it leaves, for as long as the store listed it as ready, and requests were cut off when it stopped. A target that refused with 503 and Retry-After was asked again after 150 ms.

Cause: no response header of a target about itself was read; a daemon learned of a leaving target only from the store.

Change: - The adapter reads both headers once, from every response: plain requests, heads of streams, prompts, orders, reports, lists of cached parts, releases of KV caches, refusals and 421. Values are typed in core::target_signal. - A leaving mark belongs to one incarnation (id and start time). It stays while the target is listed, and an hour otherwise, so that no record or report brings it back. Reports carry it to the other daemons at once and for three seconds, and later while the store lists the target as ready. - A pause is a deadline per daemon and target, a minute at most. It is no outcome for the outlier detection. Requests of the half second after it are spread. When all targets pause for longer than a request may wait, callers are refused at once; Retry-After is the rest of the shortest pause, more for less urgent routes. - Both are checked at selection, before a request takes a connection and again after one was opened. Placement requests name the engines that this daemon does not use. Idle connections to a leaving target are closed. - The emulated runner has settings for both headers.

Ruled out: a header of the responses as a failure for the outlier detection; it would eject a target that works as intended, and end after 4 s at most.

--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -115,6 +115,7 @@
         reason::RetryReason::ConnectFailed,
         reason::RetryReason::NotWritten,
         reason::RetryReason::ConnectionBroken,
+        reason::RetryReason::TargetUnavailable,
         reason::RetryReason::TargetRefused,
         reason::RetryReason::StreamResumed,
         reason::RetryReason::MismatchedResponse,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod scheduler;
 pub mod stage_planner;
 pub mod suspect;
+pub mod target_signal;
--- a/crates/daemon/src/telemetry/names.rs
+++ b/crates/daemon/src/telemetry/names.rs
@@ -25,10 +25,11 @@
 pub const LEASE_TRANSITIONS: &str = "acaciabank_lease_transitions_total";
 
 /// All retry reasons.
-pub const RETRY_REASONS: [RetryReason; 7] = [
+pub const RETRY_REASONS: [RetryReason; 8] = [
     RetryReason::ConnectFailed,
     RetryReason::NotWritten,
     RetryReason::ConnectionBroken,
+    RetryReason::TargetUnavailable,
     RetryReason::TargetRefused,
     RetryReason::StreamResumed,
     RetryReason::MismatchedResponse,
--- a/crates/protocol/src/reason/mod.rs
+++ b/crates/protocol/src/reason/mod.rs
@@ -102,6 +102,8 @@
         NotWritten,
         /// The connection broke after the request was written; the request is idempotent.
         ConnectionBroken,
+        /// The target left or asked for a pause before the request was written.
+        TargetUnavailable,
         /// The target refused the request before running it.
         TargetRefused,
         /// The response stream broke and is resumed at another target.
@@ -121,6 +123,7 @@
             RetryReason::ConnectFailed => "connect_failed",
             RetryReason::NotWritten => "not_written",
             RetryReason::ConnectionBroken => "connection_broken",
+            RetryReason::TargetUnavailable => "target_unavailable",
             RetryReason::TargetRefused => "target_refused",
             RetryReason::StreamResumed => "stream_resumed",
             RetryReason::MismatchedResponse => "crossed_answer",
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -5,7 +5,7 @@
     io, net,
     pin::Pin,
     sync,
-    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     task::{Context, Poll},
     time::{Duration, Instant},
 };
@@ -160,6 +160,7 @@
 #[derive(Debug, Default)]
 pub struct IdlePool {
     idle: sync::Mutex<Vec<TargetConnection>>,
+    is_retired: AtomicBool,
 }
 
 impl IdlePool {
@@ -183,10 +184,19 @@
             return;
         };
         idle.retain(TargetConnection::is_usable);
-        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
+        let is_full = idle.len() >= MAX_IDLE_CONNECTIONS;
+        if !is_full && !connection.sender.is_closed() && !self.is_retired.load(Ordering::Acquire) {
             idle.push(connection);
         }
     }
+
+    /// Closes the idle connections, and from now on each connection that is returned.
+    pub fn retire(&self) {
+        self.is_retired.store(true, Ordering::Release);
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.clear();
+        }
+    }
 }
 
 /// Bytes that may still be read until the head of a response is complete.
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Creates the failure of an attempt at a target that accepts no requests by now.
+    fn unavailable() -> Self {
+        let message = "the target accepts no requests by now";
+        Self::unsent(RetryReason::TargetUnavailable, message)
+    }
+
     /// Creates the failure of an attempt that sent the request but got no valid response.
     pub fn broken(message: impl ToString) -> Self {
         Self {
@@ -80,7 +86,7 @@
     pub fn is_unsent(&self) -> bool {
         matches!(
             self.retry,
-            RetryReason::ConnectFailed | RetryReason::NotWritten
+            RetryReason::ConnectFailed | RetryReason::NotWritten | RetryReason::TargetUnavailable
         )
     }
 
@@ -161,6 +167,9 @@
     metadata: &platform::ForwardMetadata<'_>,
     deadline: Instant,
 ) -> Result<OpenResponse, AttemptFailure> {
+    if !target.admit_request(clock::now_ms()) {
+        return Err(AttemptFailure::unavailable());
+    }
     let mut message = http::Request::new(Full::new(request.body.clone()));
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
@@ -171,11 +180,13 @@
     let (response, mut connection) = match result {
         Ok(sent) => sent,
         Err(failure) => {
-            let outcome = match failure.retry {
-                RetryReason::ConnectFailed => outlier::TargetOutcome::Unreachable,
-                _ => outlier::TargetOutcome::Failed,
-            };
-            state.record_outcome(target, outcome);
+            match failure.retry {
+                RetryReason::TargetUnavailable => {}
+                RetryReason::ConnectFailed => {
+                    state.record_outcome(target, outlier::TargetOutcome::Unreachable);
+                }
+                _ => state.record_outcome(target, outlier::TargetOutcome::Failed),
+            }
             if failure.retry == RetryReason::ConnectionBroken {
                 confirm_crash(state, request.fingerprint, target);
             }
@@ -184,6 +195,7 @@
     };
     let (head, body) = response.into_parts();
     let response_metadata = state.codec.read_response(head.status, &head.headers);
+    target::record_response(state, target, &response_metadata);
     let echoed_id = response_metadata.attempt_id.as_deref();
     let is_plausible = request.id.is_empty() || connection.record_echo(echoed_id.is_some());
     let is_own = is_plausible && echoed_id.is_none_or(|id| id == request.id);
@@ -207,6 +219,7 @@
     deadline: Instant,
 ) -> Result<SentResponse, AttemptFailure> {
     while let Some(connection) = target.pool.take() {
+        check_write(target)?;
         match send_on(connection, message.clone(), deadline).await {
             Err(failure) if failure.retry == RetryReason::NotWritten => continue,
             result => return result,
@@ -216,9 +229,19 @@
     let connected = connection::TargetConnection::connect(target.entry.address, timeout).await;
     let connection =
         connected.map_err(|error| AttemptFailure::unsent(RetryReason::ConnectFailed, error))?;
+    check_write(target)?;
     send_on(connection, message, deadline).await
 }
 
+/// Checks that the target still accepts requests: a response to another request may have stated the
+/// opposite while this one waited for a connection.
+fn check_write(target: &target::TargetState) -> Result<(), AttemptFailure> {
+    match target.allows_write(clock::now_ms()) {
+        true => Ok(()),
+        false => Err(AttemptFailure::unavailable()),
+    }
+}
+
 async fn send_on(
     mut connection: connection::TargetConnection,
     message: http::Request<Full<Bytes>>,
@@ -251,7 +274,10 @@
     is_own: bool,
 ) -> Result<(), AttemptFailure> {
     if metadata.not_run && is_own {
-        state.record_outcome(target, outlier::TargetOutcome::Refused);
+        // A target that asks for a pause works as intended.
+        if metadata.signals.pause_ms.is_none() {
+            state.record_outcome(target, outlier::TargetOutcome::Refused);
+        }
         back_off(target, metadata);
         return Err(AttemptFailure::refused(head.status));
     }
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -5,6 +5,7 @@
 use acaciabank_core::{load_shed, placement, prefix};
 
 use super::{
+    pause,
     refusal::RefusalResponse,
     request::{RelayRequest, RequestProgress},
     selection,
@@ -23,6 +24,9 @@
 /// Time from a prefill to the first token besides the KV cache transfer: one engine step and the
 /// set-up of the transfer.
 const HANDOVER_OVERHEAD_MS: f64 = 14.0;
+/// Largest number of engines that a placement request excludes because of their signals. The
+/// daemon itself overrides a placement at any further one.
+const MAX_BLOCKED_EXCLUDED: usize = 64;
 /// Time that each running request adds to an engine step.
 const PER_RUNNING_REQUEST_MS: f64 = 0.5;
 
@@ -177,6 +181,7 @@
         if let Some(plan) = pick_engines(state, &prompt, prefilled) {
             return Ok(plan);
         }
+        pause::check_pauses(state, request, progress, deadline)?;
         selection::wait_for_poll(deadline, progress).await?;
     }
 }
@@ -195,7 +200,7 @@
         zone_hash: prompt.zone_hash,
         prompt_tokens: prompt.prompt_tokens,
         parts: prompt.parts.to_vec(),
-        excluded: prompt.excluded.to_vec(),
+        excluded: excluded_hashes(state, prompt),
         prefilled: prefilled.map(|engine| engine.hash),
         intake,
     };
@@ -228,6 +233,19 @@
     })
 }
 
+/// Returns the engines that a scheduler must not select: those that failed the request, and those
+/// that this daemon sends nothing because of their signals, of which the scheduler may not know.
+fn excluded_hashes<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    prompt: &PromptView<'_>,
+) -> Vec<u64> {
+    let mut excluded = prompt.excluded.to_vec();
+    let targets = state.targets.borrow();
+    let blocked = targets.blocked_hashes(prompt.service, clock::now_ms());
+    excluded.extend(blocked.take(MAX_BLOCKED_EXCLUDED));
+    excluded
+}
+
 /// Selects engines from this daemon's state.
 pub fn pick_engines<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
--- a/crates/relay/src/dispatch/generate/kv_handle.rs
+++ b/crates/relay/src/dispatch/generate/kv_handle.rs
@@ -7,9 +7,11 @@
 
 use acaciabank_core::outlier;
 use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
+use futures::{FutureExt, future::LocalBoxFuture};
 
 use super::MAX_URGENCY;
 use crate::{
+    clock,
     dispatch::{
         attempt::{self, AttemptFailure},
         engines,
@@ -29,30 +31,40 @@
     pub engine: rc::Rc<target::TargetState>,
     /// Handle of the KV cache at that engine.
     pub name: String,
-    /// Path that releases the KV cache; `None` once it was taken.
-    path: Option<String>,
+    /// Releases the KV cache; `None` once it was taken.
+    release: Option<LocalBoxFuture<'static, ()>>,
 }
 
 impl KvHandle {
     /// Marks the KV cache as taken by another engine, so that it is not released.
     pub fn close(mut self) {
-        self.path = None;
+        self.release = None;
     }
 }
 
 impl Drop for KvHandle {
     fn drop(&mut self) {
-        let Some(path) = self.path.take() else {
-            return;
-        };
-        let engine = rc::Rc::clone(&self.engine);
-        tokio::task::spawn_local(async move {
-            let method = http::Method::DELETE;
-            if let Err(error) = engine.call(method, &path, RELEASE_TIMEOUT).await {
-                // The engine drops the KV cache itself when its lifetime ends.
-                log::info!(target_id = engine.entry.id.as_str(), error = error.as_str(); "release_failed");
-            }
-        });
+        if let Some(release) = self.release.take() {
+            tokio::task::spawn_local(release);
+        }
+    }
+}
+
+/// Releases an unused KV cache, after the pause of an engine that wants no requests.
+async fn release<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: state::SharedState<Codec, Store>,
+    engine: rc::Rc<target::TargetState>,
+    path: String,
+) {
+    let now_ms = clock::now_ms();
+    if let Some(until_ms) = engine.paused_until_ms(now_ms) {
+        tokio::time::sleep(Duration::from_millis(until_ms - now_ms)).await;
+    }
+    let method = http::Method::DELETE;
+    let released = target::call(&state, &engine, method, &path, RELEASE_TIMEOUT).await;
+    if let Err(error) = released {
+        // The engine drops the KV cache itself when its lifetime ends.
+        log::info!(target_id = engine.entry.id.as_str(), error = error.as_str(); "release_failed");
     }
 }
 
@@ -96,9 +108,11 @@
                 .codec
                 .read_kv_handle(&body)
                 .ok_or(failed("the prefill response has no KV cache handle"))?;
+            let path = state.codec.kv_handle_path(&name);
+            let release = release(rc::Rc::clone(state), rc::Rc::clone(engine), path);
             Ok(KvHandle {
                 engine: rc::Rc::clone(engine),
-                path: Some(state.codec.kv_handle_path(&name)),
+                release: Some(release.boxed_local()),
                 name,
             })
         }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod engines;
 mod events;
 mod generate;
+mod pause;
 mod refusal;
 mod request;
 mod selection;
--- a/crates/relay/src/dispatch/selection.rs
+++ b/crates/relay/src/dispatch/selection.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    pause,
     refusal::RefusalResponse,
     request::{RelayRequest, RequestProgress},
 };
@@ -31,6 +32,7 @@
         if let Some(target) = pick_service_target(state, request, progress) {
             return Ok(target);
         }
+        pause::check_pauses(state, request, progress, deadline)?;
         wait_for_poll(deadline, progress).await?;
     }
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -3,9 +3,11 @@
 //! Each report replaces the sender's earlier ones, so a lost datagram delays changes by one
 //! interval. A report contains addresses of other daemons, so that one contact suffices to join.
 
+mod leaving;
 mod table;
 mod task;
 
+pub use leaving::LeavingEntry;
 pub use table::PeerTable;
 pub use task::{announce, run};
 
@@ -91,6 +93,8 @@
     pub targets_age_ms: Option<u64>,
     /// Recent changes of targets.
     pub target_changes: platform::TargetChanges,
+    /// Targets that have stated that they leave.
+    pub leaving: Vec<LeavingEntry>,
     /// Version of the store after which `target_changes` are complete.
     pub changes_after: u64,
     /// Loads that the daemon's requests cause at targets.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::{prefix, scheduler as core_scheduler, suspect};
 use tokio::net::UdpSocket;
 
-use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, SuspectEntry};
+use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, SuspectEntry, leaving};
 use crate::{clock, platform, scheduler, state, target, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
@@ -204,6 +204,7 @@
             true => recent.changes,
             false => platform::TargetChanges::default(),
         },
+        leaving: leaving::leaving_entries(state, now_ms),
         changes_after: recent.after,
         loads: loads(state),
         stage_changes: stage_changes(state),
@@ -386,6 +387,7 @@
     apply_stage_changes(state, &report.stage_changes, now_ms);
     apply_parts(state, &report.parts, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
+    leaving::apply_leaving(state, &report.leaving, now_ms);
     let has_newer_config = report.config_version > state.config_version();
     let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
     let (after, version) = (report.changes_after, report.target_changes.version);
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -151,6 +151,9 @@
                         .borrow()
                         .by_hash(change.target_hash)
                         .cloned()?;
+                    if target.is_blocked(clock::now_ms()) {
+                        return None;
+                    }
                     let state = rc::Rc::clone(&self.state);
                     Some(change_stage(
                         state,
@@ -165,14 +168,14 @@
         }
     }
 
-    /// Returns the engines of a service that are not draining, with their load from all daemons.
+    /// Returns the engines of a service that neither drain nor leave, with their load from all daemons.
     fn engine_statuses(&self, service: &str) -> Vec<stage_planner::EngineStatus> {
         let now_ms = clock::now_ms();
         self.state.peers.borrow_mut().refresh_loads(now_ms);
         let targets = self.state.targets.borrow();
         let peers = self.state.peers.borrow();
         let active = targets.of_service(service).iter();
-        let active = active.filter(|target| !target.is_draining.get());
+        let active = active.filter(|target| !target.is_draining.get() && !target.is_leaving());
         let status = |target: &rc::Rc<target::TargetState>| {
             let peer_load = peers.load_of(target.hash);
             Some(stage_planner::EngineStatus {
--- a/crates/relay/src/planner/order.rs
+++ b/crates/relay/src/planner/order.rs
@@ -16,7 +16,7 @@
     target: &target::TargetState,
 ) -> Result<platform::EngineReport, String> {
     let path = state.codec.report_path();
-    let body = target.call(http::Method::GET, path, CALL_TIMEOUT).await?;
+    let body = target::call(state, target, http::Method::GET, path, CALL_TIMEOUT).await?;
     let report = state.codec.read_report(&body);
     report.ok_or_else(|| "invalid engine report".to_owned())
 }
@@ -32,6 +32,9 @@
     let Ok(mut connection) = target.open(CALL_TIMEOUT).await else {
         return platform::OrderResponse::Unsent;
     };
+    if target.is_blocked(clock::now_ms()) {
+        return platform::OrderResponse::Unsent;
+    }
     let mut request = http::Request::new(Full::new(Bytes::from(state.codec.write_order(order))));
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = http::Uri::from_static(state.codec.order_path());
@@ -50,6 +53,8 @@
     match sent {
         Ok(Ok(response)) => {
             let status = response.status();
+            let metadata = state.codec.read_response(status, response.headers());
+            target::record_response(state, target, &metadata);
             let limits = connection::BodyLimits::DOCUMENT;
             let deadline = Instant::now() + CALL_TIMEOUT;
             let body = connection::read_body(response.into_body(), limits, deadline).await;
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -3,7 +3,7 @@
 
 use std::{future::Future, net};
 
-use acaciabank_core::{lease, placement};
+use acaciabank_core::{lease, placement, target_signal};
 use bytes::Bytes;
 use http::HeaderMap;
 
@@ -83,6 +83,8 @@
     pub signed: bool,
     /// Time that the target keeps an idle connection, in whole seconds.
     pub keep_alive_s: Option<u64>,
+    /// Signals of the target about itself.
+    pub signals: target_signal::TargetSignals,
 }
 
 /// An order to an engine to change its stage.
--- a/crates/relay/src/scheduler/warmup.rs
+++ b/crates/relay/src/scheduler/warmup.rs
@@ -78,7 +78,10 @@
     state: &state::RelayState<Codec, Store>,
 ) -> Vec<rc::Rc<target::TargetState>> {
     let targets = state.targets.borrow();
-    let engines = targets.iter().filter(|target| target.entry.stage.is_some());
+    let now_ms = clock::now_ms();
+    let engines = targets
+        .iter()
+        .filter(|target| target.entry.stage.is_some() && !target.is_blocked(now_ms));
     engines.cloned().collect()
 }
 
@@ -109,7 +112,7 @@
     engine: &target::TargetState,
 ) -> Option<usize> {
     let path = state.codec.cached_parts_path();
-    let response = engine.call(http::Method::GET, path, CALL_TIMEOUT).await;
+    let response = target::call(state, engine, http::Method::GET, path, CALL_TIMEOUT).await;
     let cached = response.and_then(|body| {
         let cached = state.codec.read_cached_parts(&body);
         cached.ok_or_else(|| "invalid list of cached parts".to_owned())
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -1,6 +1,11 @@
 //! Targets and this daemon's view of their state.
 
 mod call;
+mod signals;
+
+pub use call::call;
+pub(crate) use signals::log_leaving;
+pub use signals::record_response;
 
 use std::{
     cell::{Cell, RefCell},
@@ -9,7 +14,9 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_core::{outlier, placement, prefix, prompt_backlog::PromptBacklog};
+use acaciabank_core::{
+    outlier, placement, prefix, prompt_backlog::PromptBacklog, target_signal::SignalState,
+};
 
 use crate::{connection, platform};
 
@@ -36,6 +43,12 @@
     pub switching_until_ms: Cell<u64>,
     /// Time until which it is sent no new requests because it has refused one.
     pub backoff_until_ms: Cell<u64>,
+    /// What it has signalled in its responses.
+    signals: Cell<SignalState>,
+    /// Requests sent since its last pause, until they are no longer spread.
+    resumed_sends: Cell<Option<u32>>,
+    /// Whether a malformed signal was logged: one line for each incarnation is enough.
+    has_logged_fault: Cell<bool>,
     /// Whether another incarnation has taken over its address.
     pub is_replaced: Cell<bool>,
     /// Idle connections to it.
@@ -65,6 +78,9 @@
             is_draining: Cell::new(entry.is_draining),
             switching_until_ms: Cell::new(0),
             backoff_until_ms: Cell::new(0),
+            signals: Cell::default(),
+            resumed_sends: Cell::default(),
+            has_logged_fault: Cell::new(false),
             is_replaced: Cell::new(false),
             pool: connection::IdlePool::default(),
             running: Cell::new(0),
@@ -89,7 +105,7 @@
                 .get(&self.entry.id)
                 .copied()
                 .unwrap_or(self.entry.version),
-            is_draining: self.is_draining.get(),
+            is_draining: self.is_draining.get() || self.is_leaving(),
             stage: self.listed_stage.get(),
             ..self.entry.clone()
         }
@@ -124,7 +140,10 @@
                 .switching_until_ms
                 .get()
                 .max(self.backoff_until_ms.get());
-        is_active && is_ready && self.detector.borrow().is_available(now_ms)
+        is_active
+            && is_ready
+            && self.allows_request(now_ms)
+            && self.detector.borrow().is_available(now_ms)
     }
 }
 
@@ -242,6 +261,9 @@
     by_service: HashMap<String, Vec<rc::Rc<TargetState>>>,
     /// Newest known version by id, including removed targets.
     versions: HashMap<String, u64>,
+    /// Signals by hash of the incarnation, including some that are not listed: an incarnation whose
+    /// entry disappears for a while still leaves, and a report may arrive before the entry.
+    signals: HashMap<u64, SignalState>,
     /// Version of the store up to which all changes are included; zero before the first complete
     /// list.
     complete_version: u64,
@@ -344,6 +366,9 @@
             "target_listed"
         );
         let target = rc::Rc::new(TargetState::new(entry.clone(), kv_tokens));
+        if let Some(signals) = self.signals.get(&target.hash) {
+            target.set_signals(*signals);
+        }
         let service = self.by_service.entry(target.entry.service.clone());
         service.or_default().push(rc::Rc::clone(&target));
         self.by_hash.insert(target.hash, rc::Rc::clone(&target));
@@ -356,7 +381,7 @@
         };
         self.by_hash.remove(&target.hash);
         target.is_draining.set(true);
-        log::info!(target_id = id; "target_gone");
+        log::info!(target_id = id, cause = "store"; "target_gone");
         if let Some(targets) = self.by_service.get_mut(&target.entry.service) {
             targets.retain(|kept| !rc::Rc::ptr_eq(kept, &target));
         }
@@ -366,7 +391,7 @@
 fn update(known: &TargetState, entry: &platform::TargetEntry) {
     if known.is_draining.get() != entry.is_draining {
         known.is_draining.set(entry.is_draining);
-        log::info!(target_id = entry.id.as_str(), draining = entry.is_draining; "target_state");
+        log::info!(target_id = entry.id.as_str(), draining = entry.is_draining, cause = "store"; "target_state");
     }
     if known.listed_stage.get() != entry.stage {
         known.listed_stage.set(entry.stage);
--- /dev/null
+++ b/crates/relay/src/target/signals.rs
@@ -0,0 +1,205 @@
+//! What targets signal in their responses: how it is recorded, and whether requests may be sent.
+
+use std::rc;
+
+use acaciabank_core::target_signal::{LeavingMark, LeavingSource, SignalState};
+
+use super::{TargetRegistry, TargetState};
+use crate::{clock, platform, state};
+
+impl TargetState {
+    /// Whether the target has stated that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.signals.get().leaving().is_some()
+    }
+
+    /// Whether nothing may be sent to the target: it leaves, or wants no requests for now.
+    pub fn is_blocked(&self, now_ms: u64) -> bool {
+        self.signals.get().is_blocked(now_ms)
+    }
+
+    /// Returns the time until which the target wants no requests, if that is not over.
+    pub fn paused_until_ms(&self, now_ms: u64) -> Option<u64> {
+        self.signals.get().paused_until_ms(now_ms)
+    }
+
+    /// Whether a further request may be sent to the target by what it has signalled.
+    pub fn allows_request(&self, now_ms: u64) -> bool {
+        let resumed_sends = self.resumed_sends.get().unwrap_or(0);
+        self.signals.get().accepts(resumed_sends, now_ms)
+    }
+
+    /// Whether a request that was admitted may still be written.
+    pub fn allows_write(&self, now_ms: u64) -> bool {
+        !self.is_draining.get() && !self.is_replaced.get() && !self.is_blocked(now_ms)
+    }
+
+    /// Counts a request that is about to be sent; returns whether it may be.
+    pub fn admit_request(&self, now_ms: u64) -> bool {
+        if !self.allows_write(now_ms) || !self.allows_request(now_ms) {
+            return false;
+        }
+        if let Some(sends) = self.resumed_sends.get() {
+            if sends == 0 {
+                log::info!(target_id = self.entry.id.as_str(), cause = "header"; "target_resumed");
+            }
+            let is_over = self.signals.get().has_resumed(now_ms);
+            self.resumed_sends.set((!is_over).then_some(sends + 1));
+        }
+        true
+    }
+
+    /// Adopts the signals of the incarnation.
+    pub(super) fn set_signals(&self, signals: SignalState) {
+        if signals != self.signals.get() {
+            self.resumed_sends.set(Some(0));
+        }
+        self.signals.set(signals);
+        if signals.leaving().is_some() {
+            self.pool.retire();
+        }
+    }
+}
+
+impl TargetRegistry {
+    /// Records that an incarnation leaves, whether it is listed or not; returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, hash: u64, mark: LeavingMark, now_ms: u64) -> bool {
+        self.change_signals(hash, now_ms, |signals| signals.record_leaving(mark))
+    }
+
+    /// Records that an incarnation wants no requests for `pause_ms`; returns whether it was not
+    /// paused before. `jitter` is a random number between 0 and 1.
+    pub fn record_pause(&mut self, hash: u64, pause_ms: u64, now_ms: u64, jitter: f64) -> bool {
+        self.change_signals(hash, now_ms, |signals| {
+            signals.record_pause(pause_ms, now_ms, jitter)
+        })
+    }
+
+    /// Returns the marks of all incarnations that leave, by hash.
+    pub fn leaving_marks(&self) -> impl Iterator<Item = (u64, LeavingMark)> {
+        let marks = self.signals.iter();
+        marks.filter_map(|(hash, signals)| Some((*hash, signals.leaving()?)))
+    }
+
+    /// Returns the hashes of a service's targets to which nothing may be sent because of their
+    /// signals.
+    pub fn blocked_hashes(&self, service: &str, now_ms: u64) -> impl Iterator<Item = u64> {
+        let blocked = self.signals.iter();
+        let blocked = blocked.filter(move |(_, signals)| signals.is_blocked(now_ms));
+        let listed = blocked.filter_map(|(hash, _)| self.by_hash.get(hash));
+        let of_service = listed.filter(move |target| target.entry.service == service);
+        of_service.map(|target| target.hash)
+    }
+
+    /// Returns the listed target that has sent a response on a connection to `target`: another one
+    /// may have taken over the address. `instance` is the id that the response names.
+    fn responder<'a>(
+        &'a self,
+        target: &'a TargetState,
+        instance: Option<&str>,
+    ) -> Option<&'a TargetState> {
+        match instance.filter(|id| *id != target.entry.id) {
+            None => Some(target),
+            Some(id) => {
+                let named = self.by_id.get(id).map(rc::Rc::as_ref);
+                named.filter(|named| named.entry.address == target.entry.address)
+            }
+        }
+    }
+
+    fn change_signals(
+        &mut self,
+        hash: u64,
+        now_ms: u64,
+        change: impl FnOnce(&mut SignalState) -> bool,
+    ) -> bool {
+        let by_hash = &self.by_hash;
+        self.signals.retain(|hash, signals| {
+            let is_listed_leaving = signals.leaving().is_some() && by_hash.contains_key(hash);
+            is_listed_leaving || signals.is_kept_unlisted(now_ms)
+        });
+        let signals = self.signals.entry(hash).or_default();
+        let is_new = change(signals);
+        if let Some(target) = by_hash.get(&hash) {
+            target.set_signals(*signals);
+        }
+        is_new
+    }
+
+    fn signals_of(&self, hash: u64) -> SignalState {
+        self.signals.get(&hash).copied().unwrap_or_default()
+    }
+}
+
+/// Records the signals of a response that was received on a connection to `target`.
+pub fn record_response<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    target: &TargetState,
+    metadata: &platform::ResponseMetadata,
+) {
+    let signals = &metadata.signals;
+    if signals.is_empty() {
+        return;
+    }
+    log_fault(target, metadata);
+    let now_ms = clock::now_ms();
+    let instance = metadata.instance.as_deref();
+    let mut registry = state.targets.borrow_mut();
+    let Some((hash, id)) = registry
+        .responder(target, instance)
+        .map(|responder| (responder.hash, responder.entry.id.clone()))
+    else {
+        return;
+    };
+    if signals.is_leaving {
+        let (source, since_ms) = (LeavingSource::Response, now_ms);
+        if registry.record_leaving(hash, LeavingMark { source, since_ms }, now_ms) {
+            log_leaving(&id, source, 0);
+            state.report_now.notify_one();
+        }
+    }
+    if let Some(pause_ms) = signals.pause_ms {
+        count_signal("pause", LeavingSource::Response);
+        if registry.record_pause(hash, pause_ms, now_ms, rand::random()) {
+            log::info!(
+                target_id = id.as_str(), cause = "header", pause_ms = pause_ms, age_ms = 0;
+                "target_paused"
+            );
+        }
+    }
+    // The request may belong to a target that is no longer listed.
+    if hash == target.hash {
+        target.set_signals(registry.signals_of(hash));
+    }
+}
+
+/// Logs and counts that a target leaves, as its response has stated `age_ms` ago.
+pub(crate) fn log_leaving(id: &str, source: LeavingSource, age_ms: u64) {
+    count_signal("leaving", source);
+    log::info!(target_id = id, cause = source.as_str(), age_ms = age_ms; "target_leaving");
+}
+
+fn count_signal(signal: &'static str, source: LeavingSource) {
+    metrics::counter!(
+        "acaciabank_target_signals_total",
+        "signal" => signal,
+        "cause" => source.as_str()
+    )
+    .increment(1);
+}
+
+fn log_fault(target: &TargetState, metadata: &platform::ResponseMetadata) {
+    let Some(fault) = metadata.signals.fault else {
+        return;
+    };
+    metrics::counter!("acaciabank_target_signal_faults_total", "fault" => fault.as_str())
+        .increment(1);
+    if !target.has_logged_fault.replace(true) {
+        log::warn!(
+            target_id = target.entry.id.as_str(), fault = fault.as_str(),
+            pause_ms = metadata.signals.pause_ms;
+            "target_signal_malformed"
+        );
+    }
+}
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -15,6 +15,8 @@
         BodyIncomplete,
         /// No target accepts requests.
         NoTarget,
+        /// All targets want no requests for now.
+        TargetsPaused,
         /// The response is not expected before the deadline.
         TooLate,
         /// The daemon stops before the request could finish.
@@ -41,6 +43,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
             Self::NoTarget => "no_target",
+            Self::TargetsPaused => "targets_paused",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
             Self::DeadlinePassed => "deadline_passed",
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -30,6 +30,7 @@
             absent: Vec::new(),
             version: 0,
         },
+        leaving: Vec::new(),
         changes_after: 0,
         loads: Vec::new(),
         stage_changes: Vec::new(),
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -59,6 +59,10 @@
     pub is_mute: bool,
     /// Refuses requests that name another runner's KV cache, as if it could not be fetched.
     pub refuses_fetch: bool,
+    /// Says in all responses that the runner leaves.
+    pub is_leaving: bool,
+    /// Value of `retry-after` in all responses with status 503.
+    pub retry_after: Option<String>,
     /// Reports the state `draining` in the store entry instead of `ready`.
     pub is_draining: bool,
 }
@@ -153,6 +157,13 @@
     /// Returns an error, which closes the connection without a response, if the body cannot be read
     /// or an injected fault requires it.
     pub async fn handle(self, request: Request<Incoming>) -> web::HandlerResult {
+        let runner = self.clone();
+        let mut response = self.respond_to(request).await?;
+        runner.set_signal_headers(&mut response);
+        Ok(response)
+    }
+
+    async fn respond_to(self, request: Request<Incoming>) -> web::HandlerResult {
         let (head, body) = request.into_parts();
         let body = web::read_body(body).await?;
         let header = |name: &str| {
@@ -316,6 +327,19 @@
         );
     }
 
+    /// Sets the headers by which a runner says that it leaves or wants no requests for a while.
+    fn set_signal_headers(&self, response: &mut Response<web::ResponseBody>) {
+        let state = self.state.lock().expect("runner lock");
+        if state.faults.is_leaving {
+            set_header(response, "server-leaving", "1");
+        }
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(retry_after) = &state.faults.retry_after
+        {
+            set_header(response, "retry-after", retry_after);
+        }
+    }
+
     /// Responds to a request to a plain service.
     async fn respond(
         &self,
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -11,3 +11,4 @@
 mod soak;
 mod stops;
 mod streams;
+mod target_signals;
