--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -156,9 +156,13 @@
     pub until_ms: u64,
 }
 
-/// Returns the hash of an incarnation's id and start time.
+/// Returns the hash of an incarnation's id and start time. The start time is hashed like the id: as
+/// the seed of the hash, it is combined with a short id such that different incarnations collide.
 fn incarnation_hash(entry: &platform::TargetEntry) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(entry.id.as_bytes(), entry.born_ms)
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    hasher.update(entry.id.as_bytes());
+    hasher.update(&entry.born_ms.to_le_bytes());
+    hasher.digest()
 }
 
 /// Counts one request as load of a target until dropped.
