Let targets leave and ask for pauses in the soak

What callers would see: nothing; the soak did not contain targets that leave or ask for pauses while the store, a relay or the target itself fails.

Change: five faults: a runner that leaves and starts again at its address with its id, one that leaves while the store is silent, one that leaves while a relay is cut off from the store, all runners of the plain service that ask for pauses, and one that asks for a pause and is killed. The relays' logs are checked: no request that arrived after a mark or within a pause is sent to that run of the runner. The check is tested with lines that violate it.

New: relay::target_signals::a_pause_is_no_failure.

--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -41,6 +41,19 @@
     Link(String, FaultKind),
     /// Faults of the store, as a `/control` patch.
     Store(Value),
+    /// A runner says that it leaves, stops at the end of the fault, and starts again at its address.
+    LeaveRunner(usize),
+    /// A runner leaves while the store does not respond.
+    LeaveWithoutStore(usize),
+    /// A runner leaves while a relay is cut off from the store.
+    LeaveWhileCutOff {
+        runner: usize,
+        relay: usize,
+    },
+    /// All runners of the plain service ask for pauses.
+    PauseAll,
+    /// A runner asks for a pause and is killed at the end of the fault.
+    PauseAndKill(usize),
     /// Writes a new configuration with another timeout; not a fault by itself.
     Configure,
 }
@@ -76,7 +89,7 @@
         let relay = rng.random_range(0..RELAY_COUNT);
         let runner = rng.random_range(0..RUNNER_IDS.len());
         let link_fault = LINK_FAULTS[rng.random_range(0..LINK_FAULTS.len())];
-        let fault = match rng.random_range(0..18) {
+        let fault = match rng.random_range(0..23) {
             0 => SoakFault::KillRelay(relay),
             1 => SoakFault::PauseRelay(relay),
             2 => SoakFault::StopRelay(relay),
@@ -90,9 +103,14 @@
             10 => SoakFault::Runner(runner, json!({"cuts_bodies": true})),
             11 => SoakFault::KillRunner(runner),
             12 | 13 => SoakFault::Link(RUNNER_IDS[runner].to_owned(), link_fault),
-            14 => SoakFault::Link(format!("relay-{}", relay + 1), link_fault),
+            14 => SoakFault::Link(store_link(relay), link_fault),
             15 => SoakFault::Configure,
             16 => SoakFault::Runner(runner, json!({"is_draining": true})),
+            17 => SoakFault::LeaveRunner(runner),
+            18 => SoakFault::LeaveWithoutStore(runner),
+            19 => SoakFault::LeaveWhileCutOff { runner, relay },
+            20 => SoakFault::PauseAll,
+            21 => SoakFault::PauseAndKill(runner),
             _ => SoakFault::Runner(runner, json!({"is_mute": true})),
         };
         let end = start + Duration::from_millis(rng.random_range(200..1_800));
@@ -184,6 +202,22 @@
             SoakFault::KillRunner(runner) => self.runners[*runner].process.kill(),
             SoakFault::Link(name, kind) => self.set_link_fault(name, *kind).await,
             SoakFault::Configure => self.write_config().await,
+            SoakFault::LeaveRunner(runner) => self.control_runner(*runner, leaving_patch()).await,
+            SoakFault::LeaveWithoutStore(runner) => {
+                self.fixture.store.control(json!({"is_silent": true})).await;
+                self.control_runner(*runner, leaving_patch()).await;
+            }
+            SoakFault::LeaveWhileCutOff { runner, relay } => {
+                self.set_link_fault(&store_link(*relay), FaultKind::Cut)
+                    .await;
+                self.control_runner(*runner, leaving_patch()).await;
+            }
+            SoakFault::PauseAll => {
+                for runner in plain_runners() {
+                    self.control_runner(runner, pausing_patch()).await;
+                }
+            }
+            SoakFault::PauseAndKill(runner) => self.control_runner(*runner, pausing_patch()).await,
         }
     }
 
@@ -264,11 +298,26 @@
             SoakFault::Runner(runner, patch) => {
                 self.control_runner(*runner, clearing_patch(patch)).await
             }
-            SoakFault::KillRunner(runner) => {
-                let process = &mut self.runners[*runner].process;
-                if process.id().is_none() {
-                    process.restart().expect("the process restarts");
-                    process.wait_ready().await;
+            SoakFault::KillRunner(runner) => self.start_killed_runner(*runner).await,
+            SoakFault::LeaveRunner(runner) | SoakFault::PauseAndKill(runner) => {
+                self.restart_runner(*runner).await;
+            }
+            SoakFault::LeaveWithoutStore(runner) => {
+                self.restart_runner(*runner).await;
+                self.fixture
+                    .store
+                    .control(json!({"is_silent": false}))
+                    .await;
+            }
+            SoakFault::LeaveWhileCutOff { runner, relay } => {
+                self.restart_runner(*runner).await;
+                self.set_link_fault(&store_link(*relay), FaultKind::None)
+                    .await;
+            }
+            SoakFault::PauseAll => {
+                for runner in plain_runners() {
+                    self.control_runner(runner, clearing_patch(&pausing_patch()))
+                        .await;
                 }
             }
             SoakFault::Link(name, _) => self.set_link_fault(name, FaultKind::None).await,
@@ -277,6 +326,40 @@
     }
 }
 
+impl SoakFixture {
+    /// Kills a runner and starts it with its former id and address.
+    async fn restart_runner(&mut self, runner: usize) {
+        self.runners[runner].process.kill();
+        self.start_killed_runner(runner).await;
+    }
+
+    async fn start_killed_runner(&mut self, runner: usize) {
+        let process = &mut self.runners[runner].process;
+        if process.id().is_none() {
+            process.restart().expect("the process restarts");
+            process.wait_ready().await;
+        }
+    }
+}
+
+fn leaving_patch() -> Value {
+    json!({"is_leaving": true})
+}
+
+fn pausing_patch() -> Value {
+    json!({"refuses": true, "retry_after": "1"})
+}
+
+/// Returns the name of the link from a relay to the store.
+fn store_link(relay: usize) -> String {
+    format!("relay-{}", relay + 1)
+}
+
+/// Returns the indices of the runners of the plain service.
+fn plain_runners() -> impl Iterator<Item = usize> {
+    (0..RUNNER_IDS.len()).filter(|index| RUNNER_IDS[*index].starts_with('r'))
+}
+
 /// Returns the patch that ends the faults set by `patch`.
 fn clearing_patch(patch: &Value) -> Value {
     let fields = patch.as_object().cloned().unwrap_or_default();
@@ -364,6 +447,62 @@
     violations
 }
 
+/// Time between a response of a runner and the log line about it, and between the arrival of a
+/// request and its dispatch.
+const LOG_SLACK_MS: u64 = 50;
+
+/// Until when a relay sends nothing to a runner, by its log.
+#[derive(Clone, Copy, Debug)]
+struct QuietPeriod {
+    from_ms: u64,
+    until_ms: u64,
+}
+
+/// Checks by a relay's log that no request that arrived after a runner had stated that it leaves,
+/// or had asked for a pause, was sent to it. A new run of either ends the period.
+fn find_signal_violations(log: &str) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut quiet: HashMap<String, QuietPeriod> = HashMap::new();
+    let lines = log.lines().map(serde_json::from_str::<Value>);
+    for line in lines.flatten() {
+        let target = line["target_id"].as_str().unwrap_or_default().to_owned();
+        let from_ms = line["ms"].as_u64().unwrap_or(0);
+        match line["event"].as_str().unwrap_or_default() {
+            "started" => quiet.clear(),
+            "target_listed" => {
+                quiet.remove(&target);
+            }
+            "target_leaving" => {
+                let until_ms = u64::MAX;
+                quiet.insert(target, QuietPeriod { from_ms, until_ms });
+            }
+            "target_paused" => {
+                let until_ms = from_ms + line["pause_ms"].as_u64().unwrap_or(0);
+                quiet
+                    .entry(target)
+                    .or_insert(QuietPeriod { from_ms, until_ms });
+            }
+            "target_resumed" => {
+                quiet.remove(&target);
+            }
+            "answered" | "attempt_failed" if line["reason"] != "target_unavailable" => {
+                let arrived_ms = from_ms.saturating_sub(line["elapsed_ms"].as_u64().unwrap_or(0));
+                let is_sent_late = |id: &str| {
+                    quiet.get(id).is_some_and(|period| {
+                        arrived_ms > period.from_ms + LOG_SLACK_MS && from_ms < period.until_ms
+                    })
+                };
+                let prefill = line["prefill_id"].as_str().unwrap_or_default();
+                if is_sent_late(&target) || is_sent_late(prefill) {
+                    violations.push(format!("sent to a leaving or paused runner: {line}"));
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
 async fn run_seed(seed: u64) {
     let mut soak = SoakFixture::start().await;
     let planned = schedule(seed);
@@ -414,7 +553,11 @@
         succeeded.count(),
         records.len()
     );
-    let violations = find_violations(&records, &runs);
+    let mut violations = find_violations(&records, &runs);
+    for relay in &soak.relays {
+        let log = std::fs::read_to_string(relay.process.output_file()).expect("a log file");
+        violations.extend(find_signal_violations(&log));
+    }
     assert!(
         violations.is_empty(),
         "seed {seed}: {}",
@@ -474,3 +617,26 @@
     let violations = find_violations(&records, &runs);
     assert_eq!(violations.len(), 4, "{violations:?}");
 }
+
+/// Guards against a check that misses requests to runners that leave or are paused, or that reports
+/// those that were sent before.
+#[test]
+fn the_check_finds_requests_to_leaving_and_paused_runners() {
+    let line = |ms: u64, event: &str, target: &str, elapsed_ms: u64| {
+        json!({"ms": ms, "event": event, "target_id": target, "elapsed_ms": elapsed_ms,
+            "pause_ms": 1_000})
+        .to_string()
+    };
+    let log = [
+        line(1_000, "target_leaving", "r-0", 0),
+        line(2_000, "answered", "r-0", 1_500),
+        line(2_000, "answered", "r-0", 100),
+        line(2_000, "target_paused", "r-1", 0),
+        line(2_500, "attempt_failed", "r-1", 200),
+        line(3_100, "answered", "r-1", 50),
+        line(4_000, "target_listed", "r-0", 0),
+        line(5_000, "answered", "r-0", 10),
+    ];
+    let violations = find_signal_violations(&log.join("\n"));
+    assert_eq!(violations.len(), 2, "{violations:?}");
+}
--- a/crates/testbed/tests/relay/target_signals.rs
+++ b/crates/testbed/tests/relay/target_signals.rs
@@ -361,3 +361,26 @@
     });
     futures::future::join_all(callers).await;
 }
+
+/// Guards against a runner that is ejected for its pauses and stays unused after them.
+#[tokio::test]
+async fn a_pause_is_no_failure() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let runner = fixture.start_runner("r-1", "ledger", None).await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    runner
+        .control(json!({"refuses": true, "retry_after": "0.2"}))
+        .await;
+    let started_at = Instant::now();
+    while started_at.elapsed() < Duration::from_millis(4_500) {
+        relay.response("GET", "/safe/a", "refused", &[], "").await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(refusals(&runner).await > 3);
+    runner.control(json!({"refuses": false})).await;
+    let ended_at = Instant::now();
+    relay.wait_serving("/safe/a").await;
+    assert!(ended_at.elapsed() < REUSE_TIME, "{:?}", ended_at.elapsed());
+}
