--- a/crates/relay/src/dispatch/selection.rs
+++ b/crates/relay/src/dispatch/selection.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    pause,
     refusal::RefusalResponse,
     request::{RelayRequest, RequestProgress},
 };
@@ -31,6 +32,7 @@
         if let Some(target) = pick_service_target(state, request, progress) {
             return Ok(target);
         }
+        pause::check_pauses(state, request, progress, deadline)?;
         wait_for_poll(state, request, progress, deadline).await?;
     }
 }
@@ -85,7 +87,7 @@
     log::info!(
         id = request.id.as_str(), service = request.service.as_str(), listed = targets.len(),
         accepting = count(Availability::Accepting), decode = decode.count(),
-        leaving = count(Availability::Leaving), switching = count(Availability::Switching),
+        leaving = count(Availability::Leaving), paused = count(Availability::Paused), switching = count(Availability::Switching),
         backing_off = count(Availability::BackingOff), ejected = count(Availability::Ejected),
         excluded = progress.excluded.len();
         "targets_unavailable"
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -13,3 +13,4 @@
 mod soak;
 mod stops;
 mod streams;
+mod target_signals;
