Soak: requests with a crashing part beside the other faults

A second soak test plays the schedule of a seed and, over it, requests that share one crashing prompt part; crashed engines are started again after 0.8 s. It checks the promises to all callers and that at most three such requests reach engines later than 3 s after the fifth crash (the users' rule).

Both tests now also wait until streams are served at each relay at the end.

--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -11,7 +11,11 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_testbed::proxy::{FaultKind, LinkFault};
+use acaciabank_testbed::{
+    harness,
+    proxy::{FaultKind, LinkFault},
+    web,
+};
 use rand::{RngExt, SeedableRng, rngs};
 use serde_json::{Value, json};
 
@@ -26,6 +30,20 @@
 const EVENT_COUNT: u32 = 8;
 /// Deadline that requests carry, in milliseconds.
 const REQUEST_DEADLINE_MS: &str = "3000";
+/// Prompt part that crashes the engine that begins to write the answer.
+const CRASH_PART: &str = "crashing";
+/// Time after which a crashed runner is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(800);
+/// Interval at which crashed runners are looked for.
+const RESTART_POLL: Duration = Duration::from_millis(50);
+/// Number of crashes after which relays have to know a part.
+const KNOWN_CRASHES: usize = 5;
+/// Time that relays in touch have to tell each other of a part, in milliseconds (`contact_ms` of
+/// the users' rule).
+const CONTACT_MS: u64 = 3_000;
+/// Number of requests with a known part that may still reach engines, and so the largest number of
+/// engines that it still crashes (users' rule).
+const MAX_LATE_REQUESTS: usize = 3;
 
 /// A fault; relays and runners are given by their index.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,6 +61,8 @@
     Store(Value),
     /// Writes a new configuration with another timeout; not a fault by itself.
     Configure,
+    /// Callers send requests with a prompt part that crashes engines.
+    CrashingRequests,
 }
 
 /// Link faults that a schedule draws from.
@@ -102,6 +122,19 @@
     planned
 }
 
+/// Adds a period of crashing requests to the schedule of a seed, without a change of its faults.
+/// The period outlasts the faults, so that requests still come once the part has to be known.
+fn schedule_with_crashes(seed: u64) -> Vec<PlannedFault> {
+    let mut rng = rngs::StdRng::seed_from_u64(!seed);
+    let mut planned = schedule(seed);
+    planned.push(PlannedFault {
+        start: Duration::from_millis(rng.random_range(300..1_500)),
+        end: FAULT_WINDOW + Duration::from_millis(rng.random_range(4_000..5_000)),
+        fault: SoakFault::CrashingRequests,
+    });
+    planned
+}
+
 /// What a caller received for one request.
 #[derive(Clone, Debug)]
 struct CallRecord {
@@ -116,6 +149,10 @@
     fixture: Fixture,
     relays: Vec<Relay>,
     runners: Vec<EmulatorProcess>,
+    /// Times at which crashed runners are started again, by index.
+    restarts: HashMap<usize, Instant>,
+    /// Whether callers send crashing requests.
+    is_crashing: Arc<atomic::AtomicBool>,
     config_version: u64,
 }
 
@@ -123,6 +160,7 @@
     async fn start() -> Self {
         let mut fixture = Fixture::start_proxied().await;
         fixture.write_config(1, |_| {}).await;
+        fixture.runner_arguments = vec!["--crash-part".to_owned(), CRASH_PART.to_owned()];
         let mut runners = Vec::new();
         for id in RUNNER_IDS {
             let (service, stage) = match id.split_once('-') {
@@ -146,6 +184,8 @@
             fixture,
             relays,
             runners,
+            restarts: HashMap::new(),
+            is_crashing: Arc::default(),
             config_version: 1,
         }
     }
@@ -164,7 +204,7 @@
             .collect();
         steps.sort_by_key(|(at, _, _)| *at);
         for (at, is_start, fault) in steps {
-            tokio::time::sleep_until((started_at + at).into()).await;
+            self.restart_runners_until(started_at + at).await;
             match is_start {
                 true => self.start_fault(fault).await,
                 false => self.end_fault(fault).await,
@@ -184,17 +224,53 @@
             SoakFault::KillRunner(runner) => self.runners[*runner].process.kill(),
             SoakFault::Link(name, kind) => self.set_link_fault(name, *kind).await,
             SoakFault::Configure => self.write_config().await,
+            SoakFault::CrashingRequests => self.is_crashing.store(true, atomic::Ordering::Relaxed),
+        }
+    }
+
+    /// Waits until a time and starts runners again that have crashed meanwhile.
+    async fn restart_runners_until(&mut self, end: Instant) {
+        loop {
+            self.restart_crashed_runners();
+            let now = Instant::now();
+            if now >= end {
+                return;
+            }
+            tokio::time::sleep(RESTART_POLL.min(end - now)).await;
         }
     }
 
-    /// Changes the faults of a runner unless it is killed.
-    async fn control_runner(&self, runner: usize, patch: Value) {
-        let runner = &self.runners[runner];
-        if runner.process.id().is_some() {
-            runner.control(patch).await;
+    /// Starts the runners again that crashed some time ago. A killed runner is started again at the
+    /// end of its fault.
+    fn restart_crashed_runners(&mut self) {
+        let now = Instant::now();
+        for (index, runner) in self.runners.iter_mut().enumerate() {
+            if runner.process.exit_status().is_none() {
+                self.restarts.remove(&index);
+                continue;
+            }
+            let restart_at = self.restarts.entry(index).or_insert(now + RESTART_DELAY);
+            if now >= *restart_at {
+                runner.process.restart().expect("the process restarts");
+            }
         }
     }
 
+    /// Changes the faults of a runner unless it is killed or has crashed.
+    async fn control_runner(&mut self, runner: usize, patch: Value) {
+        let EmulatorProcess { process, address } = &mut self.runners[runner];
+        let body = patch.to_string();
+        // A runner that has just been started again does not listen yet.
+        harness::wait_until(TIMEOUT, "the runner has its faults", async || {
+            if process.id().is_none() || process.exit_status().is_some() {
+                return true;
+            }
+            let call = web::call(*address, "POST", "/control", &[], body.clone());
+            call.await.is_ok_and(|response| response.status == 200)
+        })
+        .await;
+    }
+
     async fn set_link_fault(&self, name: &str, kind: FaultKind) {
         let proxy = self
             .fixture
@@ -242,7 +318,8 @@
                 Instant::now() < deadline,
                 "only {ready_count} relays are ready"
             );
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            self.restart_runners_until(Instant::now() + RESTART_POLL)
+                .await;
         }
     }
 
@@ -273,6 +350,9 @@
             }
             SoakFault::Link(name, _) => self.set_link_fault(name, FaultKind::None).await,
             SoakFault::Configure => {}
+            SoakFault::CrashingRequests => {
+                self.is_crashing.store(false, atomic::Ordering::Relaxed);
+            }
         }
     }
 }
@@ -287,44 +367,93 @@
     Value::Object(cleared.collect())
 }
 
+/// Flags and records that the callers share.
+#[derive(Clone, Default)]
+struct CallerState {
+    is_stopped: Arc<atomic::AtomicBool>,
+    is_crashing: Arc<atomic::AtomicBool>,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+}
+
+/// Sends crashing requests, no two alike, while `is_crashing` is set.
+async fn send_crashing_requests(
+    caller_addresses: Vec<std::net::SocketAddr>,
+    seed: u64,
+    state: CallerState,
+) {
+    let mut rng = rngs::StdRng::seed_from_u64(seed * 100 + CALLER_COUNT as u64);
+    let mut calls = tokio::task::JoinSet::new();
+    let mut number = 0;
+    while !state.is_stopped.load(atomic::Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(50..250))).await;
+        if !state.is_crashing.load(atomic::Ordering::Relaxed) {
+            continue;
+        }
+        let caller_address = caller_addresses[rng.random_range(0..caller_addresses.len())];
+        let kind = ["stream", "resumable"][rng.random_range(0..2)];
+        let attempt = format!("{kind}-crash-{number}");
+        let prefix = format!("aa:1500,{CRASH_PART}:100,{attempt}:400");
+        let path = format!("/{kind}/crash-{number}");
+        let records = Arc::clone(&state.records);
+        calls.spawn(async move {
+            let record = call(caller_address, kind, &path, &attempt, &prefix).await;
+            records.lock().expect("records lock").push(record);
+        });
+        number += 1;
+    }
+    while let Some(result) = calls.join_next().await {
+        result.expect("the caller does not panic");
+    }
+}
+
+/// Sends a request and returns what the caller received.
+async fn call(
+    caller_address: std::net::SocketAddr,
+    kind: &'static str,
+    path: &str,
+    attempt: &str,
+    prefix: &str,
+) -> CallRecord {
+    let tokens = format!("2000,{EVENT_COUNT}");
+    let mut headers = vec![
+        ("host", crate::fixture::ROUTE_HOST),
+        ("x-acaciabank-attempt-id", attempt),
+        ("x-acaciabank-deadline-ms", REQUEST_DEADLINE_MS),
+    ];
+    if matches!(kind, "stream" | "resumable") {
+        headers.push(("x-acaciabank-model", "m"));
+        headers.push(("x-acaciabank-token-count", &tokens));
+        headers.push(("x-acaciabank-prompt-prefix", prefix));
+    }
+    let call = web::call(caller_address, "POST", path, &headers, attempt.to_owned());
+    let client_timeout = Duration::from_millis(3_500);
+    let response = tokio::time::timeout(client_timeout, call).await;
+    let response = response.ok().and_then(Result::ok);
+    CallRecord {
+        kind,
+        attempt: attempt.to_owned(),
+        response: response.map(|response| (response.status, response.body.to_vec())),
+    }
+}
+
 /// Sends requests one after the other until `is_stopped` is set.
 async fn send_requests(
     caller_addresses: Vec<std::net::SocketAddr>,
     caller: usize,
     seed: u64,
-    is_stopped: Arc<atomic::AtomicBool>,
-    records: Arc<Mutex<Vec<CallRecord>>>,
+    state: CallerState,
 ) {
     let mut rng = rngs::StdRng::seed_from_u64(seed * 100 + caller as u64);
     for number in 0.. {
-        if is_stopped.load(atomic::Ordering::Relaxed) {
+        if state.is_stopped.load(atomic::Ordering::Relaxed) {
             return;
         }
         let caller_address = caller_addresses[rng.random_range(0..caller_addresses.len())];
         let kind = ["once", "safe", "stream", "resumable"][rng.random_range(0..4)];
         let attempt = format!("{kind}-{caller}-{number}");
-        let tokens = format!("2000,{EVENT_COUNT}");
-        let mut headers = vec![
-            ("host", crate::fixture::ROUTE_HOST),
-            ("x-acaciabank-attempt-id", attempt.as_str()),
-            ("x-acaciabank-deadline-ms", REQUEST_DEADLINE_MS),
-        ];
-        if matches!(kind, "stream" | "resumable") {
-            headers.push(("x-acaciabank-model", "m"));
-            headers.push(("x-acaciabank-token-count", &tokens));
-            headers.push(("x-acaciabank-prompt-prefix", "aa:1500,bb:500"));
-        }
         let path = format!("/{kind}/{number}");
-        let call =
-            acaciabank_testbed::web::call(caller_address, "POST", &path, &headers, attempt.clone());
-        let client_timeout = Duration::from_millis(3_500);
-        let response = tokio::time::timeout(client_timeout, call).await;
-        let response = response.ok().and_then(Result::ok);
-        records.lock().expect("records lock").push(CallRecord {
-            kind,
-            response: response.map(|response| (response.status, response.body.to_vec())),
-            attempt,
-        });
+        let record = call(caller_address, kind, &path, &attempt, "aa:1500,bb:500").await;
+        state.records.lock().expect("records lock").push(record);
         tokio::time::sleep(Duration::from_millis(rng.random_range(1..30))).await;
     }
 }
@@ -364,57 +493,87 @@
     violations
 }
 
-async fn run_seed(seed: u64) {
+/// Returns how many crashing requests engines ran later than [`CONTACT_MS`] after the fifth crash,
+/// from the times of all crashes and of all runs of such requests.
+fn late_request_count(crash_times: &[u64], run_times: &[u64]) -> usize {
+    let mut crash_times = crash_times.to_vec();
+    crash_times.sort_unstable();
+    let Some(known_ms) = crash_times.get(KNOWN_CRASHES - 1) else {
+        return 0;
+    };
+    let late = run_times
+        .iter()
+        .filter(|run_ms| **run_ms > known_ms + CONTACT_MS);
+    late.count()
+}
+
+async fn run_seed(seed: u64, planned: &[PlannedFault]) {
     let mut soak = SoakFixture::start().await;
-    let planned = schedule(seed);
     println!("seed {seed}: {planned:?}");
-    let is_stopped = Arc::new(atomic::AtomicBool::new(false));
-    let records = Arc::new(Mutex::new(Vec::new()));
+    let state = CallerState {
+        is_crashing: Arc::clone(&soak.is_crashing),
+        ..CallerState::default()
+    };
     let caller_addresses: Vec<_> = soak
         .relays
         .iter()
         .map(|relay| relay.caller_address)
         .collect();
-    let callers: Vec<_> = (0..CALLER_COUNT)
+    let mut callers: Vec<_> = (0..CALLER_COUNT)
         .map(|caller| {
-            let (is_stopped, records) = (Arc::clone(&is_stopped), Arc::clone(&records));
-            tokio::spawn(send_requests(
-                caller_addresses.clone(),
-                caller,
-                seed,
-                is_stopped,
-                records,
-            ))
+            let sent = send_requests(caller_addresses.clone(), caller, seed, state.clone());
+            tokio::spawn(sent)
         })
         .collect();
-    soak.run_schedule(&planned).await;
+    let sent = send_crashing_requests(caller_addresses, seed, state.clone());
+    callers.push(tokio::spawn(sent));
+    soak.run_schedule(planned).await;
     soak.restart_stopped_relays().await;
+    // The last crash may be less than the restart delay ago.
+    soak.restart_runners_until(Instant::now() + 2 * RESTART_DELAY)
+        .await;
     // Targets in backoff after failures are used again within a few seconds.
     for relay in &soak.relays {
         relay.wait_serving("/safe/a").await;
+        relay.wait_streaming("/stream/a", 2).await;
     }
-    is_stopped.store(true, atomic::Ordering::Relaxed);
+    state.is_stopped.store(true, atomic::Ordering::Relaxed);
     for caller in callers {
         caller.await.expect("the caller does not panic");
     }
     let mut runs: HashMap<String, usize> = HashMap::new();
+    let (mut crash_times, mut crashing_run_times) = (Vec::new(), Vec::new());
     for runner in &soak.runners {
         for entry in runner.full_journal(&soak.fixture.launcher) {
             if let Some(attempt) = entry["ran"].as_str() {
                 *runs.entry(attempt.to_owned()).or_default() += 1;
+                if attempt.contains("-crash-") {
+                    crashing_run_times.extend(entry["unix_ms"].as_u64());
+                }
+            }
+            if entry["crashed"].is_string() {
+                crash_times.extend(entry["unix_ms"].as_u64());
             }
         }
     }
-    let records = records.lock().expect("records lock").clone();
+    let records = state.records.lock().expect("records lock").clone();
     let succeeded = records
         .iter()
         .filter(|record| matches!(record.response, Some((200, _))));
+    let late_requests = late_request_count(&crash_times, &crashing_run_times);
     println!(
-        "seed {seed}: {} of {} requests succeeded",
+        "seed {seed}: {} of {} requests succeeded, {} crashes, {late_requests} late requests",
         succeeded.count(),
-        records.len()
+        records.len(),
+        crash_times.len()
     );
-    let violations = find_violations(&records, &runs);
+    let mut violations = find_violations(&records, &runs);
+    if late_requests > MAX_LATE_REQUESTS {
+        violations.push(format!(
+            "{late_requests} crashing requests reached engines after the part was known, {} crashes",
+            crash_times.len()
+        ));
+    }
     assert!(
         violations.is_empty(),
         "seed {seed}: {}",
@@ -439,14 +598,23 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_random_faults() {
     for seed in seeds() {
-        run_seed(seed).await;
+        run_seed(seed, &schedule(seed)).await;
+    }
+}
+
+/// Guards against broken promises to callers, and against engines that crash for as long as
+/// requests with a crashing part come, when other faults overlap these requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_beside_crashing_requests() {
+    for seed in seeds() {
+        run_seed(seed, &schedule_with_crashes(seed)).await;
     }
 }
 
 /// Guards against a fault schedule that cannot be reproduced from its seed.
 #[test]
 fn the_schedule_depends_on_the_seed_alone() {
-    let text = |seed| format!("{:?}", schedule(seed));
+    let text = |seed| format!("{:?}", schedule_with_crashes(seed));
     assert_eq!(text(7), text(7));
     assert_ne!(text(7), text(8));
 }
@@ -474,3 +642,12 @@
     let violations = find_violations(&records, &runs);
     assert_eq!(violations.len(), 4, "{violations:?}");
 }
+
+/// Guards against a check that misses requests after the part was known.
+#[test]
+fn the_check_counts_late_requests() {
+    let crash_times = [400, 100, 200, 300, 0];
+    let run_times = [100, 500, 3_400, 3_401, 9_000];
+    assert_eq!(late_request_count(&crash_times, &run_times), 2);
+    assert_eq!(late_request_count(&crash_times[1..], &run_times), 0);
+}
