Test different prompts with a crashing beginning at the daemon

In the product's own interface, too, callers lose all engines when different prompts share a beginning that crashes engines: the daemon's fingerprint covers method, path and body of the whole request, so that each new prompt may crash two engines. Not changed here; the test is listed.

The new test fails: five prompts crash all eight engines, the others get no_target. The other four pass.

--- a/crates/testbed/tests/suspects.rs
+++ b/crates/testbed/tests/suspects.rs
@@ -14,6 +14,9 @@
 const MODEL: &str = "drafting";
 /// Number of crashed engines after which a request is refused.
 const MAX_CRASHES: usize = 2;
+/// Number of engines that different prompts with the same beginning may crash, as for prompt parts
+/// of the relay.
+const MAX_BEGINNING_CRASHES: usize = 5;
 
 /// A fleet, and the permit that limits how many fleets run at a time.
 struct FleetFixture {
@@ -64,8 +67,13 @@
 
     /// Sends the crashing prompt through a daemon; returns the reason of the refusal.
     async fn send_crashing_prompt(&self, daemon: usize) -> String {
+        self.send_prompt(daemon, "CRASH-ENGINE").await
+    }
+
+    /// Sends a prompt through a daemon; returns the reason of the refusal.
+    async fn send_prompt(&self, daemon: usize, prompt: &str) -> String {
         let address = self.fleet.daemons[daemon].caller_address;
-        let body = json!({"model": MODEL, "prompt": "CRASH-ENGINE", "max_tokens": 8}).to_string();
+        let body = json!({"model": MODEL, "prompt": prompt, "max_tokens": 8}).to_string();
         let response = web::call(address, "POST", "/v1/completions", &[], body).await;
         let response = response.expect("a response").json();
         response["error"]["reason"]
@@ -231,3 +239,26 @@
     }
     assert_eq!(fixture.crashed_engine_count(), crashed_engines);
 }
+
+/// Guards against a beginning of prompts that crashes engines for as long as requests with it come,
+/// because no two of them are equal.
+#[tokio::test]
+async fn different_prompts_with_a_crashing_beginning_do_not_crash_all_engines() {
+    let mut fixture = FleetFixture::start(|spec| {
+        let engines = harness::FleetSpec::small(3, MAX_BEGINNING_CRASHES + 3, 1);
+        spec.deployment.engines = engines.deployment.engines;
+    })
+    .await;
+    // The beginning fills whole pieces of the prompt, by which daemons recognize it.
+    let beginning = format!("CRASH-ENGINE {}", "shared words ".repeat(100));
+    let mut reasons = Vec::new();
+    for number in 0..9 {
+        let prompt = format!("{beginning}, request {number}");
+        reasons.push(fixture.send_prompt(number % 3, &prompt).await);
+    }
+    let crashed_engines = fixture.crashed_engine_count();
+    println!("{crashed_engines} engines crashed, reasons {reasons:?}");
+    assert!(crashed_engines <= MAX_BEGINNING_CRASHES, "{reasons:?}");
+    let answered = fixture.send_prompt(0, "a sound prompt").await;
+    assert_eq!(answered, "none");
+}
