Let links of the proxy refuse connections while their upstream does

The soak with crashing requests proxied all links to engines, and a proxied link accepts connections of an ended process and closes them: no relay could confirm a crash there, whatever it does with one. Links can now follow their upstream: the listener is closed before the broken connection is passed on, and opened again with the process. Only the soak with crashing requests uses such links; the other soak test keeps links that accept.

--- a/crates/testbed/src/harness/links.rs
+++ b/crates/testbed/src/harness/links.rs
@@ -58,10 +58,34 @@
     ///
     /// Returns the I/O error of the connection, or an error with the status when it is not 200.
     pub async fn add(&self, name: &str, upstream: net::SocketAddr) -> io::Result<net::SocketAddr> {
+        self.put(name, upstream, false).await
+    }
+
+    /// Adds a link that refuses connections while its upstream does; returns the address at which it
+    /// listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`add`](Self::add).
+    pub async fn add_refusing(
+        &self,
+        name: &str,
+        upstream: net::SocketAddr,
+    ) -> io::Result<net::SocketAddr> {
+        self.put(name, upstream, true).await
+    }
+
+    async fn put(
+        &self,
+        name: &str,
+        upstream: net::SocketAddr,
+        refuses_with_upstream: bool,
+    ) -> io::Result<net::SocketAddr> {
         let request = proxy::LinkRequest {
             listen: net::SocketAddr::new(self.address.ip(), 0),
             upstream,
             fault: proxy::LinkFault::default(),
+            refuses_with_upstream,
         };
         let body = serde_json::to_vec(&request)?;
         let report = self.call("PUT", &format!("/links/{name}"), body).await?;
--- a/crates/testbed/src/proxy/mod.rs
+++ b/crates/testbed/src/proxy/mod.rs
@@ -13,6 +13,13 @@
 
 use crate::web;
 
+/// Interval at which a link looks whether its upstream accepts connections again.
+const UPSTREAM_POLL: time::Duration = time::Duration::from_millis(5);
+/// Time after which a new connection to the upstream counts as open. A process that ends closes its
+/// connections before its listener and resets those that it still accepts, within less.
+const UPSTREAM_PROBE: time::Duration = time::Duration::from_millis(5);
+/// Longest wait until the listener of a link is closed.
+const MAX_CLOSE_WAIT: time::Duration = time::Duration::from_millis(500);
 /// Size of the read buffer of each direction of a connection.
 const BUFFER_BYTES: usize = 16 << 10;
 
@@ -72,6 +79,10 @@
         /// Initial fault.
         #[serde(default)]
         pub fault: LinkFault,
+        /// Whether the link refuses connections while its upstream does, so that others can tell a
+        /// process that has ended from a broken link.
+        #[serde(default)]
+        pub refuses_with_upstream: bool,
     }
 );
 
@@ -81,6 +92,11 @@
     address: net::SocketAddr,
     upstream: net::SocketAddr,
     fault: watch::Sender<LinkFault>,
+    /// Keeps the port while the listener is closed; `None` if it never is.
+    reservation: Option<socket2::Socket>,
+    is_listening: watch::Sender<bool>,
+    /// Notified when the upstream refuses connections.
+    upstream_lost: tokio::sync::Notify,
     connections: atomic::AtomicU64,
     bytes_up: atomic::AtomicU64,
     bytes_down: atomic::AtomicU64,
@@ -180,8 +196,65 @@
     }
 }
 
+/// Binds a socket that keeps the port of an address, which may be 0 for any free port.
+fn reserve(address: net::SocketAddr) -> io::Result<socket2::Socket> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+/// Returns whether nothing listens on an address.
+async fn is_refused(address: net::SocketAddr) -> bool {
+    loop {
+        match TcpStream::connect(address).await {
+            Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(stream) => {
+                let closed = tokio::time::timeout(UPSTREAM_PROBE, stream.readable());
+                if closed.await.is_err() {
+                    return false;
+                }
+            }
+        }
+    }
+}
+
+impl LinkState {
+    /// Closes the listener if the upstream refuses connections and no fault hides that.
+    async fn follow_upstream(&self) {
+        let is_visible = matches!(self.fault.borrow().kind, FaultKind::None | FaultKind::Delay);
+        if self.reservation.is_none() || !is_visible || !is_refused(self.upstream).await {
+            return;
+        }
+        let mut is_listening = self.is_listening.subscribe();
+        self.upstream_lost.notify_one();
+        let closed = is_listening.wait_for(|is_listening| !is_listening);
+        let _ = tokio::time::timeout(MAX_CLOSE_WAIT, closed).await;
+    }
+
+    /// Listens again once the upstream accepts connections.
+    async fn listen_again(&self) -> TcpListener {
+        loop {
+            if !is_refused(self.upstream).await
+                && let Ok(listener) = TcpListener::bind(self.address).await
+            {
+                return listener;
+            }
+            tokio::time::sleep(UPSTREAM_POLL).await;
+        }
+    }
+}
+
 async fn start_link(request: LinkRequest) -> io::Result<sync::Arc<LinkState>> {
-    let listener = TcpListener::bind(request.listen).await?;
+    let reservation = match request.refuses_with_upstream {
+        true => Some(reserve(request.listen)?),
+        false => None,
+    };
+    let reserved = reservation
+        .as_ref()
+        .and_then(|socket| socket.local_addr().ok()?.as_socket());
+    let listener = TcpListener::bind(reserved.unwrap_or(request.listen)).await?;
     let address = listener.local_addr()?;
     let (link_sender, link_receiver) = tokio::sync::oneshot::channel();
     let task = tokio::spawn(async move {
@@ -193,6 +266,9 @@
         address,
         upstream: request.upstream,
         fault: watch::Sender::new(request.fault),
+        reservation,
+        is_listening: watch::Sender::new(true),
+        upstream_lost: tokio::sync::Notify::new(),
         connections: atomic::AtomicU64::new(0),
         bytes_up: atomic::AtomicU64::new(0),
         bytes_down: atomic::AtomicU64::new(0),
@@ -203,9 +279,22 @@
     Ok(link)
 }
 
-async fn accept_connections(listener: TcpListener, link: sync::Arc<LinkState>) {
+async fn accept_connections(mut listener: TcpListener, link: sync::Arc<LinkState>) {
     loop {
-        let Ok((stream, source)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = link.upstream_lost.notified() => {
+                // The upstream may have been started again since.
+                if is_refused(link.upstream).await {
+                    drop(listener);
+                    link.is_listening.send_replace(false);
+                    listener = link.listen_again().await;
+                    link.is_listening.send_replace(true);
+                }
+                continue;
+            }
+        };
+        let Ok((stream, source)) = accepted else {
             // Accepting fails when file descriptors run out; the pause lets connections close.
             tokio::time::sleep(time::Duration::from_millis(10)).await;
             continue;
@@ -232,7 +321,13 @@
         let mut fault = link.fault.subscribe();
         let is_open = |fault: &LinkFault| fault.kind_for(source) != FaultKind::Blackhole;
         let _ = fault.wait_for(is_open).await;
-        let upstream = TcpStream::connect(link.upstream).await?;
+        let upstream = match TcpStream::connect(link.upstream).await {
+            Ok(upstream) => upstream,
+            Err(error) => {
+                link.follow_upstream().await;
+                return Err(error);
+            }
+        };
         client.set_nodelay(true)?;
         upstream.set_nodelay(true)?;
         let (client_reader, client_writer) = client.into_split();
@@ -290,7 +385,15 @@
         Direction::Down => matches!(kind, FaultKind::Blackhole | FaultKind::BlackholeDown),
     };
     loop {
-        let size = reader.read(&mut buffer).await?;
+        let size = match reader.read(&mut buffer).await {
+            Ok(size) => size,
+            Err(error) => {
+                if direction == Direction::Down {
+                    link.follow_upstream().await;
+                }
+                return Err(error);
+            }
+        };
         let held = HeldBytes::new(&link.bytes_held, size);
         let current = fault
             .wait_for(|fault| !holds(fault.kind_for(source)))
@@ -308,6 +411,9 @@
             _ => {}
         }
         if size == 0 {
+            if direction == Direction::Down {
+                link.follow_upstream().await;
+            }
             return writer.shutdown().await;
         }
         writer.write_all(&buffer[..size]).await?;
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -37,6 +37,9 @@
     pub relay_memory_mb: u32,
     /// Further arguments of the runners that are started from now on.
     pub runner_arguments: Vec<String>,
+    /// Whether links added from now on refuse connections while their upstream does. Other links
+    /// accept and close them, so that no relay can confirm a crash.
+    pub shows_crashes: bool,
     peer_port: u16,
     relay_count: u32,
 }
@@ -56,6 +59,7 @@
             proxy: None,
             relay_memory_mb: 160,
             runner_arguments: Vec::new(),
+            shows_crashes: false,
             peer_port,
             relay_count: 0,
         }
@@ -75,6 +79,10 @@
     /// itself without a proxy.
     async fn link_address(&self, name: &str, address: net::SocketAddr) -> net::SocketAddr {
         match &self.proxy {
+            Some(proxy) if self.shows_crashes => {
+                let added = proxy.add_refusing(name, address).await;
+                added.expect("link")
+            }
             Some(proxy) => proxy.add(name, address).await.expect("link"),
             None => address,
         }
--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -157,8 +157,9 @@
 }
 
 impl SoakFixture {
-    async fn start() -> Self {
+    async fn start(shows_crashes: bool) -> Self {
         let mut fixture = Fixture::start_proxied().await;
+        fixture.shows_crashes = shows_crashes;
         fixture.write_config(1, |_| {}).await;
         fixture.runner_arguments = vec!["--crash-part".to_owned(), CRASH_PART.to_owned()];
         let mut runners = Vec::new();
@@ -508,7 +509,10 @@
 }
 
 async fn run_seed(seed: u64, planned: &[PlannedFault]) {
-    let mut soak = SoakFixture::start().await;
+    let has_crashes = planned
+        .iter()
+        .any(|planned| planned.fault == SoakFault::CrashingRequests);
+    let mut soak = SoakFixture::start(has_crashes).await;
     println!("seed {seed}: {planned:?}");
     let state = CallerState {
         is_crashing: Arc::clone(&soak.is_crashing),
