Leave the stages of idle engines as they are while an engine is down

What callers saw: with three prefill and four decode engines, of which two decode engines had crashed, the last two were ordered to the prefill stage, and every stream got 503 `no_target` until a crashed one was back.

Cause: the planner restores the default shares whenever both stages are idle, and counts engines that have crashed and are still listed. It takes the change from the engines that answer.

Change: an engine whose last connection attempt failed within five seconds counts as down; while one is down, idle engines keep their stages, and an engine that is down gets no order. A demand that lasts still changes stages.

Test: core load_control::idle_engines_keep_their_stages_while_others_are_down, which failed before with both live decode engines ordered to prefill.

--- a/crates/core/src/outlier/mod.rs
+++ b/crates/core/src/outlier/mod.rs
@@ -15,6 +15,9 @@
 /// Ejection after a failed connection attempt: short, because a restart takes seconds and a failed
 /// attempt does not run the request.
 const UNREACHABLE_EJECT_MS: u64 = 500;
+/// Time for which a failed connection attempt tells that the target is down: the platform removes
+/// a target that is gone from its list within a few seconds.
+const UNREACHABLE_MEMORY_MS: u64 = 5_000;
 /// Delay that a failure rate of 1 adds to the expected time at a target.
 const FAILURE_PENALTY_MS: f64 = 800.0;
 
@@ -37,6 +40,8 @@
     failure_rate: f64,
     ejections: u32,
     ejected_until_ms: u64,
+    /// Time of the last failed connection attempt, unless the target has responded since.
+    unreachable_ms: Option<u64>,
 }
 
 impl OutlierDetector {
@@ -53,6 +58,11 @@
                 .ejections
                 .min((self.failure_rate > 0.1) as u32 * self.ejections);
         }
+        match outcome {
+            TargetOutcome::Unreachable => self.unreachable_ms = Some(now_ms),
+            TargetOutcome::Answered | TargetOutcome::Refused => self.unreachable_ms = None,
+            TargetOutcome::Failed => {}
+        }
         if outcome == TargetOutcome::Unreachable {
             self.ejected_until_ms = self.ejected_until_ms.max(now_ms + UNREACHABLE_EJECT_MS);
         }
@@ -71,6 +81,12 @@
         now_ms >= self.ejected_until_ms
     }
 
+    /// Whether the last connection attempt failed, a short time ago.
+    pub fn is_unreachable(&self, now_ms: u64) -> bool {
+        let is_recent = |failed_ms| now_ms.saturating_sub(failed_ms) < UNREACHABLE_MEMORY_MS;
+        self.unreachable_ms.is_some_and(is_recent)
+    }
+
     /// Delay to add to the expected time at the target because of recent failures, in milliseconds.
     pub fn penalty_ms(&self) -> f64 {
         self.failure_rate * FAILURE_PENALTY_MS
--- a/crates/core/src/stage_planner/mod.rs
+++ b/crates/core/src/stage_planner/mod.rs
@@ -11,6 +11,7 @@
 //!
 //! let status = |number| EngineStatus {
 //!     target_hash: number, zone_hash: number, stage: EngineStage::Decode, is_switching: false,
+//!     is_reachable: true,
 //!     running: 0, slots: 64, backlog_tokens: 0, changed_ms: None,
 //! };
 //! let engines: Vec<EngineStatus> = (0..4).map(status).collect();
@@ -54,6 +55,9 @@
     pub stage: EngineStage,
     /// Whether the engine is changing its stage.
     pub is_switching: bool,
+    /// Whether the engine accepted the last connection. One that does not is back within seconds,
+    /// or is removed from the platform's list.
+    pub is_reachable: bool,
     /// Number of running requests.
     pub running: u32,
     /// Requests that the engine can run at the same time.
@@ -129,6 +133,9 @@
         match demand {
             _ if decodes == 0 => 1,
             _ if decodes == engines.len() => decodes - 1,
+            // Without load there is no hurry, and the engines that could change are those that
+            // work while others are down.
+            Demand::Idle if engines.iter().any(|engine| !engine.is_reachable) => decodes,
             Demand::Idle => default,
             Demand::Prefill if has_lasted => decodes.saturating_sub(step).max(default.min(decodes)),
             Demand::Decode if has_lasted => (decodes + step).min(engines.len() - 1),
@@ -215,7 +222,7 @@
         let has_dwelt = engine
             .changed_ms
             .is_none_or(|changed| now_ms.saturating_sub(changed) >= MIN_DWELL_MS);
-        engine.stage == from && !engine.is_switching && has_dwelt
+        engine.stage == from && engine.is_reachable && !engine.is_switching && has_dwelt
     };
     let changeable = engines.iter().filter(may_change);
     let sort_key = |engine: &&EngineStatus| {
--- a/crates/core/tests/load_control.rs
+++ b/crates/core/tests/load_control.rs
@@ -9,6 +9,7 @@
         zone_hash: target_hash % 3,
         stage,
         is_switching: false,
+        is_reachable: true,
         running: 0,
         slots: 64,
         backlog_tokens: 0,
@@ -70,6 +71,35 @@
     );
 }
 
+/// Guards against taking the last decode engines to the other stage while the rest of them is down.
+#[test]
+fn idle_engines_keep_their_stages_while_others_are_down() {
+    let mut engines = fleet(3, 4);
+    let is_down = |engine: &&mut stage_planner::EngineStatus| engine.target_hash >= 5;
+    for engine in engines.iter_mut().filter(is_down) {
+        engine.is_reachable = false;
+    }
+    let mut planner = stage_planner::StagePlanner::default();
+    assert_eq!(planner.next_changes(0, &engines), []);
+    for engine in &mut engines {
+        engine.is_reachable = true;
+    }
+    assert_eq!(planner.next_changes(500, &engines).len(), 2);
+}
+
+/// Guards against a target that counts as down for longer than it is.
+#[test]
+fn a_target_is_unreachable_until_it_responds_or_is_removed_from_the_list() {
+    let mut detector = outlier::OutlierDetector::default();
+    detector.record(outlier::TargetOutcome::Unreachable, 1_000);
+    detector.record(outlier::TargetOutcome::Failed, 1_100);
+    assert!(detector.is_unreachable(3_000));
+    assert!(!detector.is_unreachable(7_000));
+    detector.record(outlier::TargetOutcome::Unreachable, 8_000);
+    detector.record(outlier::TargetOutcome::Answered, 8_100);
+    assert!(!detector.is_unreachable(8_200));
+}
+
 /// Guards against a large fleet that takes minutes to reach the default shares: each change takes
 /// three seconds, and requests arrive soon after the start.
 #[test]
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -183,6 +183,7 @@
                 zone_hash: target.zone_hash,
                 stage: target.stage(now_ms)?,
                 is_switching: target.switching_until_ms.get() > now_ms,
+                is_reachable: !target.detector.borrow().is_unreachable(now_ms),
                 running: peer_load.running + target.running.get(),
                 backlog_tokens: peer_load.backlog.tokens() + target.backlog.get().tokens(),
                 slots: target.entry.slots,
