Log the id of a request that is refused without a configuration

A daemon that has no configuration yet refused requests with an empty id in the line `refused`, so that a request around its start could not be told from one that was lost. The headers do not depend on the configuration and are read first now.

--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -33,13 +33,13 @@
     state: state::SharedState<Codec, Store>,
     request: http::Request<Incoming>,
 ) -> HttpResponse {
+    let metadata = state.codec.read_request(request.headers());
+    let id = metadata.attempt_id.clone().unwrap_or_default();
     let Some(config) = state.config() else {
         unread::discard(request, None);
         let refusal = RefusalResponse::not_run(RefusalCause::NotConfigured);
-        return refusal.into_response("", "");
+        return refusal.into_response(&id, "");
     };
-    let metadata = state.codec.read_request(request.headers());
-    let id = metadata.attempt_id.clone().unwrap_or_default();
     let route = match find_route(&config, &request) {
         Some(route) => route,
         None => {
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -280,6 +280,8 @@
     let connected = TcpStream::connect(relay.caller_address).await;
     let mut caller = connected.expect("a connection");
     check_refusal_before_body(&mut caller, "/once/a", " 503 ").await;
+    let lines = relay.request_log("refused", "refused").await;
+    assert_eq!(lines[0]["cause"], "not_configured");
     let _runner = fixture.start_runner("r-1", "ledger", None).await;
     fixture.write_config(1, |_| {}).await;
     relay.wait_serving("/safe/a").await;
