Count crashes of long waits, and suspect parts that were answered earlier

Change: crashes within 500 ms of each other count once if the requests were in flight at the same time, later ones count. All parts that were not answered since a crash are suspected; one that was answered earlier is refused after five crashes in place of three, and of two that cannot be told apart the new one is refused. A record is identified by incarnation and parts, and a reported answer has to be half a second later than the known one. When the table of crashes is full, those that answers have explained go first. The suspects of each crash are computed once a check.

--- a/crates/core/src/suspect/mod.rs
+++ b/crates/core/src/suspect/mod.rs
@@ -6,7 +6,10 @@
 
 use std::collections::HashMap;
 
-pub use parts::{PartCrashRecord, PartStartRecord, PartSuspects, REFUSE_MIN_PART_CRASHES};
+pub use parts::{
+    PartCrashRecord, PartStartRecord, PartSuspects, REFUSE_MIN_ANSWERED_CRASHES,
+    REFUSE_MIN_PART_CRASHES,
+};
 pub use turns::{TurnStamp, TurnTable, TurnTicket};
 
 /// Number of crashes at which the requests of a fingerprint are refused.
--- a/crates/core/src/suspect/parts.rs
+++ b/crates/core/src/suspect/parts.rs
@@ -2,13 +2,12 @@
 //! begins to answer one of them, although no two of the requests are alike.
 //!
 //! Each crash is recorded with the parts of a request that waited for its first output there. An
-//! answer that begins clears the parts of its prompt of all earlier crashes, and parts that have
-//! been answered before are only suspected where no new part is. A part is refused after
+//! answer that begins clears the parts of its prompt of all earlier crashes. A part is refused after
 //! [`REFUSE_MIN_PART_CRASHES`] crashes in a row. Parts that were seen together in nearly all of
 //! their crashes cannot be told apart: they are refused together, while a request with only one of
 //! them runs and shows which one it is.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, rc};
 
 use super::SUSPECT_LIFETIME_MS;
 
@@ -16,15 +15,19 @@
 /// wait at the same target are suspected along with the one that crashes it, but hardly ever
 /// three times without one answer in between.
 pub const REFUSE_MIN_PART_CRASHES: usize = 3;
+/// The same for a part that was answered earlier, which is less likely to crash targets.
+pub const REFUSE_MIN_ANSWERED_CRASHES: usize = 5;
 /// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails.
 const MAX_CRASHES: usize = 128;
 /// Parts of a request that are kept for a crash.
 const MAX_PARTS: usize = 16;
 /// Parts known to have been answered in each of the two generations that are kept.
 const MAX_STARTS: usize = 4_096;
-/// Records of requests with the same parts at the same target within this time belong to one
-/// crash. It covers the delay of a report, and a target needs longer to crash again.
-const CRASH_DEDUP_MS: u64 = 2_000;
+/// Time within which one failure takes down several targets, for example a rack.
+const COMMON_FAILURE_MS: u64 = 500;
+/// Difference by which a reported time has to exceed the known one to be a later answer. Each
+/// daemon that passes a report on adds its delay.
+const REPORT_TOLERANCE_MS: u64 = 500;
 
 /// A crash of a target while a request waited for its first output there, as exchanged between
 /// daemons.
@@ -32,7 +35,7 @@
 pub struct PartCrashRecord {
     /// Keys of the parts of the request that other requests may share.
     pub parts: Vec<u64>,
-    /// Hash of the crashed target's name.
+    /// Hash of the crashed incarnation of a target.
     pub target_hash: u32,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
@@ -80,10 +83,20 @@
     }
 }
 
-/// A crash with the parts that may have caused it.
+/// A crash as one request saw it, with the parts that may have caused it.
 struct OpenCrash<'a> {
     crash: &'a SeenCrash,
-    suspects: Vec<u64>,
+    /// Suspected parts of this request.
+    own: Vec<u64>,
+    /// Suspected parts of all requests that waited at the target, in order.
+    all: rc::Rc<[u64]>,
+}
+
+impl OpenCrash<'_> {
+    /// Whether a part of a request that waited at the target may have caused the crash.
+    fn involves(&self, part: u64) -> bool {
+        self.all.binary_search(&part).is_ok()
+    }
 }
 
 /// Crash suspects by prompt part, as known to one daemon.
@@ -115,24 +128,44 @@
 
     /// Returns the part for which a request with these shared parts is refused.
     pub fn refused_part(&self, parts: &[u64], now_ms: u64) -> Option<u64> {
-        let mut parts_to_check = parts.iter().copied();
-        parts_to_check.find(|part| self.is_refused(*part, parts, now_ms))
+        let is_seen = |crash: &SeenCrash| parts.iter().any(|part| crash.parts.contains(part));
+        if !self.crashes.iter().any(is_seen) {
+            return None;
+        }
+        let crashes = self.open_crashes(now_ms);
+        let refused = parts
+            .iter()
+            .copied()
+            .filter(|part| self.is_refused(*part, parts, &crashes));
+        // Of several parts, one that was never answered is named.
+        refused.min_by_key(|part| self.starts.last_ms(*part))
     }
 
     /// Whether a request with the given parts is refused for one of them: it was seen in enough
-    /// crashes, and it explains more of them than each other suspect that the request does not
-    /// have.
-    fn is_refused(&self, part: u64, parts: &[u64], now_ms: u64) -> bool {
-        let crashes = self.open_crashes(part, now_ms);
-        if count_in_a_row(crashes.iter()) < REFUSE_MIN_PART_CRASHES {
+    /// crashes, and it explains them better than each other suspect that the request does not have.
+    fn is_refused(&self, part: u64, parts: &[u64], crashes: &[OpenCrash<'_>]) -> bool {
+        let own = crashes.iter().filter(|open| open.own.contains(&part));
+        let min_crashes = match self.starts.last_ms(part) {
+            None => REFUSE_MIN_PART_CRASHES,
+            Some(_) => REFUSE_MIN_ANSWERED_CRASHES,
+        };
+        if count_in_a_row(own.clone()) < min_crashes {
             return false;
         }
-        let others = crashes.iter().flat_map(|open| &open.suspects);
-        let mut absent = others.filter(|other| !parts.contains(other));
-        absent.all(|other| {
-            let own_crashes = count_without(&crashes, *other);
-            own_crashes > count_without(&self.open_crashes(*other, now_ms), part)
-        })
+        let mut others: Vec<u64> = own.flat_map(|open| open.all.iter().copied()).collect();
+        others.sort_unstable();
+        others.dedup();
+        let mut absent = others.into_iter().filter(|other| !parts.contains(other));
+        absent.all(|other| self.explains_more(part, other, crashes))
+    }
+
+    /// Whether a part was seen in more crashes without another one than the other way round. Of two
+    /// parts that cannot be told apart, one that was never answered explains more.
+    fn explains_more(&self, part: u64, other: u64, crashes: &[OpenCrash<'_>]) -> bool {
+        let own_crashes = count_without(crashes, part, other);
+        let other_crashes = count_without(crashes, other, part);
+        let is_newer = self.starts.last_ms(part).is_none() && self.starts.last_ms(other).is_some();
+        own_crashes > other_crashes || own_crashes == other_crashes && is_newer
     }
 
     /// Merges a crash that another daemon reports, unless it has expired.
@@ -151,8 +184,11 @@
 
     /// Merges the start of an answer that another daemon reports.
     pub fn merge_start(&mut self, record: PartStartRecord, now_ms: u64) {
-        self.starts
-            .record(record.part, now_ms.saturating_sub(record.age_ms));
+        let start_ms = now_ms.saturating_sub(record.age_ms);
+        let known_ms = self.starts.last_ms(record.part);
+        if known_ms.is_none_or(|known_ms| start_ms > known_ms + REPORT_TOLERANCE_MS) {
+            self.starts.record(record.part, start_ms);
+        }
     }
 
     /// Removes expired crashes and returns the others, the newest first.
@@ -187,19 +223,18 @@
         starts.collect()
     }
 
-    /// Adds a crash in the order of the times, unless it is known.
+    /// Adds a crash in the order of the times, unless it is known: an incarnation crashes once.
     fn insert(&mut self, mut crash: SeenCrash) {
         crash.parts.truncate(MAX_PARTS);
-        let is_known = self.crashes.iter().any(|known| {
-            known.target_hash == crash.target_hash
-                && known.seen_ms.abs_diff(crash.seen_ms) < CRASH_DEDUP_MS
-                && known.parts == crash.parts
-        });
+        let is_known = self
+            .crashes
+            .iter()
+            .any(|known| known.target_hash == crash.target_hash && known.parts == crash.parts);
         if is_known || crash.parts.is_empty() {
             return;
         }
         if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
+            self.drop_crash();
         }
         let position = self
             .crashes
@@ -207,56 +242,68 @@
         self.crashes.insert(position, crash);
     }
 
-    /// Returns the crashes that a part may have caused.
-    fn open_crashes(&self, part: u64, now_ms: u64) -> Vec<OpenCrash<'_>> {
-        let crashes = self.crashes.iter();
-        let crashes =
-            crashes.filter(|crash| crash.parts.contains(&part) && is_recent(crash, now_ms));
-        let crashes = crashes.filter(|crash| self.suspects_of(crash).contains(&part));
-        let open = crashes.map(|crash| OpenCrash {
-            suspects: self.suspects_at(crash),
-            crash,
-        });
-        open.collect()
+    /// Drops a crash all parts of which have been answered since, or else the oldest one.
+    fn drop_crash(&mut self) {
+        let mut crashes = self.crashes.iter();
+        let answered = crashes.position(|crash| self.suspects_of(crash).is_empty());
+        self.crashes.remove(answered.unwrap_or(0));
     }
 
-    /// Returns the parts that may have caused a crash according to all requests that waited at the
-    /// target.
-    fn suspects_at(&self, crash: &SeenCrash) -> Vec<u64> {
-        let same = self.crashes.iter().filter(|other| {
-            other.target_hash == crash.target_hash
-                && other.seen_ms.abs_diff(crash.seen_ms) < CRASH_DEDUP_MS
+    /// Returns the crashes that some part may have caused.
+    fn open_crashes(&self, now_ms: u64) -> Vec<OpenCrash<'_>> {
+        let recent = self.crashes.iter().filter(|crash| is_recent(crash, now_ms));
+        let suspected: Vec<(&SeenCrash, Vec<u64>)> = recent
+            .map(|crash| (crash, self.suspects_of(crash)))
+            .collect();
+        let mut by_target: HashMap<u32, Vec<u64>> = HashMap::new();
+        for (crash, suspects) in &suspected {
+            let all = by_target.entry(crash.target_hash).or_default();
+            all.extend(suspects);
+        }
+        let by_target: HashMap<u32, rc::Rc<[u64]>> = by_target
+            .into_iter()
+            .map(|(target_hash, mut all)| {
+                all.sort_unstable();
+                all.dedup();
+                (target_hash, all.into())
+            })
+            .collect();
+        let open = suspected.into_iter().map(|(crash, own)| OpenCrash {
+            crash,
+            own,
+            all: rc::Rc::clone(&by_target[&crash.target_hash]),
         });
-        same.flat_map(|other| self.suspects_of(other)).collect()
+        open.collect()
     }
 
-    /// Returns the parts of one request that may have caused a crash: those that have never been answered, or
-    /// else those that have not been answered since.
+    /// Returns the parts of one request that have not been answered since a crash.
     fn suspects_of(&self, crash: &SeenCrash) -> Vec<u64> {
-        let is_new = |part: &u64| self.starts.last_ms(*part).is_none();
-        let new: Vec<u64> = crash.parts.iter().copied().filter(is_new).collect();
-        if !new.is_empty() {
-            return new;
-        }
         let is_open = |part: &u64| self.starts.last_ms(*part) <= Some(crash.seen_ms);
         crash.parts.iter().copied().filter(is_open).collect()
     }
 }
 
-/// Counts crashes that a part cannot have caused.
-fn count_without(crashes: &[OpenCrash<'_>], part: u64) -> usize {
-    let without = crashes.iter().filter(|open| !open.suspects.contains(&part));
+/// Counts crashes that involve a part and not another one.
+fn count_without(crashes: &[OpenCrash<'_>], part: u64, other: u64) -> usize {
+    let without = crashes
+        .iter()
+        .filter(|open| open.own.contains(&part) && !open.involves(other));
     count_in_a_row(without)
 }
 
-/// Counts crashes in the order of their times. Those of requests that were in flight at the same
-/// time count once, as one failure of many targets breaks them all.
+/// Counts crashes in the order of their times. Those that one failure of many targets may have
+/// caused count once: the requests were in flight at the same time, and the times are close.
 fn count_in_a_row<'a>(crashes: impl Iterator<Item = &'a OpenCrash<'a>>) -> usize {
-    let mut counted_ms = 0;
+    let mut counted_ms: Option<u64> = None;
     let mut count = 0;
     for open in crashes {
-        if open.crash.sent_ms >= counted_ms {
-            counted_ms = open.crash.seen_ms;
+        let SeenCrash {
+            sent_ms, seen_ms, ..
+        } = *open.crash;
+        let is_next =
+            |counted_ms| sent_ms >= counted_ms || seen_ms >= counted_ms + COMMON_FAILURE_MS;
+        if counted_ms.is_none_or(is_next) {
+            counted_ms = Some(seen_ms);
             count += 1;
         }
     }
