Take an empty stream without length for a broken one

What callers saw: an engine whose process ends before its first event, after a head without length or chunks, left a complete empty response with status 200. The crash was not examined, and the answer that had not begun cleared the parts of its prompt, among them the one that crashes engines.

Cause: the end of the connection is the end of such a body, and a body without events counted as a stream that had begun.

Change: without a length, a stream that ends before its first event has broken off; it is retried where that is allowed and examined for a crash. An answer clears parts only if it has an event.

--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -337,8 +337,10 @@
     let mut started = read_start(state, request, plan, response, work, deadline, last_event).await;
     match &mut started {
         Ok(StreamStart::Open(_, stream)) => {
-            let mut suspects = state.part_suspects.borrow_mut();
-            suspects.record_start(&request.shared_keys, clock::now_ms());
+            if stream.first_events.is_some() {
+                let mut suspects = state.part_suspects.borrow_mut();
+                suspects.record_start(&request.shared_keys, clock::now_ms());
+            }
             stream.prefill_ms = prefill_ms;
             stream.plan.prefill = handle.map(|handle| rc::Rc::clone(&handle.engine));
         }
@@ -405,9 +407,17 @@
         record(outlier::TargetOutcome::Failed);
         return Err(AttemptFailure::broken("the response has no signature"));
     }
+    // Without a length, a process that ends cannot be told from a stream that does.
+    let is_framed = has_framing(&response.head.headers);
     let (head, body, connection) = response.into_stream();
     let mut reader = EventReader::new(body, last_event);
     match reader.next(deadline).await {
+        Ok(None) if !is_framed => {
+            record(outlier::TargetOutcome::Failed);
+            Err(AttemptFailure::broken(
+                "the stream ended before its first event",
+            ))
+        }
         Ok(first_events) => {
             work.end_prefill(state, &request.parts);
             let stream = OpenStream {
@@ -428,6 +438,12 @@
     }
 }
 
+/// Whether a response states where its body ends, other than by the end of the connection.
+fn has_framing(headers: &http::HeaderMap) -> bool {
+    headers.contains_key(http::header::CONTENT_LENGTH)
+        || headers.contains_key(http::header::TRANSFER_ENCODING)
+}
+
 fn read_failure(request: &RelayRequest, error: ReadError) -> AttemptFailure {
     match error {
         ReadError::Broken(message) => AttemptFailure::broken(message),
--- a/crates/testbed/tests/relay/faulty_targets.rs
+++ b/crates/testbed/tests/relay/faulty_targets.rs
@@ -528,6 +528,31 @@
     }
 }
 
+/// Guards against an engine that ends before its first event and whose response, without a length,
+/// is taken for a complete one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_events_that_ends_with_its_connection_is_no_answer() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let relay = fixture.start_relay(&[]).await;
+    let engine = start_target(&fixture, "d-1", "models", Some("decode"), |request| {
+        unframed_stream(request, "")
+    });
+    let engine = engine.await;
+    let mut number = 0;
+    while engine.request_count() < 3 {
+        assert!(number < 200, "the engine gets no stream");
+        let attempt = format!("empty-{number}");
+        let response = relay.request_stream("/stream/a", &attempt, 5).await;
+        let is_refused = response
+            .as_ref()
+            .is_ok_and(|response| response.status >= 500);
+        assert!(response.is_err() || is_refused, "{attempt}: {response:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        number += 1;
+    }
+}
+
 /// Guards against a caller that stops reading: its stream must not hold the engine for ever.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_caller_stops_reading_ends() {
