Check suspects after the wait for an engine

What callers would see: a request with a crashing part that waits because all engines are down is sent to the first one that is back, although the part was reported during the wait.

Change: the check comes after the engines are chosen, directly before the call. No test of its own: relay::crashing_parts bounds the crashes of such requests.

--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -177,8 +177,6 @@
         progress: &mut RequestProgress,
         last_event: Option<u64>,
     ) -> Result<Option<StreamStart>, RefusalResponse> {
-        // Another daemon may have reported a crash since the last call.
-        suspects::check(state, request, progress.verdict)?;
         let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
         let plan = match engines::plan_engines(state, request, progress, prefilled).await {
             Ok(plan) => plan,
@@ -190,6 +188,9 @@
             check_intake(request, progress, &plan)?;
             self.estimate = LatencyEstimate::of(&plan);
         }
+        // Another daemon may have reported a crash since the last call, or during the wait for an
+        // engine.
+        suspects::check(state, request, progress.verdict)?;
         match &plan.prefill {
             Some(engine) if self.handle.is_none() => {
                 let handle = prefill(state, request, progress, &plan, engine).await?;
