Suspect the new parts of a prompt with many parts

What callers saw: none yet; prompts on the users' platform rarely have more than 16 shared parts, but the pieces of a long prompt at the product's own interface do.

Cause: of the parts of a request that was in a crash only the first 16 were kept. When those had all been answered before, none was new, so the answered ones became suspects: after three crashes every prompt with this beginning was refused until one was answered, and the prompts that crash targets ran again after each answer.

Evidence: the_new_parts_of_a_long_prompt_are_suspected failed before (a prompt with only the answered beginning was refused).

Ruled out: keeping the last 16 parts instead. The last ones belong to one request only and do not name what several requests share.

Change: of a request with more parts, those that have never been answered are kept first, in the order of the prompt. These are the ones that suspects are drawn from anyway. What remains: prompts that share the first 16 new parts are refused together even if a later part causes the crashes; the comment on MAX_PARTS says so.

--- a/crates/core/src/suspect/parts.rs
+++ b/crates/core/src/suspect/parts.rs
@@ -18,7 +18,8 @@
 pub const REFUSE_MIN_PART_CRASHES: usize = 3;
 /// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails.
 const MAX_CRASHES: usize = 128;
-/// Parts of a request that are kept for a crash.
+/// Parts of a request that are kept for a crash: first those that have never been answered. Prompts
+/// that share all kept parts are refused together, even if a later part causes the crashes.
 const MAX_PARTS: usize = 16;
 /// Parts known to have been answered in each of the two generations that are kept.
 const MAX_STARTS: usize = 4_096;
@@ -189,7 +190,12 @@
 
     /// Adds a crash in the order of the times, unless it is known.
     fn insert(&mut self, mut crash: SeenCrash) {
-        crash.parts.truncate(MAX_PARTS);
+        if crash.parts.len() > MAX_PARTS {
+            // The sort is stable, so that the parts otherwise stay in the order of the prompt.
+            let is_answered = |part: &u64| self.starts.last_ms(*part).is_some();
+            crash.parts.sort_by_key(is_answered);
+            crash.parts.truncate(MAX_PARTS);
+        }
         let is_known = self.crashes.iter().any(|known| {
             known.target_hash == crash.target_hash
                 && known.seen_ms.abs_diff(crash.seen_ms) < CRASH_DEDUP_MS
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -114,6 +114,21 @@
     assert_eq!(suspects.refused_part(&[FIRST], 7_000), None);
 }
 
+/// Guards against refusing every prompt with a long beginning that is answered all the time, because
+/// prompts that go on in a certain way crash targets, and against letting those run.
+#[test]
+fn the_new_parts_of_a_long_prompt_are_suspected() {
+    let answered: Vec<u64> = (1_000..1_030).collect();
+    let crashing: Vec<u64> = (1_000..1_033).collect();
+    let mut suspects = PartSuspects::default();
+    suspects.record_start(&answered, 500);
+    crash_in_a_row(&mut suspects, &crashing, 1_000);
+    assert_eq!(suspects.refused_part(&answered, 5_000), None);
+    assert!(suspects.refused_part(&crashing, 5_000).is_some());
+    suspects.record_start(&answered, 6_000);
+    assert!(suspects.refused_part(&crashing, 7_000).is_some());
+}
+
 /// Guards against a daemon that refuses a part although another one has had it answered, and
 /// against one that does not learn of a crashing part.
 #[test]
