Remember the answers on parts that were in crashes

What callers saw: none yet; with few shared parts the memory suffices. With the pieces of all prompts of the product's own interface as parts, a part that was in three crashes and answered since would be refused for up to ten minutes.

Cause: the starts of answers are kept for the last 4,096 to 8,192 parts. A part whose start is dropped counts as never answered, so that crashes from before the answer are held against it again. Being refused, it is never answered again either.

Evidence: answers_on_suspected_parts_are_not_forgotten failed before.

Ruled out: keeping more starts, which only needs more other parts to fail the same way.

Change: a new generation of starts begins with those of the parts of kept crashes. These are at most 128 crashes of 16 parts, half a generation, so that the memory stays bounded as before (the_memory_of_crashes_and_answers_is_bounded).

--- a/crates/core/src/suspect/parts.rs
+++ b/crates/core/src/suspect/parts.rs
@@ -16,7 +16,8 @@
 /// wait at the same target are suspected along with the one that crashes it, but hardly ever
 /// three times without one answer in between.
 pub const REFUSE_MIN_PART_CRASHES: usize = 3;
-/// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails.
+/// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails. Their parts must
+/// not fill a generation of [`MAX_STARTS`].
 const MAX_CRASHES: usize = 128;
 /// Parts of a request that are kept for a crash: first those that have never been answered. Prompts
 /// that share all kept parts are refused together, even if a later part causes the crashes.
@@ -59,7 +60,7 @@
 }
 
 /// Times at which answers on prompts with a part last began, by part. Holds the parts of the last
-/// one to two generations of [`MAX_STARTS`] parts.
+/// one to two generations of [`MAX_STARTS`] parts, and of those before the parts of kept crashes.
 #[derive(Clone, Debug, Default)]
 struct StartTable {
     newer: HashMap<u64, u64>,
@@ -67,9 +68,13 @@
 }
 
 impl StartTable {
-    fn record(&mut self, part: u64, start_ms: u64) {
+    /// Records a start; a new generation begins with the starts of the crashes' parts.
+    fn record(&mut self, part: u64, start_ms: u64, crashes: &[SeenCrash]) {
         if self.newer.len() >= MAX_STARTS && !self.newer.contains_key(&part) {
-            self.older = std::mem::take(&mut self.newer);
+            let suspected = crashes.iter().flat_map(|crash| &crash.parts);
+            let starts = suspected.filter_map(|part| Some((*part, self.last_ms(*part)?)));
+            let newer = starts.collect();
+            self.older = std::mem::replace(&mut self.newer, newer);
         }
         let known_ms = self.newer.entry(part).or_default();
         *known_ms = (*known_ms).max(start_ms);
@@ -110,7 +115,7 @@
     /// Records that an answer on a prompt with these shared parts has begun.
     pub fn record_start(&mut self, parts: &[u64], now_ms: u64) {
         for part in parts {
-            self.starts.record(*part, now_ms);
+            self.starts.record(*part, now_ms, &self.crashes);
         }
     }
 
@@ -152,8 +157,8 @@
 
     /// Merges the start of an answer that another daemon reports.
     pub fn merge_start(&mut self, record: PartStartRecord, now_ms: u64) {
-        self.starts
-            .record(record.part, now_ms.saturating_sub(record.age_ms));
+        let start_ms = now_ms.saturating_sub(record.age_ms);
+        self.starts.record(record.part, start_ms, &self.crashes);
     }
 
     /// Removes expired crashes and returns the others, the newest first.
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -129,6 +129,19 @@
     assert!(suspects.refused_part(&crashing, 7_000).is_some());
 }
 
+/// Guards against refusing a part that was answered after its crashes, because answers on many other
+/// parts made its own forgotten.
+#[test]
+fn answers_on_suspected_parts_are_not_forgotten() {
+    let mut suspects = PartSuspects::default();
+    crash_in_a_row(&mut suspects, &[FIRST], 1_000);
+    suspects.record_start(&[FIRST], 6_000);
+    for other in 0..20_000 {
+        suspects.record_start(&[100 + other], 6_000 + other);
+    }
+    assert_eq!(suspects.refused_part(&[FIRST], 30_000), None);
+}
+
 /// Guards against a daemon that refuses a part although another one has had it answered, and
 /// against one that does not learn of a crashing part.
 #[test]
