Refuse prompts with a crashing beginning at each daemon

What callers saw: at the product's own interface, different prompts with the same beginning, on which engines crash, crashed two engines each, until no engine was left; then requests of other callers were refused with no_target.

Cause: a daemon attributed a crash only to the method, path and body of the whole request, so that no two of these prompts had a crash in common.

Evidence: a_daemon_learns_a_crashing_beginning_from_its_own_crashes failed before (a sound prompt got no_target after four crashing ones at one daemon with eight engines) and passes.

Ruled out: a decision of its own for beginnings.

Change: a confirmed crash is also recorded in PartSuspects with the prompt's complete pieces, if the attempt had no output yet; the first text or finish reason of an attempt, and a complete prefill call, are recorded as a start. Placement, the start of an attempt and the decision to retry ask for one status that covers fingerprint and beginning, so that first attempts, retries and resumptions are refused alike with suspect_request. The time of the crash is that of the failure, not that of its confirmation, because requests sent in between are not in flight at the same time.

--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -142,6 +142,38 @@
     assert_eq!(suspects.refused_part(&[FIRST], 30_000), None);
 }
 
+/// Guards against refusing prompts that leave the beginning of crashing ones, when parts are pieces
+/// that each stand for the prompt up to their end.
+#[test]
+fn prompts_that_share_only_a_part_of_a_crashing_beginning_run() {
+    let mut suspects = PartSuspects::default();
+    for number in 0..REFUSE_MIN_PART_CRASHES as u64 {
+        let own = 100 + number;
+        let pieces = [FIRST, 3, CRASHING, own];
+        crash(
+            &mut suspects,
+            &pieces,
+            number as u32,
+            1_000 + number * 1_000,
+        );
+    }
+    assert!(
+        suspects
+            .refused_part(&[FIRST, 3, CRASHING, 200], 5_000)
+            .is_some()
+    );
+    assert!(
+        suspects
+            .refused_part(&[FIRST, 3, CRASHING], 5_000)
+            .is_some()
+    );
+    assert_eq!(suspects.refused_part(&[FIRST, 3, 201], 5_000), None);
+    // A crash of such a prompt shows that the cause is in the pieces that it shares.
+    crash(&mut suspects, &[FIRST, 3, 201], 7, 6_000);
+    assert!(suspects.refused_part(&[FIRST, 3, 202], 7_000).is_some());
+    assert_eq!(suspects.refused_part(&[FIRST, 203], 7_000), None);
+}
+
 /// Guards against a daemon that refuses a part although another one has had it answered, and
 /// against one that does not learn of a crashing part.
 #[test]
--- a/crates/daemon/src/dispatch/admission.rs
+++ b/crates/daemon/src/dispatch/admission.rs
@@ -16,9 +16,23 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashState {
     pub(super) suspects: suspect::SuspectTable,
+    /// Suspects by the hashes of the prompt's pieces. The hashes are chained, so that each names a
+    /// beginning.
+    pub(super) beginnings: suspect::PartSuspects,
     pub(super) turns: suspect::TurnTable,
 }
 
+impl CrashState {
+    /// Status of a request: refused also if targets crashed on others whose prompts begin alike.
+    pub(super) fn status(&self, fingerprint: u64, piece_hashes: &[u64]) -> suspect::SuspectStatus {
+        let now_ms = target::now_ms();
+        match self.beginnings.refused_part(piece_hashes, now_ms) {
+            Some(_) => suspect::SuspectStatus::Refused,
+            None => self.suspects.status(fingerprint, now_ms),
+        }
+    }
+}
+
 /// Admission state of the daemon: pools, retry budget and crash suspects.
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionControl {
@@ -107,9 +121,12 @@
         budget.as_mut().is_none_or(budget::RetryBudget::try_spend)
     }
 
-    pub(super) fn suspect_status(&self, fingerprint: u64) -> suspect::SuspectStatus {
-        let crashes = self.crash_state();
-        crashes.suspects.status(fingerprint, target::now_ms())
+    pub(super) fn suspect_status(
+        &self,
+        fingerprint: u64,
+        piece_hashes: &[u64],
+    ) -> suspect::SuspectStatus {
+        self.crash_state().status(fingerprint, piece_hashes)
     }
 
     pub(super) fn crash_state(&self) -> sync::MutexGuard<'_, CrashState> {
--- a/crates/daemon/src/dispatch/completion.rs
+++ b/crates/daemon/src/dispatch/completion.rs
@@ -100,6 +100,7 @@
             }
         }
         opened.release_connection();
+        context.record_output();
         context.slot.record_prefill(context.attempt_start.elapsed());
         let response: Value =
             serde_json::from_slice(&response).map_err(|error| stream_failure(error.to_string()))?;
@@ -215,6 +216,9 @@
             let error = error.unwrap_or_default();
             return Err(stream_failure(format!("error in the stream: {error}")));
         }
+        if chunk.summary.has_text || chunk.summary.has_finish_reason {
+            context.record_output();
+        }
         let before = self.cursor.delivered;
         match self.cursor.advance(&chunk.summary) {
             ChunkAction::Deliver => {}
--- a/crates/daemon/src/dispatch/placement.rs
+++ b/crates/daemon/src/dispatch/placement.rs
@@ -39,6 +39,10 @@
 /// Piece size in the routing score of a service call, which has no prompt.
 const SERVICE_CALL_PIECE_TOKENS: u64 = 1;
 
+/// Message of the refusal of a crash suspect.
+pub(super) const SUSPECT_MESSAGE: &str =
+    "targets crashed while they ran this request or others whose prompts begin alike";
+
 /// A request in its pool: it counts towards the team's fair share and may be in a queue.
 pub(super) struct RequestPlacement {
     state: process::SharedState,
@@ -46,8 +50,8 @@
     team: ids::TeamId,
     ticket: admit::QueueTicket,
     cost: route::RequestCost,
-    /// Hashes of the prompt's pieces; empty for a service call.
-    piece_hashes: Vec<u64>,
+    /// Hashes of the prompt's complete pieces; empty for a service call.
+    piece_hashes: sync::Arc<[u64]>,
     policy: settings::RoutingPolicy,
     fingerprint: u64,
     is_prompt_transferred: bool,
@@ -86,7 +90,7 @@
                 arrival: admission.next_arrival(),
             },
             cost,
-            piece_hashes,
+            piece_hashes: piece_hashes.into(),
             policy: request.config.deployment.policy.routing,
             fingerprint: request.fingerprint,
             is_prompt_transferred: false,
@@ -95,6 +99,11 @@
         }
     }
 
+    /// Returns the hashes of the prompt's complete pieces; empty for a service call.
+    pub(super) fn piece_hashes(&self) -> sync::Arc<[u64]> {
+        sync::Arc::clone(&self.piece_hashes)
+    }
+
     /// Waits for a slot at a target. Targets in `avoided` are used only if no other accepts work.
     ///
     /// # Errors
@@ -160,11 +169,7 @@
     /// slot is free now.
     pub(super) fn place_prefill(&self) -> Option<TargetSlot> {
         let is_adaptive = self.policy == settings::RoutingPolicy::Adaptive;
-        let status = self
-            .state
-            .targets
-            .admission
-            .suspect_status(self.fingerprint);
+        let status = self.suspect_status();
         let is_clear = status == suspect::SuspectStatus::Clear;
         if !is_adaptive || !is_clear || self.pool.lock().waiting.has_ahead_of(&self.ticket) {
             return None;
@@ -223,22 +228,22 @@
 
     /// Whether the request is a crash suspect that must be isolated.
     fn check_isolation(&self) -> Result<bool, reason::Refusal> {
-        match self
-            .state
-            .targets
-            .admission
-            .suspect_status(self.fingerprint)
-        {
+        match self.suspect_status() {
             suspect::SuspectStatus::Clear => Ok(false),
             suspect::SuspectStatus::Isolated => Ok(true),
             suspect::SuspectStatus::Refused => Err(reason::Refusal::with_verdict(
                 reason::RefusalReason::SuspectRequest,
                 acaciabank_protocol::verdict::Verdict::MayHaveRun,
-                "targets crashed while they ran this request",
+                SUSPECT_MESSAGE,
             )),
         }
     }
 
+    fn suspect_status(&self) -> suspect::SuspectStatus {
+        let admission = &self.state.targets.admission;
+        admission.suspect_status(self.fingerprint, &self.piece_hashes)
+    }
+
     /// Checks the queue's length, the team's fair share and the deadline before a request is
     /// queued.
     fn check_admission(
--- a/crates/daemon/src/dispatch/retry.rs
+++ b/crates/daemon/src/dispatch/retry.rs
@@ -3,10 +3,10 @@
 use std::{
     future::Future,
     sync,
+    sync::atomic::{AtomicBool, Ordering},
     time::{Duration, Instant},
 };
 
-use acaciabank_core::suspect;
 use acaciabank_protocol::{ids, reason, verdict::Verdict};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -64,12 +64,47 @@
     pub(super) request: &'a CallerRequest,
     pub(super) target: &'a sync::Arc<target::TargetState>,
     pub(super) slot: &'a slot::TargetSlot,
+    turn: &'a turn::RequestTurn,
     pub(super) attempt: ids::AttemptId,
     pub(super) request_start: Instant,
     pub(super) attempt_start: Instant,
+    /// The same time as `attempt_start`, by [`target::now_ms`].
+    sent_ms: u64,
+    /// Whether the target has sent output of this attempt.
+    has_output: AtomicBool,
 }
 
-impl AttemptContext<'_> {
+impl<'a> AttemptContext<'a> {
+    /// Begins an attempt at the target of a reserved slot.
+    fn begin(
+        state: &'a process::SharedState,
+        request: &'a CallerRequest,
+        slot: &'a slot::TargetSlot,
+        turn: &'a turn::RequestTurn,
+        attempt: ids::AttemptId,
+        request_start: Instant,
+    ) -> Self {
+        Self {
+            state,
+            request,
+            target: &slot.target,
+            slot,
+            turn,
+            attempt,
+            request_start,
+            attempt_start: Instant::now(),
+            sent_ms: target::now_ms(),
+            has_output: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that the target has processed the prompt and sent output. Only the first call counts.
+    pub(super) fn record_output(&self) {
+        if !self.has_output.swap(true, Ordering::Relaxed) {
+            self.turn.record_output();
+        }
+    }
+
     /// Sends a request to the target as this attempt and waits for the head of the response.
     pub(super) async fn open(
         &self,
@@ -126,7 +161,7 @@
 ) -> Result<(), reason::Refusal> {
     let request_start = Instant::now();
     let mut placement = placement::RequestPlacement::new(state, request);
-    let turn = turn::RequestTurn::enter(state, request.fingerprint);
+    let turn = turn::RequestTurn::enter(state, request.fingerprint, placement.piece_hashes());
     let mut stream = completion::CompletionStream::new(request);
     let outcome = (&*sink, &mut *history);
     prefill(
@@ -150,15 +185,8 @@
         if !turn.try_start() {
             continue;
         }
-        let context = AttemptContext {
-            state,
-            request,
-            target: &slot.target,
-            slot: &slot,
-            attempt: history.begin(&request.id),
-            request_start,
-            attempt_start: Instant::now(),
-        };
+        let attempt = history.begin(&request.id);
+        let context = AttemptContext::begin(state, request, &slot, &turn, attempt, request_start);
         *in_attempt = true;
         let result = match &request.work {
             RequestWork::Completion { .. } => stream.attempt(&context, sink, history).await,
@@ -173,8 +201,7 @@
                 return Ok(());
             }
             Err(failure) => {
-                let failure = attempt::confirm_crash(state, &slot.target, failure).await;
-                end_attempt(&context, &turn, &failure).await;
+                let failure = end_attempt(&context, failure).await;
                 decide_retry(&context, sink, history, failure)?;
             }
         }
@@ -209,16 +236,8 @@
     if !turn.try_start() {
         return Ok(());
     }
-    let now = Instant::now();
-    let context = AttemptContext {
-        state,
-        request,
-        target: &slot.target,
-        slot: &slot,
-        attempt: history.begin(&request.id),
-        request_start: now,
-        attempt_start: now,
-    };
+    let attempt = history.begin(&request.id);
+    let context = AttemptContext::begin(state, request, &slot, turn, attempt, Instant::now());
     *in_attempt = true;
     let result = stream.prefill(&context).await;
     *in_attempt = false;
@@ -232,8 +251,7 @@
             Ok(())
         }
         Err(failure) => {
-            let failure = attempt::confirm_crash(state, &slot.target, failure).await;
-            end_attempt(&context, turn, &failure).await;
+            let failure = end_attempt(&context, failure).await;
             decide_retry(&context, sink, history, failure)
         }
     }
@@ -263,23 +281,31 @@
     metrics::counter!("acaciabank_attempts_total", "verdict" => verdict.as_str()).increment(1);
 }
 
-/// Ends the turn of a failed attempt. A crash is announced to other daemons before the request is
-/// retried or its caller gets a response, because the caller may resend it through any of them.
+/// Ends the turn of a failed attempt; returns the failure with the finding whether the target
+/// crashed. A crash is announced to other daemons before the request is retried or its caller gets a
+/// response, because the caller may resend it through any of them.
 async fn end_attempt(
     context: &AttemptContext<'_>,
-    turn: &turn::RequestTurn,
-    failure: &attempt::AttemptFailure,
-) {
+    failure: attempt::AttemptFailure,
+) -> attempt::AttemptFailure {
+    let failed_ms = target::now_ms();
+    let failure = attempt::confirm_crash(context.state, context.target, failure).await;
     if !failure.may_have_crashed {
-        turn.stop();
-        return;
+        context.turn.stop();
+        return failure;
     }
-    turn.record_crash(context.target.hash);
+    context.turn.record_crash(turn::AttemptCrash {
+        target_hash: context.target.hash,
+        sent_ms: context.sent_ms,
+        failed_ms,
+        has_output: context.has_output.load(Ordering::Relaxed),
+    });
     context
         .state
         .peers
         .announce_and_wait(MAX_ANNOUNCE_WAIT)
         .await;
+    failure
 }
 
 /// Records a failed attempt.
@@ -328,9 +354,8 @@
     if sink.is_abandoned() {
         return refuse(failure.refusal, "the caller left");
     }
-    let status = state.targets.admission.suspect_status(request.fingerprint);
-    if failure.may_have_crashed && status == suspect::SuspectStatus::Refused {
-        let message = "targets crashed while they ran this request";
+    if failure.may_have_crashed && context.turn.is_refused() {
+        let message = placement::SUSPECT_MESSAGE;
         return refuse(reason::RefusalReason::SuspectRequest, message);
     }
     let max_attempts = state.settings.limits.max_attempts;
--- a/crates/daemon/src/dispatch/turn.rs
+++ b/crates/daemon/src/dispatch/turn.rs
@@ -1,7 +1,11 @@
 //! Turns of crash suspects: a request that may have crashed a target runs only while no identical
-//! one runs at any daemon of the region.
+//! one runs at any daemon of the region. Crashes are recorded for the request and for the beginnings
+//! of its prompt; the latter are known to this daemon only.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync,
+    time::{Duration, Instant},
+};
 
 use acaciabank_core::suspect::{self, SuspectStatus};
 
@@ -17,11 +21,30 @@
 pub(super) struct RequestTurn {
     state: process::SharedState,
     ticket: suspect::TurnTicket,
+    /// Hashes of the prompt's complete pieces; empty for a service call.
+    piece_hashes: sync::Arc<[u64]>,
+}
+
+/// A target's crash while it ran an attempt of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptCrash {
+    /// Hash of the target's name.
+    pub(super) target_hash: u32,
+    /// Time by [`target::now_ms`] at which the request was sent to the target.
+    pub(super) sent_ms: u64,
+    /// Time at which the attempt failed.
+    pub(super) failed_ms: u64,
+    /// Whether the target had sent output of this attempt. A prompt crashes its target before.
+    pub(super) has_output: bool,
 }
 
 impl RequestTurn {
     /// Adds a request, which does not run yet.
-    pub(super) fn enter(state: &process::SharedState, fingerprint: u64) -> Self {
+    pub(super) fn enter(
+        state: &process::SharedState,
+        fingerprint: u64,
+        piece_hashes: sync::Arc<[u64]>,
+    ) -> Self {
         let ticket = state
             .targets
             .admission
@@ -29,8 +52,9 @@
             .turns
             .enter(fingerprint);
         Self {
-            state: std::sync::Arc::clone(state),
+            state: sync::Arc::clone(state),
             ticket,
+            piece_hashes,
         }
     }
 
@@ -46,12 +70,10 @@
     }
 
     /// Records that the request starts at a target. Returns `false` if it has become a suspect
-    /// since it last waited for its turn.
+    /// since it last waited for its turn, or is to be refused.
     pub(super) fn try_start(&self) -> bool {
         let mut crashes = self.state.targets.admission.crash_state();
-        let status = crashes
-            .suspects
-            .status(self.ticket.fingerprint(), target::now_ms());
+        let status = crashes.status(self.ticket.fingerprint(), &self.piece_hashes);
         let may_start = match status {
             SuspectStatus::Clear => true,
             SuspectStatus::Isolated => crashes.turns.is_waiting(self.ticket),
@@ -71,21 +93,43 @@
 
     /// Records that the request's target crashed. No daemon sees the request stopped without also
     /// seeing the crash.
-    pub(super) fn record_crash(&self, target_hash: u32) {
+    pub(super) fn record_crash(&self, crash: AttemptCrash) {
         let mut crashes = self.state.targets.admission.crash_state();
         let fingerprint = self.ticket.fingerprint();
+        let target_hash = crash.target_hash;
         crashes
             .suspects
             .record_crash(fingerprint, target_hash, target::now_ms());
+        if !crash.has_output {
+            crashes.beginnings.record_crash(
+                &self.piece_hashes,
+                target_hash,
+                crash.sent_ms,
+                crash.failed_ms,
+            );
+        }
         crashes.turns.stop(self.ticket);
     }
 
+    /// Records that a target has sent the first output on the request's prompt.
+    pub(super) fn record_output(&self) {
+        let mut crashes = self.state.targets.admission.crash_state();
+        crashes
+            .beginnings
+            .record_start(&self.piece_hashes, target::now_ms());
+    }
+
+    /// Whether the request is to be refused because targets crashed on it or its beginning.
+    pub(super) fn is_refused(&self) -> bool {
+        let crashes = self.state.targets.admission.crash_state();
+        let status = crashes.status(self.ticket.fingerprint(), &self.piece_hashes);
+        status == SuspectStatus::Refused
+    }
+
     /// Lets the request wait if it is a suspect. Returns whether it is one.
     fn begin_wait(&self) -> bool {
         let mut crashes = self.state.targets.admission.crash_state();
-        let status = crashes
-            .suspects
-            .status(self.ticket.fingerprint(), target::now_ms());
+        let status = crashes.status(self.ticket.fingerprint(), &self.piece_hashes);
         let is_suspect = status == SuspectStatus::Isolated;
         if is_suspect {
             crashes.turns.wait(self.ticket);
--- a/crates/testbed/tests/suspects.rs
+++ b/crates/testbed/tests/suspects.rs
@@ -262,3 +262,31 @@
     let answered = fixture.send_prompt(0, "a sound prompt").await;
     assert_eq!(answered, "none");
 }
+
+/// Guards against the same at one daemon, whose own crashes suffice to recognize the beginning, and
+/// against refusing prompts that begin otherwise.
+#[tokio::test]
+async fn a_daemon_learns_a_crashing_beginning_from_its_own_crashes() {
+    let mut fixture = FleetFixture::start(|spec| {
+        spec.daemons = 1;
+        let engines = harness::FleetSpec::small(1, MAX_BEGINNING_CRASHES + 3, 1);
+        spec.deployment.engines = engines.deployment.engines;
+    })
+    .await;
+    let sound = "other words ".repeat(100);
+    let beginning = format!("CRASH-ENGINE {}", "shared words ".repeat(100));
+    let mut reasons = Vec::new();
+    for number in 0..9 {
+        let prompt = format!("{beginning}, request {number}");
+        reasons.push(fixture.send_prompt(0, &prompt).await);
+        let answered = fixture.send_prompt(0, &format!("{sound}{number}")).await;
+        assert_eq!(answered, "none", "{reasons:?}");
+    }
+    let crashed_engines = fixture.crashed_engine_count();
+    println!("{crashed_engines} engines crashed, reasons {reasons:?}");
+    assert!(crashed_engines <= MAX_BEGINNING_CRASHES, "{reasons:?}");
+    assert!(
+        reasons.iter().all(|reason| reason == "suspect_request"),
+        "{reasons:?}"
+    );
+}
