--- a/crates/core/src/suspect/parts.rs
+++ b/crates/core/src/suspect/parts.rs
@@ -17,12 +17,20 @@
 pub const REFUSE_MIN_PART_CRASHES: usize = 3;
 /// The same for a part that was answered earlier, which is less likely to crash targets.
 pub const REFUSE_MIN_ANSWERED_CRASHES: usize = 5;
-/// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails.
+/// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails. Their parts must
+/// not fill a generation of [`MAX_STARTS`].
 const MAX_CRASHES: usize = 128;
-/// Parts of a request that are kept for a crash.
+/// Parts of a request that are kept for a crash: first those that have never been answered. Prompts
+/// that share all kept parts are refused together, even if a later part causes the crashes.
 const MAX_PARTS: usize = 16;
 /// Parts known to have been answered in each of the two generations that are kept.
 const MAX_STARTS: usize = 4_096;
+/// Records of requests with the same parts at the same target within this time belong to one
+/// crash: a target needs longer to crash again.
+const CRASH_DEDUP_MS: u64 = 2_000;
+/// The same for crashes that another daemon reports. A daemon that was paused reads old reports
+/// late.
+const REPORTED_CRASH_DEDUP_MS: u64 = 30_000;
 /// Time within which one failure takes down several targets, for example a rack.
 const COMMON_FAILURE_MS: u64 = 500;
 /// Difference by which a reported time has to exceed the known one to be a later answer. Each
@@ -35,7 +43,7 @@
 pub struct PartCrashRecord {
     /// Keys of the parts of the request that other requests may share.
     pub parts: Vec<u64>,
-    /// Hash of the crashed incarnation of a target.
+    /// Hash of the crashed target.
     pub target_hash: u32,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
@@ -61,7 +69,7 @@
 }
 
 /// Times at which answers on prompts with a part last began, by part. Holds the parts of the last
-/// one to two generations of [`MAX_STARTS`] parts.
+/// one to two generations of [`MAX_STARTS`] parts, and of those before the parts of kept crashes.
 #[derive(Clone, Debug, Default)]
 struct StartTable {
     newer: HashMap<u64, u64>,
@@ -69,9 +77,13 @@
 }
 
 impl StartTable {
-    fn record(&mut self, part: u64, start_ms: u64) {
+    /// Records a start; a new generation begins with the starts of the crashes' parts.
+    fn record(&mut self, part: u64, start_ms: u64, crashes: &[SeenCrash]) {
         if self.newer.len() >= MAX_STARTS && !self.newer.contains_key(&part) {
-            self.older = std::mem::take(&mut self.newer);
+            let suspected = crashes.iter().flat_map(|crash| &crash.parts);
+            let starts = suspected.filter_map(|part| Some((*part, self.last_ms(*part)?)));
+            let newer = starts.collect();
+            self.older = std::mem::replace(&mut self.newer, newer);
         }
         let known_ms = self.newer.entry(part).or_default();
         *known_ms = (*known_ms).max(start_ms);
@@ -111,18 +123,19 @@
     /// Records a crash of a target while a request with these shared parts waited for its first
     /// output there since `sent_ms`.
     pub fn record_crash(&mut self, parts: &[u64], target_hash: u32, sent_ms: u64, now_ms: u64) {
-        self.insert(SeenCrash {
+        let crash = SeenCrash {
             parts: parts.to_vec(),
             target_hash,
             sent_ms,
             seen_ms: now_ms,
-        });
+        };
+        self.insert(crash, CRASH_DEDUP_MS);
     }
 
     /// Records that an answer on a prompt with these shared parts has begun.
     pub fn record_start(&mut self, parts: &[u64], now_ms: u64) {
         for part in parts {
-            self.starts.record(*part, now_ms);
+            self.starts.record(*part, now_ms, &self.crashes);
         }
     }
 
@@ -174,12 +187,13 @@
             return;
         }
         let seen_ms = now_ms.saturating_sub(record.age_ms);
-        self.insert(SeenCrash {
+        let crash = SeenCrash {
             parts: record.parts.clone(),
             target_hash: record.target_hash,
             sent_ms: seen_ms.saturating_sub(record.in_flight_ms),
             seen_ms,
-        });
+        };
+        self.insert(crash, REPORTED_CRASH_DEDUP_MS);
     }
 
     /// Merges the start of an answer that another daemon reports.
@@ -187,7 +201,7 @@
         let start_ms = now_ms.saturating_sub(record.age_ms);
         let known_ms = self.starts.last_ms(record.part);
         if known_ms.is_none_or(|known_ms| start_ms > known_ms + REPORT_TOLERANCE_MS) {
-            self.starts.record(record.part, start_ms);
+            self.starts.record(record.part, start_ms, &self.crashes);
         }
     }
 
@@ -223,13 +237,19 @@
         starts.collect()
     }
 
-    /// Adds a crash in the order of the times, unless it is known: an incarnation crashes once.
-    fn insert(&mut self, mut crash: SeenCrash) {
-        crash.parts.truncate(MAX_PARTS);
-        let is_known = self
-            .crashes
-            .iter()
-            .any(|known| known.target_hash == crash.target_hash && known.parts == crash.parts);
+    /// Adds a crash in the order of the times, unless it is known.
+    fn insert(&mut self, mut crash: SeenCrash, dedup_ms: u64) {
+        if crash.parts.len() > MAX_PARTS {
+            // The sort is stable, so that the parts otherwise stay in the order of the prompt.
+            let is_answered = |part: &u64| self.starts.last_ms(*part).is_some();
+            crash.parts.sort_by_key(is_answered);
+            crash.parts.truncate(MAX_PARTS);
+        }
+        let is_known = self.crashes.iter().any(|known| {
+            known.target_hash == crash.target_hash
+                && known.seen_ms.abs_diff(crash.seen_ms) < dedup_ms
+                && known.parts == crash.parts
+        });
         if is_known || crash.parts.is_empty() {
             return;
         }
@@ -255,25 +275,37 @@
         let suspected: Vec<(&SeenCrash, Vec<u64>)> = recent
             .map(|crash| (crash, self.suspects_of(crash)))
             .collect();
-        let mut by_target: HashMap<u32, Vec<u64>> = HashMap::new();
+        // Records of one target with close times belong to one crash.
+        let mut last_crash: HashMap<u32, (u64, usize)> = HashMap::new();
+        let mut groups: Vec<Vec<u64>> = Vec::new();
+        let mut group_of = Vec::with_capacity(suspected.len());
         for (crash, suspects) in &suspected {
-            let all = by_target.entry(crash.target_hash).or_default();
-            all.extend(suspects);
+            let known = last_crash.get(&crash.target_hash);
+            let group = match known {
+                Some((seen_ms, group)) if crash.seen_ms - seen_ms < CRASH_DEDUP_MS => *group,
+                _ => {
+                    groups.push(Vec::new());
+                    let group = groups.len() - 1;
+                    last_crash.insert(crash.target_hash, (crash.seen_ms, group));
+                    group
+                }
+            };
+            groups[group].extend(suspects);
+            group_of.push(group);
         }
-        let by_target: HashMap<u32, rc::Rc<[u64]>> = by_target
-            .into_iter()
-            .map(|(target_hash, mut all)| {
-                all.sort_unstable();
-                all.dedup();
-                (target_hash, all.into())
-            })
-            .collect();
-        let open = suspected.into_iter().map(|(crash, own)| OpenCrash {
+        let groups = groups.into_iter().map(|mut all| {
+            all.sort_unstable();
+            all.dedup();
+            rc::Rc::from(all)
+        });
+        let groups: Vec<rc::Rc<[u64]>> = groups.collect();
+        let open = suspected.into_iter().zip(group_of);
+        open.map(|((crash, own), group)| OpenCrash {
             crash,
             own,
-            all: rc::Rc::clone(&by_target[&crash.target_hash]),
-        });
-        open.collect()
+            all: rc::Rc::clone(&groups[group]),
+        })
+        .collect()
     }
 
     /// Returns the parts of one request that have not been answered since a crash.
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -75,6 +75,23 @@
     assert_eq!(suspects.refused_part(&[CRASHING], 5_000), Some(CRASHING));
 }
 
+/// Guards against a service of one target, at which a crashing part is never told from the parts of
+/// requests that waited at an earlier crash.
+#[test]
+fn crashes_of_the_same_target_count_one_by_one() {
+    let mut suspects = PartSuspects::default();
+    for number in 0..REFUSE_MIN_PART_CRASHES as u64 {
+        let now_ms = 1_000 + number * 5_000;
+        crash(&mut suspects, &[CRASHING], 1, now_ms);
+        crash(&mut suspects, &[100 + number], 1, now_ms + 1);
+    }
+    assert_eq!(
+        suspects.refused_part(&[CRASHING, 7], 20_000),
+        Some(CRASHING)
+    );
+    assert_eq!(suspects.refused_part(&[100], 20_000), None);
+}
+
 /// Guards against a crash that counts again when a daemon that was paused reads old reports.
 #[test]
 fn a_crash_that_is_reported_late_counts_once() {
@@ -149,6 +166,66 @@
     assert_eq!(suspects.refused_part(&[FIRST, 200], 8_000), None);
 }
 
+/// Guards against refusing every prompt with a long beginning that is answered all the time, because
+/// prompts that go on in a certain way crash targets, and against letting those run.
+#[test]
+fn the_new_parts_of_a_long_prompt_are_suspected() {
+    let answered: Vec<u64> = (1_000..1_030).collect();
+    let crashing: Vec<u64> = (1_000..1_033).collect();
+    let mut suspects = PartSuspects::default();
+    suspects.record_start(&answered, 500);
+    crash_in_a_row(&mut suspects, &crashing, 1_000);
+    assert_eq!(suspects.refused_part(&answered, 5_000), None);
+    assert!(suspects.refused_part(&crashing, 5_000).is_some());
+    suspects.record_start(&answered, 6_000);
+    assert!(suspects.refused_part(&crashing, 7_000).is_some());
+}
+
+/// Guards against refusing a part that was answered after its crashes, because answers on many other
+/// parts made its own forgotten.
+#[test]
+fn answers_on_suspected_parts_are_not_forgotten() {
+    let mut suspects = PartSuspects::default();
+    crash_in_a_row(&mut suspects, &[FIRST], 1_000);
+    suspects.record_start(&[FIRST], 6_000);
+    for other in 0..20_000 {
+        suspects.record_start(&[100 + other], 6_000 + other);
+    }
+    assert_eq!(suspects.refused_part(&[FIRST], 30_000), None);
+}
+
+/// Guards against refusing prompts that leave the beginning of crashing ones, when parts are pieces
+/// that each stand for the prompt up to their end.
+#[test]
+fn prompts_that_share_only_a_part_of_a_crashing_beginning_run() {
+    let mut suspects = PartSuspects::default();
+    for number in 0..REFUSE_MIN_PART_CRASHES as u64 {
+        let own = 100 + number;
+        let pieces = [FIRST, 3, CRASHING, own];
+        crash(
+            &mut suspects,
+            &pieces,
+            number as u32,
+            1_000 + number * 1_000,
+        );
+    }
+    assert!(
+        suspects
+            .refused_part(&[FIRST, 3, CRASHING, 200], 5_000)
+            .is_some()
+    );
+    assert!(
+        suspects
+            .refused_part(&[FIRST, 3, CRASHING], 5_000)
+            .is_some()
+    );
+    assert_eq!(suspects.refused_part(&[FIRST, 3, 201], 5_000), None);
+    // A crash of such a prompt shows that the cause is in the pieces that it shares.
+    crash(&mut suspects, &[FIRST, 3, 201], 7, 6_000);
+    assert!(suspects.refused_part(&[FIRST, 3, 202], 7_000).is_some());
+    assert_eq!(suspects.refused_part(&[FIRST, 203], 7_000), None);
+}
+
 /// Guards against a daemon that refuses a part although another one has had it answered, and
 /// against one that does not learn of a crashing part.
 #[test]
