Keep a connection in a request until its body and response end

What callers would see: an upload that takes longer than 1.1 times the idle timeout after its refusal is cut, or the connection is closed sooner after the upload than callers may reuse it. A stream whose caller has sent its next request is cut when the engine is silent for 1.1 times the idle timeout.

Cause: the request ended for the idle timeout when its response was ready. Later bytes of the body, and bytes that hyper reads ahead while a stream runs, were taken for the first bytes of a head, and a connection with a part of a head is dropped without an answer.

Change: a request lasts until a guard of its body and a guard of its response are dropped and the buffer of the connection has been written. The task that reads a refused body holds the first, the body of the response the second. The idle time counts from the end of both. Bytes that are read behind the body count as a head only after that. The idle timeout is at least 300 ms: zero closed every connection at once.

Why it works: hyper drops the body of a response when it has taken its last frame, and flushes the stream only when its own buffer is empty, so that the next flush means that the response was written. As the idle wait does not end while a response is being written, such a connection goes on watching for a stop and counts there.

The listener of the daemon crate holds its body guard until the response is ready, as before.

--- a/crates/daemon/src/process/listener.rs
+++ b/crates/daemon/src/process/listener.rs
@@ -124,12 +124,12 @@
 {
     let progress = sync::Arc::new(connection::HeadProgress::default());
     let service = service_fn(|request| {
-        progress.begin_request();
-        let (response, progress) = (handler(request), &progress);
+        let (body_guard, response_guard) = connection::HeadProgress::begin_request(&progress);
+        let response = handler(request);
         async move {
             let response = response.await;
-            progress.end_request();
-            Ok::<_, std::convert::Infallible>(response)
+            drop(body_guard);
+            Ok::<_, std::convert::Infallible>(response.map(|body| response_guard.guard(body)))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/relay/src/connection/accepted.rs
+++ b/crates/relay/src/connection/accepted.rs
@@ -4,11 +4,12 @@
     io,
     pin::Pin,
     sync,
-    sync::atomic::{AtomicU8, AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     task::{Context, Poll},
     time::Duration,
 };
 
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
@@ -23,26 +24,34 @@
 /// delays the rest.
 const MAX_HEAD_WAIT: Duration = Duration::from_secs(2);
 
-/// Values of [`HeadProgress::phase`].
-const NO_REQUEST: u8 = 0;
-const PARTIAL_HEAD: u8 = 1;
-const IN_REQUEST: u8 = 2;
+/// Shortest idle timeout. A caller that has just connected needs time to send its head.
+const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Whether a part of a request's head has been read from a connection, and since when the
-/// connection waits for the rest.
+/// Progress of the requests on a connection: whether a part of a head has been read, and whether a
+/// request's body or response has not ended.
 #[derive(Debug)]
 pub struct HeadProgress {
-    phase: AtomicU8,
+    /// Whether bytes have been read that belong to no known request.
+    has_head_bytes: AtomicBool,
+    /// Number of requests whose body has not ended.
+    open_bodies: AtomicU32,
+    /// Number of responses that have not been written.
+    open_responses: AtomicU32,
+    /// Number of open responses whose last bytes are in the buffer of the connection.
+    buffered_responses: AtomicU32,
     changed: Notify,
-    /// Time of the last byte that was written, or of the first byte of a head, by
-    /// [`clock::now_ms`].
+    /// Time of the last byte that was written, of the first byte of a head, or of the end of a
+    /// request, by [`clock::now_ms`].
     active_ms: AtomicU64,
 }
 
 impl Default for HeadProgress {
     fn default() -> Self {
         Self {
-            phase: AtomicU8::new(NO_REQUEST),
+            has_head_bytes: AtomicBool::new(false),
+            open_bodies: AtomicU32::new(0),
+            open_responses: AtomicU32::new(0),
+            buffered_responses: AtomicU32::new(0),
             changed: Notify::new(),
             active_ms: AtomicU64::new(clock::now_ms()),
         }
@@ -50,35 +59,52 @@
 }
 
 impl HeadProgress {
-    /// Records that a head is complete.
-    pub fn begin_request(&self) {
-        self.set_phase(IN_REQUEST);
-    }
-
-    /// Records that the response is ready, after which the next head may arrive.
-    pub fn end_request(&self) {
-        self.set_phase(NO_REQUEST);
+    /// Records that a head is complete. The request lasts until its body has ended and its response
+    /// has been written.
+    pub fn begin_request(progress: &sync::Arc<Self>) -> (BodyGuard, ResponseGuard) {
+        progress.open_bodies.fetch_add(1, Ordering::AcqRel);
+        progress.open_responses.fetch_add(1, Ordering::AcqRel);
+        progress.has_head_bytes.store(false, Ordering::Release);
+        progress.changed.notify_waiters();
+        let body = OpenBody(sync::Arc::clone(progress));
+        let response = ResponseGuard(sync::Arc::clone(progress));
+        (
+            BodyGuard {
+                _open: sync::Arc::new(body),
+            },
+            response,
+        )
     }
 
     /// Whether a head has been read in part.
     pub fn is_partial(&self) -> bool {
-        self.phase.load(Ordering::Acquire) == PARTIAL_HEAD
+        !self.is_in_request() && self.has_head_bytes.load(Ordering::Acquire)
     }
 
-    fn set_phase(&self, phase: u8) {
-        self.phase.store(phase, Ordering::Release);
-        self.changed.notify_waiters();
+    fn is_in_request(&self) -> bool {
+        self.has_open_body() || self.open_responses.load(Ordering::Acquire) > 0
+    }
+
+    fn has_open_body(&self) -> bool {
+        self.open_bodies.load(Ordering::Acquire) > 0
     }
 
     fn record_read(&self) {
-        let exchanged = self.phase.compare_exchange(
-            NO_REQUEST,
-            PARTIAL_HEAD,
-            Ordering::AcqRel,
-            Ordering::Acquire,
-        );
-        // Other phases do not change: the bytes belong to a head that is known or to a body.
-        if exchanged.is_ok() {
+        // The bytes may belong to the body.
+        if self.has_open_body() {
+            return;
+        }
+        let is_first = !self.has_head_bytes.swap(true, Ordering::AcqRel);
+        if is_first {
+            self.record_activity();
+        }
+    }
+
+    /// Records that all buffered bytes have been written.
+    fn record_flush(&self) {
+        let written = self.buffered_responses.swap(0, Ordering::AcqRel);
+        if written > 0 {
+            self.open_responses.fetch_sub(written, Ordering::AcqRel);
             self.record_activity();
         }
     }
@@ -89,7 +115,7 @@
 
     /// Returns how long the connection has waited for a request; `None` while one is handled.
     fn idle_time(&self) -> Option<Duration> {
-        if self.phase.load(Ordering::Acquire) == IN_REQUEST {
+        if self.is_in_request() {
             return None;
         }
         let active_ms = self.active_ms.load(Ordering::Acquire);
@@ -109,6 +135,69 @@
     }
 }
 
+/// A request's body that has not ended.
+#[derive(Debug)]
+struct OpenBody(sync::Arc<HeadProgress>);
+
+impl Drop for OpenBody {
+    fn drop(&mut self) {
+        self.0.record_activity();
+        self.0.open_bodies.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Held by whoever reads a request's body until it has ended. The extensions of the request carry
+/// it, so that it can be cloned.
+#[derive(Clone, Debug)]
+pub struct BodyGuard {
+    _open: sync::Arc<OpenBody>,
+}
+
+/// Held until the last byte of a response is in the buffer of its connection. The response counts
+/// as written once the buffer has been written after that.
+#[derive(Debug)]
+pub struct ResponseGuard(sync::Arc<HeadProgress>);
+
+impl ResponseGuard {
+    /// Attaches the guard to the body of the response.
+    pub fn guard<Body>(self, body: Body) -> GuardedBody<Body> {
+        GuardedBody { body, _guard: self }
+    }
+}
+
+impl Drop for ResponseGuard {
+    fn drop(&mut self) {
+        self.0.buffered_responses.fetch_add(1, Ordering::AcqRel);
+    }
+}
+
+/// Body of a response, which the connection drops when it has taken the last frame.
+#[derive(Debug)]
+pub struct GuardedBody<Body> {
+    body: Body,
+    _guard: ResponseGuard,
+}
+
+impl<Inner: Body + Unpin> Body for GuardedBody<Inner> {
+    type Data = Inner::Data;
+    type Error = Inner::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Stream of an accepted connection that records the progress of heads.
 #[derive(Debug)]
 pub struct AcceptedStream<Stream> {
@@ -156,11 +245,12 @@
 }
 
 /// Waits until a connection has been idle, or has waited for the rest of a head, for the time that
-/// `timeout` returns. It is asked again each time, so that a changed timeout applies to connections
+/// `timeout` returns. It never returns while a request is handled or its response is written.
+/// `timeout` is asked again each time, so that a changed timeout applies to connections
 /// that are open.
 pub async fn wait_idle_timeout(progress: &HeadProgress, timeout: impl Fn() -> Duration) {
     loop {
-        let timeout = timeout();
+        let timeout = timeout().max(MIN_IDLE_TIMEOUT);
         let idle_time = progress.idle_time().unwrap_or_default();
         match timeout.checked_sub(idle_time) {
             Some(left) if !left.is_zero() => tokio::time::sleep(left).await,
@@ -208,7 +298,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        // The connection flushes its stream only when its own buffer is empty.
+        let result = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.progress.record_flush();
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -25,7 +25,8 @@
 mod write_deadline;
 
 pub use accepted::{
-    AcceptedStream, HeadProgress, accept_pending, wait_between_requests, wait_idle_timeout,
+    AcceptedStream, BodyGuard, HeadProgress, accept_pending, wait_between_requests,
+    wait_idle_timeout,
 };
 pub use body::{BodyError, BodyLimits, BufferBudget, MAX_DOCUMENT_BYTES, discard_body, read_body};
 pub use hop_headers::remove_hop_headers;
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{refusal::RefusalResponse, unread};
-use crate::{config, platform, state, telemetry::RefusalCause};
+use crate::{config, connection, platform, state, telemetry::RefusalCause};
 
 /// Time before the caller's deadline at which the final response is sent, for its way to the
 /// caller.
@@ -71,8 +71,9 @@
         let timeout = arrival + Duration::from_millis(route.timeout_ms);
         let deadline =
             timeout.min(caller_deadline - RESPONSE_MARGIN.min(caller_deadline - arrival));
-        let (head, body) = request.into_parts();
-        let body = read_body(body, &config.limits, deadline).await?;
+        let (mut head, body) = request.into_parts();
+        let guard = head.extensions.remove();
+        let body = read_body(body, guard, &config.limits, deadline).await?;
         let service = route.pick_service(rand::random());
         let service = service.ok_or(RefusalResponse::not_run(RefusalCause::NoTarget))?;
         let parts = metadata
@@ -153,6 +154,7 @@
 
 async fn read_body(
     mut body: Incoming,
+    guard: Option<connection::BodyGuard>,
     limits: &config::CallerLimits,
     deadline: Instant,
 ) -> Result<Bytes, RefusalResponse> {
@@ -160,7 +162,7 @@
     match tokio::time::timeout_at(deadline.into(), collect).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            unread::discard_rest(body, Some(limits));
+            unread::discard_rest(body, guard, Some(limits));
             Err(RefusalResponse::not_run(RefusalCause::BodyTooLarge))
         }
         Ok(Err(error)) => {
--- a/crates/relay/src/dispatch/unread.rs
+++ b/crates/relay/src/dispatch/unread.rs
@@ -17,16 +17,24 @@
     // Such a caller sends no body after a refusal.
     let is_awaited = request.headers().contains_key(http::header::EXPECT);
     if !is_awaited {
-        discard_rest(request.into_body(), limits);
+        let (mut head, body) = request.into_parts();
+        discard_rest(body, head.extensions.remove(), limits);
     }
 }
 
-/// Like [`discard`], for what is left of a body.
-pub fn discard_rest(body: Incoming, limits: Option<&config::CallerLimits>) {
+/// Like [`discard`], for what is left of a body. `guard` is held until it has ended.
+pub fn discard_rest(
+    body: Incoming,
+    guard: Option<connection::BodyGuard>,
+    limits: Option<&config::CallerLimits>,
+) {
     if body.is_end_stream() {
         return;
     }
     let max_bytes = limits.map_or(DEFAULT_MAX_BYTES, |limits| limits.max_body_bytes);
     let deadline = Instant::now() + MAX_READ_TIME;
-    tokio::task::spawn_local(connection::discard_body(body, max_bytes, deadline));
+    tokio::task::spawn_local(async move {
+        connection::discard_body(body, max_bytes, deadline).await;
+        drop(guard);
+    });
 }
--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -117,16 +117,16 @@
     // Held until the connection has ended: the process does not end before the last response on a
     // stopping connection has been written.
     let unwritten = cell::RefCell::new(None);
-    let service = service_fn(|request| {
-        let (state, progress) = (rc::Rc::clone(&state), &progress);
-        progress.begin_request();
+    let service = service_fn(|mut request: http::Request<Incoming>| {
+        let state = rc::Rc::clone(&state);
+        let (body_guard, response_guard) = connection::HeadProgress::begin_request(&progress);
+        request.extensions_mut().insert(body_guard);
         if stop.is_cancelled() {
             unwritten.replace(Some(state::ActiveGuard::start(&state.active)));
         }
         async move {
             let response = respond(state, request, role).await;
-            progress.end_request();
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| response_guard.guard(body)))
         }
     });
     let connection = http1::Builder::new()
@@ -150,7 +150,6 @@
         () = idle_timeout => match progress.is_partial() {
             true => Ok(()),
             false => {
-                // Completes a response that is being written.
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -443,6 +443,59 @@
     }
 }
 
+/// Applies an idle timeout of half a second, as version 2 of the configuration.
+async fn shorten_idle_timeout(fixture: &Fixture, relay: &Relay) {
+    let adjust = |config: &mut serde_json::Value| {
+        config["limits"]["idle_timeout_ms"] = 500.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(relay, 2).await;
+}
+
+/// Guards against a connection that is closed by the idle timeout while its caller sends the body
+/// of a refused request, or sooner after that body than the caller may reuse it.
+#[tokio::test]
+async fn a_slow_body_of_a_refused_request_keeps_its_connection() {
+    let (fixture, _runner, relay) = start_serving().await;
+    shorten_idle_timeout(&fixture, &relay).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let head = request_text("/unknown/a", "refused", "content-length: 6");
+    caller.write_all(head.as_bytes()).await.expect("a write");
+    read_until(&mut caller, " 404 ").await;
+    for byte in b"notice" {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        caller.write_all(&[*byte]).await.expect("a write");
+    }
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    let _ = caller.try_read(&mut [0; 1_024]);
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+}
+
+/// Guards against a stream that is cut by the idle timeout because its caller has sent the next
+/// request and the engine is silent for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_an_idle_timeout_beside_the_next_request() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let _engine = start_engine(&fixture, "d-1", script).await;
+    relay.wait_streaming("/stream/a", 5).await;
+    shorten_idle_timeout(&fixture, &relay).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let fields = "x-acaciabank-model: m\r\nx-acaciabank-token-count: 2000,5\r\n\
+                  x-acaciabank-prompt-prefix: aa:1500,bb:500\r\ncontent-length: 0";
+    let stream = request_text("/stream/a", "stream", fields);
+    caller.write_all(stream.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "token 1").await;
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    let text = read_until(&mut caller, "next:notice").await;
+    assert!(text.contains("token 4"), "{text}");
+}
+
 /// Guards against a stop that is delayed to the end of its grace period by idle connections: one
 /// without a request, one after a request and one with a part of a head.
 #[tokio::test]
