Take the retry before a silent target is given up

What callers would see: when an engine is silent, more requests give it up than retries are left in the budget, and those that find no retry are refused although their engine is sound.

Cause: the wait for another target tested the budget by taking a retry and giving it back. The retry was taken only after the next engine had been selected, which may wait for the scheduler, so that many requests could see the same retry.

Change: the wait takes the retry and the next call uses it. It is refunded if the request ends without another call.

Why it works: there is no await between the test and the charge, and the ledger knows that the next call is charged already.

The test keeps the limit: two retries for eight silent streams, all of them answered.

--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -41,6 +41,16 @@
         self.has_pending_charge = true;
     }
 
+    /// Whether the next call has been charged to the budget.
+    pub fn has_charge(&self) -> bool {
+        self.has_pending_charge
+    }
+
+    /// Takes back the charge for the next call, which is not made; returns whether it is refunded.
+    pub fn cancel_charge(&mut self) -> bool {
+        std::mem::take(&mut self.has_pending_charge)
+    }
+
     /// Records the outcome of a call that runs the request; returns whether its charge is refunded.
     pub fn record_run(&mut self, outcome: CallOutcome) -> bool {
         let had_charge = std::mem::take(&mut self.has_pending_charge);
--- a/crates/core/tests/load_control.rs
+++ b/crates/core/tests/load_control.rs
@@ -393,3 +393,18 @@
         }
     }
 }
+
+/// Guards against a retry that is taken twice for the same call, and against one that is not given
+/// back when the call is not made.
+#[test]
+fn a_retry_that_was_taken_ahead_belongs_to_the_next_call() {
+    let mut ledger = budget::CallLedger::default();
+    assert!(!ledger.record_run(budget::CallOutcome::Failed));
+    ledger.record_charge();
+    assert!(ledger.has_charge());
+    assert!(!ledger.record_run(budget::CallOutcome::Accepted));
+    assert!(!ledger.has_charge());
+    ledger.record_charge();
+    assert!(ledger.cancel_charge());
+    assert!(!ledger.cancel_charge());
+}
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -38,6 +38,8 @@
     pub retry: RetryReason,
     /// Cause that is reported if the request is not retried.
     pub cause: RefusalCause,
+    /// Whether a retry has been taken from the budget for the next call.
+    pub has_retry: bool,
     /// Description for the log.
     pub message: String,
 }
@@ -49,6 +51,7 @@
             verdict: Verdict::NotRun,
             retry,
             cause: RefusalCause::NoTarget,
+            has_retry: false,
             message: message.to_string(),
         }
     }
@@ -65,6 +68,7 @@
             verdict: Verdict::MayHaveRun,
             retry: RetryReason::ConnectionBroken,
             cause: RefusalCause::TargetFailed,
+            has_retry: false,
             message: message.to_string(),
         }
     }
@@ -79,10 +83,20 @@
                 true => RefusalCause::DeadlinePassed,
                 false => RefusalCause::TargetFailed,
             },
+            has_retry: false,
             message: "the target did not respond in time".to_owned(),
         }
     }
 
+    /// Creates the failure of an attempt that was given up for another one. [`wait_replaceable`]
+    /// has taken the retry.
+    pub fn replaced(request: &RelayRequest) -> Self {
+        Self {
+            has_retry: true,
+            ..Self::timeout(request)
+        }
+    }
+
     /// Whether no byte of the request was sent to the target.
     pub fn is_unsent(&self) -> bool {
         matches!(
@@ -97,6 +111,7 @@
             verdict: Verdict::NotRun,
             retry: RetryReason::TargetRefused,
             cause: RefusalCause::TargetRefused,
+            has_retry: false,
             message: format!("the target refused with status {status}"),
         }
     }
@@ -363,8 +378,9 @@
     Ok(())
 }
 
-/// Waits until an attempt may be given up for another one: `time` has passed, a retry is left in
-/// the budget and another target accepts the request. Never returns if the request's deadline is
+/// Waits until an attempt may be given up for another one: `time` has passed, another target accepts
+/// the request and a retry was left in the budget, which is taken for the next attempt: a retry that
+/// was only seen could be taken by another silent request meanwhile. Never returns if the request's deadline is
 /// not later than `time`.
 pub async fn wait_replaceable<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
@@ -376,7 +392,7 @@
         std::future::pending().await
     }
     tokio::time::sleep_until(time.into()).await;
-    while !(has_other() && state.has_retry(&request.service)) {
+    while !(has_other() && state.try_spend_retry(&request.service)) {
         tokio::time::sleep(selection::POLL_INTERVAL).await;
     }
 }
@@ -390,7 +406,8 @@
     Prefill,
 }
 
-/// Takes a retry from the budget for the next call, unless the call is free.
+/// Takes a retry from the budget for the next call, unless the call is free or its retry has been
+/// taken.
 pub fn reserve_retry<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
@@ -401,7 +418,7 @@
         CallKind::Run => progress.ledger.is_charged(),
         CallKind::Prefill => progress.ledger.is_prefill_charged(),
     };
-    if !is_charged {
+    if !is_charged || progress.ledger.has_charge() {
         return Ok(());
     }
     if !state.try_spend_retry(&request.service) {
@@ -412,6 +429,17 @@
     Ok(())
 }
 
+/// Refunds the retry that was taken for a call which is not made.
+pub fn cancel_retry<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &mut RequestProgress,
+) {
+    if progress.ledger.cancel_charge() {
+        state.refund_retry(&request.service);
+    }
+}
+
 /// Records the outcome of a call and refunds its retry if the call turned out to be free.
 pub fn record_call<Codec: platform::MessageCodec, Store: platform::PlatformStore, Response>(
     state: &state::RelayState<Codec, Store>,
@@ -432,4 +460,7 @@
     if is_refunded {
         state.refund_retry(&request.service);
     }
+    if matches!(result, Err(failure) if failure.has_retry) {
+        progress.ledger.record_charge();
+    }
 }
--- a/crates/relay/src/dispatch/generate/kv_handle.rs
+++ b/crates/relay/src/dispatch/generate/kv_handle.rs
@@ -98,6 +98,7 @@
         verdict: Verdict::NotRun,
         retry: RetryReason::ConnectionBroken,
         cause: RefusalCause::TargetFailed,
+        has_retry: false,
         message: message.to_owned(),
     };
     match response.collect(&state.response_buffers, deadline).await {
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -151,8 +151,11 @@
         match starter.step(state, request, progress, last_event).await {
             Ok(Some(started)) => return Ok(started),
             Ok(None) => {}
-            // An engine's own error response says more than a refusal.
-            Err(refusal) => return starter.failed_response.ok_or(refusal),
+            Err(refusal) => {
+                attempt::cancel_retry(state, request, progress);
+                // An engine's own error response says more than a refusal.
+                return starter.failed_response.ok_or(refusal);
+            }
         }
     }
 }
@@ -220,7 +223,7 @@
             result = run_attempt(state, request, plan, handle, last_event) => result,
             () = attempt::wait_replaceable(state, request, time, has_other) => {
                 state.record_outcome(&plan.decode, outlier::TargetOutcome::Failed);
-                Err(AttemptFailure::timeout(request))
+                Err(AttemptFailure::replaced(request))
             }
         };
         attempt::record_call(state, request, progress, kind, &result);
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -26,22 +26,33 @@
     state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     mut progress: RequestProgress,
+) -> Result<HttpResponse, RefusalResponse> {
+    let result = run_attempts(state, request, &mut progress).await;
+    attempt::cancel_retry(state, request, &mut progress);
+    result
+}
+
+/// Makes attempts until one gives the final response.
+async fn run_attempts<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &mut RequestProgress,
 ) -> Result<HttpResponse, RefusalResponse> {
     let mut failed_response = None;
     loop {
-        let target = match selection::select_target(state, request, &progress).await {
+        let target = match selection::select_target(state, request, progress).await {
             Ok(target) => target,
             Err(refusal) => return failed_response.ok_or(refusal),
         };
         let kind = attempt::CallKind::Run;
         let allowed = suspects::check(state, request, progress.verdict)
-            .and_then(|()| attempt::reserve_retry(state, request, &mut progress, kind));
+            .and_then(|()| attempt::reserve_retry(state, request, progress, kind));
         if let Err(refusal) = allowed {
             return failed_response.ok_or(refusal);
         }
         progress.sends += 1;
-        let result = run_until_replaced(state, request, &progress, &target).await;
-        attempt::record_call(state, request, &mut progress, kind, &result);
+        let result = run_until_replaced(state, request, progress, &target).await;
+        attempt::record_call(state, request, progress, kind, &result);
         let failure = match result {
             Ok((head, body)) => {
                 let is_final =
@@ -49,7 +60,7 @@
                 let status = head.status;
                 let response = into_response(head, body);
                 if is_final {
-                    log_end(request, &target, &progress, status);
+                    log_end(request, &target, progress, status);
                     return Ok(response);
                 }
                 failed_response = Some(response);
@@ -57,7 +68,7 @@
             }
             Err(failure) => failure,
         };
-        if let Err(refusal) = attempt::decide_retry(request, &target, &mut progress, &failure) {
+        if let Err(refusal) = attempt::decide_retry(request, &target, progress, &failure) {
             return failed_response.ok_or(refusal);
         }
     }
@@ -77,7 +88,7 @@
         result = run_attempt(state, request, target) => result,
         () = attempt::wait_replaceable(state, request, attempt_deadline(request, progress), has_other) => {
             state.record_outcome(target, outlier::TargetOutcome::Failed);
-            Err(AttemptFailure::timeout(request))
+            Err(AttemptFailure::replaced(request))
         }
     }
 }
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -350,15 +350,6 @@
         self.with_budget(service, |budget| budget.try_spend(limits, share, now_ms))
     }
 
-    /// Whether the budget of a service has a retry left.
-    pub fn has_retry(&self, service: &str) -> bool {
-        let is_left = self.try_spend_retry(service);
-        if is_left {
-            self.refund_retry(service);
-        }
-        is_left
-    }
-
     /// Returns the last retry to the budget, as it reached no target.
     pub fn refund_retry(&self, service: &str) {
         self.with_budget(service, budget::WindowBudget::refund);
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -35,6 +35,8 @@
     pub proxy: Option<harness::LinkProxy>,
     /// Memory that the settings of a relay state, in megabytes.
     pub relay_memory_mb: u32,
+    /// Retries allowed per request that the settings of a relay state.
+    pub retry_budget_ratio: f64,
     /// Further arguments of the runners that are started from now on.
     pub runner_arguments: Vec<String>,
     /// Whether links added from now on refuse connections while their upstream does. Other links
@@ -58,6 +60,7 @@
             launcher,
             proxy: None,
             relay_memory_mb: 160,
+            retry_budget_ratio: 10.0,
             runner_arguments: Vec::new(),
             shows_crashes: false,
             peer_port,
@@ -196,7 +199,7 @@
 [bounds]
 grace_s = 8
 ttl_max_s = 1
-retry_budget_ratio = 10.0
+retry_budget_ratio = {budget_ratio:.2}
 budget_window_s = 10
 budget_extra = 0
 [platform]
@@ -204,6 +207,7 @@
 "#,
             peer = self.peer_port,
             memory_mb = self.relay_memory_mb,
+            budget_ratio = self.retry_budget_ratio,
         );
         let path = self.launcher.folder().join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -1,7 +1,13 @@
 //! Requests that were accepted and must be answered: around silent engines, changes of the
 //! configuration, refusals before the body has been read and stops.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use acaciabank_testbed::{
     harness,
@@ -570,3 +576,61 @@
     assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
     assert!(engine.request_count() > 0);
 }
+
+/// Guards against silent engines that are given up by more requests than retries are left in the
+/// budget: those without a retry would be refused although their engine is sound.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_more_silent_streams_are_given_up_than_retries_are_left() {
+    const STREAMS: usize = 8;
+
+    let retries = Arc::new(AtomicU64::new(0));
+    let mut fixture = Fixture::start().await;
+    // A relay uses four fifths of the budget: two retries for eight requests.
+    fixture.retry_budget_ratio = 0.35;
+    fixture.write_config(1, |_| {}).await;
+    let relay = fixture.start_relay(&[]).await;
+    wait_listening(&relay).await;
+    let answer = |request: &ScriptedRequest, silence: Duration| {
+        let events: String = (0..5).map(event).collect();
+        let text = stream_head(request) + &events;
+        vec![
+            ScriptStep::Wait(silence),
+            ScriptStep::Send(text.into_bytes()),
+            ScriptStep::Close,
+        ]
+    };
+    let silent = start_engine(&fixture, "d-1", move |request| {
+        answer(request, Duration::from_secs(6))
+    });
+    let silent = silent.await;
+    wait_logged(&relay, "target_listed").await;
+    let requests = futures::future::join_all((0..STREAMS).map(|number| {
+        let relay = &relay;
+        async move {
+            let attempt = format!("silent-{number}");
+            relay.request_stream("/resumable/a", &attempt, 5).await
+        }
+    }));
+    let other = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the streams", async || {
+            silent.request_count() == STREAMS as u64
+        })
+        .await;
+        // All streams may be given up when the other engine is listed.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        let retries = Arc::clone(&retries);
+        start_engine(&fixture, "d-2", move |request| {
+            retries.fetch_add(1, Ordering::Relaxed);
+            answer(request, Duration::ZERO)
+        })
+        .await
+    };
+    let (responses, _other) = tokio::join!(requests, other);
+    for response in responses {
+        let response = response.expect("a response");
+        let body = String::from_utf8_lossy(&response.body);
+        assert_eq!(response.status, 200, "{body}");
+        assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    }
+    assert_eq!(retries.load(Ordering::Relaxed), 2);
+}
