Count the overlap of engines from the first call that may run

What was seen: a silent engine went on with a stream for 492 ms after another engine had begun to work on it, in a test where the first engine that takes the stream over fails after 220 ms. Two engines may work on a request for 400 ms.

Cause: the 250 ms after which the silent engine is given up began again with each call, so a call that failed after it may have run added its own time.

Change: the signal of sent calls keeps the time of the first call that may have run. It is forgotten when a takeover begins or ends.

Why it works: refused calls and calls that were not written run nothing and still restart the time; all others count from the first one. If no call follows the failed one, no other engine works on the request and the silent one is kept, as before.

--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -242,7 +242,7 @@
         check_write(target)?;
         match send_on(connection, message.clone(), deadline, sent).await {
             Err(failure) if failure.retry == RetryReason::NotWritten => {
-                sent.inspect(|sent| _ = sent.end());
+                sent.inspect(|sent| sent.end(Verdict::NotRun));
             }
             result => return result,
         }
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -12,7 +12,7 @@
 };
 
 use acaciabank_core::{load_shed, outlier};
-use acaciabank_protocol::reason::RetryReason;
+use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{Either, Full, StreamBody};
@@ -227,7 +227,9 @@
             }
         };
         attempt::record_call(state, request, progress, kind, &result);
-        request.sent.end();
+        let failure = result.as_ref().err();
+        let verdict = failure.map_or(Verdict::MayHaveRun, |failure| failure.verdict);
+        request.sent.end(verdict);
         let failure = match result {
             Ok(StreamStart::ErrorResponse(response, status))
                 if status.is_server_error() && request.route.kind.is_repeatable() =>
--- a/crates/relay/src/dispatch/generate/takeover.rs
+++ b/crates/relay/src/dispatch/generate/takeover.rs
@@ -20,8 +20,9 @@
     platform, state,
 };
 
-/// Time that another engine has to refuse the request before the silent one is given up. Two
-/// engines must not work on a request for more than 400 ms, which includes the way of the close.
+/// Time from the first call that is not refused until the silent engine is given up, also if that
+/// call fails meanwhile and a further engine is called. Two engines must not work on a request for
+/// more than 400 ms, which includes the way of the close.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
 
 /// How a takeover ended.
@@ -64,9 +65,10 @@
         if progress.sends >= attempt::MAX_REFUSALS + progress.runs {
             return TakeoverEnd::Kept(stream);
         }
+        self.request.sent.clear();
         let starting = start_stream(self.state, self.request, &mut progress, last_event);
         let event = wait_event(self.request, stream, starting).await;
-        let is_sent = self.request.sent.end();
+        let is_sent = self.request.sent.clear();
         let kept = match event {
             TakeoverEvent::Started(Ok(StreamStart::Open(_, next)), _) => {
                 *self.progress = progress;
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -50,7 +50,7 @@
     pub shared_keys: Vec<u64>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
-    /// Attempt that a target is working on.
+    /// Since when targets may be running it.
     pub sent: SentSignal,
     _active: state::ActiveGuard,
 }
@@ -182,28 +182,48 @@
     hasher.digest()
 }
 
-/// Time at which the current attempt was sent to a target that may run it.
+/// Times at which attempts were sent to targets that may run the request.
+#[derive(Clone, Copy, Debug, Default)]
+struct SentTimes {
+    /// Time at which the current attempt was sent.
+    current: Option<Instant>,
+    /// Time at which the first attempt was sent that has ended and may have run.
+    ended_run: Option<Instant>,
+}
+
+/// Since when targets may be running the request.
 #[derive(Debug, Default)]
-pub struct SentSignal(watch::Sender<Option<Instant>>);
+pub struct SentSignal(watch::Sender<SentTimes>);
 
 impl SentSignal {
     /// Records that an attempt is being sent.
     pub fn start(&self) {
-        self.0.send_replace(Some(Instant::now()));
+        self.0
+            .send_modify(|times| times.current = Some(Instant::now()));
+    }
+
+    /// Records that the attempt has ended.
+    pub fn end(&self, verdict: Verdict) {
+        self.0.send_modify(|times| {
+            let ended = times.current.take();
+            if verdict != Verdict::NotRun {
+                times.ended_run = times.ended_run.or(ended);
+            }
+        });
     }
 
-    /// Records that the attempt has ended; returns whether one had been sent.
-    pub fn end(&self) -> bool {
-        self.0.send_replace(None).is_some()
+    /// Forgets all attempts; returns whether one was under way.
+    pub fn clear(&self) -> bool {
+        self.0.send_replace(SentTimes::default()).current.is_some()
     }
 
-    /// Waits until an attempt has been under way for this long.
+    /// Waits until this time has passed since the first attempt was sent that was not refused.
     pub async fn wait_elapsed(&self, time: Duration) {
         let mut sent = self.0.subscribe();
         loop {
-            let since = *sent.borrow_and_update();
+            let times = *sent.borrow_and_update();
             let elapsed = async {
-                match since {
+                match times.ended_run.or(times.current) {
                     Some(since) => tokio::time::sleep_until((since + time).into()).await,
                     None => std::future::pending().await,
                 }
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -634,3 +634,72 @@
     }
     assert_eq!(retries.load(Ordering::Relaxed), 2);
 }
+
+/// A response without events that an engine sends: a refusal that runs nothing, or a failure.
+fn empty_response(request: &ScriptedRequest, status: &str, field: &str) -> ScriptStep {
+    let attempt = request.header("x-acaciabank-attempt-id");
+    let text = format!(
+        "HTTP/1.1 {status}\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+         x-acaciabank-response-signature: s\r\n{field}content-length: 0\r\n\r\n"
+    );
+    ScriptStep::Send(text.into_bytes())
+}
+
+/// Allows three engines to begin a stream, as version 2 of the configuration.
+async fn allow_three_attempts(fixture: &Fixture, relay: &Relay) {
+    let adjust = |config: &mut serde_json::Value| {
+        config["routes"][2]["max_attempts"] = 3.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(relay, 2).await;
+}
+
+/// Guards against a silent engine that works on a stream beside others for too long because the
+/// first engine that takes the stream over fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_takeover_does_not_prolong_the_overlap() {
+    let (fixture, relay) = start_relay().await;
+    allow_three_attempts(&fixture, &relay).await;
+    let silent = start_engine(&fixture, "d-1", |request| {
+        let comment = ScriptStep::Drip(b": wait\n\n".to_vec(), Duration::from_millis(10));
+        paused_stream(request, comment)
+    });
+    let silent = silent.await;
+    wait_logged(&relay, "target_listed").await;
+    let takeover = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the stream", async || {
+            silent.pouring_connections() > 0
+        })
+        .await;
+        let resumed = Arc::new(AtomicU64::new(0));
+        let script = |resumed: Arc<AtomicU64>| {
+            move |request: &ScriptedRequest| {
+                if resumed.fetch_add(1, Ordering::Relaxed) == 0 {
+                    let work = ScriptStep::Wait(Duration::from_millis(220));
+                    return vec![work, empty_response(request, "500 Failed", "")];
+                }
+                let rest: String = (2..5).map(event).collect();
+                let work = ScriptStep::Wait(Duration::from_secs(1));
+                let text = stream_head(request) + &rest;
+                vec![work, ScriptStep::Send(text.into_bytes()), ScriptStep::Close]
+            }
+        };
+        let others = (
+            start_engine(&fixture, "d-2", script(Arc::clone(&resumed))).await,
+            start_engine(&fixture, "d-3", script(Arc::clone(&resumed))).await,
+        );
+        while resumed.load(Ordering::Relaxed) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let started = Instant::now();
+        while silent.pouring_connections() > 0 && started.elapsed() < TIMEOUT {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        (others, started.elapsed())
+    };
+    let request = relay.request_stream("/resumable/a", "over", 5);
+    let (response, (_others, overlap)) = tokio::join!(request, takeover);
+    let response = response.expect("a complete response");
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    assert!(overlap < MAX_OVERLAP, "{overlap:?}");
+}
