--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -12,7 +12,7 @@
 };
 
 use acaciabank_core::{load_shed, outlier};
-use acaciabank_protocol::reason::RetryReason;
+use acaciabank_protocol::{reason::RetryReason, verdict::Verdict};
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{Either, Full, StreamBody};
@@ -151,8 +151,11 @@
         match starter.step(state, request, progress, last_event).await {
             Ok(Some(started)) => return Ok(started),
             Ok(None) => {}
-            // An engine's own error response says more than a refusal.
-            Err(refusal) => return starter.failed_response.ok_or(refusal),
+            Err(refusal) => {
+                attempt::cancel_retry(state, request, progress);
+                // An engine's own error response says more than a refusal.
+                return starter.failed_response.ok_or(refusal);
+            }
         }
     }
 }
@@ -221,11 +224,13 @@
             result = run_attempt(state, request, plan, handle, last_event) => result,
             () = attempt::wait_replaceable(state, request, time, has_other) => {
                 state.record_outcome(&plan.decode, outlier::TargetOutcome::Failed);
-                Err(AttemptFailure::timeout(request))
+                Err(AttemptFailure::replaced(request))
             }
         };
         attempt::record_call(state, request, progress, kind, &result);
-        request.sent.end();
+        let failure = result.as_ref().err();
+        let verdict = failure.map_or(Verdict::MayHaveRun, |failure| failure.verdict);
+        request.sent.end(verdict);
         let failure = match result {
             Ok(StreamStart::ErrorResponse(response, status))
                 if status.is_server_error() && request.route.kind.is_repeatable() =>
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{refusal::RefusalResponse, unread};
-use crate::{config, platform, state, telemetry::RefusalCause};
+use crate::{config, connection, platform, state, telemetry::RefusalCause};
 
 /// Time before the caller's deadline at which the final response is sent, for its way to the
 /// caller.
@@ -50,7 +50,7 @@
     pub shared_keys: Vec<u64>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
-    /// Attempt that a target is working on.
+    /// Since when targets may be running it.
     pub sent: SentSignal,
     _active: state::ActiveGuard,
 }
@@ -71,8 +71,9 @@
         let timeout = arrival + Duration::from_millis(route.timeout_ms);
         let deadline =
             timeout.min(caller_deadline - RESPONSE_MARGIN.min(caller_deadline - arrival));
-        let (head, body) = request.into_parts();
-        let body = read_body(body, &config.limits, deadline).await?;
+        let (mut head, body) = request.into_parts();
+        let guard = head.extensions.remove();
+        let body = read_body(body, guard, &config.limits, deadline).await?;
         let service = route.pick_service(rand::random());
         let service = service.ok_or(RefusalResponse::not_run(RefusalCause::NoTarget))?;
         let parts = metadata
@@ -153,6 +154,7 @@
 
 async fn read_body(
     mut body: Incoming,
+    guard: Option<connection::BodyGuard>,
     limits: &config::CallerLimits,
     deadline: Instant,
 ) -> Result<Bytes, RefusalResponse> {
@@ -160,7 +162,7 @@
     match tokio::time::timeout_at(deadline.into(), collect).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            unread::discard_rest(body, Some(limits));
+            unread::discard_rest(body, guard, Some(limits));
             Err(RefusalResponse::not_run(RefusalCause::BodyTooLarge))
         }
         Ok(Err(error)) => {
@@ -180,28 +182,48 @@
     hasher.digest()
 }
 
-/// Time at which the current attempt was sent to a target that may run it.
+/// Times at which attempts were sent to targets that may run the request.
+#[derive(Clone, Copy, Debug, Default)]
+struct SentTimes {
+    /// Time at which the current attempt was sent.
+    current: Option<Instant>,
+    /// Time at which the first attempt was sent that has ended and may have run.
+    ended_run: Option<Instant>,
+}
+
+/// Since when targets may be running the request.
 #[derive(Debug, Default)]
-pub struct SentSignal(watch::Sender<Option<Instant>>);
+pub struct SentSignal(watch::Sender<SentTimes>);
 
 impl SentSignal {
     /// Records that an attempt is being sent.
     pub fn start(&self) {
-        self.0.send_replace(Some(Instant::now()));
+        self.0
+            .send_modify(|times| times.current = Some(Instant::now()));
+    }
+
+    /// Records that the attempt has ended.
+    pub fn end(&self, verdict: Verdict) {
+        self.0.send_modify(|times| {
+            let ended = times.current.take();
+            if verdict != Verdict::NotRun {
+                times.ended_run = times.ended_run.or(ended);
+            }
+        });
     }
 
-    /// Records that the attempt has ended; returns whether one had been sent.
-    pub fn end(&self) -> bool {
-        self.0.send_replace(None).is_some()
+    /// Forgets all attempts; returns whether one was under way.
+    pub fn clear(&self) -> bool {
+        self.0.send_replace(SentTimes::default()).current.is_some()
     }
 
-    /// Waits until an attempt has been under way for this long.
+    /// Waits until this time has passed since the first attempt was sent that was not refused.
     pub async fn wait_elapsed(&self, time: Duration) {
         let mut sent = self.0.subscribe();
         loop {
-            let since = *sent.borrow_and_update();
+            let times = *sent.borrow_and_update();
             let elapsed = async {
-                match since {
+                match times.ended_run.or(times.current) {
                     Some(since) => tokio::time::sleep_until((since + time).into()).await,
                     None => std::future::pending().await,
                 }
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -1,7 +1,13 @@
 //! Requests that were accepted and must be answered: around silent engines, changes of the
 //! configuration, refusals before the body has been read and stops.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use acaciabank_testbed::{
     harness,
@@ -443,6 +449,59 @@
     }
 }
 
+/// Applies an idle timeout of half a second, as version 2 of the configuration.
+async fn shorten_idle_timeout(fixture: &Fixture, relay: &Relay) {
+    let adjust = |config: &mut serde_json::Value| {
+        config["limits"]["idle_timeout_ms"] = 500.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(relay, 2).await;
+}
+
+/// Guards against a connection that is closed by the idle timeout while its caller sends the body
+/// of a refused request, or sooner after that body than the caller may reuse it.
+#[tokio::test]
+async fn a_slow_body_of_a_refused_request_keeps_its_connection() {
+    let (fixture, _runner, relay) = start_serving().await;
+    shorten_idle_timeout(&fixture, &relay).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let head = request_text("/unknown/a", "refused", "content-length: 6");
+    caller.write_all(head.as_bytes()).await.expect("a write");
+    read_until(&mut caller, " 404 ").await;
+    for byte in b"notice" {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        caller.write_all(&[*byte]).await.expect("a write");
+    }
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    let _ = caller.try_read(&mut [0; 1_024]);
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+}
+
+/// Guards against a stream that is cut by the idle timeout because its caller has sent the next
+/// request and the engine is silent for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_an_idle_timeout_beside_the_next_request() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let script = |request: &ScriptedRequest| paused_stream(request, ScriptStep::Wait(SILENCE));
+    let _engine = start_engine(&fixture, "d-1", script).await;
+    relay.wait_streaming("/stream/a", 5).await;
+    shorten_idle_timeout(&fixture, &relay).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let fields = "x-acaciabank-model: m\r\nx-acaciabank-token-count: 2000,5\r\n\
+                  x-acaciabank-prompt-prefix: aa:1500,bb:500\r\ncontent-length: 0";
+    let stream = request_text("/stream/a", "stream", fields);
+    caller.write_all(stream.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "token 1").await;
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    let text = read_until(&mut caller, "next:notice").await;
+    assert!(text.contains("token 4"), "{text}");
+}
+
 /// Guards against a stop that is delayed to the end of its grace period by idle connections: one
 /// without a request, one after a request and one with a part of a head.
 #[tokio::test]
@@ -517,3 +576,130 @@
     assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
     assert!(engine.request_count() > 0);
 }
+
+/// Guards against silent engines that are given up by more requests than retries are left in the
+/// budget: those without a retry would be refused although their engine is sound.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_more_silent_streams_are_given_up_than_retries_are_left() {
+    const STREAMS: usize = 8;
+
+    let retries = Arc::new(AtomicU64::new(0));
+    let mut fixture = Fixture::start().await;
+    // A relay uses four fifths of the budget: two retries for eight requests.
+    fixture.retry_budget_ratio = 0.35;
+    fixture.write_config(1, |_| {}).await;
+    let relay = fixture.start_relay(&[]).await;
+    wait_listening(&relay).await;
+    let answer = |request: &ScriptedRequest, silence: Duration| {
+        let events: String = (0..5).map(event).collect();
+        let text = stream_head(request) + &events;
+        vec![
+            ScriptStep::Wait(silence),
+            ScriptStep::Send(text.into_bytes()),
+            ScriptStep::Close,
+        ]
+    };
+    let silent = start_engine(&fixture, "d-1", move |request| {
+        answer(request, Duration::from_secs(6))
+    });
+    let silent = silent.await;
+    wait_logged(&relay, "target_listed").await;
+    let requests = futures::future::join_all((0..STREAMS).map(|number| {
+        let relay = &relay;
+        async move {
+            let attempt = format!("silent-{number}");
+            relay.request_stream("/resumable/a", &attempt, 5).await
+        }
+    }));
+    let other = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the streams", async || {
+            silent.request_count() == STREAMS as u64
+        })
+        .await;
+        // All streams may be given up when the other engine is listed.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        let retries = Arc::clone(&retries);
+        start_engine(&fixture, "d-2", move |request| {
+            retries.fetch_add(1, Ordering::Relaxed);
+            answer(request, Duration::ZERO)
+        })
+        .await
+    };
+    let (responses, _other) = tokio::join!(requests, other);
+    for response in responses {
+        let response = response.expect("a response");
+        let body = String::from_utf8_lossy(&response.body);
+        assert_eq!(response.status, 200, "{body}");
+        assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    }
+    assert_eq!(retries.load(Ordering::Relaxed), 2);
+}
+
+/// A response without events that an engine sends: a refusal that runs nothing, or a failure.
+fn empty_response(request: &ScriptedRequest, status: &str, field: &str) -> ScriptStep {
+    let attempt = request.header("x-acaciabank-attempt-id");
+    let text = format!(
+        "HTTP/1.1 {status}\r\nx-acaciabank-attempt-id: {attempt}\r\n\
+         x-acaciabank-response-signature: s\r\n{field}content-length: 0\r\n\r\n"
+    );
+    ScriptStep::Send(text.into_bytes())
+}
+
+/// Allows three engines to begin a stream, as version 2 of the configuration.
+async fn allow_three_attempts(fixture: &Fixture, relay: &Relay) {
+    let adjust = |config: &mut serde_json::Value| {
+        config["routes"][2]["max_attempts"] = 3.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(relay, 2).await;
+}
+
+/// Guards against a silent engine that works on a stream beside others for too long because the
+/// first engine that takes the stream over fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_takeover_does_not_prolong_the_overlap() {
+    let (fixture, relay) = start_relay().await;
+    allow_three_attempts(&fixture, &relay).await;
+    let silent = start_engine(&fixture, "d-1", |request| {
+        let comment = ScriptStep::Drip(b": wait\n\n".to_vec(), Duration::from_millis(10));
+        paused_stream(request, comment)
+    });
+    let silent = silent.await;
+    wait_logged(&relay, "target_listed").await;
+    let takeover = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the stream", async || {
+            silent.pouring_connections() > 0
+        })
+        .await;
+        let resumed = Arc::new(AtomicU64::new(0));
+        let script = |resumed: Arc<AtomicU64>| {
+            move |request: &ScriptedRequest| {
+                if resumed.fetch_add(1, Ordering::Relaxed) == 0 {
+                    let work = ScriptStep::Wait(Duration::from_millis(220));
+                    return vec![work, empty_response(request, "500 Failed", "")];
+                }
+                let rest: String = (2..5).map(event).collect();
+                let work = ScriptStep::Wait(Duration::from_secs(1));
+                let text = stream_head(request) + &rest;
+                vec![work, ScriptStep::Send(text.into_bytes()), ScriptStep::Close]
+            }
+        };
+        let others = (
+            start_engine(&fixture, "d-2", script(Arc::clone(&resumed))).await,
+            start_engine(&fixture, "d-3", script(Arc::clone(&resumed))).await,
+        );
+        while resumed.load(Ordering::Relaxed) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let started = Instant::now();
+        while silent.pouring_connections() > 0 && started.elapsed() < TIMEOUT {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        (others, started.elapsed())
+    };
+    let request = relay.request_stream("/resumable/a", "over", 5);
+    let (response, (_others, overlap)) = tokio::join!(request, takeover);
+    let response = response.expect("a complete response");
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+    assert!(overlap < MAX_OVERLAP, "{overlap:?}");
+}
