Try a refused prompt part after a while

What callers would see: a sound part that was in three crashes without an answer between them, for example at a service with one engine that was killed three times, stayed refused for ten minutes, because no request with it ran that could have shown it to be sound.

Change: the daemon of the first rank lets one request with a refused part run when the last crash and the last trial are a minute ago, and then after twice as long each time. An answer clears the part, a crash ends the trial. Within the ten minutes for which a part is suspected that makes three trials at the most.

Test: core part_suspects::a_refused_part_is_tried_after_a_while. No test with processes, which would take a minute.

--- a/crates/core/src/suspect/parts.rs
+++ b/crates/core/src/suspect/parts.rs
@@ -17,6 +17,11 @@
 pub const REFUSE_MIN_PART_CRASHES: usize = 3;
 /// The same for a part that was answered earlier, which is less likely to crash targets.
 pub const REFUSE_MIN_ANSWERED_CRASHES: usize = 5;
+/// Time without a crash after which one request with a refused part is tried; it doubles with each
+/// trial. Without trials nothing would show that a part is sound, as no request with it runs.
+const TRIAL_DELAY_MS: u64 = 60_000;
+/// Number of times that [`TRIAL_DELAY_MS`] doubles; suspects expire sooner than that.
+const MAX_TRIAL_DOUBLINGS: u32 = 8;
 /// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails. Their parts must
 /// not fill a generation of [`MAX_STARTS`].
 const MAX_CRASHES: usize = 128;
@@ -117,6 +122,8 @@
     /// Crashes in the order in which they were seen.
     crashes: Vec<SeenCrash>,
     starts: StartTable,
+    /// Number of trials and time of the last one, by refused part.
+    trials: HashMap<u64, (u32, u64)>,
 }
 
 impl PartSuspects {
@@ -154,6 +161,26 @@
         refused.min_by_key(|part| self.starts.last_ms(*part))
     }
 
+    /// Whether a request with a refused part may run as a trial: its last crash and its last trial
+    /// are long ago. Records the trial if so. One daemon at a time should ask.
+    pub fn try_part(&mut self, part: u64, now_ms: u64) -> bool {
+        let (count, last_ms) = self.trials.get(&part).copied().unwrap_or_default();
+        let last_ms = last_ms.max(self.last_crash_ms(part));
+        let delay_ms = TRIAL_DELAY_MS << count.min(MAX_TRIAL_DOUBLINGS);
+        if now_ms.saturating_sub(last_ms) < delay_ms {
+            return false;
+        }
+        self.trials.insert(part, (count + 1, now_ms));
+        true
+    }
+
+    /// Returns the time of the last crash that a part was seen in; 0 if there is none.
+    pub fn last_crash_ms(&self, part: u64) -> u64 {
+        let crashes = self.crashes.iter().rev();
+        let mut crashes = crashes.filter(|crash| crash.parts.contains(&part));
+        crashes.next().map_or(0, |crash| crash.seen_ms)
+    }
+
     /// Whether a request with the given parts is refused for one of them: it was seen in enough
     /// crashes, and it explains them better than each other suspect that the request does not have.
     fn is_refused(&self, part: u64, parts: &[u64], crashes: &[OpenCrash<'_>]) -> bool {
@@ -208,6 +235,9 @@
     /// Removes expired crashes and returns the others, the newest first.
     pub fn export_crashes(&mut self, now_ms: u64) -> Vec<PartCrashRecord> {
         self.crashes.retain(|crash| is_recent(crash, now_ms));
+        let crashes = &self.crashes;
+        self.trials
+            .retain(|part, _| crashes.iter().any(|crash| crash.parts.contains(part)));
         let newest_first = self.crashes.iter().rev();
         newest_first
             .map(|crash| PartCrashRecord {
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -75,6 +75,23 @@
     assert_eq!(suspects.refused_part(&[CRASHING], 5_000), Some(CRASHING));
 }
 
+/// Guards against a sound part that stays refused because no request with it runs, and against
+/// trials that crash one target after the other.
+#[test]
+fn a_refused_part_is_tried_after_a_while() {
+    let mut suspects = PartSuspects::default();
+    crash_in_a_row(&mut suspects, &[FIRST], 1_000);
+    assert_eq!(suspects.refused_part(&[FIRST], 4_000), Some(FIRST));
+    assert!(!suspects.try_part(FIRST, 50_000));
+    assert!(suspects.try_part(FIRST, 70_000));
+    assert!(!suspects.try_part(FIRST, 70_001));
+    crash(&mut suspects, &[FIRST], 9, 70_100);
+    assert!(!suspects.try_part(FIRST, 170_000));
+    assert!(suspects.try_part(FIRST, 200_000));
+    suspects.record_start(&[FIRST], 200_100);
+    assert_eq!(suspects.refused_part(&[FIRST], 200_200), None);
+}
+
 /// Guards against a service of one target, at which a crashing part is never told from the parts of
 /// requests that waited at an earlier crash.
 #[test]
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -1,6 +1,9 @@
 //! An accepted request and the progress of its attempts.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 use acaciabank_core::{budget, load_shed, prefix};
 use acaciabank_protocol::verdict::Verdict;
@@ -48,6 +51,8 @@
     pub parts: Vec<prefix::PromptPart>,
     /// Keys of the parts that other requests may share: all but the last one.
     pub shared_keys: Vec<u64>,
+    /// Time by [`crate::clock::now_ms`] at which it was let through as a trial of a refused part.
+    pub trial_ms: Cell<Option<u64>>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
     /// Since when targets may be running it.
@@ -89,6 +94,7 @@
         let shared = prefix::shared_parts(&parts).iter();
         Ok(Self {
             shared_keys: shared.map(|part| part.key).collect(),
+            trial_ms: Cell::new(None),
             id: metadata.attempt_id.clone().unwrap_or_default(),
             service: service.to_owned(),
             route: route.clone(),
--- a/crates/relay/src/dispatch/suspects.rs
+++ b/crates/relay/src/dispatch/suspects.rs
@@ -9,7 +9,7 @@
 use acaciabank_protocol::verdict::Verdict;
 
 use super::{refusal::RefusalResponse, request::RelayRequest};
-use crate::{clock, connection, platform, state, target, telemetry::RefusalCause};
+use crate::{clock, connection, platform, scheduler, state, target, telemetry::RefusalCause};
 
 /// Timeout of the connection attempt that tells whether a target has crashed.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
@@ -18,7 +18,7 @@
 
 /// Refuses a request that targets have crashed on, or that has a prompt part on which they have.
 /// `verdict` is that of the attempts so far.
-pub fn check<Codec, Store>(
+pub fn check<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
     verdict: Verdict,
@@ -36,17 +36,42 @@
     if status == suspect::SuspectStatus::Refused {
         return refuse(RefusalCause::CrashSuspect);
     }
-    let suspects = state.part_suspects.borrow();
-    match suspects.refused_part(&request.shared_keys, now_ms) {
-        Some(part) => {
-            let position = request.shared_keys.iter().position(|key| *key == part);
-            let ids = request.shared_part_ids();
-            let part_id = position.map_or("", |position| ids[position]);
-            log::info!(id = request.id.as_str(), part = part_id; "part_refused");
-            refuse(RefusalCause::CrashPart)
-        }
-        None => Ok(()),
+    let refused = state
+        .part_suspects
+        .borrow()
+        .refused_part(&request.shared_keys, now_ms);
+    let Some(part) = refused else {
+        return Ok(());
+    };
+    let position = request.shared_keys.iter().position(|key| *key == part);
+    let ids = request.shared_part_ids();
+    let part_id = position.map_or("", |position| ids[position]);
+    if is_trial(state, request, part, now_ms) {
+        log::info!(id = request.id.as_str(), part = part_id; "part_tried");
+        return Ok(());
+    }
+    log::info!(id = request.id.as_str(), part = part_id; "part_refused");
+    refuse(RefusalCause::CrashPart)
+}
+
+/// Whether a request runs as a trial of a refused part. Only the daemon of the first rank makes
+/// trials, so that there is one at a time. A trial ends with the next crash.
+fn is_trial<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    part: u64,
+    now_ms: u64,
+) -> bool {
+    let mut suspects = state.part_suspects.borrow_mut();
+    if let Some(trial_ms) = request.trial_ms.get() {
+        return suspects.last_crash_ms(part) < trial_ms;
+    }
+    let is_first = scheduler::own_rank(state, now_ms) == 0;
+    let is_trial = is_first && suspects.try_part(part, now_ms);
+    if is_trial {
+        request.trial_ms.set(Some(now_ms));
     }
+    is_trial
 }
 
 /// A request whose connection broke before the target sent any output of it.
