Examine plain services and prompt calls for a crash after the response head

What callers would see: a request that crashes the instances of a plain service after their response head, or engines while its prompt is processed, is not attributed, as it was with streams.

Change: a body that breaks off is examined for a crash like a stream that does. No test of its own.

--- a/crates/relay/src/dispatch/generate/kv_handle.rs
+++ b/crates/relay/src/dispatch/generate/kv_handle.rs
@@ -16,6 +16,7 @@
         attempt::{self, AttemptFailure},
         engines,
         request::RelayRequest,
+        suspects,
     },
     platform, state, target,
     telemetry::RefusalCause,
@@ -90,6 +91,7 @@
         verdict: Verdict::NotRun,
         ..failure
     };
+    let sent_ms = clock::now_ms();
     let response = attempt::exchange(state, request, engine, &metadata, deadline)
         .await
         .map_err(not_run)?;
@@ -126,6 +128,7 @@
         }
         Err(error) => {
             record(outlier::TargetOutcome::Failed);
+            suspects::confirm_crash(state, request, engine, sent_ms);
             Err(failed(&format!(
                 "cannot read the prefill response: {error:?}"
             )))
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -15,7 +15,7 @@
     request::{RelayRequest, RequestProgress},
     selection, suspects,
 };
-use crate::{connection, platform, state, target, telemetry};
+use crate::{clock, connection, platform, state, target, telemetry};
 
 /// Share of the target latency after which an attempt at a target is abandoned if the request may
 /// be retried and another target accepts it, so that the other one can still respond in time.
@@ -105,6 +105,7 @@
         deadline_ms: request.remaining_ms(),
         ..platform::ForwardMetadata::default()
     };
+    let sent_ms = clock::now_ms();
     let response = attempt::exchange(state, request, target, &metadata, deadline).await?;
     let is_signed = response.metadata.signed;
     let collected = response.collect(&state.response_buffers, deadline).await;
@@ -126,6 +127,7 @@
         Err(error @ connection::BodyError::OutOfMemory) => Err(AttemptFailure::broken(error)),
         Err(error) => {
             record(outlier::TargetOutcome::Failed);
+            suspects::confirm_crash(state, request, target, sent_ms);
             Err(AttemptFailure::broken(error))
         }
     }
