Keep what a later break needs after a takeover that was not made

What callers would see: a stream whose engine was silent, was kept and breaks later is cut although another engine could go on with it.

Cause: of a takeover after which the silent engine was kept, three things stayed: an engine that responded with a server's error counted as two runs and used up `max_attempts`; engines that refused stayed excluded for the rest of the stream; and refused calls counted against the limit of calls, so that after four of them a break was not followed by any attempt.

Change: a server's error is counted once, when its retry is decided. Targets that refused may be selected again. Calls of takeovers that ran nothing are counted apart, with the same limit for all takeovers of a stream.

Why it works: a refusal says that the engine is full at that moment, and starts a short back-off of its own. The separate count still bounds the calls, each of which is charged to the retry budget, and leaves the calls of a real break alone.

Run: the new tests for the error and for a single refusal failed on the code before; the one for four refusals failed in a trial without the separate count.

--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -352,6 +352,9 @@
     );
     progress.verdict = progress.verdict.combine(failure.verdict);
     progress.excluded.push(target.hash);
+    if failure.retry == RetryReason::TargetRefused {
+        progress.refused.push(target.hash);
+    }
     progress.runs += u32::from(failure.verdict != Verdict::NotRun);
     let is_expired = request.remaining().is_zero();
     let refuse = |cause| {
--- a/crates/relay/src/dispatch/generate/takeover.rs
+++ b/crates/relay/src/dispatch/generate/takeover.rs
@@ -62,7 +62,7 @@
         progress.verdict = progress.verdict.combine(Verdict::MayHaveRun);
         progress.excluded.push(silent_hash);
         progress.runs += 1;
-        if progress.sends >= attempt::MAX_REFUSALS + progress.runs {
+        if progress.takeover_sends >= attempt::MAX_REFUSALS {
             return TakeoverEnd::Kept(stream);
         }
         self.request.sent.clear();
@@ -81,8 +81,7 @@
                 return TakeoverEnd::Failed(Err(refusal));
             }
             TakeoverEvent::Started(started, Some(stream)) => {
-                // An engine that responded with an error has run the request.
-                progress.runs += u32::from(started.is_ok());
+                progress.runs += u32::from(is_uncounted_run(&started));
                 stream
             }
             TakeoverEvent::Resumed(mut stream, events) => {
@@ -94,13 +93,20 @@
             }
         };
         // The engine has not failed: it still runs the request.
-        progress.runs -= 1;
-        progress.excluded.retain(|hash| *hash != silent_hash);
-        *self.progress = progress;
+        *self.progress = progress.after_kept(silent_hash, self.progress);
         TakeoverEnd::Kept(kept)
     }
 }
 
+/// Whether the attempts ended with a run that is not counted yet: a response with an error that is
+/// not retried. A server's error is retried, and counted when that is decided.
+fn is_uncounted_run(started: &Result<StreamStart, RefusalResponse>) -> bool {
+    match started {
+        Ok(StreamStart::ErrorResponse(_, status)) => !status.is_server_error(),
+        Ok(StreamStart::Open(..)) | Err(_) => false,
+    }
+}
+
 /// Waits until the silent stream goes on or the attempts at other engines end. The silent stream is
 /// dropped, which closes its connection, when it breaks or when another engine works on the
 /// request.
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -246,10 +246,32 @@
     pub runs: u32,
     /// Number of calls made to run the request, including refused ones.
     pub sends: u32,
+    /// Number of calls that were made for takeovers and ran nothing, after which the silent engine
+    /// was kept. They are not part of `sends`.
+    pub takeover_sends: u32,
     /// Calls that count against the retry budget.
     pub ledger: budget::CallLedger,
     /// Hashes of the targets that failed the request and are not selected again.
     pub excluded: Vec<u64>,
+    /// Hashes of the excluded targets that refused the request without running it.
+    pub refused: Vec<u64>,
+}
+
+impl RequestProgress {
+    /// Returns the progress after a takeover whose silent target, `silent_hash`, is kept. `self` is
+    /// the progress with that target counted as failed, and `before` the one before the takeover.
+    pub fn after_kept(mut self, silent_hash: u64, before: &Self) -> Self {
+        self.runs -= 1;
+        let runs = self.runs - before.runs;
+        let not_run = (self.sends - before.sends).saturating_sub(runs);
+        self.sends -= not_run;
+        self.takeover_sends += not_run;
+        // A target that refused may run the request later, when the kept one breaks.
+        let refused = std::mem::take(&mut self.refused);
+        self.excluded
+            .retain(|hash| *hash != silent_hash && !refused.contains(hash));
+        self
+    }
 }
 
 impl Default for RequestProgress {
@@ -258,8 +280,10 @@
             verdict: Verdict::NotRun,
             runs: 0,
             sends: 0,
+            takeover_sends: 0,
             ledger: budget::CallLedger::default(),
             excluded: Vec::new(),
+            refused: Vec::new(),
         }
     }
 }
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -703,3 +703,124 @@
     assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
     assert!(overlap < MAX_OVERLAP, "{overlap:?}");
 }
+
+/// A stream whose engine is silent after the second event, goes on with the third one and breaks
+/// half a second later.
+fn breaking_stream(request: &ScriptedRequest, silence: Duration) -> Vec<ScriptStep> {
+    let head = stream_head(request).replace(
+        "connection: close",
+        // The end of the connection is not the end of such a response.
+        "content-length: 100000",
+    );
+    let start = head + &event(0) + &event(1);
+    vec![
+        ScriptStep::Send(start.into_bytes()),
+        ScriptStep::Wait(silence),
+        ScriptStep::Send(event(2).into_bytes()),
+        ScriptStep::Wait(Duration::from_millis(700)),
+        ScriptStep::Close,
+    ]
+}
+
+/// How the engines beside a silent one behave.
+struct KeptCase {
+    /// Time for which the first engine is silent.
+    silence: Duration,
+    /// Status and fields of the second engine's first responses.
+    response: (&'static str, &'static str),
+    /// Number of these responses, after which the second engine goes on with the stream.
+    count: u64,
+    /// Whether a third engine is added after the second one's first response.
+    has_third: bool,
+}
+
+/// Requests a stream from an engine that is silent and breaks later. The stream must be complete.
+async fn check_break_after_kept(case: KeptCase) {
+    let (fixture, relay) = start_relay().await;
+    allow_three_attempts(&fixture, &relay).await;
+    let silent = start_engine(&fixture, "d-1", move |request| {
+        breaking_stream(request, case.silence)
+    });
+    let silent = silent.await;
+    wait_logged(&relay, "target_listed").await;
+    let engines = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the stream", async || {
+            silent.request_count() > 0
+        })
+        .await;
+        let resumed = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&resumed);
+        let second = start_engine(&fixture, "d-2", move |request| {
+            let (status, fields) = case.response;
+            match count.fetch_add(1, Ordering::Relaxed) < case.count {
+                true => vec![empty_response(request, status, fields)],
+                false => rest_of_stream(request),
+            }
+        });
+        let second = second.await;
+        while resumed.load(Ordering::Relaxed) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        // Later than the end of the takeover, which waits briefly for a further engine.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let third = match case.has_third {
+            true => Some(start_engine(&fixture, "d-3", rest_of_stream).await),
+            false => None,
+        };
+        (second, third)
+    };
+    let request = relay.request_stream("/resumable/a", "kept", 5);
+    let (response, _engines) = tokio::join!(request, engines);
+    let response = response.expect("a complete response");
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+}
+
+/// The events behind the last one that the caller has.
+fn rest_of_stream(request: &ScriptedRequest) -> Vec<ScriptStep> {
+    let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
+    let rest: String = (last + 1..5).map(event).collect();
+    let text = stream_head(request) + &rest;
+    vec![ScriptStep::Send(text.into_bytes()), ScriptStep::Close]
+}
+
+/// Guards against a stream that is lost at a break because an earlier failed takeover was counted
+/// as two runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_break_after_a_takeover_that_failed() {
+    check_break_after_kept(KeptCase {
+        silence: Duration::from_millis(1_900),
+        response: ("500 Failed", ""),
+        count: 1,
+        has_third: true,
+    })
+    .await;
+}
+
+/// Fields of a refusal by an engine that has run nothing.
+const NOT_RUN_FIELDS: &str = "x-acaciabank-not-executed: 1\r\n";
+
+/// Guards against a stream that is lost at a break because the only other engine refused it once
+/// while its own engine was silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_break_after_a_takeover_that_was_refused() {
+    check_break_after_kept(KeptCase {
+        silence: Duration::from_millis(1_900),
+        response: ("503 Full", NOT_RUN_FIELDS),
+        count: 1,
+        has_third: false,
+    })
+    .await;
+}
+
+/// Guards against a stream that is lost at a break because refused takeovers have used up the calls
+/// that it may make.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_break_after_many_takeovers_that_were_refused() {
+    check_break_after_kept(KeptCase {
+        silence: Duration::from_millis(6_500),
+        response: ("503 Full", NOT_RUN_FIELDS),
+        count: 4,
+        has_third: false,
+    })
+    .await;
+}
