Do not panic on an estimate that is no time

What callers would see: a generation request that ends with neither an answer nor a refusal, as its connection's task panics.

Cause: the time to the first token was converted with `Duration::from_secs_f64`, which panics on negative and infinite values and on values that are not a number. The capacity of the links in a configuration and the placement in a scheduler's datagram enter the estimate unchecked.

Change: the conversion gives the time left until the request's deadline for such a value and for a longer one.

Why it works: the result is a part of a deadline that never is later than the request's own.

The panic was not reproduced in a relay; configurations are still not validated.

--- a/crates/relay/src/clock/mod.rs
+++ b/crates/relay/src/clock/mod.rs
@@ -15,3 +15,11 @@
         }
     }
 }
+
+/// Converts an estimated time in milliseconds to a duration of at most `max`. An estimate that is
+/// negative, not finite or not a number says nothing, and gives `max`: values of a configuration
+/// and of messages enter it unchecked.
+pub fn estimated_duration(time_ms: f64, max: Duration) -> Duration {
+    let duration = Duration::try_from_secs_f64(time_ms / 1_000.0);
+    duration.map_or(max, |duration| duration.min(max))
+}
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -368,7 +368,8 @@
     match may_retry(request, progress) {
         false => request.deadline,
         true => {
-            let expected = Duration::from_secs_f64(2.0 * plan.first_token_ms / 1_000.0);
+            let expected_ms = 2.0 * plan.first_token_ms;
+            let expected = clock::estimated_duration(expected_ms, request.remaining());
             request
                 .deadline
                 .min(Instant::now() + expected + FIRST_EVENT_SLACK)
