Read the rest of a body that is not complete in time

What callers saw: a request whose body is not complete at the timeout of its route is refused, and its connection is closed; a caller that is still sending gets a reset and may lose the refusal.

Cause: the rest of the body was dropped. Only the rest of a body that is too large was read.

Change: the rest is read in the background, with the limits that apply to other refused bodies.

Why it works: hyper keeps the connection when the body ends, and the guard of the body keeps the connection in its request until then.

--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -169,7 +169,10 @@
             log::debug!("cannot read the request body: {error}");
             Err(RefusalResponse::not_run(RefusalCause::BodyIncomplete))
         }
-        Err(_) => Err(RefusalResponse::not_run(RefusalCause::DeadlinePassed)),
+        Err(_) => {
+            unread::discard_rest(body, guard, Some(limits));
+            Err(RefusalResponse::not_run(RefusalCause::DeadlinePassed))
+        }
     }
 }
 
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -317,6 +317,30 @@
     read_until(&mut caller, "next:notice").await;
 }
 
+/// Guards against a caller that loses its connection, and perhaps the refusal, because its body was
+/// not complete at the timeout of the route.
+#[tokio::test]
+async fn a_late_body_is_refused_without_losing_its_connection() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let adjust = |config: &mut serde_json::Value| {
+        config["routes"][1]["timeout_ms"] = 500.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(&relay, 2).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let start = request_text("/once/a", "late", "content-length: 6") + "not";
+    caller.write_all(start.as_bytes()).await.expect("a write");
+    let response = read_until(&mut caller, "deadline_passed").await;
+    assert!(!response.contains("connection: close"), "{response}");
+    caller.write_all(b"ice").await.expect("a write");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let _ = caller.try_read(&mut [0; 1_024]);
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+}
+
 /// Guards against a kept connection that is closed by the idle timeout of an earlier configuration
 /// while callers may still use it.
 #[tokio::test]
