Tell the late refusal of a former run from one of the listed run in the soak

A refusal with Retry-After of the killed process reached the relay 921 ms after the request, 782 ms after the relay had listed the new process. The relay marked the run that had refused, and sent to the new one, which had asked for nothing. The pause belongs to the run, so that this is allowed; the check knew runners by their id alone.

Change: a refusal of a request that was sent before the run in the list was listed begins no pause in the check. All others count as before, which the test of the check shows with both cases.

--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -22,7 +22,8 @@
 use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT, event_ids};
 
 /// Seeds that run by default. A seed that has failed is added here with a comment on the cause.
-const FIXED_SEEDS: [u64; 2] = [1, 2];
+/// 2043: a check that took the late refusal of a runner's former run for one of the listed run.
+const FIXED_SEEDS: [u64; 3] = [1, 2, 2043];
 /// Length of the period in which faults start.
 const FAULT_WINDOW: Duration = Duration::from_secs(6);
 const RELAY_COUNT: usize = 3;
@@ -588,19 +589,39 @@
     until_ms: u64,
 }
 
+/// Whether a log line is about a refusal of a request that was sent before this time.
+fn is_refusal_before(line: &Value, time_ms: u64) -> bool {
+    let ms = line["ms"].as_u64().unwrap_or(0);
+    let sent_ms = ms.saturating_sub(line["elapsed_ms"].as_u64().unwrap_or(0));
+    let is_refusal = line["event"] == "attempt_failed" && line["reason"] == "target_refused";
+    // A later send of a request is not as old as the request.
+    is_refusal && line["send"] == 1 && sent_ms < time_ms
+}
+
 /// Checks by a relay's log that no request that arrived after a runner had stated that it leaves,
-/// or had asked for a pause, was sent to it. A new run of either ends the period.
+/// or had asked for a pause, was sent to it. A new run of either ends the period, and a response of
+/// an earlier run, which a slow link may deliver after the new run is listed, does not begin one.
 fn find_signal_violations(log: &str) -> Vec<String> {
     let mut violations = Vec::new();
     let mut quiet: HashMap<String, QuietPeriod> = HashMap::new();
+    let mut listed: HashMap<String, u64> = HashMap::new();
     let lines = log.lines().map(serde_json::from_str::<Value>);
     for line in lines.flatten() {
         let target = line["target_id"].as_str().unwrap_or_default().to_owned();
         let from_ms = line["ms"].as_u64().unwrap_or(0);
+        let listed_ms = listed.get(&target).copied().unwrap_or(0);
+        if is_refusal_before(&line, listed_ms) {
+            let is_own = |period: &QuietPeriod| period.from_ms + LOG_SLACK_MS >= from_ms;
+            if quiet.get(&target).is_some_and(is_own) {
+                quiet.remove(&target);
+            }
+            continue;
+        }
         match line["event"].as_str().unwrap_or_default() {
             "started" => quiet.clear(),
             "target_listed" => {
                 quiet.remove(&target);
+                listed.insert(target, from_ms);
             }
             "target_leaving" => {
                 let until_ms = u64::MAX;
@@ -811,6 +832,19 @@
     ];
     let violations = find_signal_violations(&log.join("\n"));
     assert_eq!(violations.len(), 2, "{violations:?}");
+    // A refusal by the run before the listed one, and one by the listed run.
+    for (elapsed_ms, expected) in [(900, 0), (10, 1)] {
+        let refused = json!({"ms": 1_800, "event": "attempt_failed", "target_id": "r-2",
+            "reason": "target_refused", "send": 1, "elapsed_ms": elapsed_ms});
+        let log = [
+            line(1_000, "target_listed", "r-2", 0),
+            line(1_800, "target_paused", "r-2", 0),
+            refused.to_string(),
+            line(2_200, "answered", "r-2", 5),
+        ];
+        let violations = find_signal_violations(&log.join("\n"));
+        assert_eq!(violations.len(), expected, "{violations:?}");
+    }
 }
 
 /// Guards against a check that misses requests after the part was known.
