Guard the preference for new parts, and renew the list of injected faults

Read-through: the list of faults injected into the attribution of crashes named one that the review's change had removed, and no test failed without the preference for a part that was never answered.

Change: the test of a part that was answered before also asks for a request without that part. No product code changes.

Run on core part_suspects, each fault injected into the final code: crashes at the same time counted one by one (one test fails), no comparison (four), a new part not preferred (one; none before this commit), an answered part refused as soon as a new one (one), only the request's own record compared (one). Without a fault all seventeen pass.

--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -155,6 +155,8 @@
     suspects.record_start(&[FIRST], 500);
     crash_in_a_row(&mut suspects, &[FIRST, CRASHING], 1_000);
     assert_eq!(suspects.refused_part(&[FIRST], 5_000), None);
+    // The part is also told from the answered one in requests without that one.
+    assert_eq!(suspects.refused_part(&[3, CRASHING], 5_000), Some(CRASHING));
     assert_eq!(
         suspects.refused_part(&[FIRST, CRASHING], 5_000),
         Some(CRASHING)
