Log when the store comes back from an older copy

Callers saw requests at targets that had left, and refusals for lack of targets, after the store had come back from a copy; the log showed only that it was lost and regained. The header with the store's era is read now, and the line store_returned and a counter say when it rises. No decision changes.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -83,7 +83,9 @@
         } else {
             0
         };
-        match state.store.next_config(after, wait_ms).await {
+        let read = state.store.next_config(after, wait_ms).await;
+        state.check_store_era();
+        match read {
             Ok((version, document)) => {
                 backoff.record_success();
                 if after.is_none() && document.is_none() {
@@ -126,7 +128,9 @@
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
-        match state.store.next_targets(after).await {
+        let read = state.store.next_targets(after).await;
+        state.check_store_era();
+        match read {
             Ok(changes) => {
                 backoff.record_success();
                 let version = changes.version;
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -203,6 +203,10 @@
 
 /// The platform's store of configuration, targets, daemons and leases.
 pub trait PlatformStore: 'static {
+    /// Returns the highest era that the store has stated; zero before its first response. The era
+    /// rises when the store comes back from an older copy.
+    fn era(&self) -> u64;
+
     /// Returns the version and, if it is newer than `after`, the configuration. Waits up to
     /// `wait_ms` for a newer one. The first call passes `None`.
     fn next_config(
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -93,6 +93,8 @@
     pub boot_id: u64,
     /// Start of this run by [`crate::clock::now_ms`].
     pub started_ms: u64,
+    /// Highest era of the store that this daemon knows; zero before the store's first response.
+    store_era: Cell<u64>,
     /// Number of other daemons that are registered in the store.
     pub registered_hosts: Cell<usize>,
     /// Signals that another daemon has a newer configuration.
@@ -172,6 +174,7 @@
             report_now: tokio::sync::Notify::new(),
             boot_id: rand::random(),
             started_ms: crate::clock::now_ms(),
+            store_era: Cell::new(0),
             registered_hosts: Cell::new(0),
             newer_config_reported: tokio::sync::Notify::new(),
             recent_parts: RefCell::default(),
@@ -211,6 +214,17 @@
         self.phase.get() == RelayPhase::Serving && self.config.borrow().is_some()
     }
 
+    /// Notices that the store has come back from an older copy since the last call.
+    pub fn check_store_era(&self) {
+        let era = self.store.era();
+        let known = self.store_era.replace(era);
+        if known == 0 || era <= known {
+            return;
+        }
+        log::warn!(era = era, known = known; "store_returned");
+        metrics::counter!("acaciabank_store_returns_total").increment(era - known);
+    }
+
     /// Applies an encoded configuration if it is valid and newer than the one in use; returns
     /// whether it was applied. `source` is where it came from, for the log.
     pub fn apply_config(&self, document: &bytes::Bytes, source: &str) -> bool {
