Have the emulated store come back from a copy

The platform's store may come back from a copy some seconds old; the emulated store could not, so no test showed what relays do then. `/control` takes the action `restore` with the age of the copy: the store goes back to the rows and the version of that moment, gives the lost versions out again, ends waiting feed requests and responds with 410 and its newest version to feeds from a version that it does not have. All responses carry `Store-Era`, which rises by one. What the operator wrote since the copy is written again at once or after `rewrite_delay_ms`, unless it has written that row meanwhile. With `expires_targets`, which is off by default, rows of targets expire after three heartbeat intervals.

The rows are now a module without I/O of its own, as the store had no history of changes.

--- a/crates/testbed/src/emulator/mod.rs
+++ b/crates/testbed/src/emulator/mod.rs
@@ -5,8 +5,9 @@
 //! Each runner records the requests that it ran in a journal; tests check the relay's guarantees
 //! against the journals.
 
+mod rows;
 mod runner;
 mod store;
 
 pub use runner::{RunnerEmulator, RunnerFaults, RunnerOptions};
-pub use store::{StoreEmulator, StoreFaults};
+pub use store::{StoreEmulator, StoreFaults, StoreReturn};
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -19,7 +19,7 @@
 /// Prompt tokens that an emulated engine processes in a millisecond.
 const PREFILL_TOKENS_PER_MS: u64 = 50;
 /// Time between two writes of the runner's entry to the store.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Exit status of a process that a prompt part has crashed.
 const CRASH_STATUS: i32 = 70;
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -114,7 +114,7 @@
 fn run_store(arguments: &[ffi::OsString]) -> i32 {
     let address = parse(listen(), arguments);
     run_server(address, RUN_TO_COMPLETION, |_| {
-        let store = emulator::StoreEmulator::default();
+        let store = emulator::StoreEmulator::start();
         Ok(move |request| store.clone().handle(request))
     })
 }
--- a/crates/testbed/tests/stand_ins/main.rs
+++ b/crates/testbed/tests/stand_ins/main.rs
@@ -6,6 +6,7 @@
 mod platform;
 mod proxy;
 mod service;
+mod store;
 
 use std::{net, time};
 
