Limit the time of an emulated runner's heartbeat

A heartbeat that a silent store had accepted never ended, so the runner wrote its row never again, also after the end of the silence. Rows that a return of the store has lost have to be written again by the runners, and with `expires_targets` a sound runner's row expired after each silence. A heartbeat now ends after one second. `stand_ins store` (6 tests) passes.

--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -20,6 +20,9 @@
 const PREFILL_TOKENS_PER_MS: u64 = 50;
 /// Time between two writes of the runner's entry to the store.
 pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which a runner gives up a heartbeat without a response: a store that was silent for a
+/// while would stop all later ones.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Exit status of a process that a prompt part has crashed.
 const CRASH_STATUS: i32 = 70;
@@ -171,15 +174,15 @@
             let row =
                 json!({"table": "servers", "part": "", "key": self.options.id, "value": value});
             let transaction = json!({"expected_rev": [], "writes": [row], "deletes": []});
-            // Errors are ignored: the next heartbeat writes the entry again.
-            let _ = web::call(
+            let heartbeat = web::call(
                 self.options.store,
                 "POST",
                 "/rows-tx",
                 &[],
                 transaction.to_string(),
-            )
-            .await;
+            );
+            // Errors are ignored: the next heartbeat writes the entry again.
+            let _ = tokio::time::timeout(HEARTBEAT_TIMEOUT, heartbeat).await;
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         }
     }
