Test the lease and the registrations of relays when the store returns from a copy

The rows that relays write themselves are lost like others. Nothing but the store knows the last fencing token, and nobody writes a registration again before the next minute. The check of orders is shared with the tests of the hand-over and now also requires that tokens of one holder never go back.

--- a/crates/testbed/tests/relay/handover.rs
+++ b/crates/testbed/tests/relay/handover.rs
@@ -9,7 +9,7 @@
 
 /// Shortest time between the last order of a lease holder and the first one of its successor that
 /// the platform asks for where engines do not check fencing tokens.
-const MIN_HANDOVER_MS: u64 = 3_000;
+pub const MIN_HANDOVER_MS: u64 = 3_000;
 
 /// How the lease holder stops to act.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,14 +23,14 @@
 
 /// A stage order as an engine received it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ReceivedOrder {
-    unix_ms: u64,
-    holder: String,
-    fence: u64,
+pub struct ReceivedOrder {
+    pub unix_ms: u64,
+    pub holder: String,
+    pub fence: u64,
 }
 
 /// Returns the orders that all engines have received, the first one first.
-async fn received_orders(engines: &[EmulatorProcess]) -> Vec<ReceivedOrder> {
+pub async fn received_orders(engines: &[EmulatorProcess]) -> Vec<ReceivedOrder> {
     let mut orders = Vec::new();
     for engine in engines {
         let entries = engine.journal().await;
@@ -51,7 +51,7 @@
 }
 
 /// Starts engines that decode, so that the lease holder has to order stage changes.
-async fn add_engines(fixture: &Fixture, engines: &mut Vec<EmulatorProcess>) {
+pub async fn add_engines(fixture: &Fixture, engines: &mut Vec<EmulatorProcess>) {
     for _ in 0..4 {
         let id = format!("d-{}", engines.len());
         engines.push(fixture.start_runner(&id, "models", Some("decode")).await);
@@ -59,7 +59,7 @@
 }
 
 /// Waits for an order that fulfils a condition.
-async fn wait_order(
+pub async fn wait_order(
     engines: &[EmulatorProcess],
     description: &str,
     condition: impl Fn(&ReceivedOrder) -> bool,
@@ -75,7 +75,7 @@
 
 /// Waits until a relay holds the lease and returns its index. It sends the first orders 300 ms
 /// later, after the other relays have learned which engines change.
-async fn wait_holder(relays: &[Relay]) -> usize {
+pub async fn wait_holder(relays: &[Relay]) -> usize {
     let mut holder = None;
     harness::wait_until(TIMEOUT, "a relay that holds the lease", async || {
         holder = relays.iter().position(|relay| {
@@ -126,10 +126,16 @@
         order.unix_ms >= successor.unix_ms + MIN_HANDOVER_MS
     })
     .await;
-    let orders = received_orders(&engines).await;
+    check_orders(&received_orders(&engines).await);
+}
+
+/// Checks that orders of two holders are far enough apart, that fencing tokens never go back, and
+/// that no two holders use the same one.
+pub fn check_orders(orders: &[ReceivedOrder]) {
     for pair in orders.windows(2) {
         let [earlier, later] = pair else { continue };
         if earlier.holder == later.holder {
+            assert!(later.fence >= earlier.fence, "{earlier:?} before {later:?}");
             continue;
         }
         let pause_ms = later.unix_ms - earlier.unix_ms;
