--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -132,6 +132,17 @@
         assert_eq!(response.expect("a response").status, 200);
     }
 
+    /// Returns the state in the store's entry of a target; `None` without one.
+    pub async fn target_state(&self, id: &str) -> Option<String> {
+        let path = format!("/rows-get?table=servers&part=&from={id}&limit=1");
+        let response = web::call(self.store.address, "GET", &path, &[], "").await;
+        let body = response.ok()?.json();
+        let row = body["rows"].get(0).filter(|row| row["key"] == id)?;
+        let value = base64::engine::general_purpose::STANDARD.decode(row["value"].as_str()?);
+        let entry: Value = serde_json::from_slice(&value.ok()?).ok()?;
+        entry["state"].as_str().map(str::to_owned)
+    }
+
     /// Like [`start_runner`](Self::start_runner), on the given address.
     pub async fn start_runner_at(
         &self,
--- a/crates/testbed/tests/relay/returns/mod.rs
+++ b/crates/testbed/tests/relay/returns/mod.rs
@@ -151,6 +151,8 @@
     attempts: Arc<Mutex<Vec<String>>>,
     /// Number of the last write of its row.
     sequence: Cell<u64>,
+    /// Start time in its row.
+    born_ms: Cell<u64>,
 }
 
 impl RecordedTarget {
@@ -177,6 +179,7 @@
             target: target.await.expect("a target"),
             attempts,
             sequence: Cell::new(0),
+            born_ms: Cell::new(1),
         }
     }
 
@@ -191,13 +194,19 @@
         self.sequence.set(self.sequence.get() + 1);
         let entry = json!({
             "service": "ledger", "address": self.target.address, "zone": "zone-a", "slots": 64,
-            "seq": self.sequence.get(), "born": 1, "state": state,
+            "seq": self.sequence.get(), "born": self.born_ms.get(), "state": state,
         });
         let value = base64::engine::general_purpose::STANDARD.encode(entry.to_string());
         let row = json!({"table": "servers", "part": "", "key": self.id, "value": value});
         transact(fixture, json!({"writes": [row]})).await;
     }
 
+    /// Begins a new run of the target, which writes its row from the start.
+    fn restart(&self) {
+        self.born_ms.set(self.born_ms.get() + 1);
+        self.sequence.set(0);
+    }
+
     fn has_run(&self, prefix: &str) -> bool {
         let attempts = self.attempts.lock().expect("attempts lock");
         attempts.iter().any(|attempt| attempt.starts_with(prefix))
--- a/crates/testbed/tests/relay/returns/targets.rs
+++ b/crates/testbed/tests/relay/returns/targets.rs
@@ -190,6 +190,30 @@
     send_until(REWRITE_TIME + 2 * CHANGE_BOUND).await;
 }
 
+/// Guards against targets that are not used because they were added after a return, at a version
+/// below those that relays know.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_is_added_after_a_return_is_used() {
+    let returned = ReturnedFleet::start(Fixture::start().await).await;
+    returned.restore().await;
+    let fixture = &returned.fleet.fixture;
+    let added = RecordedTarget::start_ready(fixture, "added").await;
+    added.wait_used(&returned.fleet.relays).await;
+}
+
+/// Guards against a new run of a target that is not used because the former one drained in the lost
+/// time, at a version above that of the new row.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_starts_again_after_a_return_is_used() {
+    let returned = ReturnedFleet::start(Fixture::start().await).await;
+    returned.check_drain().await;
+    returned.restore().await;
+    let (fleet, target) = (&returned.fleet, &returned.target);
+    target.restart();
+    target.write_row(&fleet.fixture, "ready").await;
+    target.wait_used(&fleet.relays).await;
+}
+
 /// Guards against requests to a target that drained in the lost time and is ready in the copy.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_drained_in_the_lost_time_gets_no_requests() {
--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -12,7 +12,7 @@
 };
 
 use acaciabank_testbed::{
-    harness,
+    harness, journal,
     proxy::{FaultKind, LinkFault},
     web,
 };
@@ -25,7 +25,8 @@
 /// 2043: a check that took the late refusal of a runner's former run for one of the listed run.
 const FIXED_SEEDS: [u64; 3] = [1, 2, 2043];
 /// Seeds that run by default with returns of the store; kept like [`FIXED_SEEDS`].
-const RETURN_SEEDS: [u64; 2] = [3, 4];
+/// 4 and 9: relays that ignored the versions after a return sent requests to a draining runner.
+const RETURN_SEEDS: [u64; 2] = [4, 9];
 /// Changes a seed so that the returns of the store are drawn from other numbers than the faults and
 /// the crashing requests.
 const RETURN_SALT: u64 = 0x7265_7475_726e;
@@ -33,6 +34,18 @@
 const COPY_AGES_MS: std::ops::Range<u64> = 1_000..6_000;
 /// Longest time after a return until the operator writes again what was lost, in milliseconds.
 const MAX_REWRITE_DELAY_MS: u64 = 1_500;
+/// Age of the copy of the last return, in milliseconds: its lost versions take as long to be given
+/// out again, more than the drain after it lasts.
+const LAST_COPY_AGE_MS: u64 = 6_000;
+/// Start of the last return: all faults that a schedule draws have ended.
+const LAST_RETURN: Duration = Duration::from_secs(8);
+/// Time from the end of the last return to the start of the drain after it.
+const DRAIN_DELAY: Duration = Duration::from_millis(200);
+/// Duration of the drain after the last return.
+const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// Time after the store's acknowledgement from which a draining runner gets no request, in
+/// milliseconds (users' rule).
+const DRAIN_BOUND_MS: u64 = 2_000;
 /// Length of the period in which faults start.
 const FAULT_WINDOW: Duration = Duration::from_secs(6);
 const RELAY_COUNT: usize = 3;
@@ -91,6 +104,8 @@
         age_ms: u64,
         rewrite_delay_ms: u64,
     },
+    /// A runner drains while nothing else fails, so that it gets no request from the bound on.
+    DrainRunner(usize),
 }
 
 /// Link faults that a schedule draws from.
@@ -168,7 +183,8 @@
     planned
 }
 
-/// Adds returns of the store to the schedule of a seed, without a change of its faults.
+/// Adds returns of the store to the schedule of a seed, without a change of its faults, and a return
+/// with a drain of a plain runner after them.
 fn schedule_with_returns(seed: u64) -> Vec<PlannedFault> {
     let mut rng = rngs::StdRng::seed_from_u64(seed ^ RETURN_SALT);
     let mut planned = schedule(seed);
@@ -182,6 +198,21 @@
         planned.push(PlannedFault { start, end, fault });
         start = end + Duration::from_millis(rng.random_range(300..2_500));
     }
+    let end = LAST_RETURN + Duration::from_millis(rng.random_range(100..500));
+    planned.push(PlannedFault {
+        start: LAST_RETURN,
+        end,
+        fault: SoakFault::RestoreStore {
+            age_ms: LAST_COPY_AGE_MS,
+            rewrite_delay_ms: rng.random_range(0..MAX_REWRITE_DELAY_MS),
+        },
+    });
+    let plain: Vec<usize> = plain_runners().collect();
+    planned.push(PlannedFault {
+        start: end + DRAIN_DELAY,
+        end: end + DRAIN_DELAY + DRAIN_TIME,
+        fault: SoakFault::DrainRunner(plain[rng.random_range(0..plain.len())]),
+    });
     planned
 }
 
@@ -204,6 +235,16 @@
     /// Whether callers send crashing requests.
     is_crashing: Arc<atomic::AtomicBool>,
     config_version: u64,
+    drains: Vec<DrainRecord>,
+}
+
+/// A drain of a runner; times are those of the journals.
+#[derive(Clone, Debug)]
+struct DrainRecord {
+    runner: usize,
+    /// Time at which the store had acknowledged it.
+    acknowledged_ms: u64,
+    ended_ms: u64,
 }
 
 impl SoakFixture {
@@ -238,6 +279,7 @@
             restarts: HashMap::new(),
             is_crashing: Arc::default(),
             config_version: 1,
+            drains: Vec::new(),
         }
     }
 
@@ -295,9 +337,26 @@
             SoakFault::RestoreStore { .. } => {
                 self.fixture.store.control(json!({"is_silent": true})).await;
             }
+            SoakFault::DrainRunner(runner) => self.start_drain(*runner).await,
         }
     }
 
+    /// Has a runner drain and waits until the store has its row.
+    async fn start_drain(&mut self, runner: usize) {
+        self.control_runner(runner, json!({"is_draining": true}))
+            .await;
+        let id = RUNNER_IDS[runner];
+        harness::wait_until(TIMEOUT, "the row of the runner drains", async || {
+            self.fixture.target_state(id).await.as_deref() == Some("draining")
+        })
+        .await;
+        self.drains.push(DrainRecord {
+            runner,
+            acknowledged_ms: journal::unix_ms(),
+            ended_ms: u64::MAX,
+        });
+    }
+
     /// Waits until a time and starts runners again that have crashed meanwhile.
     async fn restart_runners_until(&mut self, end: Instant) {
         loop {
@@ -446,6 +505,13 @@
                 let patch = json!({"is_silent": false, "restore": restore});
                 self.fixture.store.control(patch).await;
             }
+            SoakFault::DrainRunner(runner) => {
+                let mut drains = self.drains.iter_mut().rev();
+                let drain = drains.find(|drain| drain.runner == *runner);
+                drain.expect("a started drain").ended_ms = journal::unix_ms();
+                self.control_runner(*runner, json!({"is_draining": false}))
+                    .await;
+            }
         }
     }
 
@@ -735,6 +801,19 @@
         .collect()
 }
 
+/// Returns the requests that a runner ran although it had been draining for longer than the bound.
+fn find_drain_violations(drain: &DrainRecord, entries: &[Value]) -> Vec<String> {
+    let late = drain.acknowledged_ms + DRAIN_BOUND_MS..drain.ended_ms;
+    let is_late = |entry: &&Value| {
+        let ran_ms = entry["unix_ms"].as_u64().unwrap_or(0);
+        entry["ran"].is_string() && late.contains(&ran_ms)
+    };
+    let found = entries.iter().filter(is_late);
+    found
+        .map(|entry| format!("sent to a draining runner: {entry}"))
+        .collect()
+}
+
 /// Returns how many crashing requests engines ran later than [`CONTACT_MS`] after the fifth crash,
 /// from the times of all crashes and of all runs of such requests.
 fn late_request_count(crash_times: &[u64], run_times: &[u64]) -> usize {
@@ -800,8 +879,12 @@
     let mut entries = Vec::new();
     let mut runs: HashMap<String, usize> = HashMap::new();
     let (mut crash_times, mut crashing_run_times) = (Vec::new(), Vec::new());
-    for runner in &soak.runners {
-        for entry in runner.full_journal(&soak.fixture.launcher) {
+    let mut violations = Vec::new();
+    for (index, runner) in soak.runners.iter().enumerate() {
+        let of_runner = runner.full_journal(&soak.fixture.launcher);
+        let drains = soak.drains.iter().filter(|drain| drain.runner == index);
+        violations.extend(drains.flat_map(|drain| find_drain_violations(drain, &of_runner)));
+        for entry in of_runner {
             if let Some(attempt) = entry["ran"].as_str() {
                 *runs.entry(attempt.to_owned()).or_default() += 1;
                 if attempt.contains("-crash-") {
@@ -825,7 +908,7 @@
         records.len(),
         crash_times.len()
     );
-    let mut violations = find_violations(&records, &runs);
+    violations.extend(find_violations(&records, &runs));
     violations.extend(find_shared_fences(&entries));
     for relay in &soak.relays {
         let log = std::fs::read_to_string(relay.process.output_file()).expect("a log file");
@@ -874,8 +957,9 @@
     }
 }
 
-/// Guards against broken promises to callers, a fencing token that two holders use, and relays that
-/// stay at an old configuration, when the store returns from copies beside other faults.
+/// Guards against broken promises to callers, a fencing token that two holders use, requests to a
+/// draining runner, and relays that stay at an old configuration, when the store returns from copies
+/// beside other faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_across_returns_of_the_store() {
     for seed in seeds(&RETURN_SEEDS) {
@@ -898,6 +982,22 @@
     assert_eq!(format!("{unchanged:?}"), format!("{faults:?}"));
 }
 
+/// Guards against a check that misses requests to a draining runner, or that reports those within
+/// the bound.
+#[test]
+fn the_check_finds_requests_to_draining_runners() {
+    let drain = DrainRecord {
+        runner: 0,
+        acknowledged_ms: 1_000,
+        ended_ms: 5_000,
+    };
+    let times = [900, 2_999, 3_000, 4_999, 5_000];
+    let ran = times.map(|time| json!({"ran": "a", "unix_ms": time}));
+    assert_eq!(find_drain_violations(&drain, &ran).len(), 2);
+    let refused = [json!({"refused": "a", "unix_ms": 4_000})];
+    assert!(find_drain_violations(&drain, &refused).is_empty());
+}
+
 /// Guards against a check that misses a fencing token of two holders.
 #[test]
 fn the_check_finds_shared_fencing_tokens() {
