--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -5,14 +5,14 @@
 //! `ACACIABANK_SOAK_SEEDS=FROM..TO` runs these seeds instead of the fixed ones.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, BTreeSet, HashMap},
     env,
     sync::{Arc, Mutex, atomic},
     time::{Duration, Instant},
 };
 
 use acaciabank_testbed::{
-    harness,
+    harness, journal,
     proxy::{FaultKind, LinkFault},
     web,
 };
@@ -24,6 +24,28 @@
 /// Seeds that run by default. A seed that has failed is added here with a comment on the cause.
 /// 2043: a check that took the late refusal of a runner's former run for one of the listed run.
 const FIXED_SEEDS: [u64; 3] = [1, 2, 2043];
+/// Seeds that run by default with returns of the store; kept like [`FIXED_SEEDS`].
+/// 4 and 9: relays that ignored the versions after a return sent requests to a draining runner.
+const RETURN_SEEDS: [u64; 2] = [4, 9];
+/// Changes a seed so that the returns of the store are drawn from other numbers than the faults and
+/// the crashing requests.
+const RETURN_SALT: u64 = 0x7265_7475_726e;
+/// Ages of the copies that the store returns from, in milliseconds.
+const COPY_AGES_MS: std::ops::Range<u64> = 1_000..6_000;
+/// Longest time after a return until the operator writes again what was lost, in milliseconds.
+const MAX_REWRITE_DELAY_MS: u64 = 1_500;
+/// Age of the copy of the last return, in milliseconds: its lost versions take as long to be given
+/// out again, more than the drain after it lasts.
+const LAST_COPY_AGE_MS: u64 = 6_000;
+/// Start of the last return: all faults that a schedule draws have ended.
+const LAST_RETURN: Duration = Duration::from_secs(8);
+/// Time from the end of the last return to the start of the drain after it.
+const DRAIN_DELAY: Duration = Duration::from_millis(200);
+/// Duration of the drain after the last return.
+const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// Time after the store's acknowledgement from which a draining runner gets no request, in
+/// milliseconds (users' rule).
+const DRAIN_BOUND_MS: u64 = 2_000;
 /// Length of the period in which faults start.
 const FAULT_WINDOW: Duration = Duration::from_secs(6);
 const RELAY_COUNT: usize = 3;
@@ -77,6 +99,13 @@
     Configure,
     /// Callers send requests with a prompt part that crashes engines.
     CrashingRequests,
+    /// The store does not respond, and returns from a copy at the end of the fault.
+    RestoreStore {
+        age_ms: u64,
+        rewrite_delay_ms: u64,
+    },
+    /// A runner drains while nothing else fails, so that it gets no request from the bound on.
+    DrainRunner(usize),
 }
 
 /// Link faults that a schedule draws from.
@@ -154,6 +183,39 @@
     planned
 }
 
+/// Adds returns of the store to the schedule of a seed, without a change of its faults, and a return
+/// with a drain of a plain runner after them.
+fn schedule_with_returns(seed: u64) -> Vec<PlannedFault> {
+    let mut rng = rngs::StdRng::seed_from_u64(seed ^ RETURN_SALT);
+    let mut planned = schedule(seed);
+    let mut start = Duration::from_millis(rng.random_range(1_000..2_500));
+    while start < FAULT_WINDOW {
+        let end = start + Duration::from_millis(rng.random_range(100..800));
+        let fault = SoakFault::RestoreStore {
+            age_ms: rng.random_range(COPY_AGES_MS),
+            rewrite_delay_ms: rng.random_range(0..MAX_REWRITE_DELAY_MS),
+        };
+        planned.push(PlannedFault { start, end, fault });
+        start = end + Duration::from_millis(rng.random_range(300..2_500));
+    }
+    let end = LAST_RETURN + Duration::from_millis(rng.random_range(100..500));
+    planned.push(PlannedFault {
+        start: LAST_RETURN,
+        end,
+        fault: SoakFault::RestoreStore {
+            age_ms: LAST_COPY_AGE_MS,
+            rewrite_delay_ms: rng.random_range(0..MAX_REWRITE_DELAY_MS),
+        },
+    });
+    let plain: Vec<usize> = plain_runners().collect();
+    planned.push(PlannedFault {
+        start: end + DRAIN_DELAY,
+        end: end + DRAIN_DELAY + DRAIN_TIME,
+        fault: SoakFault::DrainRunner(plain[rng.random_range(0..plain.len())]),
+    });
+    planned
+}
+
 /// What a caller received for one request.
 #[derive(Clone, Debug)]
 struct CallRecord {
@@ -173,6 +235,16 @@
     /// Whether callers send crashing requests.
     is_crashing: Arc<atomic::AtomicBool>,
     config_version: u64,
+    drains: Vec<DrainRecord>,
+}
+
+/// A drain of a runner; times are those of the journals.
+#[derive(Clone, Debug)]
+struct DrainRecord {
+    runner: usize,
+    /// Time at which the store had acknowledged it.
+    acknowledged_ms: u64,
+    ended_ms: u64,
 }
 
 impl SoakFixture {
@@ -207,6 +279,7 @@
             restarts: HashMap::new(),
             is_crashing: Arc::default(),
             config_version: 1,
+            drains: Vec::new(),
         }
     }
 
@@ -261,9 +334,29 @@
             }
             SoakFault::PauseAndKill(runner) => self.control_runner(*runner, pausing_patch()).await,
             SoakFault::CrashingRequests => self.is_crashing.store(true, atomic::Ordering::Relaxed),
+            SoakFault::RestoreStore { .. } => {
+                self.fixture.store.control(json!({"is_silent": true})).await;
+            }
+            SoakFault::DrainRunner(runner) => self.start_drain(*runner).await,
         }
     }
 
+    /// Has a runner drain and waits until the store has its row.
+    async fn start_drain(&mut self, runner: usize) {
+        self.control_runner(runner, json!({"is_draining": true}))
+            .await;
+        let id = RUNNER_IDS[runner];
+        harness::wait_until(TIMEOUT, "the row of the runner drains", async || {
+            self.fixture.target_state(id).await.as_deref() == Some("draining")
+        })
+        .await;
+        self.drains.push(DrainRecord {
+            runner,
+            acknowledged_ms: journal::unix_ms(),
+            ended_ms: u64::MAX,
+        });
+    }
+
     /// Waits until a time and starts runners again that have crashed meanwhile.
     async fn restart_runners_until(&mut self, end: Instant) {
         loop {
@@ -404,10 +497,49 @@
             SoakFault::CrashingRequests => {
                 self.is_crashing.store(false, atomic::Ordering::Relaxed);
             }
+            SoakFault::RestoreStore {
+                age_ms,
+                rewrite_delay_ms,
+            } => {
+                let restore = json!({"age_ms": age_ms, "rewrite_delay_ms": rewrite_delay_ms});
+                let patch = json!({"is_silent": false, "restore": restore});
+                self.fixture.store.control(patch).await;
+            }
+            SoakFault::DrainRunner(runner) => {
+                let mut drains = self.drains.iter_mut().rev();
+                let drain = drains.find(|drain| drain.runner == *runner);
+                drain.expect("a started drain").ended_ms = journal::unix_ms();
+                self.control_runner(*runner, json!({"is_draining": false}))
+                    .await;
+            }
+        }
+    }
+
+    /// Waits until all relays have a configuration that is no older than the last one that the
+    /// operator knows to be written.
+    async fn wait_newest_config(&self) {
+        for relay in &self.relays {
+            let description = format!("{} has the newest configuration", relay.process.name());
+            harness::wait_until(TIMEOUT, &description, async || {
+                last_config_version(relay) >= self.config_version
+            })
+            .await;
         }
     }
 }
 
+/// Returns the version of the configuration that a relay has put in force last, by its log.
+fn last_config_version(relay: &Relay) -> u64 {
+    let log = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+    let lines = log.lines().map(serde_json::from_str::<Value>);
+    let mut in_force = lines
+        .flatten()
+        .filter(|line| line["event"] == "config_in_force");
+    let newest = in_force.next_back();
+    let version = newest.and_then(|line| line["version"].as_u64());
+    version.unwrap_or(0)
+}
+
 impl SoakFixture {
     /// Kills a runner and starts it with its former id and address.
     async fn restart_runner(&mut self, runner: usize) {
@@ -654,6 +786,34 @@
     violations
 }
 
+/// Returns the fencing tokens that two holders used, from the journal entries of all engines.
+fn find_shared_fences(entries: &[Value]) -> Vec<String> {
+    let mut holders: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
+    for entry in entries {
+        let order = &entry["order"];
+        if let (Some(fence), Some(holder)) = (order["fence"].as_u64(), order["holder"].as_str()) {
+            holders.entry(fence).or_default().insert(holder);
+        }
+    }
+    let shared = holders.iter().filter(|(_, holders)| holders.len() > 1);
+    shared
+        .map(|(fence, holders)| format!("fencing token {fence} of {holders:?}"))
+        .collect()
+}
+
+/// Returns the requests that a runner ran although it had been draining for longer than the bound.
+fn find_drain_violations(drain: &DrainRecord, entries: &[Value]) -> Vec<String> {
+    let late = drain.acknowledged_ms + DRAIN_BOUND_MS..drain.ended_ms;
+    let is_late = |entry: &&Value| {
+        let ran_ms = entry["unix_ms"].as_u64().unwrap_or(0);
+        entry["ran"].is_string() && late.contains(&ran_ms)
+    };
+    let found = entries.iter().filter(is_late);
+    found
+        .map(|entry| format!("sent to a draining runner: {entry}"))
+        .collect()
+}
+
 /// Returns how many crashing requests engines ran later than [`CONTACT_MS`] after the fifth crash,
 /// from the times of all crashes and of all runs of such requests.
 fn late_request_count(crash_times: &[u64], run_times: &[u64]) -> usize {
@@ -672,7 +832,15 @@
     let has_crashes = planned
         .iter()
         .any(|planned| planned.fault == SoakFault::CrashingRequests);
+    let has_returns = planned
+        .iter()
+        .any(|planned| matches!(planned.fault, SoakFault::RestoreStore { .. }));
     let mut soak = SoakFixture::start(has_crashes).await;
+    if has_returns {
+        // The copy may have the row of a runner that has ended.
+        let patch = json!({"expires_targets": true});
+        soak.fixture.store.control(patch).await;
+    }
     println!("seed {seed}: {planned:?}");
     let state = CallerState {
         is_crashing: Arc::clone(&soak.is_crashing),
@@ -701,14 +869,22 @@
         relay.wait_serving("/safe/a").await;
         relay.wait_streaming("/stream/a", 2).await;
     }
+    if has_returns {
+        soak.wait_newest_config().await;
+    }
     state.is_stopped.store(true, atomic::Ordering::Relaxed);
     for caller in callers {
         caller.await.expect("the caller does not panic");
     }
+    let mut entries = Vec::new();
     let mut runs: HashMap<String, usize> = HashMap::new();
     let (mut crash_times, mut crashing_run_times) = (Vec::new(), Vec::new());
-    for runner in &soak.runners {
-        for entry in runner.full_journal(&soak.fixture.launcher) {
+    let mut violations = Vec::new();
+    for (index, runner) in soak.runners.iter().enumerate() {
+        let of_runner = runner.full_journal(&soak.fixture.launcher);
+        let drains = soak.drains.iter().filter(|drain| drain.runner == index);
+        violations.extend(drains.flat_map(|drain| find_drain_violations(drain, &of_runner)));
+        for entry in of_runner {
             if let Some(attempt) = entry["ran"].as_str() {
                 *runs.entry(attempt.to_owned()).or_default() += 1;
                 if attempt.contains("-crash-") {
@@ -718,6 +894,7 @@
             if entry["crashed"].is_string() {
                 crash_times.extend(entry["unix_ms"].as_u64());
             }
+            entries.push(entry);
         }
     }
     let records = state.records.lock().expect("records lock").clone();
@@ -731,7 +908,8 @@
         records.len(),
         crash_times.len()
     );
-    let mut violations = find_violations(&records, &runs);
+    violations.extend(find_violations(&records, &runs));
+    violations.extend(find_shared_fences(&entries));
     for relay in &soak.relays {
         let log = std::fs::read_to_string(relay.process.output_file()).expect("a log file");
         violations.extend(find_signal_violations(&log));
@@ -750,9 +928,9 @@
 }
 
 /// Returns the seeds from `ACACIABANK_SOAK_SEEDS`, or the fixed ones.
-fn seeds() -> Vec<u64> {
+fn seeds(fixed: &[u64]) -> Vec<u64> {
     let Ok(range) = env::var("ACACIABANK_SOAK_SEEDS") else {
-        return FIXED_SEEDS.to_vec();
+        return fixed.to_vec();
     };
     let parsed = range
         .split_once("..")
@@ -765,7 +943,7 @@
 /// Guards against violations that occur only when several faults overlap.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_random_faults() {
-    for seed in seeds() {
+    for seed in seeds(&FIXED_SEEDS) {
         run_seed(seed, &schedule(seed)).await;
     }
 }
@@ -774,17 +952,65 @@
 /// requests with a crashing part come, when other faults overlap these requests.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_beside_crashing_requests() {
-    for seed in seeds() {
+    for seed in seeds(&FIXED_SEEDS) {
         run_seed(seed, &schedule_with_crashes(seed)).await;
     }
 }
 
-/// Guards against a fault schedule that cannot be reproduced from its seed.
+/// Guards against broken promises to callers, a fencing token that two holders use, requests to a
+/// draining runner, and relays that stay at an old configuration, when the store returns from copies
+/// beside other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_across_returns_of_the_store() {
+    for seed in seeds(&RETURN_SEEDS) {
+        run_seed(seed, &schedule_with_returns(seed)).await;
+    }
+}
+
+/// Guards against a fault schedule that cannot be reproduced from its seed, and against returns
+/// that change the faults of a seed.
 #[test]
 fn the_schedule_depends_on_the_seed_alone() {
     let text = |seed| format!("{:?}", schedule_with_crashes(seed));
     assert_eq!(text(7), text(7));
     assert_ne!(text(7), text(8));
+    let returns = |seed| format!("{:?}", schedule_with_returns(seed));
+    assert_eq!(returns(7), returns(7));
+    let (faults, with_returns) = (schedule(7), schedule_with_returns(7));
+    assert!(with_returns.len() > faults.len());
+    let unchanged = &with_returns[..faults.len()];
+    assert_eq!(format!("{unchanged:?}"), format!("{faults:?}"));
+}
+
+/// Guards against a check that misses requests to a draining runner, or that reports those within
+/// the bound.
+#[test]
+fn the_check_finds_requests_to_draining_runners() {
+    let drain = DrainRecord {
+        runner: 0,
+        acknowledged_ms: 1_000,
+        ended_ms: 5_000,
+    };
+    let times = [900, 2_999, 3_000, 4_999, 5_000];
+    let ran = times.map(|time| json!({"ran": "a", "unix_ms": time}));
+    assert_eq!(find_drain_violations(&drain, &ran).len(), 2);
+    let refused = [json!({"refused": "a", "unix_ms": 4_000})];
+    assert!(find_drain_violations(&drain, &refused).is_empty());
+}
+
+/// Guards against a check that misses a fencing token of two holders.
+#[test]
+fn the_check_finds_shared_fencing_tokens() {
+    let order = |holder: &str, fence: u64| json!({"order": {"holder": holder, "fence": fence}});
+    let entries = [
+        order("relay-1", 1),
+        order("relay-1", 1),
+        json!({"ran": "a"}),
+        order("relay-2", 2),
+    ];
+    assert!(find_shared_fences(&entries).is_empty());
+    let shared = [order("relay-1", 1), order("relay-2", 1)];
+    assert_eq!(find_shared_fences(&shared).len(), 1);
 }
 
 /// Guards against a check that misses violations.
