Order the list of targets by the era and the number of its versions

Cause: the store gives version numbers out again, and numbers alone ordered the registry, the feeds and the reports between daemons. A record after the return had a lower number than the known one and was ignored; a feed from a number that the store had reached again skipped what lay between.

StoreVersion pairs era and number and orders all of it. A feed whose response states another era counts as lost history. Two facts outlast a return, as the copy cannot contradict them: that an incarnation drains, and that it has left.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod route;
 pub mod scheduler;
 pub mod stage_planner;
+pub mod store_version;
 pub mod suspect;
 pub mod target_signal;
--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use acaciabank_core::store_version::StoreVersion;
 use bytes::Bytes;
 
 use crate::{
@@ -86,13 +87,13 @@
         let read = state.store.next_config(after, wait_ms).await;
         state.check_store_era();
         match read {
-            Ok((version, document)) => {
+            Ok(change) => {
                 backoff.record_success();
-                if after.is_none() && document.is_none() {
+                if after.is_none() && change.document.is_none() {
                     log::info!("config_absent");
                 }
-                after = Some(version);
-                if let Some(document) = document {
+                after = Some(change.version);
+                if let Some(document) = change.document {
                     state.apply_config(&document, "store");
                 }
                 // The store may have held the request, and its response describes the end of the
@@ -100,7 +101,7 @@
                 state
                     .watch
                     .config
-                    .record_store_read(clock::now_ms(), version);
+                    .record_store_read(clock::now_ms(), change.version);
                 if state.config.borrow().is_none() {
                     tokio::time::sleep(CHECK_INTERVAL).await;
                 }
@@ -135,7 +136,7 @@
                 backoff.record_success();
                 let version = changes.version;
                 let source = state::ChangeSource::Store {
-                    after: after.unwrap_or(0),
+                    after: after.unwrap_or(StoreVersion::ZERO),
                 };
                 after = Some(version);
                 state.apply_targets(changes, source);
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -14,7 +14,9 @@
 
 use std::net;
 
-use acaciabank_core::{placement::EngineStage, prompt_backlog::PromptBacklog};
+use acaciabank_core::{
+    placement::EngineStage, prompt_backlog::PromptBacklog, store_version::StoreVersion,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::platform;
@@ -120,7 +122,7 @@
     /// Targets that have stated that they leave.
     pub leaving: Vec<LeavingEntry>,
     /// Version of the store after which `target_changes` are complete.
-    pub changes_after: u64,
+    pub changes_after: StoreVersion,
     /// Loads that the daemon's requests cause at targets.
     pub loads: Vec<LoadEntry>,
     /// Engines whose stage is being changed or differs from the listed one.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -77,6 +77,7 @@
 ) {
     let now_ms = clock::now_ms();
     state.peers.borrow_mut().expire(now_ms);
+    state.targets.borrow_mut().resolve_doubts(now_ms);
     state.scheduler.expire(now_ms);
     let rank = scheduler::own_rank(state, now_ms);
     let (mut same_zone, mut other_zones) = state.peers.borrow().contacts_by_zone(state.zone_hash);
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -3,7 +3,7 @@
 
 use std::{future::Future, net};
 
-use acaciabank_core::{lease, placement, target_signal};
+use acaciabank_core::{lease, placement, store_version::StoreVersion, target_signal};
 use bytes::Bytes;
 use http::HeaderMap;
 
@@ -143,7 +143,7 @@
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct TargetEntry {
     /// Version of the entry; a higher one replaces it.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Id of the incarnation.
     pub id: String,
     /// Start time in Unix milliseconds. The same id with another start time is another incarnation.
@@ -171,9 +171,18 @@
     pub present: Vec<TargetEntry>,
     /// Ids that are no longer listed or whose entry cannot be read, with the version of each
     /// removal.
-    pub absent: Vec<(String, u64)>,
+    pub absent: Vec<(String, StoreVersion)>,
     /// Version from which to request the next changes.
-    pub version: u64,
+    pub version: StoreVersion,
+}
+
+/// Result of a read of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigChange {
+    /// Version from which to request the next change.
+    pub version: StoreVersion,
+    /// The encoded configuration; `None` if it has not changed or does not exist.
+    pub document: Option<Bytes>,
 }
 
 /// The registration of a daemon.
@@ -190,7 +199,8 @@
 /// Error of a call to the platform's store.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum StoreError {
-    /// The requested history is no longer available; the complete list has to be read.
+    /// The requested history is no longer available, or the store has come back from an older copy
+    /// since; the complete list has to be read.
     #[error("the requested history is no longer available")]
     HistoryGone,
     /// The store responded with an error status.
@@ -203,23 +213,22 @@
 
 /// The platform's store of configuration, targets, daemons and leases.
 pub trait PlatformStore: 'static {
-    /// Returns the highest era that the store has stated; zero before its first response. The era
-    /// rises when the store comes back from an older copy.
+    /// Returns the highest era that the store has stated; zero before its first response.
     fn era(&self) -> u64;
 
-    /// Returns the version and, if it is newer than `after`, the configuration. Waits up to
-    /// `wait_ms` for a newer one. The first call passes `None`.
+    /// Returns the configuration if it has changed since version `after`. Waits up to `wait_ms` for
+    /// a change. The first call passes `None`.
     fn next_config(
         &self,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
         wait_ms: u64,
-    ) -> impl Future<Output = Result<(u64, Option<Bytes>), StoreError>>;
+    ) -> impl Future<Output = Result<ConfigChange, StoreError>>;
 
     /// Returns the changes to the list of targets since version `after`, or the complete list for
     /// `None`.
     fn next_targets(
         &self,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
     ) -> impl Future<Output = Result<TargetChanges, StoreError>>;
 
     /// Registers this daemon.
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -6,7 +6,9 @@
     net, rc, time,
 };
 
-use acaciabank_core::{budget, outlier, prefix, prompt_speed, suspect};
+use acaciabank_core::{
+    budget, outlier, prefix, prompt_speed, store_version::StoreVersion, suspect,
+};
 
 use crate::{config, connection, gossip, platform, scheduler, target, watch};
 
@@ -29,6 +31,8 @@
     pub metrics_address: net::SocketAddr,
     /// Addresses of other daemons to contact at startup.
     pub seeds: Vec<net::SocketAddr>,
+    /// Time after which the platform removes the entry of a target that is silent.
+    pub target_silence_ms: u64,
     /// Longest time between SIGTERM and the end of the process.
     pub grace_ms: u64,
     /// Longest TTL that callers may be given for the addresses of daemons.
@@ -151,8 +155,8 @@
 pub enum ChangeSource {
     /// The platform's store, read for changes after a version.
     Store {
-        /// The version; zero when the whole list was read.
-        after: u64,
+        /// The version; [`StoreVersion::ZERO`] when the whole list was read.
+        after: StoreVersion,
     },
     /// A report or response of another daemon.
     Peer,
@@ -169,7 +173,7 @@
             store,
             config: RefCell::default(),
             config_document: RefCell::default(),
-            targets: RefCell::default(),
+            targets: RefCell::new(target::TargetRegistry::new(settings.target_silence_ms)),
             peers: RefCell::default(),
             report_now: tokio::sync::Notify::new(),
             boot_id: rand::random(),
@@ -264,7 +268,7 @@
         }
         let version = changes.version;
         let mut targets = self.targets.borrow_mut();
-        targets.apply(changes, kv_tokens);
+        targets.apply(changes, now_ms, kv_tokens);
         if let ChangeSource::Store { .. } = source {
             targets.record_complete(version);
         }
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -1,15 +1,17 @@
 //! Targets and this daemon's view of their state.
 
 mod call;
+mod doubts;
+mod registry;
 mod signals;
 
 pub use call::call;
+pub use registry::TargetRegistry;
 pub(crate) use signals::log_leaving;
 pub use signals::record_response;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     rc,
     time::{Duration, Instant},
 };
@@ -99,18 +101,6 @@
         self.backlog.set(backlog);
     }
 
-    fn export(&self, versions: &HashMap<String, u64>) -> platform::TargetEntry {
-        platform::TargetEntry {
-            version: versions
-                .get(&self.entry.id)
-                .copied()
-                .unwrap_or(self.entry.version),
-            is_draining: self.is_draining.get() || self.is_leaving(),
-            stage: self.listed_stage.get(),
-            ..self.entry.clone()
-        }
-    }
-
     /// Takes an idle connection, or opens a new one within `timeout`.
     pub async fn open(&self, timeout: Duration) -> Result<connection::TargetConnection, String> {
         match self.pool.take() {
@@ -285,149 +275,3 @@
         self.target.running.set(self.target.running.get() - 1);
     }
 }
-
-/// All targets that the platform lists.
-#[derive(Debug, Default)]
-pub struct TargetRegistry {
-    by_id: HashMap<String, rc::Rc<TargetState>>,
-    by_hash: HashMap<u64, rc::Rc<TargetState>>,
-    by_service: HashMap<String, Vec<rc::Rc<TargetState>>>,
-    /// Newest known version by id, including removed targets.
-    versions: HashMap<String, u64>,
-    /// Signals by hash of the incarnation, including some that are not listed: an incarnation whose
-    /// entry disappears for a while still leaves, and a report may arrive before the entry.
-    signals: HashMap<u64, SignalState>,
-    /// Version of the store up to which all changes are included; zero before the first complete
-    /// list.
-    complete_version: u64,
-}
-
-impl TargetRegistry {
-    /// Applies changes to the platform's list that come from the store or from another daemon.
-    /// `kv_tokens` returns the KV cache capacity of a service's engines in tokens.
-    pub fn apply(&mut self, changes: platform::TargetChanges, kv_tokens: impl Fn(&str) -> u64) {
-        let mut absent = changes.absent;
-        let complete_version = self.complete_version;
-        if changes.is_complete {
-            self.record_complete(changes.version);
-            let is_listed = |id: &str| changes.present.iter().any(|entry| entry.id == id);
-            let unlisted = self.by_id.keys().filter(|id| !is_listed(id));
-            absent.extend(unlisted.map(|id| (id.clone(), changes.version)));
-        }
-        for (id, version) in absent {
-            if self.advance_version(&id, version) {
-                self.remove(&id);
-            }
-        }
-        for entry in changes.present {
-            let is_known = self.versions.contains_key(&entry.id);
-            if !is_known && entry.version <= complete_version {
-                // It had left before this daemon read the list; a daemon that is cut off from the
-                // store may still report it.
-                continue;
-            }
-            if self.advance_version(&entry.id, entry.version) {
-                let tokens = kv_tokens(&entry.service);
-                self.insert(&entry, tokens);
-            }
-        }
-    }
-
-    /// Records that the registry includes all changes up to a version of the store.
-    pub fn record_complete(&mut self, version: u64) {
-        self.complete_version = self.complete_version.max(version);
-    }
-
-    /// Records the version of an id; returns whether it is newer than the known one.
-    fn advance_version(&mut self, id: &str, version: u64) -> bool {
-        match self.versions.get_mut(id) {
-            Some(known) if *known >= version => false,
-            Some(known) => {
-                *known = version;
-                true
-            }
-            None => {
-                self.versions.insert(id.to_owned(), version);
-                true
-            }
-        }
-    }
-
-    /// Returns all targets as a list that another daemon can apply. It is complete if this daemon
-    /// has read the list from the store.
-    pub fn export(&self) -> platform::TargetChanges {
-        let targets = self.by_id.values();
-        platform::TargetChanges {
-            is_complete: self.complete_version > 0,
-            version: self.complete_version,
-            present: targets
-                .map(|target| target.export(&self.versions))
-                .collect(),
-            absent: Vec::new(),
-        }
-    }
-
-    /// Returns the targets of a service.
-    pub fn of_service(&self, service: &str) -> &[rc::Rc<TargetState>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
-    }
-
-    /// Returns the target with the given hash.
-    pub fn by_hash(&self, hash: u64) -> Option<&rc::Rc<TargetState>> {
-        self.by_hash.get(&hash)
-    }
-
-    /// Iterates over all targets, in no particular order.
-    pub fn iter(&self) -> impl Iterator<Item = &rc::Rc<TargetState>> {
-        self.by_id.values()
-    }
-
-    fn insert(&mut self, entry: &platform::TargetEntry, kv_tokens: u64) {
-        if let Some(known) = self.by_id.get(&entry.id) {
-            let is_same = known.entry.born_ms == entry.born_ms
-                && known.entry.address == entry.address
-                && known.entry.service == entry.service;
-            if is_same {
-                update(known, entry);
-                return;
-            }
-            self.remove(&entry.id);
-        }
-        log::info!(
-            target_id = entry.id.as_str(), address:% = entry.address, zone = entry.zone.as_str(),
-            service = entry.service.as_str(), draining = entry.is_draining;
-            "target_listed"
-        );
-        let target = rc::Rc::new(TargetState::new(entry.clone(), kv_tokens));
-        if let Some(signals) = self.signals.get(&target.hash) {
-            target.set_signals(*signals);
-        }
-        let service = self.by_service.entry(target.entry.service.clone());
-        service.or_default().push(rc::Rc::clone(&target));
-        self.by_hash.insert(target.hash, rc::Rc::clone(&target));
-        self.by_id.insert(target.entry.id.clone(), target);
-    }
-
-    fn remove(&mut self, id: &str) {
-        let Some(target) = self.by_id.remove(id) else {
-            return;
-        };
-        self.by_hash.remove(&target.hash);
-        target.is_draining.set(true);
-        log::info!(target_id = id, cause = "store"; "target_gone");
-        if let Some(targets) = self.by_service.get_mut(&target.entry.service) {
-            targets.retain(|kept| !rc::Rc::ptr_eq(kept, &target));
-        }
-    }
-}
-
-fn update(known: &TargetState, entry: &platform::TargetEntry) {
-    if known.is_draining.get() != entry.is_draining {
-        known.is_draining.set(entry.is_draining);
-        log::info!(target_id = entry.id.as_str(), draining = entry.is_draining, cause = "store"; "target_state");
-    }
-    if known.listed_stage.get() != entry.stage {
-        known.listed_stage.set(entry.stage);
-        log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
-    }
-}
--- a/crates/relay/src/target/signals.rs
+++ b/crates/relay/src/target/signals.rs
@@ -1,7 +1,5 @@
 //! What targets signal in their responses: how it is recorded, and whether requests may be sent.
 
-use std::rc;
-
 use acaciabank_core::target_signal::{LeavingMark, LeavingSource, SignalState};
 
 use super::{TargetRegistry, TargetState};
@@ -102,7 +100,7 @@
         match instance.filter(|id| *id != target.entry.id) {
             None => Some(target),
             Some(id) => {
-                let named = self.by_id.get(id).map(rc::Rc::as_ref);
+                let named = self.by_id(id);
                 named.filter(|named| named.entry.address == target.entry.address)
             }
         }
--- a/crates/relay/src/watch/mod.rs
+++ b/crates/relay/src/watch/mod.rs
@@ -6,6 +6,8 @@
 
 use std::cell::{Cell, RefCell};
 
+use acaciabank_core::store_version::StoreVersion;
+
 use crate::platform;
 
 /// Number of daemons that poll the store continuously: two, so that a failure of one delays no
@@ -31,13 +33,13 @@
     /// Latest time at which the copy is known to have matched the store.
     fresh_ms: Cell<u64>,
     /// Version of the store up to which the copy includes all changes.
-    version: Cell<u64>,
+    version: Cell<StoreVersion>,
 }
 
 impl DataFreshness {
     /// Records a read of the store, sent at the given time, that returned all changes up to a
     /// version.
-    pub fn record_store_read(&self, sent_ms: u64, version: u64) {
+    pub fn record_store_read(&self, sent_ms: u64, version: StoreVersion) {
         self.store_read_ms.set(Some(sent_ms));
         self.version.set(self.version.get().max(version));
         self.record_fresh(sent_ms);
@@ -45,16 +47,18 @@
 
     /// Records that another daemon has reported all changes after one version up to another, which
     /// it read from the store at `fresh_ms`. Changes before `after` may have been missed, unless
-    /// this daemon has a fresher copy already.
-    pub fn record_peer_changes(&self, fresh_ms: u64, after: u64, version: u64) {
-        if fresh_ms <= self.fresh_ms.get() {
+    /// this daemon has a fresher copy already. All changes of a new era may have been missed until
+    /// this daemon has read the store in it.
+    pub fn record_peer_changes(&self, fresh_ms: u64, after: StoreVersion, version: StoreVersion) {
+        let known = self.version.get();
+        if fresh_ms <= self.fresh_ms.get() || version.era < known.era {
             return;
         }
-        if after > self.version.get() {
+        if after > known {
             self.record_gap();
             return;
         }
-        self.version.set(self.version.get().max(version));
+        self.version.set(known.max(version));
         self.record_fresh(fresh_ms);
     }
 
@@ -103,7 +107,7 @@
     /// Time until which reports repeat them.
     expires_ms: u64,
     /// Version after which they are complete.
-    after: u64,
+    after: StoreVersion,
     changes: platform::TargetChanges,
 }
 
@@ -113,7 +117,7 @@
     /// The changes, and the version up to which they are known.
     pub changes: platform::TargetChanges,
     /// Version after which they are complete.
-    pub after: u64,
+    pub after: StoreVersion,
     /// Whether some were left out, or the store has not responded recently.
     pub is_truncated: bool,
 }
@@ -124,7 +128,7 @@
     /// start together would fill their links with lists that each of them reads anyway.
     pub fn record_changes(
         &self,
-        after: u64,
+        after: StoreVersion,
         changes: &platform::TargetChanges,
         now_ms: u64,
     ) -> bool {
@@ -149,7 +153,7 @@
                 .iter()
                 .map(|entry| entry.after)
                 .min()
-                .unwrap_or(u64::MAX),
+                .unwrap_or(StoreVersion::MAX),
             ..RecentChanges::default()
         };
         let all = &mut recent.changes;
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -1,12 +1,15 @@
 //! The list of targets, as it is put together from the store and from other daemons.
 
+use acaciabank_core::store_version::StoreVersion;
 use acaciabank_relay::{platform, target::TargetRegistry};
 
 const SERVICE: &str = "models";
+const ERA: u64 = 1;
+const NOW_MS: u64 = 1_000;
 
 fn entry(id: &str, version: u64) -> platform::TargetEntry {
     platform::TargetEntry {
-        version,
+        version: StoreVersion::new(ERA, version),
         id: id.to_owned(),
         born_ms: 1,
         service: SERVICE.to_owned(),
@@ -24,12 +27,12 @@
         is_complete,
         present: entries.collect(),
         absent: Vec::new(),
-        version,
+        version: StoreVersion::new(ERA, version),
     }
 }
 
 fn apply(registry: &mut TargetRegistry, changes: platform::TargetChanges) {
-    registry.apply(changes, |_| 0);
+    registry.apply(changes, NOW_MS, |_| 0);
 }
 
 fn listed_ids(registry: &TargetRegistry) -> Vec<String> {
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use acaciabank_core::store_version::StoreVersion;
 use acaciabank_relay::{
     gossip::{PeerReport, PeerTable},
     platform,
@@ -28,10 +29,10 @@
             is_complete: false,
             present: Vec::new(),
             absent: Vec::new(),
-            version: 0,
+            version: StoreVersion::ZERO,
         },
         leaving: Vec::new(),
-        changes_after: 0,
+        changes_after: StoreVersion::ZERO,
         loads: Vec::new(),
         stage_changes: Vec::new(),
         parts: Vec::new(),
--- a/crates/relay/tests/target_signals.rs
+++ b/crates/relay/tests/target_signals.rs
@@ -2,7 +2,10 @@
 
 use std::collections::HashMap;
 
-use acaciabank_core::target_signal::{LeavingMark, LeavingSource, MARK_TTL_MS};
+use acaciabank_core::{
+    store_version::StoreVersion,
+    target_signal::{LeavingMark, LeavingSource, MARK_TTL_MS},
+};
 use acaciabank_relay::{
     platform,
     target::{TargetRegistry, TargetState},
@@ -10,6 +13,9 @@
 use rand::{RngExt, SeedableRng, rngs};
 
 const SERVICE: &str = "models";
+const ERA: u64 = 1;
+/// Time of changes of the list, which in one era matters to none of them.
+const NOW_MS: u64 = 0;
 const IDS: [&str; 4] = ["t-0", "t-1", "t-2", "t-3"];
 /// Start times of an id's runs.
 const BORN_MS: [u64; 3] = [1, 2, 3];
@@ -25,7 +31,7 @@
 
 fn entry(id: &str, born_ms: u64, version: u64, port: u16) -> platform::TargetEntry {
     platform::TargetEntry {
-        version,
+        version: StoreVersion::new(ERA, version),
         id: id.to_owned(),
         born_ms,
         service: SERVICE.to_owned(),
@@ -44,7 +50,7 @@
         present,
         ..platform::TargetChanges::default()
     };
-    registry.apply(changes, |_| 0);
+    registry.apply(changes, 0, |_| 0);
     registry.of_service(SERVICE)[0].hash
 }
 
@@ -79,7 +85,7 @@
     }
 
     fn apply(&mut self, changes: platform::TargetChanges) {
-        self.registry.apply(changes, |_| 0);
+        self.registry.apply(changes, NOW_MS, |_| 0);
     }
 
     /// Tells another daemon what this one knows, as a report does.
@@ -173,7 +179,7 @@
             }
             7 => {
                 self.version += 1;
-                let absent = (told.0.clone(), self.version);
+                let absent = (told.0.clone(), StoreVersion::new(ERA, self.version));
                 self.apply(daemon, Vec::new(), vec![absent]);
                 format!("daemon {daemon} reads that {} is not listed", told.0)
             }
@@ -208,13 +214,13 @@
         &mut self,
         daemon: usize,
         present: Vec<platform::TargetEntry>,
-        absent: Vec<(String, u64)>,
+        absent: Vec<(String, StoreVersion)>,
     ) {
         let changes = platform::TargetChanges {
             is_complete: false,
             present,
             absent,
-            version: self.version,
+            version: StoreVersion::new(ERA, self.version),
         };
         self.daemons[daemon].apply(changes);
     }
--- a/crates/relay/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -1,11 +1,18 @@
 //! When daemons read the store, and which changes they report to each other.
 
+use acaciabank_core::store_version::StoreVersion;
 use acaciabank_relay::{platform, watch};
 
+const ERA: u64 = 1;
+
+fn at(number: u64) -> StoreVersion {
+    StoreVersion::new(ERA, number)
+}
+
 fn changes(id: &str, version: u64) -> platform::TargetChanges {
     platform::TargetChanges {
-        absent: vec![(id.to_owned(), version)],
-        version,
+        absent: vec![(id.to_owned(), at(version))],
+        version: at(version),
         ..platform::TargetChanges::default()
     }
 }
@@ -16,15 +23,15 @@
 #[test]
 fn reports_repeat_all_changes_read_from_the_store() {
     let store = watch::StoreWatch::default();
-    assert!(store.record_changes(4, &changes("t-1", 5), 1_000));
-    assert!(store.record_changes(4, &changes("t-1", 5), 1_200));
-    assert!(!store.record_changes(5, &platform::TargetChanges::default(), 1_300));
+    assert!(store.record_changes(at(4), &changes("t-1", 5), 1_000));
+    assert!(store.record_changes(at(4), &changes("t-1", 5), 1_200));
+    assert!(!store.record_changes(at(5), &platform::TargetChanges::default(), 1_300));
     for now_ms in [1_300, 2_400, 2_650] {
         let recent = store.recent_changes(now_ms);
         let absent = &recent.changes.absent;
-        assert!(absent.contains(&("t-1".to_owned(), 5)), "at {now_ms}");
+        assert!(absent.contains(&("t-1".to_owned(), at(5))), "at {now_ms}");
         assert!(!recent.is_truncated);
-        assert_eq!((recent.after, recent.changes.version), (4, 5));
+        assert_eq!((recent.after, recent.changes.version), (at(4), at(5)));
     }
     let later = store.recent_changes(2_701);
     assert!(later.changes.absent.is_empty());
@@ -40,7 +47,7 @@
 fn changes_beyond_the_report_size_are_marked_as_truncated() {
     let store = watch::StoreWatch::default();
     for number in 0..100 {
-        store.record_changes(number, &changes(&format!("t-{number}"), number + 1), 0);
+        store.record_changes(at(number), &changes(&format!("t-{number}"), number + 1), 0);
     }
     assert!(store.recent_changes(10).is_truncated);
 }
@@ -52,19 +59,19 @@
     let freshness = watch::DataFreshness::default();
     let rank = watch::WATCHER_COUNT;
     assert!(freshness.is_due(rank, 1_000), "nothing is known yet");
-    freshness.record_store_read(1_000, 7);
+    freshness.record_store_read(1_000, at(7));
     assert!(!freshness.is_due(rank, 2_000));
     assert!(freshness.is_due(0, 2_000), "the watchers always read");
     assert!(freshness.is_due(rank, 2_400), "the reports are stale");
-    freshness.record_peer_changes(2_300, 6, 9);
+    freshness.record_peer_changes(2_300, at(6), at(9));
     assert!(!freshness.is_due(rank, 2_400));
     freshness.record_gap();
     assert!(
         freshness.is_due(rank, 2_400),
         "changes may have been missed"
     );
-    freshness.record_store_read(2_400, 9);
-    freshness.record_peer_changes(62_400, 9, 10);
+    freshness.record_store_read(2_400, at(9));
+    freshness.record_peer_changes(62_400, at(9), at(10));
     assert!(
         freshness.is_due(rank, 62_500),
         "every daemon reads once a minute"
@@ -77,17 +84,17 @@
 fn lost_reports_are_noticed_by_their_versions() {
     let freshness = watch::DataFreshness::default();
     let rank = watch::WATCHER_COUNT;
-    freshness.record_store_read(1_000, 7);
-    freshness.record_peer_changes(1_900, 7, 9);
+    freshness.record_store_read(1_000, at(7));
+    freshness.record_peer_changes(1_900, at(7), at(9));
     assert!(!freshness.is_due(rank, 2_000));
     // The changes from version 9 to 12 were not reported.
-    freshness.record_peer_changes(2_000, 12, 14);
+    freshness.record_peer_changes(2_000, at(12), at(14));
     assert!(freshness.is_due(rank, 2_100));
-    freshness.record_store_read(2_100, 14);
-    freshness.record_peer_changes(2_500, 13, 15);
+    freshness.record_store_read(2_100, at(14));
+    freshness.record_peer_changes(2_500, at(13), at(15));
     assert!(!freshness.is_due(rank, 2_600));
     // A daemon that cannot reach the store reports older state.
-    freshness.record_peer_changes(2_300, 20, 21);
+    freshness.record_peer_changes(2_300, at(20), at(21));
     assert!(!freshness.is_due(rank, 2_600));
 }
 
@@ -101,11 +108,11 @@
         is_complete: true,
         ..changes("t-1", 5)
     };
-    assert!(!store.record_changes(0, &list, 1_000));
+    assert!(!store.record_changes(at(0), &list, 1_000));
     let recent = store.recent_changes(1_010);
     assert!(recent.changes.absent.is_empty());
     assert!(recent.is_truncated, "the report must not count as complete");
-    store.record_changes(5, &changes("t-2", 6), 1_500);
+    store.record_changes(at(5), &changes("t-2", 6), 1_500);
     let recent = store.recent_changes(1_510);
-    assert_eq!((recent.after, recent.is_truncated), (5, false));
+    assert_eq!((recent.after, recent.is_truncated), (at(5), false));
 }
