Give no fencing token out again when the store comes back from a copy

Cause: the row alone said whether the lease was free, its version number whether it had changed, and the term in it was the next fencing token; all three go back with the store.

Versions of rows carry the era now. In a new era a challenger waits for the whole TTL and margin from its first read in that era, whatever the row says, and a row that was written with knowledge of an earlier era binds nobody. The holder continues while its grant is valid: that shows that nobody else has held the lease since. A write that meets its condition in another era by chance counts as a conflict. The fencing token is the version from which the lease was acquired, era first. A store in its first era has never lost anything, so that an absent row is taken at once there.

The product's own interface shares the decisions; its table states no era.

--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/lease/mod.rs
@@ -3,26 +3,36 @@
 //! A holder counts the lease time from before it sent a renewal, a challenger from when it first
 //! read the row, each by its own monotonic clock in milliseconds.
 //!
+//! A store that comes back from an older copy may have lost the row of a holder whose grant still
+//! runs. In a new era a challenger therefore counts from its first read in that era, whatever the
+//! row says, and the holder continues at once while its grant is valid.
+//!
 //! # Example
 //!
 //! ```
-//! use acaciabank_core::lease::{LeaseElector, LeaseStep, LeaseTimers, WriteResult};
+//! use acaciabank_core::lease::{LeaseElector, LeaseRead, LeaseStep, LeaseTimers, WriteResult};
+//! use acaciabank_core::store_version::StoreVersion;
 //! use acaciabank_protocol::ids;
 //!
 //! let timers = LeaseTimers { ttl_ms: 9_000, renewal_ms: 3_000, margin_ms: 1_000 };
 //! let mut elector = LeaseElector::new(ids::DaemonId::from("d1"), 1, timers);
-//! let LeaseStep::Write(write) = elector.on_read(0, None, 0) else { panic!() };
-//! elector.on_written(0, &write, WriteResult::Committed);
+//! let read = LeaseRead { era: 1, row: None };
+//! let LeaseStep::Write(write) = elector.on_read(0, &read, 0) else { panic!() };
+//! elector.on_written(0, &write, WriteResult::Committed(StoreVersion::new(1, 7)));
 //! assert!(elector.may_act(7_999));
 //! assert!(!elector.may_act(8_000));
 //! ```
 
 mod elector;
 
-pub use elector::{LeaseElector, LeaseGrant, LeaseStep, LeaseWrite, VersionedRow, WriteResult};
+pub use elector::{
+    LeaseElector, LeaseGrant, LeaseRead, LeaseStep, LeaseWrite, VersionedRow, WriteResult,
+};
 
 use acaciabank_protocol::{ids, value_type};
 
+use crate::store_version::StoreVersion;
+
 value_type!(
     /// Contents of a lease's row in the store.
     #[derive(Eq, Hash)]
@@ -33,7 +43,11 @@
         pub boot_id: u64,
         /// Term of the lease; a takeover increments it.
         pub term: u64,
-        /// Version of the row that this write replaced; makes the contents of all writes differ.
+        /// Lower bound of the version of the write that acquired the lease: the fencing token of
+        /// the term. Its era is the one that the holder knew.
+        #[serde(default)]
+        pub acquired: StoreVersion,
+        /// Number of the row's version that this write replaced; makes the contents of all writes differ.
         pub renewal: u64,
     }
 );
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -4,8 +4,10 @@
 use std::collections::HashSet;
 
 use acaciabank_core::lease::{
-    LeaseElector, LeaseRow, LeaseStep, LeaseTimers, LeaseWrite, VersionedRow, WriteResult, rank,
+    LeaseElector, LeaseRead, LeaseRow, LeaseStep, LeaseTimers, LeaseWrite, VersionedRow,
+    WriteResult, rank,
 };
+use acaciabank_core::store_version::StoreVersion;
 use acaciabank_protocol::ids;
 
 const TIMERS: LeaseTimers = LeaseTimers {
@@ -14,6 +16,7 @@
     margin_ms: 1,
 };
 const LAST_MS: u64 = 16;
+const ERA: u64 = 1;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct SentWrite {
@@ -49,15 +52,24 @@
         }
     }
 
+    fn read(&self) -> LeaseRead {
+        LeaseRead {
+            era: ERA,
+            row: self.row.clone(),
+        }
+    }
+
     fn apply(&mut self, write: &LeaseWrite) -> WriteResult {
         if self.row.as_ref().map(|row| row.version) != write.condition {
             return WriteResult::Conflict;
         }
+        let number = write.condition.map_or(0, |version| version.number);
+        let version = StoreVersion::new(ERA, number + 1);
         self.row = Some(VersionedRow {
-            version: write.condition.unwrap_or(0) + 1,
+            version,
             body: write.body.clone(),
         });
-        WriteResult::Committed
+        WriteResult::Committed(version)
     }
 
     fn successors(&self) -> Vec<World> {
@@ -86,7 +98,7 @@
         let mut world = self.clone();
         let now_ms = world.now_ms;
         let step = match world.electors[index].on_tick(now_ms) {
-            LeaseStep::Read => world.electors[index].on_read(now_ms, self.row.as_ref(), 0),
+            LeaseStep::Read => world.electors[index].on_read(now_ms, &self.read(), 0),
             step => step,
         };
         if let LeaseStep::Write(write) = step {
@@ -159,10 +171,15 @@
 #[test]
 fn grant_counts_from_before_the_renewal_was_sent() {
     let mut elector = LeaseElector::new(ids::DaemonId::from("a"), 1, TIMERS);
-    let LeaseStep::Write(write) = elector.on_read(10, None, 0) else {
+    let read = LeaseRead {
+        era: ERA,
+        row: None,
+    };
+    let LeaseStep::Write(write) = elector.on_read(10, &read, 0) else {
         panic!("no write");
     };
-    elector.on_written(10, &write, WriteResult::Committed);
+    let version = StoreVersion::new(ERA, 1);
+    elector.on_written(10, &write, WriteResult::Committed(version));
     assert!(elector.may_act(11));
     assert!(!elector.may_act(12));
 }
@@ -171,19 +188,25 @@
 #[test]
 fn resigned_lease_is_taken_over_at_once() {
     let mut elector = LeaseElector::new(ids::DaemonId::from("b"), 1, TIMERS);
+    let version = StoreVersion::new(ERA, 5);
     let row = VersionedRow {
-        version: 5,
+        version,
         body: LeaseRow {
             holder: None,
             boot_id: 1,
             term: 3,
+            acquired: StoreVersion::new(ERA, 2),
             renewal: 4,
         },
     };
-    let LeaseStep::Write(write) = elector.on_read(0, Some(&row), 0) else {
+    let read = LeaseRead {
+        era: ERA,
+        row: Some(row),
+    };
+    let LeaseStep::Write(write) = elector.on_read(0, &read, 0) else {
         panic!("no write");
     };
-    assert_eq!((write.condition, write.body.term), (Some(5), 4));
+    assert_eq!((write.condition, write.body.term), (Some(version), 4));
 }
 
 /// Guards against a ranking by which all models prefer one daemon, so that it holds every lease.
--- a/crates/daemon/src/planner/lease.rs
+++ b/crates/daemon/src/planner/lease.rs
@@ -4,7 +4,7 @@
 use std::{sync, time::Duration};
 
 use acaciabank_core::lease::{
-    LeaseElector, LeaseGrant, LeaseStep, LeaseTimers, LeaseWrite, WriteResult, rank,
+    LeaseElector, LeaseGrant, LeaseRead, LeaseStep, LeaseTimers, LeaseWrite, WriteResult, rank,
 };
 use acaciabank_protocol::ids;
 use tokio_util::sync::CancellationToken;
@@ -105,7 +105,11 @@
             step = match rows::read_lease(&self.state.table, &self.model).await {
                 Ok(row) => {
                     let extra_ms = rank.unwrap_or(0) as u64 * timers(&self.state).ttl_ms;
-                    elector.on_read(now_ms(), row.as_ref(), extra_ms)
+                    let read = LeaseRead {
+                        era: rows::TABLE_ERA,
+                        row,
+                    };
+                    elector.on_read(now_ms(), &read, extra_ms)
                 }
                 Err(error) => {
                     log::debug!("cannot read the lease of model {}: {error}", self.model);
@@ -147,7 +151,10 @@
             .transact(&rows::new_operation_id(), &[put])
             .await;
         let result = match &written {
-            Ok(()) => WriteResult::Committed,
+            // The table numbers the versions of each row.
+            Ok(()) => WriteResult::Committed(rows::row_version(
+                write.condition.map_or(0, |version| version.number) + 1,
+            )),
             Err(TableError::Conflict(_)) => WriteResult::Conflict,
             Err(TableError::Unavailable(_)) => WriteResult::Unavailable,
             Err(TableError::Unknown(_) | TableError::Invalid(_)) => WriteResult::Unknown,
@@ -203,7 +210,7 @@
         };
         let check = RowWrite::Check {
             key: rows::lease_key(&self.model),
-            condition: RowCondition::Version(grant.version),
+            condition: RowCondition::Version(grant.version.number),
         };
         let operation = rows::new_operation_id();
         let result = self.state.table.transact(&operation, &[check, put]).await;
--- a/crates/daemon/src/planner/rows.rs
+++ b/crates/daemon/src/planner/rows.rs
@@ -1,11 +1,13 @@
 //! Rows of leases and of targets' orders in the table.
 
-use acaciabank_core::{lease, order};
+use acaciabank_core::{lease, order, store_version::StoreVersion};
 use acaciabank_protocol::ids;
 use serde::de::DeserializeOwned;
 
 use crate::table::{RowCondition, RowKey, RowWrite, TableClient, TableError, TableRow};
 
+/// Era of all versions of the table service, which states none.
+pub(super) const TABLE_ERA: u64 = 0;
 /// Partition of the lease rows, which are named by model.
 const LEASE_PARTITION: &str = "lease";
 /// Partition of the order rows, which are named by target.
@@ -67,9 +69,9 @@
 pub(super) fn lease_put(model: &ids::ModelId, write: &lease::LeaseWrite) -> RowWrite {
     RowWrite::Put {
         key: lease_key(model),
-        condition: write
-            .condition
-            .map_or(RowCondition::Absent, RowCondition::Version),
+        condition: write.condition.map_or(RowCondition::Absent, |version| {
+            RowCondition::Version(version.number)
+        }),
         body: to_json(&write.body),
         expires_unix_s: None,
     }
@@ -82,13 +84,19 @@
     let row = table.get(&lease_key(model)).await?;
     row.map(|row| {
         Ok(lease::VersionedRow {
-            version: row.version,
+            version: row_version(row.version),
             body: parse(&row)?,
         })
     })
     .transpose()
 }
 
+/// Returns the version of a row as the lease's decisions order it. The table service states no era:
+/// it is not expected to come back from an older copy.
+pub(super) fn row_version(number: u64) -> StoreVersion {
+    StoreVersion::new(TABLE_ERA, number)
+}
+
 pub(super) async fn read_target(
     table: &TableClient,
     target: &ids::TargetId,
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -101,9 +101,7 @@
         let mut step = self.elector.on_tick(clock::now_ms());
         if step == lease::LeaseStep::Read {
             step = match store.read_lease(LEASE_NAME).await {
-                Ok(row) => self
-                    .elector
-                    .on_read(clock::now_ms(), row.as_ref(), extra_wait_ms),
+                Ok(read) => self.elector.on_read(clock::now_ms(), &read, extra_wait_ms),
                 Err(error) => {
                     log::debug!("cannot read lease {LEASE_NAME}: {error}");
                     lease::LeaseStep::Wait
@@ -115,16 +113,13 @@
         };
         let sent_ms = clock::now_ms();
         let written = store.write_lease(LEASE_NAME, &write).await;
-        let (result, version) = match written {
-            Ok(Some(version)) => (lease::WriteResult::Committed, Some(version)),
-            Ok(None) => (lease::WriteResult::Conflict, None),
-            Err(platform::StoreError::Status(_)) => (lease::WriteResult::Unavailable, None),
-            Err(_) => (lease::WriteResult::Unknown, None),
+        let result = match written {
+            Ok(Some(version)) => lease::WriteResult::Committed(version),
+            Ok(None) => lease::WriteResult::Conflict,
+            Err(platform::StoreError::Status(_)) => lease::WriteResult::Unavailable,
+            Err(_) => lease::WriteResult::Unknown,
         };
         self.elector.on_written(sent_ms, &write, result);
-        if let Some(version) = version {
-            self.elector.record_version(version);
-        }
     }
 
     async fn plan(&mut self) {
@@ -221,7 +216,7 @@
     let order = platform::StageOrder {
         target_id: &target.entry.id,
         holder: &state.settings.host,
-        fencing_token: grant.term,
+        fencing_token: grant.token.to_fencing_token(),
         stage: to,
         expected_orders: report.orders,
     };
@@ -235,7 +230,7 @@
     tokio::time::sleep(ORDER_DELAY).await;
     let response = order::send_order(&state, &target, &order, grant.act_until_ms).await;
     log::info!(
-        target_id = target.entry.id.as_str(), stage:? = to, fence = grant.term,
+        target_id = target.entry.id.as_str(), stage:? = to, fence:% = grant.token,
         orders = report.orders, answer:? = response;
         "order"
     );
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -244,10 +244,7 @@
     fn list_hosts(&self) -> impl Future<Output = Result<Vec<HostRegistration>, StoreError>>;
 
     /// Reads the row of a lease.
-    fn read_lease(
-        &self,
-        name: &str,
-    ) -> impl Future<Output = Result<Option<lease::VersionedRow>, StoreError>>;
+    fn read_lease(&self, name: &str) -> impl Future<Output = Result<lease::LeaseRead, StoreError>>;
 
     /// Writes the row of a lease if the condition of the write holds. Returns the new version of
     /// the row, or `None` if the condition does not hold.
@@ -255,7 +252,7 @@
         &self,
         name: &str,
         write: &lease::LeaseWrite,
-    ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
+    ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
 }
 
 /// Encodes and decodes the messages of callers, targets and operators.
