Take a configuration whose number was given out again with another content

After the store had come back from an older copy, the operator's number of a lost configuration may be given out again with another content. All daemons ignored it for good, as they compare the number alone, and a route that it added was not served (tests: not in force after two seconds, with and without a daemon that was cut off).

Configurations are ordered by the operator's number, which survives a return, then by the version of the store's row. A copy of an older one still replaces nothing. Reports between daemons carry the version and a hash of the document, so that a document that is merely written again is fetched by nobody, and a daemon that has not seen the return does not count as fresh.

--- a/crates/relay/src/config/mod.rs
+++ b/crates/relay/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use acaciabank_core::store_version::StoreVersion;
 use acaciabank_protocol::value_type;
 
 value_type!(
@@ -110,6 +111,28 @@
     pub idle_timeout_ms: u64,
 }
 
+value_type!(
+    /// Identity of a configuration. Configurations are ordered by the operator's number, which
+    /// survives a return of the store: the copy of an older configuration replaces nothing. If a
+    /// number is given out again after a return, the later write counts.
+    #[derive(Copy, Default, Eq, PartialOrd, Ord)]
+    pub struct ConfigVersion {
+        /// Number that the operator gave it.
+        pub number: u64,
+        /// Version of the store's row, as it was last read.
+        pub stored: StoreVersion,
+        /// Hash of the encoded configuration.
+        pub digest: u64,
+    }
+);
+
+impl ConfigVersion {
+    /// Whether both belong to the same document, which the store may hold in several versions.
+    pub fn is_same_document(&self, other: &Self) -> bool {
+        self.number == other.number && self.digest == other.digest
+    }
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug)]
 pub struct RelayConfig {
--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -93,8 +93,8 @@
                     log::info!("config_absent");
                 }
                 after = Some(change.version);
-                if let Some(document) = change.document {
-                    state.apply_config(&document, "store");
+                if let Some((stored, document)) = change.document {
+                    state.apply_config(&document, stored, "store");
                 }
                 // The store may have held the request, and its response describes the end of the
                 // wait.
@@ -246,13 +246,13 @@
         let newer = state
             .peers
             .borrow()
-            .newer_config_source(state.config_version());
-        let Some(address) = newer else {
+            .newer_config_source(&state.config_version());
+        let Some((address, version)) = newer else {
             continue;
         };
         match fetch_document(address, listener::CONFIG_PATH).await {
             Ok(document) => {
-                state.apply_config(&document, "peer");
+                state.apply_config(&document, version.stored, "peer");
             }
             Err(error) => {
                 log::warn!(peer:% = address, error = error.as_str(); "peer_config_failed")
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -19,7 +19,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::platform;
+use crate::{config, platform};
 
 /// Load that the sender's requests cause at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -110,8 +110,8 @@
     pub is_ready: bool,
     /// Whether the daemon is shutting down.
     pub is_draining: bool,
-    /// Version of the configuration that the daemon uses.
-    pub config_version: u64,
+    /// Configuration that the daemon uses.
+    pub config_version: config::ConfigVersion,
     /// Age of the sender's last read of the configuration in the store.
     pub config_age_ms: Option<u64>,
     /// Age of the sender's last read of the targets in the store; `None` if the report does not
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::{prompt_backlog::PromptBacklog, scheduler::SchedulerCandidate};
 
 use super::PeerReport;
-use crate::{scheduler, state};
+use crate::{config, scheduler, state};
 
 /// Age of a daemon's last report, beyond two of its report intervals, from which it counts as dead:
 /// it is not listed to callers and its loads do not count. One report may be lost, and a host
@@ -205,14 +205,15 @@
         ready.next().map(|peer| peer.report.peer_address)
     }
 
-    /// Returns the address of the daemon with the newest configuration, if that is newer than the
-    /// given version.
-    pub fn newer_config_source(&self, version: u64) -> Option<net::SocketAddr> {
-        let newest = self
-            .peers
-            .values()
-            .max_by_key(|peer| peer.report.config_version)?;
-        (newest.report.config_version > version).then_some(newest.report.peer_address)
+    /// Returns the address of the daemon with the newest configuration and the version of that, if
+    /// it is newer than the given version.
+    pub fn newer_config_source(
+        &self,
+        version: &config::ConfigVersion,
+    ) -> Option<(net::SocketAddr, config::ConfigVersion)> {
+        let reports = self.peers.values().map(|peer| &peer.report);
+        let newest = reports.max_by_key(|report| report.config_version)?;
+        (newest.config_version > *version).then_some((newest.peer_address, newest.config_version))
     }
 
     fn sum_loads(&mut self, now_ms: u64) {
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving, suspects};
-use crate::{clock, platform, scheduler, state, target, watch};
+use crate::{clock, config, platform, scheduler, state, target, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -350,21 +350,14 @@
     apply_parts(state, &report.parts, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
     leaving::apply_leaving(state, &report.leaving, now_ms);
-    let has_newer_config = report.config_version > state.config_version();
+    let config_version = report.config_version;
     let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
     let (after, version) = (report.changes_after, report.target_changes.version);
     let is_new = state.peers.borrow_mut().apply_report(report, now_ms);
     if !is_new {
         return;
     }
-    if has_newer_config {
-        state.newer_config_reported.notify_one();
-    } else if let Some(age_ms) = config_age_ms {
-        state
-            .watch
-            .config
-            .record_fresh(now_ms.saturating_sub(age_ms));
-    }
+    apply_config_version(state, &config_version, config_age_ms, now_ms);
     if let Some(age_ms) = targets_age_ms {
         let fresh_ms = now_ms.saturating_sub(age_ms);
         state
@@ -374,6 +367,28 @@
     }
 }
 
+/// Processes the configuration that another daemon uses and the age of its last read of it.
+fn apply_config_version<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    version: &config::ConfigVersion,
+    read_age_ms: Option<u64>,
+    now_ms: u64,
+) {
+    // All daemons read a configuration that is written again after a return. None of them has to
+    // fetch it from another one.
+    let is_newer = !state.confirm_config(version) && *version > state.config_version();
+    if is_newer {
+        state.newer_config_reported.notify_one();
+        return;
+    }
+    // A daemon that has not seen the last return may not know what was written since.
+    let is_current = version.stored.era >= state.config_version().stored.era;
+    if let Some(age_ms) = read_age_ms.filter(|_| is_current) {
+        let fresh_ms = now_ms.saturating_sub(age_ms);
+        state.watch.config.record_fresh(fresh_ms);
+    }
+}
+
 fn apply_parts<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     entries: &[PartEntry],
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -181,8 +181,9 @@
 pub struct ConfigChange {
     /// Version from which to request the next change.
     pub version: StoreVersion,
-    /// The encoded configuration; `None` if it has not changed or does not exist.
-    pub document: Option<Bytes>,
+    /// The encoded configuration and the version of its row; `None` if it has not changed or does
+    /// not exist.
+    pub document: Option<(StoreVersion, Bytes)>,
 }
 
 /// The registration of a daemon.
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -84,6 +84,8 @@
     pub store: Store,
     /// Configuration in use; `None` until one is known.
     pub config: RefCell<Option<rc::Rc<config::RelayConfig>>>,
+    /// Identity of `config`; the default value until one is known.
+    config_version: Cell<config::ConfigVersion>,
     /// Encoded form of `config`, served to other daemons.
     pub config_document: RefCell<bytes::Bytes>,
     /// Targets that the platform lists, with this daemon's view of their state.
@@ -172,6 +174,7 @@
             codec,
             store,
             config: RefCell::default(),
+            config_version: Cell::default(),
             config_document: RefCell::default(),
             targets: RefCell::new(target::TargetRegistry::new(settings.target_silence_ms)),
             peers: RefCell::default(),
@@ -205,12 +208,9 @@
         self.config.borrow().clone()
     }
 
-    /// Returns the version of the configuration in use; zero until one is known.
-    pub fn config_version(&self) -> u64 {
-        self.config
-            .borrow()
-            .as_ref()
-            .map_or(0, |config| config.version)
+    /// Returns the identity of the configuration in use; the default value until one is known.
+    pub fn config_version(&self) -> config::ConfigVersion {
+        self.config_version.get()
     }
 
     /// Whether callers may be given this daemon's address.
@@ -229,9 +229,15 @@
         metrics::counter!("acaciabank_store_returns_total").increment(era - known);
     }
 
-    /// Applies an encoded configuration if it is valid and newer than the one in use; returns
-    /// whether it was applied. `source` is where it came from, for the log.
-    pub fn apply_config(&self, document: &bytes::Bytes, source: &str) -> bool {
+    /// Applies an encoded configuration, read from the store at version `stored`, if it is valid and
+    /// newer than the one in use; returns whether it was applied. `source` is where it came from,
+    /// for the log.
+    pub fn apply_config(
+        &self,
+        document: &bytes::Bytes,
+        stored: StoreVersion,
+        source: &str,
+    ) -> bool {
         let config = match self.codec.read_config(document) {
             Ok(config) => config,
             Err(error) => {
@@ -239,16 +245,47 @@
                 return false;
             }
         };
-        if self.config.borrow().is_some() && config.version <= self.config_version() {
+        let version = config::ConfigVersion {
+            number: config.version,
+            stored,
+            digest: xxhash_rust::xxh3::xxh3_64(document),
+        };
+        let is_known = self.config.borrow().is_some();
+        if is_known && self.confirm_config(&version) {
             return false;
         }
-        log::info!(version = config.version, source = source; "config_in_force");
+        if is_known && version <= self.config_version() {
+            if version.number < self.config_version().number {
+                log::info!(
+                    version = version.number, stored:% = version.stored, source = source,
+                    in_force = self.config_version().number;
+                    "config_older"
+                );
+            }
+            return false;
+        }
+        log::info!(
+            version = config.version, stored:% = version.stored, source = source;
+            "config_in_force"
+        );
+        self.config_version.set(version);
         *self.config_document.borrow_mut() = document.clone();
         *self.config.borrow_mut() = Some(rc::Rc::new(config));
         self.report_now.notify_one();
         true
     }
 
+    /// Records that the store holds the configuration in use in a later version too; returns whether
+    /// `version` belongs to that configuration.
+    pub fn confirm_config(&self, version: &config::ConfigVersion) -> bool {
+        let known = self.config_version.get();
+        let is_same = version.is_same_document(&known);
+        if is_same && version.stored > known.stored {
+            self.config_version.set(*version);
+        }
+        is_same
+    }
+
     /// Applies changes to the list of targets. Changes that this daemon has read from the store are
     /// reported to the others, including those that it already knew: a report that claims a fresh
     /// read must contain all of it. Changes reported by others are not passed on, as that would
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -4,6 +4,7 @@
 
 use acaciabank_core::store_version::StoreVersion;
 use acaciabank_relay::{
+    config::ConfigVersion,
     gossip::{PeerReport, PeerTable},
     platform,
 };
@@ -22,7 +23,10 @@
         caller_address: CALLER_ADDRESS.parse().expect("an address"),
         is_ready: true,
         is_draining: false,
-        config_version: 1,
+        config_version: ConfigVersion {
+            number: 1,
+            ..ConfigVersion::default()
+        },
         config_age_ms: None,
         targets_age_ms: None,
         target_changes: platform::TargetChanges {
