Register daemons again when the store comes back from a copy

A registration that was written in the lost seconds was missing for up to a minute, until the next read of the list: a daemon that started meanwhile did not find its holder through the store, and counted fewer daemons for its share of the retry budget. A return of the store now has each daemon write its registration again, spread over a second.

returns::own_rows::lost_registrations_are_written_again failed before.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -26,6 +26,9 @@
 /// Interval between reads of the registered daemons. Reports between daemons spread changes sooner;
 /// the list only reconnects groups of daemons that have lost contact.
 const HOST_POLL_INTERVAL: Duration = Duration::from_secs(60);
+/// Time over which the daemons register again after a return of the store, so that they do not
+/// exceed its rate of writes.
+const REGISTRATION_SPREAD: Duration = Duration::from_secs(1);
 /// Initial and longest backoff after failed calls, before jitter.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
@@ -210,8 +213,7 @@
                 add_registered_hosts(&state, &own, &hosts);
                 is_registered = hosts.contains(&own);
                 if is_registered {
-                    let jitter = 0.8 + 0.4 * rand::random::<f64>();
-                    tokio::time::sleep(HOST_POLL_INTERVAL.mul_f64(jitter)).await;
+                    is_registered = !wait_for_return(&state).await;
                 }
             }
             Err(error) => backoff.wait_after(&error).await,
@@ -219,6 +221,18 @@
     }
 }
 
+/// Waits until the registered daemons have to be read again; returns whether the store has come
+/// back from a copy meanwhile, which may lack this daemon's registration.
+async fn wait_for_return<Codec, Store>(state: &state::RelayState<Codec, Store>) -> bool {
+    let interval = HOST_POLL_INTERVAL.mul_f64(0.8 + 0.4 * rand::random::<f64>());
+    let returned = tokio::time::timeout(interval, state.store_returned.notified()).await;
+    let has_returned = returned.is_ok();
+    if has_returned {
+        tokio::time::sleep(REGISTRATION_SPREAD.mul_f64(rand::random())).await;
+    }
+    has_returned
+}
+
 /// Adds the registered daemons to the addresses that reports are sent to.
 fn add_registered_hosts<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -101,6 +101,8 @@
     pub started_ms: u64,
     /// Highest era of the store that this daemon knows; zero before the store's first response.
     store_era: Cell<u64>,
+    /// Signals that the store has come back from an older copy.
+    pub store_returned: tokio::sync::Notify,
     /// Number of other daemons that are registered in the store.
     pub registered_hosts: Cell<usize>,
     /// Signals that another daemon has a newer configuration.
@@ -182,6 +184,7 @@
             boot_id: rand::random(),
             started_ms: crate::clock::now_ms(),
             store_era: Cell::new(0),
+            store_returned: tokio::sync::Notify::new(),
             registered_hosts: Cell::new(0),
             newer_config_reported: tokio::sync::Notify::new(),
             recent_parts: RefCell::default(),
@@ -227,6 +230,7 @@
         }
         log::warn!(era = era, known = known; "store_returned");
         metrics::counter!("acaciabank_store_returns_total").increment(era - known);
+        self.store_returned.notify_one();
     }
 
     /// Applies an encoded configuration, read from the store at version `stored`, if it is valid and
