Report what a complete list changes

A daemon that was cut off from the store across its return heard nothing of a target that drained before the others had read the store again: what a complete list contains is not reported, as all daemons would send it at a start. Now the differences to the list before are, and all daemons still read the store after them, as they may have known something else.

returns::targets::the_first_relay_follows_a_drain_while_it_is_cut_off and the_last_relay_... failed before: requests still went to the target two seconds after the store's acknowledgement.

--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -303,7 +303,7 @@
         };
         let now_ms = crate::clock::now_ms();
         if let ChangeSource::Store { after } = source
-            && self.watch.record_changes(after, &changes, now_ms)
+            && self.record_changes(after, &changes, now_ms)
         {
             self.report_now.notify_one();
         }
@@ -315,6 +315,24 @@
         }
     }
 
+    /// Keeps changes read from the store for the next reports; returns whether there are any. Of a
+    /// complete list, only the differences to an earlier one are reported, for daemons that cannot
+    /// reach the store. The others read it, as they may have known something else before.
+    fn record_changes(
+        &self,
+        after: StoreVersion,
+        changes: &platform::TargetChanges,
+        now_ms: u64,
+    ) -> bool {
+        let has_changes = self.watch.record_changes(after, changes, now_ms);
+        match self.targets.borrow().difference(changes) {
+            Some(difference) => self
+                .watch
+                .record_changes(changes.version, &difference, now_ms),
+            None => has_changes,
+        }
+    }
+
     /// Records that the parts of a prompt were sent to an engine or processed by it, for this
     /// daemon and the others.
     pub fn record_parts(
--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -222,6 +222,29 @@
         }
     }
 
+    /// Returns what a complete list changes, unless it is the first one.
+    pub fn difference(&self, list: &platform::TargetChanges) -> Option<platform::TargetChanges> {
+        if !list.is_complete || self.complete_version == StoreVersion::ZERO {
+            return None;
+        }
+        let is_listed = |id: &str| list.present.iter().any(|entry| entry.id == id);
+        let unlisted = self.by_id.keys().filter(|id| !is_listed(id));
+        let is_unknown = |entry: &&platform::TargetEntry| {
+            let known = self.by_id.get(&entry.id);
+            !known.is_some_and(|target| is_unchanged(target, entry))
+        };
+        Some(platform::TargetChanges {
+            is_complete: false,
+            version: list.version,
+            present: list.present.iter().filter(is_unknown).cloned().collect(),
+            absent: match list.version.era == self.complete_version.era {
+                true => unlisted.map(|id| (id.clone(), list.version)).collect(),
+                // Targets of the lost seconds may write their rows again.
+                false => Vec::new(),
+            },
+        })
+    }
+
     /// Returns all targets as a list that another daemon can apply. It is complete if this daemon
     /// has read the list from the store.
     pub fn export(&self) -> platform::TargetChanges {
@@ -309,6 +332,13 @@
         && listed.service == entry.service
 }
 
+/// Whether an entry says nothing new about a listed target.
+fn is_unchanged(target: &TargetState, entry: &platform::TargetEntry) -> bool {
+    is_same_run(&target.entry, entry)
+        && target.is_draining.get() == entry.is_draining
+        && target.listed_stage.get() == entry.stage
+}
+
 fn set_draining(target: &TargetState, is_draining: bool) {
     if target.is_draining.replace(is_draining) != is_draining {
         let id = target.entry.id.as_str();
