Test a drain after two returns without a relay, and after an outage

A relay that is cut off during two returns sees an era that the others have not reported first, and the users' drill keeps the store away before it returns.

--- a/crates/testbed/tests/relay/returns/targets.rs
+++ b/crates/testbed/tests/relay/returns/targets.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use acaciabank_testbed::{harness, proxy::FaultKind};
+use serde_json::json;
 
 use super::{
     CHANGE_BOUND, Fleet, NO_REWRITE_MS, REWRITE_TIME, RecordedTarget, SETTLE_TIME,
@@ -133,6 +134,37 @@
     check_cut_off(2).await;
 }
 
+/// Guards against a relay that is cut off during two returns and follows no change after them,
+/// because it takes the second one for the one that others have reported.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_was_cut_off_during_two_returns_follows_a_drain() {
+    let returned = ReturnedFleet::start(Fixture::start_proxied().await).await;
+    let fleet = &returned.fleet;
+    fleet.set_store_link(0, FaultKind::Cut).await;
+    returned.restore().await;
+    returned.target.write_row(&fleet.fixture, "ready").await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    returned.restore().await;
+    fleet.set_store_link(0, FaultKind::None).await;
+    returned.check_drain().await;
+}
+
+/// Guards against a drain that is missed because the store did not respond for a while before it
+/// returned, so that calls of relays failed and were repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_drains_after_an_outage_and_a_return_gets_no_requests() {
+    let returned = ReturnedFleet::start(Fixture::start().await).await;
+    let store = &returned.fleet.fixture.store;
+    store.control(json!({"is_silent": true})).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let age_ms = returned.copied_at.elapsed().as_millis() as u64;
+    let patch = json!({"is_silent": false, "restore": {"age_ms": age_ms}});
+    store.control(patch).await;
+    // The store is stable again when the relays have had time for a repeated call.
+    tokio::time::sleep(SETTLE_TIME).await;
+    returned.check_drain().await;
+}
+
 /// Guards against relays that list a target for ever whose row was lost and not written again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_whose_row_is_not_written_again_is_gone() {
