--- a/crates/core/src/member/digest.rs
+++ b/crates/core/src/member/digest.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3;
 
 use super::{EntryVersion, MemberState, SuspectReport, TargetLoad};
+use crate::suspect;
 
 /// Hash that identifies a daemon in messages between daemons.
 pub fn daemon_hash(daemon: &ids::DaemonId) -> u32 {
@@ -46,6 +47,8 @@
     pub loads: Vec<TargetLoad>,
     /// Crash suspects known to the daemon.
     pub suspects: Vec<SuspectReport>,
+    /// Crashes with prompts known to the daemon, see [`suspect::PartSuspects`].
+    pub parts: suspect::PartReport,
 }
 
 /// Converts a counter that does not reach the maximum in the lifetime of a daemon.
--- a/crates/core/src/member/entry.rs
+++ b/crates/core/src/member/entry.rs
@@ -4,6 +4,8 @@
 
 use acaciabank_protocol::ids;
 
+use crate::suspect;
+
 /// State that a daemon announces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemberState {
@@ -84,6 +86,8 @@
     pub loads: Vec<TargetLoad>,
     /// Crash suspects known to the daemon.
     pub suspects: Vec<SuspectReport>,
+    /// Crashes with prompts known to the daemon, see [`suspect::PartSuspects`].
+    pub parts: suspect::PartReport,
 }
 
 impl MemberEntry {
--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -9,6 +9,7 @@
     EntryVersion, Heartbeat, LoadReport, MemberEntry, MemberState, daemon_hash, digest,
     short_boot_id,
 };
+use crate::suspect;
 
 /// Number of ticks in which a daemon forwards a record. With two peers per tick each daemon
 /// receives about two copies; a second tick would double the traffic, and probes make up for
@@ -241,6 +242,7 @@
             partial: changed.is_some(),
             loads: loads.copied().collect(),
             suspects: entry.suspects.clone(),
+            parts: entry.parts.clone(),
         };
         self.own.report = Some(KnownReport {
             report,
@@ -639,6 +641,7 @@
     let entry = MemberEntry {
         loads: Vec::new(),
         suspects: Vec::new(),
+        parts: suspect::PartReport::default(),
         ..known.entry.clone()
     };
     (entry, known.advanced_at)
--- a/crates/core/src/suspect/mod.rs
+++ b/crates/core/src/suspect/mod.rs
@@ -2,6 +2,7 @@
 //! broke. A request that is suspected of crashing targets is isolated and then refused.
 
 mod parts;
+mod report;
 mod turns;
 
 use std::collections::HashMap;
@@ -10,6 +11,7 @@
     PartCrashRecord, PartStartRecord, PartSuspects, REFUSE_MIN_ANSWERED_CRASHES,
     REFUSE_MIN_PART_CRASHES,
 };
+pub use report::{PartReport, select_reported};
 pub use turns::{TurnStamp, TurnTable, TurnTicket};
 
 /// Number of crashes at which the requests of a fingerprint are refused.
--- a/crates/core/tests/member.rs
+++ b/crates/core/tests/member.rs
@@ -6,9 +6,12 @@
     time::Instant,
 };
 
-use acaciabank_core::member::{
-    Applied, EntryVersion, Heartbeat, HeartbeatApplied, Liveness, MemberEntry, MemberState,
-    MemberTable, MemberTimers, Rumors, TargetLoad, owner_of,
+use acaciabank_core::{
+    member::{
+        Applied, EntryVersion, Heartbeat, HeartbeatApplied, Liveness, MemberEntry, MemberState,
+        MemberTable, MemberTimers, Rumors, TargetLoad, owner_of,
+    },
+    suspect,
 };
 use acaciabank_protocol::ids;
 use rand::{SeedableRng, rngs::StdRng};
@@ -37,6 +40,7 @@
         config_version: boot_id + sequence,
         loads: Vec::new(),
         suspects: Vec::new(),
+        parts: suspect::PartReport::default(),
     }
 }
 
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -272,6 +272,35 @@
     assert_eq!(copy.export_crashes(90_000).len(), crashes.len());
 }
 
+/// Guards against reports that omit a recent crash or what is known of its parts, or that grow with
+/// the crashes of many minutes, and against crashes that daemons which start later never hear of.
+#[test]
+fn reports_hold_recent_crashes_and_some_of_the_older_ones() {
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut suspects = PartSuspects::default();
+    let old: Vec<u64> = (100..140).collect();
+    for part in &old {
+        crash(&mut suspects, &[*part], *part as u32, 1_000 + part);
+    }
+    crash(&mut suspects, &[FIRST, CRASHING], 1, 20_000);
+    suspects.record_start(&[FIRST, 3], 20_500);
+    let mut copy = PartSuspects::default();
+    for _ in 0..200 {
+        let report = suspects.report(21_000, &mut rng);
+        assert_eq!(report.crashes[0].parts, [FIRST, CRASHING]);
+        assert_eq!(report.crashes[0].age_ms, 1_000);
+        assert_eq!(report.crashes[0].in_flight_ms, 100);
+        assert!(report.crashes.len() <= 5, "{report:?}");
+        let start = PartStartRecord {
+            part: FIRST,
+            age_ms: 500,
+        };
+        assert_eq!(report.starts, [start]);
+        copy.merge_report(&report, 90_000);
+    }
+    assert_eq!(copy.export_crashes(90_000).len(), old.len() + 1);
+}
+
 /// Guards against a part that stays refused for ever, and against old reports that renew it.
 #[test]
 fn crashes_expire() {
--- a/crates/daemon/src/dispatch/admission.rs
+++ b/crates/daemon/src/dispatch/admission.rs
@@ -12,6 +12,12 @@
 use super::token_times;
 use crate::target;
 
+/// Clock of crash suspects, in milliseconds: [`target::now_ms`] with an offset. Other daemons report
+/// crashes and answers from before this process started; their order is kept.
+pub(super) fn crash_now_ms() -> u64 {
+    target::now_ms() + suspect::SUSPECT_LIFETIME_MS
+}
+
 /// Crash suspects and the turns of identical requests, which must change together.
 #[derive(Debug, Default)]
 pub(super) struct CrashState {
@@ -25,7 +31,7 @@
 impl CrashState {
     /// Status of a request: refused also if targets crashed on others whose prompts begin alike.
     pub(super) fn status(&self, fingerprint: u64, piece_hashes: &[u64]) -> suspect::SuspectStatus {
-        let now_ms = target::now_ms();
+        let now_ms = crash_now_ms();
         match self.beginnings.refused_part(piece_hashes, now_ms) {
             Some(_) => suspect::SuspectStatus::Refused,
             None => self.suspects.status(fingerprint, now_ms),
@@ -140,13 +146,28 @@
     /// Crash suspects known to this daemon, for gossip to other daemons.
     pub fn export_suspects(&self) -> Vec<suspect::SuspectRecord> {
         let mut crashes = self.admission.crash_state();
-        crashes.suspects.export(target::now_ms())
+        crashes.suspects.export(crash_now_ms())
     }
 
     /// Crashes known to this daemon that a fingerprint was seen in.
     pub fn suspect_records(&self, fingerprint: u64) -> Vec<suspect::SuspectRecord> {
         let crashes = self.admission.crash_state();
-        crashes.suspects.records(fingerprint, target::now_ms())
+        crashes.suspects.records(fingerprint, crash_now_ms())
+    }
+
+    /// Crashes with beginnings of prompts known to this daemon, for gossip to other daemons.
+    pub fn report_parts(&self) -> suspect::PartReport {
+        let mut crashes = self.admission.crash_state();
+        crashes.beginnings.report(crash_now_ms(), &mut rand::rng())
+    }
+
+    /// Merges crashes with beginnings of prompts that another daemon reports.
+    pub fn merge_parts(&self, report: &suspect::PartReport) {
+        if report.is_empty() {
+            return;
+        }
+        let mut crashes = self.admission.crash_state();
+        crashes.beginnings.merge_report(report, crash_now_ms());
     }
 
     /// Answers another daemon that asks whether its request, a crash suspect, may run. Returns
@@ -171,6 +192,6 @@
     /// Merges a crash suspect received from another daemon.
     pub fn merge_suspect(&self, record: suspect::SuspectRecord) {
         let mut crashes = self.admission.crash_state();
-        crashes.suspects.merge(record, target::now_ms());
+        crashes.suspects.merge(record, crash_now_ms());
     }
 }
--- a/crates/daemon/src/dispatch/retry.rs
+++ b/crates/daemon/src/dispatch/retry.rs
@@ -12,8 +12,8 @@
 use http_body_util::Full;
 
 use super::{
-    CallerRequest, RequestWork, WriteDeadline, attempt, completion, placement, service, sink, slot,
-    turn,
+    CallerRequest, RequestWork, WriteDeadline, admission, attempt, completion, placement, service,
+    sink, slot, turn,
 };
 use crate::{process, target};
 
@@ -68,7 +68,7 @@
     pub(super) attempt: ids::AttemptId,
     pub(super) request_start: Instant,
     pub(super) attempt_start: Instant,
-    /// The same time as `attempt_start`, by [`target::now_ms`].
+    /// The same time as `attempt_start`, by [`admission::crash_now_ms`].
     sent_ms: u64,
     /// Whether the target has sent output of this attempt.
     has_output: AtomicBool,
@@ -93,7 +93,7 @@
             attempt,
             request_start,
             attempt_start: Instant::now(),
-            sent_ms: target::now_ms(),
+            sent_ms: admission::crash_now_ms(),
             has_output: AtomicBool::new(false),
         }
     }
@@ -288,7 +288,7 @@
     context: &AttemptContext<'_>,
     failure: attempt::AttemptFailure,
 ) -> attempt::AttemptFailure {
-    let failed_ms = target::now_ms();
+    let failed_ms = admission::crash_now_ms();
     let failure = attempt::confirm_crash(context.state, context.target, failure).await;
     if !failure.may_have_crashed {
         context.turn.stop();
--- a/crates/daemon/src/dispatch/turn.rs
+++ b/crates/daemon/src/dispatch/turn.rs
@@ -1,6 +1,6 @@
 //! Turns of crash suspects: a request that may have crashed a target runs only while no identical
 //! one runs at any daemon of the region. Crashes are recorded for the request and for the beginnings
-//! of its prompt; the latter are known to this daemon only.
+//! of its prompt.
 
 use std::{
     sync,
@@ -9,7 +9,8 @@
 
 use acaciabank_core::suspect::{self, SuspectStatus};
 
-use crate::{process, target};
+use super::admission;
+use crate::process;
 
 /// Longest wait for a turn. A request that crashes its target does so within its first tokens, so
 /// an identical one that has run for so long is not about to crash its target.
@@ -30,7 +31,7 @@
 pub(super) struct AttemptCrash {
     /// Hash of the target's name.
     pub(super) target_hash: u32,
-    /// Time by [`target::now_ms`] at which the request was sent to the target.
+    /// Time by [`admission::crash_now_ms`] at which the request was sent to the target.
     pub(super) sent_ms: u64,
     /// Time at which the attempt failed.
     pub(super) failed_ms: u64,
@@ -99,7 +100,7 @@
         let target_hash = crash.target_hash;
         crashes
             .suspects
-            .record_crash(fingerprint, target_hash, target::now_ms());
+            .record_crash(fingerprint, target_hash, admission::crash_now_ms());
         if !crash.has_output {
             crashes.beginnings.record_crash(
                 &self.piece_hashes,
@@ -116,7 +117,7 @@
         let mut crashes = self.state.targets.admission.crash_state();
         crashes
             .beginnings
-            .record_start(&self.piece_hashes, target::now_ms());
+            .record_start(&self.piece_hashes, admission::crash_now_ms());
     }
 
     /// Whether the request is to be refused because targets crashed on it or its beginning.
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -2,7 +2,10 @@
 
 use std::time;
 
-use acaciabank_core::member::{EntryVersion, MemberEntry, MemberState, SuspectReport, TargetLoad};
+use acaciabank_core::{
+    member::{EntryVersion, MemberEntry, MemberState, SuspectReport, TargetLoad},
+    suspect::{PartCrashRecord, PartReport, PartStartRecord},
+};
 use acaciabank_protocol::{ids, peer_capnp};
 use capnp::struct_list;
 
@@ -41,8 +44,13 @@
     builder.set_config_version(entry.config_version);
     let loads = builder.reborrow().init_loads(entry.loads.len() as u32);
     write_loads(&entry.loads, held_ms, loads);
-    let suspects = builder.init_suspects(entry.suspects.len() as u32);
+    let suspects = builder
+        .reborrow()
+        .init_suspects(entry.suspects.len() as u32);
     write_suspects(&entry.suspects, held_ms, suspects);
+    if !entry.parts.is_empty() {
+        write_parts(&entry.parts, held_ms, builder.init_parts());
+    }
 }
 
 pub(super) fn write_state(state: MemberState) -> peer_capnp::MemberState {
@@ -86,6 +94,43 @@
     }
 }
 
+/// Writes crashes with prompts; increases the ages in them by the time for which this daemon has
+/// held them.
+pub(super) fn write_parts(
+    report: &PartReport,
+    held_ms: u32,
+    mut builder: peer_capnp::part_report::Builder<'_>,
+) {
+    let mut crashes = builder.reborrow().init_crashes(report.crashes.len() as u32);
+    for (index, crash) in report.crashes.iter().enumerate() {
+        write_part_crash(crash, held_ms, crashes.reborrow().get(index as u32));
+    }
+    let mut starts = builder.init_starts(report.starts.len() as u32);
+    for (index, start) in report.starts.iter().enumerate() {
+        let mut builder = starts.reborrow().get(index as u32);
+        builder.set_part(start.part);
+        builder.set_age_ms(saturating_u32(start.age_ms).saturating_add(held_ms));
+    }
+}
+
+fn write_part_crash(
+    crash: &PartCrashRecord,
+    held_ms: u32,
+    mut builder: peer_capnp::part_crash::Builder<'_>,
+) {
+    builder.set_target(crash.target_hash);
+    builder.set_age_ms(saturating_u32(crash.age_ms).saturating_add(held_ms));
+    builder.set_in_flight_ms(saturating_u32(crash.in_flight_ms));
+    let mut parts = builder.init_parts(crash.parts.len() as u32);
+    for (index, part) in crash.parts.iter().enumerate() {
+        parts.set(index as u32, *part);
+    }
+}
+
+fn saturating_u32(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
+
 fn write_load(load: &TargetLoad, held_ms: u32, mut builder: peer_capnp::target_load::Builder<'_>) {
     builder.set_target(load.target_hash);
     builder.set_age_ms(load.age_ms.saturating_add(held_ms));
@@ -121,6 +166,7 @@
         config_version: reader.get_config_version(),
         loads,
         suspects,
+        parts: read_parts(reader.get_parts()?)?,
     })
 }
 
@@ -150,6 +196,31 @@
     }
 }
 
+pub(super) fn read_parts(reader: peer_capnp::part_report::Reader<'_>) -> capnp::Result<PartReport> {
+    let crashes = reader.get_crashes()?.iter().map(read_part_crash);
+    let starts = reader.get_starts()?.iter();
+    Ok(PartReport {
+        crashes: crashes.collect::<capnp::Result<_>>()?,
+        starts: starts.map(read_part_start).collect(),
+    })
+}
+
+fn read_part_crash(reader: peer_capnp::part_crash::Reader<'_>) -> capnp::Result<PartCrashRecord> {
+    Ok(PartCrashRecord {
+        parts: reader.get_parts()?.iter().collect(),
+        target_hash: reader.get_target(),
+        age_ms: reader.get_age_ms().into(),
+        in_flight_ms: reader.get_in_flight_ms().into(),
+    })
+}
+
+fn read_part_start(reader: peer_capnp::part_start::Reader<'_>) -> PartStartRecord {
+    PartStartRecord {
+        part: reader.get_part(),
+        age_ms: reader.get_age_ms().into(),
+    }
+}
+
 pub(super) fn write_config(
     config: &ConfigVersion,
     mut builder: peer_capnp::config::Builder<'_>,
--- a/crates/daemon/src/peer/digest.rs
+++ b/crates/daemon/src/peer/digest.rs
@@ -114,8 +114,13 @@
     builder.set_sequence(report.sequence);
     let loads = builder.reborrow().init_loads(report.loads.len() as u32);
     convert::write_loads(&report.loads, held_ms, loads);
-    let suspects = builder.init_suspects(report.suspects.len() as u32);
+    let suspects = builder
+        .reborrow()
+        .init_suspects(report.suspects.len() as u32);
     convert::write_suspects(&report.suspects, held_ms, suspects);
+    if !report.parts.is_empty() {
+        convert::write_parts(&report.parts, held_ms, builder.init_parts());
+    }
 }
 
 fn read_report(reader: peer_capnp::load_report::Reader<'_>) -> capnp::Result<LoadReport> {
@@ -130,5 +135,6 @@
             .iter()
             .map(convert::read_suspect)
             .collect(),
+        parts: convert::read_parts(reader.get_parts()?)?,
     })
 }
--- a/crates/daemon/src/peer/gossip.rs
+++ b/crates/daemon/src/peer/gossip.rs
@@ -34,7 +34,8 @@
         }
         for (report, _) in &digest.reports {
             if self.table.borrow_mut().apply_report(report, now) {
-                loads::apply_loads(&self.state, &report.loads, &report.suspects);
+                loads::apply_loads(&self.state, &report.loads);
+                loads::apply_suspects(&self.state, &report.suspects, &report.parts);
             }
         }
         self.apply_suspicions(&digest.suspicions, now);
@@ -54,6 +55,8 @@
     ) -> bool {
         let mut changed = false;
         for entry in entries {
+            // Crashes count also if a heartbeat or a load report has overtaken the entry.
+            loads::apply_suspects(&self.state, &entry.suspects, &entry.parts);
             let applied = self.table.borrow_mut().apply(entry.clone(), now);
             match applied {
                 Applied::Ignored => {
@@ -66,7 +69,7 @@
                 Applied::Refreshed => {}
                 Applied::Changed => changed = true,
             }
-            loads::apply_loads(&self.state, &entry.loads, &entry.suspects);
+            loads::apply_loads(&self.state, &entry.loads);
         }
         changed
     }
@@ -170,7 +173,8 @@
         let load_ticks = loads::report_interval_ticks(entry.loads.len() * table.region_size(now));
         let is_heartbeat_due = count_down(&self.ticks_until_heartbeat, heartbeat_ticks);
         let are_loads_due = count_down(&self.ticks_until_loads, heartbeat_ticks.max(load_ticks));
-        let has_loads = !entry.loads.is_empty() || !entry.suspects.is_empty();
+        let has_suspects = !entry.suspects.is_empty() || !entry.parts.is_empty();
+        let has_loads = !entry.loads.is_empty() || has_suspects;
         let reported = match are_loads_due {
             true if has_loads => Some(None),
             false if !changed.is_empty() => Some(Some(changed.as_slice())),
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -51,13 +51,9 @@
     records.into_iter().map(to_report).collect()
 }
 
-/// Applies the loads and suspects that another daemon publishes. Loads of targets that this daemon
-/// polls itself are ignored, because its own reports are newer.
-pub(super) fn apply_loads(
-    state: &process::ProcessState,
-    loads: &[member::TargetLoad],
-    suspects: &[member::SuspectReport],
-) {
+/// Applies the loads that another daemon publishes. Loads of targets that this daemon polls itself
+/// are ignored, because its own reports are newer.
+pub(super) fn apply_loads(state: &process::ProcessState, loads: &[member::TargetLoad]) {
     let snapshot = state.targets.snapshot();
     let backoff_ms = state.settings.timers.suspect_after_ms;
     for load in loads {
@@ -69,11 +65,15 @@
             state.targets.apply_summary(load);
         }
     }
-    apply_suspects(state, suspects);
 }
 
-/// Merges the crash suspects that another daemon knows.
-pub(super) fn apply_suspects(state: &process::ProcessState, suspects: &[member::SuspectReport]) {
+/// Merges the crash suspects and the crashes with prompts that another daemon knows.
+pub(super) fn apply_suspects(
+    state: &process::ProcessState,
+    suspects: &[member::SuspectReport],
+    parts: &suspect::PartReport,
+) {
+    state.targets.merge_parts(parts);
     for report in suspects {
         state.targets.merge_suspect(suspect::SuspectRecord {
             fingerprint: report.fingerprint,
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -536,6 +536,7 @@
         config_version: state.config.version(),
         loads: loads::local_loads(state),
         suspects: loads::local_suspects(state),
+        parts: state.targets.report_parts(),
     }
 }
 
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync, time};
 
-use acaciabank_core::suspect::TurnStamp;
+use acaciabank_core::suspect::{PartReport, TurnStamp};
 use acaciabank_protocol::{ids, peer_capnp::peer};
 
 use super::{RemoteKeyState, convert, digest, digest::Digest, loads, meter, node::PeerNode};
@@ -155,7 +155,7 @@
         let fingerprint = params.get_fingerprint();
         let suspects: Vec<_> = params.get_suspects()?.iter().collect();
         let suspects: Vec<_> = suspects.into_iter().map(convert::read_suspect).collect();
-        loads::apply_suspects(state, &suspects);
+        loads::apply_suspects(state, &suspects, &PartReport::default());
         let stamp = TurnStamp {
             clock: params.get_clock(),
             daemon: params.get_daemon()?.to_str()?,
--- a/crates/daemon/src/peer/turns.rs
+++ b/crates/daemon/src/peer/turns.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, time};
 
-use acaciabank_core::{member::Liveness, suspect::TurnStamp};
+use acaciabank_core::{
+    member::Liveness,
+    suspect::{self, TurnStamp},
+};
 use futures::{StreamExt, stream::FuturesUnordered};
 
 use super::{client, link::PeerLink, loads, node::PeerNode};
@@ -30,7 +33,7 @@
             match answer {
                 Ok(answer) => {
                     state.targets.advance_turn_clock(answer.clock);
-                    loads::apply_suspects(state, &answer.suspects);
+                    loads::apply_suspects(state, &answer.suspects, &suspect::PartReport::default());
                     is_held_back |= answer.is_held_back;
                 }
                 Err(error) => log::debug!("no answer about the turn of a suspect: {error}"),
--- a/crates/daemon/tests/control/peer.rs
+++ b/crates/daemon/tests/control/peer.rs
@@ -1,7 +1,8 @@
 //! Tests of membership, gossip and calls between daemons.
 
-use std::net;
+use std::{net, time};
 
+use acaciabank_core::suspect::{PartCrashRecord, PartReport, PartStartRecord};
 use acaciabank_daemon::{
     dispatch::BufferedResponse,
     peer::{MemberCondition, PeerError, RemoteKeyState},
@@ -123,8 +124,14 @@
     assert!(boot_ids.contains(id));
 }
 
-/// Sends `receiver` the entry of a daemon that does not exist, listening at `peer_address`.
-async fn gossip_absent_daemon(receiver: net::SocketAddr, peer_address: net::SocketAddr) {
+/// Sends `receiver` the entry of a daemon that does not exist, listening at `peer_address`. The entry
+/// reports a crash of the target `crashed_target` with the prompt piece 1.
+async fn gossip_absent_daemon(
+    receiver: net::SocketAddr,
+    peer_address: net::SocketAddr,
+    sequence: u64,
+    crashed_target: u32,
+) {
     let stream = tokio::net::TcpStream::connect(receiver)
         .await
         .expect("connect");
@@ -140,10 +147,13 @@
     entry.set_region("perth");
     entry.set_zone("perth-a");
     entry.set_boot_id(1);
-    entry.set_sequence(1);
+    entry.set_sequence(sequence);
     entry.set_state(peer_capnp::MemberState::Ready);
     entry.set_caller_address("127.0.0.1:7001");
     entry.set_peer_address(peer_address.to_string());
+    let mut crash = entry.init_parts().init_crashes(1).get(0);
+    crash.set_target(crashed_target);
+    crash.init_parts(1).set(0, 1);
     request.send().promise.await.expect("gossip");
     task.abort();
 }
@@ -155,7 +165,7 @@
     let (_paused, paused) = paused_daemon();
     let tasks = tokio::task::LocalSet::new();
     tasks
-        .run_until(gossip_absent_daemon(a.peer_address, paused))
+        .run_until(gossip_absent_daemon(a.peer_address, paused, 1, 1))
         .await;
     for condition in [MemberCondition::Ready, MemberCondition::Suspect] {
         let expected = ("absent".to_owned(), condition);
@@ -168,6 +178,101 @@
     wait_for("removal of `absent`", || known_members(&a) == alone).await;
 }
 
+/// Guards against a crash that stays unknown because a newer entry or heartbeat of the daemon that
+/// reports it has overtaken its entry.
+#[tokio::test]
+async fn crashes_in_an_entry_that_was_overtaken_become_known() {
+    let a = fleet::start("a", 1, closed_address(), &[]);
+    let (_paused, paused) = paused_daemon();
+    let tasks = tokio::task::LocalSet::new();
+    for (sequence, crashed_target) in [(2, 7), (1, 8)] {
+        let sent = gossip_absent_daemon(a.peer_address, paused, sequence, crashed_target);
+        tasks.run_until(sent).await;
+    }
+    let crashes = a.state.targets.report_parts().crashes;
+    let mut crashed: Vec<u32> = crashes.iter().map(|crash| crash.target_hash).collect();
+    crashed.sort_unstable();
+    assert_eq!(crashed, [7, 8]);
+}
+
+/// A report without its ages, which grow on the way.
+fn without_ages(mut report: PartReport) -> PartReport {
+    report.crashes.iter_mut().for_each(|crash| crash.age_ms = 0);
+    report.starts.iter_mut().for_each(|start| start.age_ms = 0);
+    report.crashes.sort_by_key(|crash| crash.target_hash);
+    report
+}
+
+/// Guards against crashes with prompts, or answers on their pieces, that other daemons do not know
+/// when the announcement has ended, that lose a field on the way, or that a daemon which starts
+/// later never hears of.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_with_prompts_reach_all_daemons() {
+    let table = closed_address();
+    let a = fleet::start("a", 1, table, &[]);
+    let seeds = [("a", a.peer_address)];
+    let b = fleet::start("b", 1, table, &seeds);
+    let joining = expected_members(&["a", "b"], MemberCondition::Joining);
+    wait_for("daemon b known", || known_members(&a) == joining).await;
+    let crash = |target_hash, age_ms, in_flight_ms| PartCrashRecord {
+        parts: vec![u64::MAX, u64::from(target_hash)],
+        target_hash,
+        age_ms,
+        in_flight_ms,
+    };
+    let start = PartStartRecord {
+        part: u64::MAX,
+        age_ms: 60_000,
+    };
+    let sent = PartReport {
+        crashes: vec![crash(1, 2_000, 300), crash(u32::MAX, 100_000, 0)],
+        starts: vec![start],
+    };
+    a.state.targets.merge_parts(&sent);
+    let timeout = time::Duration::from_secs(30);
+    a.state.peers.announce_and_wait(timeout).await;
+    let received = b.state.targets.report_parts();
+    for (crash, min_age_ms) in received.crashes.iter().zip([2_000, 100_000]) {
+        assert!(crash.age_ms >= min_age_ms, "{received:?}");
+        assert!(crash.age_ms < min_age_ms + 30_000, "{received:?}");
+    }
+    assert!(received.starts[0].age_ms >= 60_000, "{received:?}");
+    assert_eq!(without_ages(received), without_ages(sent.clone()));
+    let c = fleet::start("c", 1, table, &[("b", b.peer_address)]);
+    wait_for("daemon c knows the crashes", || {
+        without_ages(c.state.targets.report_parts()) == without_ages(sent.clone())
+    })
+    .await;
+}
+
+/// Guards against load reports without crashes with prompts: a region has more daemons than an
+/// announcement reaches, and an announcement can be lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn load_reports_hold_crashes_with_prompts() {
+    let table = closed_address();
+    let a = fleet::start("a", 1, table, &[]);
+    let b = fleet::start("b", 1, table, &[("a", a.peer_address)]);
+    let joining = expected_members(&["a", "b"], MemberCondition::Joining);
+    for daemon in [&a, &b] {
+        wait_for("both daemons known", || known_members(daemon) == joining).await;
+    }
+    let crash = PartCrashRecord {
+        parts: vec![1, 2],
+        target_hash: 3,
+        age_ms: 4,
+        in_flight_ms: 5,
+    };
+    let sent = PartReport {
+        crashes: vec![crash],
+        starts: Vec::new(),
+    };
+    a.state.targets.merge_parts(&sent);
+    wait_for("the crash is known", || {
+        without_ages(b.state.targets.report_parts()) == without_ages(sent.clone())
+    })
+    .await;
+}
+
 /// Guards against calls to unknown or unreachable daemons that hang or return a response.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn calls_reach_the_named_daemon() {
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -1,6 +1,9 @@
 @0xd1f2c7b5a4e39816;
 
 # Messages between daemons. Each pair of daemons uses one connection.
+#
+# After a change run `capnp compile -o rust:../src/peer peer.capnp` here, with `capnpc-rust` of the
+# crate `capnpc` 0.27 in the path, and `cargo fmt`; commit the generated module.
 
 struct TargetLoad {
   # xxh3-64 of the target's name, truncated to 32 bits.
@@ -34,6 +37,29 @@
   ageMs @2 :UInt32;
 }
 
+# A crash of a target while a prompt waited for its first output there.
+struct PartCrash {
+  # Hashes of complete pieces of the prompt. They are chained, so that each names a beginning.
+  parts @0 :List(UInt64);
+  # xxh3-64 of the target's name, truncated to 32 bits.
+  target @1 :UInt32;
+  ageMs @2 :UInt32;
+  # Time from the sending of the request to the crash, in milliseconds.
+  inFlightMs @3 :UInt32;
+}
+
+# Time since an answer on a prompt with this piece last began, in milliseconds.
+struct PartStart {
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+# Crashes with prompts, and the last answers on the pieces of these prompts.
+struct PartReport {
+  crashes @0 :List(PartCrash);
+  starts @1 :List(PartStart);
+}
+
 struct Entry {
   daemon @0 :Text;
   region @1 :Text;
@@ -46,6 +72,7 @@
   configVersion @8 :UInt64;
   loads @9 :List(TargetLoad);
   suspects @10 :List(Suspect);
+  parts @11 :PartReport;
 }
 
 # The part of an entry that changes from round to round; the full entry holds the rest.
@@ -69,6 +96,7 @@
   sequence @3 :UInt32;
   loads @4 :List(TargetLoad);
   suspects @5 :List(Suspect);
+  parts @6 :PartReport;
 }
 
 # Sent as a packed message inside `Data`, because the RPC library sends its messages unpacked.
--- a/crates/protocol/src/peer/peer_capnp.rs
+++ b/crates/protocol/src/peer/peer_capnp.rs
@@ -954,6 +954,1107 @@
     }
 }
 
+pub mod part_crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_target(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_in_flight_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 1,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_parts(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_parts(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_target(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_in_flight_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_in_flight_ms(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(201, 89, 15, 236, 200, 227, 188, 199),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 67),
+            ::capnp::word(114, 97, 115, 104, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xc7bc_e3c8_ec0f_59c9;
+    }
+}
+
+pub mod part_start {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_part(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(77, 200, 9, 59, 38, 16, 18, 255),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 83),
+            ::capnp::word(116, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xff12_1026_3b09_c84d;
+    }
+}
+
+pub mod part_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_crash::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_starts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_start::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_starts(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 0,
+                pointers: 2,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_crashes(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_crash::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_crashes(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_crash::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_crashes(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_starts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_start::Owned>>
+        {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_starts(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_start::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_starts(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_start::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_starts(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 82),
+            ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 89, 15, 236, 200, 227, 188, 199),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 200, 9, 59, 38, 16, 18, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::peer_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::part_start::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xa3be_9de8_5de9_2dec;
+    }
+}
+
 pub mod entry {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1158,6 +2259,17 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -1167,7 +2279,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 7,
+                pointers: 8,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -1485,6 +2597,32 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_parts(
+            &mut self,
+            value: crate::peer_capnp::part_report::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(7),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), 0)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline {
@@ -1497,103 +2635,114 @@
             }
         }
     }
-    impl Pipeline {}
+    impl Pipeline {
+        pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(7))
+        }
+    }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 195] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 210] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(64, 244, 248, 151, 138, 219, 74, 197),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1695,6 +2844,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1709,6 +2866,7 @@
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1727,9 +2885,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 6, 8, 0, 9, 7, 1, 4, 5, 10, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 6, 8, 0, 9, 11, 7, 1, 4, 5, 10, 2];
         pub(crate) const TYPE_ID: u64 = 0xc54a_db8a_97f8_f440;
     }
 }
@@ -2284,6 +3442,17 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -2293,7 +3462,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 2,
-                pointers: 2,
+                pointers: 3,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -2477,6 +3646,32 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_parts(
+            &mut self,
+            value: crate::peer_capnp::part_report::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -2489,68 +3684,79 @@
             }
         }
     }
-    impl Pipeline {}
+    impl Pipeline {
+        pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
+    }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 117] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(198, 198, 0, 99, 168, 47, 143, 231),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 82),
             ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2609,6 +3815,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2618,6 +3832,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2636,9 +3851,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 4, 2, 3, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 4, 2, 6, 3, 5];
         pub(crate) const TYPE_ID: u64 = 0xe78f_2fa8_6300_c6c6;
     }
 }
