Let suspects that share a crashing beginning take turns

Callers saw: three different prompts with the same crashing beginning, sent at the same time through three daemons, crashed six of eight engines.

Cause: only identical requests took turns. Each of the three was retried at once, before any daemon heard of the crashes at the others; crashes at the same time count as one failure, so that the beginning was not refused yet.

Ruled out: an earlier announcement, which does not order daemons that retry at the same moment; turns for all prompts with a suspected beginning, because after the crash of any engine all new prompts with a common beginning would queue.

Change: takeTurn has new last fields with the suspected pieces of the request's prompt and what both sides know of crashes with them. A retry also waits while another suspect that shares one of these pieces runs or waits with an earlier stamp, at any daemon, until that one has output: the first output clears the beginning and is reported in the answer to the next question. Requests that are no suspects enter no further table and wait for nothing.

Without the shared pieces in the answer to a question, or without the crashes in question or answer, a test fails.

--- a/crates/core/src/suspect/parts.rs
+++ b/crates/core/src/suspect/parts.rs
@@ -161,6 +161,26 @@
         refused.min_by_key(|part| self.starts.last_ms(*part))
     }
 
+    /// Returns those of a request's shared parts, at most [`MAX_PARTS`], that may have caused a crash:
+    /// they have not been answered since.
+    pub fn suspected_parts(&self, parts: &[u64], now_ms: u64) -> Vec<u64> {
+        let may_have_caused = |part: &u64, crash: &SeenCrash| {
+            is_recent(crash, now_ms)
+                && crash.parts.contains(part)
+                && self.starts.last_ms(*part) <= Some(crash.seen_ms)
+        };
+        let is_suspected = |part: &&u64| {
+            let mut crashes = self.crashes.iter();
+            crashes.any(|crash| may_have_caused(part, crash))
+        };
+        parts
+            .iter()
+            .filter(is_suspected)
+            .take(MAX_PARTS)
+            .copied()
+            .collect()
+    }
+
     /// Whether a request with a refused part may run as a trial: its last crash and its last trial
     /// are long ago. Records the trial if so. One daemon at a time should ask.
     pub fn try_part(&mut self, part: u64, now_ms: u64) -> bool {
--- a/crates/core/src/suspect/report.rs
+++ b/crates/core/src/suspect/report.rs
@@ -40,6 +40,21 @@
         PartReport { crashes, starts }
     }
 
+    /// Returns the newest crashes of prompts with any of the given parts, and the last answers.
+    pub fn report_on(&mut self, parts: &[u64], now_ms: u64) -> PartReport {
+        if parts.is_empty() {
+            return PartReport::default();
+        }
+        let is_concerned =
+            |record: &PartCrashRecord| parts.iter().any(|part| record.parts.contains(part));
+        let records = self.export_crashes(now_ms).into_iter();
+        let concerned = records.filter(is_concerned);
+        let crashes: Vec<_> = concerned.take(MAX_RECENT_PART_CRASHES).collect();
+        let crashed = crashes.iter().flat_map(|crash| &crash.parts);
+        let starts = self.export_starts(parts.iter().chain(crashed).copied(), now_ms);
+        PartReport { crashes, starts }
+    }
+
     /// Merges the crashes and answers that another daemon reports.
     pub fn merge_report(&mut self, report: &PartReport, now_ms: u64) {
         for crash in &report.crashes {
--- a/crates/core/src/suspect/turns.rs
+++ b/crates/core/src/suspect/turns.rs
@@ -1,6 +1,6 @@
-//! Turns of identical requests. While requests with one fingerprint are suspected of crashing
-//! targets, only one of them runs at a time over all daemons; otherwise each daemon would retry its
-//! own copy before it hears of the crashes that the others cause.
+//! Turns of suspects that may crash targets for the same reason: identical requests, and those whose
+//! prompts share a suspected part. Only one of them runs at a time over all daemons; otherwise each
+//! daemon would retry its own before it hears of the crashes that the others cause.
 //!
 //! A daemon asks all others before it runs a suspect, and goes on when none holds it back. Waiting
 //! requests are ordered by the stamp of a logical clock that advances with every question, so that
@@ -42,16 +42,32 @@
     Waiting(u64),
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct TurnEntry {
     id: u64,
     phase: TurnPhase,
+    /// Suspected parts of the request's prompt; empty for a request that is no suspect.
+    parts: Vec<u64>,
+}
+
+impl TurnEntry {
+    /// Whether a suspect waits for this request, given whether it has an earlier stamp than the
+    /// suspect.
+    fn holds_back(&self, is_earlier: impl Fn(u64) -> bool) -> bool {
+        match self.phase {
+            TurnPhase::Idle => false,
+            TurnPhase::Running => true,
+            TurnPhase::Waiting(clock) => is_earlier(clock),
+        }
+    }
 }
 
 /// The requests of one daemon, by fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct TurnTable {
     entries: HashMap<u64, Vec<TurnEntry>>,
+    /// Suspects by suspected part of the prompt.
+    suspects: HashMap<u64, Vec<TurnTicket>>,
     next_id: u64,
     clock: u64,
 }
@@ -63,12 +79,14 @@
         self.next_id += 1;
         let phase = TurnPhase::Idle;
         let entries = self.entries.entry(fingerprint).or_default();
-        entries.push(TurnEntry { id, phase });
+        let parts = Vec::new();
+        entries.push(TurnEntry { id, phase, parts });
         TurnTicket { fingerprint, id }
     }
 
     /// Removes a request that has ended.
     pub fn leave(&mut self, ticket: TurnTicket) {
+        self.set_suspected(ticket, Vec::new());
         let Some(entries) = self.entries.get_mut(&ticket.fingerprint) else {
             return;
         };
@@ -109,35 +127,77 @@
         matches!(own.map(|entry| entry.phase), Some(TurnPhase::Waiting(_)))
     }
 
-    /// Whether another request of this daemon runs, or waits with an earlier stamp.
+    /// Sets the suspected parts of a request's prompt. Suspects that share one run one at a time, like
+    /// identical ones.
+    pub fn set_suspected(&mut self, ticket: TurnTicket, parts: Vec<u64>) {
+        let entries = self.entries.get_mut(&ticket.fingerprint);
+        let mut entries = entries.into_iter().flatten();
+        let Some(entry) = entries.find(|entry| entry.id == ticket.id) else {
+            return;
+        };
+        if entry.parts == parts {
+            return;
+        }
+        let former = std::mem::replace(&mut entry.parts, parts.clone());
+        for part in former {
+            let tickets = self.suspects.entry(part).or_default();
+            tickets.retain(|other| *other != ticket);
+            if tickets.is_empty() {
+                self.suspects.remove(&part);
+            }
+        }
+        for part in parts {
+            self.suspects.entry(part).or_default().push(ticket);
+        }
+    }
+
+    /// Returns the suspected parts of a request's prompt.
+    pub fn suspected(&self, ticket: TurnTicket) -> &[u64] {
+        let entry = self.entry(ticket);
+        entry.map_or(&[], |entry| entry.parts.as_slice())
+    }
+
+    /// Whether another request of this daemon, which is identical or shares a suspected part, runs or
+    /// waits with an earlier stamp.
     pub fn is_held_back(&self, ticket: TurnTicket) -> bool {
-        let entries = self.entries.get(&ticket.fingerprint).into_iter().flatten();
-        let own = entries.clone().find(|entry| entry.id == ticket.id);
-        let Some(TurnPhase::Waiting(own_clock)) = own.map(|entry| entry.phase) else {
+        let Some(own) = self.entry(ticket) else {
             return false;
         };
-        let mut others = entries.filter(|entry| entry.id != ticket.id);
-        others.any(|entry| match entry.phase {
-            TurnPhase::Idle => false,
-            TurnPhase::Running => true,
-            TurnPhase::Waiting(clock) => clock < own_clock,
-        })
+        let TurnPhase::Waiting(own_clock) = own.phase else {
+            return false;
+        };
+        let mut others = self.concerned(ticket.fingerprint, &own.parts);
+        others.any(|entry| entry.id != ticket.id && entry.holds_back(|clock| clock < own_clock))
     }
 
-    /// Answers another daemon that asks whether its waiting request may run: whether a request of
-    /// this daemon, whose name is `own_daemon`, holds it back.
-    pub fn holds_back(&mut self, fingerprint: u64, other: TurnStamp<'_>, own_daemon: &str) -> bool {
+    /// Answers another daemon that asks whether its waiting request, with these suspected parts, may
+    /// run: whether a request of this daemon, whose name is `own_daemon`, holds it back.
+    pub fn holds_back(
+        &mut self,
+        fingerprint: u64,
+        parts: &[u64],
+        other: TurnStamp<'_>,
+        own_daemon: &str,
+    ) -> bool {
         // A request that begins to wait after this answer comes after the other one.
         self.advance_clock(other.clock);
-        let entries = self.entries.get(&fingerprint).into_iter().flatten();
-        entries.clone().any(|entry| match entry.phase {
-            TurnPhase::Idle => false,
-            TurnPhase::Running => true,
-            TurnPhase::Waiting(clock) => {
-                let daemon = own_daemon;
-                TurnStamp { clock, daemon } < other
-            }
-        })
+        let daemon = own_daemon;
+        let is_earlier = |clock| TurnStamp { clock, daemon } < other;
+        let mut entries = self.concerned(fingerprint, parts);
+        entries.any(|entry| entry.holds_back(is_earlier))
+    }
+
+    /// Returns the requests with a fingerprint and the suspects with any of the given parts.
+    fn concerned(&self, fingerprint: u64, parts: &[u64]) -> impl Iterator<Item = &TurnEntry> {
+        let identical = self.entries.get(&fingerprint).into_iter().flatten();
+        let suspects = parts.iter().filter_map(|part| self.suspects.get(part));
+        let suspects = suspects.flatten();
+        identical.chain(suspects.filter_map(|ticket| self.entry(*ticket)))
+    }
+
+    fn entry(&self, ticket: TurnTicket) -> Option<&TurnEntry> {
+        let mut entries = self.entries.get(&ticket.fingerprint)?.iter();
+        entries.find(|entry| entry.id == ticket.id)
     }
 
     /// Returns the logical clock.
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -134,7 +134,7 @@
                     daemon: &name,
                 },
             );
-            let is_held_back = asked.turns.holds_back(FINGERPRINT, stamp, &asked_name);
+            let is_held_back = asked.turns.holds_back(FINGERPRINT, &[], stamp, &asked_name);
             for record in self.daemons[other].suspects.export(NOW_MS) {
                 self.daemons[own].suspects.merge(record, NOW_MS);
             }
--- a/crates/daemon/src/dispatch/admission.rs
+++ b/crates/daemon/src/dispatch/admission.rs
@@ -161,6 +161,12 @@
         crashes.beginnings.report(crash_now_ms(), &mut rand::rng())
     }
 
+    /// Crashes known to this daemon of prompts with any of the given pieces.
+    pub fn report_parts_on(&self, pieces: &[u64]) -> suspect::PartReport {
+        let mut crashes = self.admission.crash_state();
+        crashes.beginnings.report_on(pieces, crash_now_ms())
+    }
+
     /// Merges crashes with beginnings of prompts that another daemon reports.
     pub fn merge_parts(&self, report: &suspect::PartReport) {
         if report.is_empty() {
@@ -170,17 +176,18 @@
         crashes.beginnings.merge_report(report, crash_now_ms());
     }
 
-    /// Answers another daemon that asks whether its request, a crash suspect, may run. Returns
-    /// whether a request of this daemon, named `own_daemon`, holds it back, and the logical clock.
+    /// Answers another daemon that asks whether its request, a crash suspect with the suspected
+    /// `pieces`, may run. Returns whether a request of this daemon, named `own_daemon`, holds it back, and the logical clock.
     pub fn answer_turn(
         &self,
         fingerprint: u64,
+        pieces: &[u64],
         other: suspect::TurnStamp<'_>,
         own_daemon: &str,
     ) -> (bool, u64) {
         let mut crashes = self.admission.crash_state();
         let turns = &mut crashes.turns;
-        let is_held_back = turns.holds_back(fingerprint, other, own_daemon);
+        let is_held_back = turns.holds_back(fingerprint, pieces, other, own_daemon);
         (is_held_back, turns.clock())
     }
 
--- a/crates/daemon/src/dispatch/turn.rs
+++ b/crates/daemon/src/dispatch/turn.rs
@@ -1,6 +1,6 @@
 //! Turns of crash suspects: a request that may have crashed a target runs only while no identical
-//! one runs at any daemon of the region. Crashes are recorded for the request and for the beginnings
-//! of its prompt.
+//! one, and no other suspect whose prompt shares a suspected beginning, runs at any daemon of the
+//! region. Crashes are recorded for the request and for the beginnings of its prompt.
 
 use std::{
     sync,
@@ -10,7 +10,7 @@
 use acaciabank_core::suspect::{self, SuspectStatus};
 
 use super::admission;
-use crate::process;
+use crate::{peer, process};
 
 /// Longest wait for a turn. A request that crashes its target does so within its first tokens, so
 /// an identical one that has run for so long is not about to crash its target.
@@ -112,9 +112,11 @@
         crashes.turns.stop(self.ticket);
     }
 
-    /// Records that a target has sent the first output on the request's prompt.
+    /// Records that a target has sent the first output on the request's prompt. Suspects that share
+    /// only a beginning with it wait no longer.
     pub(super) fn record_output(&self) {
         let mut crashes = self.state.targets.admission.crash_state();
+        crashes.turns.set_suspected(self.ticket, Vec::new());
         crashes
             .beginnings
             .record_start(&self.piece_hashes, admission::crash_now_ms());
@@ -133,21 +135,29 @@
         let status = crashes.status(self.ticket.fingerprint(), &self.piece_hashes);
         let is_suspect = status == SuspectStatus::Isolated;
         if is_suspect {
+            let now_ms = admission::crash_now_ms();
+            let suspected = crashes
+                .beginnings
+                .suspected_parts(&self.piece_hashes, now_ms);
+            crashes.turns.set_suspected(self.ticket, suspected);
             crashes.turns.wait(self.ticket);
         }
         is_suspect
     }
 
     async fn is_held_back(&self) -> bool {
-        let clock = {
+        let question = {
             let mut crashes = self.state.targets.admission.crash_state();
             if crashes.turns.is_held_back(self.ticket) {
                 return true;
             }
-            crashes.turns.wait(self.ticket)
+            peer::TurnQuestion {
+                fingerprint: self.ticket.fingerprint(),
+                clock: crashes.turns.wait(self.ticket),
+                pieces: crashes.turns.suspected(self.ticket).to_vec(),
+            }
         };
-        let fingerprint = self.ticket.fingerprint();
-        self.state.peers.ask_for_turn(fingerprint, clock).await
+        self.state.peers.ask_for_turn(question).await
     }
 }
 
--- a/crates/daemon/src/peer/client.rs
+++ b/crates/daemon/src/peer/client.rs
@@ -4,12 +4,12 @@
 
 use acaciabank_core::{
     member::{Heartbeat, MemberEntry, SuspectReport},
-    suspect::TurnStamp,
+    suspect::{PartReport, TurnStamp},
 };
 use acaciabank_protocol::{ids, peer_capnp};
 
 use super::{
-    RemoteKeyState, convert, digest,
+    RemoteKeyState, TurnQuestion, convert, digest,
     digest::Digest,
     link::{CALL_TIMEOUT, ConnectPolicy, PeerLink},
 };
@@ -142,38 +142,49 @@
         .await
 }
 
+/// Crashes that a daemon knows of a suspect's fingerprint and of the suspected pieces of its prompt.
+pub(super) struct TurnCrashes {
+    pub(super) suspects: Vec<SuspectReport>,
+    pub(super) parts: PartReport,
+}
+
 /// Answer of another daemon to a request for a turn.
 pub(super) struct TurnAnswer {
     /// Whether a request of that daemon holds the asking one back.
     pub(super) is_held_back: bool,
     /// Logical clock of that daemon.
     pub(super) clock: u64,
-    /// Crashes of the fingerprint that it knows.
-    pub(super) suspects: Vec<SuspectReport>,
+    /// What that daemon knows of the request.
+    pub(super) known: TurnCrashes,
 }
 
-/// Asks another daemon whether a request with this fingerprint, which waits with `stamp`, may run.
+/// Asks another daemon whether a request that waits with `stamp` may run.
 pub(super) async fn ask_for_turn(
     link: &PeerLink,
-    fingerprint: u64,
+    question: &TurnQuestion,
     stamp: TurnStamp<'_>,
-    suspects: &[SuspectReport],
+    known: &TurnCrashes,
 ) -> Result<TurnAnswer, String> {
     let call = |client: peer_capnp::peer::Client| async move {
         let mut request = client.take_turn_request();
         let mut params = request.get();
-        params.set_fingerprint(fingerprint);
+        params.set_fingerprint(question.fingerprint);
         params.set_clock(stamp.clock);
         params.set_daemon(stamp.daemon);
-        let list = params.init_suspects(suspects.len() as u32);
-        convert::write_suspects(suspects, 0, list);
+        params.set_pieces(question.pieces.as_slice())?;
+        let list = params.reborrow().init_suspects(known.suspects.len() as u32);
+        convert::write_suspects(&known.suspects, 0, list);
+        convert::write_parts(&known.parts, 0, params.init_parts());
         let response = request.send().promise.await?;
         let results = response.get()?;
         let suspects = results.get_suspects()?.iter();
         Ok(TurnAnswer {
             is_held_back: results.get_is_held_back(),
             clock: results.get_clock(),
-            suspects: suspects.map(convert::read_suspect).collect(),
+            known: TurnCrashes {
+                suspects: suspects.map(convert::read_suspect).collect(),
+                parts: convert::read_parts(results.get_parts()?)?,
+            },
         })
     };
     link.call_with(ConnectPolicy::AtOnce, "take_turn", CALL_TIMEOUT, call)
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -69,6 +69,17 @@
     Finished,
 }
 
+/// Question to the other daemons whether a request that is a crash suspect may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TurnQuestion {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Logical clock of its turn.
+    pub clock: u64,
+    /// Hashes of the pieces of its prompt that are suspected.
+    pub pieces: Vec<u64>,
+}
+
 /// Reason why a call to another daemon failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum PeerError {
@@ -109,8 +120,7 @@
         reply: oneshot::Sender<Result<RemoteKeyState, PeerError>>,
     },
     AskForTurn {
-        fingerprint: u64,
-        clock: u64,
+        question: TurnQuestion,
         reply: oneshot::Sender<bool>,
     },
     FetchConfigs {
@@ -250,14 +260,10 @@
 
     /// Asks the daemons of this region whether a request that is a crash suspect may run. Returns
     /// whether one of them holds it back; daemons that do not answer in time do not. Crashes of the
-    /// fingerprint become known on both sides.
-    pub async fn ask_for_turn(&self, fingerprint: u64, clock: u64) -> bool {
+    /// fingerprint and of the pieces become known on both sides.
+    pub async fn ask_for_turn(&self, question: TurnQuestion) -> bool {
         let (reply, response) = oneshot::channel();
-        self.send_command(Command::AskForTurn {
-            fingerprint,
-            clock,
-            reply,
-        });
+        self.send_command(Command::AskForTurn { question, reply });
         response.await.unwrap_or(false)
     }
 
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -390,15 +390,11 @@
                     let _ = reply.send(call_known(link, call).await);
                 });
             }
-            Command::AskForTurn {
-                fingerprint,
-                clock,
-                reply,
-            } => {
+            Command::AskForTurn { question, reply } => {
                 let node = Rc::clone(self);
                 spawn_local(async move {
                     // The request that sent the command may have ended.
-                    let _ = reply.send(node.is_turn_held_back(fingerprint, clock).await);
+                    let _ = reply.send(node.is_turn_held_back(&question).await);
                 });
             }
             Command::FetchConfigs { above, reply } => {
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync, time};
 
-use acaciabank_core::suspect::{PartReport, TurnStamp};
+use acaciabank_core::suspect::TurnStamp;
 use acaciabank_protocol::{ids, peer_capnp::peer};
 
 use super::{RemoteKeyState, convert, digest, digest::Digest, loads, meter, node::PeerNode};
@@ -155,18 +155,26 @@
         let fingerprint = params.get_fingerprint();
         let suspects: Vec<_> = params.get_suspects()?.iter().collect();
         let suspects: Vec<_> = suspects.into_iter().map(convert::read_suspect).collect();
-        loads::apply_suspects(state, &suspects, &PartReport::default());
+        let pieces: Vec<u64> = params.get_pieces()?.iter().collect();
+        let parts = convert::read_parts(params.get_parts()?)?;
+        loads::apply_suspects(state, &suspects, &parts);
         let stamp = TurnStamp {
             clock: params.get_clock(),
             daemon: params.get_daemon()?.to_str()?,
         };
         let own_daemon = state.settings.daemon.as_str();
-        let (is_held_back, clock) = state.targets.answer_turn(fingerprint, stamp, own_daemon);
+        let (is_held_back, clock) =
+            state
+                .targets
+                .answer_turn(fingerprint, &pieces, stamp, own_daemon);
         let known = loads::suspect_reports(state, fingerprint);
+        let parts = state.targets.report_parts_on(&pieces);
         let mut builder = results.get();
         builder.set_is_held_back(is_held_back);
         builder.set_clock(clock);
-        convert::write_suspects(&known, 0, builder.init_suspects(known.len() as u32));
+        let suspects = builder.reborrow().init_suspects(known.len() as u32);
+        convert::write_suspects(&known, 0, suspects);
+        convert::write_parts(&parts, 0, builder.init_parts());
         Ok(())
     }
 
--- a/crates/daemon/src/peer/turns.rs
+++ b/crates/daemon/src/peer/turns.rs
@@ -2,13 +2,10 @@
 
 use std::{rc::Rc, time};
 
-use acaciabank_core::{
-    member::Liveness,
-    suspect::{self, TurnStamp},
-};
+use acaciabank_core::{member::Liveness, suspect::TurnStamp};
 use futures::{StreamExt, stream::FuturesUnordered};
 
-use super::{client, link::PeerLink, loads, node::PeerNode};
+use super::{TurnQuestion, client, link::PeerLink, loads, node::PeerNode};
 
 /// Longest wait for the answers of other daemons. One that does not answer in time, because it is
 /// cut off or suspended, holds no request back.
@@ -17,15 +14,20 @@
 impl PeerNode {
     /// Asks the daemons of this region whether a waiting request may run; returns whether one of
     /// them holds it back.
-    pub(super) async fn is_turn_held_back(self: &Rc<Self>, fingerprint: u64, clock: u64) -> bool {
+    pub(super) async fn is_turn_held_back(self: &Rc<Self>, question: &TurnQuestion) -> bool {
         let state = &self.state;
-        let suspects = loads::suspect_reports(state, fingerprint);
-        let daemon = state.settings.daemon.as_str();
-        let stamp = TurnStamp { clock, daemon };
+        let known = client::TurnCrashes {
+            suspects: loads::suspect_reports(state, question.fingerprint),
+            parts: state.targets.report_parts_on(&question.pieces),
+        };
+        let stamp = TurnStamp {
+            clock: question.clock,
+            daemon: state.settings.daemon.as_str(),
+        };
         let links = self.region_links();
         let questions = links
             .iter()
-            .map(|link| client::ask_for_turn(link, fingerprint, stamp, &suspects));
+            .map(|link| client::ask_for_turn(link, question, stamp, &known));
         let mut answers: FuturesUnordered<_> = questions.collect();
         let deadline = tokio::time::Instant::now() + MAX_ANSWER_WAIT;
         let mut is_held_back = false;
@@ -33,7 +35,7 @@
             match answer {
                 Ok(answer) => {
                     state.targets.advance_turn_clock(answer.clock);
-                    loads::apply_suspects(state, &answer.suspects, &suspect::PartReport::default());
+                    loads::apply_suspects(state, &answer.known.suspects, &answer.known.parts);
                     is_held_back |= answer.is_held_back;
                 }
                 Err(error) => log::debug!("no answer about the turn of a suspect: {error}"),
--- a/crates/daemon/tests/control/peer.rs
+++ b/crates/daemon/tests/control/peer.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::suspect::{PartCrashRecord, PartReport, PartStartRecord};
 use acaciabank_daemon::{
     dispatch::BufferedResponse,
-    peer::{MemberCondition, PeerError, RemoteKeyState},
+    peer::{MemberCondition, PeerError, RemoteKeyState, TurnQuestion},
     process::Phase,
 };
 use acaciabank_protocol::{ids, peer_capnp};
@@ -273,6 +273,47 @@
     .await;
 }
 
+/// Guards against a suspect that runs without what the other daemons know of the beginning of its
+/// prompt, and against daemons that do not learn it from the question.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_question_for_a_turn_exchanges_crashes_with_the_prompt() {
+    let table = closed_address();
+    let a = fleet::start("a", 1, table, &[]);
+    let b = fleet::start("b", 1, table, &[("a", a.peer_address)]);
+    let joining = expected_members(&["a", "b"], MemberCondition::Joining);
+    for daemon in [&a, &b] {
+        wait_for("both daemons known", || known_members(daemon) == joining).await;
+    }
+    let crash = |target_hash, parts: &[u64]| PartCrashRecord {
+        parts: parts.to_vec(),
+        target_hash,
+        age_ms: 1_000,
+        in_flight_ms: 100,
+    };
+    let report = |crashes: Vec<PartCrashRecord>| PartReport {
+        crashes,
+        starts: Vec::new(),
+    };
+    let (known_to_a, known_to_b) = (crash(1, &[1, 2]), crash(2, &[1, 3]));
+    a.state
+        .targets
+        .merge_parts(&report(vec![known_to_a.clone()]));
+    b.state
+        .targets
+        .merge_parts(&report(vec![known_to_b.clone()]));
+    let question = TurnQuestion {
+        fingerprint: 7,
+        clock: 1,
+        pieces: vec![1, 3],
+    };
+    assert!(!b.state.peers.ask_for_turn(question).await);
+    let all = without_ages(report(vec![known_to_a, known_to_b]));
+    for daemon in [&a, &b] {
+        let known = without_ages(daemon.state.targets.report_parts());
+        assert_eq!(known, all);
+    }
+}
+
 /// Guards against calls to unknown or unreachable daemons that hang or return a response.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn calls_reach_the_named_daemon() {
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -169,7 +169,9 @@
   exchange @8 (entries :List(Entry)) -> (entries :List(Entry));
   # Asks whether a request of the calling daemon, which is suspected of crashing targets, may run.
   # `clock` is the logical clock of its turn; both sides pass on their clocks and the crashes that
-  # they know of this fingerprint.
-  takeTurn @9 (fingerprint :UInt64, clock :UInt64, daemon :Text, suspects :List(Suspect))
-    -> (isHeldBack :Bool, clock :UInt64, suspects :List(Suspect));
+  # they know of this fingerprint and of prompts with any of `pieces`, those of the request's prompt
+  # that are suspected.
+  takeTurn @9 (fingerprint :UInt64, clock :UInt64, daemon :Text, suspects :List(Suspect),
+      pieces :List(UInt64), parts :PartReport)
+    -> (isHeldBack :Bool, clock :UInt64, suspects :List(Suspect), parts :PartReport);
 }
--- a/crates/protocol/src/peer/peer_capnp.rs
+++ b/crates/protocol/src/peer/peer_capnp.rs
@@ -12780,6 +12780,28 @@
             pub fn has_suspects(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_pieces(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_pieces(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(3),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_parts(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -12789,7 +12811,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 2,
-                    pointers: 2,
+                    pointers: 4,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -12954,6 +12976,64 @@
             pub fn has_suspects(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_pieces(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_pieces(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(2),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_pieces(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(2),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_pieces(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(3),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_parts(
+                &mut self,
+                value: crate::peer_capnp::part_report::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(3),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(3),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_parts(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
         }
 
         pub struct Pipeline {
@@ -12966,54 +13046,72 @@
                 }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 117] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(138, 104, 185, 196, 86, 39, 253, 183),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(116, 97, 107, 101, 84, 117, 114, 110),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
                 ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -13052,6 +13150,26 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 105, 101, 99, 101, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -13059,6 +13177,8 @@
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13077,9 +13197,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 5, 4, 3];
             pub(crate) const TYPE_ID: u64 = 0xb7fd_2756_c4b9_688a;
         }
     }
@@ -13213,6 +13333,17 @@
             pub fn has_suspects(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_parts(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -13222,7 +13353,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 2,
-                    pointers: 1,
+                    pointers: 2,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -13360,6 +13491,35 @@
             pub fn has_suspects(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_parts(
+                &mut self,
+                value: crate::peer_capnp::part_report::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(1),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_parts(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline {
@@ -13372,19 +13532,23 @@
                 }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 69] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(107, 143, 188, 88, 242, 162, 159, 154),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -13392,28 +13556,35 @@
                 ::capnp::word(116, 97, 107, 101, 84, 117, 114, 110),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 115, 72, 101, 108, 100, 66, 97),
                 ::capnp::word(99, 107, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -13444,12 +13615,21 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13468,9 +13648,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 3, 2];
             pub(crate) const TYPE_ID: u64 = 0x9a9f_a2f2_58bc_8f6b;
         }
     }
--- a/crates/testbed/tests/suspects.rs
+++ b/crates/testbed/tests/suspects.rs
@@ -90,21 +90,23 @@
             .count()
     }
 
-    /// Starts callers that send requests until `is_stopped` is set; each task returns all its
-    /// outcomes.
+    /// Starts callers that send requests, all with the given beginning, until `is_stopped` is set;
+    /// each task returns all its outcomes.
     fn start_callers(
         &self,
+        beginning: &str,
         is_stopped: &Arc<atomic::AtomicBool>,
     ) -> Vec<tokio::task::JoinHandle<Vec<harness::CallOutcome>>> {
         let start = |number: usize| {
             let caller = self.fleet.caller(None, TIMEOUT);
             let is_stopped = Arc::clone(is_stopped);
+            let beginning = beginning.to_owned();
             tokio::spawn(async move {
                 let mut outcomes = Vec::new();
                 while !is_stopped.load(atomic::Ordering::Relaxed) {
                     let request = harness::CompletionRequest {
                         model: MODEL.to_owned(),
-                        prompt: format!("caller {number}, request {}", outcomes.len()),
+                        prompt: format!("{beginning}caller {number}, request {}", outcomes.len()),
                         max_tokens: 30,
                         is_stream: number.is_multiple_of(2),
                         ..harness::CompletionRequest::default()
@@ -124,7 +126,7 @@
 async fn crashing_prompt_stops_after_two_engines_and_others_complete() {
     let mut fixture = FleetFixture::start(|_| {}).await;
     let is_stopped = Arc::new(atomic::AtomicBool::new(false));
-    let callers = fixture.start_callers(&is_stopped);
+    let callers = fixture.start_callers("", &is_stopped);
     harness::wait_until(TIMEOUT, "the other requests run", async || {
         let journals = fixture.fleet.journals().expect("journals");
         journals.events("finished").count() >= 8
@@ -263,7 +265,76 @@
     assert_eq!(answered, "none");
 }
 
-/// Guards against the same at one daemon, whose own crashes suffice to recognize the beginning, and
+/// Guards against different prompts with a crashing beginning that arrive at all daemons at once and
+/// are retried at once: the retries crash as many engines again before any daemon hears of the
+/// crashes at the others.
+#[tokio::test]
+async fn concurrent_prompts_with_a_crashing_beginning_do_not_crash_all_engines() {
+    let mut fixture = FleetFixture::start(|spec| {
+        let engines = harness::FleetSpec::small(3, MAX_BEGINNING_CRASHES + 3, 1);
+        spec.deployment.engines = engines.deployment.engines;
+    })
+    .await;
+    let beginning = format!("CRASH-ENGINE {}", "shared words ".repeat(100));
+    let prompts = [0, 1, 2].map(|number| format!("{beginning}, request {number}"));
+    let sent = (0..3).map(|daemon| fixture.send_prompt(daemon, &prompts[daemon]));
+    let mut reasons = futures::future::join_all(sent).await;
+    let crashed_engines = fixture.crashed_engine_count();
+    println!("{crashed_engines} engines crashed, reasons {reasons:?}");
+    // One engine for each first attempt, and the retries until the beginning is refused.
+    assert!(crashed_engines <= MAX_BEGINNING_CRASHES, "{reasons:?}");
+    for daemon in 0..3 {
+        let prompt = format!("{beginning}, later request {daemon}");
+        reasons.push(fixture.send_prompt(daemon, &prompt).await);
+    }
+    println!("reasons {reasons:?}");
+    let refused = reasons.iter().all(|reason| reason == "suspect_request");
+    assert!(refused, "{reasons:?}");
+    assert_eq!(fixture.crashed_engine_count(), crashed_engines);
+}
+
+/// Guards against sound prompts that are refused, or wait for one another without end, because they
+/// share their beginning with prompts that crash engines.
+#[tokio::test]
+async fn sound_prompts_with_the_beginning_of_crashing_ones_complete() {
+    let mut fixture = FleetFixture::start(|spec| {
+        let engines = harness::FleetSpec::small(3, MAX_BEGINNING_CRASHES + 3, 1);
+        spec.deployment.engines = engines.deployment.engines;
+    })
+    .await;
+    let beginning = "shared words ".repeat(100);
+    let is_stopped = Arc::new(atomic::AtomicBool::new(false));
+    let callers = fixture.start_callers(&beginning, &is_stopped);
+    let finished = |fixture: &FleetFixture| {
+        let journals = fixture.fleet.journals().expect("journals");
+        journals.events("finished").count()
+    };
+    harness::wait_until(TIMEOUT, "the sound requests run", async || {
+        finished(&fixture) >= 8
+    })
+    .await;
+    let prompts = [0, 1].map(|number| format!("{beginning}CRASH-ENGINE {number}"));
+    let sent = (0..2).map(|daemon| fixture.send_prompt(daemon, &prompts[daemon]));
+    let reasons = futures::future::join_all(sent).await;
+    let before = finished(&fixture);
+    harness::wait_until(TIMEOUT, "the sound requests continue", async || {
+        finished(&fixture) >= before + 16
+    })
+    .await;
+    is_stopped.store(true, atomic::Ordering::Relaxed);
+    let crashed_engines = fixture.crashed_engine_count();
+    println!("{crashed_engines} engines crashed, reasons {reasons:?}");
+    assert!(crashed_engines <= 2 * MAX_CRASHES, "{reasons:?}");
+    for caller in callers {
+        for outcome in caller.await.expect("task") {
+            assert!(outcome.is_complete, "{outcome:?}");
+            assert_eq!(outcome.refusals, [], "{outcome:?}");
+            assert!(outcome.violations.is_empty(), "{outcome:?}");
+        }
+    }
+}
+
+/// Guards against a crashing beginning at one daemon, whose own crashes suffice to recognize it, and
 /// against refusing prompts that begin otherwise.
 #[tokio::test]
 async fn a_daemon_learns_a_crashing_beginning_from_its_own_crashes() {
