--- a/crates/daemon/src/dispatch/admission.rs
+++ b/crates/daemon/src/dispatch/admission.rs
@@ -12,6 +12,12 @@
 use super::token_times;
 use crate::target;
 
+/// Clock of crash suspects, in milliseconds: [`target::now_ms`] with an offset. Other daemons report
+/// crashes and answers from before this process started; their order is kept.
+pub(super) fn crash_now_ms() -> u64 {
+    target::now_ms() + suspect::SUSPECT_LIFETIME_MS
+}
+
 /// Crash suspects and the turns of identical requests, which must change together.
 #[derive(Debug, Default)]
 pub(super) struct CrashState {
@@ -25,7 +31,7 @@
 impl CrashState {
     /// Status of a request: refused also if targets crashed on others whose prompts begin alike.
     pub(super) fn status(&self, fingerprint: u64, piece_hashes: &[u64]) -> suspect::SuspectStatus {
-        let now_ms = target::now_ms();
+        let now_ms = crash_now_ms();
         match self.beginnings.refused_part(piece_hashes, now_ms) {
             Some(_) => suspect::SuspectStatus::Refused,
             None => self.suspects.status(fingerprint, now_ms),
@@ -140,26 +146,48 @@
     /// Crash suspects known to this daemon, for gossip to other daemons.
     pub fn export_suspects(&self) -> Vec<suspect::SuspectRecord> {
         let mut crashes = self.admission.crash_state();
-        crashes.suspects.export(target::now_ms())
+        crashes.suspects.export(crash_now_ms())
     }
 
     /// Crashes known to this daemon that a fingerprint was seen in.
     pub fn suspect_records(&self, fingerprint: u64) -> Vec<suspect::SuspectRecord> {
         let crashes = self.admission.crash_state();
-        crashes.suspects.records(fingerprint, target::now_ms())
+        crashes.suspects.records(fingerprint, crash_now_ms())
+    }
+
+    /// Crashes with beginnings of prompts known to this daemon, for gossip to other daemons.
+    pub fn report_parts(&self) -> suspect::PartReport {
+        let mut crashes = self.admission.crash_state();
+        crashes.beginnings.report(crash_now_ms(), &mut rand::rng())
+    }
+
+    /// Crashes known to this daemon of prompts with any of the given pieces.
+    pub fn report_parts_on(&self, pieces: &[u64]) -> suspect::PartReport {
+        let mut crashes = self.admission.crash_state();
+        crashes.beginnings.report_on(pieces, crash_now_ms())
+    }
+
+    /// Merges crashes with beginnings of prompts that another daemon reports.
+    pub fn merge_parts(&self, report: &suspect::PartReport) {
+        if report.is_empty() {
+            return;
+        }
+        let mut crashes = self.admission.crash_state();
+        crashes.beginnings.merge_report(report, crash_now_ms());
     }
 
-    /// Answers another daemon that asks whether its request, a crash suspect, may run. Returns
-    /// whether a request of this daemon, named `own_daemon`, holds it back, and the logical clock.
+    /// Answers another daemon that asks whether its request, a crash suspect with the suspected
+    /// `pieces`, may run. Returns whether a request of this daemon, named `own_daemon`, holds it back, and the logical clock.
     pub fn answer_turn(
         &self,
         fingerprint: u64,
+        pieces: &[u64],
         other: suspect::TurnStamp<'_>,
         own_daemon: &str,
     ) -> (bool, u64) {
         let mut crashes = self.admission.crash_state();
         let turns = &mut crashes.turns;
-        let is_held_back = turns.holds_back(fingerprint, other, own_daemon);
+        let is_held_back = turns.holds_back(fingerprint, pieces, other, own_daemon);
         (is_held_back, turns.clock())
     }
 
@@ -171,6 +199,6 @@
     /// Merges a crash suspect received from another daemon.
     pub fn merge_suspect(&self, record: suspect::SuspectRecord) {
         let mut crashes = self.admission.crash_state();
-        crashes.suspects.merge(record, target::now_ms());
+        crashes.suspects.merge(record, crash_now_ms());
     }
 }
