Keep the signals of a target that restarts before its entry is read

The same confusion loses the mark of a target that leaves: a run that starts again while the store is unavailable and says that it leaves gets requests again as soon as its entry is read.

Now a response belongs to the listed run of an id if that had started before the connection was opened, and a run that is listed later adopts the signals of such connections. The comparison uses the time of day and the start time that the target states; with a clock that is off, the behaviour is as before or a mark holds for the next run too.

The soak's check also counts requests after target_signals_adopted.

--- a/crates/core/src/target_signal/mod.rs
+++ b/crates/core/src/target_signal/mod.rs
@@ -204,6 +204,14 @@
         is_new
     }
 
+    /// Adds what the target has signalled according to another record.
+    pub fn merge(&mut self, other: Self) {
+        if let Some(mark) = other.leaving {
+            self.record_leaving(mark);
+        }
+        self.paused_until_ms = self.paused_until_ms.max(other.paused_until_ms);
+    }
+
     /// Returns the mark that the target leaves.
     pub fn leaving(&self) -> Option<LeavingMark> {
         self.leaving
--- a/crates/relay/src/clock/mod.rs
+++ b/crates/relay/src/clock/mod.rs
@@ -1,6 +1,6 @@
-//! Monotonic clock of the process.
+//! Clocks of the process.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use nix::time::{ClockId, clock_gettime};
 
@@ -16,6 +16,16 @@
     }
 }
 
+/// Returns the time of day in Unix milliseconds. It may jump; it serves only for comparisons with
+/// times that others state.
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // A clock before 1970 is older than every stated time.
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Converts an estimated time in milliseconds to a duration of at most `max`. An estimate that is
 /// negative, not finite or not a number says nothing, and gives `max`: values of a configuration
 /// and of messages enter it unchecked.
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -34,6 +34,8 @@
 
 use write_deadline::DeadlineCell;
 
+use crate::clock;
+
 /// Maximum number of idle connections kept for each target.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Idle time after which a connection is not reused if the target states no keep-alive time.
@@ -58,6 +60,7 @@
 pub struct TargetConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: tokio::task::AbortHandle,
+    connected_unix_ms: u64,
     idle_until: Instant,
     bytes_written: sync::Arc<AtomicU64>,
     deadline: sync::Arc<DeadlineCell>,
@@ -97,6 +100,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            connected_unix_ms: clock::unix_ms(),
             idle_until: Instant::now(),
             bytes_written,
             deadline,
@@ -118,6 +122,11 @@
         Instant::now() < self.idle_until && !self.sender.is_closed()
     }
 
+    /// Returns the time of day at which the connection was opened, in Unix milliseconds.
+    pub fn connected_unix_ms(&self) -> u64 {
+        self.connected_unix_ms
+    }
+
     /// Returns the number of bytes written to the socket so far.
     pub fn bytes_written(&self) -> u64 {
         self.bytes_written.load(Ordering::Acquire)
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -214,7 +214,12 @@
     };
     let (head, body) = response.into_parts();
     let response_metadata = state.codec.read_response(head.status, &head.headers);
-    target::record_response(state, target, &response_metadata);
+    target::record_response(
+        state,
+        target,
+        &response_metadata,
+        connection.connected_unix_ms(),
+    );
     let echoed_id = response_metadata.attempt_id.as_deref();
     let is_plausible = request.id.is_empty() || connection.record_echo(echoed_id.is_some());
     let is_own = is_plausible && echoed_id.is_none_or(|id| id == request.id);
--- a/crates/relay/src/planner/order.rs
+++ b/crates/relay/src/planner/order.rs
@@ -54,7 +54,7 @@
         Ok(Ok(response)) => {
             let status = response.status();
             let metadata = state.codec.read_response(status, response.headers());
-            target::record_response(state, target, &metadata);
+            target::record_response(state, target, &metadata, connection.connected_unix_ms());
             let limits = connection::BodyLimits::DOCUMENT;
             let deadline = Instant::now() + CALL_TIMEOUT;
             let body = connection::read_body(response.into_body(), limits, deadline).await;
--- a/crates/relay/src/target/call.rs
+++ b/crates/relay/src/target/call.rs
@@ -53,7 +53,7 @@
     let metadata = state
         .codec
         .read_response(response.status(), response.headers());
-    record_response(state, target, &metadata);
+    record_response(state, target, &metadata, connection.connected_unix_ms());
     let (limits, deadline) = (connection::BodyLimits::DOCUMENT, Instant::now() + timeout);
     let body = connection::read_body(response.into_body(), limits, deadline).await;
     let body = body.map_err(|error| error.to_string())?;
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -297,6 +297,8 @@
     /// Signals by hash of the incarnation, including some that are not listed: an incarnation whose
     /// entry disappears for a while still leaves, and a report may arrive before the entry.
     signals: HashMap<u64, SignalState>,
+    /// Origin of the last signal of each id: the incarnation that has sent it may be listed later.
+    signal_origins: HashMap<String, signals::SignalOrigin>,
     /// Version of the store up to which all changes are included; zero before the first complete
     /// list.
     complete_version: u64,
@@ -399,9 +401,7 @@
             "target_listed"
         );
         let target = rc::Rc::new(TargetState::new(entry.clone(), kv_tokens));
-        if let Some(signals) = self.signals.get(&target.hash) {
-            target.set_signals(*signals);
-        }
+        self.adopt_signals(&target);
         let service = self.by_service.entry(target.entry.service.clone());
         service.or_default().push(rc::Rc::clone(&target));
         self.by_hash.insert(target.hash, rc::Rc::clone(&target));
--- a/crates/relay/src/target/signals.rs
+++ b/crates/relay/src/target/signals.rs
@@ -1,6 +1,6 @@
 //! What targets signal in their responses: how it is recorded, and whether requests may be sent.
 
-use std::rc;
+use std::{net, rc};
 
 use acaciabank_core::target_signal::{LeavingMark, LeavingSource, SignalState};
 
@@ -61,7 +61,53 @@
     }
 }
 
+/// Origin of a signal.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SignalOrigin {
+    /// Incarnation that was listed, and for which the signal was recorded.
+    hash: u64,
+    /// Address that the connection was opened to.
+    address: net::SocketAddr,
+    /// Time of day at which the connection was opened.
+    connected_unix_ms: u64,
+}
+
+/// Whether an incarnation has sent the responses on a connection to its address: it had started
+/// before the connection was opened.
+fn is_sender(
+    entry: &platform::TargetEntry,
+    address: net::SocketAddr,
+    connected_unix_ms: u64,
+) -> bool {
+    entry.address == address && entry.born_ms <= connected_unix_ms
+}
+
 impl TargetRegistry {
+    /// Gives a target that has just been listed the signals recorded for its incarnation, and those
+    /// that it gave while the entry of a former incarnation was still listed.
+    pub(super) fn adopt_signals(&mut self, target: &TargetState) {
+        let id = target.entry.id.as_str();
+        let mut signals = self.signals_of(target.hash);
+        let origin = self.signal_origins.get(id);
+        let origin = origin.filter(|origin| {
+            let is_other = origin.hash != target.hash;
+            is_other && is_sender(&target.entry, origin.address, origin.connected_unix_ms)
+        });
+        if let Some(origin) = origin {
+            signals.merge(self.signals_of(origin.hash));
+            let now_ms = clock::now_ms();
+            let until_ms = signals.paused_until_ms(now_ms).unwrap_or(now_ms);
+            log::info!(
+                target_id = id, leaving = signals.leaving().is_some(), pause_ms = until_ms - now_ms;
+                "target_signals_adopted"
+            );
+        }
+        if signals != SignalState::default() {
+            self.signals.insert(target.hash, signals);
+            target.set_signals(signals);
+        }
+    }
+
     /// Records that an incarnation leaves, whether it is listed or not; returns whether that is
     /// new.
     pub fn record_leaving(&mut self, hash: u64, mark: LeavingMark, now_ms: u64) -> bool {
@@ -93,18 +139,24 @@
     }
 
     /// Returns the listed target that has sent a response on a connection to `target`: another one
-    /// may have taken over the address. `instance` is the id that the response names.
+    /// may have taken over the address, or a new incarnation with the same id. `instance` is the id
+    /// that the response names.
     fn responder<'a>(
         &'a self,
         target: &'a TargetState,
         instance: Option<&str>,
+        connected_unix_ms: u64,
     ) -> Option<&'a TargetState> {
+        let address = target.entry.address;
+        let listed = |id: &str| self.by_id.get(id).map(rc::Rc::as_ref);
         match instance.filter(|id| *id != target.entry.id) {
-            None => Some(target),
-            Some(id) => {
-                let named = self.by_id.get(id).map(rc::Rc::as_ref);
-                named.filter(|named| named.entry.address == target.entry.address)
+            None => {
+                let newest = listed(&target.entry.id);
+                let newest =
+                    newest.filter(|newest| is_sender(&newest.entry, address, connected_unix_ms));
+                Some(newest.unwrap_or(target))
             }
+            Some(id) => listed(id).filter(|named| named.entry.address == address),
         }
     }
 
@@ -119,6 +171,9 @@
             let is_listed_leaving = signals.leaving().is_some() && by_hash.contains_key(hash);
             is_listed_leaving || signals.is_kept_unlisted(now_ms)
         });
+        let kept = &self.signals;
+        self.signal_origins
+            .retain(|_, origin| kept.contains_key(&origin.hash));
         let signals = self.signals.entry(hash).or_default();
         let is_new = change(signals);
         if let Some(target) = by_hash.get(&hash) {
@@ -132,11 +187,13 @@
     }
 }
 
-/// Records the signals of a response that was received on a connection to `target`.
+/// Records the signals of a response that was received on a connection to `target`, which was opened
+/// at the time of day `connected_unix_ms`.
 pub fn record_response<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     target: &TargetState,
     metadata: &platform::ResponseMetadata,
+    connected_unix_ms: u64,
 ) {
     let signals = &metadata.signals;
     if signals.is_empty() {
@@ -147,7 +204,7 @@
     let instance = metadata.instance.as_deref();
     let mut registry = state.targets.borrow_mut();
     let Some((hash, id)) = registry
-        .responder(target, instance)
+        .responder(target, instance, connected_unix_ms)
         .map(|responder| (responder.hash, responder.entry.id.clone()))
     else {
         return;
@@ -168,6 +225,12 @@
             );
         }
     }
+    let origin = SignalOrigin {
+        hash,
+        address: target.entry.address,
+        connected_unix_ms,
+    };
+    registry.signal_origins.insert(id, origin);
     // The request may belong to a target that is no longer listed.
     if hash == target.hash {
         target.set_signals(registry.signals_of(hash));
--- a/crates/relay/src/telemetry/logging.rs
+++ b/crates/relay/src/telemetry/logging.rs
@@ -14,6 +14,8 @@
 
 use log::kv;
 
+use crate::clock;
+
 /// Lines that can wait for the writer: about a second of lines at the highest load.
 const MAX_QUEUED_LINES: usize = 1_024;
 
@@ -107,8 +109,7 @@
 
 /// Formats a record as a JSON object.
 fn format_record(host: &str, record: &log::Record<'_>) -> String {
-    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    let unix_ms = now.map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let unix_ms = clock::unix_ms();
     let mut line = String::with_capacity(192);
     let level = record.level().as_str();
     let _ = write!(
--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -623,6 +623,13 @@
                 quiet.remove(&target);
                 listed.insert(target, from_ms);
             }
+            "target_signals_adopted" => {
+                let until_ms = match line["leaving"].as_bool() {
+                    Some(true) => u64::MAX,
+                    _ => from_ms + line["pause_ms"].as_u64().unwrap_or(0),
+                };
+                quiet.insert(target, QuietPeriod { from_ms, until_ms });
+            }
             "target_leaving" => {
                 let until_ms = u64::MAX;
                 quiet.insert(target, QuietPeriod { from_ms, until_ms });
--- a/crates/testbed/tests/relay/target_signals.rs
+++ b/crates/testbed/tests/relay/target_signals.rs
@@ -3,7 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-use acaciabank_testbed::harness;
+use acaciabank_testbed::{
+    harness,
+    proxy::{FaultKind, LinkFault},
+};
 use serde_json::{Value, json};
 
 use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT};
@@ -73,10 +76,34 @@
 }
 
 fn has_line(relay: &Relay, event: &str, target: &str) -> bool {
+    line_count(relay, event, target) > 0
+}
+
+fn line_count(relay: &Relay, event: &str, target: &str) -> usize {
     let text = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
     let lines = text.lines().map(serde_json::from_str::<Value>);
-    let mut lines = lines.flatten();
-    lines.any(|line| line["event"] == event && line["target_id"] == target)
+    let lines = lines.flatten();
+    lines
+        .filter(|line| line["event"] == event && line["target_id"] == target)
+        .count()
+}
+
+/// Starts a runner again with its id and address while the store refuses all calls, so that relays
+/// still have the entry of its former run.
+async fn restart_unlisted(fixture: &Fixture, runner: &mut EmulatorProcess) {
+    fixture.store.control(json!({"refuses": true})).await;
+    runner.process.kill();
+    runner.process.restart().expect("the process restarts");
+    runner.process.wait_ready().await;
+}
+
+/// Lets the store serve calls again and waits until a relay has the entry of the runner's new run.
+async fn list_restarted(fixture: &Fixture, relay: &Relay, id: &str) {
+    fixture.store.control(json!({"refuses": false})).await;
+    harness::wait_until(TIMEOUT, "the new run is listed", async || {
+        line_count(relay, "target_listed", id) == 2
+    })
+    .await;
 }
 
 /// Guards against requests to a runner that has said that it leaves while the store still lists it
@@ -145,6 +172,82 @@
     assert!(arrivals(&runners[0]).await > before);
 }
 
+/// Guards against a signal that is lost because the runner had started again with its id and
+/// address before the relay got the entry of its new run.
+#[tokio::test]
+async fn signals_of_a_new_run_hold_once_it_is_listed() {
+    let patches = [
+        json!({"is_leaving": true}),
+        json!({"refuses": true, "retry_after": "30"}),
+    ];
+    for patch in patches {
+        let mut fixture = Fixture::start().await;
+        let mut runners = start_two_runners(&fixture).await;
+        let relay = fixture.start_relay(&[]).await;
+        relay.wait_serving("/safe/a").await;
+        restart_unlisted(&fixture, &mut runners[0]).await;
+        runners[0].control(patch.clone()).await;
+        send_until_reached(&relay, &runners[0]).await;
+        list_restarted(&fixture, &relay, "r-1").await;
+        let before = arrivals(&runners[0]).await;
+        send_all(&relay, "n", 60).await;
+        assert_eq!(arrivals(&runners[0]).await, before, "{patch}");
+    }
+}
+
+/// Guards against a refusal of a new run that a slow link delivers after the run is listed, and
+/// that is taken for one of the former run.
+#[tokio::test]
+async fn a_late_refusal_of_a_new_run_pauses_it() {
+    let mut fixture = Fixture::start_proxied().await;
+    let mut runners = start_two_runners(&fixture).await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    restart_unlisted(&fixture, &mut runners[0]).await;
+    runners[0]
+        .control(json!({"refuses": true, "retry_after": "30"}))
+        .await;
+    set_link_fault(&fixture, "r-1", FaultKind::BlackholeDown).await;
+    let calls = async {
+        let calls = (0..CALLERS).map(|caller| {
+            let relay = &relay;
+            async move {
+                let attempt = format!("late-{caller}");
+                relay.response("POST", "/once/a", &attempt, &[], "").await
+            }
+        });
+        futures::future::join_all(calls).await
+    };
+    let listing = async {
+        harness::wait_until(TIMEOUT, "the new run has refused", async || {
+            refusals(&runners[0]).await > 0
+        })
+        .await;
+        list_restarted(&fixture, &relay, "r-1").await;
+        assert!(!has_line(&relay, "target_paused", "r-1"));
+        // No further refusal states the pause again.
+        runners[0].control(json!({"refuses": false})).await;
+        set_link_fault(&fixture, "r-1", FaultKind::None).await;
+        harness::wait_until(TIMEOUT, "the refusal has arrived", async || {
+            has_line(&relay, "target_paused", "r-1")
+        })
+        .await;
+    };
+    tokio::join!(calls, listing);
+    let before = arrivals(&runners[0]).await;
+    send_all(&relay, "n", 60).await;
+    assert_eq!(arrivals(&runners[0]).await, before);
+}
+
+async fn set_link_fault(fixture: &Fixture, link: &str, kind: FaultKind) {
+    let proxy = fixture.proxy.as_ref().expect("a fixture with links");
+    let fault = LinkFault {
+        kind,
+        ..LinkFault::default()
+    };
+    proxy.set_fault(link, &fault).await.expect("a link");
+}
+
 /// Guards against prompts and streams that are placed at engines that leave, and against cutting a
 /// stream that such an engine runs.
 #[tokio::test]
