Hold back SIGTERM and SIGHUP until they are handled

SIGHUP in the first milliseconds of a process, before its handlers were installed, ended it by the default action, so that a host restarted beside a reload served nothing; SIGTERM ended it with a signal status.

What remains is the time of the loader before the program begins.

--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{rc, time::Duration};
 
+use nix::sys::signal::{SigSet, Signal};
 use tokio::{
     net::UdpSocket,
     signal::unix::{SignalKind, signal},
@@ -25,6 +26,29 @@
 /// Stack size of the runtime's threads for blocking calls. Requests make no blocking calls.
 const BLOCKING_STACK_BYTES: usize = 128 << 10;
 
+/// Holds back SIGTERM and SIGHUP for this thread, and for those that it starts, until [`run`] handles
+/// them. Their default action ends the process, which may follow its start within milliseconds.
+///
+/// # Errors
+///
+/// Returns a message if the signal mask cannot be changed.
+pub fn hold_signals() -> Result<(), String> {
+    let held = handled_signals().thread_block();
+    held.map_err(|error| format!("cannot hold back signals: {error}"))
+}
+
+fn release_signals() -> Result<(), String> {
+    let released = handled_signals().thread_unblock();
+    released.map_err(|error| format!("cannot receive signals: {error}"))
+}
+
+fn handled_signals() -> SigSet {
+    let mut signals = SigSet::empty();
+    signals.add(Signal::SIGTERM);
+    signals.add(Signal::SIGHUP);
+    signals
+}
+
 /// Runs the daemon until SIGTERM.
 ///
 /// # Errors
@@ -57,6 +81,7 @@
 ) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
+    release_signals()?;
     let socket = UdpSocket::bind(state.settings.peer_address).await;
     let socket =
         rc::Rc::new(socket.map_err(|error| format!("cannot bind the peer socket: {error}"))?);
--- a/crates/testbed/src/harness/launch.rs
+++ b/crates/testbed/src/harness/launch.rs
@@ -262,6 +262,11 @@
         self.signal(signal::Signal::SIGTERM);
     }
 
+    /// Sends SIGHUP, which states that the settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(signal::Signal::SIGHUP);
+    }
+
     fn signal(&self, signal: signal::Signal) {
         if let Some(id) = self.id() {
             let _ = signal::kill(unistd::Pid::from_raw(id as i32), signal);
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -1,12 +1,12 @@
 //! Configuration updates, draining and replaced targets, store outages, stage orders, shutdown and
 //! the log.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashSet, fs::File, io::Write, path::Path, time::Duration};
 
-use acaciabank_testbed::harness;
+use acaciabank_testbed::harness::{self, Process};
 use serde_json::json;
 
-use crate::fixture::{Fixture, TIMEOUT, event_ids};
+use crate::fixture::{Fixture, Relay, TIMEOUT, event_ids};
 
 /// Guards against serving without a configuration, and against reverting to an older version.
 #[tokio::test]
@@ -35,6 +35,46 @@
     assert_eq!(response.status, 404);
 }
 
+/// Starts a relay whose settings file is a pipe, calls `act` while it waits for its settings, and
+/// then writes `text` to the pipe.
+async fn restart_before_settings(
+    relay: &mut Relay,
+    pipe: &Path,
+    text: &[u8],
+    act: impl Fn(&Process),
+) {
+    relay.process.restart().expect("the process restarts");
+    let path = pipe.to_owned();
+    // Returns once the relay has opened the pipe.
+    let opened = tokio::task::spawn_blocking(move || File::options().write(true).open(path));
+    let mut pipe = opened.await.expect("a thread").expect("a pipe");
+    act(&relay.process);
+    pipe.write_all(text).expect("a write");
+}
+
+/// Guards against a process that is ended by a signal which arrives before it has read its
+/// settings.
+#[tokio::test]
+async fn signals_before_the_settings_are_read_do_not_end_the_process() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let _runner = fixture.start_runner("r-1", "ledger", None).await;
+    let mut relay = fixture.start_relay(&[]).await;
+    let settings = fixture.launcher.folder().join("relay-1.toml");
+    let text = std::fs::read(&settings).expect("settings");
+    std::fs::remove_file(&settings).expect("a settings file");
+    nix::unistd::mkfifo(&settings, nix::sys::stat::Mode::S_IRWXU).expect("a pipe");
+    restart_before_settings(&mut relay, &settings, &text, Process::hang_up).await;
+    relay.wait_serving("/safe/a").await;
+    restart_before_settings(&mut relay, &settings, &text, Process::terminate).await;
+    harness::wait_until(TIMEOUT, "the relay stops", async || {
+        relay.process.exit_status().is_some()
+    })
+    .await;
+    let status = relay.process.exit_status().expect("a status");
+    assert!(status.success(), "{status:?}");
+}
+
 /// Guards against requests that are sent to a draining runner.
 #[tokio::test]
 async fn a_draining_runner_gets_no_new_requests() {
