Serve callers under the largest limits, and test large configurations in a burst

Twice the limit for heads overflowed: with the largest value that a configuration can state, the task of each new connection panicked in builds with overflow checks, and callers saw a reset connection. Release builds wrap and were not affected.

--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -133,7 +133,11 @@
         .timer(TokioTimer::new())
         // The idle timeout below can change while the connection is open.
         .header_read_timeout(None)
-        .max_buf_size((2 * max_header_bytes).max(DEFAULT_MAX_HEADER_BYTES))
+        .max_buf_size(
+            max_header_bytes
+                .saturating_mul(2)
+                .max(DEFAULT_MAX_HEADER_BYTES),
+        )
         .serve_connection(
             TokioIo::new(connection::AcceptedStream::new(stream, &progress)),
             service,
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -4,7 +4,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -848,3 +848,74 @@
     })
     .await;
 }
+
+/// Routes of a large configuration, beside those of the fixture.
+const LARGE_ROUTE_COUNT: usize = 3_000;
+/// Versions of the configuration that follow one another without a pause.
+const BURST_VERSIONS: std::ops::Range<u64> = 2..32;
+/// Latency within which the routes of the fixture have to respond.
+const TARGET_LATENCY: Duration = Duration::from_millis(2_000);
+
+/// Adds many routes to a configuration.
+fn add_routes(config: &mut serde_json::Value) {
+    let route = config["routes"][0].clone();
+    let routes = config["routes"].as_array_mut().expect("routes");
+    for number in 0..LARGE_ROUTE_COUNT {
+        let mut route = route.clone();
+        route["name"] = format!("extra-{number}").into();
+        route["prefix"] = format!("/extra-{number}/").into();
+        routes.push(route);
+    }
+}
+
+/// Guards against requests that wait, or are lost, while a relay applies one large configuration
+/// after the other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_beside_a_burst_of_large_configurations() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let is_over = AtomicBool::new(false);
+    let caller = |name: &'static str| {
+        let (relay, is_over) = (&relay, &is_over);
+        async move {
+            let mut longest = Duration::ZERO;
+            for number in 0.. {
+                if is_over.load(Ordering::Relaxed) {
+                    break;
+                }
+                let (sent_at, attempt) = (Instant::now(), format!("{name}-{number}"));
+                let response = relay.response("POST", "/once/a", &attempt, &[], "").await;
+                assert_eq!(response.status, 200, "{attempt}");
+                longest = longest.max(sent_at.elapsed());
+            }
+            longest
+        }
+    };
+    let changes = async {
+        for version in BURST_VERSIONS {
+            fixture.write_config(version, add_routes).await;
+        }
+        wait_config(&relay, BURST_VERSIONS.end - 1).await;
+        is_over.store(true, Ordering::Relaxed);
+    };
+    let (first, second, ()) = tokio::join!(caller("first"), caller("second"), changes);
+    let longest = first.max(second);
+    println!("longest request: {longest:?}");
+    assert!(longest < TARGET_LATENCY, "{longest:?}");
+}
+
+/// Guards against limits and times without bound that end the task of a connection.
+#[tokio::test]
+async fn a_configuration_with_the_largest_limits_is_served() {
+    let (fixture, _runner, relay) = start_serving().await;
+    let adjust = |config: &mut serde_json::Value| {
+        for limit in ["max_header_bytes", "max_body_bytes", "idle_timeout_ms"] {
+            config["limits"][limit] = u64::MAX.into();
+        }
+        config["routes"][1]["timeout_ms"] = 1e300.into();
+        config["routes"][1]["target_latency_ms"] = 1e300.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(&relay, 2).await;
+    let response = relay.response("POST", "/once/a", "largest", &[], "").await;
+    assert_eq!(response.body, "largest:");
+}
