Answer requests whose handling panics, and restart tasks that do

In a trial with a panic put into the handling of one path, the caller saw its connection closed without a response, and the log had the line unanswered with the request's id and nothing of the cause. A task of the process that panicked (configuration, targets, reports, planner) was gone while the process went on.

A panic while a stream is forwarded ends the stream early, with the id in the log. Tasks of the process start again after 500 ms; the receiver of messages is such a task of its own. A panic in the HTTP library's part of a connection still closes it and is logged with its place, without an id.

The elector of a planner that starts again reads its lease first, so it renews or waits.

--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -27,7 +27,7 @@
     request::{RelayRequest, RequestProgress},
     suspects,
 };
-use crate::{clock, connection, platform, state, target, telemetry::RefusalCause};
+use crate::{clock, connection, panics, platform, state, target, telemetry::RefusalCause};
 use kv_handle::KvHandle;
 
 /// Capacity of the channel between engine and caller, in frames. A full channel propagates the
@@ -109,7 +109,12 @@
         is_complete: rc::Rc::clone(&is_complete),
         first_event: Instant::now(),
     };
-    tokio::task::spawn_local(forwarder.run(*stream));
+    let id = forwarder.request.id.clone();
+    tokio::task::spawn_local(async move {
+        if panics::catch(forwarder.run(*stream)).await.is_err() {
+            log::error!(id = id.as_str(); "stream_failed");
+        }
+    });
     Ok(stream_response(*head, receiver, is_complete))
 }
 
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -23,7 +23,7 @@
 
 use hyper::body::Incoming;
 
-use crate::{config, platform, state, telemetry::RefusalCause};
+use crate::{config, panics, platform, state, telemetry::RefusalCause};
 use refusal::RefusalResponse;
 use request::{RelayRequest, RequestProgress};
 use unanswered::UnansweredGuard;
@@ -49,15 +49,15 @@
     };
     let name = route.name.clone();
     let mut unanswered = UnansweredGuard::new(&id, &name);
-    let request = RelayRequest::read(&state, &config, route, metadata, request).await;
-    let result = match request {
-        Ok(request) => {
-            unanswered.record_read();
-            state.record_request(&request.service);
-            run(&state, rc::Rc::new(request)).await
-        }
-        Err(refusal) => Err(refusal),
+    let answer = async {
+        let request = RelayRequest::read(&state, &config, route, metadata, request).await?;
+        unanswered.record_read();
+        state.record_request(&request.service);
+        run(&state, rc::Rc::new(request)).await
     };
+    // Without this, a panic would close the caller's connection.
+    let result = panics::catch(answer).await;
+    let result = result.unwrap_or_else(|_| Err(RefusalResponse::internal_error()));
     unanswered.close();
     match result {
         Ok(response) => response,
--- a/crates/relay/src/dispatch/refusal.rs
+++ b/crates/relay/src/dispatch/refusal.rs
@@ -50,6 +50,16 @@
         }
     }
 
+    /// Creates the refusal of a request whose handling has failed by a fault of this process, at a
+    /// point at which targets may have run it.
+    pub fn internal_error() -> Self {
+        Self {
+            cause: RefusalCause::InternalError,
+            verdict: Verdict::MayHaveRun,
+            retry_after_ms: None,
+        }
+    }
+
     /// Returns the HTTP status. 429 and 503 guarantee that the request has not run; 502 and 504 do
     /// not.
     pub fn status(&self) -> http::StatusCode {
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -10,7 +10,7 @@
 
 pub use leaving::LeavingEntry;
 pub use table::PeerTable;
-pub use task::{announce, run};
+pub use task::{announce, receive, run};
 
 use std::net;
 
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -34,13 +34,11 @@
 /// Largest number of prompt parts in a report; the oldest ones beyond it are left out, and the
 /// receivers do not learn of them.
 const MAX_PARTS: usize = 512;
-/// Sends and receives reports until the process ends.
+/// Sends reports until the process ends.
 pub async fn run<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
     socket: rc::Rc<UdpSocket>,
 ) {
-    let receiver = receive(rc::Rc::clone(&state), rc::Rc::clone(&socket));
-    tokio::task::spawn_local(receiver);
     let mut is_urgent = true;
     for tick in 0.. {
         send_reports(&state, &socket, tick, is_urgent).await;
@@ -305,7 +303,8 @@
     rotated.take(MAX_KNOWN_ADDRESSES).copied().collect()
 }
 
-async fn receive<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+/// Receives the messages of other daemons until the process ends.
+pub async fn receive<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
     socket: rc::Rc<UdpSocket>,
 ) {
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{rc, time::Duration};
 
+use futures::{FutureExt, future};
 use nix::sys::signal::{SigSet, Signal};
 use tokio::{
     net::UdpSocket,
@@ -9,7 +10,9 @@
     time::Instant,
 };
 
-use crate::{clock, discovery, gossip, listener, planner, platform, scheduler, state, telemetry};
+use crate::{
+    clock, discovery, gossip, listener, panics, planner, platform, scheduler, state, telemetry,
+};
 
 pub use crate::state::RelaySettings;
 
@@ -61,6 +64,7 @@
     store: Store,
 ) -> Result<(), String> {
     telemetry::install_log(&settings.host, settings.log_level)?;
+    panics::install_hook();
     telemetry::install_metrics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -144,6 +148,10 @@
     Ok(())
 }
 
+/// Starts a task of the process.
+type TaskStart<Codec, Store> =
+    fn(state::SharedState<Codec, Store>, rc::Rc<UdpSocket>) -> future::LocalBoxFuture<'static, ()>;
+
 fn start_tasks<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     socket: &rc::Rc<UdpSocket>,
@@ -152,14 +160,34 @@
     for seed in &state.settings.seeds {
         state.peers.borrow_mut().add_contact(*seed, now_ms);
     }
-    tokio::task::spawn_local(discovery::run_config(rc::Rc::clone(state)));
-    tokio::task::spawn_local(discovery::run_targets(rc::Rc::clone(state)));
-    tokio::task::spawn_local(discovery::run_hosts(rc::Rc::clone(state)));
-    tokio::task::spawn_local(discovery::run_peer_config(rc::Rc::clone(state)));
-    tokio::task::spawn_local(planner::run(rc::Rc::clone(state)));
-    tokio::task::spawn_local(scheduler::run(rc::Rc::clone(state)));
-    tokio::task::spawn_local(scheduler::run_warmup(rc::Rc::clone(state)));
-    tokio::task::spawn_local(gossip::run(rc::Rc::clone(state), rc::Rc::clone(socket)));
+    let spawn = |name: &'static str, run: TaskStart<Codec, Store>| {
+        let (state, socket) = (rc::Rc::clone(state), rc::Rc::clone(socket));
+        let start = move || run(rc::Rc::clone(&state), rc::Rc::clone(&socket));
+        tokio::task::spawn_local(async move { panics::run_task(name, start).await });
+    };
+    spawn("config", |state, _| {
+        discovery::run_config(state).boxed_local()
+    });
+    spawn("targets", |state, _| {
+        discovery::run_targets(state).boxed_local()
+    });
+    spawn("hosts", |state, _| {
+        discovery::run_hosts(state).boxed_local()
+    });
+    spawn("peer_config", |state, _| {
+        discovery::run_peer_config(state).boxed_local()
+    });
+    spawn("planner", |state, _| planner::run(state).boxed_local());
+    spawn("scheduler", |state, _| scheduler::run(state).boxed_local());
+    spawn("warmup", |state, _| {
+        scheduler::run_warmup(state).boxed_local()
+    });
+    spawn("gossip", |state, socket| {
+        gossip::run(state, socket).boxed_local()
+    });
+    spawn("messages", |state, socket| {
+        gossip::receive(state, socket).boxed_local()
+    });
     tokio::task::spawn_local(async {
         let mut interval = tokio::time::interval(METRICS_UPKEEP_INTERVAL);
         loop {
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -33,6 +33,8 @@
         TargetRefused,
         /// The retry budget is spent.
         BudgetSpent,
+        /// A fault of this process.
+        InternalError,
     }
 );
 
@@ -54,6 +56,7 @@
             Self::TargetFailed => "target_failed",
             Self::TargetRefused => "target_refused",
             Self::BudgetSpent => "budget_spent",
+            Self::InternalError => "internal_error",
         }
     }
 }
