--- a/crates/relay/src/panics/mod.rs
+++ b/crates/relay/src/panics/mod.rs
@@ -29,9 +29,8 @@
     }));
 }
 
-/// Runs a future and catches its panic. What it shares with others must be consistent at each
-/// point at which it can panic, or be checked by its readers: here these are values of counters
-/// and lists, whose borrows end when the panic unwinds.
+/// Runs a future and catches its panic. Borrows of shared state end when the panic unwinds; a value
+/// that was being changed may be left half changed, which costs less than the end of the process.
 ///
 /// # Errors
 ///
--- a/crates/testbed/tests/relay/soak.rs
+++ b/crates/testbed/tests/relay/soak.rs
@@ -22,7 +22,8 @@
 use crate::fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT, event_ids};
 
 /// Seeds that run by default. A seed that has failed is added here with a comment on the cause.
-/// 2043: a check that took the late refusal of a runner's former run for one of the listed run.
+/// 2043: a check that took the late refusal of a runner's former run for one of the listed run; then
+/// a relay that took the late refusal of a new run for one of the former run.
 const FIXED_SEEDS: [u64; 3] = [1, 2, 2043];
 /// Length of the period in which faults start.
 const FAULT_WINDOW: Duration = Duration::from_secs(6);
