Limit the send buffer of connections, so that a caller that stops reading is noticed

faulty_targets::a_stream_whose_caller_stops_reading_ends failed in a run of all relay tests beside load: the engine's connection was closed after 15.0 s, by the deadline of the request alone (bound 10 s). The relay gives up a caller when it takes no event for the idle timeout, but the kernel took megabytes for it first: 8.2 MB left the engine until then.

Listeners now set a send buffer of 256 KiB, which the kernel doubles or lowers by its own limit. The test and its bound are as before. It also bounds the memory of the kernel for callers that do not read.

--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -18,6 +18,9 @@
 /// Maximum number of connections that wait to be accepted. If the queue is full, the caller's TCP
 /// retransmission delays the connection by seconds.
 const LISTEN_BACKLOG: u32 = 1_024;
+/// Size of the kernel's send buffer of a connection; the kernel doubles it. Without a limit it grows
+/// to megabytes, which a stream has to fill before it is noticed that its caller reads nothing.
+const SEND_BUFFER_BYTES: u32 = 256 << 10;
 /// Idle timeout of connections until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Multiple of the configured idle time after which a connection is closed. Callers reuse
@@ -56,6 +59,8 @@
     let bound = || {
         let socket = tokio::net::TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
+        // Accepted connections inherit it.
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
     };
