Compare the start times of targets with a clock that does not jump

A daemon whose time of day is set ahead took a connection that it had opened to the former run of a target for one to the present run, so that a leaving mark of the former run held for the present one, which then got no requests for the rest of its life. The time of day at the start of the process plus the time since does not jump.

--- a/crates/relay/src/clock/mod.rs
+++ b/crates/relay/src/clock/mod.rs
@@ -1,6 +1,9 @@
 //! Clocks of the process.
 
-use std::time::{Duration, SystemTime};
+use std::{
+    sync::OnceLock,
+    time::{Duration, SystemTime},
+};
 
 use nix::time::{ClockId, clock_gettime};
 
@@ -16,8 +19,15 @@
     }
 }
 
-/// Returns the time of day in Unix milliseconds. It may jump; it serves only for comparisons with
-/// times that others state.
+/// Returns the time of day in Unix milliseconds as it follows from that of the first call. Unlike
+/// [`unix_ms`] it never jumps; it serves for comparisons with times that others state.
+pub fn steady_unix_ms() -> u64 {
+    static START_MS: OnceLock<(u64, u64)> = OnceLock::new();
+    let (unix_start_ms, start_ms) = *START_MS.get_or_init(|| (unix_ms(), now_ms()));
+    unix_start_ms + now_ms().saturating_sub(start_ms)
+}
+
+/// Returns the time of day in Unix milliseconds. It may jump.
 pub fn unix_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     // A clock before 1970 is older than every stated time.
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -100,7 +100,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
-            connected_unix_ms: clock::unix_ms(),
+            connected_unix_ms: clock::steady_unix_ms(),
             idle_until: Instant::now(),
             bytes_written,
             deadline,
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -65,6 +65,8 @@
 ) -> Result<(), String> {
     telemetry::install_log(&settings.host, settings.log_level)?;
     panics::install_hook();
+    // The clock starts with the process.
+    clock::steady_unix_ms();
     telemetry::install_metrics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
