Failing: a copy's earlier run of a target replaces the present one

A daemon that started, or learned of the id, after a target's earlier run had ended does not know that run.

--- a/crates/relay/tests/store_returns.rs
+++ b/crates/relay/tests/store_returns.rs
@@ -1122,3 +1122,13 @@
 fn daemons_agree_with_a_store_that_returns() {
     run_seeds(WorldTraits::MODERATE);
 }
+
+/// Guards against a daemon that takes the earlier run of a target, which a copy of the store holds,
+/// for the present one.
+#[test]
+fn runs_of_targets_are_told_apart_after_returns() {
+    run_seeds(WorldTraits {
+        has_quick_restarts: true,
+        ..WorldTraits::MODERATE
+    });
+}
