Failing: a second return shortens the time for writing rows again

DoubtTable::add keeps the deadline of an open doubt. If the store returns again while a target is missing, the time of 2 s still counts from the first return, and the target gets no requests although it writes its row in time after the second one.

--- a/crates/relay/tests/store_doubts.rs
+++ b/crates/relay/tests/store_doubts.rs
@@ -83,3 +83,42 @@
     registry.resolve_doubts(60_000);
     assert_eq!(accepting(&registry, 60_000), [200]);
 }
+/// Guards against a target that gets no requests because the time in which it writes its row again
+/// is counted from the first of two returns.
+#[test]
+fn the_time_for_writing_again_starts_anew_with_each_return() {
+    let mut registry = TargetRegistry::new(SILENCE_MS);
+    let read = list(StoreVersion::new(1, 10), vec![entry(1, 9, 100)]);
+    apply(&mut registry, read, 1_000);
+    apply(
+        &mut registry,
+        list(StoreVersion::new(2, 8), Vec::new()),
+        2_000,
+    );
+    let second_ms = 2_000 + REWRITE_MS - 100;
+    apply(
+        &mut registry,
+        list(StoreVersion::new(3, 8), Vec::new()),
+        second_ms,
+    );
+    registry.resolve_doubts(second_ms + REWRITE_MS - 100);
+    assert_eq!(accepting(&registry, second_ms + REWRITE_MS - 100), [100]);
+}
+/// Guards against a target that is taken for one that has left, because its row was missing for
+/// too long after a first return: it wrote the row after a second return and got no requests for
+/// the silence time.
+#[test]
+fn a_run_that_was_missing_is_used_once_its_row_is_written() {
+    let mut registry = TargetRegistry::new(SILENCE_MS);
+    let read = list(StoreVersion::new(1, 10), vec![entry(1, 9, 100)]);
+    apply(&mut registry, read, 1_000);
+    apply(
+        &mut registry,
+        list(StoreVersion::new(2, 8), Vec::new()),
+        2_000,
+    );
+    let second_ms = 2_000 + REWRITE_MS + 100;
+    let rewritten = list(StoreVersion::new(3, 9), vec![entry(3, 9, 100)]);
+    apply(&mut registry, rewritten, second_ms);
+    assert_eq!(accepting(&registry, second_ms), [100]);
+}
