Failing: missing targets are removed before their rows can be known

The doubt Missing ends 2 s after the first read in the new era, whether or not the daemon has read the store since.

Complete lists are not reported, and a gap in the reports only makes the daemon read the store.

--- a/crates/relay/tests/store_returns.rs
+++ b/crates/relay/tests/store_returns.rs
@@ -692,7 +692,14 @@
             7 | 8 => self.leave(id),
             9 => self.crash(id),
             10 | 11 => self.write_config(),
-            12..15 => self.return_store(),
+            12..15 => {
+                self.return_store();
+                if self.traits.expects_use_while_cut_off {
+                    // The daemon has read the restored list by then.
+                    self.pass(POLL_MS + 2 * TICK_MS)?;
+                    self.cut_off(daemon);
+                }
+            }
             15 => self.cut_off(daemon),
             16 | 17 => self.restart(daemon)?,
             _ => {}
@@ -1132,3 +1139,23 @@
         ..WorldTraits::MODERATE
     });
 }
+
+/// Guards against a target that is in use, is lost by a return and writes its row again within the
+/// allowed time, and that gets no requests for a moment at a daemon that reads the store.
+#[test]
+fn targets_that_write_again_in_time_stay_in_use() {
+    run_seeds(WorldTraits {
+        rewrite_limit_ms: REWRITE_MS,
+        ..WorldTraits::MODERATE
+    });
+}
+
+/// Guards against a daemon that is cut off from the store shortly after a return, and that sends
+/// nothing more to targets that have written their rows again.
+#[test]
+fn targets_stay_in_use_at_daemons_that_are_cut_off() {
+    run_seeds(WorldTraits {
+        expects_use_while_cut_off: true,
+        ..WorldTraits::MODERATE
+    });
+}
