Failing: a run that drained gets requests after a return

A daemon forgets that a run was draining when the run leaves. If a copy then lists the run again as ready, the daemon holds it back for the rewrite time and the silence time and then uses it, also if the daemon is cut off from the store and cannot learn that the platform has removed the row.

--- a/crates/relay/tests/store_doubts.rs
+++ b/crates/relay/tests/store_doubts.rs
@@ -122,3 +122,26 @@
     apply(&mut registry, rewritten, second_ms);
     assert_eq!(accepting(&registry, second_ms), [100]);
 }
+/// Guards against requests to a target that a daemon has known as draining and gone, after the
+/// time for which a daemon sends nothing to targets that a copy of the store lists again.
+#[test]
+fn a_run_that_drained_gets_no_requests_after_a_return() {
+    let mut registry = TargetRegistry::new(SILENCE_MS);
+    let read = list(StoreVersion::new(1, 10), vec![entry(1, 9, 100)]);
+    apply(&mut registry, read, 1_000);
+    let draining = platform::TargetEntry {
+        is_draining: true,
+        ..entry(1, 11, 100)
+    };
+    apply(&mut registry, changes(draining), 1_500);
+    apply(
+        &mut registry,
+        list(StoreVersion::new(1, 12), Vec::new()),
+        2_000,
+    );
+    let copy = list(StoreVersion::new(2, 10), vec![entry(2, 9, 100)]);
+    apply(&mut registry, copy, 3_000);
+    let later_ms = 3_000 + REWRITE_MS + SILENCE_MS;
+    registry.resolve_doubts(later_ms);
+    assert!(accepting(&registry, later_ms).is_empty());
+}
--- a/crates/relay/tests/store_returns.rs
+++ b/crates/relay/tests/store_returns.rs
@@ -1159,3 +1159,13 @@
         ..WorldTraits::MODERATE
     });
 }
+
+/// Guards against requests to a run that drained and left, and that a copy of the store lists again
+/// for longer than the platform takes to remove it, or so that the daemon does not learn of it.
+#[test]
+fn runs_that_drained_and_left_get_no_requests() {
+    run_seeds(WorldTraits {
+        expects_drained_memory: true,
+        ..WorldTraits::MODERATE
+    });
+}
