Settle by reads of the store what its return leaves open about targets

Callers' requests were refused or sent elsewhere although a target was there: one that the restored list lacked was removed two seconds after the first read, whether or not the daemon had read the store since, and a second return did not renew the time. A daemon that was cut off removed targets whose rows it could not know.

A doubt now ends with the first read that is sent after its deadline, which a due doubt asks for, and a list of a newer era starts the time anew. The model and the single sequences settle doubts by reads in place of the time alone, which is as strict: their limits are unchanged.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -140,6 +140,7 @@
                 let version = changes.version;
                 let source = state::ChangeSource::Store {
                     after: after.unwrap_or(StoreVersion::ZERO),
+                    sent_ms,
                 };
                 after = Some(version);
                 state.apply_targets(changes, source);
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -75,7 +75,9 @@
 ) {
     let now_ms = clock::now_ms();
     state.peers.borrow_mut().expire(now_ms);
-    state.targets.borrow_mut().resolve_doubts(now_ms);
+    if state.targets.borrow().has_due_doubts(now_ms) {
+        state.watch.targets.record_gap();
+    }
     state.scheduler.expire(now_ms);
     let rank = scheduler::own_rank(state, now_ms);
     let (mut same_zone, mut other_zones) = state.peers.borrow().contacts_by_zone(state.zone_hash);
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -161,6 +161,8 @@
     Store {
         /// The version; [`StoreVersion::ZERO`] when the whole list was read.
         after: StoreVersion,
+        /// Time at which the read was sent.
+        sent_ms: u64,
     },
     /// A report or response of another daemon.
     Peer,
@@ -302,7 +304,7 @@
             engine.map_or(DEFAULT_KV_TOKENS, |engine| engine.kv_tokens)
         };
         let now_ms = crate::clock::now_ms();
-        if let ChangeSource::Store { after } = source
+        if let ChangeSource::Store { after, .. } = source
             && self.record_changes(after, &changes, now_ms)
         {
             self.report_now.notify_one();
@@ -310,8 +312,9 @@
         let version = changes.version;
         let mut targets = self.targets.borrow_mut();
         targets.apply(changes, now_ms, kv_tokens);
-        if let ChangeSource::Store { .. } = source {
+        if let ChangeSource::Store { sent_ms, .. } = source {
             targets.record_complete(version);
+            targets.resolve_doubts(sent_ms);
         }
     }
 
--- a/crates/relay/src/target/doubts.rs
+++ b/crates/relay/src/target/doubts.rs
@@ -3,7 +3,7 @@
 //! What targets wrote in the lost seconds, they write again within [`REWRITE_MS`]. Until then a
 //! target that the restored list lacks may have registered in these seconds, and one that had left
 //! may be listed only because its removal was lost. The next record of the store settles either
-//! case, and otherwise a deadline.
+//! case, and otherwise the first read that is sent after a deadline. Another return starts anew.
 
 use std::collections::HashMap;
 
@@ -33,29 +33,46 @@
 #[derive(Clone, Copy, Debug)]
 struct DoubtEntry {
     doubt: TargetDoubt,
+    /// Era of the list that has raised the doubt.
+    era: u64,
     deadline_ms: u64,
 }
 
 /// The open doubts, by id of the target.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct DoubtTable {
     entries: HashMap<String, DoubtEntry>,
+    /// Time after which the platform removes the entry of a target that is silent.
+    silence_ms: u64,
 }
 
 impl DoubtTable {
-    /// Adds a doubt unless there is one already, whose deadline then stays. `silence_ms` is the time
-    /// after which the platform removes the entry of a target that is silent.
-    pub(super) fn add(&mut self, id: &str, doubt: TargetDoubt, now_ms: u64, silence_ms: u64) {
-        if self.entries.contains_key(id) {
+    /// Creates a table without doubts. `silence_ms` is the time after which the platform removes the
+    /// entry of a target that is silent.
+    pub(super) fn new(silence_ms: u64) -> Self {
+        Self {
+            entries: HashMap::new(),
+            silence_ms,
+        }
+    }
+
+    /// Adds a doubt that a list of the given era has raised, unless there is one of that era
+    /// already, whose deadline then stays.
+    pub(super) fn add(&mut self, id: &str, doubt: TargetDoubt, era: u64, now_ms: u64) {
+        if self.entries.get(id).is_some_and(|entry| entry.era >= era) {
             return;
         }
         let deadline_ms = now_ms
             + match doubt {
                 TargetDoubt::Missing => REWRITE_MS,
-                TargetDoubt::Returned => REWRITE_MS + silence_ms,
+                TargetDoubt::Returned => REWRITE_MS + self.silence_ms,
             };
         log::info!(target_id = id, doubt = doubt.as_str(); "target_doubt");
-        let entry = DoubtEntry { doubt, deadline_ms };
+        let entry = DoubtEntry {
+            doubt,
+            era,
+            deadline_ms,
+        };
         self.entries.insert(id.to_owned(), entry);
     }
 
@@ -69,7 +86,13 @@
         self.entries.remove(id);
     }
 
-    /// Removes and returns the doubts whose deadline has passed.
+    /// Whether the deadline of a doubt has passed.
+    pub(super) fn has_due(&self, now_ms: u64) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.deadline_ms <= now_ms)
+    }
+
+    /// Removes and returns the doubts whose deadline is not after `now_ms`.
     pub(super) fn take_due(&mut self, now_ms: u64) -> Vec<(String, TargetDoubt)> {
         let due = self
             .entries
--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -19,6 +19,13 @@
 /// Default time after which the platform removes the entry of a target that is silent.
 const DEFAULT_SILENCE_MS: u64 = 3_600;
 
+/// An incarnation that was removed.
+#[derive(Clone, Copy, Debug)]
+struct RemovedRun {
+    /// Era of the removal.
+    era: u64,
+}
+
 /// All targets that the platform lists.
 #[derive(Debug)]
 pub struct TargetRegistry {
@@ -27,8 +34,8 @@
     by_service: HashMap<String, Vec<rc::Rc<TargetState>>>,
     /// Newest known version by id, including removed targets.
     versions: HashMap<String, StoreVersion>,
-    /// Incarnations that were removed, by hash, with the version of the removal.
-    removed: HashMap<u64, StoreVersion>,
+    /// Incarnations that were removed, by hash.
+    removed: HashMap<u64, RemovedRun>,
     doubts: DoubtTable,
     /// Signals by hash of the incarnation, including some that are not listed: an incarnation whose
     /// entry disappears for a while still leaves, and a report may arrive before the entry.
@@ -38,8 +45,6 @@
     /// Version of the store up to which all changes are included; [`StoreVersion::ZERO`] before the
     /// first complete list.
     complete_version: StoreVersion,
-    /// Time after which the platform removes the entry of a target that is silent.
-    silence_ms: u64,
 }
 
 impl Default for TargetRegistry {
@@ -58,11 +63,10 @@
             by_service: HashMap::new(),
             versions: HashMap::new(),
             removed: HashMap::new(),
-            doubts: DoubtTable::default(),
+            doubts: DoubtTable::new(silence_ms),
             signals: HashMap::new(),
             signal_origins: HashMap::new(),
             complete_version: StoreVersion::ZERO,
-            silence_ms,
         }
     }
 
@@ -111,7 +115,7 @@
             let is_leaving = target.is_draining.get() || target.is_leaving();
             if known.era < version.era && !is_leaving {
                 self.doubts
-                    .add(id, TargetDoubt::Missing, now_ms, self.silence_ms);
+                    .add(id, TargetDoubt::Missing, version.era, now_ms);
             } else {
                 removals.push((id.clone(), version));
             }
@@ -132,21 +136,20 @@
             }
             return;
         }
-        let hash = incarnation_hash(entry);
-        let removal = self.removed.get(&hash).copied();
-        let had_left = removal.is_some_and(|removal| removal.era < entry.version.era);
+        let is_new_era = known.era < entry.version.era;
+        let removal = self.removed.get(&incarnation_hash(entry)).copied();
+        let removal = removal.filter(|removal| removal.era < entry.version.era);
         match self.by_id.get(&entry.id).map(|listed| &listed.entry) {
-            Some(listed) if had_left && listed.born_ms != entry.born_ms => {
+            Some(listed) if removal.is_some() && listed.born_ms != entry.born_ms => {
                 // The copy holds an earlier run of the target.
+                let era = entry.version.era;
                 self.doubts
-                    .add(&entry.id, TargetDoubt::Missing, now_ms, self.silence_ms);
-            }
-            Some(listed) if is_same_run(listed, entry) => {
-                self.update(entry, known.era < entry.version.era);
+                    .add(&entry.id, TargetDoubt::Missing, era, now_ms);
             }
+            Some(listed) if is_same_run(listed, entry) => self.update(entry, is_new_era, now_ms),
             _ => {
                 self.insert(entry, kv_tokens(&entry.service));
-                if had_left && !entry.is_draining {
+                if removal.is_some() && !entry.is_draining {
                     self.hold_back(entry, now_ms);
                 }
             }
@@ -163,7 +166,7 @@
 
     /// Updates a listed incarnation. Draining outlasts a return of the store: the copy may be older
     /// than the record.
-    fn update(&mut self, entry: &platform::TargetEntry, is_new_era: bool) {
+    fn update(&mut self, entry: &platform::TargetEntry, is_new_era: bool, now_ms: u64) {
         let Some(target) = self.by_id.get(&entry.id) else {
             return;
         };
@@ -174,8 +177,13 @@
             log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
         }
         let is_held_back = self.doubts.get(&entry.id) == Some(TargetDoubt::Returned);
-        if !(is_new_era && is_held_back) {
-            self.doubts.settle(&entry.id);
+        match is_new_era && is_held_back {
+            true => {
+                let era = entry.version.era;
+                self.doubts
+                    .add(&entry.id, TargetDoubt::Returned, era, now_ms);
+            }
+            false => self.doubts.settle(&entry.id),
         }
     }
 
@@ -184,13 +192,20 @@
         if let Some(target) = self.by_id.get(&entry.id) {
             target.is_draining.set(true);
         }
+        let era = entry.version.era;
         self.doubts
-            .add(&entry.id, TargetDoubt::Returned, now_ms, self.silence_ms);
+            .add(&entry.id, TargetDoubt::Returned, era, now_ms);
+    }
+
+    /// Whether a return of the store has left something open that the next read settles.
+    pub fn has_due_doubts(&self, now_ms: u64) -> bool {
+        self.doubts.has_due(now_ms)
     }
 
-    /// Settles what a return of the store has left open and no record has settled in time.
-    pub fn resolve_doubts(&mut self, now_ms: u64) {
-        for (id, doubt) in self.doubts.take_due(now_ms) {
+    /// Settles what a return of the store has left open, by a read of the store that was sent at
+    /// `sent_ms` and whose result has been applied.
+    pub fn resolve_doubts(&mut self, sent_ms: u64) {
+        for (id, doubt) in self.doubts.take_due(sent_ms) {
             match doubt {
                 TargetDoubt::Missing => {
                     let version = self.complete_version;
@@ -319,8 +334,9 @@
         };
         self.doubts.settle(id);
         self.by_hash.remove(&target.hash);
-        self.removed.insert(target.hash, version);
         target.is_draining.set(true);
+        let removal = RemovedRun { era: version.era };
+        self.removed.insert(target.hash, removal);
         log::info!(target_id = id, version:% = version, cause = "store"; "target_gone");
         if let Some(targets) = self.by_service.get_mut(&target.entry.service) {
             targets.retain(|kept| !rc::Rc::ptr_eq(kept, &target));
--- a/crates/relay/tests/store_doubts.rs
+++ b/crates/relay/tests/store_doubts.rs
@@ -43,8 +43,8 @@
 }
 
 fn apply(registry: &mut TargetRegistry, changes: platform::TargetChanges, now_ms: u64) {
-    registry.resolve_doubts(now_ms);
     registry.apply(changes, now_ms, |_| 0);
+    registry.resolve_doubts(now_ms);
 }
 
 /// Returns the start times of the runs that get requests.
--- a/crates/relay/tests/store_returns.rs
+++ b/crates/relay/tests/store_returns.rs
@@ -474,6 +474,7 @@
                 let version = changes.version;
                 self.after_targets = Some(version);
                 self.apply_targets(changes, Some(after), now_ms)?;
+                self.registry.resolve_doubts(now_ms);
                 self.watch.targets.record_store_read(now_ms, version);
                 self.targets_era = self.targets_era.max(version.era);
                 self.targets_fresh_ms = self.targets_fresh_ms.max(now_ms);
@@ -904,7 +905,9 @@
     fn run_daemon(&mut self, index: usize) -> Result<(), String> {
         let now_ms = self.now_ms;
         let daemon = &mut self.daemons[index];
-        daemon.registry.resolve_doubts(now_ms);
+        if daemon.registry.has_due_doubts(now_ms) {
+            daemon.watch.targets.record_gap();
+        }
         if now_ms >= daemon.cut_off_until_ms && daemon.is_reading(now_ms) {
             let known = daemon.after_targets;
             daemon.read(&self.store, now_ms)?;
