Do not replace a target's run by an earlier one of a copy

A daemon that started after an earlier run of a target had ended did not know that run, and took it for the present one when a copy of the store listed it: the target got no requests until it had written its row again, and after another return it was lost for good. Of two runs of an id the one that started later is kept in a new era.

--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -140,7 +140,7 @@
         let removal = self.removed.get(&incarnation_hash(entry)).copied();
         let removal = removal.filter(|removal| removal.era < entry.version.era);
         match self.by_id.get(&entry.id).map(|listed| &listed.entry) {
-            Some(listed) if removal.is_some() && listed.born_ms != entry.born_ms => {
+            Some(listed) if is_new_era && entry.born_ms < listed.born_ms => {
                 // The copy holds an earlier run of the target.
                 let era = entry.version.era;
                 self.doubts
