Remember that a run drained after it has left

A run that drained and left was held back for some seconds when a copy of the store listed it as ready, and then got requests, also at a daemon that was cut off and could not learn that the platform had removed it.

--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -24,6 +24,8 @@
 struct RemovedRun {
     /// Era of the removal.
     era: u64,
+    /// Whether it was known to drain.
+    was_draining: bool,
 }
 
 /// All targets that the platform lists.
@@ -149,8 +151,8 @@
             Some(listed) if is_same_run(listed, entry) => self.update(entry, is_new_era, now_ms),
             _ => {
                 self.insert(entry, kv_tokens(&entry.service));
-                if removal.is_some() && !entry.is_draining {
-                    self.hold_back(entry, now_ms);
+                if let Some(removal) = removal.filter(|_| !entry.is_draining) {
+                    self.hold_back(entry, removal, now_ms);
                 }
             }
         }
@@ -188,10 +190,13 @@
     }
 
     /// Sends no requests to a target that had left, until the store says more about it.
-    fn hold_back(&mut self, entry: &platform::TargetEntry, now_ms: u64) {
+    fn hold_back(&mut self, entry: &platform::TargetEntry, removal: RemovedRun, now_ms: u64) {
         if let Some(target) = self.by_id.get(&entry.id) {
             target.is_draining.set(true);
         }
+        if removal.was_draining {
+            return;
+        }
         let era = entry.version.era;
         self.doubts
             .add(&entry.id, TargetDoubt::Returned, era, now_ms);
@@ -334,8 +339,10 @@
         };
         self.doubts.settle(id);
         self.by_hash.remove(&target.hash);
-        target.is_draining.set(true);
-        let removal = RemovedRun { era: version.era };
+        let removal = RemovedRun {
+            era: version.era,
+            was_draining: target.is_draining.replace(true),
+        };
         self.removed.insert(target.hash, removal);
         log::info!(target_id = id, version:% = version, cause = "store"; "target_gone");
         if let Some(targets) = self.by_service.get_mut(&target.entry.service) {
