--- a/crates/relay/tests/returns.rs
+++ b/crates/relay/tests/returns.rs
@@ -92,3 +92,34 @@
     registry.resolve_doubts(LATE_MS);
     assert!(!is_used(&registry));
 }
+
+/// Guards against a target that is removed right after a second return, because the time in which
+/// it may write its row again is counted from the first one.
+#[test]
+fn a_second_return_gives_a_missing_target_its_time_again() {
+    let mut registry = registry_after(vec![listed(1, 45, false), empty_list(2, 40)]);
+    apply(&mut registry, 1_900, empty_list(3, 38));
+    registry.resolve_doubts(2_100);
+    assert!(is_used(&registry));
+    registry.resolve_doubts(LATE_MS);
+    assert!(!is_listed(&registry));
+}
+
+/// Guards against a draining target that is used again, because the copy lacks it and its first
+/// row after the return says that it is ready.
+#[test]
+fn a_draining_target_that_registers_again_after_a_return_stays_unused() {
+    let mut registry = registry_after(vec![listed(1, 45, true), empty_list(2, 40)]);
+    let mut registered = listed(2, 42, false);
+    registered.is_complete = false;
+    apply(&mut registry, 0, registered);
+    assert!(!is_used(&registry));
+}
+
+/// Guards against draining targets that stay listed for ever, because a copy lacks them.
+#[test]
+fn a_draining_target_that_a_copy_lacks_is_removed() {
+    let mut registry = registry_after(vec![listed(1, 45, true), empty_list(2, 40)]);
+    registry.resolve_doubts(LATE_MS);
+    assert!(!is_listed(&registry));
+}
