Keep what is known of draining targets across a return

Found in review. The hold on a target that had left ended although a record of a second return, or a report of a daemon that had not seen the return, said that it drains; and a draining target that the copy lacks was removed, and used again when its row came back as ready. Such a record ends the hold and the target stays unused; a draining target that the copy lacks is kept, unused, until its row or the deadline comes.

--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -114,7 +114,8 @@
         let mut removals = Vec::new();
         for (id, target) in self.by_id.iter().filter(|(id, _)| !is_listed(id)) {
             let known = self.versions.get(id).copied().unwrap_or_default();
-            let is_leaving = target.is_draining.get() || target.is_leaving();
+            // A draining target is kept too: its next row may be older than its drain.
+            let is_leaving = target.is_leaving() || self.is_held_back(id);
             if known.era < version.era && !is_leaving {
                 self.doubts
                     .add(id, TargetDoubt::Missing, version.era, now_ms);
@@ -159,13 +160,22 @@
     }
 
     /// Applies what a record of an earlier era says that later ones cannot contradict.
-    fn apply_earlier_era(&self, entry: &platform::TargetEntry) {
+    fn apply_earlier_era(&mut self, entry: &platform::TargetEntry) {
         let listed = self.by_hash.get(&incarnation_hash(entry));
-        if let Some(target) = listed.filter(|_| entry.is_draining) {
-            set_draining(target, true);
+        let Some(target) = listed.filter(|_| entry.is_draining) else {
+            return;
+        };
+        set_draining(target, true);
+        if self.is_held_back(&entry.id) {
+            self.doubts.settle(&entry.id);
         }
     }
 
+    /// Whether the target had left and is listed again by a copy.
+    fn is_held_back(&self, id: &str) -> bool {
+        self.doubts.get(id) == Some(TargetDoubt::Returned)
+    }
+
     /// Updates a listed incarnation. Draining outlasts a return of the store: the copy may be older
     /// than the record.
     fn update(&mut self, entry: &platform::TargetEntry, is_new_era: bool, now_ms: u64) {
@@ -178,8 +188,8 @@
             target.listed_stage.set(entry.stage);
             log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
         }
-        let is_held_back = self.doubts.get(&entry.id) == Some(TargetDoubt::Returned);
-        match is_new_era && is_held_back {
+        let is_copied_ready = is_new_era && !entry.is_draining;
+        match is_copied_ready && self.is_held_back(&entry.id) {
             true => {
                 let era = entry.version.era;
                 self.doubts
@@ -283,8 +293,7 @@
 
     fn export_target(&self, target: &TargetState) -> platform::TargetEntry {
         let id = &target.entry.id;
-        let is_held_back = self.doubts.get(id) == Some(TargetDoubt::Returned);
-        let is_draining = target.is_draining.get() && !is_held_back;
+        let is_draining = target.is_draining.get() && !self.is_held_back(id);
         platform::TargetEntry {
             version: self
                 .versions
