Test missing targets while the store is away again after a return

The test fails: relays remove a target whose row a return has lost when its deadline is over, although they cannot know whether it has written its row again.

--- a/crates/testbed/tests/relay/returns/targets.rs
+++ b/crates/testbed/tests/relay/returns/targets.rs
@@ -288,3 +288,31 @@
     returned.target.wait_used(&returned.fleet.relays).await;
     returned.check_drain().await;
 }
+
+/// Guards against relays that remove a target whose row was lost, because the store is away again
+/// in the time in which the target may write its row.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_whose_row_was_lost_is_kept_while_the_store_is_away_again() {
+    let fleet = Fleet::start(Fixture::start().await).await;
+    let copied_at = mark_copy().await;
+    advance_versions(&fleet.fixture).await;
+    let only = RecordedTarget::start_ready(&fleet.fixture, "only").await;
+    only.wait_used(&fleet.relays).await;
+    restore(&fleet.fixture, copied_at, 0).await;
+    for relay in &fleet.relays {
+        let description = format!("{} logs that the row is lost", relay.process.name());
+        harness::wait_until(TIMEOUT, &description, async || {
+            has_logged(relay, |line| line["event"] == "target_doubt")
+        })
+        .await;
+    }
+    fleet
+        .fixture
+        .store
+        .control(json!({"is_silent": true}))
+        .await;
+    tokio::time::sleep(REWRITE_TIME + CHANGE_BOUND).await;
+    let has_removed = |relay| has_logged(relay, |line| line["event"] == "target_gone");
+    assert!(!fleet.relays.iter().any(has_removed));
+    only.wait_used(&fleet.relays).await;
+}
