Fetch configurations from daemons that are alive

A daemon that is cut off from the store asked the daemon with the newest copy of a configuration, also if that one had died and living ones had a newer configuration than its own: it stayed without it until the dead one was forgotten after 20 s. After a return of the store the copies of one configuration differ in their versions, so that one daemon can be ahead of all others. The test of this commit fails with the former order.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -261,7 +261,7 @@
         let newer = state
             .peers
             .borrow()
-            .newer_config_source(&state.config_version());
+            .newer_config_source(&state.config_version(), clock::now_ms());
         let Some((address, version)) = newer else {
             continue;
         };
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -205,15 +205,19 @@
         ready.next().map(|peer| peer.report.peer_address)
     }
 
-    /// Returns the address of the daemon with the newest configuration and the version of that, if
-    /// it is newer than the given version.
+    /// Returns the address of a daemon with a newer configuration than the given version, and the
+    /// version of that: of the daemons that are alive the one with the newest, as the others are
+    /// unlikely to respond.
     pub fn newer_config_source(
         &self,
         version: &config::ConfigVersion,
+        now_ms: u64,
     ) -> Option<(net::SocketAddr, config::ConfigVersion)> {
-        let reports = self.peers.values().map(|peer| &peer.report);
-        let newest = reports.max_by_key(|report| report.config_version)?;
-        (newest.config_version > *version).then_some((newest.peer_address, newest.config_version))
+        let peers = self.peers.values();
+        let newer = peers.filter(|peer| peer.report.config_version > *version);
+        let newest =
+            newer.max_by_key(|peer| (peer.is_alive(now_ms), peer.report.config_version))?;
+        Some((newest.report.peer_address, newest.report.config_version))
     }
 
     fn sum_loads(&mut self, now_ms: u64) {
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -103,3 +103,24 @@
     assert!(table.apply_report(delayed, NOW_MS + 2_000));
     assert!(is_listed(&table, NOW_MS + 2_000));
 }
+
+/// Guards against a daemon that starts while it is cut off from the store and stays without a
+/// configuration, because it asks the one that has the newest copy of it and has died.
+#[test]
+fn a_configuration_is_fetched_from_a_daemon_that_is_alive() {
+    let mut table = PeerTable::default();
+    let mut dead = report(1, 1, 10_000);
+    dead.host = "dead".to_owned();
+    dead.peer_address = "127.0.0.1:7003".parse().expect("an address");
+    dead.config_version.stored = StoreVersion::new(2, 41);
+    assert!(table.apply_report(dead.clone(), NOW_MS));
+    let now_ms = NOW_MS + 5_000;
+    let alive = report(2, 1, 10_000);
+    assert!(table.apply_report(alive.clone(), now_ms));
+    let unknown = ConfigVersion::default();
+    let source = table.newer_config_source(&unknown, now_ms);
+    assert_eq!(source.map(|(address, _)| address), Some(alive.peer_address));
+    // Nobody else has a newer one than the living daemon.
+    let source = table.newer_config_source(&alive.config_version, now_ms);
+    assert_eq!(source.map(|(address, _)| address), Some(dead.peer_address));
+}
