Register a daemon once if the list of daemons cannot be read

Every failed read of the list was followed by another write of the registration, for which the store has the smaller rate: 300 daemons register again at once after a return. Found by reading; no test counts these writes.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -204,6 +204,8 @@
             true => Ok(()),
             false => state.store.register_host(&own).await,
         };
+        // A list that cannot be read is no reason to write again.
+        is_registered = result.is_ok();
         let listed = match result {
             Ok(()) => state.store.list_hosts().await,
             Err(error) => Err(error),
