--- a/crates/relay/tests/returns.rs
+++ b/crates/relay/tests/returns.rs
@@ -123,3 +123,18 @@
     registry.resolve_doubts(LATE_MS);
     assert!(!is_listed(&registry));
 }
+
+/// Guards against a target that stays unused for seconds, because it was silent, lost its row and
+/// registers again after a return: a row that was written since the list was read is no copy.
+#[test]
+fn a_silent_target_that_registers_again_after_a_return_is_used() {
+    let mut registry = registry_after(vec![
+        listed(1, 40, false),
+        empty_list(1, 50),
+        empty_list(2, 45),
+    ]);
+    let mut registered = listed(2, 60, false);
+    registered.is_complete = false;
+    apply(&mut registry, 0, registered);
+    assert!(is_used(&registry));
+}
