--- a/crates/relay/tests/store_returns.rs
+++ b/crates/relay/tests/store_returns.rs
@@ -953,7 +953,9 @@
         if !std::mem::take(&mut daemon.has_newer_config_reported) {
             return Ok(());
         }
-        let newer = daemon.peers.newer_config_source(&daemon.config_version());
+        let newer = daemon
+            .peers
+            .newer_config_source(&daemon.config_version(), self.now_ms);
         let Some((address, version)) = newer else {
             return Ok(());
         };
