Use a target that registers again after a return at once

A target that had been silent, so that its row was removed, and that registered again after a return of the store got no requests for 5.6 s: it was taken for one that only the copy lists. A row that is newer than the list that was read in the same era was written after the return. A run that was known to drain stays unused all the same. The test about a silent target that registers again failed before and passes.

--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Whether a record was written after the last complete list, so that it is in no copy from
+    /// which that era began.
+    fn is_written_since(&self, version: StoreVersion) -> bool {
+        version.continues(self.complete_version) && version > self.complete_version
+    }
+
     /// Whether the target had left and is listed again by a copy.
     fn is_held_back(&self, id: &str) -> bool {
         self.doubts.get(id) == Some(TargetDoubt::Returned)
@@ -201,15 +207,17 @@
 
     /// Sends no requests to a target that had left, until the store says more about it.
     fn hold_back(&mut self, entry: &platform::TargetEntry, removal: RemovedRun, now_ms: u64) {
+        if self.is_written_since(entry.version) && !removal.was_draining {
+            return;
+        }
         if let Some(target) = self.by_id.get(&entry.id) {
             target.is_draining.set(true);
         }
-        if removal.was_draining {
-            return;
+        if !removal.was_draining {
+            let era = entry.version.era;
+            self.doubts
+                .add(&entry.id, TargetDoubt::Returned, era, now_ms);
         }
-        let era = entry.version.era;
-        self.doubts
-            .add(&entry.id, TargetDoubt::Returned, era, now_ms);
     }
 
     /// Whether a return of the store has left something open that the next read settles.
