Notice a return of the store that follows the registration

Found in review, by reading: a daemon that had registered, and whose first read of anything else succeeded only after the return, did not know the era before and registered again after up to 72 s.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -210,6 +210,7 @@
             Ok(()) => state.store.list_hosts().await,
             Err(error) => Err(error),
         };
+        state.check_store_era();
         match listed {
             Ok(hosts) => {
                 backoff.record_success();
