Pause before a read that follows lost history

Found in review, by reading: a store that gives no history at all was read by the watchers in a loop without a pause, against its rate of calls.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -29,7 +29,8 @@
 /// Time over which the daemons register again after a return of the store, so that they do not
 /// exceed its rate of writes.
 const REGISTRATION_SPREAD: Duration = Duration::from_secs(1);
-/// Initial and longest backoff after failed calls, before jitter.
+/// Initial and longest backoff after failed calls, before jitter. The initial one also separates the
+/// reads after lost history: a store that gave no history at all would be read without a pause.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Time limit for a call to another daemon.
@@ -109,7 +110,10 @@
                     tokio::time::sleep(CHECK_INTERVAL).await;
                 }
             }
-            Err(platform::StoreError::HistoryGone) => after = None,
+            Err(platform::StoreError::HistoryGone) => {
+                after = None;
+                tokio::time::sleep(INITIAL_BACKOFF).await;
+            }
             Err(error) => backoff.wait_after(&error).await,
         }
     }
@@ -151,6 +155,7 @@
             Err(platform::StoreError::HistoryGone) => {
                 log::info!("target_history_gone");
                 after = None;
+                tokio::time::sleep(INITIAL_BACKOFF).await;
             }
             Err(error) => {
                 if after.is_none() {
