Keep a silent stream while no other engine works on its request

Cause: the time that bounds the overlap of two engines also ran while no other engine had the request. Ruled out by the relay's log: the silent engine had not broken its stream. At the end of the time the silent engine is now kept unless a call is under way.

a_stream_survives_a_failed_takeover_with_a_long_search failed before; the tests of the overlap and of breaks after takeovers pass.

--- a/crates/relay/src/dispatch/generate/takeover.rs
+++ b/crates/relay/src/dispatch/generate/takeover.rs
@@ -49,6 +49,8 @@
     Resumed(OpenStream, Option<bytes::Bytes>),
     /// The attempts at other engines ended. The silent stream is given if it is still open.
     Started(Result<StreamStart, RefusalResponse>, Option<OpenStream>),
+    /// The time for attempts at other engines is over, and none of them is under way.
+    Unanswered(OpenStream),
 }
 
 impl<Codec: platform::MessageCodec, Store: platform::PlatformStore>
@@ -84,6 +86,7 @@
                 progress.runs += u32::from(is_uncounted_run(&started));
                 stream
             }
+            TakeoverEvent::Unanswered(stream) => stream,
             TakeoverEvent::Resumed(mut stream, events) => {
                 progress.runs += u32::from(is_sent);
                 // Ends the charge of a call that was given up; it is not refunded.
@@ -109,7 +112,7 @@
 
 /// Waits until the silent stream goes on or the attempts at other engines end. The silent stream is
 /// dropped, which closes its connection, when it breaks or when another engine works on the
-/// request.
+/// request. It is kept if the other attempts have failed and no further engine is found in time.
 async fn wait_event(
     request: &RelayRequest,
     stream: OpenStream,
@@ -129,7 +132,12 @@
                     return TakeoverEvent::Resumed(stream, events);
                 }
             }
-            () = taken_over.as_mut(), if is_silent => silent = None,
+            () = taken_over.as_mut(), if is_silent => {
+                let kept = silent.take().filter(|_| !request.sent.is_under_way());
+                if let Some(stream) = kept {
+                    return TakeoverEvent::Unanswered(stream);
+                }
+            }
         }
     }
 }
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -226,6 +226,11 @@
         self.0.send_replace(SentTimes::default()).current.is_some()
     }
 
+    /// Whether an attempt is under way.
+    pub fn is_under_way(&self) -> bool {
+        self.0.borrow().current.is_some()
+    }
+
     /// Waits until this time has passed since the first attempt was sent that was not refused.
     pub async fn wait_elapsed(&self, time: Duration) {
         let mut sent = self.0.subscribe();
--- a/crates/testbed/tests/relay/losses.rs
+++ b/crates/testbed/tests/relay/losses.rs
@@ -820,6 +820,38 @@
     .await;
 }
 
+/// Guards against a stream of a silent engine that is lost although no other engine works on it: its
+/// route allows a longer search for a further engine than a takeover may last.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_failed_takeover_with_a_long_search() {
+    let (fixture, relay) = start_relay().await;
+    let adjust = |config: &mut serde_json::Value| {
+        config["routes"][2]["max_attempts"] = 3.into();
+        config["routes"][2]["target_latency_ms"] = 5_000.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(&relay, 2).await;
+    let silent = start_engine(&fixture, "d-1", |request| {
+        paused_stream(request, ScriptStep::Wait(Duration::from_millis(1_900)))
+    });
+    let silent = silent.await;
+    wait_logged(&relay, "target_listed").await;
+    let engines = async {
+        harness::wait_until(TIMEOUT, "the silent engine runs the stream", async || {
+            silent.request_count() > 0
+        })
+        .await;
+        start_engine(&fixture, "d-2", |request| {
+            vec![empty_response(request, "500 Failed", "")]
+        })
+        .await
+    };
+    let request = relay.request_stream("/resumable/a", "kept", 5);
+    let (response, _engines) = tokio::join!(request, engines);
+    let response = response.expect("a complete response");
+    assert_eq!(event_ids(&response.body), [0, 1, 2, 3, 4]);
+}
+
 /// Fields of a refusal by an engine that has run nothing.
 const NOT_RUN_FIELDS: &str = "x-acaciabank-not-executed: 1\r\n";
 
