--- a/crates/testbed/src/harness/launch.rs
+++ b/crates/testbed/src/harness/launch.rs
@@ -1,11 +1,17 @@
 //! Launches, signals and kills processes of the multi-call binary.
 
-use std::{ffi, fs, io, net, path, process, sync, sync::atomic, time};
+use std::{collections::BTreeSet, ffi, fs, io, net, path, process, sync, sync::atomic, time};
 
 use nix::{sys::signal, unistd};
 
 static NEXT_FOLDER: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 static NEXT_ADDRESS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+/// Last parts of the IP addresses that launchers of this process use.
+static USED_ADDRESSES: sync::Mutex<BTreeSet<u8>> = sync::Mutex::new(BTreeSet::new());
+/// Number of IP addresses of one process.
+const ADDRESS_COUNT: u32 = 250;
+/// Number of IP addresses of one launcher, after which it uses them again: others need some too.
+const LAUNCHER_ADDRESS_COUNT: usize = 60;
 
 /// Maximum time until a process prints its ready line; generous because tests share a busy machine.
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -30,6 +36,19 @@
 /// `SO_REUSEADDR` can still bind to them and listen.
 type Reservations = sync::Arc<sync::Mutex<Vec<socket2::Socket>>>;
 
+/// Last parts of the IP addresses of a launcher, which others may use after it.
+#[derive(Debug, Default)]
+struct AddressSet(sync::Mutex<Vec<u8>>);
+
+impl Drop for AddressSet {
+    fn drop(&mut self) {
+        let mut used = USED_ADDRESSES.lock().expect("address lock");
+        for part in self.0.lock().expect("address lock").iter() {
+            used.remove(part);
+        }
+    }
+}
+
 /// Starts the processes of one test or example and owns their temporary folder.
 #[derive(Clone, Debug)]
 pub struct Launcher {
@@ -37,6 +56,7 @@
     folder: sync::Arc<TempFolder>,
     environment: Vec<(String, String)>,
     reservations: Reservations,
+    addresses: sync::Arc<AddressSet>,
 }
 
 impl Launcher {
@@ -55,6 +75,7 @@
             folder: sync::Arc::new(TempFolder(folder)),
             environment: Vec::new(),
             reservations: Reservations::default(),
+            addresses: sync::Arc::default(),
         })
     }
 
@@ -75,16 +96,34 @@
     }
 
     /// Returns a loopback IP address for one process. It is derived from the id of this process and
-    /// a counter, so that concurrent test binaries do not use the same addresses.
+    /// a counter, so that concurrent test binaries do not use the same addresses. Addresses that other
+    /// launchers use are left out, as processes listen on fixed ports too.
+    ///
+    /// # Panics
+    ///
+    /// Panics if other launchers use all addresses of this process.
     pub fn next_ip(&self) -> net::Ipv4Addr {
-        let number = NEXT_ADDRESS.fetch_add(1, atomic::Ordering::Relaxed);
         let process_id = process::id();
         let second = 1 + (process_id % 250) as u8;
         let third = ((process_id / 250) % 250) as u8;
-        let fourth = 1 + (number % 250) as u8;
+        let fourth = self.next_address_part();
         net::Ipv4Addr::new(127, second, third, fourth)
     }
 
+    fn next_address_part(&self) -> u8 {
+        let number = || NEXT_ADDRESS.fetch_add(1, atomic::Ordering::Relaxed);
+        let mut own = self.addresses.0.lock().expect("address lock");
+        if own.len() >= LAUNCHER_ADDRESS_COUNT {
+            return own[number() as usize % own.len()];
+        }
+        let mut used = USED_ADDRESSES.lock().expect("address lock");
+        let mut parts = (0..ADDRESS_COUNT).map(|_| 1 + (number() % ADDRESS_COUNT) as u8);
+        let part = parts.find(|part| used.insert(*part));
+        let part = part.expect("an IP address that no other launcher uses");
+        own.push(part);
+        part
+    }
+
     /// Returns an address with a free port on the given IP, reserved while the launcher exists.
     ///
     /// The port is not found with a listener that is closed again: a child process that another
--- a/crates/testbed/tests/stand_ins/launch.rs
+++ b/crates/testbed/tests/stand_ins/launch.rs
@@ -50,6 +50,19 @@
     );
 }
 
+/// Guards against a process that cannot listen on a fixed port because the counter of the addresses
+/// has come round to one that a process of another test still uses.
+#[test]
+fn addresses_of_other_launchers_are_not_handed_out() {
+    let holder = launcher();
+    let held = holder.next_ip();
+    for _ in 0..6 {
+        let other = launcher();
+        let handed_out: Vec<_> = (0..100).map(|_| other.next_ip()).collect();
+        assert!(!handed_out.contains(&held), "{held}");
+    }
+}
+
 /// Guards against a reserved port that the kernel gives to another socket of the same host, such as
 /// that of an outgoing connection.
 #[test]
