Ask different daemons for a newer configuration

The choice among daemons with the same document followed the order of a hash map, which is fixed for a process; it is random now, without daemons that have died.

The test of this commit was not run on the former code, which has another signature.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -266,10 +266,11 @@
             // A watcher usually gets it from the store within this time.
             tokio::time::sleep(INITIAL_BACKOFF * 4).await;
         }
-        let newer = state
-            .peers
-            .borrow()
-            .newer_config_source(&state.config_version(), clock::now_ms());
+        let newer = state.peers.borrow().newer_config_source(
+            &state.config_version(),
+            clock::now_ms(),
+            rand::random(),
+        );
         let Some((address, version)) = newer else {
             continue;
         };
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -206,18 +206,29 @@
     }
 
     /// Returns the address of a daemon with a newer configuration than the given version, and the
-    /// version of that: of the daemons that are alive the one with the newest, as the others are
-    /// unlikely to respond.
+    /// version of that: of the daemons that are alive one with the newest, as the others are
+    /// unlikely to respond. A random number chooses among those that have the same document, so that
+    /// a daemon whose link is overloaded is not asked again and again.
     pub fn newer_config_source(
         &self,
         version: &config::ConfigVersion,
         now_ms: u64,
+        random: u64,
     ) -> Option<(net::SocketAddr, config::ConfigVersion)> {
         let peers = self.peers.values();
         let newer = peers.filter(|peer| peer.report.config_version > *version);
-        let newest =
-            newer.max_by_key(|peer| (peer.is_alive(now_ms), peer.report.config_version))?;
-        Some((newest.report.peer_address, newest.report.config_version))
+        let key = |peer: &&PeerState| (peer.is_alive(now_ms), peer.report.config_version);
+        let (is_alive, newest) = key(&newer.clone().max_by_key(key)?);
+        let sources = newer.filter(|peer| {
+            let version = &peer.report.config_version;
+            peer.is_alive(now_ms) == is_alive && version.is_same_document(&newest)
+        });
+        let mut reports: Vec<&PeerReport> = sources.map(|peer| &peer.report).collect();
+        reports.sort_by_key(|report| report.peer_address);
+        let count = u64::try_from(reports.len()).unwrap_or(u64::MAX);
+        let index = usize::try_from(random.checked_rem(count)?).unwrap_or(0);
+        let report = reports.get(index)?;
+        Some((report.peer_address, report.config_version))
     }
 
     fn sum_loads(&mut self, now_ms: u64) {
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -118,9 +118,27 @@
     let alive = report(2, 1, 10_000);
     assert!(table.apply_report(alive.clone(), now_ms));
     let unknown = ConfigVersion::default();
-    let source = table.newer_config_source(&unknown, now_ms);
+    let source = table.newer_config_source(&unknown, now_ms, 0);
     assert_eq!(source.map(|(address, _)| address), Some(alive.peer_address));
     // Nobody else has a newer one than the living daemon.
-    let source = table.newer_config_source(&alive.config_version, now_ms);
+    let source = table.newer_config_source(&alive.config_version, now_ms, 0);
     assert_eq!(source.map(|(address, _)| address), Some(dead.peer_address));
 }
+
+/// Guards against a daemon that asks the same other daemon for a configuration again and again,
+/// although its link is overloaded and others have the configuration too.
+#[test]
+fn a_configuration_is_asked_for_at_different_daemons() {
+    let mut table = PeerTable::default();
+    for number in 0..3 {
+        let mut held = report(1, 1, 10_000);
+        held.host = format!("host-{number}");
+        held.peer_address.set_port(8_000 + number);
+        assert!(table.apply_report(held, NOW_MS));
+    }
+    let unknown = ConfigVersion::default();
+    let source = |random| table.newer_config_source(&unknown, NOW_MS, random);
+    let addresses = (0..3).filter_map(source).map(|(address, _)| address);
+    let ports: std::collections::BTreeSet<u16> = addresses.map(|address| address.port()).collect();
+    assert_eq!(ports.len(), 3);
+}
--- a/crates/relay/tests/store_returns.rs
+++ b/crates/relay/tests/store_returns.rs
@@ -949,13 +949,14 @@
     /// Fetches a newer configuration from the daemon that has reported it, which may have another
     /// one by now.
     fn fetch_config(&mut self, index: usize) -> Result<(), String> {
+        let random = self.rng.random();
         let daemon = &mut self.daemons[index];
         if !std::mem::take(&mut daemon.has_newer_config_reported) {
             return Ok(());
         }
         let newer = daemon
             .peers
-            .newer_config_source(&daemon.config_version(), self.now_ms);
+            .newer_config_source(&daemon.config_version(), self.now_ms, random);
         let Some((address, version)) = newer else {
             return Ok(());
         };
