--- /dev/null
+++ b/review/stand/src/cases/mod.rs
@@ -0,0 +1,3 @@
+pub mod copied_refusal;
+pub mod large_bodies;
+pub mod unmarked_refusal;
