--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,3 +1,4 @@
 pub mod copied_refusal;
 pub mod large_bodies;
 pub mod unmarked_refusal;
+pub mod crashing_part;
--- a/review/stand/src/lab.rs
+++ b/review/stand/src/lab.rs
@@ -36,10 +36,19 @@
         Ok(Self { started: Instant::now(), lines: Mutex::new(fs::File::create(path)?) })
     }
 
+    /// Adds to a record that another process has begun; lines then begin with the uptime.
+    pub fn append(path: &Path) -> io::Result<Self> {
+        let file = fs::OpenOptions::new().append(true).create(true).open(path)?;
+        let started = Instant::now() - Duration::from_millis(uptime_ms());
+        Ok(Self { started, lines: Mutex::new(file) })
+    }
+
     pub fn line(&self, text: impl AsRef<str>) {
         let at = self.started.elapsed().as_secs_f64();
         let mut lines = self.lines.lock().unwrap();
-        let _ = writeln!(lines, "{at:9.3} s  {}", text.as_ref());
+        // One write, as other processes may write to the file too.
+        let line = format!("{at:9.3} s  {}\n", text.as_ref());
+        let _ = lines.write_all(line.as_bytes());
     }
 }
 
@@ -47,8 +56,8 @@
 pub struct Lab {
     pub record: Arc<Record>,
     pub store: Store,
-    store_address: SocketAddr,
-    folder: PathBuf,
+    pub store_address: SocketAddr,
+    pub folder: PathBuf,
     pub daemons: Vec<Daemon>,
     used: Vec<Ipv4Addr>,
     /// Whether the case's disruption happens.
@@ -347,6 +356,8 @@
     Answer(Vec<u8>),
     /// Runs it and closes the connection.
     Close,
+    /// Ends the process in place of the first event.
+    Crash,
     /// Closes the connection, with a reset or without, before it runs it.
     Drop(bool),
     /// Runs it and resets the connection.
@@ -435,21 +446,76 @@
         let listener = TcpListener::bind(address)?;
         let shared = Arc::clone(&runner);
         http::serve(listener, move |connection| shared.serve(connection));
-        let (shared, store) = (Arc::clone(&runner), self.store.clone());
-        thread::spawn(move || {
-            for seq in 1.. {
-                if shared.state.lock().unwrap().is_gone {
-                    return;
-                }
-                store.put("servers", &shared.id, &shared.entry(seq));
-                thread::sleep(HEARTBEAT);
-            }
-        });
+        let store = self.store.clone();
+        beat(&runner, move |id, entry| store.put("servers", id, entry));
         self.record.line(format!("runner {id} of {service} at {address}, stage {stage:?}"));
         Ok(runner)
     }
 }
 
+/// Keeps the entry of a runner in the store up to date.
+fn beat(runner: &Arc<Runner>, put: impl Fn(&str, &str) + Send + 'static) {
+    let runner = Arc::clone(runner);
+    thread::spawn(move || {
+        for seq in 1.. {
+            put(&runner.id, &runner.entry(seq));
+            thread::sleep(HEARTBEAT);
+        }
+    });
+}
+
+/// An engine as a process of its own, which a prompt part ends: `engine ID ADDRESS STORE ZONE STAGE
+/// PART RECORD`. It writes what it is sent, runs and does to the record.
+pub fn run_engine(arguments: &[String]) -> io::Result<()> {
+    let [id, address, store, zone, stage, part, record] = arguments else {
+        return Err(io::Error::other("seven arguments are needed"));
+    };
+    let parse = |text: &String| text.parse::<SocketAddr>().map_err(io::Error::other);
+    let (address, store) = (parse(address)?, parse(store)?);
+    let part = part.clone();
+    let fault = move |_: &Runner, request: &Request, _: &mut Line| {
+        let prefix = request.header("x-acaciabank-prompt-prefix");
+        match prefix.split(',').any(|entry| entry.split(':').next() == Some(&part)) {
+            true => Turn::Crash,
+            false => Turn::Sound,
+        }
+    };
+    let runner = Arc::new(Runner {
+        id: id.clone(),
+        service: "models".to_owned(),
+        address,
+        zone: zone.clone(),
+        state: Mutex::new(RunnerState { stage: Some(stage.clone()), ..RunnerState::default() }),
+        slots: 64,
+        born: unix_ms(),
+        work: Duration::from_millis(75),
+        fault: Box::new(fault),
+        record: Arc::new(Record::append(Path::new(record))?),
+        runs: Arc::default(),
+        arrivals: AtomicU64::new(0),
+    });
+    let listener = TcpListener::bind(address)?;
+    let shared = Arc::clone(&runner);
+    http::serve(listener, move |connection| shared.serve(connection));
+    beat(&runner, move |id, entry| {
+        let value = crate::json::base64(entry.as_bytes());
+        let body = format!(
+            r#"{{"expected_rev":[],"writes":[{{"table":"servers","part":"","key":"{id}","value":"{value}"}}],"deletes":[]}}"#
+        );
+        http::call(store, "POST", "/rows-tx", &[], body.as_bytes(), Duration::from_secs(1));
+    });
+    loop {
+        thread::sleep(Duration::from_secs(60));
+    }
+}
+
+/// Milliseconds since the machine's start, the same in all processes.
+pub fn uptime_ms() -> u64 {
+    let text = fs::read_to_string("/proc/uptime").unwrap_or_default();
+    let seconds = text.split(' ').next().and_then(|text| text.parse::<f64>().ok());
+    (seconds.unwrap_or(0.0) * 1_000.0) as u64
+}
+
 impl Runner {
     fn entry(&self, seq: u64) -> String {
         let state = self.state.lock().unwrap().clone();
@@ -551,6 +617,9 @@
             connection.stream.write_all(&self.refusal(request, "421 Misdirected Request"))?;
             return Ok(true);
         }
+        if matches!(turn, Turn::Crash) {
+            self.record.line(format!("{attempt} with the part reaches {}", self.id));
+        }
         if is_prefill {
             return self.prefill(request, &attempt, connection);
         }
@@ -647,6 +716,10 @@
         connection.stream.write_all(head.as_bytes())?;
         for number in last.map_or(1, |last| last + 1)..=events {
             pause(&connection.stream, self.work)?;
+            if matches!(turn, Turn::Crash) {
+                self.record.line(format!("{} crashes by {attempt}", self.id));
+                std::process::abort();
+            }
             let done = number - last.map_or(1, |last| last + 1);
             match turn {
                 Turn::Cut(after, is_reset) if done >= *after => {
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -17,11 +17,19 @@
 fn main() {
     let mut arguments = env::args().skip(1);
     let name = arguments.next().unwrap_or_default();
+    if name == "engine" {
+        let arguments: Vec<String> = arguments.collect();
+        if let Err(error) = lab::run_engine(&arguments) {
+            eprintln!("engine: {error}");
+        }
+        process::exit(2);
+    }
     let folder = PathBuf::from(arguments.next().unwrap_or_else(|| ".".to_owned()));
     let result = match name.as_str() {
         "copied-refusal" => cases::copied_refusal::run(&folder),
         "large-bodies" => cases::large_bodies::run(&folder),
         "unmarked-refusal" => cases::unmarked_refusal::run(&folder),
+        "crashing-part" => cases::crashing_part::run(&folder),
         _ => Err(std::io::Error::other(format!("no case {name:?}"))),
     };
     match result {
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -5,6 +5,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -20,8 +21,12 @@
     /// Encoded value; `None` if the row was dropped.
     value: Option<String>,
     version: u64,
+    written: Instant,
 }
 
+/// Three heartbeats of a runner.
+const SILENCE: Duration = Duration::from_millis(3_600);
+
 #[derive(Default)]
 struct Rows {
     rows: BTreeMap<Key, Row>,
@@ -40,6 +45,11 @@
         let listener = std::net::TcpListener::bind(address)?;
         let shared = store.clone();
         http::serve(listener, move |connection| shared.serve(connection));
+        let shared = store.clone();
+        thread::spawn(move || loop {
+            thread::sleep(Duration::from_millis(100));
+            shared.expire_runners();
+        });
         Ok(store)
     }
 
@@ -54,6 +64,18 @@
         self.apply(vec![((table.to_owned(), String::new(), key.to_owned()), None)]);
     }
 
+    /// Removes the entries of runners that have been silent for three heartbeats.
+    fn expire_runners(&self) {
+        let silent = |(key, row): (&Key, &Row)| {
+            let is_silent = key.0 == "servers" && row.value.is_some() && row.written.elapsed() > SILENCE;
+            is_silent.then(|| (key.clone(), None))
+        };
+        let changes: Vec<_> = self.rows.0.lock().unwrap().rows.iter().filter_map(silent).collect();
+        if !changes.is_empty() {
+            self.apply(changes);
+        }
+    }
+
     fn apply(&self, changes: Vec<(Key, Option<String>)>) -> u64 {
         let (rows, changed) = &*self.rows;
         let mut rows = rows.lock().unwrap();
@@ -158,7 +180,7 @@
     fn write(&mut self, changes: Vec<(Key, Option<String>)>) -> u64 {
         self.version += 1;
         for (key, value) in changes {
-            self.rows.insert(key, Row { value, version: self.version });
+            self.rows.insert(key, Row { value, version: self.version, written: Instant::now() });
         }
         self.version
     }
