--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/release/review-stand ] || exit 2
-exec target/review/release/review-stand unmarked-refusal review/4
+exec target/review/release/review-stand crashing-part review/4
--- a/review/stand/src/lab.rs
+++ b/review/stand/src/lab.rs
@@ -464,8 +464,9 @@
     });
 }
 
-/// An engine as a process of its own, which a prompt part ends: `engine ID ADDRESS STORE ZONE STAGE
-/// PART RECORD`. It writes what it is sent, runs and does to the record.
+/// A runner as a process of its own: `engine ID ADDRESS STORE ZONE STAGE PART RECORD`. The prompt part
+/// ends it; with `-` as its stage it is one of the plain service. It writes what it is sent, runs and
+/// does to the record.
 pub fn run_engine(arguments: &[String]) -> io::Result<()> {
     let [id, address, store, zone, stage, part, record] = arguments else {
         return Err(io::Error::other("seven arguments are needed"));
@@ -482,11 +483,14 @@
     };
     let runner = Arc::new(Runner {
         id: id.clone(),
-        service: "models".to_owned(),
+        service: if stage == "-" { "registry" } else { "models" }.to_owned(),
         address,
         zone: zone.clone(),
-        state: Mutex::new(RunnerState { stage: Some(stage.clone()), ..RunnerState::default() }),
-        slots: 64,
+        state: Mutex::new(RunnerState {
+            stage: Some(stage.clone()).filter(|stage| stage != "-"),
+            ..RunnerState::default()
+        }),
+        slots: if stage == "-" { 6 } else { 64 },
         born: unix_ms(),
         work: Duration::from_millis(75),
         fault: Box::new(fault),
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -30,6 +30,7 @@
         "large-bodies" => cases::large_bodies::run(&folder),
         "unmarked-refusal" => cases::unmarked_refusal::run(&folder),
         "crashing-part" => cases::crashing_part::run(&folder),
+        "same-request" => cases::same_request::run(&folder),
         _ => Err(std::io::Error::other(format!("no case {name:?}"))),
     };
     match result {
