--- a/review/stand/src/cases/copied_refusal.rs
+++ b/review/stand/src/cases/copied_refusal.rs
@@ -36,7 +36,9 @@
                 line.copy = Some(runner.refusal(request, "503 Service Unavailable"));
                 return Turn::Full;
             }
-            let Some(copy) = line.copy.take() else { return Turn::Sound };
+            let Some(copy) = line.copy.take() else {
+                return Turn::Sound;
+            };
             let take = |left: u64| left.checked_sub(1);
             match copies_left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take) {
                 Ok(_) => Turn::After(copy),
@@ -73,14 +75,20 @@
             let headers = [
                 ("X-Acaciabank-Model", "m".to_owned()),
                 ("X-Acaciabank-Token-Count", "120,4".to_owned()),
-                ("X-Acaciabank-Prompt-Prefix", format!("5c1e07a2:60,{:08x}:60", 0x1000 + sent)),
+                (
+                    "X-Acaciabank-Prompt-Prefix",
+                    format!("5c1e07a2:60,{:08x}:60", 0x1000 + sent),
+                ),
             ];
             let (attempt, response) =
                 lab::send(&lab, address, "POST", "/pufi791/2f", &headers, b"{}", 4_000);
             let runs = lab.runs.of(&attempt);
             let says_not_run = [408, 421, 429, 503].contains(&response.status);
             if (says_not_run && !runs.is_empty()) || runs.len() > 1 {
-                broken.push(format!("{attempt}: answered {}, run by {runs:?}", response.status));
+                broken.push(format!(
+                    "{attempt}: answered {}, run by {runs:?}",
+                    response.status
+                ));
             }
             if !says_not_run {
                 break;
@@ -94,8 +102,16 @@
             break;
         }
     }
-    lab.record_log(&["holdings_", "attempt_failed", "\"refused\"", "crossed"], 20);
-    lab.record.line(format!("{sent} requests; {} broke the rule", broken.len()));
+    lab.record_log(
+        &["holdings_", "attempt_failed", "\"refused\"", "crossed"],
+        20,
+    );
+    lab.record
+        .line(format!("{sent} requests; {} broke the rule", broken.len()));
     broken.iter().for_each(|text| lab.record.line(text));
-    Ok(if broken.is_empty() { Outcome::Held } else { Outcome::Broken })
+    Ok(if broken.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
 }
--- a/review/stand/src/cases/crashing_part.rs
+++ b/review/stand/src/cases/crashing_part.rs
@@ -6,7 +6,7 @@
     path::Path,
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
         Arc,
     },
     thread,
@@ -61,30 +61,47 @@
         let zone = ["tanta", "mansoura", "zagazig"][number / 3];
         let address = lab.free_address()?.to_string();
         let child = start((&address, zone, stage), &store, &record_path)?;
-        engines.push(Engine { address, zone, stage, child, down_since: None });
+        engines.push(Engine {
+            address,
+            zone,
+            stage,
+            child,
+            down_since: None,
+        });
     }
     for zone in ["tanta", "mansoura", "zagazig"] {
         lab.start_daemon(zone, lab::BOUNDS)?;
     }
     let is_ready = lab.wait_ready();
     let fronts: Vec<_> = lab.daemons.iter().map(|daemon| daemon.front).collect();
-    let is_over = Arc::new(AtomicBool::new(false));
     let (cut, whole) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
     thread::sleep(Duration::from_secs(if is_ready { 11 } else { 0 }));
     let mut threads = Vec::new();
     let send = |number: u64, parts: String, deadline_ms: u64| {
-        let (record, front) = (Arc::clone(&lab.record), fronts[number as usize % fronts.len()]);
+        let (record, front) = (
+            Arc::clone(&lab.record),
+            fronts[number as usize % fronts.len()],
+        );
         let (cut, whole) = (Arc::clone(&cut), Arc::clone(&whole));
         move || {
             let attempt = format!("{:016x}", lab::random());
             let headers = [
                 ("X-Acaciabank-Model", "m".to_owned()),
                 ("X-Acaciabank-Token-Count", "1460,20".to_owned()),
-                ("X-Acaciabank-Prompt-Prefix", format!("5c1e07a2:800,{parts},{attempt}:250")),
+                (
+                    "X-Acaciabank-Prompt-Prefix",
+                    format!("5c1e07a2:800,{parts},{attempt}:250"),
+                ),
             ];
             let response = lab::send_as(
-                &record, &attempt, front, "POST", "/pufi791/2f", &headers,
-                format!("prompt of {attempt}").as_bytes(), deadline_ms,
+                &record,
+                &attempt,
+                front,
+                "POST",
+                "/pufi791/2f",
+                &headers,
+                format!("prompt of {attempt}").as_bytes(),
+                deadline_ms,
             );
             let counter = if response.is_whole { &whole } else { &cut };
             if response.status == 200 {
@@ -98,11 +115,16 @@
     let mut moment = 0;
     while is_ready && started.elapsed() < PAUSE * MOMENTS as u32 + Duration::from_secs(3) {
         if started.elapsed() > Duration::from_millis(200 * next_sound) {
-            threads.push(thread::spawn(send(next_sound, "91bd3f06:410".to_owned(), 4_000)));
+            threads.push(thread::spawn(send(
+                next_sound,
+                "91bd3f06:410".to_owned(),
+                4_000,
+            )));
             next_sound += 1;
         }
         if lab.has_trouble && moment < MOMENTS && started.elapsed() > PAUSE * moment as u32 {
-            lab.record.line(format!("{AT_ONCE} requests with the part come"));
+            lab.record
+                .line(format!("{AT_ONCE} requests with the part come"));
             for number in 0..AT_ONCE {
                 let parts = format!("{PART}:410");
                 threads.push(thread::spawn(send(number as u64, parts, 4_000)));
@@ -114,7 +136,10 @@
             if has_ended && engine.down_since.is_none() {
                 engine.down_since = Some(Instant::now());
             }
-            if engine.down_since.is_some_and(|since| since.elapsed() > DOWN) {
+            if engine
+                .down_since
+                .is_some_and(|since| since.elapsed() > DOWN)
+            {
                 let of = (engine.address.as_str(), engine.zone, engine.stage);
                 engine.child = start(of, &store, &record_path)?;
                 engine.down_since = None;
@@ -122,7 +147,6 @@
         }
         thread::sleep(Duration::from_millis(5));
     }
-    is_over.store(true, Ordering::Relaxed);
     for thread in threads {
         let _ = thread.join();
     }
@@ -135,12 +159,19 @@
     }
     let text = fs::read_to_string(&engine_record).unwrap_or_default();
     let at_ms = |line: &str| {
-        let seconds = line.trim().split(' ').next().and_then(|word| word.parse::<f64>().ok());
+        let seconds = line
+            .trim()
+            .split(' ')
+            .next()
+            .and_then(|word| word.parse::<f64>().ok());
         (seconds.unwrap_or(0.0) * 1_000.0) as u64
     };
-    lab.record.line("what the engines wrote, by the machine's uptime:");
+    lab.record
+        .line("what the engines wrote, by the machine's uptime:");
     let kept = |line: &&str| line.contains("crashes by") || line.contains("with the part");
-    text.lines().filter(kept).for_each(|line| lab.record.line(line));
+    text.lines()
+        .filter(kept)
+        .for_each(|line| lab.record.line(line));
     // The first line of an engine's crash: several requests may have begun it at the same moment.
     let mut crashes: Vec<(u64, &str)> = Vec::new();
     for line in text.lines().filter(|line| line.contains("crashes by")) {
@@ -153,7 +184,9 @@
     let fifth = crashes.get(4).map(|(at, _)| *at);
     let late = text.lines().filter(|line| line.contains("with the part"));
     let late = late.filter(|line| fifth.is_some_and(|fifth| at_ms(line) > fifth + CONTACT_MS));
-    let mut late: Vec<&str> = late.filter_map(|line| line.split_whitespace().nth(2)).collect();
+    let mut late: Vec<&str> = late
+        .filter_map(|line| line.split_whitespace().nth(2))
+        .collect();
     late.sort_unstable();
     late.dedup();
     lab.record_log(&["part_refused"], 3);
@@ -166,5 +199,9 @@
         whole.load(Ordering::Relaxed),
         cut.load(Ordering::Relaxed)
     ));
-    Ok(if late.len() > MOST_LATE { Outcome::Broken } else { Outcome::Held })
+    Ok(if late.len() > MOST_LATE {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
--- a/review/stand/src/cases/large_bodies.rs
+++ b/review/stand/src/cases/large_bodies.rs
@@ -32,7 +32,11 @@
     let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let words = line.unwrap_or_default().split_whitespace();
-    words.clone().next().and_then(|word| word.parse().ok()).unwrap_or(0)
+    words
+        .clone()
+        .next()
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(0)
 }
 
 pub fn run(folder: &Path) -> io::Result<Outcome> {
@@ -44,7 +48,8 @@
         let zone = ["tanta", "mansoura", "zagazig"][number / 3];
         let work = Duration::from_millis(100);
         let first = Duration::from_secs(1);
-        let fault = move |_: &lab::Runner, _: &http::Request, _: &mut lab::Line| Turn::Pause(0, first);
+        let fault =
+            move |_: &lab::Runner, _: &http::Request, _: &mut lab::Line| Turn::Pause(0, first);
         lab.start_runner(&id, "models", zone, Some(stage), work, Box::new(fault))?;
     }
     lab.start_daemon("tanta", lab::BOUNDS)?;
@@ -58,7 +63,11 @@
     let lost = Arc::new(AtomicU64::new(0));
     let served = Arc::new(AtomicU64::new(0));
     let started = Instant::now();
-    let clients = if lab.has_trouble { CLIENTS * BURST } else { CLIENTS };
+    let clients = if lab.has_trouble {
+        CLIENTS * BURST
+    } else {
+        CLIENTS
+    };
     let threads: Vec<_> = (0..clients)
         .map(|number| {
             let (record, runs) = (Arc::clone(&lab.record), Arc::clone(&lab.runs));
@@ -123,7 +132,11 @@
         let resident = resident_kb(lab.daemons[0].id());
         peak_kb = peak_kb.max(resident);
         if resident > MEMORY_MB << 10 {
-            lab.record.line(format!("{} holds {} MB and is ended", lab.daemons[0].name, resident >> 10));
+            lab.record.line(format!(
+                "{} holds {} MB and is ended",
+                lab.daemons[0].name,
+                resident >> 10
+            ));
             lab.daemons[0].kill();
             ends += 1;
             break;
@@ -141,5 +154,9 @@
         served.load(Ordering::Relaxed),
         peak_kb >> 10
     ));
-    Ok(if lost > 3 { Outcome::Broken } else { Outcome::Held })
+    Ok(if lost > 3 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
--- a/review/stand/src/cases/same_request.rs
+++ b/review/stand/src/cases/same_request.rs
@@ -58,7 +58,11 @@
         r#""routes":[{{"name":"r-open","host":"{}","prefix":"/suno17/","kind":"idempotent","timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"registry","max_attempts":2}},"#,
         lab::HOST
     );
-    lab.store.put("op", "config", &lab::config(19, &[(r#""routes":["#, added.as_str())]));
+    lab.store.put(
+        "op",
+        "config",
+        &lab::config(19, &[(r#""routes":["#, added.as_str())]),
+    );
     lab.record.line("configuration 19 adds the route /suno17/");
     thread::sleep(Duration::from_secs(3));
     let fronts: Vec<_> = lab.daemons.iter().map(|daemon| daemon.front).collect();
@@ -97,7 +101,9 @@
                 threads.fetch_sub(1, Ordering::Relaxed);
             });
         }
-        let due = CRASHES_S.get(crashes).is_some_and(|at| started.elapsed().as_secs() >= *at);
+        let due = CRASHES_S
+            .get(crashes)
+            .is_some_and(|at| started.elapsed().as_secs() >= *at);
         if lab.has_trouble && due {
             lab.record.line(format!("runner {crashes} crashes"));
             runners[crashes].0.kill()?;
@@ -135,5 +141,9 @@
     ));
     let share = |served: u64, sent: u64| served as f64 / sent.max(1) as f64;
     let is_broken = sent >= 20 && share(served, sent) < share(first_served, first_sent) / 4.0;
-    Ok(if is_broken { Outcome::Broken } else { Outcome::Held })
+    Ok(if is_broken {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
--- a/review/stand/src/cases/unmarked_refusal.rs
+++ b/review/stand/src/cases/unmarked_refusal.rs
@@ -26,14 +26,17 @@
         let count = AtomicU64::new(0);
         let fault = move |runner: &Runner, request: &Request, _: &mut Line| {
             let attempt = request.header("x-acaciabank-attempt-id");
-            let is_failed = count.fetch_add(1, Ordering::Relaxed) * FAILED_PERCENT % 100
-                < FAILED_PERCENT;
+            let is_failed =
+                count.fetch_add(1, Ordering::Relaxed) * FAILED_PERCENT % 100 < FAILED_PERCENT;
             if !is_faulty || attempt.is_empty() || !is_failed {
                 return Turn::Sound;
             }
             let headers = [
                 ("x-acaciabank-attempt-id", attempt.to_owned()),
-                ("x-acaciabank-response-signature", format!("sig.{}", runner.id)),
+                (
+                    "x-acaciabank-response-signature",
+                    format!("sig.{}", runner.id),
+                ),
             ];
             let status = "503 Service Unavailable";
             Turn::Answer(http::response_bytes(status, &headers, b"cannot finish\n"))
@@ -55,8 +58,15 @@
         let address = lab.daemons[number % lab.daemons.len()].front;
         let work = format!("certificate {number}");
         for _try in 0..2 {
-            let (attempt, response) =
-                lab::send(&lab, address, "POST", "/puxa403/2f", &[], work.as_bytes(), 1_000);
+            let (attempt, response) = lab::send(
+                &lab,
+                address,
+                "POST",
+                "/puxa403/2f",
+                &[],
+                work.as_bytes(),
+                1_000,
+            );
             let runs = lab.runs.of(&attempt);
             let says_not_run = [408, 421, 429, 503].contains(&response.status);
             if says_not_run && !runs.is_empty() {
@@ -71,7 +81,14 @@
             thread::sleep(Duration::from_millis(100));
         }
     }
-    lab.record.line(format!("{} requests were answered as not run and had run", broken.len()));
+    lab.record.line(format!(
+        "{} requests were answered as not run and had run",
+        broken.len()
+    ));
     broken.iter().for_each(|text| lab.record.line(text));
-    Ok(if broken.is_empty() { Outcome::Held } else { Outcome::Broken })
+    Ok(if broken.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
 }
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// A request as a server has read it.
@@ -24,7 +24,9 @@
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> &'a str {
-    let mut named = headers.iter().filter(|(other, _)| other.eq_ignore_ascii_case(name));
+    let mut named = headers
+        .iter()
+        .filter(|(other, _)| other.eq_ignore_ascii_case(name));
     named.next().map_or("", |(_, value)| value)
 }
 
@@ -45,7 +47,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     /// Reads more bytes; false at the end of the connection.
@@ -58,7 +63,10 @@
 
     fn take_until(&mut self, end: &[u8]) -> io::Result<Option<Vec<u8>>> {
         loop {
-            let position = self.buffer.windows(end.len()).position(|window| window == end);
+            let position = self
+                .buffer
+                .windows(end.len())
+                .position(|window| window == end);
             if let Some(position) = position {
                 let rest = self.buffer.split_off(position + end.len());
                 let mut taken = std::mem::replace(&mut self.buffer, rest);
@@ -83,11 +91,17 @@
 
     fn take_chunks(&mut self, mut on_data: impl FnMut(&[u8])) -> io::Result<bool> {
         loop {
-            let Some(size) = self.take_until(b"\r\n")? else { return Ok(false) };
+            let Some(size) = self.take_until(b"\r\n")? else {
+                return Ok(false);
+            };
             let size = String::from_utf8_lossy(&size).into_owned();
             let size = size.split(';').next().unwrap_or_default().trim().to_owned();
-            let Ok(size) = usize::from_str_radix(&size, 16) else { return Ok(false) };
-            let Some(data) = self.take_exactly(size + 2)? else { return Ok(false) };
+            let Ok(size) = usize::from_str_radix(&size, 16) else {
+                return Ok(false);
+            };
+            let Some(data) = self.take_exactly(size + 2)? else {
+                return Ok(false);
+            };
             if size == 0 {
                 return Ok(true);
             }
@@ -97,10 +111,15 @@
 
     /// Reads a request; `None` when the connection has ended.
     pub fn read_request(&mut self) -> io::Result<Option<Request>> {
-        let Some(head) = self.take_until(b"\r\n\r\n")? else { return Ok(None) };
+        let Some(head) = self.take_until(b"\r\n\r\n")? else {
+            return Ok(None);
+        };
         let (first, headers) = split_head(&String::from_utf8_lossy(&head));
         let mut words = first.split(' ');
-        let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        let (method, path) = (
+            words.next().unwrap_or_default(),
+            words.next().unwrap_or_default(),
+        );
         let mut body = Vec::new();
         if find(&headers, "transfer-encoding").eq_ignore_ascii_case("chunked") {
             if !self.take_chunks(|data| body.extend_from_slice(data))? {
@@ -112,7 +131,12 @@
                 None => return Ok(None),
             }
         }
-        Ok(Some(Request { method: method.to_owned(), path: path.to_owned(), headers, body }))
+        Ok(Some(Request {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            headers,
+            body,
+        }))
     }
 }
 
@@ -131,10 +155,6 @@
     pub fn header(&self, name: &str) -> &str {
         find(&self.headers, name)
     }
-
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
 }
 
 /// Sends one request on a connection of its own and reads the response.
@@ -180,14 +200,21 @@
 }
 
 fn read_response(connection: &mut Connection) -> Response {
-    let started = Instant::now();
-    let _ = started;
     let mut response = Response::default();
-    let Ok(Some(head)) = connection.take_until(b"\r\n\r\n") else { return response };
+    let Ok(Some(head)) = connection.take_until(b"\r\n\r\n") else {
+        return response;
+    };
     let (first, headers) = split_head(&String::from_utf8_lossy(&head));
-    response.status = first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+    response.status = first
+        .split(' ')
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .unwrap_or(0);
     response.headers = headers;
-    if response.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if response
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         let mut body = Vec::new();
         let ended = connection.take_chunks(|data| body.extend_from_slice(data));
         response.is_whole = ended.unwrap_or(false);
--- a/review/stand/src/json.rs
+++ b/review/stand/src/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         Some(value)
     }
@@ -114,7 +117,8 @@
                         b'u' => {
                             let code = self.bytes.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(code).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(code).ok()?, 16).ok()?;
                             let mut buffer = [0; 4];
                             let letter = char::from_u32(code).unwrap_or('?');
                             out.extend_from_slice(letter.encode_utf8(&mut buffer).as_bytes());
@@ -172,7 +176,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0u32, |word, byte| word << 8 | u32::from(*byte));
+        let word = chunk
+            .iter()
+            .fold(0u32, |word, byte| word << 8 | u32::from(*byte));
         let word = word << (8 * (3 - chunk.len()));
         for digit in 0..4 {
             match digit <= chunk.len() {
--- a/review/stand/src/lab.rs
+++ b/review/stand/src/lab.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     fs,
     io::{self, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -33,14 +33,23 @@
 
 impl Record {
     pub fn new(path: &Path) -> io::Result<Self> {
-        Ok(Self { started: Instant::now(), lines: Mutex::new(fs::File::create(path)?) })
+        Ok(Self {
+            started: Instant::now(),
+            lines: Mutex::new(fs::File::create(path)?),
+        })
     }
 
     /// Adds to a record that another process has begun; lines then begin with the uptime.
     pub fn append(path: &Path) -> io::Result<Self> {
-        let file = fs::OpenOptions::new().append(true).create(true).open(path)?;
+        let file = fs::OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(path)?;
         let started = Instant::now() - Duration::from_millis(uptime_ms());
-        Ok(Self { started, lines: Mutex::new(file) })
+        Ok(Self {
+            started,
+            lines: Mutex::new(file),
+        })
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
@@ -69,7 +78,6 @@
 pub struct Daemon {
     pub name: String,
     pub front: SocketAddr,
-    pub directory: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
@@ -80,12 +88,6 @@
 #[derive(Default)]
 pub struct Runs {
     entries: Mutex<Vec<(String, String)>>,
-    /// When a runner worked on a request.
-    pub work: Mutex<Vec<(String, String, Instant, Instant)>>,
-}
-
-extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
 /// Waits, and stops waiting when the other side closes the connection.
@@ -108,18 +110,12 @@
     }
 }
 
-/// Makes the end of a connection a reset.
-fn reset(stream: &std::net::TcpStream) {
-    use std::os::fd::AsRawFd;
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    let linger = [1, 0];
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
-}
-
 impl Runs {
     pub fn add(&self, attempt: &str, runner: &str) {
-        self.entries.lock().unwrap().push((attempt.to_owned(), runner.to_owned()));
+        self.entries
+            .lock()
+            .unwrap()
+            .push((attempt.to_owned(), runner.to_owned()));
     }
 
     /// Returns the runners that ran a request, in order.
@@ -132,9 +128,13 @@
 
 pub fn random() -> u64 {
     static COUNT: AtomicU64 = AtomicU64::new(0);
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let mut word = now.as_nanos() as u64 ^ u64::from(std::process::id()) << 32;
-    word ^= COUNT.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    word ^= COUNT
+        .fetch_add(1, Ordering::Relaxed)
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15);
     word ^= word >> 30;
     word = word.wrapping_mul(0xbf58_476d_1ce4_e5b9);
     word ^= word >> 27;
@@ -143,7 +143,9 @@
 }
 
 pub fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     now.as_millis() as u64
 }
 
@@ -184,7 +186,7 @@
     pub fn start_daemon(&mut self, zone: &str, bounds: &str) -> io::Result<usize> {
         let ip = free_ip(&mut self.used)?;
         let name = format!("front-{zone}-{}", self.daemons.len() + 1);
-        let mut address = || free_port(ip).map(|port| SocketAddr::from((ip, port)));
+        let address = || free_port(ip).map(|port| SocketAddr::from((ip, port)));
         let (front, ready, directory) = (address()?, address()?, address()?);
         let first_port = 7380;
         let settings = format!(
@@ -242,7 +244,14 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
         let log = self.folder.join(format!("{name}.log"));
-        self.daemons.push(Daemon { name, front, directory, ready, settings: path, log, child: None });
+        self.daemons.push(Daemon {
+            name,
+            front,
+            ready,
+            settings: path,
+            log,
+            child: None,
+        });
         let index = self.daemons.len() - 1;
         self.restart_daemon(index)?;
         Ok(index)
@@ -250,7 +259,10 @@
 
     pub fn restart_daemon(&mut self, index: usize) -> io::Result<()> {
         let daemon = &mut self.daemons[index];
-        let log = fs::OpenOptions::new().create(true).append(true).open(&daemon.log)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&daemon.log)?;
         let child = Command::new("target/release/acaciabankd")
             .arg("platform")
             .env_clear()
@@ -260,7 +272,10 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.line(format!("{} starts, clients at {}", daemon.name, daemon.front));
+        self.record.line(format!(
+            "{} starts, clients at {}",
+            daemon.name, daemon.front
+        ));
         daemon.child = Some(child);
         Ok(())
     }
@@ -286,7 +301,9 @@
     pub fn record_log(&self, texts: &[&str], most: usize) {
         for daemon in &self.daemons {
             let log = fs::read_to_string(&daemon.log).unwrap_or_default();
-            let found = log.lines().filter(|line| texts.iter().any(|text| line.contains(text)));
+            let found = log
+                .lines()
+                .filter(|line| texts.iter().any(|text| line.contains(text)));
             for line in found.take(most) {
                 self.record.line(format!("log of {}: {line}", daemon.name));
             }
@@ -295,12 +312,6 @@
 }
 
 impl Daemon {
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
-        }
-    }
-
     pub fn id(&self) -> u32 {
         self.child.as_ref().map_or(0, Child::id)
     }
@@ -311,11 +322,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
 }
 
 impl Drop for Lab {
@@ -354,24 +360,10 @@
     After(Vec<u8>),
     /// Runs it and answers with these bytes.
     Answer(Vec<u8>),
-    /// Runs it and closes the connection.
-    Close,
     /// Ends the process in place of the first event.
     Crash,
-    /// Closes the connection, with a reset or without, before it runs it.
-    Drop(bool),
-    /// Runs it and resets the connection.
-    Reset,
-    /// Falls silent for this time before it does what a sound one does.
-    Silent(Duration),
-    /// Runs it, streams this many events, and then closes or resets the connection.
-    Cut(u64, bool),
     /// Runs it and falls silent for this time after this many events.
     Pause(u64, Duration),
-    /// Does what a sound one does, and then sends the answer once more.
-    Twice,
-    /// Does what a sound one does, and closes the connection then, without having said so.
-    ThenClose,
 }
 
 /// State of a runner's connection that a case may use.
@@ -406,8 +398,6 @@
     pub orders: u64,
     pub busy_until: Option<Instant>,
     pub handles: HashMap<String, String>,
-    pub is_draining: bool,
-    pub is_gone: bool,
 }
 
 /// Time between two entries of a runner in the store.
@@ -448,7 +438,9 @@
         http::serve(listener, move |connection| shared.serve(connection));
         let store = self.store.clone();
         beat(&runner, move |id, entry| store.put("servers", id, entry));
-        self.record.line(format!("runner {id} of {service} at {address}, stage {stage:?}"));
+        self.record.line(format!(
+            "runner {id} of {service} at {address}, stage {stage:?}"
+        ));
         Ok(runner)
     }
 }
@@ -476,7 +468,10 @@
     let part = part.clone();
     let fault = move |_: &Runner, request: &Request, _: &mut Line| {
         let prefix = request.header("x-acaciabank-prompt-prefix");
-        match prefix.split(',').any(|entry| entry.split(':').next() == Some(&part)) {
+        match prefix
+            .split(',')
+            .any(|entry| entry.split(':').next() == Some(&part))
+        {
             true => Turn::Crash,
             false => Turn::Sound,
         }
@@ -506,7 +501,14 @@
         let body = format!(
             r#"{{"expected_rev":[],"writes":[{{"table":"servers","part":"","key":"{id}","value":"{value}"}}],"deletes":[]}}"#
         );
-        http::call(store, "POST", "/rows-tx", &[], body.as_bytes(), Duration::from_secs(1));
+        http::call(
+            store,
+            "POST",
+            "/rows-tx",
+            &[],
+            body.as_bytes(),
+            Duration::from_secs(1),
+        );
     });
     loop {
         thread::sleep(Duration::from_secs(60));
@@ -516,7 +518,10 @@
 /// Milliseconds since the machine's start, the same in all processes.
 pub fn uptime_ms() -> u64 {
     let text = fs::read_to_string("/proc/uptime").unwrap_or_default();
-    let seconds = text.split(' ').next().and_then(|text| text.parse::<f64>().ok());
+    let seconds = text
+        .split(' ')
+        .next()
+        .and_then(|text| text.parse::<f64>().ok());
     (seconds.unwrap_or(0.0) * 1_000.0) as u64
 }
 
@@ -532,7 +537,7 @@
             self.address,
             self.zone,
             self.slots,
-            if state.is_draining { "draining" } else { "ready" },
+            "ready",
             self.born
         )
     }
@@ -570,18 +575,11 @@
         self.arrivals.fetch_add(1, Ordering::Relaxed);
         let attempt = request.header("x-acaciabank-attempt-id").to_owned();
         let turn = (self.fault)(self, request, line);
-        match turn {
-            Turn::Drop(is_reset) => {
-                if is_reset {
-                    reset(&connection.stream);
-                }
-                return Ok(false);
-            }
-            Turn::Silent(time) => thread::sleep(time),
-            _ => {}
-        }
         if let Turn::Full = turn {
-            self.record.line(format!("{} {} at {}: full", request.method, request.path, self.id));
+            self.record.line(format!(
+                "{} {} at {}: full",
+                request.method, request.path, self.id
+            ));
             let refusal = self.refusal(request, "503 Service Unavailable");
             connection.stream.write_all(&refusal)?;
             return Ok(true);
@@ -599,7 +597,10 @@
             _ => None,
         };
         if let Some((status, body)) = own {
-            self.record.line(format!("{} {} at {}: {status}", request.method, request.path, self.id));
+            self.record.line(format!(
+                "{} {} at {}: {status}",
+                request.method, request.path, self.id
+            ));
             if let Turn::After(bytes) = turn {
                 connection.stream.write_all(&bytes)?;
             }
@@ -607,79 +608,74 @@
             return Ok(true);
         }
         if attempt.is_empty() {
-            connection.stream.write_all(&self.refusal(request, "400 Bad Request"))?;
+            connection
+                .stream
+                .write_all(&self.refusal(request, "400 Bad Request"))?;
             return Ok(true);
         }
         let expected = request.header("x-acaciabank-expect-instance");
         if !expected.is_empty() && expected != self.id {
-            connection.stream.write_all(&self.refusal(request, "421 Misdirected Request"))?;
+            connection
+                .stream
+                .write_all(&self.refusal(request, "421 Misdirected Request"))?;
             return Ok(true);
         }
         let stage = self.state.lock().unwrap().stage.clone();
         let is_prefill = request.header("x-acaciabank-stage") == "prefill";
-        if stage.as_deref().is_some_and(|stage| (stage == "prefill") != is_prefill) {
-            connection.stream.write_all(&self.refusal(request, "421 Misdirected Request"))?;
+        if stage
+            .as_deref()
+            .is_some_and(|stage| (stage == "prefill") != is_prefill)
+        {
+            connection
+                .stream
+                .write_all(&self.refusal(request, "421 Misdirected Request"))?;
             return Ok(true);
         }
         if matches!(turn, Turn::Crash) {
-            self.record.line(format!("{attempt} with the part reaches {}", self.id));
+            self.record
+                .line(format!("{attempt} with the part reaches {}", self.id));
         }
         if is_prefill {
             return self.prefill(request, &attempt, connection);
         }
         self.runs.add(&attempt, &self.id);
-        self.record.line(format!("{} runs {attempt} ({} {})", self.id, request.method, request.path));
+        self.record.line(format!(
+            "{} runs {attempt} ({} {})",
+            self.id, request.method, request.path
+        ));
         match &turn {
             Turn::After(bytes) => {
-                self.record.line(format!("{} sends a copy of an earlier answer", self.id));
+                self.record
+                    .line(format!("{} sends a copy of an earlier answer", self.id));
                 connection.stream.write_all(bytes)?;
             }
             Turn::Answer(bytes) => {
                 thread::sleep(self.work);
                 let first = String::from_utf8_lossy(bytes);
                 let first = first.lines().next().unwrap_or_default().to_owned();
-                self.record.line(format!("{} answers {attempt}: {first}", self.id));
+                self.record
+                    .line(format!("{} answers {attempt}: {first}", self.id));
                 connection.stream.write_all(bytes)?;
                 return Ok(true);
             }
-            Turn::Close => {
-                thread::sleep(self.work);
-                return Ok(false);
-            }
-            Turn::Reset => {
-                thread::sleep(self.work);
-                reset(&connection.stream);
-                return Ok(false);
-            }
             _ => {}
         }
-        let started = Instant::now();
-        let result = match stage {
+        match stage {
             Some(_) => self.stream(request, &attempt, connection, &turn),
             None => {
                 thread::sleep(self.work);
                 let headers = [
                     ("x-acaciabank-attempt-id", attempt.clone()),
-                    ("x-acaciabank-response-signature", format!("sig.{}", self.id)),
+                    (
+                        "x-acaciabank-response-signature",
+                        format!("sig.{}", self.id),
+                    ),
                 ];
                 let body = format!("done {attempt}\n");
-                let bytes = http::response_bytes("200 OK", &headers, body.as_bytes());
-                let written = match &turn {
-                    Turn::Cut(_, is_reset) => {
-                        connection.stream.write_all(&bytes[..bytes.len() - 4])?;
-                        if *is_reset {
-                            reset(&connection.stream);
-                        }
-                        return Ok(false);
-                    }
-                    Turn::Twice => connection.stream.write_all(&[bytes.clone(), bytes].concat()),
-                    _ => connection.stream.write_all(&bytes),
-                };
-                written.map(|()| !matches!(turn, Turn::ThenClose))
+                http::write_response(&mut connection.stream, "200 OK", &headers, body.as_bytes())?;
+                Ok(true)
             }
-        };
-        self.runs.work.lock().unwrap().push((attempt, self.id.clone(), started, Instant::now()));
-        result
+        }
     }
 
     fn prefill(
@@ -689,11 +685,20 @@
         connection: &mut Connection,
     ) -> io::Result<bool> {
         let tokens = request.header("x-acaciabank-token-count");
-        let tokens: u64 = tokens.split(',').next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        let tokens: u64 = tokens
+            .split(',')
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         thread::sleep(Duration::from_millis(10 + tokens / 50));
         let handle = format!("{:012x}", random() >> 16);
-        self.state.lock().unwrap().handles.insert(handle.clone(), attempt.to_owned());
-        self.record.line(format!("{} reads the prompt of {attempt}", self.id));
+        self.state
+            .lock()
+            .unwrap()
+            .handles
+            .insert(handle.clone(), attempt.to_owned());
+        self.record
+            .line(format!("{} reads the prompt of {attempt}", self.id));
         let headers = [
             ("content-type", "application/json".to_owned()),
             ("x-acaciabank-attempt-id", attempt.to_owned()),
@@ -711,7 +716,11 @@
         turn: &Turn,
     ) -> io::Result<bool> {
         let tokens = request.header("x-acaciabank-token-count");
-        let events: u64 = tokens.split(',').nth(1).and_then(|text| text.parse().ok()).unwrap_or(4);
+        let events: u64 = tokens
+            .split(',')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(4);
         let last: Option<u64> = request.header("last-event-id").parse().ok();
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-acaciabank-attempt-id: {attempt}\r\nx-acaciabank-response-signature: sig.{}\r\nx-acaciabank-weight-versions: 1\r\ntransfer-encoding: chunked\r\n\r\n",
@@ -721,31 +730,28 @@
         for number in last.map_or(1, |last| last + 1)..=events {
             pause(&connection.stream, self.work)?;
             if matches!(turn, Turn::Crash) {
-                self.record.line(format!("{} crashes by {attempt}", self.id));
+                self.record
+                    .line(format!("{} crashes by {attempt}", self.id));
                 std::process::abort();
             }
             let done = number - last.map_or(1, |last| last + 1);
             match turn {
-                Turn::Cut(after, is_reset) if done >= *after => {
-                    let part = format!("{:x}\r\nid: {number}\nda", 40);
-                    connection.stream.write_all(part.as_bytes())?;
-                    if *is_reset {
-                        reset(&connection.stream);
-                    }
-                    return Ok(false);
-                }
                 Turn::Pause(after, time) if done == *after => pause(&connection.stream, *time)?,
                 _ => {}
             }
             let event = format!("id: {number}\ndata: token {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if let Err(error) = connection.stream.write_all(chunk.as_bytes()) {
-                self.record.line(format!("{} stops {attempt} at event {number}: {error}", self.id));
+                self.record.line(format!(
+                    "{} stops {attempt} at event {number}: {error}",
+                    self.id
+                ));
                 return Err(error);
             }
         }
         connection.stream.write_all(b"0\r\n\r\n")?;
-        self.record.line(format!("{} has run {attempt} to its end", self.id));
+        self.record
+            .line(format!("{} has run {attempt} to its end", self.id));
         Ok(true)
     }
 
@@ -770,7 +776,11 @@
         state.orders += 1;
         state.busy_until = Some(Instant::now() + STAGE_SWITCH);
         state.stage = Some(order.get("stage").text().to_owned());
-        self.record.line(format!("{} is ordered: {}", self.id, String::from_utf8_lossy(body)));
+        self.record.line(format!(
+            "{} is ordered: {}",
+            self.id,
+            String::from_utf8_lossy(body)
+        ));
         ("202 Accepted", "{}".to_owned())
     }
 }
@@ -786,7 +796,16 @@
     deadline_ms: u64,
 ) -> (String, Response) {
     let attempt = format!("{:016x}", random());
-    let response = send_as(&lab.record, &attempt, address, method, path, more, body, deadline_ms);
+    let response = send_as(
+        &lab.record,
+        &attempt,
+        address,
+        method,
+        path,
+        more,
+        body,
+        deadline_ms,
+    );
     (attempt, response)
 }
 
@@ -807,7 +826,9 @@
         ("X-Acaciabank-Deadline-Ms", deadline_ms.to_string()),
     ];
     headers.extend(more.iter().cloned());
-    record.line(format!("client sends {attempt} ({method} {path}) to {address}"));
+    record.line(format!(
+        "client sends {attempt} ({method} {path}) to {address}"
+    ));
     let timeout = Duration::from_millis(deadline_ms);
     let response = http::call(address, method, path, &headers, body, timeout);
     record.line(format!(
@@ -854,7 +875,3 @@
     }
     text
 }
-
-pub fn is_loopback(address: SocketAddr) -> bool {
-    matches!(address.ip(), IpAddr::V4(ip) if ip.is_loopback())
-}
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -41,7 +41,10 @@
 
 impl Store {
     pub fn start(address: SocketAddr) -> io::Result<Self> {
-        let store = Self { rows: Arc::default(), started: Instant::now() };
+        let store = Self {
+            rows: Arc::default(),
+            started: Instant::now(),
+        };
         let listener = std::net::TcpListener::bind(address)?;
         let shared = store.clone();
         http::serve(listener, move |connection| shared.serve(connection));
@@ -59,18 +62,22 @@
         self.apply(vec![(key, Some(json::base64(value.as_bytes())))]);
     }
 
-    /// Drops a row.
-    pub fn drop_row(&self, table: &str, key: &str) {
-        self.apply(vec![((table.to_owned(), String::new(), key.to_owned()), None)]);
-    }
-
     /// Removes the entries of runners that have been silent for three heartbeats.
     fn expire_runners(&self) {
         let silent = |(key, row): (&Key, &Row)| {
-            let is_silent = key.0 == "servers" && row.value.is_some() && row.written.elapsed() > SILENCE;
+            let is_silent =
+                key.0 == "servers" && row.value.is_some() && row.written.elapsed() > SILENCE;
             is_silent.then(|| (key.clone(), None))
         };
-        let changes: Vec<_> = self.rows.0.lock().unwrap().rows.iter().filter_map(silent).collect();
+        let changes: Vec<_> = self
+            .rows
+            .0
+            .lock()
+            .unwrap()
+            .rows
+            .iter()
+            .filter_map(silent)
+            .collect();
         if !changes.is_empty() {
             self.apply(changes);
         }
@@ -100,7 +107,10 @@
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let query = |name: &str| {
             let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-            fields.find(|(field, _)| *field == name).map_or("", |(_, value)| value).to_owned()
+            fields
+                .find(|(field, _)| *field == name)
+                .map_or("", |(_, value)| value)
+                .to_owned()
         };
         match path {
             "/rows-tx" => self.transact(&request.body),
@@ -156,7 +166,11 @@
         }
         let writes = request.get("writes").list().iter();
         let writes = writes.map(|row| (key(row), Some(row.get("value").text().to_owned())));
-        let deletes = request.get("deletes").list().iter().map(|row| (key(row), None));
+        let deletes = request
+            .get("deletes")
+            .list()
+            .iter()
+            .map(|row| (key(row), None));
         let version = rows.write(writes.chain(deletes).collect());
         changed.notify_all();
         ("200 OK", self.body(&[], version))
@@ -180,7 +194,14 @@
     fn write(&mut self, changes: Vec<(Key, Option<String>)>) -> u64 {
         self.version += 1;
         for (key, value) in changes {
-            self.rows.insert(key, Row { value, version: self.version, written: Instant::now() });
+            self.rows.insert(
+                key,
+                Row {
+                    value,
+                    version: self.version,
+                    written: Instant::now(),
+                },
+            );
         }
         self.version
     }
