--- a/review/stand/src/cases/crashing_part.rs
+++ b/review/stand/src/cases/crashing_part.rs
@@ -19,7 +19,7 @@
 };
 
 /// Requests with the part that come at one moment, and the time between two such moments.
-const AT_ONCE: usize = 6;
+const AT_ONCE: usize = 9;
 const PAUSE: Duration = Duration::from_secs(8);
 const MOMENTS: usize = 5;
 /// Time after which an engine that has crashed is back.
--- a/review/stand/src/cases/same_request.rs
+++ b/review/stand/src/cases/same_request.rs
@@ -105,6 +105,8 @@
             .get(crashes)
             .is_some_and(|at| started.elapsed().as_secs() >= *at);
         if lab.has_trouble && due {
+            // The requests that were just sent have reached the runners by then.
+            thread::sleep(Duration::from_millis(25));
             lab.record.line(format!("runner {crashes} crashes"));
             runners[crashes].0.kill()?;
             runners[crashes].0.wait()?;
