--- a/review/stand/src/cases/same_request.rs
+++ b/review/stand/src/cases/same_request.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::HashMap,
-    env, io,
+    env, fs, io,
     path::Path,
     process::{Child, Command, Stdio},
     sync::{
@@ -27,11 +27,30 @@
 const STEADY_S: u64 = 24;
 const END_S: u64 = 40;
 
-fn start(number: usize, address: &str, store: &str, record: &str) -> io::Result<Child> {
-    let id = format!("i-{:010x}", lab::random() >> 24);
+/// A runner that is started again after its crash.
+struct Runner {
+    id: String,
+    address: String,
+    child: Child,
+    has_crashed: bool,
+}
+
+/// Returns the runner that has begun the last request on the added route, of those that have not
+/// crashed yet.
+fn busy_runner(runners: &[Runner], record: &str) -> Option<usize> {
+    let text = fs::read_to_string(record).unwrap_or_default();
+    let begun = text.lines().rev().filter(|line| line.contains("/suno17/"));
+    let indices = begun.filter_map(|line| {
+        let is_sound = |runner: &Runner| !runner.has_crashed && line.contains(&runner.id);
+        runners.iter().position(is_sound)
+    });
+    indices.take(1).next()
+}
+
+fn start(number: usize, id: &str, address: &str, store: &str, record: &str) -> io::Result<Child> {
     let zone = ["tanta", "mansoura", "zagazig"][number];
     Command::new(env::current_exe()?)
-        .args(["engine", &id, address, store, zone, "-", "none", record])
+        .args(["engine", id, address, store, zone, "-", "none", record])
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::null())
@@ -46,7 +65,14 @@
     let mut runners = Vec::new();
     for number in 0..3 {
         let address = lab.free_address()?.to_string();
-        runners.push((start(number, &address, &store, &record)?, address));
+        let id = format!("i-{:010x}", lab::random() >> 24);
+        let child = start(number, &id, &address, &store, &record)?;
+        runners.push(Runner {
+            id,
+            address,
+            child,
+            has_crashed: false,
+        });
     }
     for zone in ["tanta", "mansoura", "zagazig"] {
         lab.start_daemon(zone, lab::BOUNDS)?;
@@ -107,15 +133,21 @@
         if lab.has_trouble && due {
             // The requests that were just sent have reached the runners by then.
             thread::sleep(Duration::from_millis(25));
-            lab.record.line(format!("runner {crashes} crashes"));
-            runners[crashes].0.kill()?;
-            runners[crashes].0.wait()?;
-            down = Some((crashes, Instant::now()));
-            crashes += 1;
+            if let Some(index) = busy_runner(&runners, &record) {
+                let runner = &mut runners[index];
+                lab.record
+                    .line(format!("runner {index}, {}, crashes", runner.id));
+                runner.child.kill()?;
+                runner.child.wait()?;
+                runner.has_crashed = true;
+                down = Some((index, Instant::now()));
+                crashes += 1;
+            }
         }
         if let Some((index, _)) = down.filter(|(_, since)| since.elapsed() > DOWN) {
-            let address = runners[index].1.clone();
-            runners[index].0 = start(index, &address, &store, &record)?;
+            let runner = &mut runners[index];
+            runner.id = format!("i-{:010x}", lab::random() >> 24);
+            runner.child = start(index, &runner.id, &runner.address, &store, &record)?;
             lab.record.line(format!("runner {index} is back"));
             down = None;
         }
@@ -125,9 +157,9 @@
     while threads.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
         thread::sleep(Duration::from_millis(50));
     }
-    for (child, _) in &mut runners {
-        let _ = child.kill();
-        let _ = child.wait();
+    for runner in &mut runners {
+        let _ = runner.child.kill();
+        let _ = runner.child.wait();
     }
     if !is_ready {
         return Err(io::Error::other("the daemons did not become ready"));
--- a/review/stand/src/lab.rs
+++ b/review/stand/src/lab.rs
@@ -186,8 +186,12 @@
     pub fn start_daemon(&mut self, zone: &str, bounds: &str) -> io::Result<usize> {
         let ip = free_ip(&mut self.used)?;
         let name = format!("front-{zone}-{}", self.daemons.len() + 1);
-        let address = || free_port(ip).map(|port| SocketAddr::from((ip, port)));
-        let (front, ready, directory) = (address()?, address()?, address()?);
+        // Held together, so that they differ.
+        let bind = || TcpListener::bind((ip, 0));
+        let held = [bind()?, bind()?, bind()?];
+        let [front, ready, directory] = held.each_ref().map(TcpListener::local_addr);
+        let (front, ready, directory) = (front?, ready?, directory?);
+        drop(held);
         let first_port = 7380;
         let settings = format!(
             r#"node = "{name}"
