--- a/review/stand/src/cases/same_request.rs
+++ b/review/stand/src/cases/same_request.rs
@@ -35,6 +35,13 @@
     has_crashed: bool,
 }
 
+impl Drop for Runner {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// Returns the runner that has begun the last request on the added route, of those that have not
 /// crashed yet.
 fn busy_runner(runners: &[Runner], record: &str) -> Option<usize> {
@@ -157,10 +164,7 @@
     while threads.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
         thread::sleep(Duration::from_millis(50));
     }
-    for runner in &mut runners {
-        let _ = runner.child.kill();
-        let _ = runner.child.wait();
-    }
+    drop(runners);
     if !is_ready {
         return Err(io::Error::other("the daemons did not become ready"));
     }
