--- a/review/stand/src/cases/crashing_part.rs
+++ b/review/stand/src/cases/crashing_part.rs
@@ -38,6 +38,13 @@
     down_since: Option<Instant>,
 }
 
+impl Drop for Engine {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 fn start(engine: (&str, &str, &str), store: &str, record: &str) -> io::Result<Child> {
     let (address, zone, stage) = engine;
     let id = format!("i-{:010x}", lab::random() >> 24);
@@ -150,10 +157,7 @@
     for thread in threads {
         let _ = thread.join();
     }
-    for engine in &mut engines {
-        let _ = engine.child.kill();
-        let _ = engine.child.wait();
-    }
+    drop(engines);
     if !is_ready {
         return Err(io::Error::other("the daemons did not become ready"));
     }
