--- a/crates/core/src/member/digest.rs
+++ b/crates/core/src/member/digest.rs
@@ -3,7 +3,7 @@
 use acaciabank_protocol::ids;
 use xxhash_rust::xxh3;
 
-use super::{EntryVersion, MemberState, SuspectReport, TargetLoad};
+use super::{EntryVersion, MemberState, TargetLoad};
 use crate::suspect;
 
 /// Hash that identifies a daemon in messages between daemons.
@@ -45,10 +45,8 @@
     pub partial: bool,
     /// Load of each listed target.
     pub loads: Vec<TargetLoad>,
-    /// Crash suspects known to the daemon.
-    pub suspects: Vec<SuspectReport>,
-    /// Crashes with prompts known to the daemon, see [`suspect::PartSuspects`].
-    pub parts: suspect::PartReport,
+    /// Crash suspects known to the daemon, see [`suspect::SuspectTable`].
+    pub suspects: suspect::SuspectReport,
 }
 
 /// Converts a counter that does not reach the maximum in the lifetime of a daemon.
--- a/crates/core/src/member/entry.rs
+++ b/crates/core/src/member/entry.rs
@@ -43,17 +43,6 @@
     pub state_sequence: u32,
 }
 
-/// A crash of a target while a request with this fingerprint was in flight there.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SuspectReport {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Hash of the crashed target's name.
-    pub target_hash: u32,
-    /// Age of the crash when the entry was created or received, in milliseconds.
-    pub age_ms: u32,
-}
-
 /// Version of a daemon's entry, compared by run and then by heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EntryVersion {
@@ -84,10 +73,8 @@
     pub config_version: u64,
     /// Loads of the targets that the daemon owns.
     pub loads: Vec<TargetLoad>,
-    /// Crash suspects known to the daemon.
-    pub suspects: Vec<SuspectReport>,
-    /// Crashes with prompts known to the daemon, see [`suspect::PartSuspects`].
-    pub parts: suspect::PartReport,
+    /// Crash suspects known to the daemon, see [`suspect::SuspectTable`].
+    pub suspects: suspect::SuspectReport,
 }
 
 impl MemberEntry {
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -9,6 +9,6 @@
 mod table;
 
 pub use digest::{Heartbeat, LoadReport, daemon_hash, short_boot_id};
-pub use entry::{EntryVersion, MemberEntry, MemberState, SuspectReport, TargetLoad};
+pub use entry::{EntryVersion, MemberEntry, MemberState, TargetLoad};
 pub use owner::owner_of;
 pub use table::{Applied, HeartbeatApplied, Liveness, MemberTable, MemberTimers, Rumors};
--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -242,7 +242,6 @@
             partial: changed.is_some(),
             loads: loads.copied().collect(),
             suspects: entry.suspects.clone(),
-            parts: entry.parts.clone(),
         };
         self.own.report = Some(KnownReport {
             report,
@@ -640,8 +639,7 @@
 fn entry_without_loads(known: &KnownMember) -> (MemberEntry, time::Instant) {
     let entry = MemberEntry {
         loads: Vec::new(),
-        suspects: Vec::new(),
-        parts: suspect::PartReport::default(),
+        suspects: suspect::SuspectReport::default(),
         ..known.entry.clone()
     };
     (entry, known.advanced_at)
--- /dev/null
+++ b/crates/core/src/suspect/attribution.rs
@@ -0,0 +1,147 @@
+//! Attribution of crashes to the keys of the requests that were in flight.
+
+use std::{collections::HashMap, rc};
+
+use super::{
+    REFUSE_MIN_ANSWERED_CRASHES, REFUSE_MIN_CRASHES,
+    table::{CRASH_DEDUP_MS, MAX_TRIALS, SeenCrash},
+};
+
+/// Time within which one failure takes down several targets, for example a rack.
+const COMMON_FAILURE_MS: u64 = 500;
+/// Number of crashes that the crash of a trial counts for in addition. No other suspect with the key
+/// was in flight, and the trial was sent after the earlier crash had been noticed.
+const TRIAL_BONUS: usize = 1;
+
+/// A crash as one request saw it.
+struct OpenCrash<'a> {
+    crash: &'a SeenCrash,
+    /// Suspected keys of all requests that waited at the target, in order.
+    all: rc::Rc<[u64]>,
+}
+
+impl OpenCrash<'_> {
+    /// Whether a key of a request that waited at the target may have caused the crash.
+    fn involves(&self, key: u64) -> bool {
+        self.all.binary_search(&key).is_ok()
+    }
+}
+
+/// Crashes that some key may have caused.
+pub struct OpenCrashes<'a> {
+    crashes: Vec<OpenCrash<'a>>,
+    /// Positions in `crashes` by suspected key.
+    by_key: HashMap<u64, Vec<usize>>,
+}
+
+impl<'a> OpenCrashes<'a> {
+    /// Groups crashes, in the order of their times, that come with the keys that were not answered
+    /// since.
+    pub fn new(suspected: Vec<(&'a SeenCrash, Vec<u64>)>) -> Self {
+        // Records of one target with close times belong to one crash.
+        let mut last_crash: HashMap<u32, (u64, usize)> = HashMap::new();
+        let mut groups: Vec<Vec<u64>> = Vec::new();
+        let mut group_of = Vec::with_capacity(suspected.len());
+        for (crash, suspects) in &suspected {
+            let known = last_crash.get(&crash.target_hash);
+            let group = match known {
+                Some((seen_ms, group)) if crash.seen_ms - seen_ms < CRASH_DEDUP_MS => *group,
+                _ => {
+                    groups.push(Vec::new());
+                    let group = groups.len() - 1;
+                    last_crash.insert(crash.target_hash, (crash.seen_ms, group));
+                    group
+                }
+            };
+            groups[group].extend(suspects);
+            group_of.push(group);
+        }
+        let groups = groups.into_iter().map(|mut all| {
+            all.sort_unstable();
+            all.dedup();
+            rc::Rc::from(all)
+        });
+        let groups: Vec<rc::Rc<[u64]>> = groups.collect();
+        let mut by_key: HashMap<u64, Vec<usize>> = HashMap::new();
+        let mut crashes = Vec::with_capacity(suspected.len());
+        for (position, ((crash, own), group)) in suspected.into_iter().zip(group_of).enumerate() {
+            for key in &own {
+                by_key.entry(*key).or_default().push(position);
+            }
+            crashes.push(OpenCrash {
+                crash,
+                all: rc::Rc::clone(&groups[group]),
+            });
+        }
+        Self { crashes, by_key }
+    }
+
+    /// Whether a request with the given keys is refused for one of them: it was seen in enough
+    /// crashes, and it explains them better than each other suspect that the request does not have.
+    /// `is_answered` tells whether a key was answered at any time.
+    pub fn is_refused(
+        &self,
+        key: u64,
+        keys: &[u64],
+        is_answered: impl Fn(u64) -> bool + Copy,
+    ) -> bool {
+        let crash_count = count_in_a_row(self.of_key(key));
+        let trial_count = self.trial_count(key);
+        let is_suspected = match is_answered(key) {
+            false => crash_count + TRIAL_BONUS * trial_count >= REFUSE_MIN_CRASHES,
+            true => crash_count >= REFUSE_MIN_ANSWERED_CRASHES || trial_count >= MAX_TRIALS,
+        };
+        if !is_suspected {
+            return false;
+        }
+        let others = self.of_key(key).flat_map(|open| open.all.iter().copied());
+        let mut others: Vec<u64> = others.collect();
+        others.sort_unstable();
+        others.dedup();
+        let mut absent = others.into_iter().filter(|other| !keys.contains(other));
+        absent.all(|other| self.explains_more(key, other, is_answered))
+    }
+
+    /// Number of crashes of trials that a key was seen in.
+    pub fn trial_count(&self, key: u64) -> usize {
+        self.of_key(key).filter(|open| open.crash.is_trial).count()
+    }
+
+    /// Whether a key was seen in more crashes without another one than the other way round. Of two
+    /// keys that cannot be told apart, one that was never answered explains more.
+    fn explains_more(&self, key: u64, other: u64, is_answered: impl Fn(u64) -> bool) -> bool {
+        let own_crashes = self.count_without(key, other);
+        let other_crashes = self.count_without(other, key);
+        let is_newer = !is_answered(key) && is_answered(other);
+        own_crashes > other_crashes || own_crashes == other_crashes && is_newer
+    }
+
+    /// Counts crashes that involve a key and not another one.
+    fn count_without(&self, key: u64, other: u64) -> usize {
+        count_in_a_row(self.of_key(key).filter(|open| !open.involves(other)))
+    }
+
+    fn of_key(&self, key: u64) -> impl Iterator<Item = &OpenCrash<'a>> {
+        let positions = self.by_key.get(&key).into_iter().flatten();
+        positions.map(|position| &self.crashes[*position])
+    }
+}
+
+/// Counts crashes in the order of their times. Those that one failure of many targets may have
+/// caused count once: the requests were in flight at the same time, and the times are close.
+fn count_in_a_row<'a>(crashes: impl Iterator<Item = &'a OpenCrash<'a>>) -> usize {
+    let mut counted_ms: Option<u64> = None;
+    let mut count = 0;
+    for open in crashes {
+        let SeenCrash {
+            sent_ms, seen_ms, ..
+        } = *open.crash;
+        let is_next =
+            |counted_ms| sent_ms >= counted_ms || seen_ms >= counted_ms + COMMON_FAILURE_MS;
+        if counted_ms.is_none_or(is_next) {
+            counted_ms = Some(seen_ms);
+            count += 1;
+        }
+    }
+    count
+}
--- a/crates/daemon/src/dispatch/admission.rs
+++ b/crates/daemon/src/dispatch/admission.rs
@@ -18,27 +18,55 @@
     target::now_ms() + suspect::SUSPECT_LIFETIME_MS
 }
 
+/// Time for which identical requests are refused after several targets have crashed on them. Their
+/// retries, and those that callers send at once, would crash further targets; if the targets failed
+/// for another reason, a request that still runs is answered meanwhile.
+const COMMON_CRASH_PAUSE_MS: u64 = 2_000;
+
 /// Crash suspects and the turns of identical requests, which must change together.
 #[derive(Debug, Default)]
 pub(super) struct CrashState {
+    /// Suspects by the fingerprints of requests and the hashes of their prompts' pieces. The hashes
+    /// are chained, so that each names a beginning.
     pub(super) suspects: suspect::SuspectTable,
-    /// Suspects by the hashes of the prompt's pieces. The hashes are chained, so that each names a
-    /// beginning.
-    pub(super) beginnings: suspect::PartSuspects,
     pub(super) turns: suspect::TurnTable,
 }
 
 impl CrashState {
-    /// Status of a request: refused also if targets crashed on others whose prompts begin alike.
+    /// Status of a request. It is refused also if targets crashed on others whose prompts begin
+    /// alike; a beginning alone does not isolate it.
     pub(super) fn status(&self, fingerprint: u64, piece_hashes: &[u64]) -> suspect::SuspectStatus {
+        if self.suspects.is_empty() {
+            return suspect::SuspectStatus::Clear;
+        }
         let now_ms = crash_now_ms();
-        match self.beginnings.refused_part(piece_hashes, now_ms) {
-            Some(_) => suspect::SuspectStatus::Refused,
-            None => self.suspects.status(fingerprint, now_ms),
+        if self.has_crashed_together(fingerprint, now_ms) {
+            return suspect::SuspectStatus::Refused;
         }
+        let keys = suspect_keys(fingerprint, piece_hashes);
+        let status = self.suspects.status(&keys, now_ms);
+        let is_own = self.suspects.status(&[fingerprint], now_ms) != suspect::SuspectStatus::Clear;
+        let is_isolated = is_own || self.suspects.refused_key(&keys, now_ms).is_some();
+        match status {
+            suspect::SuspectStatus::Isolated if !is_isolated => suspect::SuspectStatus::Clear,
+            status => status,
+        }
+    }
+
+    /// Whether several targets have just crashed on identical requests, none of which was answered.
+    fn has_crashed_together(&self, fingerprint: u64, now_ms: u64) -> bool {
+        let crash_ms = self.suspects.last_crash_ms(fingerprint);
+        let is_recent = now_ms.saturating_sub(crash_ms) < COMMON_CRASH_PAUSE_MS;
+        is_recent && self.suspects.crashed_targets(fingerprint, now_ms) > 1
     }
 }
 
+/// Returns the keys by which a request may be a crash suspect.
+pub(super) fn suspect_keys(fingerprint: u64, piece_hashes: &[u64]) -> Vec<u64> {
+    let pieces = piece_hashes.iter().copied();
+    std::iter::once(fingerprint).chain(pieces).collect()
+}
+
 /// Admission state of the daemon: pools, retry budget and crash suspects.
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionControl {
@@ -143,37 +171,26 @@
 }
 
 impl target::TargetRegistry {
-    /// Crash suspects known to this daemon, for gossip to other daemons.
-    pub fn export_suspects(&self) -> Vec<suspect::SuspectRecord> {
+    /// Crashes known to this daemon, for gossip to other daemons.
+    pub fn report_suspects(&self) -> suspect::SuspectReport {
         let mut crashes = self.admission.crash_state();
-        crashes.suspects.export(crash_now_ms())
+        crashes.suspects.report(crash_now_ms(), &mut rand::rng())
     }
 
-    /// Crashes known to this daemon that a fingerprint was seen in.
-    pub fn suspect_records(&self, fingerprint: u64) -> Vec<suspect::SuspectRecord> {
-        let crashes = self.admission.crash_state();
-        crashes.suspects.records(fingerprint, crash_now_ms())
-    }
-
-    /// Crashes with beginnings of prompts known to this daemon, for gossip to other daemons.
-    pub fn report_parts(&self) -> suspect::PartReport {
-        let mut crashes = self.admission.crash_state();
-        crashes.beginnings.report(crash_now_ms(), &mut rand::rng())
-    }
-
-    /// Crashes known to this daemon of prompts with any of the given pieces.
-    pub fn report_parts_on(&self, pieces: &[u64]) -> suspect::PartReport {
+    /// Crashes known to this daemon of a request or of others whose prompts have any of the pieces.
+    pub fn report_suspects_on(&self, fingerprint: u64, pieces: &[u64]) -> suspect::SuspectReport {
+        let keys = suspect_keys(fingerprint, pieces);
         let mut crashes = self.admission.crash_state();
-        crashes.beginnings.report_on(pieces, crash_now_ms())
+        crashes.suspects.report_on(&keys, crash_now_ms())
     }
 
-    /// Merges crashes with beginnings of prompts that another daemon reports.
-    pub fn merge_parts(&self, report: &suspect::PartReport) {
+    /// Merges crashes that another daemon reports.
+    pub fn merge_suspects(&self, report: &suspect::SuspectReport) {
         if report.is_empty() {
             return;
         }
         let mut crashes = self.admission.crash_state();
-        crashes.beginnings.merge_report(report, crash_now_ms());
+        crashes.suspects.merge_report(report, crash_now_ms());
     }
 
     /// Answers another daemon that asks whether its request, a crash suspect with the suspected
@@ -195,10 +212,4 @@
     pub fn advance_turn_clock(&self, clock: u64) {
         self.admission.crash_state().turns.advance_clock(clock);
     }
-
-    /// Merges a crash suspect received from another daemon.
-    pub fn merge_suspect(&self, record: suspect::SuspectRecord) {
-        let mut crashes = self.admission.crash_state();
-        crashes.suspects.merge(record, crash_now_ms());
-    }
 }
--- a/crates/daemon/src/dispatch/retry.rs
+++ b/crates/daemon/src/dispatch/retry.rs
@@ -196,6 +196,7 @@
         match result {
             Ok(()) => {
                 count_attempt(Verdict::Ran);
+                turn.record_completion();
                 slot.target.adapt_limit(false);
                 placement.record_service(context.attempt_start.elapsed());
                 return Ok(());
--- a/crates/daemon/src/dispatch/turn.rs
+++ b/crates/daemon/src/dispatch/turn.rs
@@ -4,6 +4,7 @@
 
 use std::{
     sync,
+    sync::atomic::{AtomicBool, Ordering},
     time::{Duration, Instant},
 };
 
@@ -24,6 +25,8 @@
     ticket: suspect::TurnTicket,
     /// Hashes of the prompt's complete pieces; empty for a service call.
     piece_hashes: sync::Arc<[u64]>,
+    /// Whether the current attempt runs while no other suspect that shares a key does.
+    is_trial: AtomicBool,
 }
 
 /// A target's crash while it ran an attempt of a request.
@@ -56,6 +59,7 @@
             state: sync::Arc::clone(state),
             ticket,
             piece_hashes,
+            is_trial: AtomicBool::new(false),
         }
     }
 
@@ -72,6 +76,7 @@
 
     /// Records that the request starts at a target. Returns `false` if it has become a suspect
     /// since it last waited for its turn, or is to be refused.
+    /// Other suspects that share a key with it wait until it ends, so that it runs as a trial.
     pub(super) fn try_start(&self) -> bool {
         let mut crashes = self.state.targets.admission.crash_state();
         let status = crashes.status(self.ticket.fingerprint(), &self.piece_hashes);
@@ -82,6 +87,8 @@
         };
         if may_start {
             crashes.turns.start(self.ticket);
+            let is_trial = status == SuspectStatus::Isolated;
+            self.is_trial.store(is_trial, Ordering::Relaxed);
         }
         may_start
     }
@@ -96,19 +103,23 @@
     /// seeing the crash.
     pub(super) fn record_crash(&self, crash: AttemptCrash) {
         let mut crashes = self.state.targets.admission.crash_state();
-        let fingerprint = self.ticket.fingerprint();
-        let target_hash = crash.target_hash;
-        crashes
-            .suspects
-            .record_crash(fingerprint, target_hash, admission::crash_now_ms());
-        if !crash.has_output {
-            crashes.beginnings.record_crash(
-                &self.piece_hashes,
-                target_hash,
-                crash.sent_ms,
-                crash.failed_ms,
-            );
-        }
+        let pieces: &[u64] = match crash.has_output {
+            true => &[],
+            false => &self.piece_hashes,
+        };
+        let keys = admission::suspect_keys(self.ticket.fingerprint(), pieces);
+        let record = match self.is_trial.load(Ordering::Relaxed) {
+            true => suspect::SuspectTable::record_trial_crash,
+            false => suspect::SuspectTable::record_crash,
+        };
+        let (target_hash, sent_ms) = (crash.target_hash, crash.sent_ms);
+        record(
+            &mut crashes.suspects,
+            &keys,
+            target_hash,
+            sent_ms,
+            crash.failed_ms,
+        );
         crashes.turns.stop(self.ticket);
     }
 
@@ -118,8 +129,19 @@
         let mut crashes = self.state.targets.admission.crash_state();
         crashes.turns.set_suspected(self.ticket, Vec::new());
         crashes
-            .beginnings
-            .record_start(&self.piece_hashes, admission::crash_now_ms());
+            .suspects
+            .record_answer(&self.piece_hashes, admission::crash_now_ms());
+    }
+
+    /// Records that a target has run the request to its end. Few requests recur, so that only
+    /// suspected ones are recorded.
+    pub(super) fn record_completion(&self) {
+        let mut crashes = self.state.targets.admission.crash_state();
+        let fingerprint = self.ticket.fingerprint();
+        if crashes.suspects.is_known(fingerprint) {
+            let now_ms = admission::crash_now_ms();
+            crashes.suspects.record_answer(&[fingerprint], now_ms);
+        }
     }
 
     /// Whether the request is to be refused because targets crashed on it or its beginning.
@@ -136,9 +158,7 @@
         let is_suspect = status == SuspectStatus::Isolated;
         if is_suspect {
             let now_ms = admission::crash_now_ms();
-            let suspected = crashes
-                .beginnings
-                .suspected_parts(&self.piece_hashes, now_ms);
+            let suspected = crashes.suspects.open_keys(&self.piece_hashes, now_ms);
             crashes.turns.set_suspected(self.ticket, suspected);
             crashes.turns.wait(self.ticket);
         }
--- a/crates/daemon/src/peer/client.rs
+++ b/crates/daemon/src/peer/client.rs
@@ -3,8 +3,8 @@
 use std::time;
 
 use acaciabank_core::{
-    member::{Heartbeat, MemberEntry, SuspectReport},
-    suspect::{PartReport, TurnStamp},
+    member::{Heartbeat, MemberEntry},
+    suspect::{SuspectReport, TurnStamp},
 };
 use acaciabank_protocol::{ids, peer_capnp};
 
@@ -142,12 +142,6 @@
         .await
 }
 
-/// Crashes that a daemon knows of a suspect's fingerprint and of the suspected pieces of its prompt.
-pub(super) struct TurnCrashes {
-    pub(super) suspects: Vec<SuspectReport>,
-    pub(super) parts: PartReport,
-}
-
 /// Answer of another daemon to a request for a turn.
 pub(super) struct TurnAnswer {
     /// Whether a request of that daemon holds the asking one back.
@@ -155,7 +149,7 @@
     /// Logical clock of that daemon.
     pub(super) clock: u64,
     /// What that daemon knows of the request.
-    pub(super) known: TurnCrashes,
+    pub(super) known: SuspectReport,
 }
 
 /// Asks another daemon whether a request that waits with `stamp` may run.
@@ -163,7 +157,7 @@
     link: &PeerLink,
     question: &TurnQuestion,
     stamp: TurnStamp<'_>,
-    known: &TurnCrashes,
+    known: &SuspectReport,
 ) -> Result<TurnAnswer, String> {
     let call = |client: peer_capnp::peer::Client| async move {
         let mut request = client.take_turn_request();
@@ -172,19 +166,13 @@
         params.set_clock(stamp.clock);
         params.set_daemon(stamp.daemon);
         params.set_pieces(question.pieces.as_slice())?;
-        let list = params.reborrow().init_suspects(known.suspects.len() as u32);
-        convert::write_suspects(&known.suspects, 0, list);
-        convert::write_parts(&known.parts, 0, params.init_parts());
+        convert::write_suspects(known, 0, params.init_suspects());
         let response = request.send().promise.await?;
         let results = response.get()?;
-        let suspects = results.get_suspects()?.iter();
         Ok(TurnAnswer {
             is_held_back: results.get_is_held_back(),
             clock: results.get_clock(),
-            known: TurnCrashes {
-                suspects: suspects.map(convert::read_suspect).collect(),
-                parts: convert::read_parts(results.get_parts()?)?,
-            },
+            known: convert::read_suspects(results.get_suspects()?)?,
         })
     };
     link.call_with(ConnectPolicy::AtOnce, "take_turn", CALL_TIMEOUT, call)
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -3,8 +3,8 @@
 use std::time;
 
 use acaciabank_core::{
-    member::{EntryVersion, MemberEntry, MemberState, SuspectReport, TargetLoad},
-    suspect::{PartCrashRecord, PartReport, PartStartRecord},
+    member::{EntryVersion, MemberEntry, MemberState, TargetLoad},
+    suspect::{AnswerRecord, CrashRecord, SuspectReport},
 };
 use acaciabank_protocol::{ids, peer_capnp};
 use capnp::struct_list;
@@ -44,12 +44,8 @@
     builder.set_config_version(entry.config_version);
     let loads = builder.reborrow().init_loads(entry.loads.len() as u32);
     write_loads(&entry.loads, held_ms, loads);
-    let suspects = builder
-        .reborrow()
-        .init_suspects(entry.suspects.len() as u32);
-    write_suspects(&entry.suspects, held_ms, suspects);
-    if !entry.parts.is_empty() {
-        write_parts(&entry.parts, held_ms, builder.init_parts());
+    if !entry.suspects.is_empty() {
+        write_suspects(&entry.suspects, held_ms, builder.init_suspects());
     }
 }
 
@@ -81,49 +77,33 @@
     }
 }
 
+/// Writes crash suspects; increases the ages in them by the time for which this daemon has held
+/// them.
 pub(super) fn write_suspects(
-    suspects: &[SuspectReport],
+    report: &SuspectReport,
     held_ms: u32,
-    mut list: struct_list::Builder<'_, peer_capnp::suspect::Owned>,
-) {
-    for (index, suspect) in suspects.iter().enumerate() {
-        let mut builder = list.reborrow().get(index as u32);
-        builder.set_fingerprint(suspect.fingerprint);
-        builder.set_target(suspect.target_hash);
-        builder.set_age_ms(suspect.age_ms.saturating_add(held_ms));
-    }
-}
-
-/// Writes crashes with prompts; increases the ages in them by the time for which this daemon has
-/// held them.
-pub(super) fn write_parts(
-    report: &PartReport,
-    held_ms: u32,
-    mut builder: peer_capnp::part_report::Builder<'_>,
+    mut builder: peer_capnp::suspect_report::Builder<'_>,
 ) {
     let mut crashes = builder.reborrow().init_crashes(report.crashes.len() as u32);
     for (index, crash) in report.crashes.iter().enumerate() {
-        write_part_crash(crash, held_ms, crashes.reborrow().get(index as u32));
+        write_crash(crash, held_ms, crashes.reborrow().get(index as u32));
     }
-    let mut starts = builder.init_starts(report.starts.len() as u32);
-    for (index, start) in report.starts.iter().enumerate() {
-        let mut builder = starts.reborrow().get(index as u32);
-        builder.set_part(start.part);
-        builder.set_age_ms(saturating_u32(start.age_ms).saturating_add(held_ms));
+    let mut answers = builder.init_answers(report.answers.len() as u32);
+    for (index, answer) in report.answers.iter().enumerate() {
+        let mut builder = answers.reborrow().get(index as u32);
+        builder.set_key(answer.key);
+        builder.set_age_ms(saturating_u32(answer.age_ms).saturating_add(held_ms));
     }
 }
 
-fn write_part_crash(
-    crash: &PartCrashRecord,
-    held_ms: u32,
-    mut builder: peer_capnp::part_crash::Builder<'_>,
-) {
+fn write_crash(crash: &CrashRecord, held_ms: u32, mut builder: peer_capnp::crash::Builder<'_>) {
     builder.set_target(crash.target_hash);
     builder.set_age_ms(saturating_u32(crash.age_ms).saturating_add(held_ms));
     builder.set_in_flight_ms(saturating_u32(crash.in_flight_ms));
-    let mut parts = builder.init_parts(crash.parts.len() as u32);
-    for (index, part) in crash.parts.iter().enumerate() {
-        parts.set(index as u32, *part);
+    builder.set_is_trial(crash.is_trial);
+    let mut keys = builder.init_keys(crash.keys.len() as u32);
+    for (index, key) in crash.keys.iter().enumerate() {
+        keys.set(index as u32, *key);
     }
 }
 
@@ -151,7 +131,6 @@
 
 pub(super) fn read_entry(reader: peer_capnp::entry::Reader<'_>) -> capnp::Result<MemberEntry> {
     let loads = reader.get_loads()?.iter().map(read_load).collect();
-    let suspects = reader.get_suspects()?.iter().map(read_suspect).collect();
     Ok(MemberEntry {
         daemon: ids::DaemonId::new(reader.get_daemon()?.to_str()?),
         region: ids::RegionId::new(reader.get_region()?.to_str()?),
@@ -165,8 +144,7 @@
         peer_address: read_address(reader.get_peer_address()?)?,
         config_version: reader.get_config_version(),
         loads,
-        suspects,
-        parts: read_parts(reader.get_parts()?)?,
+        suspects: read_suspects(reader.get_suspects()?)?,
     })
 }
 
@@ -188,35 +166,30 @@
     }
 }
 
-pub(super) fn read_suspect(reader: peer_capnp::suspect::Reader<'_>) -> SuspectReport {
-    SuspectReport {
-        fingerprint: reader.get_fingerprint(),
-        target_hash: reader.get_target(),
-        age_ms: reader.get_age_ms(),
-    }
-}
-
-pub(super) fn read_parts(reader: peer_capnp::part_report::Reader<'_>) -> capnp::Result<PartReport> {
-    let crashes = reader.get_crashes()?.iter().map(read_part_crash);
-    let starts = reader.get_starts()?.iter();
-    Ok(PartReport {
+pub(super) fn read_suspects(
+    reader: peer_capnp::suspect_report::Reader<'_>,
+) -> capnp::Result<SuspectReport> {
+    let crashes = reader.get_crashes()?.iter().map(read_crash);
+    let answers = reader.get_answers()?.iter();
+    Ok(SuspectReport {
         crashes: crashes.collect::<capnp::Result<_>>()?,
-        starts: starts.map(read_part_start).collect(),
+        answers: answers.map(read_answer).collect(),
     })
 }
 
-fn read_part_crash(reader: peer_capnp::part_crash::Reader<'_>) -> capnp::Result<PartCrashRecord> {
-    Ok(PartCrashRecord {
-        parts: reader.get_parts()?.iter().collect(),
+fn read_crash(reader: peer_capnp::crash::Reader<'_>) -> capnp::Result<CrashRecord> {
+    Ok(CrashRecord {
+        keys: reader.get_keys()?.iter().collect(),
         target_hash: reader.get_target(),
         age_ms: reader.get_age_ms().into(),
         in_flight_ms: reader.get_in_flight_ms().into(),
+        is_trial: reader.get_is_trial(),
     })
 }
 
-fn read_part_start(reader: peer_capnp::part_start::Reader<'_>) -> PartStartRecord {
-    PartStartRecord {
-        part: reader.get_part(),
+fn read_answer(reader: peer_capnp::key_answer::Reader<'_>) -> AnswerRecord {
+    AnswerRecord {
+        key: reader.get_key(),
         age_ms: reader.get_age_ms().into(),
     }
 }
--- a/crates/daemon/src/peer/digest.rs
+++ b/crates/daemon/src/peer/digest.rs
@@ -114,12 +114,8 @@
     builder.set_sequence(report.sequence);
     let loads = builder.reborrow().init_loads(report.loads.len() as u32);
     convert::write_loads(&report.loads, held_ms, loads);
-    let suspects = builder
-        .reborrow()
-        .init_suspects(report.suspects.len() as u32);
-    convert::write_suspects(&report.suspects, held_ms, suspects);
-    if !report.parts.is_empty() {
-        convert::write_parts(&report.parts, held_ms, builder.init_parts());
+    if !report.suspects.is_empty() {
+        convert::write_suspects(&report.suspects, held_ms, builder.init_suspects());
     }
 }
 
@@ -130,11 +126,6 @@
         sequence: reader.get_sequence(),
         partial: reader.get_partial(),
         loads: reader.get_loads()?.iter().map(convert::read_load).collect(),
-        suspects: reader
-            .get_suspects()?
-            .iter()
-            .map(convert::read_suspect)
-            .collect(),
-        parts: convert::read_parts(reader.get_parts()?)?,
+        suspects: convert::read_suspects(reader.get_suspects()?)?,
     })
 }
--- a/crates/daemon/src/peer/gossip.rs
+++ b/crates/daemon/src/peer/gossip.rs
@@ -35,7 +35,7 @@
         for (report, _) in &digest.reports {
             if self.table.borrow_mut().apply_report(report, now) {
                 loads::apply_loads(&self.state, &report.loads);
-                loads::apply_suspects(&self.state, &report.suspects, &report.parts);
+                self.state.targets.merge_suspects(&report.suspects);
             }
         }
         self.apply_suspicions(&digest.suspicions, now);
@@ -56,7 +56,7 @@
         let mut changed = false;
         for entry in entries {
             // Crashes count also if a heartbeat or a load report has overtaken the entry.
-            loads::apply_suspects(&self.state, &entry.suspects, &entry.parts);
+            self.state.targets.merge_suspects(&entry.suspects);
             let applied = self.table.borrow_mut().apply(entry.clone(), now);
             match applied {
                 Applied::Ignored => {
@@ -173,8 +173,7 @@
         let load_ticks = loads::report_interval_ticks(entry.loads.len() * table.region_size(now));
         let is_heartbeat_due = count_down(&self.ticks_until_heartbeat, heartbeat_ticks);
         let are_loads_due = count_down(&self.ticks_until_loads, heartbeat_ticks.max(load_ticks));
-        let has_suspects = !entry.suspects.is_empty() || !entry.parts.is_empty();
-        let has_loads = !entry.loads.is_empty() || has_suspects;
+        let has_loads = !entry.loads.is_empty() || !entry.suspects.is_empty();
         let reported = match are_loads_due {
             true if has_loads => Some(None),
             false if !changed.is_empty() => Some(Some(changed.as_slice())),
--- a/crates/daemon/src/peer/loads.rs
+++ b/crates/daemon/src/peer/loads.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use acaciabank_core::{member, suspect};
+use acaciabank_core::member;
 use acaciabank_protocol::ids;
 
 use crate::{process, target};
@@ -29,28 +29,6 @@
     loads
 }
 
-/// Returns the crash suspects that this daemon knows.
-pub(super) fn local_suspects(state: &process::ProcessState) -> Vec<member::SuspectReport> {
-    to_reports(state.targets.export_suspects())
-}
-
-/// Returns the crashes known to this daemon that a fingerprint was seen in.
-pub(super) fn suspect_reports(
-    state: &process::ProcessState,
-    fingerprint: u64,
-) -> Vec<member::SuspectReport> {
-    to_reports(state.targets.suspect_records(fingerprint))
-}
-
-fn to_reports(records: Vec<suspect::SuspectRecord>) -> Vec<member::SuspectReport> {
-    let to_report = |record: suspect::SuspectRecord| member::SuspectReport {
-        fingerprint: record.fingerprint,
-        target_hash: record.target_hash,
-        age_ms: u32::try_from(record.age_ms).unwrap_or(u32::MAX),
-    };
-    records.into_iter().map(to_report).collect()
-}
-
 /// Applies the loads that another daemon publishes. Loads of targets that this daemon polls itself
 /// are ignored, because its own reports are newer.
 pub(super) fn apply_loads(state: &process::ProcessState, loads: &[member::TargetLoad]) {
@@ -67,22 +45,6 @@
     }
 }
 
-/// Merges the crash suspects and the crashes with prompts that another daemon knows.
-pub(super) fn apply_suspects(
-    state: &process::ProcessState,
-    suspects: &[member::SuspectReport],
-    parts: &suspect::PartReport,
-) {
-    state.targets.merge_parts(parts);
-    for report in suspects {
-        state.targets.merge_suspect(suspect::SuspectRecord {
-            fingerprint: report.fingerprint,
-            target_hash: report.target_hash,
-            age_ms: report.age_ms.into(),
-        });
-    }
-}
-
 /// Applies the cache changes of a target if another daemon polls it.
 pub(super) fn apply_pieces(state: &process::ProcessState, delta: &target::PieceDelta) {
     let snapshot = state.targets.snapshot();
--- a/crates/daemon/src/peer/node.rs
+++ b/crates/daemon/src/peer/node.rs
@@ -531,8 +531,7 @@
         peer_address,
         config_version: state.config.version(),
         loads: loads::local_loads(state),
-        suspects: loads::local_suspects(state),
-        parts: state.targets.report_parts(),
+        suspects: state.targets.report_suspects(),
     }
 }
 
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -153,11 +153,9 @@
         let params = params.get()?;
         let state = &self.node.state;
         let fingerprint = params.get_fingerprint();
-        let suspects: Vec<_> = params.get_suspects()?.iter().collect();
-        let suspects: Vec<_> = suspects.into_iter().map(convert::read_suspect).collect();
         let pieces: Vec<u64> = params.get_pieces()?.iter().collect();
-        let parts = convert::read_parts(params.get_parts()?)?;
-        loads::apply_suspects(state, &suspects, &parts);
+        let suspects = convert::read_suspects(params.get_suspects()?)?;
+        state.targets.merge_suspects(&suspects);
         let stamp = TurnStamp {
             clock: params.get_clock(),
             daemon: params.get_daemon()?.to_str()?,
@@ -167,14 +165,11 @@
             state
                 .targets
                 .answer_turn(fingerprint, &pieces, stamp, own_daemon);
-        let known = loads::suspect_reports(state, fingerprint);
-        let parts = state.targets.report_parts_on(&pieces);
+        let known = state.targets.report_suspects_on(fingerprint, &pieces);
         let mut builder = results.get();
         builder.set_is_held_back(is_held_back);
         builder.set_clock(clock);
-        let suspects = builder.reborrow().init_suspects(known.len() as u32);
-        convert::write_suspects(&known, 0, suspects);
-        convert::write_parts(&parts, 0, builder.init_parts());
+        convert::write_suspects(&known, 0, builder.init_suspects());
         Ok(())
     }
 
--- a/crates/daemon/src/peer/turns.rs
+++ b/crates/daemon/src/peer/turns.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::{member::Liveness, suspect::TurnStamp};
 use futures::{StreamExt, stream::FuturesUnordered};
 
-use super::{TurnQuestion, client, link::PeerLink, loads, node::PeerNode};
+use super::{TurnQuestion, client, link::PeerLink, node::PeerNode};
 
 /// Longest wait for the answers of other daemons. One that does not answer in time, because it is
 /// cut off or suspended, holds no request back.
@@ -16,10 +16,8 @@
     /// them holds it back.
     pub(super) async fn is_turn_held_back(self: &Rc<Self>, question: &TurnQuestion) -> bool {
         let state = &self.state;
-        let known = client::TurnCrashes {
-            suspects: loads::suspect_reports(state, question.fingerprint),
-            parts: state.targets.report_parts_on(&question.pieces),
-        };
+        let targets = &state.targets;
+        let known = targets.report_suspects_on(question.fingerprint, &question.pieces);
         let stamp = TurnStamp {
             clock: question.clock,
             daemon: state.settings.daemon.as_str(),
@@ -35,7 +33,7 @@
             match answer {
                 Ok(answer) => {
                     state.targets.advance_turn_clock(answer.clock);
-                    loads::apply_suspects(state, &answer.known.suspects, &answer.known.parts);
+                    state.targets.merge_suspects(&answer.known);
                     is_held_back |= answer.is_held_back;
                 }
                 Err(error) => log::debug!("no answer about the turn of a suspect: {error}"),
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -29,35 +29,37 @@
   left @3;
 }
 
-# A crash of a target while a request with this fingerprint was in flight there.
-struct Suspect {
+# Not used. Crashes of whole requests are in `SuspectReport`.
+struct OldSuspect {
   fingerprint @0 :UInt64;
-  # xxh3-64 of the target's name, truncated to 32 bits.
   target @1 :UInt32;
   ageMs @2 :UInt32;
 }
 
-# A crash of a target while a prompt waited for its first output there.
-struct PartCrash {
-  # Hashes of complete pieces of the prompt. They are chained, so that each names a beginning.
-  parts @0 :List(UInt64);
+# A crash of a target while a request was in flight there.
+struct Crash {
+  # Fingerprint of the request and, if it waited for its first output, hashes of complete pieces of
+  # its prompt. These are chained, so that each names a beginning.
+  keys @0 :List(UInt64);
   # xxh3-64 of the target's name, truncated to 32 bits.
   target @1 :UInt32;
   ageMs @2 :UInt32;
   # Time from the sending of the request to the crash, in milliseconds.
   inFlightMs @3 :UInt32;
+  # Whether the request ran as a trial: no other suspect that shares a key ran.
+  isTrial @4 :Bool;
 }
 
-# Time since an answer on a prompt with this piece last began, in milliseconds.
-struct PartStart {
-  part @0 :UInt64;
+# Time since a request with this key was last answered, in milliseconds.
+struct KeyAnswer {
+  key @0 :UInt64;
   ageMs @1 :UInt32;
 }
 
-# Crashes with prompts, and the last answers on the pieces of these prompts.
-struct PartReport {
-  crashes @0 :List(PartCrash);
-  starts @1 :List(PartStart);
+# Crashes, and the last answers to the keys of these requests.
+struct SuspectReport {
+  crashes @0 :List(Crash);
+  answers @1 :List(KeyAnswer);
 }
 
 struct Entry {
@@ -71,8 +73,8 @@
   peerAddress @7 :Text;
   configVersion @8 :UInt64;
   loads @9 :List(TargetLoad);
-  suspects @10 :List(Suspect);
-  parts @11 :PartReport;
+  oldSuspects @10 :List(OldSuspect);
+  suspects @11 :SuspectReport;
 }
 
 # The part of an entry that changes from round to round; the full entry holds the rest.
@@ -95,8 +97,8 @@
   # Sequence number of the owner's entry at the time of the report.
   sequence @3 :UInt32;
   loads @4 :List(TargetLoad);
-  suspects @5 :List(Suspect);
-  parts @6 :PartReport;
+  oldSuspects @5 :List(OldSuspect);
+  suspects @6 :SuspectReport;
 }
 
 # Sent as a packed message inside `Data`, because the RPC library sends its messages unpacked.
@@ -171,7 +173,7 @@
   # `clock` is the logical clock of its turn; both sides pass on their clocks and the crashes that
   # they know of this fingerprint and of prompts with any of `pieces`, those of the request's prompt
   # that are suspected.
-  takeTurn @9 (fingerprint :UInt64, clock :UInt64, daemon :Text, suspects :List(Suspect),
-      pieces :List(UInt64), parts :PartReport)
-    -> (isHeldBack :Bool, clock :UInt64, suspects :List(Suspect), parts :PartReport);
+  takeTurn @9 (fingerprint :UInt64, clock :UInt64, daemon :Text,
+      oldSuspects :List(OldSuspect), pieces :List(UInt64), suspects :SuspectReport)
+    -> (isHeldBack :Bool, clock :UInt64, oldSuspects :List(OldSuspect), suspects :SuspectReport);
 }
--- a/crates/protocol/src/peer/peer_capnp.rs
+++ b/crates/protocol/src/peer/peer_capnp.rs
@@ -615,7 +615,7 @@
         ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
 }
 
-pub mod suspect {
+pub mod old_suspect {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -861,20 +861,20 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
+            ::capnp::word(181, 80, 65, 217, 162, 7, 8, 142),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
-            ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 79, 108, 100, 83, 117),
+            ::capnp::word(115, 112, 101, 99, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -950,11 +950,11 @@
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
-        pub(crate) const TYPE_ID: u64 = 0xe629_d181_b72d_3683;
+        pub(crate) const TYPE_ID: u64 = 0x8e08_07a2_d941_50b5;
     }
 }
 
-pub mod part_crash {
+pub mod crash {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -1058,14 +1058,14 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+        pub fn get_keys(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_keys(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
@@ -1080,6 +1080,10 @@
         pub fn get_in_flight_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_is_trial(self) -> bool {
+            self.reader.get_bool_field(96)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1172,14 +1176,14 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+        pub fn get_keys(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_parts(
+        pub fn set_keys(
             &mut self,
             value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
         ) -> ::capnp::Result<()> {
@@ -1190,14 +1194,14 @@
             )
         }
         #[inline]
-        pub fn init_parts(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+        pub fn init_keys(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(0),
                 size,
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_keys(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
@@ -1224,6 +1228,14 @@
         pub fn set_in_flight_ms(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_is_trial(self) -> bool {
+            self.builder.get_bool_field(96)
+        }
+        #[inline]
+        pub fn set_is_trial(&mut self, value: bool) {
+            self.builder.set_bool_field(96, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1238,53 +1250,60 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(201, 89, 15, 236, 200, 227, 188, 199),
+            ::capnp::word(30, 49, 41, 16, 52, 160, 153, 137),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 67),
-            ::capnp::word(114, 97, 115, 104, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 96, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 115, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1321,6 +1340,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 84, 114, 105, 97, 108, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1328,6 +1355,7 @@
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1346,14 +1374,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
-        pub(crate) const TYPE_ID: u64 = 0xc7bc_e3c8_ec0f_59c9;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 4, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0x8999_a034_1029_311e;
     }
 }
 
-pub mod part_start {
+pub mod key_answer {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -1457,7 +1485,7 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_part(self) -> u64 {
+        pub fn get_key(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
@@ -1556,11 +1584,11 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_part(self) -> u64 {
+        pub fn get_key(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_part(&mut self, value: u64) {
+        pub fn set_key(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
@@ -1587,7 +1615,7 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(77, 200, 9, 59, 38, 16, 18, 255),
+            ::capnp::word(237, 235, 240, 243, 77, 72, 137, 210),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
@@ -1599,14 +1627,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 83),
-            ::capnp::word(116, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 75, 101, 121, 65, 110),
+            ::capnp::word(115, 119, 101, 114, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
@@ -1617,7 +1645,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1659,11 +1687,11 @@
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
-        pub(crate) const TYPE_ID: u64 = 0xff12_1026_3b09_c84d;
+        pub(crate) const TYPE_ID: u64 = 0xd289_484d_f3f0_ebed;
     }
 }
 
-pub mod part_report {
+pub mod suspect_report {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -1769,7 +1797,7 @@
         #[inline]
         pub fn get_crashes(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_crash::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::crash::Owned>>
         {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
@@ -1781,9 +1809,9 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_starts(
+        pub fn get_answers(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::part_start::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::key_answer::Owned>>
         {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
@@ -1791,7 +1819,7 @@
             )
         }
         #[inline]
-        pub fn has_starts(&self) -> bool {
+        pub fn has_answers(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
     }
@@ -1888,7 +1916,7 @@
         #[inline]
         pub fn get_crashes(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_crash::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::crash::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
@@ -1898,7 +1926,7 @@
         #[inline]
         pub fn set_crashes(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_crash::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::crash::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
@@ -1910,7 +1938,7 @@
         pub fn init_crashes(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_crash::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::crash::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(0),
                 size,
@@ -1921,9 +1949,9 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_starts(
+        pub fn get_answers(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::part_start::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::key_answer::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
@@ -1931,9 +1959,9 @@
             )
         }
         #[inline]
-        pub fn set_starts(
+        pub fn set_answers(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::part_start::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::key_answer::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
@@ -1942,17 +1970,17 @@
             )
         }
         #[inline]
-        pub fn init_starts(
+        pub fn init_answers(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::part_start::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::key_answer::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(1),
                 size,
             )
         }
         #[inline]
-        pub fn has_starts(&self) -> bool {
+        pub fn has_answers(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
     }
@@ -1969,22 +1997,23 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+            ::capnp::word(70, 101, 115, 245, 46, 47, 167, 146),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 82),
-            ::capnp::word(101, 112, 111, 114, 116, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
+            ::capnp::word(99, 116, 82, 101, 112, 111, 114, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1997,7 +2026,7 @@
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
@@ -2007,19 +2036,19 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 89, 15, 236, 200, 227, 188, 199),
+            ::capnp::word(30, 49, 41, 16, 52, 160, 153, 137),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 116, 97, 114, 116, 115, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 200, 9, 59, 38, 16, 18, 255),
+            ::capnp::word(237, 235, 240, 243, 77, 72, 137, 210),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -2028,8 +2057,8 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::struct_list::Owned<crate::peer_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::peer_capnp::part_start::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::struct_list::Owned<crate::peer_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::key_answer::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2050,8 +2079,8 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-        pub(crate) const TYPE_ID: u64 = 0xa3be_9de8_5de9_2dec;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0x92a7_2f2e_f573_6546;
     }
 }
 
@@ -2246,9 +2275,9 @@
             !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
-        pub fn get_suspects(
+        pub fn get_old_suspects(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::old_suspect::Owned>>
         {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(6),
@@ -2256,18 +2285,20 @@
             )
         }
         #[inline]
-        pub fn has_suspects(&self) -> bool {
+        pub fn has_old_suspects(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
         #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+        pub fn get_suspects(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(7),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
     }
@@ -2563,9 +2594,9 @@
             !self.builder.is_pointer_field_null(5)
         }
         #[inline]
-        pub fn get_suspects(
+        pub fn get_old_suspects(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(6),
@@ -2573,9 +2604,9 @@
             )
         }
         #[inline]
-        pub fn set_suspects(
+        pub fn set_old_suspects(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::old_suspect::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(6),
@@ -2584,30 +2615,32 @@
             )
         }
         #[inline]
-        pub fn init_suspects(
+        pub fn init_old_suspects(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(6),
                 size,
             )
         }
         #[inline]
-        pub fn has_suspects(&self) -> bool {
+        pub fn has_old_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
         #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+        pub fn get_suspects(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(7),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_parts(
+        pub fn set_suspects(
             &mut self,
-            value: crate::peer_capnp::part_report::Reader<'_>,
+            value: crate::peer_capnp::suspect_report::Reader<'_>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(7),
@@ -2616,11 +2649,11 @@
             )
         }
         #[inline]
-        pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+        pub fn init_suspects(self) -> crate::peer_capnp::suspect_report::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), 0)
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
     }
@@ -2636,12 +2669,12 @@
         }
     }
     impl Pipeline {
-        pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+        pub fn get_suspects(&self) -> crate::peer_capnp::suspect_report::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(7))
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 210] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 211] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(64, 244, 248, 151, 138, 219, 74, 197),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -2732,17 +2765,17 @@
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2831,22 +2864,23 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 108, 100, 83, 117, 115, 112, 101),
+            ::capnp::word(99, 116, 115, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
+            ::capnp::word(181, 80, 65, 217, 162, 7, 8, 142),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+            ::capnp::word(70, 101, 115, 245, 46, 47, 167, 146),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -2865,8 +2899,8 @@
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                10 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                11 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::peer_capnp::old_suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <crate::peer_capnp::suspect_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2887,7 +2921,7 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 6, 8, 0, 9, 11, 7, 1, 4, 5, 10, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 6, 8, 0, 9, 10, 7, 1, 4, 5, 11, 2];
         pub(crate) const TYPE_ID: u64 = 0xc54a_db8a_97f8_f440;
     }
 }
@@ -3429,9 +3463,9 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_suspects(
+        pub fn get_old_suspects(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::old_suspect::Owned>>
         {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
@@ -3439,18 +3473,20 @@
             )
         }
         #[inline]
-        pub fn has_suspects(&self) -> bool {
+        pub fn has_old_suspects(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+        pub fn get_suspects(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(2),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
     }
@@ -3612,9 +3648,9 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_suspects(
+        pub fn get_old_suspects(
             self,
-        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned>>
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
@@ -3622,9 +3658,9 @@
             )
         }
         #[inline]
-        pub fn set_suspects(
+        pub fn set_old_suspects(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::old_suspect::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
@@ -3633,30 +3669,32 @@
             )
         }
         #[inline]
-        pub fn init_suspects(
+        pub fn init_old_suspects(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(1),
                 size,
             )
         }
         #[inline]
-        pub fn has_suspects(&self) -> bool {
+        pub fn has_old_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+        pub fn get_suspects(
+            self,
+        ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(2),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_parts(
+        pub fn set_suspects(
             &mut self,
-            value: crate::peer_capnp::part_report::Reader<'_>,
+            value: crate::peer_capnp::suspect_report::Reader<'_>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(2),
@@ -3665,11 +3703,11 @@
             )
         }
         #[inline]
-        pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+        pub fn init_suspects(self) -> crate::peer_capnp::suspect_report::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
+        pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
     }
@@ -3685,12 +3723,12 @@
         }
     }
     impl Pipeline {
-        pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+        pub fn get_suspects(&self) -> crate::peer_capnp::suspect_report::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 133] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(198, 198, 0, 99, 168, 47, 143, 231),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -3746,17 +3784,17 @@
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3802,22 +3840,23 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 108, 100, 83, 117, 115, 112, 101),
+            ::capnp::word(99, 116, 115, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
+            ::capnp::word(181, 80, 65, 217, 162, 7, 8, 142),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+            ::capnp::word(70, 101, 115, 245, 46, 47, 167, 146),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -3831,8 +3870,8 @@
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::old_suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::peer_capnp::suspect_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3853,7 +3892,7 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 4, 2, 6, 3, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 4, 5, 2, 3, 6];
         pub(crate) const TYPE_ID: u64 = 0xe78f_2fa8_6300_c6c6;
     }
 }
@@ -12767,17 +12806,18 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_suspects(
+            pub fn get_old_suspects(
                 self,
-            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect::Owned>>
-            {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::old_suspect::Owned>,
+            > {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_suspects(&self) -> bool {
+            pub fn has_old_suspects(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
@@ -12792,14 +12832,16 @@
                 !self.reader.get_pointer_field(2).is_null()
             }
             #[inline]
-            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(3),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_parts(&self) -> bool {
+            pub fn has_suspects(&self) -> bool {
                 !self.reader.get_pointer_field(3).is_null()
             }
         }
@@ -12942,19 +12984,20 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_suspects(
+            pub fn get_old_suspects(
                 self,
-            ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned>>
-            {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned>,
+            > {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_suspects(
+            pub fn set_old_suspects(
                 &mut self,
-                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect::Owned>,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::old_suspect::Owned>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(1),
@@ -12963,17 +13006,18 @@
                 )
             }
             #[inline]
-            pub fn init_suspects(
+            pub fn init_old_suspects(
                 self,
                 size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned> {
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned>
+            {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(1),
                     size,
                 )
             }
             #[inline]
-            pub fn has_suspects(&self) -> bool {
+            pub fn has_old_suspects(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
             #[inline]
@@ -13006,16 +13050,18 @@
                 !self.builder.is_pointer_field_null(2)
             }
             #[inline]
-            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(3),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_parts(
+            pub fn set_suspects(
                 &mut self,
-                value: crate::peer_capnp::part_report::Reader<'_>,
+                value: crate::peer_capnp::suspect_report::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(3),
@@ -13024,14 +13070,14 @@
                 )
             }
             #[inline]
-            pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+            pub fn init_suspects(self) -> crate::peer_capnp::suspect_report::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(3),
                     0,
                 )
             }
             #[inline]
-            pub fn has_parts(&self) -> bool {
+            pub fn has_suspects(&self) -> bool {
                 !self.builder.is_pointer_field_null(3)
             }
         }
@@ -13047,12 +13093,12 @@
             }
         }
         impl Pipeline {
-            pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+            pub fn get_suspects(&self) -> crate::peer_capnp::suspect_report::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 117] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 118] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(138, 104, 185, 196, 86, 39, 253, 183),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
@@ -13094,7 +13140,7 @@
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
@@ -13108,10 +13154,10 @@
                 ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
                 ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -13137,14 +13183,14 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 108, 100, 83, 117, 115, 112, 101),
+                ::capnp::word(99, 116, 115, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
+                ::capnp::word(181, 80, 65, 217, 162, 7, 8, 142),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -13162,9 +13208,10 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+                ::capnp::word(70, 101, 115, 245, 46, 47, 167, 146),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -13176,9 +13223,9 @@
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::struct_list::Owned<crate::peer_capnp::old_suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                    5 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <crate::peer_capnp::suspect_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13199,7 +13246,7 @@
                 );
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 5, 4, 3];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3, 4, 5];
             pub(crate) const TYPE_ID: u64 = 0xb7fd_2756_c4b9_688a;
         }
     }
@@ -13320,28 +13367,31 @@
                 self.reader.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn get_suspects(
+            pub fn get_old_suspects(
                 self,
-            ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::peer_capnp::suspect::Owned>>
-            {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::old_suspect::Owned>,
+            > {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_suspects(&self) -> bool {
+            pub fn has_old_suspects(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Reader<'a>> {
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_parts(&self) -> bool {
+            pub fn has_suspects(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
         }
@@ -13457,19 +13507,20 @@
                 self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
-            pub fn get_suspects(
+            pub fn get_old_suspects(
                 self,
-            ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned>>
-            {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned>,
+            > {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_suspects(
+            pub fn set_old_suspects(
                 &mut self,
-                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::suspect::Owned>,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::old_suspect::Owned>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -13478,30 +13529,33 @@
                 )
             }
             #[inline]
-            pub fn init_suspects(
+            pub fn init_old_suspects(
                 self,
                 size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::suspect::Owned> {
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::old_suspect::Owned>
+            {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
                     size,
                 )
             }
             #[inline]
-            pub fn has_suspects(&self) -> bool {
+            pub fn has_old_suspects(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_parts(self) -> ::capnp::Result<crate::peer_capnp::part_report::Builder<'a>> {
+            pub fn get_suspects(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::suspect_report::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_parts(
+            pub fn set_suspects(
                 &mut self,
-                value: crate::peer_capnp::part_report::Reader<'_>,
+                value: crate::peer_capnp::suspect_report::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(1),
@@ -13510,14 +13564,14 @@
                 )
             }
             #[inline]
-            pub fn init_parts(self) -> crate::peer_capnp::part_report::Builder<'a> {
+            pub fn init_suspects(self) -> crate::peer_capnp::suspect_report::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(1),
                     0,
                 )
             }
             #[inline]
-            pub fn has_parts(&self) -> bool {
+            pub fn has_suspects(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
         }
@@ -13533,12 +13587,12 @@
             }
         }
         impl Pipeline {
-            pub fn get_parts(&self) -> crate::peer_capnp::part_report::Pipeline {
+            pub fn get_suspects(&self) -> crate::peer_capnp::suspect_report::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 84] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 85] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(107, 143, 188, 88, 242, 162, 159, 154),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
@@ -13574,17 +13628,17 @@
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 115, 72, 101, 108, 100, 66, 97),
                 ::capnp::word(99, 107, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -13602,22 +13656,23 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 108, 100, 83, 117, 115, 112, 101),
+                ::capnp::word(99, 116, 115, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(131, 54, 45, 183, 129, 209, 41, 230),
+                ::capnp::word(181, 80, 65, 217, 162, 7, 8, 142),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(236, 45, 233, 93, 232, 157, 190, 163),
+                ::capnp::word(70, 101, 115, 245, 46, 47, 167, 146),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -13628,8 +13683,8 @@
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <crate::peer_capnp::part_report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::peer_capnp::old_suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::peer_capnp::suspect_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13650,7 +13705,7 @@
                 );
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 3, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2, 3];
             pub(crate) const TYPE_ID: u64 = 0x9a9f_a2f2_58bc_8f6b;
         }
     }
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -349,8 +349,7 @@
     match &mut started {
         Ok(StreamStart::Open(_, stream)) => {
             if stream.first_events.is_some() {
-                let mut suspects = state.part_suspects.borrow_mut();
-                suspects.record_start(&request.shared_keys, clock::now_ms());
+                suspects::record_answer(state, request);
             }
             stream.prefill_ms = prefill_ms;
             stream.plan.prefill = handle.map(|handle| rc::Rc::clone(&handle.engine));
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -39,8 +39,6 @@
     pub headers: http::HeaderMap,
     /// Complete body of the request.
     pub body: Bytes,
-    /// Hash of path, query and body, which is equal if a caller sends the request again.
-    pub fingerprint: u64,
     /// Time at which the head arrived.
     pub arrival: Instant,
     /// Time by which the final response is sent.
@@ -49,8 +47,9 @@
     pub metadata: platform::RequestMetadata,
     /// Parts of the prompt; empty for plain services.
     pub parts: Vec<prefix::PromptPart>,
-    /// Keys of the parts that other requests may share: all but the last one.
-    pub shared_keys: Vec<u64>,
+    /// Keys by which it may be a crash suspect: that of the whole request, which is equal if a caller
+    /// sends it again, and those of the parts that other requests may share, all but the last one.
+    pub suspect_keys: Vec<u64>,
     /// Time by [`crate::clock::now_ms`] at which it was let through as a trial of a refused part.
     pub trial_ms: Cell<Option<u64>>,
     /// Version of the configuration that applies to it.
@@ -91,15 +90,16 @@
                 };
                 parts.map(part).collect()
             });
+        let mut suspect_keys = vec![fingerprint(&head.method, &head.uri, &body)];
         let shared = prefix::shared_parts(&parts).iter();
+        suspect_keys.extend(shared.map(|part| part.key));
         Ok(Self {
-            shared_keys: shared.map(|part| part.key).collect(),
+            suspect_keys,
             trial_ms: Cell::new(None),
             id: metadata.attempt_id.clone().unwrap_or_default(),
             service: service.to_owned(),
             route: route.clone(),
             method: head.method,
-            fingerprint: fingerprint(&head.uri, &body),
             uri: head.uri,
             headers: state.codec.forward_headers(&head.headers),
             body,
@@ -134,11 +134,21 @@
         generation.map_or(0, |generation| generation.prompt_tokens)
     }
 
-    /// Returns the ids of the parts that other requests may share, in the order of `shared_keys`.
+    /// Returns the key of the whole request.
+    pub fn fingerprint(&self) -> u64 {
+        self.suspect_keys[0]
+    }
+
+    /// Returns the keys of the parts that other requests may share.
+    pub fn shared_keys(&self) -> &[u64] {
+        &self.suspect_keys[1..]
+    }
+
+    /// Returns the ids of the parts that other requests may share, in the order of their keys.
     pub fn shared_part_ids(&self) -> Vec<&str> {
         let generation = self.metadata.generation.iter();
         let ids = generation.flat_map(|generation| &generation.parts);
-        let shared = ids.take(self.shared_keys.len());
+        let shared = ids.take(self.shared_keys().len());
         shared.map(|(id, _)| id.as_str()).collect()
     }
 
@@ -182,11 +192,13 @@
     }
 }
 
-fn fingerprint(uri: &http::Uri, body: &[u8]) -> u64 {
+fn fingerprint(method: &http::Method, uri: &http::Uri, body: &[u8]) -> u64 {
     let mut hasher = Xxh3::new();
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    hasher.update(path.as_bytes());
-    hasher.update(&[0]);
+    for part in [method.as_str(), path] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
     hasher.update(body);
     hasher.digest()
 }
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -117,6 +117,9 @@
         }
         Ok((head, body)) => {
             record(outlier::TargetOutcome::Answered);
+            if !head.status.is_server_error() {
+                suspects::record_answer(state, request);
+            }
             Ok((head, body))
         }
         Err(connection::BodyError::Timeout) => {
--- a/crates/relay/src/dispatch/suspects.rs
+++ b/crates/relay/src/dispatch/suspects.rs
@@ -32,42 +32,66 @@
             retry_after_ms: None,
         })
     };
-    let status = state.suspects.borrow().status(request.fingerprint, now_ms);
-    if status == suspect::SuspectStatus::Refused {
-        return refuse(RefusalCause::CrashSuspect);
-    }
     let refused = state
-        .part_suspects
+        .suspects
         .borrow()
-        .refused_part(&request.shared_keys, now_ms);
-    let Some(part) = refused else {
+        .refused_key(&request.suspect_keys, now_ms);
+    let Some(key) = refused else {
         return Ok(());
     };
-    let position = request.shared_keys.iter().position(|key| *key == part);
-    let ids = request.shared_part_ids();
-    let part_id = position.map_or("", |position| ids[position]);
-    if is_trial(state, request, part, now_ms) {
-        log::info!(id = request.id.as_str(), part = part_id; "part_tried");
+    let part_id = part_id(request, key);
+    if is_trial(state, request, key, now_ms) {
+        log::info!(id = request.id.as_str(), part = part_id; "suspect_tried");
         return Ok(());
     }
-    log::info!(id = request.id.as_str(), part = part_id; "part_refused");
-    refuse(RefusalCause::CrashPart)
+    match part_id {
+        Some(part_id) => {
+            log::info!(id = request.id.as_str(), part = part_id; "part_refused");
+            refuse(RefusalCause::CrashPart)
+        }
+        None => refuse(RefusalCause::CrashSuspect),
+    }
 }
 
-/// Whether a request runs as a trial of a refused part. Only the daemon of the first rank makes
+/// Returns the id of the prompt part that a key names; `None` if it names the whole request.
+fn part_id(request: &RelayRequest, key: u64) -> Option<&str> {
+    let position = request.shared_keys().iter().position(|part| *part == key)?;
+    request.shared_part_ids().get(position).copied()
+}
+
+/// Records that a target has answered a request, or begun to.
+pub fn record_answer<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+) {
+    let now_ms = clock::now_ms();
+    let mut suspects = state.suspects.borrow_mut();
+    // Few requests recur, so that only answers to suspected ones are recorded. A prompt part that
+    // was answered before a crash is less suspicious.
+    let is_known = suspects.is_known(request.fingerprint());
+    let keys = match is_known {
+        true => &request.suspect_keys,
+        false => request.shared_keys(),
+    };
+    if suspects.record_answer(keys, now_ms) {
+        state.report_now.notify_one();
+    }
+}
+
+/// Whether a request runs as a trial of a refused key. Only the daemon of the first rank makes
 /// trials, so that there is one at a time. A trial ends with the next crash.
 fn is_trial<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
-    part: u64,
+    key: u64,
     now_ms: u64,
 ) -> bool {
-    let mut suspects = state.part_suspects.borrow_mut();
+    let mut suspects = state.suspects.borrow_mut();
     if let Some(trial_ms) = request.trial_ms.get() {
-        return suspects.last_crash_ms(part) < trial_ms;
+        return suspects.last_crash_ms(key) < trial_ms;
     }
     let is_first = scheduler::own_rank(state, now_ms) == 0;
-    let is_trial = is_first && suspects.try_part(part, now_ms);
+    let is_trial = is_first && suspects.try_key(key, now_ms);
     if is_trial {
         request.trial_ms.set(Some(now_ms));
     }
@@ -78,8 +102,9 @@
 #[derive(Clone, Debug)]
 struct BrokenCall {
     id: String,
-    fingerprint: u64,
-    shared_keys: Vec<u64>,
+    suspect_keys: Vec<u64>,
+    /// Whether it ran as a trial.
+    is_trial: bool,
     /// Ids of the shared parts, for the log.
     part_ids: String,
     /// Time by [`clock::now_ms`] at which it was sent to the target.
@@ -99,8 +124,8 @@
 ) {
     let call = BrokenCall {
         id: request.id.clone(),
-        fingerprint: request.fingerprint,
-        shared_keys: request.shared_keys.clone(),
+        suspect_keys: request.suspect_keys.clone(),
+        is_trial: request.trial_ms.get().is_some(),
         part_ids: request.shared_part_ids().join(","),
         sent_ms,
         broken_ms: clock::now_ms(),
@@ -142,20 +167,23 @@
 ) {
     log::info!(
         id = call.id.as_str(), target_id = target.entry.id.as_str(),
-        fingerprint = call.fingerprint, parts = call.part_ids.as_str(),
-        in_flight_ms = call.broken_ms.saturating_sub(call.sent_ms);
+        fingerprint = call.suspect_keys[0], parts = call.part_ids.as_str(),
+        is_trial = call.is_trial, in_flight_ms = call.broken_ms.saturating_sub(call.sent_ms);
         "target_crashed"
     );
     let target_hash = target.hash as u32;
-    state
-        .suspects
-        .borrow_mut()
-        .record_crash(call.fingerprint, target_hash, call.broken_ms);
-    state.part_suspects.borrow_mut().record_crash(
-        &call.shared_keys,
+    let mut suspects = state.suspects.borrow_mut();
+    let record = match call.is_trial {
+        true => suspect::SuspectTable::record_trial_crash,
+        false => suspect::SuspectTable::record_crash,
+    };
+    let (sent_ms, broken_ms) = (call.sent_ms, call.broken_ms);
+    record(
+        &mut suspects,
+        &call.suspect_keys,
         target_hash,
-        call.sent_ms,
-        call.broken_ms,
+        sent_ms,
+        broken_ms,
     );
     state.report_now.notify_one();
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -59,36 +59,27 @@
     pub ordered: Option<(EngineStage, u32)>,
 }
 
-/// A request suspected of crashing targets; see `acaciabank_core::suspect`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectEntry {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Hash of the crashed target.
-    pub target_hash: u32,
-    /// Time since the crash.
-    pub age_ms: u64,
-}
-
 /// A crash of a target while a request waited for its first output there; see
 /// `acaciabank_core::suspect`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartCrashEntry {
-    /// Keys of the prompt parts of the request that other requests may share.
-    pub parts: Vec<u64>,
+pub struct CrashEntry {
+    /// Keys of the request and of its prompt parts that other requests may share.
+    pub keys: Vec<u64>,
     /// Hash of the crashed target.
     pub target_hash: u32,
     /// Time since the crash.
     pub age_ms: u64,
     /// Time from the sending of the request to the crash.
     pub in_flight_ms: u64,
+    /// Whether the request ran as a trial.
+    pub is_trial: bool,
 }
 
-/// A prompt part of a crash suspect that has been answered.
+/// A key of a crash suspect that has been answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartStartEntry {
-    /// Key of the part.
-    pub part: u64,
+pub struct AnswerEntry {
+    /// The key.
+    pub key: u64,
     /// Time since the last answer began.
     pub age_ms: u64,
 }
@@ -129,12 +120,10 @@
     pub stage_changes: Vec<StageChangeEntry>,
     /// Prompt parts that it has sent to engines since its last report.
     pub parts: Vec<PartEntry>,
-    /// Crash suspects, recent ones first.
-    pub suspects: Vec<SuspectEntry>,
-    /// Crashes with suspected prompt parts, the most recent ones and some older ones.
-    pub part_crashes: Vec<PartCrashEntry>,
-    /// When the parts of `part_crashes` were last answered.
-    pub part_starts: Vec<PartStartEntry>,
+    /// Crashes, the most recent ones and some older ones.
+    pub crashes: Vec<CrashEntry>,
+    /// When the keys of `crashes`, and suspects that were cleared a moment ago, were last answered.
+    pub answers: Vec<AnswerEntry>,
     /// Hash of the daemon's availability zone, used only to compare zones.
     pub zone_hash: u64,
     /// Processor capacity of the host, in thousandths of a core.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -178,7 +178,7 @@
     SEQUENCE.set(sequence);
     let settings = &state.settings;
     let recent = state.watch.recent_changes(now_ms);
-    let (part_crashes, part_starts) = suspects::report_parts(state, now_ms);
+    let (crashes, answers) = suspects::report(state, now_ms);
     PeerReport {
         host: settings.host.clone(),
         boot_id: state.boot_id,
@@ -203,9 +203,8 @@
         loads: loads(state),
         stage_changes: stage_changes(state),
         parts: recent_parts(state, now_ms, interval),
-        suspects: suspects::report_requests(state, now_ms),
-        part_crashes,
-        part_starts,
+        crashes,
+        answers,
         known: sample_contacts(state),
         zone_hash: state.zone_hash,
         capacity_millicores: settings.capacity_millicores,
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -118,10 +118,8 @@
     pub scheduler: scheduler::SchedulerState,
     /// Freshness of this daemon's copy of the store, and recent changes to report.
     pub watch: watch::StoreWatch,
-    /// Requests suspected of crashing targets.
+    /// Requests and prompt parts suspected of crashing targets.
     pub suspects: RefCell<suspect::SuspectTable>,
-    /// Prompt parts suspected of crashing targets.
-    pub part_suspects: RefCell<suspect::PartSuspects>,
     /// Estimated speeds of the prefill engines by service.
     pub prompt_speeds: RefCell<HashMap<String, prompt_speed::SpeedEstimate>>,
     /// Retry budgets by service.
@@ -195,7 +193,6 @@
             scheduler: scheduler::SchedulerState::default(),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::default(),
-            part_suspects: RefCell::default(),
             prompt_speeds: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -85,6 +85,9 @@
     /// Ids of prompt parts that end the process when an engine begins to write the answer of a
     /// request that holds one of them in front of its last part.
     pub crash_parts: Vec<String>,
+    /// Path, with the query, that ends the process when a plain service has worked on a request
+    /// for it.
+    pub crash_path: Option<String>,
     /// Additional time to the first event of a stream, in milliseconds.
     pub first_event_delay_ms: u64,
     /// Additional time that an engine takes to process a prompt, in milliseconds.
@@ -252,7 +255,7 @@
         }
         let deadline = header("x-acaciabank-deadline-ms");
         self.journal.record(json!({
-            "ran": attempt, "path": head.uri.path(), "deadline_ms": deadline, "source": source,
+            "ran": attempt, "path": head.uri.path(), "query": head.uri.query(), "deadline_ms": deadline, "source": source,
             "last_event": header("last-event-id"), "body": String::from_utf8_lossy(&body),
         }));
         if faults.is_mute {
@@ -263,6 +266,12 @@
             return Err(io::Error::other("fault: response dropped"));
         }
         if self.options.stage.is_none() {
+            let path = head.uri.path_and_query().map(|path| path.as_str());
+            if path.is_some() && path == faults.crash_path.as_deref() {
+                tokio::time::sleep(Duration::from_millis(self.options.work_ms)).await;
+                self.journal.record(json!({"crashed": attempt}));
+                process::exit(CRASH_STATUS);
+            }
             return self.respond(&attempt, &faults, &body).await;
         }
         let first_event = header("last-event-id")
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -129,13 +129,15 @@
 fn initial_faults() -> impl Parser<emulator::RunnerFaults> {
     let crash_parts = long("crash-part").argument::<String>("ID").many();
     let first_event_delay_ms = argument("first-event-delay-ms", 0);
-    construct!(crash_parts, first_event_delay_ms).map(|(crash_parts, first_event_delay_ms)| {
-        emulator::RunnerFaults {
+    let crash_path = long("crash-path").argument::<String>("PATH").optional();
+    construct!(crash_parts, first_event_delay_ms, crash_path).map(
+        |(crash_parts, first_event_delay_ms, crash_path)| emulator::RunnerFaults {
             crash_parts,
             first_event_delay_ms,
+            crash_path,
             ..emulator::RunnerFaults::default()
-        }
-    })
+        },
+    )
 }
 
 fn runner_arguments() -> impl Parser<RunnerArguments> {
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -2,6 +2,7 @@
 //! the runners and the responses that callers received.
 
 mod crashing_parts;
+mod crashing_requests;
 mod faulty_targets;
 mod fixture;
 mod guarantees;
@@ -9,6 +10,7 @@
 mod lifecycle;
 mod losses;
 mod peers;
+mod restarts;
 mod returns;
 mod silences;
 mod soak;
