Let suspects run one at a time until one of them is answered

Cause: crashes at one moment count as one, and nothing was held back between the first crash and the third in a row.

Ruled out: late knowledge of crashes (known within a fraction of a second, the next requests come seconds later); counting the targets of a moment one by one, which refuses what was in flight when a rack failed.

Change: a request with a key that was seen in a crash and not answered since waits until an answer clears it or the daemon of the first rank grants it a trial, one at a time of all that share a suspected key; 1.5 s at most, then 503 with Retry-After. A refused key is tried by whichever daemon gets the request, no longer by the first one alone.

--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -11,7 +11,9 @@
 use std::collections::HashMap;
 
 use super::{
-    SUSPECT_LIFETIME_MS, SuspectStatus, answers::AnswerTable, attribution::OpenCrashes,
+    COMMON_FAILURE_MS, SUSPECT_LIFETIME_MS, SuspectStatus,
+    answers::AnswerTable,
+    attribution::{self, OpenCrashes},
     report::RECENT_MS,
 };
 
@@ -37,8 +39,8 @@
 /// Records of requests with the same keys at the same target within this time belong to one crash:
 /// a target needs longer to crash again.
 pub(super) const CRASH_DEDUP_MS: u64 = 2_000;
-/// The same for crashes that another daemon reports. A daemon that was paused reads old reports
-/// late.
+/// The same for records that also agree in the time for which the request was in flight: they are
+/// reports of one crash, which a daemon that was paused reads late.
 const REPORTED_CRASH_DEDUP_MS: u64 = 30_000;
 /// Difference by which a reported time has to exceed the known one to be a later answer. Each
 /// daemon that passes a report on adds its delay.
@@ -79,6 +81,33 @@
     pub(super) is_trial: bool,
 }
 
+impl SeenCrash {
+    /// Whether two records are of one crash and of requests with the same keys, of which at most one
+    /// ran as a trial: each trial counts.
+    fn is_same(&self, other: &Self) -> bool {
+        let are_trials = self.is_trial && other.is_trial;
+        self.has_same_keys(other, CRASH_DEDUP_MS)
+            && (!are_trials || self.in_flight_ms() == other.in_flight_ms())
+    }
+
+    /// Whether a record is a report of this one that arrives late.
+    fn is_late_report(&self, report: &Self) -> bool {
+        self.has_same_keys(report, REPORTED_CRASH_DEDUP_MS)
+            && self.in_flight_ms() == report.in_flight_ms()
+    }
+
+    /// Whether two records are of requests with the same keys and of the same target within a time.
+    fn has_same_keys(&self, other: &Self, time_ms: u64) -> bool {
+        self.target_hash == other.target_hash
+            && self.seen_ms.abs_diff(other.seen_ms) < time_ms
+            && self.keys == other.keys
+    }
+
+    fn in_flight_ms(&self) -> u64 {
+        self.seen_ms.saturating_sub(self.sent_ms)
+    }
+}
+
 /// Crash suspects, as known to one daemon.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
@@ -104,7 +133,7 @@
             seen_ms: now_ms,
             is_trial: false,
         };
-        self.insert(crash, CRASH_DEDUP_MS);
+        self.insert(crash);
     }
 
     /// The same for a request that ran as a trial: no other one with a suspected key of it ran.
@@ -122,7 +151,27 @@
             seen_ms: now_ms,
             is_trial: true,
         };
-        self.insert(crash, CRASH_DEDUP_MS);
+        self.insert(crash);
+    }
+
+    /// Records the crash of a trial that was sent at once after an earlier crash: as one that the
+    /// failure of several targets may have caused, unless it was sent [`COMMON_FAILURE_MS`] later.
+    pub fn record_prompt_trial_crash(
+        &mut self,
+        keys: &[u64],
+        target_hash: u32,
+        sent_ms: u64,
+        now_ms: u64,
+    ) {
+        let open = self.open_keys(keys, now_ms);
+        let earlier_ms = open.iter().map(|key| self.last_crash_ms(*key)).max();
+        match earlier_ms {
+            Some(earlier_ms) if (earlier_ms..earlier_ms + COMMON_FAILURE_MS).contains(&sent_ms) => {
+                let sent_ms = earlier_ms.saturating_sub(1);
+                self.record_crash(keys, target_hash, sent_ms, now_ms);
+            }
+            _ => self.record_trial_crash(keys, target_hash, sent_ms, now_ms),
+        }
     }
 
     /// Records that an answer to a request with these keys has begun. Returns whether it cleared a
@@ -163,19 +212,24 @@
         if !keys.iter().any(|key| self.is_open(*key, now_ms)) {
             return SuspectStatus::Clear;
         }
-        let crashes = self.open_crashes(now_ms);
-        match self.refused_of(keys, &crashes) {
-            Some(key) if !self.is_trial_due(key, &crashes, now_ms) => SuspectStatus::Refused,
+        match self.refused_key(keys, now_ms) {
+            Some(key) if !self.is_trial_due(key, now_ms) => SuspectStatus::Refused,
             _ => SuspectStatus::Isolated,
         }
     }
 
-    /// Returns the key for which a request with these keys is refused, or runs as a trial only.
+    /// Returns the key for which a request with these keys is refused, or runs as a trial only: it
+    /// was seen in enough crashes, and it explains them better than each other suspect that the
+    /// request does not have. Of several keys, one that was never answered is returned.
     pub fn refused_key(&self, keys: &[u64], now_ms: u64) -> Option<u64> {
-        if !keys.iter().any(|key| self.is_open(*key, now_ms)) {
-            return None;
-        }
-        self.refused_of(keys, &self.open_crashes(now_ms))
+        let is_answered = |key| self.answers.last_ms(key).is_some();
+        let is_suspected =
+            |key: &u64| self.is_open(*key, now_ms) && self.is_suspected(*key, now_ms);
+        let mut suspected = keys.iter().copied().filter(is_suspected).peekable();
+        suspected.peek()?;
+        let crashes = self.open_crashes(now_ms);
+        let refused = suspected.filter(|key| crashes.explains_all(*key, keys, is_answered));
+        refused.min_by_key(|key| self.answers.last_ms(*key))
     }
 
     /// Returns those of a request's keys, at most [`MAX_KEYS`], that may have caused a crash: they
@@ -185,14 +239,10 @@
         open.take(MAX_KEYS).copied().collect()
     }
 
-    /// Whether a request with a refused key may run as a trial: its last crash and its last trial
-    /// are long enough ago. Records the trial if so. One daemon at a time should ask.
-    pub fn try_key(&mut self, key: u64, now_ms: u64) -> bool {
-        let is_due = self.is_trial_due(key, &self.open_crashes(now_ms), now_ms);
-        if is_due {
-            self.trials.insert(key, now_ms);
-        }
-        is_due
+    /// Records that a trial of a refused key begins, so that the next one is not due at once if this
+    /// one shows nothing.
+    pub fn begin_trial(&mut self, key: u64, now_ms: u64) {
+        self.trials.insert(key, now_ms);
     }
 
     /// Returns the time of the last crash that a key was seen in; 0 if there is none.
@@ -205,11 +255,8 @@
         if !self.is_open(key, now_ms) {
             return 0;
         }
-        let crashes = self.crashes.iter().filter(|crash| is_recent(crash, now_ms));
-        let own = crashes.filter(|crash| {
-            crash.keys.contains(&key) && self.answers.last_ms(key) <= Some(crash.seen_ms)
-        });
-        let mut targets: Vec<u32> = own.map(|crash| crash.target_hash).collect();
+        let crashes = self.crashes_of(key, now_ms);
+        let mut targets: Vec<u32> = crashes.map(|crash| crash.target_hash).collect();
         targets.sort_unstable();
         targets.dedup();
         targets.len()
@@ -228,7 +275,10 @@
             seen_ms,
             is_trial: record.is_trial,
         };
-        self.insert(crash, REPORTED_CRASH_DEDUP_MS);
+        let mut known = self.crashes.iter();
+        if !known.any(|known| known.is_late_report(&crash)) {
+            self.insert(crash);
+        }
     }
 
     /// Merges an answer that another daemon reports.
@@ -253,7 +303,7 @@
                 keys: crash.keys.clone(),
                 target_hash: crash.target_hash,
                 age_ms: now_ms.saturating_sub(crash.seen_ms),
-                in_flight_ms: crash.seen_ms.saturating_sub(crash.sent_ms),
+                in_flight_ms: crash.in_flight_ms(),
                 is_trial: crash.is_trial,
             })
             .collect()
@@ -278,18 +328,17 @@
     }
 
     /// Adds a crash in the order of the times, unless it is known.
-    fn insert(&mut self, mut crash: SeenCrash, dedup_ms: u64) {
+    fn insert(&mut self, mut crash: SeenCrash) {
         if crash.keys.len() > MAX_KEYS {
             // The sort is stable, so that the keys otherwise stay in their order.
             let is_answered = |key: &u64| self.answers.last_ms(*key).is_some();
             crash.keys.sort_by_key(is_answered);
             crash.keys.truncate(MAX_KEYS);
         }
-        let mut known = self.crashes.iter_mut().filter(|known| {
-            known.target_hash == crash.target_hash
-                && known.seen_ms.abs_diff(crash.seen_ms) < dedup_ms
-                && known.keys == crash.keys
-        });
+        let mut known = self
+            .crashes
+            .iter_mut()
+            .filter(|known| known.is_same(&crash));
         if let Some(known) = known.next() {
             known.is_trial |= crash.is_trial;
             return;
@@ -338,18 +387,27 @@
         self.trials.retain(|key, _| last_crashes.contains_key(key));
     }
 
-    /// Returns the refused one of a request's keys; of several, one that was never answered.
-    fn refused_of(&self, keys: &[u64], crashes: &OpenCrashes<'_>) -> Option<u64> {
+    /// Whether a key was seen in enough crashes to be refused. For one that was answered earlier, only
+    /// those crashes count that no key explains which never was.
+    fn is_suspected(&self, key: u64, now_ms: u64) -> bool {
+        let crashes = self.crashes_of(key, now_ms);
         let is_answered = |key| self.answers.last_ms(key).is_some();
-        let refused = keys
-            .iter()
-            .copied()
-            .filter(|key| crashes.is_refused(*key, keys, is_answered));
-        refused.min_by_key(|key| self.answers.last_ms(*key))
+        if !is_answered(key) || !attribution::is_suspected(crashes.clone(), true) {
+            return attribution::is_suspected(crashes, is_answered(key));
+        }
+        let mut known: HashMap<u64, bool> = HashMap::new();
+        let mut is_cause = |other: u64| {
+            let is_suspected = || attribution::is_suspected(self.crashes_of(other, now_ms), false);
+            !is_answered(other) && *known.entry(other).or_insert_with(is_suspected)
+        };
+        let unexplained = crashes.filter(|crash| !crash.keys.iter().any(|other| is_cause(*other)));
+        let unexplained: Vec<&SeenCrash> = unexplained.collect();
+        attribution::is_suspected(unexplained.into_iter(), true)
     }
 
-    fn is_trial_due(&self, key: u64, crashes: &OpenCrashes<'_>, now_ms: u64) -> bool {
-        let Some(delay_ms) = TRIAL_DELAYS_MS.get(crashes.trial_count(key)) else {
+    fn is_trial_due(&self, key: u64, now_ms: u64) -> bool {
+        let trials = self.crashes_of(key, now_ms).filter(|crash| crash.is_trial);
+        let Some(delay_ms) = TRIAL_DELAYS_MS.get(trials.count()) else {
             return false;
         };
         let trial_ms = self.trials.get(&key).copied().unwrap_or_default();
@@ -357,6 +415,16 @@
         now_ms.saturating_sub(last_ms) >= *delay_ms
     }
 
+    /// Returns the crashes that a key was seen in since it was last answered.
+    fn crashes_of(&self, key: u64, now_ms: u64) -> impl Iterator<Item = &SeenCrash> + Clone {
+        let answer_ms = self.answers.last_ms(key);
+        self.crashes.iter().filter(move |crash| {
+            is_recent(crash, now_ms)
+                && answer_ms <= Some(crash.seen_ms)
+                && crash.keys.contains(&key)
+        })
+    }
+
     /// Whether a key was seen in a crash and not answered since.
     fn is_open(&self, key: u64, now_ms: u64) -> bool {
         self.last_crashes.get(&key).is_some_and(|crash_ms| {
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -32,6 +32,16 @@
     }
 }
 
+/// Begins a trial of a refused key if one is due.
+fn try_key(suspects: &mut SuspectTable, key: u64, now_ms: u64) -> bool {
+    assert_eq!(suspects.refused_key(&[key], now_ms), Some(key));
+    let is_due = suspects.status(&[key], now_ms) == SuspectStatus::Isolated;
+    if is_due {
+        suspects.begin_trial(key, now_ms);
+    }
+    is_due
+}
+
 /// Guards against a part that goes on crashing targets because no two requests are alike.
 #[test]
 fn a_part_is_refused_after_crashes_in_a_row() {
@@ -82,12 +92,15 @@
     let mut suspects = SuspectTable::default();
     crash_in_a_row(&mut suspects, &[FIRST], 1_000);
     assert_eq!(suspects.refused_key(&[FIRST], 3_500), Some(FIRST));
-    assert!(!suspects.try_key(FIRST, 3_500));
+    assert!(!try_key(&mut suspects, FIRST, 3_500));
     let mut trials = 0;
     for now_ms in (3_500..SUSPECT_LIFETIME_MS).step_by(10) {
-        if suspects.try_key(FIRST, now_ms) {
+        if try_key(&mut suspects, FIRST, now_ms) {
             assert!(trials > 0 || now_ms < 10_000, "first trial at {now_ms} ms");
-            assert!(!suspects.try_key(FIRST, now_ms + 1), "two trials at once");
+            assert!(
+                !try_key(&mut suspects, FIRST, now_ms + 1),
+                "two trials at once"
+            );
             suspects.record_trial_crash(&[FIRST], 10 + trials, now_ms, now_ms + 5);
             trials += 1;
         }
@@ -104,7 +117,7 @@
         crash_in_a_row(&mut suspects, &[FIRST], 1_000);
         let mut now_ms = 4_000;
         for number in 0..=crashed_trials {
-            while !suspects.try_key(FIRST, now_ms) {
+            while !try_key(&mut suspects, FIRST, now_ms) {
                 now_ms += 10;
             }
             assert!(now_ms < 60_000, "trial {number} at {now_ms} ms");
@@ -161,6 +174,22 @@
     assert_eq!(suspects.export_crashes(11_000).len(), 1);
 }
 
+/// Guards against a crash that counts as one that is known, because an identical request crashed the
+/// same target some seconds before.
+#[test]
+fn a_reported_crash_of_the_same_target_by_the_same_request_counts() {
+    let mut source = SuspectTable::default();
+    let mut copy = SuspectTable::default();
+    for number in 0..REFUSE_MIN_CRASHES as u64 {
+        let now_ms = 1_000 + number * 4_000;
+        source.record_crash(&[FIRST], 1, now_ms - 100 - number, now_ms);
+        for crash in source.export_crashes(now_ms + 50) {
+            copy.merge_crash(&crash, now_ms + 60);
+        }
+    }
+    assert_eq!(copy.refused_key(&[FIRST], 10_000), Some(FIRST));
+}
+
 /// Guards against refusing all requests that begin like those that crash targets.
 #[test]
 fn a_request_with_one_of_two_inseparable_parts_runs() {
@@ -571,3 +600,24 @@
     let status = suspects.status(&[200, FIRST], 10_001);
     assert_eq!(status, SuspectStatus::Clear);
 }
+
+/// Guards against refusing all requests that begin like those that crash targets in trials, because
+/// some of them were in flight when a rack failed a moment before.
+#[test]
+fn a_failure_before_the_trials_of_another_part_does_not_refuse_a_part() {
+    let mut suspects = SuspectTable::default();
+    suspects.record_answer(&[FIRST], 500);
+    for target in 0..5 {
+        let own = 300 + u64::from(target);
+        suspects.record_crash(&[own, FIRST], target, 900, 1_000);
+    }
+    for trial in 0..MAX_LATE_REQUESTS {
+        let own = 100 + u64::from(trial);
+        let now_ms = 2_000 + u64::from(trial) * 500;
+        suspects.record_trial_crash(&[own, FIRST, CRASHING], 10 + trial, now_ms, now_ms + 100);
+    }
+    let status = suspects.status(&[200, FIRST], 5_000);
+    assert_eq!(status, SuspectStatus::Isolated);
+    let status = suspects.status(&[201, FIRST, CRASHING], 5_000);
+    assert_eq!(status, SuspectStatus::Refused);
+}
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -355,6 +355,8 @@
         send = progress.sends, elapsed_ms = request.elapsed_ms(), error = failure.message.as_str();
         "attempt_failed"
     );
+    // A retry of a suspect needs a trial of its own.
+    request.trial.take();
     progress.verdict = progress.verdict.combine(failure.verdict);
     progress.excluded.push(target.hash);
     if failure.retry == RetryReason::TargetRefused {
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving, suspects};
-use crate::{clock, config, platform, scheduler, state, target, watch};
+use crate::{clock, config, platform, scheduler, state, target, trial, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -178,7 +178,6 @@
     SEQUENCE.set(sequence);
     let settings = &state.settings;
     let recent = state.watch.recent_changes(now_ms);
-    let (crashes, answers) = suspects::report(state, now_ms);
     PeerReport {
         host: settings.host.clone(),
         boot_id: state.boot_id,
@@ -203,8 +202,7 @@
         loads: loads(state),
         stage_changes: stage_changes(state),
         parts: recent_parts(state, now_ms, interval),
-        crashes,
-        answers,
+        suspects: suspects::report(state, now_ms),
         known: sample_contacts(state),
         zone_hash: state.zone_hash,
         capacity_millicores: settings.capacity_millicores,
@@ -334,6 +332,13 @@
             scheduler::receive_response(state, response)
         }
         Ok(scheduler::PeerMessage::Update(update)) => scheduler::apply_update(state, &update),
+        Ok(scheduler::PeerMessage::TrialRequest(request)) => {
+            trial::handle_request(state, &request, sender);
+        }
+        Ok(scheduler::PeerMessage::TrialResponse(response)) => {
+            trial::receive_response(state, response);
+        }
+        Ok(scheduler::PeerMessage::TrialEnd(end)) => trial::handle_end(state, &end),
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "peer_message_unreadable");
         }
@@ -345,7 +350,7 @@
     report: PeerReport,
 ) {
     let now_ms = clock::now_ms();
-    suspects::apply(state, &report, now_ms);
+    suspects::apply(state, &report.suspects, now_ms);
     apply_stage_changes(state, &report.stage_changes, now_ms);
     apply_parts(state, &report.parts, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
