Exchange the records of crash suspects as they are

The relay's reports had copies of the core's records of crashes and answers, with conversions in both directions. The core's types are serialized instead, as those of placements and loads are. No change in behaviour.

--- a/crates/core/src/suspect/report.rs
+++ b/crates/core/src/suspect/report.rs
@@ -14,7 +14,7 @@
 const MAX_RECENT_CRASHES: usize = 16;
 
 /// Crashes, and when the keys in them were last answered, as exchanged between daemons.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct SuspectReport {
     /// The crashes, the newest first.
     pub crashes: Vec<CrashRecord>,
--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -46,7 +46,7 @@
 
 /// A crash of a target while a request waited for its first output there, as exchanged between
 /// daemons.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CrashRecord {
     /// Keys of the request: its own, and those of the prompt parts that other requests may share.
     pub keys: Vec<u64>,
@@ -61,7 +61,7 @@
 }
 
 /// A key of a crash suspect that has been answered, as exchanged between daemons.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct AnswerRecord {
     /// The key.
     pub key: u64,
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -4,7 +4,6 @@
 //! interval. A report contains addresses of other daemons, so that one contact suffices to join.
 
 mod leaving;
-mod suspects;
 mod table;
 mod task;
 
@@ -16,6 +15,7 @@
 
 use acaciabank_core::{
     placement::EngineStage, prompt_backlog::PromptBacklog, store_version::StoreVersion,
+    suspect::SuspectReport,
 };
 use serde::{Deserialize, Serialize};
 
@@ -59,31 +59,6 @@
     pub ordered: Option<(EngineStage, u32)>,
 }
 
-/// A crash of a target while a request waited for its first output there; see
-/// `acaciabank_core::suspect`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashEntry {
-    /// Keys of the request and of its prompt parts that other requests may share.
-    pub keys: Vec<u64>,
-    /// Hash of the crashed target.
-    pub target_hash: u32,
-    /// Time since the crash.
-    pub age_ms: u64,
-    /// Time from the sending of the request to the crash.
-    pub in_flight_ms: u64,
-    /// Whether the request ran as a trial.
-    pub is_trial: bool,
-}
-
-/// A key of a crash suspect that has been answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AnswerEntry {
-    /// The key.
-    pub key: u64,
-    /// Time since the last answer began.
-    pub age_ms: u64,
-}
-
 /// State of one daemon at the time of sending.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeerReport {
@@ -120,10 +95,8 @@
     pub stage_changes: Vec<StageChangeEntry>,
     /// Prompt parts that it has sent to engines since its last report.
     pub parts: Vec<PartEntry>,
-    /// Crashes, the most recent ones and some older ones.
-    pub crashes: Vec<CrashEntry>,
-    /// When the keys of `crashes`, and suspects that were cleared a moment ago, were last answered.
-    pub answers: Vec<AnswerEntry>,
+    /// Crash suspects: the most recent crashes and some older ones.
+    pub suspects: SuspectReport,
     /// Hash of the daemon's availability zone, used only to compare zones.
     pub zone_hash: u64,
     /// Processor capacity of the host, in thousandths of a core.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::{prefix, scheduler as core_scheduler};
 use tokio::net::UdpSocket;
 
-use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving, suspects};
+use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving};
 use crate::{clock, config, platform, scheduler, state, target, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
@@ -178,7 +178,8 @@
     SEQUENCE.set(sequence);
     let settings = &state.settings;
     let recent = state.watch.recent_changes(now_ms);
-    let (crashes, answers) = suspects::report(state, now_ms);
+    let mut suspects = state.suspects.borrow_mut();
+    let suspects = suspects.report(now_ms, &mut rand::rng());
     PeerReport {
         host: settings.host.clone(),
         boot_id: state.boot_id,
@@ -203,8 +204,7 @@
         loads: loads(state),
         stage_changes: stage_changes(state),
         parts: recent_parts(state, now_ms, interval),
-        crashes,
-        answers,
+        suspects,
         known: sample_contacts(state),
         zone_hash: state.zone_hash,
         capacity_millicores: settings.capacity_millicores,
@@ -345,7 +345,9 @@
     report: PeerReport,
 ) {
     let now_ms = clock::now_ms();
-    suspects::apply(state, &report, now_ms);
+    let mut suspects = state.suspects.borrow_mut();
+    suspects.merge_report(&report.suspects, now_ms);
+    drop(suspects);
     apply_stage_changes(state, &report.stage_changes, now_ms);
     apply_parts(state, &report.parts, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
