Recognize a reported crash by its id

Cause: a report was taken for one of a known crash when target and keys agreed within 30 s. A second crash of the same request at the same target within that time was therefore known to the daemon that saw it alone.

Ruled out: another number of seconds; each is a guess by resemblance, and late reports of paused daemons ask for a long one, repeated crashes for a short one.

Change: each record of a crash has a random id, in the relay's reports and in Cap'n Proto. A report of a known id counts never again; if it took less time, it corrects the time of the crash, since reports only make a crash later. Records of different requests with equal keys at one target within 2 s are still one, unless both ran as trials: each trial counts.

Tests: core and daemon control pass. crashes_reported_by_daemons_add_up_by_target compares ids as well.

--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -37,9 +37,6 @@
 /// Records of requests with the same keys at the same target within this time belong to one crash:
 /// a target needs longer to crash again.
 pub(super) const CRASH_DEDUP_MS: u64 = 2_000;
-/// The same for crashes that another daemon reports. A daemon that was paused reads old reports
-/// late.
-const REPORTED_CRASH_DEDUP_MS: u64 = 30_000;
 /// Difference by which a reported time has to exceed the known one to be a later answer. Each
 /// daemon that passes a report on adds its delay.
 const REPORT_TOLERANCE_MS: u64 = 500;
@@ -48,6 +45,8 @@
 /// daemons.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CrashRecord {
+    /// Random id, by which every daemon recognizes the record.
+    pub id: u64,
     /// Keys of the request: its own, and those of the prompt parts that other requests may share.
     pub keys: Vec<u64>,
     /// Hash of the crashed target.
@@ -72,6 +71,7 @@
 /// A crash by the clock of this daemon.
 #[derive(Clone, Debug)]
 pub(super) struct SeenCrash {
+    pub(super) id: u64,
     pub(super) keys: Vec<u64>,
     pub(super) target_hash: u32,
     pub(super) sent_ms: u64,
@@ -79,6 +79,18 @@
     pub(super) is_trial: bool,
 }
 
+impl SeenCrash {
+    /// Whether two records are of requests with the same keys that one crash ended, at most one of
+    /// which ran as a trial. Each trial counts.
+    fn is_alike(&self, other: &Self) -> bool {
+        let are_trials = self.is_trial && other.is_trial;
+        !are_trials
+            && self.target_hash == other.target_hash
+            && self.seen_ms.abs_diff(other.seen_ms) < CRASH_DEDUP_MS
+            && self.keys == other.keys
+    }
+}
+
 /// Crash suspects, as known to one daemon.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
@@ -98,13 +110,14 @@
     /// since `sent_ms`.
     pub fn record_crash(&mut self, keys: &[u64], target_hash: u32, sent_ms: u64, now_ms: u64) {
         let crash = SeenCrash {
+            id: rand::random(),
             keys: keys.to_vec(),
             target_hash,
             sent_ms,
             seen_ms: now_ms,
             is_trial: false,
         };
-        self.insert(crash, CRASH_DEDUP_MS);
+        self.insert(crash);
     }
 
     /// The same for a request that ran as a trial: no other one with a suspected key of it ran.
@@ -116,13 +129,14 @@
         now_ms: u64,
     ) {
         let crash = SeenCrash {
+            id: rand::random(),
             keys: keys.to_vec(),
             target_hash,
             sent_ms,
             seen_ms: now_ms,
             is_trial: true,
         };
-        self.insert(crash, CRASH_DEDUP_MS);
+        self.insert(crash);
     }
 
     /// Records that an answer to a request with these keys has begun. Returns whether it cleared a
@@ -222,13 +236,14 @@
         }
         let seen_ms = now_ms.saturating_sub(record.age_ms);
         let crash = SeenCrash {
+            id: record.id,
             keys: record.keys.clone(),
             target_hash: record.target_hash,
             sent_ms: seen_ms.saturating_sub(record.in_flight_ms),
             seen_ms,
             is_trial: record.is_trial,
         };
-        self.insert(crash, REPORTED_CRASH_DEDUP_MS);
+        self.insert(crash);
     }
 
     /// Merges an answer that another daemon reports.
@@ -250,6 +265,7 @@
         let newest_first = self.crashes.iter().rev();
         newest_first
             .map(|crash| CrashRecord {
+                id: crash.id,
                 keys: crash.keys.clone(),
                 target_hash: crash.target_hash,
                 age_ms: now_ms.saturating_sub(crash.seen_ms),
@@ -278,21 +294,19 @@
     }
 
     /// Adds a crash in the order of the times, unless it is known.
-    fn insert(&mut self, mut crash: SeenCrash, dedup_ms: u64) {
+    fn insert(&mut self, mut crash: SeenCrash) {
         if crash.keys.len() > MAX_KEYS {
             // The sort is stable, so that the keys otherwise stay in their order.
             let is_answered = |key: &u64| self.answers.last_ms(*key).is_some();
             crash.keys.sort_by_key(is_answered);
             crash.keys.truncate(MAX_KEYS);
         }
-        let mut known = self.crashes.iter_mut().filter(|known| {
-            known.target_hash == crash.target_hash
-                && known.seen_ms.abs_diff(crash.seen_ms) < dedup_ms
-                && known.keys == crash.keys
-        });
-        if let Some(known) = known.next() {
-            known.is_trial |= crash.is_trial;
-            return;
+        if let Some(position) = self.position_of(&crash) {
+            if !self.replaces(&crash, position) {
+                return;
+            }
+            self.crashes.remove(position);
+            self.index_crashes();
         }
         if crash.keys.is_empty() {
             return;
@@ -310,6 +324,24 @@
         self.crashes.insert(position, crash);
     }
 
+    /// Returns the position of a known record that is the same as, or of the same crash and keys as, a
+    /// new one.
+    fn position_of(&self, crash: &SeenCrash) -> Option<usize> {
+        let same = |known: &SeenCrash| known.id == crash.id;
+        let position = self.crashes.iter().position(same);
+        position.or_else(|| self.crashes.iter().position(|known| known.is_alike(crash)))
+    }
+
+    /// Whether a record tells more than the known one at a position: it is of a trial, or is a report
+    /// that took less time. No report makes a crash earlier than it was.
+    fn replaces(&self, crash: &SeenCrash, position: usize) -> bool {
+        let known = &self.crashes[position];
+        match known.id == crash.id {
+            true => crash.seen_ms < known.seen_ms,
+            false => crash.is_trial,
+        }
+    }
+
     fn insert_answer(&mut self, key: u64, answer_ms: u64) {
         let kept = self.crashes.iter().flat_map(|crash| &crash.keys);
         self.answers.record(key, answer_ms, kept.copied());
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -98,6 +98,7 @@
 #[test]
 fn crashes_reported_by_daemons_add_up_by_target() {
     let record = |target_hash, age_ms| suspect::CrashRecord {
+        id: u64::from(target_hash),
         keys: vec![5],
         target_hash,
         age_ms,
@@ -111,7 +112,11 @@
     table.merge_crash(&record(2, 50), 10_100);
     assert_eq!(table.status(&[5], 10_100), suspect::SuspectStatus::Refused);
     let records = table.export_crashes(10_100);
-    assert_eq!(records, [record(2, 50), record(1, 100)]);
+    let own = suspect::CrashRecord {
+        id: records[1].id,
+        ..record(1, 100)
+    };
+    assert_eq!(records, [record(2, 50), own]);
     let mut other = suspect::SuspectTable::default();
     for record in &records {
         other.merge_crash(record, 500_000);
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -161,6 +161,39 @@
     assert_eq!(suspects.export_crashes(11_000).len(), 1);
 }
 
+/// Guards against a crash that counts as one that is known, because an identical request crashed the
+/// same target some seconds before and was in flight for as long.
+#[test]
+fn a_reported_crash_of_the_same_target_by_the_same_request_counts() {
+    let mut source = SuspectTable::default();
+    let mut copy = SuspectTable::default();
+    for number in 0..REFUSE_MIN_CRASHES as u64 {
+        let now_ms = 1_000 + number * 4_000;
+        crash(&mut source, &[FIRST], 1, now_ms);
+        for record in source.export_crashes(now_ms + 50) {
+            copy.merge_crash(&record, now_ms + 60);
+        }
+    }
+    assert_eq!(copy.refused_key(&[FIRST], 10_000), Some(FIRST));
+    assert_eq!(copy.export_crashes(10_000).len(), REFUSE_MIN_CRASHES);
+}
+
+/// Guards against a key that stays suspected although it was answered after its crash, because the
+/// first report of the crash was read late.
+#[test]
+fn a_crash_that_was_reported_late_gets_its_time_from_later_reports() {
+    let mut source = SuspectTable::default();
+    let mut copy = SuspectTable::default();
+    crash(&mut source, &[FIRST], 1, 1_000);
+    let late = source.export_crashes(1_000).remove(0);
+    copy.record_answer(&[FIRST], 2_000);
+    copy.merge_crash(&late, 4_000);
+    assert_eq!(copy.status(&[FIRST], 4_000), SuspectStatus::Isolated);
+    let timely = source.export_crashes(4_100).remove(0);
+    copy.merge_crash(&timely, 4_110);
+    assert_eq!(copy.status(&[FIRST], 4_110), SuspectStatus::Clear);
+}
+
 /// Guards against refusing all requests that begin like those that crash targets.
 #[test]
 fn a_request_with_one_of_two_inseparable_parts_runs() {
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -1,6 +1,9 @@
 //! Conversion of entries, configurations and cache changes to and from Cap'n Proto messages.
 
-use std::time;
+use std::{
+    hash::{self, BuildHasher},
+    time,
+};
 
 use acaciabank_core::{
     member::{EntryVersion, MemberEntry, MemberState, TargetLoad},
@@ -8,6 +11,7 @@
 };
 use acaciabank_protocol::{ids, peer_capnp};
 use capnp::struct_list;
+use xxhash_rust::xxh3;
 
 use crate::{config::ConfigVersion, target::PieceDelta};
 
@@ -97,6 +101,7 @@
 }
 
 fn write_crash(crash: &CrashRecord, held_ms: u32, mut builder: peer_capnp::crash::Builder<'_>) {
+    builder.set_id(crash.id);
     builder.set_target(crash.target_hash);
     builder.set_age_ms(saturating_u32(crash.age_ms).saturating_add(held_ms));
     builder.set_in_flight_ms(saturating_u32(crash.in_flight_ms));
@@ -178,8 +183,14 @@
 }
 
 fn read_crash(reader: peer_capnp::crash::Reader<'_>) -> capnp::Result<CrashRecord> {
+    let keys: Vec<u64> = reader.get_keys()?.iter().collect();
+    let id = match reader.get_id() {
+        0 => crash_hash(reader, &keys),
+        id => id,
+    };
     Ok(CrashRecord {
-        keys: reader.get_keys()?.iter().collect(),
+        id,
+        keys,
         target_hash: reader.get_target(),
         age_ms: reader.get_age_ms().into(),
         in_flight_ms: reader.get_in_flight_ms().into(),
@@ -187,6 +198,12 @@
     })
 }
 
+/// Stands for the id of a crash that a daemon of an earlier version reports, which sends none.
+fn crash_hash(reader: peer_capnp::crash::Reader<'_>, keys: &[u64]) -> u64 {
+    let content = (reader.get_target(), reader.get_in_flight_ms(), keys);
+    hash::BuildHasherDefault::<xxh3::Xxh3Default>::default().hash_one(content)
+}
+
 fn read_answer(reader: peer_capnp::key_answer::Reader<'_>) -> AnswerRecord {
     AnswerRecord {
         key: reader.get_key(),
--- a/crates/daemon/tests/control/peer.rs
+++ b/crates/daemon/tests/control/peer.rs
@@ -218,6 +218,7 @@
     let joining = expected_members(&["a", "b"], MemberCondition::Joining);
     wait_for("daemon b known", || known_members(&a) == joining).await;
     let crash = |target_hash, age_ms, in_flight_ms| CrashRecord {
+        id: u64::MAX - u64::from(target_hash),
         keys: vec![u64::MAX, u64::from(target_hash)],
         target_hash,
         age_ms,
@@ -261,6 +262,7 @@
         wait_for("both daemons known", || known_members(daemon) == joining).await;
     }
     let crash = CrashRecord {
+        id: 6,
         keys: vec![1, 2],
         target_hash: 3,
         age_ms: 4,
@@ -290,6 +292,7 @@
         wait_for("both daemons known", || known_members(daemon) == joining).await;
     }
     let crash = |target_hash, parts: &[u64]| CrashRecord {
+        id: u64::from(target_hash),
         keys: parts.to_vec(),
         target_hash,
         age_ms: 1_000,
--- a/crates/protocol/schema/peer.capnp
+++ b/crates/protocol/schema/peer.capnp
@@ -48,6 +48,8 @@
   inFlightMs @3 :UInt32;
   # Whether the request ran as a trial: no other suspect that shares a key ran.
   isTrial @4 :Bool;
+  # Random id, by which every daemon recognizes the record.
+  id @5 :UInt64;
 }
 
 # Time since a request with this key was last answered, in milliseconds.
--- a/crates/protocol/src/peer/peer_capnp.rs
+++ b/crates/protocol/src/peer/peer_capnp.rs
@@ -1084,6 +1084,10 @@
         pub fn get_is_trial(self) -> bool {
             self.reader.get_bool_field(96)
         }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1092,7 +1096,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 3,
                 pointers: 1,
             };
     }
@@ -1236,6 +1240,14 @@
         pub fn set_is_trial(&mut self, value: bool) {
             self.builder.set_bool_field(96, value);
         }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1250,59 +1262,66 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(30, 49, 41, 16, 52, 160, 153, 137),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(22, 152, 227, 164, 181, 199, 242, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 115, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1348,6 +1367,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1356,6 +1383,7 @@
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1374,9 +1402,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 4, 0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 5, 3, 4, 0, 1];
         pub(crate) const TYPE_ID: u64 = 0x8999_a034_1029_311e;
     }
 }
