Keep what is known of crashes when many targets fail

Cause: a daemon keeps 128 records of crashes and dropped the oldest. When all targets of a service fail with some hundred requests in flight, their records push out those of a crashing part, which then runs everywhere at once again.

Ruled out: a larger table; the number of requests in flight has no bound.

Change: a record is dropped that belongs to the target with the most records. One target that fails with many requests gives way first.

Test: part_suspects::a_failure_of_many_targets_does_not_push_out_what_is_known fails without the change (the key is clear afterwards).

--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -8,7 +8,7 @@
 //! apart: they are refused together, while a request with only one of them runs and shows which one
 //! it is. A refused key is tried again after seconds, as no other request shows that it is sound.
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use super::{
     SUSPECT_LIFETIME_MS, SuspectStatus, answers::AnswerTable, attribution::OpenCrashes,
@@ -347,17 +347,31 @@
         self.answers.record(key, answer_ms, kept.copied());
     }
 
-    /// Drops a crash all keys of which have been answered since, or else the oldest one that is not
-    /// that of a trial.
+    /// Drops a crash all keys of which have been answered since, or else the oldest of the target with
+    /// the most, so that what was in flight when many targets failed does not push out the rest. Those
+    /// of trials are dropped last.
     fn drop_crash(&mut self) {
         let answered = |crash: &SeenCrash| self.suspects_of(crash).is_empty();
         let position = self.crashes.iter().position(answered);
-        let is_no_trial = |crash: &SeenCrash| !crash.is_trial;
-        let position = position.or_else(|| self.crashes.iter().position(is_no_trial));
+        let position = position.or_else(|| self.position_of_many());
         self.crashes.remove(position.unwrap_or(0));
         self.index_crashes();
     }
 
+    /// Returns the position of the oldest crash that is not that of a trial, of the target with the
+    /// most such crashes.
+    fn position_of_many(&self) -> Option<usize> {
+        let mut by_target: HashMap<u32, (usize, usize)> = HashMap::new();
+        let crashes = self.crashes.iter().enumerate();
+        for (position, crash) in crashes.filter(|(_, crash)| !crash.is_trial) {
+            let (count, _) = by_target.entry(crash.target_hash).or_insert((0, position));
+            *count += 1;
+        }
+        let oldest_first = |(count, position): &(usize, usize)| (*count, Reverse(*position));
+        let most = by_target.into_values().max_by_key(oldest_first);
+        most.map(|(_, position)| position)
+    }
+
     /// Computes `last_crashes` again after crashes have been removed.
     fn index_crashes(&mut self) {
         self.last_crashes.clear();
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -386,6 +386,19 @@
     assert!(suspects.export_crashes(later_ms).is_empty());
 }
 
+/// Guards against a crashing part that runs everywhere again because a failure of many targets, with
+/// many requests in flight, has pushed its crashes out.
+#[test]
+fn a_failure_of_many_targets_does_not_push_out_what_is_known() {
+    let mut suspects = SuspectTable::default();
+    crash(&mut suspects, &[100, CRASHING], 100, 1_000);
+    for number in 0..400 {
+        crash(&mut suspects, &[1_000 + number], number as u32 % 20, 9_000);
+    }
+    let status = suspects.status(&[101, CRASHING], 10_000);
+    assert_eq!(status, SuspectStatus::Isolated);
+}
+
 /// Guards against memory that grows with the crashes and answers of a long run.
 #[test]
 fn the_memory_of_crashes_and_answers_is_bounded() {
