Let suspects run one at a time until one of them is answered

Cause: crashes at one moment count as one, and nothing was held back between the first crash and the third in a row.

Now the daemon that grants a trial says what its crash will show: one that is granted within 0.5 s of a crash belongs to that moment. A trial that was not sent to a target does not delay the next one.

Smaller than before: no copies of the core's records and answers in the relay, no second count of begun trials in the table of suspects, no comparison with earlier crashes when a trial crashes.

Tests: core trials (six), suspect_trials, relay crashing_parts and crashing_requests (crashing ones that come at one moment; 4, 9, 18 and 3, 9, 18 at once).

--- a/crates/core/src/suspect/attribution.rs
+++ b/crates/core/src/suspect/attribution.rs
@@ -3,12 +3,10 @@
 use std::{collections::HashMap, rc};
 
 use super::{
-    REFUSE_MIN_ANSWERED_CRASHES, REFUSE_MIN_CRASHES,
+    COMMON_FAILURE_MS, REFUSE_MIN_ANSWERED_CRASHES, REFUSE_MIN_CRASHES,
     table::{CRASH_DEDUP_MS, MAX_TRIALS, SeenCrash},
 };
 
-/// Time within which one failure takes down several targets, for example a rack.
-const COMMON_FAILURE_MS: u64 = 500;
 /// Number of crashes that the crash of a trial counts for in addition. No other suspect with the key
 /// was in flight, and the trial was sent after the earlier crash had been noticed.
 const TRIAL_BONUS: usize = 1;
@@ -76,24 +74,14 @@
         Self { crashes, by_key }
     }
 
-    /// Whether a request with the given keys is refused for one of them: it was seen in enough
-    /// crashes, and it explains them better than each other suspect that the request does not have.
-    /// `is_answered` tells whether a key was answered at any time.
-    pub fn is_refused(
+    /// Whether a key explains its crashes better than each other suspect that a request with the given
+    /// keys does not have. `is_answered` tells whether a key was answered at any time.
+    pub fn explains_all(
         &self,
         key: u64,
         keys: &[u64],
         is_answered: impl Fn(u64) -> bool + Copy,
     ) -> bool {
-        let crash_count = count_in_a_row(self.of_key(key));
-        let trial_count = self.trial_count(key);
-        let is_suspected = match is_answered(key) {
-            false => crash_count + TRIAL_BONUS * trial_count >= REFUSE_MIN_CRASHES,
-            true => crash_count >= REFUSE_MIN_ANSWERED_CRASHES || trial_count >= MAX_TRIALS,
-        };
-        if !is_suspected {
-            return false;
-        }
         let others = self.of_key(key).flat_map(|open| open.all.iter().copied());
         let mut others: Vec<u64> = others.collect();
         others.sort_unstable();
@@ -102,23 +90,26 @@
         absent.all(|other| self.explains_more(key, other, is_answered))
     }
 
-    /// Number of crashes of trials that a key was seen in.
-    pub fn trial_count(&self, key: u64) -> usize {
-        self.of_key(key).filter(|open| open.crash.is_trial).count()
-    }
-
     /// Whether a key was seen in more crashes without another one than the other way round. Of two
-    /// keys that cannot be told apart, one that was never answered explains more.
+    /// keys that cannot be told apart, one that was never answered explains more; once all its trials
+    /// have crashed it does so in any case.
     fn explains_more(&self, key: u64, other: u64, is_answered: impl Fn(u64) -> bool) -> bool {
         let own_crashes = self.count_without(key, other);
         let other_crashes = self.count_without(other, key);
         let is_newer = !is_answered(key) && is_answered(other);
-        own_crashes > other_crashes || own_crashes == other_crashes && is_newer
+        own_crashes > other_crashes
+            || is_newer && (own_crashes == other_crashes || self.count_trials(key) >= MAX_TRIALS)
     }
 
     /// Counts crashes that involve a key and not another one.
     fn count_without(&self, key: u64, other: u64) -> usize {
-        count_in_a_row(self.of_key(key).filter(|open| !open.involves(other)))
+        let without = self.of_key(key).filter(|open| !open.involves(other));
+        count_in_a_row(without.map(|open| open.crash))
+    }
+
+    /// Counts crashes of trials of requests with a key.
+    fn count_trials(&self, key: u64) -> usize {
+        self.of_key(key).filter(|open| open.crash.is_trial).count()
     }
 
     fn of_key(&self, key: u64) -> impl Iterator<Item = &OpenCrash<'a>> {
@@ -127,15 +118,26 @@
     }
 }
 
+/// Whether a key was seen in enough crashes to be refused, given those since its last answer.
+pub fn is_suspected<'a>(
+    crashes: impl Iterator<Item = &'a SeenCrash> + Clone,
+    is_answered: bool,
+) -> bool {
+    let crash_count = count_in_a_row(crashes.clone());
+    let trials = crashes.filter(|crash| crash.is_trial);
+    match is_answered {
+        false => crash_count + TRIAL_BONUS * trials.count() >= REFUSE_MIN_CRASHES,
+        true => crash_count >= REFUSE_MIN_ANSWERED_CRASHES || count_in_a_row(trials) >= MAX_TRIALS,
+    }
+}
+
 /// Counts crashes in the order of their times. Those that one failure of many targets may have
 /// caused count once: the requests were in flight at the same time, and the times are close.
-fn count_in_a_row<'a>(crashes: impl Iterator<Item = &'a OpenCrash<'a>>) -> usize {
+fn count_in_a_row<'a>(crashes: impl Iterator<Item = &'a SeenCrash>) -> usize {
     let mut counted_ms: Option<u64> = None;
     let mut count = 0;
-    for open in crashes {
-        let SeenCrash {
-            sent_ms, seen_ms, ..
-        } = *open.crash;
+    for crash in crashes {
+        let (sent_ms, seen_ms) = (crash.sent_ms, crash.seen_ms);
         let is_next =
             |counted_ms| sent_ms >= counted_ms || seen_ms >= counted_ms + COMMON_FAILURE_MS;
         if counted_ms.is_none_or(is_next) {
--- a/crates/core/src/suspect/mod.rs
+++ b/crates/core/src/suspect/mod.rs
@@ -5,17 +5,22 @@
 mod attribution;
 mod report;
 mod table;
+mod trials;
 mod turns;
 
 pub use report::{SuspectReport, select_reported};
 pub use table::{
     AnswerRecord, CrashRecord, REFUSE_MIN_ANSWERED_CRASHES, REFUSE_MIN_CRASHES, SuspectTable,
 };
+pub use trials::{TrialAnswer, TrialTable};
 pub use turns::{TurnStamp, TurnTable, TurnTicket};
 
 /// Time for which a request or a prompt part stays a suspect after its last crash, in milliseconds.
 pub const SUSPECT_LIFETIME_MS: u64 = 600_000;
 
+/// Time within which one failure takes down several targets, for example a rack, in milliseconds.
+pub const COMMON_FAILURE_MS: u64 = 500;
+
 /// What is done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SuspectStatus {
--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -4,14 +4,17 @@
 //! Each crash is recorded with the keys of a request that waited for its first output there. An
 //! answer that begins clears the keys of its request of all earlier crashes. A key is refused after
 //! [`REFUSE_MIN_CRASHES`] crashes in a row; one of a trial, during which no other suspect with the
-//! key ran, counts twice if the key was never answered. Keys that were seen together in nearly all of their crashes cannot be told
-//! apart: they are refused together, while a request with only one of them runs and shows which one
-//! it is. A refused key is tried again after seconds, as no other request shows that it is sound.
+//! key ran, counts twice if the key was never answered. Keys that were seen together in nearly all of
+//! their crashes cannot be told apart: they are refused together, while a request with only one of
+//! them runs and shows which one it is. A refused key is tried again after seconds, as no other
+//! request shows that it is sound.
 
 use std::{cmp::Reverse, collections::HashMap};
 
 use super::{
-    SUSPECT_LIFETIME_MS, SuspectStatus, answers::AnswerTable, attribution::OpenCrashes,
+    COMMON_FAILURE_MS, SUSPECT_LIFETIME_MS, SuspectStatus,
+    answers::AnswerTable,
+    attribution::{self, OpenCrashes},
     report::RECENT_MS,
 };
 
@@ -25,7 +28,9 @@
 pub(super) const MAX_TRIALS: usize = 3;
 /// Times after the last crash at which one request with a refused key is tried, by the number of
 /// trials that have crashed their target.
-const TRIAL_DELAYS_MS: [u64; MAX_TRIALS] = [3_000, 3_000, 20_000];
+const TRIAL_DELAYS_MS: [u64; MAX_TRIALS] = [3_000, 3_000, MAX_TRIAL_DELAY_MS];
+/// The longest of these times.
+pub(super) const MAX_TRIAL_DELAY_MS: u64 = 20_000;
 /// Crashes kept; the oldest is dropped first. Bounds memory when a whole zone fails. Their keys must
 /// not fill a generation of the table of answers.
 const MAX_CRASHES: usize = 128;
@@ -99,8 +104,6 @@
     /// Time of the last of `crashes` by key.
     last_crashes: HashMap<u64, u64>,
     answers: AnswerTable,
-    /// Time at which the last trial of a refused key began, by key.
-    trials: HashMap<u64, u64>,
     /// Keys of suspects that an answer of this daemon has cleared, with the time.
     cleared: Vec<(u64, u64)>,
 }
@@ -120,7 +123,8 @@
         self.insert(crash);
     }
 
-    /// The same for a request that ran as a trial: no other one with a suspected key of it ran.
+    /// The same for a trial of these keys: no other request ran that was suspected for one of them.
+    /// For the other keys of the request, [`Self::record_crash`] is called too.
     pub fn record_trial_crash(
         &mut self,
         keys: &[u64],
@@ -139,6 +143,20 @@
         self.insert(crash);
     }
 
+    /// The same for a trial that was granted within [`COMMON_FAILURE_MS`] of an earlier crash
+    /// ([`super::TrialAnswer::GrantedAtOnce`]): the request counts as one that was in flight then, as
+    /// the failure of several targets may have caused both.
+    pub fn record_at_once_crash(
+        &mut self,
+        keys: &[u64],
+        target_hash: u32,
+        granted_ms: u64,
+        now_ms: u64,
+    ) {
+        let sent_ms = granted_ms.saturating_sub(COMMON_FAILURE_MS);
+        self.record_crash(keys, target_hash, sent_ms, now_ms);
+    }
+
     /// Records that an answer to a request with these keys has begun. Returns whether it cleared a
     /// suspect, so that other daemons should hear of it at once.
     pub fn record_answer(&mut self, keys: &[u64], now_ms: u64) -> bool {
@@ -177,19 +195,24 @@
         if !keys.iter().any(|key| self.is_open(*key, now_ms)) {
             return SuspectStatus::Clear;
         }
-        let crashes = self.open_crashes(now_ms);
-        match self.refused_of(keys, &crashes) {
-            Some(key) if !self.is_trial_due(key, &crashes, now_ms) => SuspectStatus::Refused,
+        match self.refused_key(keys, now_ms) {
+            Some(key) if !self.is_trial_due(key, 0, now_ms) => SuspectStatus::Refused,
             _ => SuspectStatus::Isolated,
         }
     }
 
-    /// Returns the key for which a request with these keys is refused, or runs as a trial only.
+    /// Returns the key for which a request with these keys is refused, or runs as a trial only: it
+    /// was seen in enough crashes, and it explains them better than each other suspect that the
+    /// request does not have. Of several keys, one that was never answered is returned.
     pub fn refused_key(&self, keys: &[u64], now_ms: u64) -> Option<u64> {
-        if !keys.iter().any(|key| self.is_open(*key, now_ms)) {
-            return None;
-        }
-        self.refused_of(keys, &self.open_crashes(now_ms))
+        let is_answered = |key| self.answers.last_ms(key).is_some();
+        let is_suspected =
+            |key: &u64| self.is_open(*key, now_ms) && self.is_suspected(*key, now_ms);
+        let mut suspected = keys.iter().copied().filter(is_suspected).peekable();
+        suspected.peek()?;
+        let crashes = self.open_crashes(now_ms);
+        let refused = suspected.filter(|key| crashes.explains_all(*key, keys, is_answered));
+        refused.min_by_key(|key| self.answers.last_ms(*key))
     }
 
     /// Returns those of a request's keys, at most [`MAX_KEYS`], that may have caused a crash: they
@@ -199,31 +222,23 @@
         open.take(MAX_KEYS).copied().collect()
     }
 
-    /// Whether a request with a refused key may run as a trial: its last crash and its last trial
-    /// are long enough ago. Records the trial if so. One daemon at a time should ask.
-    pub fn try_key(&mut self, key: u64, now_ms: u64) -> bool {
-        let is_due = self.is_trial_due(key, &self.open_crashes(now_ms), now_ms);
-        if is_due {
-            self.trials.insert(key, now_ms);
-        }
-        is_due
-    }
-
     /// Returns the time of the last crash that a key was seen in; 0 if there is none.
     pub fn last_crash_ms(&self, key: u64) -> u64 {
         self.last_crashes.get(&key).copied().unwrap_or_default()
     }
 
+    /// Returns the time of the last answer to a request with a key.
+    pub(super) fn last_answer_ms(&self, key: u64) -> Option<u64> {
+        self.answers.last_ms(key)
+    }
+
     /// Number of targets that crashed on requests with a key since it was last answered.
     pub fn crashed_targets(&self, key: u64, now_ms: u64) -> usize {
         if !self.is_open(key, now_ms) {
             return 0;
         }
-        let crashes = self.crashes.iter().filter(|crash| is_recent(crash, now_ms));
-        let own = crashes.filter(|crash| {
-            crash.keys.contains(&key) && self.answers.last_ms(key) <= Some(crash.seen_ms)
-        });
-        let mut targets: Vec<u32> = own.map(|crash| crash.target_hash).collect();
+        let crashes = self.crashes_of(key, now_ms);
+        let mut targets: Vec<u32> = crashes.map(|crash| crash.target_hash).collect();
         targets.sort_unstable();
         targets.dedup();
         targets.len()
@@ -380,29 +395,51 @@
             let entries = crash.keys.iter().map(|key| (*key, crash.seen_ms));
             self.last_crashes.extend(entries);
         }
-        let last_crashes = &self.last_crashes;
-        self.trials.retain(|key, _| last_crashes.contains_key(key));
     }
 
-    /// Returns the refused one of a request's keys; of several, one that was never answered.
-    fn refused_of(&self, keys: &[u64], crashes: &OpenCrashes<'_>) -> Option<u64> {
+    /// Whether a key was seen in enough crashes to be refused. For one that was answered earlier, only
+    /// those crashes count that no key explains which never was.
+    fn is_suspected(&self, key: u64, now_ms: u64) -> bool {
+        let crashes = self.crashes_of(key, now_ms);
         let is_answered = |key| self.answers.last_ms(key).is_some();
-        let refused = keys
-            .iter()
-            .copied()
-            .filter(|key| crashes.is_refused(*key, keys, is_answered));
-        refused.min_by_key(|key| self.answers.last_ms(*key))
+        if !is_answered(key) || !attribution::is_suspected(crashes.clone(), true) {
+            return attribution::is_suspected(crashes, is_answered(key));
+        }
+        let mut known: HashMap<u64, bool> = HashMap::new();
+        let mut is_cause = |other: u64| {
+            let is_suspected = || attribution::is_suspected(self.crashes_of(other, now_ms), false);
+            !is_answered(other) && *known.entry(other).or_insert_with(is_suspected)
+        };
+        let unexplained = crashes.filter(|crash| !crash.keys.iter().any(|other| is_cause(*other)));
+        let unexplained: Vec<&SeenCrash> = unexplained.collect();
+        attribution::is_suspected(unexplained.into_iter(), true)
     }
 
-    fn is_trial_due(&self, key: u64, crashes: &OpenCrashes<'_>, now_ms: u64) -> bool {
-        let Some(delay_ms) = TRIAL_DELAYS_MS.get(crashes.trial_count(key)) else {
+    /// Whether a trial of a refused key may begin, given when the last one began.
+    pub(super) fn is_trial_due(&self, key: u64, last_trial_ms: u64, now_ms: u64) -> bool {
+        let Some(delay_ms) = TRIAL_DELAYS_MS.get(self.crashed_trials(key, now_ms)) else {
             return false;
         };
-        let trial_ms = self.trials.get(&key).copied().unwrap_or_default();
-        let last_ms = trial_ms.max(self.last_crash_ms(key));
+        let last_ms = last_trial_ms.max(self.last_crash_ms(key));
         now_ms.saturating_sub(last_ms) >= *delay_ms
     }
 
+    /// Number of trials that crashed their targets since a key of theirs was last answered.
+    pub(super) fn crashed_trials(&self, key: u64, now_ms: u64) -> usize {
+        let crashes = self.crashes_of(key, now_ms);
+        crashes.filter(|crash| crash.is_trial).count()
+    }
+
+    /// Returns the crashes that a key was seen in since it was last answered.
+    fn crashes_of(&self, key: u64, now_ms: u64) -> impl Iterator<Item = &SeenCrash> + Clone {
+        let answer_ms = self.answers.last_ms(key);
+        self.crashes.iter().filter(move |crash| {
+            is_recent(crash, now_ms)
+                && answer_ms <= Some(crash.seen_ms)
+                && crash.keys.contains(&key)
+        })
+    }
+
     /// Whether a key was seen in a crash and not answered since.
     fn is_open(&self, key: u64, now_ms: u64) -> bool {
         self.last_crashes.get(&key).is_some_and(|crash_ms| {
--- a/crates/core/tests/part_suspects.rs
+++ b/crates/core/tests/part_suspects.rs
@@ -3,7 +3,7 @@
 
 use acaciabank_core::suspect::{
     AnswerRecord, CrashRecord, REFUSE_MIN_ANSWERED_CRASHES, REFUSE_MIN_CRASHES,
-    SUSPECT_LIFETIME_MS, SuspectStatus, SuspectTable,
+    SUSPECT_LIFETIME_MS, SuspectStatus, SuspectTable, TrialAnswer, TrialTable,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -32,6 +32,17 @@
     }
 }
 
+/// Begins a trial of a refused key if one is due. Its id is the time.
+fn try_key(trials: &mut TrialTable, suspects: &SuspectTable, key: u64, now_ms: u64) -> bool {
+    assert_eq!(suspects.refused_key(&[key], now_ms), Some(key));
+    let answer = trials.request(now_ms, &[key], suspects, now_ms);
+    assert!(matches!(
+        answer,
+        TrialAnswer::Granted | TrialAnswer::Refused
+    ));
+    answer == TrialAnswer::Granted
+}
+
 /// Guards against a part that goes on crashing targets because no two requests are alike.
 #[test]
 fn a_part_is_refused_after_crashes_in_a_row() {
@@ -80,15 +91,20 @@
 #[test]
 fn a_refused_part_is_tried_after_seconds_and_three_times_at_most() {
     let mut suspects = SuspectTable::default();
+    let mut granted = TrialTable::default();
     crash_in_a_row(&mut suspects, &[FIRST], 1_000);
     assert_eq!(suspects.refused_key(&[FIRST], 3_500), Some(FIRST));
-    assert!(!suspects.try_key(FIRST, 3_500));
+    assert!(!try_key(&mut granted, &suspects, FIRST, 3_500));
     let mut trials = 0;
     for now_ms in (3_500..SUSPECT_LIFETIME_MS).step_by(10) {
-        if suspects.try_key(FIRST, now_ms) {
+        if try_key(&mut granted, &suspects, FIRST, now_ms) {
             assert!(trials > 0 || now_ms < 10_000, "first trial at {now_ms} ms");
-            assert!(!suspects.try_key(FIRST, now_ms + 1), "two trials at once");
+            assert!(
+                !try_key(&mut granted, &suspects, FIRST, now_ms + 1),
+                "two trials at once"
+            );
             suspects.record_trial_crash(&[FIRST], 10 + trials, now_ms, now_ms + 5);
+            granted.end(now_ms, true);
             trials += 1;
         }
     }
@@ -101,15 +117,17 @@
 fn an_answered_trial_ends_the_refusal() {
     for crashed_trials in 0..3 {
         let mut suspects = SuspectTable::default();
+        let mut granted = TrialTable::default();
         crash_in_a_row(&mut suspects, &[FIRST], 1_000);
         let mut now_ms = 4_000;
         for number in 0..=crashed_trials {
-            while !suspects.try_key(FIRST, now_ms) {
+            while !try_key(&mut granted, &suspects, FIRST, now_ms) {
                 now_ms += 10;
             }
             assert!(now_ms < 60_000, "trial {number} at {now_ms} ms");
             if number < crashed_trials {
                 suspects.record_trial_crash(&[FIRST], 20 + number, now_ms, now_ms + 5);
+                granted.end(now_ms, true);
             }
         }
         assert!(suspects.record_answer(&[FIRST], now_ms + 50));
@@ -617,3 +635,24 @@
     let status = suspects.status(&[200, FIRST], 10_001);
     assert_eq!(status, SuspectStatus::Clear);
 }
+
+/// Guards against refusing all requests that begin like those that crash targets in trials, because
+/// some of them were in flight when a rack failed a moment before.
+#[test]
+fn a_failure_before_the_trials_of_another_part_does_not_refuse_a_part() {
+    let mut suspects = SuspectTable::default();
+    suspects.record_answer(&[FIRST], 500);
+    for target in 0..5 {
+        let own = 300 + u64::from(target);
+        suspects.record_crash(&[own, FIRST], target, 900, 1_000);
+    }
+    for trial in 0..MAX_LATE_REQUESTS {
+        let own = 100 + u64::from(trial);
+        let now_ms = 2_000 + u64::from(trial) * 500;
+        suspects.record_trial_crash(&[own, FIRST, CRASHING], 10 + trial, now_ms, now_ms + 100);
+    }
+    let status = suspects.status(&[200, FIRST], 5_000);
+    assert_eq!(status, SuspectStatus::Isolated);
+    let status = suspects.status(&[201, FIRST, CRASHING], 5_000);
+    assert_eq!(status, SuspectStatus::Refused);
+}
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -355,6 +355,11 @@
         send = progress.sends, elapsed_ms = request.elapsed_ms(), error = failure.message.as_str();
         "attempt_failed"
     );
+    // A retry of a suspect needs a trial of its own.
+    let trial = request.trial.take();
+    if let Some(trial) = trial.filter(|_| failure.verdict == Verdict::NotRun) {
+        trial.was_sent.set(false);
+    }
     progress.verdict = progress.verdict.combine(failure.verdict);
     progress.excluded.push(target.hash);
     if failure.retry == RetryReason::TargetRefused {
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -185,6 +185,7 @@
         progress: &mut RequestProgress,
         last_event: Option<u64>,
     ) -> Result<Option<StreamStart>, RefusalResponse> {
+        suspects::wait_turn(state, request, progress.verdict).await?;
         let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
         let plan = match engines::plan_engines(state, request, progress, prefilled).await {
             Ok(plan) => plan,
@@ -198,7 +199,9 @@
         }
         // Another daemon may have reported a crash since the last call, or during the wait for an
         // engine.
-        suspects::check(state, request, progress.verdict)?;
+        if !suspects::check(state, request, progress.verdict)? {
+            return Ok(None);
+        }
         match &plan.prefill {
             Some(engine) if self.handle.is_none() => {
                 let handle = prefill(state, request, progress, &plan, engine).await?;
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -79,7 +79,6 @@
 ) -> Result<HttpResponse, RefusalResponse> {
     check_shutdown(state, &request)?;
     let progress = RequestProgress::default();
-    suspects::check(state, &request, progress.verdict)?;
     match request.is_generation() {
         true => generate::run(state, request, progress).await,
         false => service::run(state, &request, progress).await,
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -1,7 +1,8 @@
 //! An accepted request and the progress of its attempts.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    rc,
     time::{Duration, Instant},
 };
 
@@ -10,11 +11,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinHandle};
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{refusal::RefusalResponse, unread};
-use crate::{config, connection, platform, state, telemetry::RefusalCause};
+use crate::{config, connection, platform, state, telemetry::RefusalCause, trial};
 
 /// Time before the caller's deadline at which the final response is sent, for its way to the
 /// caller.
@@ -50,8 +51,12 @@
     /// Keys by which it may be a crash suspect: that of the whole request, which is equal if a caller
     /// sends it again, and those of the parts that other requests may share, all but the last one.
     pub suspect_keys: Vec<u64>,
-    /// Time by [`crate::clock::now_ms`] at which it was let through as a trial of a refused part.
-    pub trial_ms: Cell<Option<u64>>,
+    /// Permission to run it as a crash suspect.
+    pub trial: RefCell<Option<rc::Rc<trial::TrialPermit>>>,
+    /// The task that finds out whether the target of the last attempt has crashed.
+    pub confirmation: RefCell<Option<JoinHandle<()>>>,
+    /// Whether a target has begun to answer it.
+    pub has_output: Cell<bool>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
     /// Since when targets may be running it.
@@ -95,7 +100,9 @@
         suspect_keys.extend(shared.map(|part| part.key));
         Ok(Self {
             suspect_keys,
-            trial_ms: Cell::new(None),
+            trial: RefCell::default(),
+            confirmation: RefCell::default(),
+            has_output: Cell::new(false),
             id: metadata.attempt_id.clone().unwrap_or_default(),
             service: service.to_owned(),
             route: route.clone(),
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -40,14 +40,21 @@
 ) -> Result<HttpResponse, RefusalResponse> {
     let mut failed_response = None;
     loop {
+        if let Err(refusal) = suspects::wait_turn(state, request, progress.verdict).await {
+            return failed_response.ok_or(refusal);
+        }
         let target = match selection::select_target(state, request, progress).await {
             Ok(target) => target,
             Err(refusal) => return failed_response.ok_or(refusal),
         };
         let kind = attempt::CallKind::Run;
-        let allowed = suspects::check(state, request, progress.verdict)
-            .and_then(|()| attempt::reserve_retry(state, request, progress, kind));
-        if let Err(refusal) = allowed {
+        // Another daemon may have reported a crash during the wait for a target.
+        match suspects::check(state, request, progress.verdict) {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err(refusal) => return failed_response.ok_or(refusal),
+        }
+        if let Err(refusal) = attempt::reserve_retry(state, request, progress, kind) {
             return failed_response.ok_or(refusal);
         }
         progress.sends += 1;
--- a/crates/relay/src/dispatch/suspects.rs
+++ b/crates/relay/src/dispatch/suspects.rs
@@ -9,47 +9,169 @@
 use acaciabank_protocol::verdict::Verdict;
 
 use super::{refusal::RefusalResponse, request::RelayRequest};
-use crate::{clock, connection, platform, scheduler, state, target, telemetry::RefusalCause};
+use crate::{clock, connection, platform, state, target, telemetry::RefusalCause, trial};
 
 /// Timeout of the connection attempt that tells whether a target has crashed.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which a connection has to stay open to show that the target runs.
 const STABLE_TIME: Duration = Duration::from_millis(20);
 
-/// Refuses a request that targets have crashed on, or that has a prompt part on which they have.
-/// `verdict` is that of the attempts so far.
-pub fn check<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
-    state: &state::RelayState<Codec, Store>,
+/// Longest wait of a suspect for its trial or the answer of another one. A target crashes, or begins
+/// to answer, within this time.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+/// Longest share of the remaining time that a suspect waits: it should still be served afterwards.
+const MAX_WAIT_SHARE: u32 = 2;
+/// Longest time between two looks at what is known of a suspect that waits.
+const POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which a caller may send a suspect again that has waited in vain.
+const RETRY_AFTER_MS: u64 = 1_000;
+/// Longest wait of a retry for the confirmation that its last target has crashed. It seldom takes
+/// longer if the target has.
+const CONFIRM_WAIT: Duration = Duration::from_millis(50);
+
+/// Waits until a request may run that is a crash suspect: until it or a request that shares its
+/// suspected keys is answered, or until it is granted a trial. Other requests do not wait. `verdict`
+/// is that of the attempts so far.
+pub async fn wait_turn<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
     request: &RelayRequest,
     verdict: Verdict,
 ) -> Result<(), RefusalResponse> {
-    let now_ms = clock::now_ms();
-    let refuse = |cause| {
-        Err(RefusalResponse {
-            cause,
-            // The caller must not be told to send the request again.
-            verdict: verdict.combine(Verdict::MayHaveRun),
-            retry_after_ms: None,
-        })
-    };
-    let refused = state
-        .suspects
-        .borrow()
-        .refused_key(&request.suspect_keys, now_ms);
-    let Some(key) = refused else {
+    await_confirmation(request).await;
+    if !is_suspect(state, request) {
         return Ok(());
+    }
+    let wait = MAX_WAIT.min(request.remaining() / MAX_WAIT_SHARE);
+    let deadline = Instant::now() + wait;
+    let mut slot = None;
+    loop {
+        if check(state, request, verdict)? {
+            return Ok(());
+        }
+        let now_ms = clock::now_ms();
+        let open_keys = {
+            let suspects = state.suspects.borrow();
+            suspects.open_keys(&request.suspect_keys, now_ms)
+        };
+        if state.trials.may_ask(&open_keys, now_ms) {
+            match trial::request_trial(state, &request.suspect_keys, &open_keys).await {
+                Ok(permit) => {
+                    log::info!(id = request.id.as_str(), answer:? = permit.answer; "suspect_tried");
+                    request.trial.replace(Some(rc::Rc::new(permit)));
+                    return Ok(());
+                }
+                Err(suspect::TrialAnswer::Refused) => return Err(refuse(state, request, verdict)),
+                Err(_) => {}
+            }
+        } else if refused_key(state, request).is_some() {
+            // Only the request that asks may become the trial of a refused key.
+            return Err(refuse(state, request, verdict));
+        }
+        if slot.is_none() {
+            slot = state.trials.enter(request.body.len());
+        }
+        if slot.is_none() || Instant::now() >= deadline {
+            log::info!(id = request.id.as_str(), keys = open_keys.len(); "suspect_held_back");
+            return Err(hold_back(verdict));
+        }
+        let changed = state.trials.wait_changed();
+        // A timeout only leads to the next look.
+        let _ = tokio::time::timeout(POLL_INTERVAL, changed).await;
+    }
+}
+
+/// Waits for a moment until it is known whether the target of the last attempt has crashed.
+async fn await_confirmation(request: &RelayRequest) {
+    let confirmation = request.confirmation.take();
+    if let Some(confirmation) = confirmation {
+        // The task goes on after a timeout.
+        let _ = tokio::time::timeout(CONFIRM_WAIT, confirmation).await;
+    }
+}
+
+/// Whether a request has a key on which a target has crashed since it was last answered. One that a
+/// target has begun to answer does not crash targets.
+fn is_suspect<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+) -> bool {
+    let suspects = state.suspects.borrow();
+    if suspects.is_empty() || request.has_output.get() {
+        return false;
+    }
+    let status = suspects.status(&request.suspect_keys, clock::now_ms());
+    status != suspect::SuspectStatus::Clear
+}
+
+/// Returns whether a request may be sent to a target now, or has to wait for its turn first. Refuses
+/// one that targets have crashed on, or that has a prompt part on which they have. A trial counts as
+/// sent from then on.
+pub fn check<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    verdict: Verdict,
+) -> Result<bool, RefusalResponse> {
+    let status = {
+        let suspects = state.suspects.borrow();
+        if suspects.is_empty() || request.has_output.get() {
+            return Ok(true);
+        }
+        let now_ms = clock::now_ms();
+        if let Some(trial) = request.trial.borrow().as_ref() {
+            let open_keys = suspects.open_keys(&request.suspect_keys, now_ms);
+            // A trial ends with the next crash.
+            let is_valid = |key: &u64| suspects.last_crash_ms(*key) <= trial.granted_ms;
+            if open_keys.iter().all(is_valid) {
+                trial.was_sent.set(true);
+                return Ok(true);
+            }
+        }
+        suspects.status(&request.suspect_keys, now_ms)
     };
-    let part_id = part_id(request, key);
-    if is_trial(state, request, key, now_ms) {
-        log::info!(id = request.id.as_str(), part = part_id; "suspect_tried");
-        return Ok(());
+    request.trial.take();
+    match status {
+        suspect::SuspectStatus::Clear => Ok(true),
+        suspect::SuspectStatus::Isolated => Ok(false),
+        suspect::SuspectStatus::Refused => Err(refuse(state, request, verdict)),
     }
-    match part_id {
+}
+
+fn refused_key<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+) -> Option<u64> {
+    let suspects = state.suspects.borrow();
+    suspects.refused_key(&request.suspect_keys, clock::now_ms())
+}
+
+/// Creates the refusal of a request that is known to crash targets.
+fn refuse<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    verdict: Verdict,
+) -> RefusalResponse {
+    let part_id = refused_key(state, request).and_then(|key| part_id(request, key));
+    let cause = match part_id {
         Some(part_id) => {
             log::info!(id = request.id.as_str(), part = part_id; "part_refused");
-            refuse(RefusalCause::CrashPart)
+            RefusalCause::CrashPart
         }
-        None => refuse(RefusalCause::CrashSuspect),
+        None => RefusalCause::CrashSuspect,
+    };
+    RefusalResponse {
+        cause,
+        // The caller must not be told to send the request again.
+        verdict: verdict.combine(Verdict::MayHaveRun),
+        retry_after_ms: None,
+    }
+}
+
+/// Creates the refusal of a suspect that may be sound.
+fn hold_back(verdict: Verdict) -> RefusalResponse {
+    let refusal = RefusalResponse::after(RefusalCause::HeldBack, verdict);
+    RefusalResponse {
+        retry_after_ms: refusal.retry_after_ms.map(|_| RETRY_AFTER_MS),
+        ..refusal
     }
 }
 
@@ -65,6 +187,7 @@
     request: &RelayRequest,
 ) {
     let now_ms = clock::now_ms();
+    request.has_output.set(true);
     let mut suspects = state.suspects.borrow_mut();
     // Few requests recur, so that only answers to suspected ones are recorded. A prompt part that
     // was answered before a crash is less suspicious.
@@ -75,27 +198,11 @@
     };
     if suspects.record_answer(keys, now_ms) {
         state.report_now.notify_one();
+        state.trials.wake_waiting();
     }
-}
-
-/// Whether a request runs as a trial of a refused key. Only the daemon of the first rank makes
-/// trials, so that there is one at a time. A trial ends with the next crash.
-fn is_trial<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
-    state: &state::RelayState<Codec, Store>,
-    request: &RelayRequest,
-    key: u64,
-    now_ms: u64,
-) -> bool {
-    let mut suspects = state.suspects.borrow_mut();
-    if let Some(trial_ms) = request.trial_ms.get() {
-        return suspects.last_crash_ms(key) < trial_ms;
-    }
-    let is_first = scheduler::own_rank(state, now_ms) == 0;
-    let is_trial = is_first && suspects.try_key(key, now_ms);
-    if is_trial {
-        request.trial_ms.set(Some(now_ms));
-    }
-    is_trial
+    drop(suspects);
+    // The end of a trial is reported with the answer.
+    request.trial.take();
 }
 
 /// A request whose connection broke before the target sent any output of it.
@@ -103,8 +210,8 @@
 struct BrokenCall {
     id: String,
     suspect_keys: Vec<u64>,
-    /// Whether it ran as a trial.
-    is_trial: bool,
+    /// Permission by which it ran. The trial ends once the crash is recorded.
+    trial: Option<rc::Rc<trial::TrialPermit>>,
     /// Ids of the shared parts, for the log.
     part_ids: String,
     /// Time by [`clock::now_ms`] at which it was sent to the target.
@@ -125,14 +232,14 @@
     let call = BrokenCall {
         id: request.id.clone(),
         suspect_keys: request.suspect_keys.clone(),
-        is_trial: request.trial_ms.get().is_some(),
+        trial: request.trial.borrow().clone(),
         part_ids: request.shared_part_ids().join(","),
         sent_ms,
         broken_ms: clock::now_ms(),
     };
     let state = rc::Rc::clone(state);
     let target = rc::Rc::clone(target);
-    tokio::task::spawn_local(async move {
+    let confirmation = tokio::task::spawn_local(async move {
         match connect_stable(&target).await {
             Ok(connection) => target.pool.put(connection, None),
             Err(error) => {
@@ -143,6 +250,7 @@
             }
         }
     });
+    request.confirmation.replace(Some(confirmation));
 }
 
 /// Opens a connection that stays open for [`STABLE_TIME`]. The listener of a process that ends may
@@ -168,22 +276,23 @@
     log::info!(
         id = call.id.as_str(), target_id = target.entry.id.as_str(),
         fingerprint = call.suspect_keys[0], parts = call.part_ids.as_str(),
-        is_trial = call.is_trial, in_flight_ms = call.broken_ms.saturating_sub(call.sent_ms);
+        trial:? = call.trial.as_ref().map(|trial| trial.answer), in_flight_ms = call.broken_ms.saturating_sub(call.sent_ms);
         "target_crashed"
     );
     let target_hash = target.hash as u32;
     let mut suspects = state.suspects.borrow_mut();
-    let record = match call.is_trial {
-        true => suspect::SuspectTable::record_trial_crash,
-        false => suspect::SuspectTable::record_crash,
-    };
-    let (sent_ms, broken_ms) = (call.sent_ms, call.broken_ms);
-    record(
-        &mut suspects,
-        &call.suspect_keys,
-        target_hash,
-        sent_ms,
-        broken_ms,
-    );
+    let (keys, sent_ms, broken_ms) = (&call.suspect_keys, call.sent_ms, call.broken_ms);
+    match &call.trial {
+        Some(trial) if trial.answer == suspect::TrialAnswer::GrantedAtOnce => {
+            suspects.record_at_once_crash(keys, target_hash, trial.granted_ms, broken_ms);
+        }
+        Some(trial) if trial.answer == suspect::TrialAnswer::Granted => {
+            suspects.record_crash(keys, target_hash, sent_ms, broken_ms);
+            suspects.record_trial_crash(&trial.open_keys, target_hash, sent_ms, broken_ms);
+        }
+        _ => suspects.record_crash(keys, target_hash, sent_ms, broken_ms),
+    }
+    drop(suspects);
     state.report_now.notify_one();
+    state.trials.wake_waiting();
 }
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving};
-use crate::{clock, config, platform, scheduler, state, target, watch};
+use crate::{clock, config, platform, scheduler, state, target, trial, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -334,6 +334,13 @@
             scheduler::receive_response(state, response)
         }
         Ok(scheduler::PeerMessage::Update(update)) => scheduler::apply_update(state, &update),
+        Ok(scheduler::PeerMessage::TrialRequest(request)) => {
+            trial::handle_request(state, &request, sender);
+        }
+        Ok(scheduler::PeerMessage::TrialResponse(response)) => {
+            trial::receive_response(state, response);
+        }
+        Ok(scheduler::PeerMessage::TrialEnd(end)) => trial::handle_end(state, &end),
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "peer_message_unreadable");
         }
@@ -348,6 +355,9 @@
     let mut suspects = state.suspects.borrow_mut();
     suspects.merge_report(&report.suspects, now_ms);
     drop(suspects);
+    if !report.suspects.is_empty() {
+        state.trials.wake_waiting();
+    }
     apply_stage_changes(state, &report.stage_changes, now_ms);
     apply_parts(state, &report.parts, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,4 +29,5 @@
 mod state;
 pub mod target;
 pub mod telemetry;
+mod trial;
 pub mod watch;
--- a/crates/relay/src/scheduler/message.rs
+++ b/crates/relay/src/scheduler/message.rs
@@ -3,7 +3,7 @@
 use acaciabank_core::{load_shed, outlier, prefix};
 use serde::{Deserialize, Serialize};
 
-use crate::gossip;
+use crate::{gossip, trial};
 
 /// A request to choose the engines for a prompt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -78,4 +78,10 @@
     Response(PlacementResponse),
     /// See [`PlacementUpdate`].
     Update(PlacementUpdate),
+    /// See [`trial::TrialRequest`].
+    TrialRequest(trial::TrialRequest),
+    /// See [`trial::TrialResponse`].
+    TrialResponse(trial::TrialResponse),
+    /// See [`trial::TrialEnd`].
+    TrialEnd(trial::TrialEnd),
 }
--- a/crates/relay/src/scheduler/mod.rs
+++ b/crates/relay/src/scheduler/mod.rs
@@ -81,7 +81,8 @@
 }
 
 impl SchedulerState {
-    fn send(&self, message: &PeerMessage, to: net::SocketAddr) {
+    /// Sends a message to another daemon; it may be lost.
+    pub fn send(&self, message: &PeerMessage, to: net::SocketAddr) {
         let datagram = match postcard::to_stdvec(message) {
             Ok(datagram) => datagram,
             Err(error) => {
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -10,7 +10,7 @@
     budget, outlier, prefix, prompt_speed, store_version::StoreVersion, suspect,
 };
 
-use crate::{config, connection, gossip, platform, scheduler, target, watch};
+use crate::{config, connection, gossip, platform, scheduler, target, trial, watch};
 
 /// Settings of the process, fixed at startup.
 #[derive(Clone, Debug)]
@@ -120,6 +120,8 @@
     pub watch: watch::StoreWatch,
     /// Requests and prompt parts suspected of crashing targets.
     pub suspects: RefCell<suspect::SuspectTable>,
+    /// Trials of suspects, as a daemon that asks for them and as the one that grants them.
+    pub trials: trial::TrialState,
     /// Estimated speeds of the prefill engines by service.
     pub prompt_speeds: RefCell<HashMap<String, prompt_speed::SpeedEstimate>>,
     /// Retry budgets by service.
@@ -193,6 +195,7 @@
             scheduler: scheduler::SchedulerState::default(),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::default(),
+            trials: trial::TrialState::default(),
             prompt_speeds: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -27,6 +27,9 @@
         CrashSuspect,
         /// Targets crashed on a part of the prompt.
         CrashPart,
+        /// A target crashed on the same request or a part of its prompt, and others that share it have
+        /// not shown yet whether it is sound.
+        HeldBack,
         /// The target failed and the request must not be sent again.
         TargetFailed,
         /// Every target that was tried refused the request.
@@ -53,6 +56,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::CrashSuspect => "crash_suspect",
             Self::CrashPart => "crash_part",
+            Self::HeldBack => "held_back",
             Self::TargetFailed => "target_failed",
             Self::TargetRefused => "target_refused",
             Self::BudgetSpent => "budget_spent",
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -85,8 +85,8 @@
     /// Ids of prompt parts that end the process when an engine begins to write the answer of a
     /// request that holds one of them in front of its last part.
     pub crash_parts: Vec<String>,
-    /// Path, with the query, that ends the process when a plain service has worked on a request
-    /// for it.
+    /// Beginning of path and query with which a request ends the process of a plain service when it
+    /// has worked on it.
     pub crash_path: Option<String>,
     /// Additional time to the first event of a stream, in milliseconds.
     pub first_event_delay_ms: u64,
@@ -267,7 +267,8 @@
         }
         if self.options.stage.is_none() {
             let path = head.uri.path_and_query().map(|path| path.as_str());
-            if path.is_some() && path == faults.crash_path.as_deref() {
+            let is_crashing = |begin: &str| path.is_some_and(|path| path.starts_with(begin));
+            if faults.crash_path.as_deref().is_some_and(is_crashing) {
                 tokio::time::sleep(Duration::from_millis(self.options.work_ms)).await;
                 self.journal.record(json!({"crashed": attempt}));
                 process::exit(CRASH_STATUS);
--- a/crates/testbed/tests/relay/crashing_parts.rs
+++ b/crates/testbed/tests/relay/crashing_parts.rs
@@ -16,6 +16,8 @@
 
 /// Prompt part that crashes the engine that begins to write the answer.
 const CRASH_PART: &str = "crashing";
+/// Further parts that do so, one for each way in which requests come at one moment.
+const WAVE_PARTS: [&str; 3] = ["crashing-a", "crashing-b", "crashing-c"];
 /// Prompt parts that sound requests share with the crashing ones.
 const SOUND_PARTS: [&str; 2] = ["shared-1", "shared-2"];
 /// Parts of a crashing request in front of its own last part.
@@ -162,11 +164,14 @@
         let mut fixture = Fixture::start().await;
         fixture.write_config(1, |_| {}).await;
         fixture.runner_arguments = vec![
-            "--crash-part".to_owned(),
-            CRASH_PART.to_owned(),
             "--first-event-delay-ms".to_owned(),
             first_event_delay_ms.to_string(),
         ];
+        let crash_parts = [CRASH_PART].into_iter().chain(WAVE_PARTS);
+        let crash_arguments = crash_parts.flat_map(|part| ["--crash-part", part]);
+        fixture
+            .runner_arguments
+            .extend(crash_arguments.map(str::to_owned));
         let mut engines = Vec::new();
         for id in ENGINE_IDS {
             let stage = match id.starts_with('p') {
@@ -590,3 +595,54 @@
     println!("{crash_count} crashes");
     assert!(crash_count <= MAX_CRASHES, "{crash_count} crashes");
 }
+
+/// Guards against crashes at one moment that count as one, so that the requests of the next moments
+/// reach engines too, and against sound requests with the same first part that are held back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_parts_that_come_at_one_moment_are_stopped() {
+    let fixture = CrashFixture::start(0).await;
+    let before = fixture.send_sound("before", &SOUND_PARTS, 20).await;
+    let usual_share = served_share(&before.iter().collect::<Vec<_>>());
+    // Requests at one moment, number of moments, and time between them.
+    let waves = [(4, 5, 3_500), (9, 4, 4_000), (18, 3, 4_500)];
+    for (part, (at_once, moments, pause_ms)) in WAVE_PARTS.into_iter().zip(waves) {
+        let pause = Duration::from_millis(pause_ms);
+        let sound_count = pause.as_millis() as u32 * moments / 50;
+        let parts = [SOUND_PARTS[0], part, SOUND_PARTS[1]];
+        let sound_name = format!("sound-{part}");
+        let (sound, ()) = tokio::join!(
+            fixture.send_sound(&sound_name, &SOUND_PARTS, sound_count),
+            async {
+                for moment in 0..moments {
+                    let name = format!("crash-{part}-{moment}");
+                    let series = RequestSeries {
+                        name: &name,
+                        // One attempt each, so that the crashes of a moment come together.
+                        route: "stream",
+                        parts: &parts,
+                        interval: Duration::ZERO,
+                        count: at_once,
+                    };
+                    tokio::join!(fixture.send_series(series), tokio::time::sleep(pause));
+                }
+            }
+        );
+        let of_part = |attempt: &str| attempt.starts_with(&format!("crash-{part}-"));
+        let crashes = fixture.entries("crashed");
+        let crashes = crashes.iter().filter(|(_, attempt)| of_part(attempt));
+        let crashes: Vec<u64> = crashes.map(|(at, _)| *at).collect();
+        let known_ms = crashes[crashes.len().min(MAX_CRASHES) - 1];
+        let late_ms = match crashes.len() < MAX_CRASHES {
+            true => u64::MAX,
+            false => known_ms + CONTACT_MS,
+        };
+        let late = fixture.reached_after(late_ms);
+        let late: Vec<_> = late.iter().filter(|attempt| of_part(attempt)).collect();
+        println!(
+            "{at_once} at once: {} crashes, late {late:?}",
+            crashes.len()
+        );
+        assert!(late.len() <= MAX_LATE_REQUESTS, "{part}: {late:?}");
+        check_sound_share(&sound, known_ms + SETTLE_MS, usual_share);
+    }
+}
--- a/crates/testbed/tests/relay/crashing_requests.rs
+++ b/crates/testbed/tests/relay/crashing_requests.rs
@@ -27,9 +27,8 @@
 const STEADY_TIME: Duration = Duration::from_millis(1_500);
 /// Smallest share of sound requests that is served after the crashes.
 const MIN_SERVED_SHARE: f64 = 0.95;
-/// Path and query that crash each runner.
-const CRASH_PATH: &str = "/safe/page?crash=1";
-const CRASH_QUERY: &str = "crash=1";
+/// Beginning of path and query of requests that crash each runner.
+const CRASH_BEGIN: &str = "/safe/page?crash=";
 /// Time that relays in touch have to tell each other of a request, in milliseconds (`contact_ms` of
 /// the users' rule).
 const CONTACT_MS: u64 = 3_000;
@@ -92,7 +91,7 @@
         let permit = harness::acquire_fleet_permit().await;
         let mut fixture = Fixture::start().await;
         fixture.write_config(1, |_| {}).await;
-        fixture.runner_arguments = ["--crash-path", CRASH_PATH, "--work-ms", WORK_MS]
+        fixture.runner_arguments = ["--crash-path", CRASH_BEGIN, "--work-ms", WORK_MS]
             .map(str::to_owned)
             .to_vec();
         let mut runners = Vec::new();
@@ -239,10 +238,10 @@
 async fn a_request_that_crashes_each_runner_is_stopped_and_others_are_served() {
     let fixture = RequestFixture::start().await;
     let form = |method, path, body| RequestForm { method, path, body };
-    let crashing = form("POST", CRASH_PATH, "a body");
+    let crashing = form("POST", "/safe/page?crash=1", "a body");
     let sound = [
         form("POST", "/safe/page", "a body"),
-        form("POST", "/safe/page?crash=0", "a body"),
+        form("POST", "/safe/page?page=1", "a body"),
         form("GET", "/safe/page", ""),
     ];
     let time = Duration::from_secs(14);
@@ -257,7 +256,7 @@
     let crashes = fixture.entry_times("crashed", |_| true);
     assert!(crashes.len() >= KNOWN_CRASHES, "{} crashes", crashes.len());
     let known_ms = crashes[KNOWN_CRASHES - 1];
-    let is_crashing = |entry: &serde_json::Value| entry["query"] == CRASH_QUERY;
+    let is_crashing = |entry: &serde_json::Value| entry["query"] == "crash=1";
     let runs = fixture.entry_times("ran", is_crashing);
     let late_count = runs
         .iter()
@@ -280,3 +279,73 @@
     // At most three of the runners end once more, each for less than a second.
     assert!(served * 4 >= sound.len() * 3, "{served} of {}", sound.len());
 }
+
+/// Identical crashing requests that come at the same moment, through all relays.
+#[derive(Clone, Copy, Debug)]
+struct CrashWave {
+    path: &'static str,
+    query: &'static str,
+    /// Number of requests at one moment.
+    at_once: usize,
+    /// Number of moments and the time between them.
+    moments: usize,
+    pause: Duration,
+}
+
+/// Guards against crashes at one moment that count as one, so that the requests of the next moments
+/// reach runners too, and against sound requests that wait or are refused beside them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_requests_that_come_at_one_moment_are_stopped() {
+    let fixture = RequestFixture::start().await;
+    let wave = |path, query, at_once, moments, pause_ms| CrashWave {
+        path,
+        query,
+        at_once,
+        moments,
+        pause: Duration::from_millis(pause_ms),
+    };
+    let waves = [
+        wave("/safe/page?crash=a", "crash=a", 3, 5, 3_200),
+        wave("/safe/page?crash=b", "crash=b", 9, 4, 3_600),
+        wave("/safe/page?crash=c", "crash=c", 18, 3, 4_500),
+    ];
+    for wave in waves {
+        let form = RequestForm {
+            method: "POST",
+            path: wave.path,
+            body: "a body",
+        };
+        let sound = RequestForm {
+            path: "/safe/page",
+            ..form
+        };
+        let time = wave.pause * wave.moments as u32;
+        let (sound, ()) = tokio::join!(
+            fixture.send_alike(sound, Duration::from_millis(50), time),
+            async {
+                for _ in 0..wave.moments {
+                    let sent = (0..wave.at_once).map(|number| {
+                        let relay = &fixture.relays[number % RELAY_COUNT];
+                        fixture.send(relay, form)
+                    });
+                    let (outcomes, ()) = tokio::join!(
+                        futures::future::join_all(sent),
+                        tokio::time::sleep(wave.pause)
+                    );
+                    assert!(outcomes.iter().all(|sent| sent.status != 200));
+                }
+            }
+        );
+        let runs = fixture.entry_times("ran", |entry| entry["query"] == wave.query);
+        let crashes = fixture.entry_times("crashed", |_| true);
+        let first_ms = runs.first().copied().unwrap_or_default();
+        let known = crashes.iter().filter(|at| **at >= first_ms);
+        let known_ms = known.copied().nth(KNOWN_CRASHES - 1).expect("crashes");
+        let late = runs.iter().filter(|at| **at > known_ms + CONTACT_MS);
+        let late_count = late.count();
+        println!("{wave:?}: {} runs, {late_count} of them late", runs.len());
+        assert!(late_count <= MAX_LATE_RUNS, "{wave:?}: {late_count}");
+        let suspected = sound.iter().find(|sent| sent.is_suspected());
+        assert!(suspected.is_none(), "{wave:?}: {suspected:?}");
+    }
+}
