Test how long sound requests wait for their turn after crashes

Test: 100 sound streams a second with the same first part, two engines killed one after the other. None is refused as a suspect or held back in vain, and the 99th percentile stays within the usual time and the latency target of 1,000 ms.

--- a/crates/testbed/tests/relay/crashing_parts.rs
+++ b/crates/testbed/tests/relay/crashing_parts.rs
@@ -44,6 +44,8 @@
 /// Time that relays in touch have to tell each other of a part, in milliseconds (`contact_ms` of
 /// the users' rule).
 const CONTACT_MS: u64 = 3_000;
+/// Time by which the first token of a stream is due on the users' sites, in milliseconds.
+const LATENCY_TARGET_MS: u64 = 1_000;
 /// Time after a crash by which its engine serves again, in milliseconds.
 const SETTLE_MS: u64 = 2_000;
 /// Smallest share of sound requests served beside crashing ones, relative to that at other times
@@ -75,6 +77,7 @@
 struct SentRequest {
     attempt: String,
     sent_ms: u64,
+    elapsed_ms: u64,
     answer: Answer,
 }
 
@@ -138,6 +141,7 @@
     SentRequest {
         attempt: attempt.to_owned(),
         sent_ms,
+        elapsed_ms: journal::unix_ms().saturating_sub(sent_ms),
         answer,
     }
 }
@@ -516,6 +520,44 @@
     }
 }
 
+/// Guards against sound requests that wait long for their turn, or in vain, after engines have crashed
+/// that had others with the same first part in flight.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sound_requests_wait_shortly_after_crashes() {
+    let fixture = CrashFixture::start(50).await;
+    let mut usual = fixture.send_sound("before", &SOUND_PARTS, 40).await;
+    usual.sort_by_key(|sent| sent.elapsed_ms);
+    let usual_ms = usual[usual.len() / 2].elapsed_ms;
+    let series = RequestSeries {
+        name: "sound",
+        route: "resumable",
+        parts: &SOUND_PARTS,
+        interval: Duration::from_millis(10),
+        count: 400,
+    };
+    let (mut sound, ()) = tokio::join!(fixture.send_series(series), async {
+        for name in ["d-1", "d-2"] {
+            tokio::time::sleep(Duration::from_millis(1_200)).await;
+            let mut engines = fixture.engines.lock().expect("engines lock");
+            let engine = engines
+                .iter_mut()
+                .find(|engine| engine.process.name() == name);
+            engine.expect("an engine").process.kill();
+        }
+    });
+    let held_back = |sent: &&SentRequest| match &sent.answer {
+        Answer::Refused(_, cause) => cause.starts_with("held_back") || sent.answer.is_suspected(),
+        Answer::Complete | Answer::Broken => false,
+    };
+    let held_back: Vec<_> = sound.iter().filter(held_back).collect();
+    assert!(held_back.is_empty(), "{held_back:?}");
+    sound.sort_by_key(|sent| sent.elapsed_ms);
+    let at_share = |percent: usize| sound[sound.len() * percent / 100].elapsed_ms;
+    let (median_ms, high_ms) = (at_share(50), at_share(99));
+    println!("usual {usual_ms} ms, p50 {median_ms} ms, p99 {high_ms} ms");
+    assert!(high_ms <= usual_ms + LATENCY_TARGET_MS, "{high_ms} ms");
+}
+
 /// Guards against a relay that has to lose engines of its own before it refuses a part that the
 /// others know.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
