Isolate prompts with a suspected beginning at the own interface

Callers saw: prompts with a beginning that crashes engines, three at once through three daemons and not retried, crashed three engines at each moment, six by the second of four.

Crashes at one moment count as one, and a suspected beginning alone made no request wait for its turn, only a retry.

Ruled out: a separate rule for beginnings; the table of suspects and the turns handle them already, and the exception in CrashState::status goes.

The other eight tests of suspects and those of the daemon pass. Not measured: the questions for turns with hundreds of daemons.

--- a/crates/daemon/src/dispatch/admission.rs
+++ b/crates/daemon/src/dispatch/admission.rs
@@ -33,8 +33,8 @@
 }
 
 impl CrashState {
-    /// Status of a request. It is refused also if targets crashed on others whose prompts begin
-    /// alike; a beginning alone does not isolate it.
+    /// Status of a request. It is refused or isolated also if targets crashed on others whose prompts
+    /// begin alike.
     pub(super) fn status(&self, fingerprint: u64, piece_hashes: &[u64]) -> suspect::SuspectStatus {
         if self.suspects.is_empty() {
             return suspect::SuspectStatus::Clear;
@@ -44,13 +44,7 @@
             return suspect::SuspectStatus::Refused;
         }
         let keys = suspect_keys(fingerprint, piece_hashes);
-        let status = self.suspects.status(&keys, now_ms);
-        let is_own = self.suspects.status(&[fingerprint], now_ms) != suspect::SuspectStatus::Clear;
-        let is_isolated = is_own || self.suspects.refused_key(&keys, now_ms).is_some();
-        match status {
-            suspect::SuspectStatus::Isolated if !is_isolated => suspect::SuspectStatus::Clear,
-            status => status,
-        }
+        self.suspects.status(&keys, now_ms)
     }
 
     /// Whether several targets have just crashed on identical requests, none of which was answered.
--- a/crates/testbed/tests/suspects.rs
+++ b/crates/testbed/tests/suspects.rs
@@ -18,6 +18,9 @@
 /// of the relay.
 const MAX_BEGINNING_CRASHES: usize = 5;
 
+/// Time between two moments at which prompts come; engines that fail together do so in less.
+const MOMENT_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// A fleet, and the permit that limits how many fleets run at a time.
 struct FleetFixture {
     fleet: harness::Fleet,
@@ -293,6 +296,29 @@
     assert_eq!(fixture.crashed_engine_count(), crashed_engines);
 }
 
+/// Guards against different prompts with a crashing beginning that come at one moment after the other
+/// and are not retried: each moment counts as one crash, so that those of the next ones would reach
+/// engines too.
+#[tokio::test]
+async fn prompts_with_a_crashing_beginning_that_come_at_one_moment_are_stopped() {
+    let mut fixture = FleetFixture::start(|spec| {
+        let engines = harness::FleetSpec::small(3, MAX_BEGINNING_CRASHES + 3, 1);
+        spec.deployment.engines = engines.deployment.engines;
+        spec.limits.max_attempts = 1;
+    })
+    .await;
+    let beginning = format!("CRASH-ENGINE {}", "shared words ".repeat(100));
+    for moment in 0..4 {
+        let prompts = [0, 1, 2].map(|number| format!("{beginning}, request {moment}.{number}"));
+        let sent = (0..3).map(|daemon| fixture.send_prompt(daemon, &prompts[daemon]));
+        let reasons = futures::future::join_all(sent).await;
+        let crashed_engines = fixture.crashed_engine_count();
+        println!("{crashed_engines} engines crashed, reasons {reasons:?}");
+        assert!(crashed_engines <= MAX_BEGINNING_CRASHES, "{reasons:?}");
+        tokio::time::sleep(MOMENT_INTERVAL).await;
+    }
+}
+
 /// Guards against sound prompts that are refused, or wait for one another without end, because they
 /// share their beginning with prompts that crash engines.
 #[tokio::test]
