Refuse two crashing parts at once, and one that was answered before

Cause: of two crashing parts neither was in more crashes without the other one, so that both went on as unexplained. And a part that was answered before counted no crash that a never answered key explained; the own key of each request that had run twice seemed to explain its crashes.

Ruled out: counting all trials against an answered part.

Change: a crash of a trial at a target where no request with another suspect waited settles that the other one is not the cause. Crashes that another key explains count once instead of never; for trials such a key is one that the request at hand does not have.

Tests: core trials, three more. Two of them fail without the change; the third is the opposite bound, and failed on the way. All other core tests of suspects pass.

--- a/crates/core/src/suspect/attribution.rs
+++ b/crates/core/src/suspect/attribution.rs
@@ -1,6 +1,9 @@
 //! Attribution of crashes to the keys of the requests that were in flight.
 
-use std::{collections::HashMap, rc};
+use std::{
+    collections::{HashMap, HashSet},
+    rc,
+};
 
 use super::{
     COMMON_FAILURE_MS, REFUSE_MIN_ANSWERED_CRASHES, REFUSE_MIN_CRASHES,
@@ -90,14 +93,15 @@
         absent.all(|other| self.explains_more(key, other, is_answered))
     }
 
-    /// Whether a key was seen in more crashes without another one than the other way round. Of two
-    /// keys that cannot be told apart, one that was never answered explains more; once all its trials
-    /// have crashed it does so in any case.
+    /// Whether a key was seen in the crash of a trial without another one, or else in more crashes
+    /// without it than the other way round. Of two keys that cannot be told apart, one that was never
+    /// answered explains more; once all its trials have crashed it does so in any case.
     fn explains_more(&self, key: u64, other: u64, is_answered: impl Fn(u64) -> bool) -> bool {
         let own_crashes = self.count_without(key, other);
         let other_crashes = self.count_without(other, key);
         let is_newer = !is_answered(key) && is_answered(other);
-        own_crashes > other_crashes
+        self.has_trial_without(key, other)
+            || own_crashes > other_crashes
             || is_newer && (own_crashes == other_crashes || self.count_trials(key) >= MAX_TRIALS)
     }
 
@@ -107,6 +111,12 @@
         count_in_a_row(without.map(|open| open.crash))
     }
 
+    /// Whether a trial of a key crashed at a target where no request with another one waited.
+    fn has_trial_without(&self, key: u64, other: u64) -> bool {
+        let mut trials = self.of_key(key).filter(|open| open.crash.is_trial);
+        trials.any(|open| !open.involves(other))
+    }
+
     /// Counts crashes of trials of requests with a key.
     fn count_trials(&self, key: u64) -> usize {
         self.of_key(key).filter(|open| open.crash.is_trial).count()
@@ -131,6 +141,27 @@
     }
 }
 
+/// Returns of the crashes that one key explains the first one, and all others. Of several keys that
+/// may explain a crash, the one in the most crashes does.
+pub fn once_by_cause<'a>(
+    crashes: &[&'a SeenCrash],
+    mut is_cause: impl FnMut(u64) -> bool,
+) -> Vec<&'a SeenCrash> {
+    let mut counts: HashMap<u64, usize> = HashMap::new();
+    for key in crashes.iter().flat_map(|crash| &crash.keys) {
+        if is_cause(*key) {
+            *counts.entry(*key).or_default() += 1;
+        }
+    }
+    let mut causes: HashSet<u64> = HashSet::new();
+    let counted = crashes.iter().copied().filter(|crash| {
+        let candidates = crash.keys.iter().filter(|key| counts.contains_key(key));
+        let cause = candidates.max_by_key(|key| counts[key]);
+        cause.is_none_or(|cause| causes.insert(*cause))
+    });
+    counted.collect()
+}
+
 /// Counts crashes in the order of their times. Those that one failure of many targets may have
 /// caused count once: the requests were in flight at the same time, and the times are close.
 fn count_in_a_row<'a>(crashes: impl Iterator<Item = &'a SeenCrash>) -> usize {
--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -207,7 +207,7 @@
     pub fn refused_key(&self, keys: &[u64], now_ms: u64) -> Option<u64> {
         let is_answered = |key| self.answers.last_ms(key).is_some();
         let is_suspected =
-            |key: &u64| self.is_open(*key, now_ms) && self.is_suspected(*key, now_ms);
+            |key: &u64| self.is_open(*key, now_ms) && self.is_suspected(*key, keys, now_ms);
         let mut suspected = keys.iter().copied().filter(is_suspected).peekable();
         suspected.peek()?;
         let crashes = self.open_crashes(now_ms);
@@ -397,22 +397,28 @@
         }
     }
 
-    /// Whether a key was seen in enough crashes to be refused. For one that was answered earlier, only
-    /// those crashes count that no key explains which never was.
-    fn is_suspected(&self, key: u64, now_ms: u64) -> bool {
+    /// Whether a key was seen in enough crashes to refuse a request with these keys. For one that was
+    /// answered earlier, those crashes count once that a key explains which never was, and those
+    /// trials that a key explains which the request does not have.
+    fn is_suspected(&self, key: u64, keys: &[u64], now_ms: u64) -> bool {
         let crashes = self.crashes_of(key, now_ms);
         let is_answered = |key| self.answers.last_ms(key).is_some();
         if !is_answered(key) || !attribution::is_suspected(crashes.clone(), true) {
             return attribution::is_suspected(crashes, is_answered(key));
         }
+        let trials: Vec<_> = crashes.clone().filter(|crash| crash.is_trial).collect();
+        let trials = attribution::once_by_cause(&trials, |other| !keys.contains(&other));
+        if attribution::is_suspected(trials.into_iter(), true) {
+            return true;
+        }
         let mut known: HashMap<u64, bool> = HashMap::new();
-        let mut is_cause = |other: u64| {
+        let is_cause = |other: u64| {
             let is_suspected = || attribution::is_suspected(self.crashes_of(other, now_ms), false);
             !is_answered(other) && *known.entry(other).or_insert_with(is_suspected)
         };
-        let unexplained = crashes.filter(|crash| !crash.keys.iter().any(|other| is_cause(*other)));
-        let unexplained: Vec<&SeenCrash> = unexplained.collect();
-        attribution::is_suspected(unexplained.into_iter(), true)
+        let crashes: Vec<_> = crashes.filter(|crash| !crash.is_trial).collect();
+        let crashes = attribution::once_by_cause(&crashes, is_cause);
+        attribution::is_suspected(crashes.into_iter(), true)
     }
 
     /// Whether a trial of a refused key may begin, given when the last one began.
--- a/crates/core/tests/suspect_trials.rs
+++ b/crates/core/tests/suspect_trials.rs
@@ -28,6 +28,7 @@
 
 const FIRST_PART: u64 = 1;
 const CRASHING_PART: u64 = 2;
+const SECOND_CRASHING_PART: u64 = 5;
 const CRASHING_REQUEST: u64 = 3;
 const SOUND_REQUEST: u64 = 4;
 const FIRST_OWN_KEY: u64 = 1_000;
@@ -75,6 +76,10 @@
     pause_ms: u64,
     /// Whether a target that is back has another hash, as on the users' platform.
     names_runs: bool,
+    /// Whether another part crashes targets too, in requests that come at the same moments.
+    has_second_part: bool,
+    /// Time until which the units are answered; they begin to crash targets then.
+    sound_until_ms: u64,
 }
 
 impl Scenario {
@@ -111,6 +116,8 @@
             pause_at_ms: START_MS + rng.random_range(2_000..20_000) / STEP_MS * STEP_MS,
             pause_ms: [0, 0, 1_000, 4_000][rng.random_range(0..4)],
             names_runs: rng.random_bool(0.5),
+            has_second_part: unit == CrashingUnit::Part && rng.random_bool(0.25),
+            sound_until_ms: START_MS + [0, 0, 0, 8_000][rng.random_range(0..4)],
         }
     }
 }
@@ -151,7 +158,8 @@
 #[derive(Clone, Debug)]
 struct ModelRequest {
     keys: Vec<u64>,
-    is_crashing: bool,
+    /// Key of it that crashes targets.
+    crash_key: Option<u64>,
     daemon: usize,
     arrival_ms: u64,
     runs: u32,
@@ -183,10 +191,10 @@
     asked_ms: Vec<(usize, u64, u64)>,
     next_key: u64,
     next_trial: u64,
-    /// Crashes by the unit, all crashes, and the starts of runs with the unit.
-    unit_crashes_ms: Vec<u64>,
+    /// Crashes by the units, all crashes, and the starts of runs with the units, by key.
+    unit_crashes_ms: Vec<(u64, u64)>,
     last_crash_ms: u64,
-    unit_runs_ms: Vec<u64>,
+    unit_runs_ms: Vec<(u64, u64)>,
 }
 
 impl Model {
@@ -246,6 +254,7 @@
             unit,
             wave,
             wave_interval_ms,
+            has_second_part,
             ..
         } = self.scenario;
         // The crashing requests begin after some time of calm, and never end.
@@ -255,19 +264,32 @@
                 match unit {
                     CrashingUnit::Nothing => {}
                     CrashingUnit::Request => {
-                        self.add(vec![CRASHING_REQUEST, FIRST_PART], true, now_ms)
+                        self.add_crashing(
+                            vec![CRASHING_REQUEST, FIRST_PART],
+                            CRASHING_REQUEST,
+                            now_ms,
+                        );
                     }
                     CrashingUnit::Part => {
-                        self.add(vec![own, FIRST_PART, CRASHING_PART], true, now_ms)
+                        self.add_crashing(
+                            vec![own, FIRST_PART, CRASHING_PART],
+                            CRASHING_PART,
+                            now_ms,
+                        );
                     }
                 }
+                if has_second_part {
+                    let own = self.own_key();
+                    let keys = vec![own, FIRST_PART, SECOND_CRASHING_PART];
+                    self.add_crashing(keys, SECOND_CRASHING_PART, now_ms);
+                }
             }
         }
         if now_ms.is_multiple_of(20) {
-            self.add(vec![SOUND_REQUEST], false, now_ms);
+            self.add(vec![SOUND_REQUEST], None, now_ms);
             let own = self.own_key();
             let shared = FIRST_OWN_KEY - 1 - self.rng.random_range(0..20);
-            self.add(vec![own, FIRST_PART, shared], false, now_ms);
+            self.add(vec![own, FIRST_PART, shared], None, now_ms);
         }
     }
 
@@ -276,12 +298,18 @@
         self.next_key
     }
 
-    fn add(&mut self, keys: Vec<u64>, is_crashing: bool, now_ms: u64) {
+    /// Adds a request with a key that crashes targets, unless it does not do so yet.
+    fn add_crashing(&mut self, keys: Vec<u64>, crash_key: u64, now_ms: u64) {
+        let is_sound = now_ms < self.scenario.sound_until_ms;
+        self.add(keys, Some(crash_key).filter(|_| !is_sound), now_ms);
+    }
+
+    fn add(&mut self, keys: Vec<u64>, crash_key: Option<u64>, now_ms: u64) {
         let daemon = self.rng.random_range(0..self.daemons.len());
         self.open.push(self.requests.len());
         self.requests.push(ModelRequest {
             keys,
-            is_crashing,
+            crash_key,
             daemon,
             arrival_ms: now_ms,
             runs: 0,
@@ -306,8 +334,10 @@
         match self.requests[index].phase.clone() {
             Phase::Running {
                 target, begins_ms, ..
-            } if begins_ms <= now_ms && self.requests[index].is_crashing => {
-                self.unit_crashes_ms.push(now_ms);
+            } if begins_ms <= now_ms && self.requests[index].crash_key.is_some() => {
+                let crash_key = self.requests[index].crash_key;
+                self.unit_crashes_ms
+                    .extend(crash_key.map(|key| (key, now_ms)));
                 self.crash(target, now_ms);
             }
             _ if is_paused => {}
@@ -398,9 +428,9 @@
             begins_ms,
             trial,
         };
-        let (daemon, is_crashing) = (request.daemon, request.is_crashing);
-        if is_crashing && self.is_in_touch(daemon, now_ms) {
-            self.unit_runs_ms.push(now_ms);
+        let (daemon, crash_key) = (request.daemon, request.crash_key);
+        if self.is_in_touch(daemon, now_ms) {
+            self.unit_runs_ms.extend(crash_key.map(|key| (key, now_ms)));
         }
     }
 
@@ -592,20 +622,32 @@
         self.last_crash_ms.max(resumed_ms) + CLEAR_MS + slow_ms
     }
 
-    /// Number of runs of the crashing unit that began too late.
+    /// Largest number of runs of a crashing unit that began too late.
     fn late_runs(&self) -> usize {
+        let keys = [CRASHING_REQUEST, CRASHING_PART, SECOND_CRASHING_PART];
+        let late_runs = keys.map(|key| self.late_runs_of(key));
+        late_runs.into_iter().max().unwrap_or_default()
+    }
+
+    fn late_runs_of(&self, key: u64) -> usize {
+        let of_key = |times: &[(u64, u64)]| -> Vec<u64> {
+            let times = times.iter().filter(|(other, _)| *other == key);
+            times.map(|(_, at_ms)| *at_ms).collect()
+        };
         let known = self.scenario.unit.known_crashes();
-        let Some(known_ms) = self.unit_crashes_ms.get(known - 1) else {
+        let Some(known_ms) = of_key(&self.unit_crashes_ms).get(known - 1).copied() else {
             return 0;
         };
+        let runs_ms = of_key(&self.unit_runs_ms);
         let is_late = |run_ms: &&u64| **run_ms > known_ms + CONTACT_MS;
-        self.unit_runs_ms.iter().filter(is_late).count()
+        runs_ms.iter().filter(is_late).count()
     }
 
     /// Sound requests that arrived after the given time, by outcome: served and refused.
     fn sound_after(&self, after_ms: u64) -> (usize, usize) {
         let sound = self.requests.iter();
-        let sound = sound.filter(|request| !request.is_crashing && request.arrival_ms >= after_ms);
+        let sound =
+            sound.filter(|request| request.crash_key.is_none() && request.arrival_ms >= after_ms);
         let count = |phase| {
             sound
                 .clone()
--- a/crates/core/tests/trials.rs
+++ b/crates/core/tests/trials.rs
@@ -143,3 +143,62 @@
     let mut request = |id, now_ms| trials.request(id, &[KEY, SHARED], &suspects, now_ms);
     assert_eq!(request(1, due_ms + 400), TrialAnswer::Refused);
 }
+
+/// Records a crash of requests with these keys at one moment, at one target.
+fn crash_together(suspects: &mut SuspectTable, requests: &[&[u64]]) {
+    for keys in requests {
+        suspects.record_crash(keys, 1, CRASH_MS - 100, CRASH_MS);
+    }
+}
+
+/// Guards against two parts that crash targets in requests that come at the same moments, none of
+/// which is refused because neither explains more crashes than the other one.
+#[test]
+fn two_crashing_parts_are_both_refused_after_a_trial() {
+    let mut suspects = SuspectTable::default();
+    suspects.record_answer(&[SHARED], 1_000);
+    crash_together(&mut suspects, &[&[10, SHARED, KEY], &[11, SHARED, OTHER]]);
+    suspects.record_answer(&[SHARED], CRASH_MS + 100);
+    crash_trial(&mut suspects, &[KEY], 2, STEADY_MS);
+    crash_trial(&mut suspects, &[OTHER], 3, STEADY_MS + 600);
+    let now_ms = STEADY_MS + 1_200;
+    for key in [KEY, OTHER] {
+        let status = suspects.status(&[20, SHARED, key], now_ms);
+        assert_eq!(status, SuspectStatus::Refused, "{key}");
+    }
+    let status = suspects.status(&[20, SHARED], now_ms);
+    assert_eq!(status, SuspectStatus::Clear);
+}
+
+/// Guards against a part that begins to crash targets after answers, and goes on as the keys of
+/// requests with it that ran twice seem to explain the crashes.
+#[test]
+fn a_part_that_was_answered_is_refused_after_three_trials() {
+    let mut suspects = SuspectTable::default();
+    suspects.record_answer(&[SHARED, KEY], 1_000);
+    crash_together(&mut suspects, &[&[10, SHARED, KEY], &[11, SHARED, KEY]]);
+    suspects.record_answer(&[SHARED], CRASH_MS + 100);
+    for (target, own) in [(2, 10), (3, 11), (4, 12)] {
+        let granted_ms = CRASH_MS + u64::from(target) * 600;
+        suspects.record_crash(&[own, SHARED, KEY], target, granted_ms, granted_ms + 20);
+        crash_trial(&mut suspects, &[own, KEY], target, granted_ms);
+        suspects.record_answer(&[SHARED], granted_ms + 50);
+    }
+    let status = suspects.status(&[20, SHARED, KEY], CRASH_MS + 3_000);
+    assert_eq!(status, SuspectStatus::Refused);
+}
+
+/// Guards against a sound part that is refused for ten minutes because it was in all trials of two
+/// crashing parts, while no request with it alone was tried.
+#[test]
+fn trials_of_two_crashing_parts_do_not_refuse_their_first_part() {
+    let mut suspects = SuspectTable::default();
+    suspects.record_answer(&[SHARED, KEY, OTHER], 1_000);
+    crash_together(&mut suspects, &[&[10, SHARED, KEY], &[11, SHARED, OTHER]]);
+    for (target, own, key) in [(2, 10, KEY), (3, 11, OTHER), (4, 12, OTHER)] {
+        let granted_ms = CRASH_MS + u64::from(target) * 600;
+        crash_trial(&mut suspects, &[own, SHARED, key], target, granted_ms);
+    }
+    let status = suspects.status(&[20, SHARED], CRASH_MS + 3_500);
+    assert_eq!(status, SuspectStatus::Isolated);
+}
