Send sound requests until some time after the last crash

Cause: the requests ended at a planned time, while the last kill came later than planned: it waits for the lock that the restart of a runner holds while it starts the process. No request came after the kill, so that nothing was measured. The product refused none. That the lock was held for so long was read from the code, not traced.

Change: the requests go on until SETTLE_TIME and STEADY_TIME after the last kill. The bounds (100 requests, share served) are unchanged, and the time after the last kill is at least what it was.

--- a/crates/testbed/tests/relay/crashing_requests.rs
+++ b/crates/testbed/tests/relay/crashing_requests.rs
@@ -2,11 +2,16 @@
 //! one that crashes each runner is stopped.
 
 use std::{
-    sync::{Arc, Mutex},
+    cell::RefCell,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use acaciabank_testbed::{harness, journal};
+use futures::StreamExt;
 
 use crate::{
     fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT},
@@ -140,6 +145,28 @@
         futures::future::join_all(sent).await
     }
 
+    /// The same until `is_stopped` is set.
+    async fn send_alike_until(&self, form: RequestForm, is_stopped: &AtomicBool) -> Vec<Outcome> {
+        let started_at = tokio::time::Instant::now();
+        let collected = RefCell::new(Vec::new());
+        let outcomes = &collected;
+        let numbers = futures::stream::iter(0_u32..).then(|number| async move {
+            tokio::time::sleep_until(started_at + INTERVAL * number).await;
+            number
+        });
+        let numbers = numbers.take_while(|_| {
+            let is_stopped = is_stopped.load(Ordering::Relaxed);
+            std::future::ready(!is_stopped)
+        });
+        let send = |number: u32| async move {
+            let relay = &self.relays[number as usize % RELAY_COUNT];
+            let outcome = self.send(relay, form).await;
+            outcomes.borrow_mut().push(outcome);
+        };
+        numbers.for_each_concurrent(None, send).await;
+        collected.into_inner()
+    }
+
     async fn send(&self, relay: &Relay, form: RequestForm) -> Outcome {
         let sent_ms = journal::unix_ms();
         let attempt = format!("{:016x}", rand::random::<u64>());
@@ -212,13 +239,14 @@
         let paths = ["/safe/a", "/safe/b", "/safe/c", "/safe/d", "/safe/e"];
         let path = paths[number];
         let form = RequestForm { method, path, body };
-        let crash_time = plan.pause * (plan.moments as u32 - 1);
-        let lead_time = Duration::from_millis(300);
-        let time = lead_time + crash_time + SETTLE_TIME + STEADY_TIME;
+        let is_stopped = AtomicBool::new(false);
         let (outcomes, last_crash_ms) =
-            tokio::join!(fixture.send_alike(form, INTERVAL, time), async {
-                tokio::time::sleep(lead_time).await;
-                fixture.crash_runners(plan).await
+            tokio::join!(fixture.send_alike_until(form, &is_stopped), async {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                let last_crash_ms = fixture.crash_runners(plan).await;
+                tokio::time::sleep(SETTLE_TIME + STEADY_TIME).await;
+                is_stopped.store(true, Ordering::Relaxed);
+                last_crash_ms
             });
         let steady_ms = last_crash_ms + SETTLE_TIME.as_millis() as u64;
         let steady = outcomes.iter().filter(|sent| sent.sent_ms >= steady_ms);
