Log a stream that the end of the process cuts

Callers saw streams that ended around SIGTERM, and no line of the hosts' logs named the requests: the forwarding of a stream is dropped with the process, and only requests without a response had a line for that (unanswered). The line interrupted now names id, route, engine, last event and times, and a counter counts it; a caller that leaves while a broken stream is being resumed gets its line too.

relay::stop_deadlines::a_stream_that_the_end_of_the_process_cuts_is_logged failed before (no such line within 30 s) and passes now.

--- a/crates/relay/src/dispatch/generate/forwarder.rs
+++ b/crates/relay/src/dispatch/generate/forwarder.rs
@@ -12,7 +12,9 @@
 use tokio::sync::mpsc;
 
 use super::{
-    OpenStream, StreamStart, may_retry, read_failure, start_stream,
+    OpenStream, StreamStart,
+    interrupted::InterruptedGuard,
+    may_retry, read_failure, start_stream,
     takeover::{StreamTakeover, TakeoverEnd},
 };
 use crate::{
@@ -62,9 +64,16 @@
 
 impl<Codec: platform::MessageCodec, Store: platform::PlatformStore> StreamForwarder<Codec, Store> {
     /// Forwards the stream to its end and resumes it at other engines as often as necessary.
-    pub async fn run(mut self, mut stream: OpenStream) {
+    pub async fn run(mut self, stream: OpenStream) {
+        let mut guard = InterruptedGuard::new(&self.request, &stream.plan.decode);
+        self.run_to_end(stream, &mut guard).await;
+        guard.close();
+    }
+
+    async fn run_to_end(&mut self, mut stream: OpenStream, guard: &mut InterruptedGuard) {
         loop {
-            let end = self.forward(&mut stream).await;
+            guard.set_target(&stream.plan.decode);
+            let end = self.forward(&mut stream, guard).await;
             let failure = match end {
                 StreamEnd::Complete => return self.complete(stream),
                 StreamEnd::CallerLeft => return self.log_end("caller_left", &stream),
@@ -92,14 +101,14 @@
         }
     }
 
-    async fn forward(&self, stream: &mut OpenStream) -> StreamEnd {
+    async fn forward(&self, stream: &mut OpenStream, guard: &InterruptedGuard) -> StreamEnd {
         let stall_timeout = self.stall_timeout();
         loop {
             // A stream without events that has ended does not return any when it is read again.
             if let Some(events) = stream.first_events.take() {
                 let sent = tokio::time::timeout(stall_timeout, self.sender.send(events));
                 match sent.await {
-                    Ok(Ok(())) => {}
+                    Ok(Ok(())) => guard.record_event(stream.reader.last_id()),
                     Ok(Err(_)) => return StreamEnd::CallerLeft,
                     Err(_) => return StreamEnd::CallerStalled,
                 }
@@ -203,7 +212,10 @@
             Ok(()) => {
                 let starting = start_stream(state, request, &mut self.progress, last_event);
                 tokio::select! {
-                    () = self.sender.closed() => return None,
+                    () = self.sender.closed() => {
+                        log::info!(id = request.id.as_str(); "caller_left");
+                        return None;
+                    }
                     started = starting => started,
                 }
             }
@@ -225,7 +237,7 @@
         }
     }
 
-    fn complete(self, stream: OpenStream) {
+    fn complete(&self, stream: OpenStream) {
         self.state
             .record_outcome(&stream.plan.decode, outlier::TargetOutcome::Answered);
         telemetry::record_latency(
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -2,6 +2,7 @@
 //! prefill engine and a decode engine.
 
 mod forwarder;
+mod interrupted;
 mod kv_handle;
 mod takeover;
 
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -75,6 +75,11 @@
     .increment(1);
 }
 
+/// Counts a stream that the end of the process interrupts.
+pub fn count_interrupted() {
+    metrics::counter!("acaciabank_interrupted_requests_total").increment(1);
+}
+
 /// Counts a retry.
 pub fn count_retry(reason: reason::RetryReason) {
     metrics::counter!("acaciabank_retries_total", "reason" => reason.as_str()).increment(1);
--- a/crates/relay/src/telemetry/mod.rs
+++ b/crates/relay/src/telemetry/mod.rs
@@ -3,7 +3,7 @@
 mod events;
 mod logging;
 
-pub use events::{RefusalCause, count_refusal, count_retry, record_latency};
+pub use events::{RefusalCause, count_interrupted, count_refusal, count_retry, record_latency};
 pub use logging::{flush as flush_log, install as install_log};
 
 use std::sync;
