--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay with the platform emulator. Guarantees are checked against the journals of
 //! the runners and the responses that callers received.
 
+mod call_outcome;
 mod crashing_parts;
 mod crashing_requests;
 mod faulty_targets;
@@ -14,6 +15,7 @@
 mod returns;
 mod silences;
 mod soak;
+mod stop_deadlines;
 mod stops;
 mod streams;
 mod target_signals;
