Decide what a stopping daemon accepts by deadline and expected time

The decision stands in acaciabank-core, for both interfaces: a request whose deadline is before the end of the process is accepted; one with a later deadline only while callers may still have the address cached, and if its route's responses are expected to fit. Expected times are a high quantile of the route's latest responses, for a stream by the tokens that it may have. Tested without a network; nothing uses it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod role_planner;
 pub mod route;
 pub mod scheduler;
+pub mod shutdown;
 pub mod stage_planner;
 pub mod store_version;
 pub mod suspect;
