Give requests without a response their final one before a process ends

Callers saw connections that closed 7.5 s after SIGTERM without a status: of requests whose engine had sent no event, that waited for their prefill, or that ran at a silent target. Cause: whatever still ran was dropped with the process; nothing asked what the caller may be told.

One that no target runs is refused as soon as the rest of its response no longer fits, so that its caller has time left for a retry. Streams that have begun are dropped at the same moment and logged, and the process waits up to 0.2 s for the responses to be written.

--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -115,8 +115,15 @@
         first_event: Instant::now(),
     };
     let id = forwarder.request.id.clone();
+    let state = rc::Rc::clone(state);
     tokio::task::spawn_local(async move {
-        if panics::catch(forwarder.run(*stream)).await.is_err() {
+        let forwarded = tokio::select! {
+            biased;
+            forwarded = panics::catch(forwarder.run(*stream)) => forwarded,
+            // Dropping the forwarder logs the stream and closes both connections.
+            () = state.shutdown.wait_end() => return,
+        };
+        if forwarded.is_err() {
             log::error!(id = id.as_str(); "stream_failed");
         }
     });
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -52,7 +52,12 @@
     let name = route.name.clone();
     let mut unanswered = UnansweredGuard::new(&id, &name);
     let answer = async {
-        let request = RelayRequest::read(&state, &config, route, metadata, request).await?;
+        let read = RelayRequest::read(&state, &config, route, metadata, request);
+        let request = tokio::select! {
+            biased;
+            request = read => request?,
+            () = state.shutdown.wait_end() => return Err(stopping::refusal(Verdict::NotRun)),
+        };
         unanswered.record_read();
         state.record_request(&request.service);
         run(&state, rc::Rc::new(request)).await
@@ -81,8 +86,15 @@
 ) -> Result<HttpResponse, RefusalResponse> {
     stopping::check(state, &request, Verdict::NotRun)?;
     let progress = RequestProgress::default();
-    match request.is_generation() {
-        true => generate::run(state, request, progress).await,
-        false => service::run(state, &request, progress).await,
+    let answer = async {
+        match request.is_generation() {
+            true => generate::run(state, rc::Rc::clone(&request), progress).await,
+            false => service::run(state, &request, progress).await,
+        }
+    };
+    tokio::select! {
+        biased;
+        answer = answer => answer,
+        refusal = stopping::wait_ended(state, &request) => Err(refusal),
     }
 }
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -259,6 +259,15 @@
         self.0.send_replace(SentTimes::default()).current.is_some()
     }
 
+    /// Returns whether a target may have run the request, in the attempt that is under way too.
+    pub fn verdict(&self) -> Verdict {
+        let times = self.0.borrow();
+        match times.current.or(times.ended_run) {
+            Some(_) => Verdict::MayHaveRun,
+            None => Verdict::NotRun,
+        }
+    }
+
     /// Whether an attempt is under way.
     pub fn is_under_way(&self) -> bool {
         self.0.borrow().current.is_some()
--- a/crates/relay/src/dispatch/stopping.rs
+++ b/crates/relay/src/dispatch/stopping.rs
@@ -1,6 +1,6 @@
-//! Requests that the stop of the daemon refuses.
+//! Requests that the stop of the daemon refuses or ends.
 
-use std::time::Instant;
+use std::{future, time::Instant};
 
 use acaciabank_core::shutdown::PendingRequest;
 use acaciabank_protocol::verdict::Verdict;
@@ -48,3 +48,25 @@
         ..refusal
     }
 }
+
+/// Waits until a request without a response cannot get a whole one before the process ends, or until
+/// the process ends; returns its refusal.
+pub async fn wait_ended<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+) -> RefusalResponse {
+    let times = state.shutdown.wait_begin().await;
+    // Its deadline ends it in time.
+    if request.deadline <= times.end {
+        return future::pending().await;
+    }
+    let rest = state
+        .shutdown
+        .expected_rest(&request.route, request.max_tokens());
+    tokio::time::sleep_until(times.latest_start(rest).into()).await;
+    if request.sent.verdict() == Verdict::NotRun {
+        return refusal(Verdict::NotRun);
+    }
+    state.shutdown.wait_end().await;
+    refusal(request.sent.verdict())
+}
--- a/crates/relay/src/process/shutdown.rs
+++ b/crates/relay/src/process/shutdown.rs
@@ -11,6 +11,10 @@
 const ADDRESS_CACHE_FACTOR: u64 = 3;
 /// Longest interval between two looks at whether requests are running.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time to write the final responses of requests that have been ended. With the time for the log it
+/// must fit into the margin that [`shutdown::ShutdownTimes`] leaves.
+const RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// Waits until no request is active, at most until `end`.
 async fn wait_idle<Codec, Store>(state: &state::RelayState<Codec, Store>, end: Instant) {
     loop {
@@ -24,7 +28,8 @@
 
 /// Drains the daemon: it is no longer listed to callers from now on, but still serves the requests
 /// that arrive and are expected to end in time. Returns when no request runs and no caller can have
-/// its address cached any more, or when the grace period is over.
+/// its address cached any more, or when the grace period is over; requests that still run then get
+/// their final response.
 pub async fn shut_down<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     socket: &UdpSocket,
@@ -44,6 +49,8 @@
     stop.close.cancel();
     // Connections that were waiting to be accepted are served.
     wait_idle(state, end).await;
+    state.shutdown.end();
+    wait_idle(state, Instant::now() + RESPONSE_TIME).await;
     log::info!(
         active = state.active.get(), interrupted = state.shutdown.interrupted();
         "stopped"
--- a/crates/relay/src/shutdown/mod.rs
+++ b/crates/relay/src/shutdown/mod.rs
@@ -1,12 +1,15 @@
-//! State of the daemon's stop, by which it decides which requests it still accepts.
+//! State of the daemon's stop: which requests it still accepts, and the signals that it has begun
+//! and that running requests end.
 
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    future,
     time::Duration,
 };
 
 use acaciabank_core::shutdown;
+use tokio_util::sync::CancellationToken;
 
 use crate::config;
 
@@ -14,6 +17,8 @@
 #[derive(Debug, Default)]
 pub struct ShutdownState {
     times: Cell<Option<shutdown::ShutdownTimes>>,
+    begun: CancellationToken,
+    ended: CancellationToken,
     /// Times of the latest responses by the name of their route.
     routes: RefCell<HashMap<String, shutdown::RouteTimes>>,
     interrupted: Cell<u32>,
@@ -23,6 +28,12 @@
     /// Starts the stop.
     pub fn begin(&self, times: shutdown::ShutdownTimes) {
         self.times.set(Some(times));
+        self.begun.cancel();
+    }
+
+    /// Ends the requests that still run.
+    pub fn end(&self) {
+        self.ended.cancel();
     }
 
     /// Returns the times of the stop; `None` before it.
@@ -30,6 +41,21 @@
         self.times.get()
     }
 
+    /// Waits until the stop begins.
+    pub async fn wait_begin(&self) -> shutdown::ShutdownTimes {
+        self.begun.cancelled().await;
+        match self.times.get() {
+            Some(times) => times,
+            // The times are set before the signal.
+            None => future::pending().await,
+        }
+    }
+
+    /// Waits until running requests end.
+    pub async fn wait_end(&self) {
+        self.ended.cancelled().await;
+    }
+
     /// Returns the number of streams that the end of the process has cut.
     pub fn interrupted(&self) -> u32 {
         self.interrupted.get()
