Weight the expected time of a stream by its tokens

Found by the review: four of the latest 64 streams decide the expected time of a token, and a resumed stream of two tokens lasts as long as one delay of the network, so that a few of them would have streams refused that fit. A stream now counts by its tokens.

--- a/crates/core/src/shutdown/route_times.rs
+++ b/crates/core/src/shutdown/route_times.rs
@@ -2,35 +2,49 @@
 
 use std::time::Duration;
 
-/// Number of responses that are kept. The quantile is the fourth longest of a full window.
+/// Number of responses that are kept.
 const WINDOW: usize = 64;
 /// Share of the responses that are expected to take less time.
-const QUANTILE: f64 = 0.95;
+const QUANTILE: f32 = 0.95;
 /// Time of an output token before one has been observed: that of a loaded engine.
 const INITIAL_TOKEN_MS: f32 = 50.0;
 
-/// The latest values of a time, in milliseconds.
+/// An observed time.
+#[derive(Clone, Copy, Debug)]
+struct TimeSample {
+    time_ms: f32,
+    /// How much it counts among the others.
+    weight: f32,
+}
+
+/// The latest samples of a time.
 #[derive(Clone, Debug, Default)]
 struct TimeWindow {
-    values: Vec<f32>,
+    samples: Vec<TimeSample>,
     next: usize,
 }
 
 impl TimeWindow {
-    fn record(&mut self, value_ms: f32) {
-        match self.values.get_mut(self.next) {
-            Some(value) => *value = value_ms,
-            None => self.values.push(value_ms),
+    fn record(&mut self, sample: TimeSample) {
+        match self.samples.get_mut(self.next) {
+            Some(oldest) => *oldest = sample,
+            None => self.samples.push(sample),
         }
         self.next = (self.next + 1) % WINDOW;
     }
 
-    /// Returns the quantile; the longest of a few values.
-    fn quantile(&self) -> Option<f32> {
-        let mut sorted = self.values.clone();
-        sorted.sort_by(f32::total_cmp);
-        let rank = (sorted.len() as f64 * QUANTILE).ceil() as usize;
-        sorted.get(rank.checked_sub(1)?).copied()
+    /// Returns the shortest time that is not exceeded by [`QUANTILE`] of the weight: the longest one
+    /// of a few samples.
+    fn quantile_ms(&self) -> Option<f32> {
+        let mut sorted = self.samples.clone();
+        sorted.sort_by(|left, right| left.time_ms.total_cmp(&right.time_ms));
+        let total: f32 = sorted.iter().map(|sample| sample.weight).sum();
+        let mut weight = 0.0;
+        let reached = sorted.iter().find(|sample| {
+            weight += sample.weight;
+            weight >= total * QUANTILE
+        });
+        reached.or(sorted.last()).map(|sample| sample.time_ms)
     }
 }
 
@@ -45,28 +59,35 @@
 }
 
 impl RouteTimes {
-    /// Records the time from the arrival of a request to its response, or to the first event.
+    /// Records the time from a request to its response, or to the first event.
     pub fn record_first(&mut self, time: Duration) {
-        self.first.record(time.as_secs_f32() * 1_000.0);
+        self.first.record(TimeSample {
+            time_ms: time.as_secs_f32() * 1_000.0,
+            weight: 1.0,
+        });
     }
 
     /// Records the time from the first event to the end of a stream of at most `max_tokens` tokens.
+    /// A stream counts by its tokens, as the time of a few ones says little about long streams.
     pub fn record_rest(&mut self, time: Duration, max_tokens: u64) {
         if max_tokens > 1 {
-            let token_ms = time.as_secs_f32() * 1_000.0 / (max_tokens - 1) as f32;
-            self.per_token.record(token_ms);
+            let weight = (max_tokens - 1) as f32;
+            self.per_token.record(TimeSample {
+                time_ms: time.as_secs_f32() * 1_000.0 / weight,
+                weight,
+            });
         }
     }
 
     /// Returns the expected time to the response or the first event; `initial` before one has been
     /// observed.
     pub fn expected_first(&self, initial: Duration) -> Duration {
-        self.first.quantile().map_or(initial, duration)
+        self.first.quantile_ms().map_or(initial, duration)
     }
 
     /// Returns the expected time from the first event to the end of a stream.
     pub fn expected_rest(&self, max_tokens: u64) -> Duration {
-        let token_ms = self.per_token.quantile().unwrap_or(INITIAL_TOKEN_MS);
+        let token_ms = self.per_token.quantile_ms().unwrap_or(INITIAL_TOKEN_MS);
         duration(token_ms * max_tokens.saturating_sub(1) as f32)
     }
 }
