Compare the time that is left directly before each attempt

- After its own prefill a stream was checked with the time to the first event once more: 503 at 1.84 s, though 600 events fitted.
- A slow target was given up for another attempt that the stop then refused: 502 at 3.0 s of a request that is answered at 3.4 s.
- The check came before the waits for a trial and an engine, so that a request could be sent when it no longer fitted.

The check now stands directly before the call, knows whether the prompt has been processed, and decides on replacements too; a broken stream is not resumed in the last 0.3 s. Expected times start when a request has been read and leave out error responses, and the margin at the end is at most a sixth of the grace period.

--- a/crates/core/src/shutdown/mod.rs
+++ b/crates/core/src/shutdown/mod.rs
@@ -40,7 +40,7 @@
 /// to be written, the last lines of the log, and timers that are late on a busy host.
 const END_MARGIN: Duration = Duration::from_millis(700);
 /// Largest part of the grace period that [`END_MARGIN`] may take, as a divisor.
-const END_MARGIN_DIVISOR: u32 = 4;
+const END_MARGIN_DIVISOR: u32 = 6;
 /// Longest time from the signal to its handling on a busy host. Callers count from the signal.
 const SIGNAL_DELAY: Duration = Duration::from_millis(200);
 /// Time that is left beside the expected one.
@@ -87,6 +87,11 @@
         is_early && now + request.expected + HEADROOM <= self.end
     }
 
+    /// Whether a stream that has begun may be resumed at another target at the time `now`.
+    pub fn allows_resume(&self, now: Instant) -> bool {
+        now + HEADROOM <= self.end
+    }
+
     /// Returns the time until which a request may still be sent to a target, if its response is
     /// expected to take `expected` from then on.
     pub fn latest_start(&self, expected: Duration) -> Instant {
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -14,7 +14,7 @@
 use super::{
     refusal::RefusalResponse,
     request::{RelayRequest, RequestProgress, SentSignal},
-    selection, suspects,
+    selection, stopping, suspects,
 };
 use crate::{
     clock, connection, platform, state, target,
@@ -392,7 +392,8 @@
 }
 
 /// Waits until an attempt may be given up for another one: `time` has passed, another target accepts
-/// the request and a retry was left in the budget, which is taken for the next attempt: a retry that
+/// the request, the process runs long enough for another attempt, and a retry was left in the budget,
+/// which is taken for the next attempt: a retry that
 /// was only seen could be taken by another silent request meanwhile. Never returns if the request's deadline is
 /// not later than `time`.
 pub async fn wait_replaceable<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -405,7 +406,8 @@
         std::future::pending().await
     }
     tokio::time::sleep_until(time.into()).await;
-    while !(has_other() && state.try_spend_retry(&request.service)) {
+    let is_allowed = || stopping::allows_attempt(state, request) && has_other();
+    while !(is_allowed() && state.try_spend_retry(&request.service)) {
         tokio::time::sleep(selection::POLL_INTERVAL).await;
     }
 }
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -103,7 +103,7 @@
     let route = &request.route.name;
     state
         .shutdown
-        .record_first(route, request.arrival.elapsed());
+        .record_first(route, request.read_at.elapsed());
     let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
     let is_complete = rc::Rc::new(Cell::new(false));
     let forwarder = forwarder::StreamForwarder {
@@ -197,7 +197,6 @@
         progress: &mut RequestProgress,
         last_event: Option<u64>,
     ) -> Result<Option<StreamStart>, RefusalResponse> {
-        stopping::check(state, request, progress.verdict)?;
         suspects::wait_turn(state, request, progress.verdict).await?;
         let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
         let plan = match engines::plan_engines(state, request, progress, prefilled).await {
@@ -215,6 +214,11 @@
         if !suspects::check(state, request, progress.verdict)? {
             return Ok(None);
         }
+        let work = match self.handle {
+            None => stopping::PendingWork::Whole,
+            Some(_) => stopping::PendingWork::Decode,
+        };
+        stopping::check(state, request, progress.verdict, work)?;
         match &plan.prefill {
             Some(engine) if self.handle.is_none() => {
                 let handle = prefill(state, request, progress, &plan, engine).await?;
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -84,7 +84,12 @@
     state: &state::SharedState<Codec, Store>,
     request: rc::Rc<RelayRequest>,
 ) -> Result<HttpResponse, RefusalResponse> {
-    stopping::check(state, &request, Verdict::NotRun)?;
+    stopping::check(
+        state,
+        &request,
+        Verdict::NotRun,
+        stopping::PendingWork::Whole,
+    )?;
     let progress = RequestProgress::default();
     let answer = async {
         match request.is_generation() {
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -40,9 +40,6 @@
 ) -> Result<HttpResponse, RefusalResponse> {
     let mut failed_response = None;
     loop {
-        if let Err(refusal) = stopping::check(state, request, progress.verdict) {
-            return failed_response.ok_or(refusal);
-        }
         if let Err(refusal) = suspects::wait_turn(state, request, progress.verdict).await {
             return failed_response.ok_or(refusal);
         }
@@ -57,6 +54,10 @@
             Ok(false) => continue,
             Err(refusal) => return failed_response.ok_or(refusal),
         }
+        let work = stopping::PendingWork::Whole;
+        if let Err(refusal) = stopping::check(state, request, progress.verdict, work) {
+            return failed_response.ok_or(refusal);
+        }
         if let Err(refusal) = attempt::reserve_retry(state, request, progress, kind) {
             return failed_response.ok_or(refusal);
         }
@@ -174,9 +175,11 @@
     progress: &RequestProgress,
     status: http::StatusCode,
 ) {
-    let time = request.arrival.elapsed();
-    telemetry::record_latency(&request.route.name, time);
-    state.shutdown.record_first(&request.route.name, time);
+    telemetry::record_latency(&request.route.name, request.arrival.elapsed());
+    if status.is_success() {
+        let time = request.read_at.elapsed();
+        state.shutdown.record_first(&request.route.name, time);
+    }
     log::info!(
         id = request.id.as_str(), route = request.route.name.as_str(),
         target_id = target.entry.id.as_str(), status = status.as_u16(), sends = progress.sends,
--- a/crates/relay/src/dispatch/stopping.rs
+++ b/crates/relay/src/dispatch/stopping.rs
@@ -8,27 +8,34 @@
 use super::{refusal::RefusalResponse, request::RelayRequest};
 use crate::{state, telemetry::RefusalCause};
 
+/// What a target still has to do for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PendingWork {
+    /// The whole request.
+    Whole,
+    /// To generate the tokens of a prompt that has been processed.
+    Decode,
+}
+
 /// Refuses a request that may not end before the process does, so that the caller retries at
-/// another daemon immediately. `verdict` is that of the attempts so far. A stream that has begun is
-/// not refused.
+/// another daemon immediately. `verdict` is that of the attempts so far. A stream that has begun
+/// goes on as long as a target can be asked for more of it.
 pub fn check<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
     verdict: Verdict,
+    work: PendingWork,
 ) -> Result<(), RefusalResponse> {
     let Some(times) = state.shutdown.times() else {
         return Ok(());
     };
-    let route = &request.route;
-    let expected_first = state.shutdown.expected_first(route);
-    let expected_rest = state.shutdown.expected_rest(route, request.max_tokens());
-    let pending = PendingRequest {
-        read_at: request.read_at,
-        deadline: request.deadline,
-        expected: expected_first + expected_rest,
-    };
     let now = Instant::now();
-    if request.has_output.get() || times.accepts(&pending, now) {
+    let pending = pending_request(state, request, work);
+    let is_accepted = match request.has_output.get() {
+        true => times.allows_resume(now),
+        false => times.accepts(&pending, now),
+    };
+    if is_accepted {
         return Ok(());
     }
     log::info!(
@@ -40,6 +47,35 @@
     Err(refusal(verdict))
 }
 
+/// Whether a request may be sent to another target now.
+pub fn allows_attempt<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+) -> bool {
+    let pending = || pending_request(state, request, PendingWork::Whole);
+    let times = state.shutdown.times();
+    times.is_none_or(|times| times.accepts(&pending(), Instant::now()))
+}
+
+fn pending_request<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    work: PendingWork,
+) -> PendingRequest {
+    let rest = state
+        .shutdown
+        .expected_rest(&request.route, request.max_tokens());
+    let expected = match work {
+        PendingWork::Whole => state.shutdown.expected_first(&request.route) + rest,
+        PendingWork::Decode => rest,
+    };
+    PendingRequest {
+        read_at: request.read_at,
+        deadline: request.deadline,
+        expected,
+    }
+}
+
 /// Creates the refusal of a request that the stop leaves no time for.
 pub fn refusal(verdict: Verdict) -> RefusalResponse {
     let refusal = RefusalResponse::after(RefusalCause::Stopping, verdict);
