Wait for room in a full log queue when the process ends

A process whose log queue was full ended without its last lines, those of interrupted requests among them: the flush was given up when it found no room. It now waits for room until its timeout.

lifecycle::a_full_log_queue_is_written_at_the_exit: the reader of the log goes on 50 ms after the listeners have closed, and gets the whole queue.

--- a/crates/relay/src/telemetry/logging.rs
+++ b/crates/relay/src/telemetry/logging.rs
@@ -19,6 +19,9 @@
 /// Lines that can wait for the writer: about a second of lines at the highest load.
 const MAX_QUEUED_LINES: usize = 1_024;
 
+/// Interval at which a flush looks for room in a full queue.
+const QUEUE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 static QUEUE: OnceLock<mpsc::SyncSender<LogEntry>> = OnceLock::new();
 
@@ -32,13 +35,22 @@
 /// Waits until all lines are written, for `timeout` at most: a blocked reader must not keep the
 /// process from ending.
 pub fn flush(timeout: time::Duration) {
+    let deadline = time::Instant::now() + timeout;
     let (sender, receiver) = mpsc::sync_channel(1);
-    let queue = QUEUE.get();
-    let is_queued = queue.is_some_and(|queue| queue.try_send(LogEntry::Flush(sender)).is_ok());
-    if is_queued {
-        // After the timeout, the remaining lines are lost, as when the queue is full.
-        let _: Result<(), mpsc::RecvTimeoutError> = receiver.recv_timeout(timeout);
+    let Some(queue) = QUEUE.get() else {
+        return;
+    };
+    let mut entry = LogEntry::Flush(sender);
+    while let Err(mpsc::TrySendError::Full(unsent)) = queue.try_send(entry) {
+        if time::Instant::now() >= deadline {
+            return;
+        }
+        entry = unsent;
+        std::thread::sleep(QUEUE_POLL_INTERVAL);
     }
+    let remaining = deadline.saturating_duration_since(time::Instant::now());
+    // After the timeout, the remaining lines are lost, as when the queue is full.
+    let _: Result<(), mpsc::RecvTimeoutError> = receiver.recv_timeout(remaining);
 }
 
 /// Installs the logger of the daemon `host` and starts its writer thread.
--- a/crates/testbed/tests/relay/lifecycle.rs
+++ b/crates/testbed/tests/relay/lifecycle.rs
@@ -1,10 +1,17 @@
 //! Configuration updates, draining and replaced targets, store outages, stage orders, shutdown and
 //! the log.
 
-use std::{collections::HashSet, fs::File, io::Write, path::Path, time::Duration};
+use std::{
+    collections::HashSet,
+    fs::File,
+    io::{Read, Write},
+    path::Path,
+    time::Duration,
+};
 
 use acaciabank_testbed::harness::{self, Process};
 use serde_json::json;
+use tokio::net::TcpStream;
 
 use crate::fixture::{Fixture, Relay, TIMEOUT, event_ids};
 
@@ -282,6 +289,47 @@
     }
 }
 
+/// Guards against a process that ends without its last lines because the queue of the log is full:
+/// the reader of the standard output goes on while the process waits for the lines to be written.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_log_queue_is_written_at_the_exit() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let _runner = fixture.start_runner("r-1", "ledger", None).await;
+    let path = fixture.launcher.folder().join("relay-1.out");
+    nix::unistd::mkfifo(&path, nix::sys::stat::Mode::S_IRWXU).expect("a named pipe");
+    let mut options = File::options();
+    let mut output = options.read(true).write(true).open(&path).expect("a pipe");
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    // More than the pipe and the queue hold.
+    for number in 0..1_500 {
+        let attempt = format!("log-{number}");
+        let response = relay.send("GET", "/safe/a", &attempt, &[], "").await;
+        assert_eq!(response.expect("a response").status, 200);
+    }
+    relay.process.terminate();
+    // The listeners close right before the process waits for its log.
+    while TcpStream::connect(relay.ready_address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let read = tokio::task::spawn_blocking(move || {
+        let mut text = String::new();
+        let mut buffer = [0; 65_536];
+        while !text.contains("\"event\":\"log_dropped\"") {
+            let count = output.read(&mut buffer).expect("a read");
+            text += &String::from_utf8_lossy(&buffer[..count]);
+        }
+        text
+    });
+    let read = tokio::time::timeout(Duration::from_secs(5), read).await;
+    let text = read.expect("the queued lines").expect("a thread");
+    let lines = text.lines().filter(|line| line.contains("\"answered\""));
+    // The queue's lines beside those that the pipe holds.
+    assert!(lines.count() > 1_024, "{}", text.lines().count());
+}
+
 /// Guards against log lines lost at exit: the line about the shutdown and those of the last
 /// requests were still queued when the process exited.
 #[tokio::test]
