Soak stops of relays while callers use their connections

Callers with kept and new connections, with and without address lists, send requests in one or two pieces until the processes are gone. Stops in series and together, second signals, slow runners, configurations and a second process on the same settings are drawn from the seed; one relay has no configuration.

Checked per request: a complete response, or one of the exceptions of the rule LOST by times and runners' journals; 503 only without a run; at most one run of non-idempotent requests; a log line for each cut stream; the exit of each process within its grace period. Opposite bounds: short requests sent early in a stop and requests with early deadlines are served.

--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod silences;
 mod soak;
 mod stop_deadlines;
+mod stop_soak;
 mod stops;
 mod streams;
 mod target_signals;
--- a/crates/testbed/tests/relay/soak/mod.rs
+++ b/crates/testbed/tests/relay/soak/mod.rs
@@ -136,7 +136,7 @@
 }
 
 /// Returns the seeds from `ACACIABANK_SOAK_SEEDS`, or the fixed ones.
-fn seeds(fixed: &[u64]) -> Vec<u64> {
+pub(crate) fn seeds(fixed: &[u64]) -> Vec<u64> {
     let Ok(range) = env::var("ACACIABANK_SOAK_SEEDS") else {
         return fixed.to_vec();
     };
