Keep the logs of stopped relays in the stop soak

The next process truncates the output file, so the log of the stop that a violation is about was gone. The description of a request says when its process ended.

--- a/crates/testbed/tests/relay/stop_soak/checks.rs
+++ b/crates/testbed/tests/relay/stop_soak/checks.rs
@@ -217,7 +217,7 @@
         };
         format!(
             "{} at relay {}: {} events, sent {}, written {}, ended {}, deadline {}, status {:?}, \
-             complete: {}, {} runs, {} bytes",
+             complete: {}, {} runs, {} bytes, process ended {}",
             record.attempt,
             record.relay,
             record.events,
@@ -228,7 +228,9 @@
             record.status,
             record.is_complete,
             self.run_count(record),
-            record.body.len()
+            record.body.len(),
+            self.stop_of(record)
+                .map_or("never".to_owned(), |stop| time(stop.exited))
         )
     }
 }
--- a/crates/testbed/tests/relay/stop_soak/fixture.rs
+++ b/crates/testbed/tests/relay/stop_soak/fixture.rs
@@ -179,8 +179,10 @@
             tokio::time::sleep(EXIT_POLL).await;
         };
         drop(second);
-        // The next process begins a new log.
-        let log = fs::read_to_string(self.relay.process.output_file()).expect("a log file");
+        // The next process begins a new log; this one is kept for diagnosis.
+        let output = self.relay.process.output_file();
+        let log = fs::read_to_string(&output).expect("a log file");
+        fs::write(output.with_extension("stopped.out"), &log).expect("a copy of the log");
         if self.is_configured {
             self.relay.process.restart().expect("the process restarts");
         }
