Failing: requests that arrive while an idle process ends early

A connection that is opened after the address lifetime does not count as active until its head is complete. The process becomes idle, signals the end of running requests, and accepts the request within the next 0.1 s.

--- a/crates/testbed/tests/relay/stop_deadlines.rs
+++ b/crates/testbed/tests/relay/stop_deadlines.rs
@@ -4,6 +4,7 @@
 
 use acaciabank_testbed::harness;
 use serde_json::json;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::{
     call_outcome::{self, CallOutcome, TestCall},
@@ -220,3 +221,53 @@
     assert!(last_event as usize + 1 >= outcome.event_count(), "{line}");
     assert!(line["elapsed_ms"].as_u64() >= Some(7_000), "{line}");
 }
+
+/// Guards against a process that has nothing else to do, ends its requests early, and refuses or
+/// cuts a stream that arrives just then: its deadline is long before the end of the grace period.
+#[tokio::test]
+async fn a_stream_that_arrives_at_an_early_end_is_served() {
+    let (mut fixture, _engine, first) = start_streaming().await;
+    let mut relays = vec![first];
+    for _ in 1..8 {
+        let relay = fixture.start_relay(&[&relays[0]]).await;
+        relay.wait_streaming("/stream/a", 2).await;
+        relays.push(relay);
+    }
+    let stopped = Instant::now();
+    let mut tasks = Vec::new();
+    for (number, relay) in relays.iter().enumerate() {
+        relay.process.terminate();
+        let address = relay.caller_address;
+        let call = TestCall {
+            deadline_ms: 2_000,
+            ..TestCall::stream("/stream/a", &format!("early-end-{number}"), 20)
+        };
+        // Each relay gets one call, so that it has nothing else to do before.
+        let rest_ms = 3_130 + 25 * number as u64;
+        tasks.push(tokio::spawn(async move {
+            // Later than the time for which callers may cache the relay's address.
+            tokio::time::sleep_until((stopped + Duration::from_millis(3_050)).into()).await;
+            let mut stream = TcpStream::connect(address).await.ok()?;
+            let text = call.text();
+            let (first, rest) = text.split_at(40);
+            stream.write_all(first.as_bytes()).await.ok()?;
+            tokio::time::sleep_until((stopped + Duration::from_millis(rest_ms)).into()).await;
+            let sent = Instant::now();
+            stream.write_all(rest.as_bytes()).await.ok()?;
+            let bytes = call_outcome::read_response(&mut stream).await;
+            Some(call_outcome::outcome(&call.attempt, sent, &bytes))
+        }));
+    }
+    let mut outcomes = Vec::new();
+    for task in tasks {
+        outcomes.extend(task.await.expect("the caller does not panic"));
+    }
+    print_timeline(stopped, &outcomes);
+    // The process may end before the rest of a request arrives.
+    outcomes.retain(|outcome| !outcome.text.is_empty());
+    assert!(!outcomes.is_empty());
+    for outcome in &outcomes {
+        assert_eq!(outcome.status, Some(200), "{outcome:?}");
+        assert!(outcome.is_complete, "{outcome:?}");
+    }
+}
--- a/crates/testbed/tests/relay/stop_soak/mod.rs
+++ b/crates/testbed/tests/relay/stop_soak/mod.rs
@@ -25,6 +25,8 @@
 use crate::soak;
 
 /// Seeds that run by default. A seed that has failed is added here with a comment on the cause.
+/// Failed and not added yet, as their cause is in the relay: 135 and 176, a process that ends early
+/// because it is idle refuses or cuts a request whose last piece arrives at that moment.
 const FIXED_SEEDS: [u64; 2] = [3, 4];
 /// Number of callers of the relay without a configuration.
 const UNCONFIGURED_CALLERS: usize = 2;
