Await other daemons' reports before a trial's crash refuses a key

Their trial and one of the crashing request, from two relays, ran at the same runner, which the crashing one ended. By the logs (ms after): 1071 r-0 crashes by a trial of the crashing request; sound ones wait there 1821 r-1 gets a trial of the crashing request, from relay-3 1830 r-1 gets a trial of the sound request, from relay-2 1905 r-1 crashes by the first one 1907 relay-2 records the crash for the sound request, which counts as the crash of a trial with no other suspect at the target 1907 to 1911: all relays refuse 20 sound requests 1911 relay-3 records the same crash for the crashing request; the sound one is isolated again, no further one is refused 2438 a trial of the sound request is answered The product is at fault: that no other suspect waited at a target is no evidence until the other daemons have had time to report theirs. Load only makes the gap longer: the first daemon decides by its own record at once.

Change: in the tables of relays, a crash counts against a key, compared with another suspect, 0.5 s after it was seen. The key is isolated until then, and no trial of it is granted in that time. Tables of the own interface are as before: its daemons ask each other before each trial, and have no such pause. The model of the trials uses the relays' tables.

Both new tests failed before (Refused instead of Isolated and Wait).

--- a/crates/core/src/suspect/attribution.rs
+++ b/crates/core/src/suspect/attribution.rs
@@ -19,6 +19,8 @@
     crash: &'a SeenCrash,
     /// Suspected keys of all requests that waited at the target, in order.
     all: rc::Rc<[u64]>,
+    /// Whether other daemons may still report requests that waited at the target.
+    awaits_reports: bool,
 }
 
 impl OpenCrash<'_> {
@@ -37,8 +39,9 @@
 
 impl<'a> OpenCrashes<'a> {
     /// Groups crashes, in the order of their times, that come with the keys that were not answered
-    /// since.
-    pub fn new(suspected: Vec<(&'a SeenCrash, Vec<u64>)>) -> Self {
+    /// since. Other daemons may still report what waited at the targets of those after
+    /// `reported_ms`.
+    pub fn new(suspected: Vec<(&'a SeenCrash, Vec<u64>)>, reported_ms: u64) -> Self {
         // Records of one target with close times belong to one crash.
         let mut last_crash: HashMap<u32, (u64, usize)> = HashMap::new();
         let mut groups: Vec<Vec<u64>> = Vec::new();
@@ -72,6 +75,7 @@
             crashes.push(OpenCrash {
                 crash,
                 all: rc::Rc::clone(&groups[group]),
+                awaits_reports: crash.seen_ms > reported_ms,
             });
         }
         Self { crashes, by_key }
@@ -95,25 +99,22 @@
 
     /// Whether a key was seen in the crash of a trial without another one, or else in more crashes
     /// without it than the other way round. Of two keys that cannot be told apart, one that was never
-    /// answered explains more; once all its trials have crashed it does so in any case.
+    /// answered explains more; once all its trials have crashed it does so in any case. That the other
+    /// one was not in a crash is known once all reports on it have come.
     fn explains_more(&self, key: u64, other: u64, is_answered: impl Fn(u64) -> bool) -> bool {
-        let own_crashes = self.count_without(key, other);
-        let other_crashes = self.count_without(other, key);
+        let own = self.of_key(key).filter(|open| !open.awaits_reports);
+        let own_crashes = count_without(own, other);
+        let other_crashes = count_without(self.of_key(other), key);
         let is_newer = !is_answered(key) && is_answered(other);
         self.has_trial_without(key, other)
             || own_crashes > other_crashes
             || is_newer && (own_crashes == other_crashes || self.count_trials(key) >= MAX_TRIALS)
     }
 
-    /// Counts crashes that involve a key and not another one.
-    fn count_without(&self, key: u64, other: u64) -> usize {
-        let without = self.of_key(key).filter(|open| !open.involves(other));
-        count_in_a_row(without.map(|open| open.crash))
-    }
-
     /// Whether a trial of a key crashed at a target where no request with another one waited.
     fn has_trial_without(&self, key: u64, other: u64) -> bool {
-        let mut trials = self.of_key(key).filter(|open| open.crash.is_trial);
+        let reported = self.of_key(key).filter(|open| !open.awaits_reports);
+        let mut trials = reported.filter(|open| open.crash.is_trial);
         trials.any(|open| !open.involves(other))
     }
 
@@ -128,6 +129,15 @@
     }
 }
 
+/// Counts those of a key's crashes that do not involve another one.
+fn count_without<'a: 'b, 'b>(
+    crashes: impl Iterator<Item = &'b OpenCrash<'a>>,
+    other: u64,
+) -> usize {
+    let without = crashes.filter(|open| !open.involves(other));
+    count_in_a_row(without.map(|open| open.crash))
+}
+
 /// Whether a key was seen in enough crashes to be refused, given those since its last answer.
 pub fn is_suspected<'a>(
     crashes: impl Iterator<Item = &'a SeenCrash> + Clone,
--- a/crates/core/src/suspect/table.rs
+++ b/crates/core/src/suspect/table.rs
@@ -106,9 +106,22 @@
     answers: AnswerTable,
     /// Keys of suspects that an answer of this daemon has cleared, with the time.
     cleared: Vec<(u64, u64)>,
+    /// Whether other daemons report crashes some time after they have seen them, and no trial of a
+    /// key begins within [`COMMON_FAILURE_MS`] of the crash of the last one.
+    awaits_reports: bool,
 }
 
 impl SuspectTable {
+    /// Creates a table for a daemon whose trials are granted by a [`super::TrialTable`]. Within
+    /// [`COMMON_FAILURE_MS`] of a crash, other daemons may still report requests that waited at the
+    /// same target, so that it does not show yet which of two keys explains more crashes.
+    pub fn awaiting_reports() -> Self {
+        Self {
+            awaits_reports: true,
+            ..Self::default()
+        }
+    }
+
     /// Records a crash of a target while a request with these keys waited for its first output there
     /// since `sent_ms`.
     pub fn record_crash(&mut self, keys: &[u64], target_hash: u32, sent_ms: u64, now_ms: u64) {
@@ -458,7 +471,11 @@
     fn open_crashes(&self, now_ms: u64) -> OpenCrashes<'_> {
         let recent = self.crashes.iter().filter(|crash| is_recent(crash, now_ms));
         let suspected = recent.map(|crash| (crash, self.suspects_of(crash)));
-        OpenCrashes::new(suspected.collect())
+        let reported_ms = match self.awaits_reports {
+            true => now_ms.saturating_sub(COMMON_FAILURE_MS),
+            false => u64::MAX,
+        };
+        OpenCrashes::new(suspected.collect(), reported_ms)
     }
 
     /// Returns the keys of one request that have not been answered since a crash.
--- a/crates/core/tests/suspect_trials.rs
+++ b/crates/core/tests/suspect_trials.rs
@@ -202,7 +202,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let scenario = Scenario::random(&mut rng);
         Self {
-            daemons: vec![SuspectTable::default(); scenario.daemons],
+            daemons: vec![SuspectTable::awaiting_reports(); scenario.daemons],
             granted: vec![TrialTable::default(); scenario.daemons],
             down_until_ms: vec![0; scenario.targets],
             runs: vec![0; scenario.targets],
--- a/crates/core/tests/trials.rs
+++ b/crates/core/tests/trials.rs
@@ -10,6 +10,9 @@
 const CRASH_MS: u64 = 10_000;
 /// Time after a crash from which targets are no longer failing for the same reason.
 const STEADY_MS: u64 = CRASH_MS + 500;
+/// Start and crash of a trial some time later.
+const LAST_TRIAL_MS: u64 = CRASH_MS + 780;
+const LAST_CRASH_MS: u64 = LAST_TRIAL_MS + 20;
 
 /// A table with one crash of a request with the given keys.
 fn crashed(keys: &[u64]) -> SuspectTable {
@@ -202,3 +205,49 @@
     let status = suspects.status(&[20, SHARED], CRASH_MS + 3_500);
     assert_eq!(status, SuspectStatus::Isolated);
 }
+
+/// Guards against sound requests that are refused because their trial crashed at the same target as
+/// one of a crashing request, of which another daemon reports some milliseconds later.
+#[test]
+fn a_trial_refuses_no_key_before_others_have_reported_its_crash() {
+    let mut suspects = SuspectTable::awaiting_reports();
+    // The sound request waited at the second target that the other one crashed.
+    suspects.record_crash(&[OTHER], 1, CRASH_MS - 200, CRASH_MS - 120);
+    suspects.record_at_once_crash(&[OTHER], 2, CRASH_MS - 80, CRASH_MS);
+    suspects.record_crash(&[KEY], 2, CRASH_MS - 20, CRASH_MS);
+    crash_trial(&mut suspects, &[KEY], 3, LAST_TRIAL_MS);
+    for now_ms in [LAST_CRASH_MS, LAST_CRASH_MS + 4, LAST_CRASH_MS + 499] {
+        let status = suspects.status(&[KEY], now_ms);
+        assert_eq!(status, SuspectStatus::Isolated, "at {now_ms}");
+    }
+    let mut other = SuspectTable::default();
+    crash_trial(&mut other, &[OTHER], 3, LAST_TRIAL_MS);
+    let report = other.report_on(&[OTHER], LAST_CRASH_MS + 4);
+    suspects.merge_report(&report, LAST_CRASH_MS + 5);
+    for now_ms in [LAST_CRASH_MS + 5, LAST_CRASH_MS + 500] {
+        let status = suspects.status(&[KEY], now_ms);
+        assert_eq!(status, SuspectStatus::Isolated, "at {now_ms}");
+    }
+    let status = suspects.status(&[OTHER], LAST_CRASH_MS + 5);
+    assert_eq!(status, SuspectStatus::Refused);
+}
+
+/// Guards against a crashing request that gets another trial while reports on its last one may come,
+/// and against one that is not refused if none comes.
+#[test]
+fn a_key_whose_trial_crashed_is_not_tried_while_reports_may_come() {
+    let mut trials = TrialTable::default();
+    let mut suspects = SuspectTable::awaiting_reports();
+    crash_together(&mut suspects, &[&[KEY], &[OTHER]]);
+    let answer = trials.request(1, &[KEY], &suspects, STEADY_MS);
+    assert_eq!(answer, TrialAnswer::Granted);
+    crash_trial(&mut suspects, &[KEY], 3, STEADY_MS);
+    trials.end(1, true);
+    let crash_ms = STEADY_MS + 20;
+    for now_ms in (crash_ms..crash_ms + 500).step_by(10) {
+        let answer = trials.request(now_ms, &[KEY], &suspects, now_ms);
+        assert_eq!(answer, TrialAnswer::Wait, "at {now_ms}");
+    }
+    let answer = trials.request(2, &[KEY], &suspects, crash_ms + 500);
+    assert_eq!(answer, TrialAnswer::Refused);
+}
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -194,7 +194,7 @@
             daemon_hash: hash_name(&settings.host),
             scheduler: scheduler::SchedulerState::default(),
             watch: watch::StoreWatch::default(),
-            suspects: RefCell::default(),
+            suspects: RefCell::new(suspect::SuspectTable::awaiting_reports()),
             trials: trial::TrialState::default(),
             prompt_speeds: RefCell::default(),
             budgets: RefCell::default(),
