Split the tests of lost requests by topic

The code is only moved, into connections, configurations, early refusals, silent engines and takeovers; what they share is in losses/mod.rs, and what writes and reads raw requests is in raw_request.rs. Without visibility, imports and module lines, the sorted lines of both versions are the same. `--list` has 143 tests before and after; the 25 of losses have the topic in their paths and are otherwise the same.

--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod lifecycle;
 mod losses;
 mod peers;
+mod raw_request;
 mod restarts;
 mod returns;
 mod silences;
