Share raw requests between the tests of stops and of lost requests

stops.rs had its own text of a request and its own loop that reads until a text has come. The bytes sent and the texts expected are the same as before.

--- a/crates/testbed/tests/relay/raw_request.rs
+++ b/crates/testbed/tests/relay/raw_request.rs
@@ -4,10 +4,16 @@
 
 use crate::fixture::TIMEOUT;
 
+/// Returns the head of a request with a deadline of nine seconds.
 pub fn request_text(path: &str, attempt: &str, framing: &str) -> String {
+    request_head(path, attempt, 9_000, framing)
+}
+
+/// Returns the head of a request; `framing` is the field that tells the length of the body.
+pub fn request_head(path: &str, attempt: &str, deadline_ms: u64, framing: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: host.example\r\nx-acaciabank-attempt-id: {attempt}\r\n\
-         x-acaciabank-deadline-ms: 9000\r\n{framing}\r\n\r\n"
+         x-acaciabank-deadline-ms: {deadline_ms}\r\n{framing}\r\n\r\n"
     )
 }
 
--- a/crates/testbed/tests/relay/stops.rs
+++ b/crates/testbed/tests/relay/stops.rs
@@ -3,18 +3,15 @@
 use std::time::Duration;
 
 use acaciabank_testbed::harness;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use crate::fixture::{Relay, TIMEOUT, start_serving};
+use crate::{
+    fixture::{Relay, TIMEOUT, start_serving},
+    raw_request,
+};
 
 fn request_text(attempt: &str) -> String {
-    format!(
-        "POST /once/a HTTP/1.1\r\nhost: host.example\r\nx-acaciabank-attempt-id: {attempt}\r\n\
-         x-acaciabank-deadline-ms: 2000\r\ncontent-length: 6\r\n\r\nnotice"
-    )
+    raw_request::request_head("/once/a", attempt, 2_000, "content-length: 6") + "notice"
 }
 
 async fn send(stream: &mut TcpStream, text: &str) {
@@ -23,17 +20,7 @@
 
 /// Reads until the response has a body that starts with `expected`; returns everything read.
 async fn read_response(stream: &mut TcpStream, expected: &str) -> String {
-    let mut text = String::new();
-    let body = format!("\r\n\r\n{expected}");
-    while !text.contains(&body) {
-        let mut buffer = [0; 4_096];
-        let read = tokio::time::timeout(TIMEOUT, stream.read(&mut buffer)).await;
-        match read.expect("a response in time") {
-            Ok(count) if count > 0 => text += &String::from_utf8_lossy(&buffer[..count]),
-            ended => panic!("{expected}: the connection ended ({ended:?}) after {text:?}"),
-        }
-    }
-    text
+    raw_request::read_until(stream, &format!("\r\n\r\n{expected}")).await
 }
 
 /// Opens a connection, has a first request served on it and keeps it open.
