Leave out the prompt's time after a prefill in the own interface too

Once the KV cache comes from another target, only the rest is expected.

daemon dispatch::a_prefilled_request_that_fits_is_not_refused_by_the_shutdown failed before (ShuttingDown, may_have_run, after a prefill of 0.7 s with 1.5 s left) and passes.

--- a/crates/daemon/src/dispatch/placement.rs
+++ b/crates/daemon/src/dispatch/placement.rs
@@ -211,16 +211,15 @@
         times.record_rest(rest, self.cost.max_tokens);
     }
 
-    /// Returns the expected time from the arrival to the first output.
-    pub(super) fn expected_first(&self) -> Duration {
-        let inner = self.pool.lock();
-        inner.response_times.expected_first(INITIAL_FIRST_TIME)
-    }
-
-    /// Returns the expected time from the first output to the end of the response.
-    pub(super) fn expected_rest(&self) -> Duration {
-        let inner = self.pool.lock();
-        inner.response_times.expected_rest(self.cost.max_tokens)
+    /// Returns the expected time until the response ends. A prompt whose KV cache comes from another
+    /// target has been processed.
+    pub(super) fn expected_time(&self) -> Duration {
+        let times = &self.pool.lock().response_times;
+        let rest = times.expected_rest(self.cost.max_tokens);
+        match self.is_prompt_transferred {
+            true => rest,
+            false => times.expected_first(INITIAL_FIRST_TIME) + rest,
+        }
     }
 
     /// Waits to be woken, at most until the deadline or the next time at which the selection may
--- a/crates/daemon/src/dispatch/stopping.rs
+++ b/crates/daemon/src/dispatch/stopping.rs
@@ -31,7 +31,7 @@
     let pending = PendingRequest {
         read_at,
         deadline: request.deadline,
-        expected: placement.expected_first() + placement.expected_rest(),
+        expected: placement.expected_time(),
     };
     let now = Instant::now();
     if !shutdown.has_ended() && times.accepts(&pending, now) {
--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use acaciabank_core::shutdown::ShutdownTimes;
 use acaciabank_daemon::{config, dispatch, idempotency, peer, process, table, target};
 use acaciabank_protocol::{ids, reason, settings, verdict::Verdict, wire};
 use bytes::Bytes;
@@ -21,6 +22,9 @@
 /// Pause between two parts of a slow or stalled response.
 const SLOW_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time that a slow prefill target takes for a prompt.
+const SLOW_PREFILL_TIME: Duration = Duration::from_millis(700);
+
 const STATE_RESPONSE: &str =
     "HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
@@ -47,6 +51,8 @@
     },
     /// Processes the prompt and offers its KV cache; rejects calls that do not ask for that.
     Prefill,
+    /// Like `Prefill`, after [`SLOW_PREFILL_TIME`].
+    SlowPrefill,
 }
 
 /// Serves the scripts in order and then repeats the last one; returns the address and the number of
@@ -92,6 +98,10 @@
             }
             return Ok(());
         }
+        Script::SlowPrefill => {
+            tokio::time::sleep(SLOW_PREFILL_TIME).await;
+            stream.write_all(response.as_bytes()).await?;
+        }
         _ => stream.write_all(response.as_bytes()).await?,
     }
     loop {
@@ -156,7 +166,7 @@
             "HTTP/1.1 503 Busy\r\nx-verdict: not_run\r\ncontent-length: 0\r\n\r\n".to_owned()
         }
         Script::Mismatched => format!("{head}x-request-id: other\r\n\r\ndata: [DONE]\n\n"),
-        Script::Prefill => {
+        Script::Prefill | Script::SlowPrefill => {
             let is_asked = body["kv_transfer_params"]["do_remote_decode"] == true;
             let response = json!({"id": id, "kv_transfer_params": {"handle": "h1"}}).to_string();
             let status = if is_asked { "200 OK" } else { "400 Bad" };
@@ -443,6 +453,28 @@
     }
 }
 
+/// Guards against a shutdown that expects the time of the prompt once more after its own prefill, and
+/// refuses a request that fits.
+#[tokio::test]
+async fn a_prefilled_request_that_fits_is_not_refused_by_the_shutdown() {
+    let (prefill, _) = start_target(vec![Script::SlowPrefill]).await;
+    let (decode, decode_served) = start_target(vec![COMPLETE]).await;
+    let state = state_with_routing(&[(prefill, "prefill"), (decode, "decode")], "adaptive");
+    let mut request = long_completion_request(&state, true);
+    if let dispatch::RequestWork::Completion { max_tokens, .. } = &mut request.work {
+        // Expected to take 1 s to the first token, and 0.5 s from then on.
+        *max_tokens = 11;
+    }
+    let now = Instant::now();
+    state.shutdown.begin(ShutdownTimes {
+        cached_until: now + Duration::from_secs(10),
+        end: now + Duration::from_millis(2_200),
+    });
+    let response = dispatch::dispatch(&state, request).await.unwrap();
+    assert_eq!(completion_text(response).await, "t1 t2 t3 t4 t5 t6 ");
+    assert_eq!(decode_served.load(Ordering::SeqCst), 1);
+}
+
 /// Guards against a request that is not woken when the backoff of the only target ends: its
 /// deadline is earlier than the end of the general wait for targets.
 #[tokio::test]
