Record the times of a response under one lock in the own interface

Each response took the pool's lock twice in a row, for the mean time and for the expected times of the shutdown. The field of the log line that refuses a request is stop_ms, as in the relay's stop_refused: left_ms is the time until the deadline there.

--- a/crates/daemon/src/dispatch/placement.rs
+++ b/crates/daemon/src/dispatch/placement.rs
@@ -194,23 +194,18 @@
         self.is_prompt_transferred = transferred;
     }
 
-    /// Records how long a completed request took.
-    pub(super) fn record_service(&self, elapsed: Duration) {
+    /// Records the times of a complete response: `elapsed` of its last attempt, `first` from its
+    /// arrival to its first output, and `rest` from then on.
+    pub(super) fn record_response(&self, elapsed: Duration, first: Duration, rest: Duration) {
         let mut inner = self.pool.lock();
+        inner.response_times.record_first(first);
+        inner.response_times.record_rest(rest, self.cost.max_tokens);
         inner.observations += 1;
         let seconds = elapsed.as_secs_f64();
         let weight = 1.0 / AVERAGE_WINDOW.min(inner.observations as f64);
         inner.mean_service_s += (seconds - inner.mean_service_s) * weight;
     }
 
-    /// Records the times of a complete response: `first` from its arrival to its first output, and
-    /// `rest` from then on.
-    pub(super) fn record_response(&self, first: Duration, rest: Duration) {
-        let times = &mut self.pool.lock().response_times;
-        times.record_first(first);
-        times.record_rest(rest, self.cost.max_tokens);
-    }
-
     /// Returns the expected time until the response ends. A prompt whose KV cache comes from another
     /// target has been processed.
     pub(super) fn expected_time(&self) -> Duration {
--- a/crates/daemon/src/dispatch/retry.rs
+++ b/crates/daemon/src/dispatch/retry.rs
@@ -224,10 +224,10 @@
                 count_attempt(Verdict::Ran);
                 turn.record_completion();
                 slot.target.adapt_limit(false);
-                placement.record_service(context.attempt_start.elapsed());
                 let ended = Instant::now();
                 let first = stream.first_token().unwrap_or(ended);
-                placement.record_response(first - request_start, ended - first);
+                let elapsed = ended - context.attempt_start;
+                placement.record_response(elapsed, first - request_start, ended - first);
                 return Ok(());
             }
             Err(failure) => {
--- a/crates/daemon/src/dispatch/stopping.rs
+++ b/crates/daemon/src/dispatch/stopping.rs
@@ -40,7 +40,7 @@
     log::info!(
         request_id = request.id.as_str(), team = request.team.as_str(),
         expected_ms = pending.expected.as_millis() as u64,
-        left_ms = times.end.saturating_duration_since(now).as_millis() as u64;
+        stop_ms = times.end.saturating_duration_since(now).as_millis() as u64;
         "request refused: it may not end before the shutdown does"
     );
     let message = "the daemon is shutting down before the request can end";
