Share the set-up of the tests of stops

The runners and relays of the two soaks, the prefill engine of the stop deadlines and the wait for a daemon's clean exit each stood twice.

--- a/crates/testbed/src/harness/fleet.rs
+++ b/crates/testbed/src/harness/fleet.rs
@@ -124,6 +124,30 @@
         Caller::new(seed_addresses.collect(), zone, timeout)
     }
 
+    /// Waits until a daemon has ended by itself with status 0; returns the lines of its log.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not end within `timeout`, or with another status.
+    pub async fn wait_clean_exit(
+        &mut self,
+        index: usize,
+        timeout: time::Duration,
+    ) -> Vec<serde_json::Value> {
+        let daemon = &mut self.daemons[index];
+        let mut status = None;
+        super::wait_until(timeout, "the daemon exits", async || {
+            status = daemon.process.exit_status();
+            status.is_some()
+        })
+        .await;
+        let code = status.and_then(|status| status.code());
+        assert_eq!(code, Some(0), "{}", daemon.name);
+        let log = fs::read_to_string(daemon.process.log_file()).expect("a log file");
+        let lines = log.lines().map(serde_json::from_str);
+        lines.filter_map(Result::ok).collect()
+    }
+
     /// Waits until a daemon reports that it is ready.
     ///
     /// # Panics
@@ -547,3 +571,9 @@
     let value = serde_json::to_value(value).unwrap_or_default();
     value.as_str().unwrap_or_default().to_owned()
 }
+
+/// Returns the number of requests that the last line of a shutdown reports as interrupted.
+pub fn interrupted_count(lines: &[serde_json::Value]) -> Option<u64> {
+    let mut counts = lines.iter().rev();
+    counts.find_map(|line| line["interrupted"].as_u64())
+}
--- a/crates/testbed/src/harness/mod.rs
+++ b/crates/testbed/src/harness/mod.rs
@@ -11,7 +11,9 @@
 use std::time;
 
 pub use caller::{CallOutcome, Caller, CompletionRequest, Refusal, ServiceRequest};
-pub use fleet::{DaemonOverride, DaemonProcess, Fleet, FleetSpec, TargetProcess};
+pub use fleet::{
+    DaemonOverride, DaemonProcess, Fleet, FleetSpec, TargetProcess, interrupted_count,
+};
 pub use journals::{EntryCounts, JournalEntries, body_hash, read_journals};
 pub use launch::{Launcher, Process};
 pub use links::{LinkProxy, ProxiedLinks, peer_link, table_link, target_link};
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -102,6 +102,35 @@
         self.start_runner_at(address, id, service, stage).await
     }
 
+    /// Starts the runners with these ids: prefill engines (`p-`), decode engines (`d-`) and plain
+    /// services.
+    pub async fn start_runners(&self, ids: &[&str]) -> Vec<EmulatorProcess> {
+        let mut runners = Vec::new();
+        for id in ids {
+            let (service, stage) = match id.split_once('-') {
+                Some(("p", _)) => ("models", Some("prefill")),
+                Some(("d", _)) => ("models", Some("decode")),
+                _ => ("ledger", None),
+            };
+            runners.push(self.start_runner(id, service, stage).await);
+        }
+        runners
+    }
+
+    /// Starts relays that know each other and serve plain requests and streams.
+    pub async fn start_relays(&mut self, count: usize) -> Vec<Relay> {
+        let mut relays = vec![self.start_relay(&[]).await];
+        for _ in 1..count {
+            let relay = self.start_relay(&[&relays[0]]).await;
+            relays.push(relay);
+        }
+        for relay in &relays {
+            relay.wait_serving("/safe/a").await;
+            relay.wait_streaming("/stream/a", 2).await;
+        }
+        relays
+    }
+
     /// Writes the entry of a target that does not register itself to the store.
     pub async fn register_target(
         &self,
--- a/crates/testbed/tests/relay/soak/fixture.rs
+++ b/crates/testbed/tests/relay/soak/fixture.rs
@@ -55,25 +55,8 @@
         fixture.shows_crashes = shows_crashes;
         fixture.write_config(1, |_| {}).await;
         fixture.runner_arguments = vec!["--crash-part".to_owned(), CRASH_PART.to_owned()];
-        let mut runners = Vec::new();
-        for id in RUNNER_IDS {
-            let (service, stage) = match id.split_once('-') {
-                Some(("p", _)) => ("models", Some("prefill")),
-                Some(("d", _)) => ("models", Some("decode")),
-                _ => ("ledger", None),
-            };
-            runners.push(fixture.start_runner(id, service, stage).await);
-        }
-        let first = fixture.start_relay(&[]).await;
-        let mut relays = vec![first];
-        for _ in 1..RELAY_COUNT {
-            let relay = fixture.start_relay(&[&relays[0]]).await;
-            relays.push(relay);
-        }
-        for relay in &relays {
-            relay.wait_serving("/safe/a").await;
-            relay.wait_streaming("/stream/a", 2).await;
-        }
+        let runners = fixture.start_runners(&RUNNER_IDS).await;
+        let relays = fixture.start_relays(RELAY_COUNT).await;
         Self {
             fixture,
             relays,
--- a/crates/testbed/tests/relay/stop_deadlines.rs
+++ b/crates/testbed/tests/relay/stop_deadlines.rs
@@ -24,6 +24,22 @@
     (fixture, engine, relay)
 }
 
+/// Starts a prefill and a decode engine, and a relay that has used both.
+async fn start_prefilling() -> (Fixture, [EmulatorProcess; 2], Relay) {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let prefill = fixture.start_runner("p-1", "models", Some("prefill")).await;
+    let decode = fixture.start_runner("d-1", "models", Some("decode")).await;
+    let relay = fixture.start_relay(&[]).await;
+    harness::wait_until(TIMEOUT, "the prefill engine is used", async || {
+        let _ = relay.request_stream("/stream/a", "probe", 2).await;
+        let entries = prefill.journal().await;
+        entries.iter().any(|entry| !entry["prefilled"].is_null())
+    })
+    .await;
+    (fixture, [prefill, decode], relay)
+}
+
 /// Sends one call at each moment after SIGTERM; returns the time of SIGTERM and the outcomes.
 async fn call_after_stop(
     relay: &Relay,
@@ -155,17 +171,7 @@
 /// says of it that it may have run.
 #[tokio::test]
 async fn a_request_that_waits_for_its_prefill_is_told_that_it_has_not_run() {
-    let mut fixture = Fixture::start().await;
-    fixture.write_config(1, |_| {}).await;
-    let prefill = fixture.start_runner("p-1", "models", Some("prefill")).await;
-    let decode = fixture.start_runner("d-1", "models", Some("decode")).await;
-    let relay = fixture.start_relay(&[]).await;
-    harness::wait_until(TIMEOUT, "the prefill engine is used", async || {
-        let _ = relay.request_stream("/stream/a", "probe", 2).await;
-        let entries = prefill.journal().await;
-        entries.iter().any(|entry| !entry["prefilled"].is_null())
-    })
-    .await;
+    let (_fixture, [prefill, decode], relay) = start_prefilling().await;
     prefill.control(json!({"prefill_delay_ms": 15_000})).await;
     let calls = [200, 1_000, 2_000].map(|moment| {
         let attempt = format!("waiting-{moment}");
@@ -184,17 +190,7 @@
 /// own prefill.
 #[tokio::test]
 async fn a_stream_that_fits_is_served_after_its_prefill() {
-    let mut fixture = Fixture::start().await;
-    fixture.write_config(1, |_| {}).await;
-    let prefill = fixture.start_runner("p-1", "models", Some("prefill")).await;
-    let _decode = fixture.start_runner("d-1", "models", Some("decode")).await;
-    let relay = fixture.start_relay(&[]).await;
-    harness::wait_until(TIMEOUT, "the prefill engine is used", async || {
-        let _ = relay.request_stream("/stream/a", "probe", 2).await;
-        let entries = prefill.journal().await;
-        entries.iter().any(|entry| !entry["prefilled"].is_null())
-    })
-    .await;
+    let (_fixture, [prefill, _decode], relay) = start_prefilling().await;
     prefill.control(json!({"prefill_delay_ms": 1_500})).await;
     for round in 0..3 {
         let call = TestCall::stream("/stream/a", &format!("before-{round}"), 100);
--- a/crates/testbed/tests/relay/stop_soak/fixture.rs
+++ b/crates/testbed/tests/relay/stop_soak/fixture.rs
@@ -47,24 +47,8 @@
     pub(super) async fn start(relay_count: usize) -> Self {
         let mut fixture = Fixture::start().await;
         write_config(&fixture, 1, 15_000, true).await;
-        let mut runners = Vec::new();
-        for id in RUNNER_IDS {
-            let (service, stage) = match id.split_once('-') {
-                Some(("p", _)) => ("models", Some("prefill")),
-                Some(("d", _)) => ("models", Some("decode")),
-                _ => ("ledger", None),
-            };
-            runners.push(fixture.start_runner(id, service, stage).await);
-        }
-        let mut relays = vec![fixture.start_relay(&[]).await];
-        for _ in 1..relay_count {
-            let relay = fixture.start_relay(&[&relays[0]]).await;
-            relays.push(relay);
-        }
-        for relay in &relays {
-            relay.wait_serving("/safe/a").await;
-            relay.wait_streaming("/stream/a", 2).await;
-        }
+        let runners = fixture.start_runners(&RUNNER_IDS).await;
+        let relays = fixture.start_relays(relay_count).await;
         let mut empty = Fixture::start().await;
         let unconfigured = empty.start_relay(&[]).await;
         harness::wait_until(TIMEOUT, "the relay responds", async || {
--- a/crates/testbed/tests/shutdown.rs
+++ b/crates/testbed/tests/shutdown.rs
@@ -6,7 +6,6 @@
     harness::{self, Fleet, FleetSpec},
     load, web,
 };
-use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -70,22 +69,9 @@
 /// Waits until a daemon exits after SIGTERM; checks its exit status, and that the last log line
 /// with `interrupted` counts no request.
 async fn wait_clean_exit(fleet: &mut Fleet, index: usize) {
-    let daemon = &mut fleet.daemons[index];
-    let mut status = None;
-    harness::wait_until(TIMEOUT, "the daemon exits", async || {
-        status = daemon.process.exit_status();
-        status.is_some()
-    })
-    .await;
-    assert_eq!(status.and_then(|status| status.code()), Some(0));
-    let log = std::fs::read_to_string(daemon.process.log_file()).expect("a log file");
-    let lines = log
-        .lines()
-        .filter_map(|line| serde_json::from_str(line).ok());
-    let mut lines = lines;
-    let last_line: Option<Value> = lines.rfind(|line: &Value| line["interrupted"].is_u64());
-    let interrupted = last_line.map(|line| line["interrupted"].clone());
-    assert_eq!(interrupted, Some(0.into()), "{}", daemon.name);
+    let lines = fleet.wait_clean_exit(index, TIMEOUT).await;
+    let interrupted = harness::interrupted_count(&lines);
+    assert_eq!(interrupted, Some(0), "{}", fleet.daemons[index].name);
 }
 
 /// Guards against a shutdown that cuts off streams: a caller that uses the daemon must get every
--- a/crates/testbed/tests/shutdown_deadlines.rs
+++ b/crates/testbed/tests/shutdown_deadlines.rs
@@ -115,29 +115,6 @@
     .await;
 }
 
-/// Waits until the daemon exits with status 0; returns the lines of its log.
-async fn wait_exit(fleet: &mut Fleet) -> Vec<Value> {
-    let daemon = &mut fleet.daemons[0];
-    let mut status = None;
-    harness::wait_until(TIMEOUT, "the daemon exits", async || {
-        status = daemon.process.exit_status();
-        status.is_some()
-    })
-    .await;
-    assert_eq!(status.and_then(|status| status.code()), Some(0));
-    let log = std::fs::read_to_string(daemon.process.log_file()).expect("a log file");
-    let lines = log.lines();
-    lines
-        .filter_map(|line| serde_json::from_str(line).ok())
-        .collect()
-}
-
-/// Number of requests that the last line of a shutdown reports as interrupted.
-fn interrupted_count(lines: &[Value]) -> Option<u64> {
-    let mut counts = lines.iter().rev();
-    counts.find_map(|line| line["interrupted"].as_u64())
-}
-
 /// Lines that name a response that was cut.
 fn interrupted_lines(lines: &[Value]) -> Vec<&Value> {
     let is_interrupted = |line: &&Value| line["message"] == "response interrupted by the shutdown";
@@ -162,8 +139,8 @@
         assert!(response.is_refusal("not_run"), "{response:?}");
         assert!(response.elapsed < SLACK, "{response:?}");
     }
-    let lines = wait_exit(&mut fleet).await;
-    assert_eq!(interrupted_count(&lines), Some(0));
+    let lines = fleet.wait_clean_exit(0, TIMEOUT).await;
+    assert_eq!(harness::interrupted_count(&lines), Some(0));
     let received = fleet.journals().expect("journals");
     assert!(
         !received
@@ -193,8 +170,8 @@
             "{response:?}"
         );
     }
-    let lines = wait_exit(&mut fleet).await;
-    assert_eq!(interrupted_count(&lines), Some(0));
+    let lines = fleet.wait_clean_exit(0, TIMEOUT).await;
+    assert_eq!(harness::interrupted_count(&lines), Some(0));
 }
 
 /// Guards against connections that close without a response at `shutdown_deadline_ms`: a request
@@ -216,10 +193,10 @@
     let partial = partial.await.expect("a response");
     assert!(partial.starts_with("HTTP/1.1 503"), "{partial}");
     assert!(partial.contains("\"not_run\""), "{partial}");
-    let lines = wait_exit(&mut fleet).await;
+    let lines = fleet.wait_clean_exit(0, TIMEOUT).await;
     assert!(terminated.elapsed() < SHUTDOWN_DEADLINE + SLACK);
     assert_eq!(
-        interrupted_count(&lines),
+        harness::interrupted_count(&lines),
         Some(0),
         "all have their response"
     );
@@ -279,14 +256,14 @@
     let event: Value = serde_json::from_str(event.trim()).unwrap_or_default();
     assert_eq!(event["error"]["reason"], "shutting_down", "{stream:?}");
     assert_eq!(event["error"]["verdict"], "may_have_run", "{stream:?}");
-    let lines = wait_exit(fleet).await;
+    let lines = fleet.wait_clean_exit(0, TIMEOUT).await;
     let cut = interrupted_lines(&lines);
     assert_eq!(cut.len(), 1, "{cut:?}");
     assert_eq!(cut[0]["request_id"], event["error"]["request_id"]);
     assert!(cut[0]["team"].is_string(), "{cut:?}");
     assert!(cut[0]["elapsed_ms"].as_u64() >= Some(400), "{cut:?}");
     assert!(cut[0]["parts"].as_u64() >= Some(5), "{cut:?}");
-    assert_eq!(interrupted_count(&lines), Some(1));
+    assert_eq!(harness::interrupted_count(&lines), Some(1));
     terminated
 }
 
