Call the store rarely during an outage where others watch it

Cause: during an outage every daemon repeated its reads of configuration and targets every 0.4 to 0.8 s, although only the two watchers have to notice the store's return; each failed call is charged and takes part of the store's rate when it returns. Ruled out: fewer reads in calm, which are two watchers' polls alone. Change: core::retry_backoff distinguishes watchers, which keep their delays, from followers, which wait 0.2 to 2.4 s.

--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_core::store_version::StoreVersion;
+use acaciabank_core::{retry_backoff, store_version::StoreVersion};
 use bytes::Bytes;
 
 use crate::{
@@ -29,43 +29,57 @@
 /// Time over which the daemons register again after a return of the store, so that they do not
 /// exceed its rate of writes.
 const REGISTRATION_SPREAD: Duration = Duration::from_secs(1);
-/// Initial and longest backoff after failed calls, before jitter. The initial one also separates the
-/// reads after lost history: a store that gave no history at all would be read without a pause.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Pause between reads after lost history: a store that gave no history at all would be read without
+/// one.
+const HISTORY_GONE_PAUSE: Duration = Duration::from_millis(50);
+/// Time in which a watcher usually gets a newer configuration from the store, so that it need not
+/// fetch it from another daemon.
+const WATCHER_CONFIG_WAIT: Duration = Duration::from_millis(200);
 /// Time limit for a call to another daemon.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Exponential backoff after failed calls, with jitter so that the daemons do not retry together.
-struct RetryBackoff {
+/// Failures of one kind of read from the store.
+struct StoreBackoff {
     /// What is read from the store, for the log.
     dependency: &'static str,
-    failures: u32,
+    backoff: retry_backoff::RetryBackoff,
 }
 
-impl RetryBackoff {
+impl StoreBackoff {
     fn new(dependency: &'static str) -> Self {
         Self {
             dependency,
-            failures: 0,
+            backoff: retry_backoff::RetryBackoff::default(),
         }
     }
 
     fn record_success(&mut self) {
-        if self.failures > 0 {
-            log::info!(dependency = self.dependency, failures = self.failures; "store_regained");
+        let failures = self.backoff.reset();
+        if failures > 0 {
+            log::info!(dependency = self.dependency, failures = failures; "store_regained");
         }
-        self.failures = 0;
     }
 
     /// Counts a failure and sleeps for the backoff.
-    async fn wait_after(&mut self, error: &platform::StoreError) {
-        if self.failures == 0 {
+    async fn wait_after(&mut self, error: &platform::StoreError, role: retry_backoff::CallerRole) {
+        if self.backoff.failures() == 0 {
             log::warn!(dependency = self.dependency, error:% = error; "store_lost");
         }
-        let backoff = (INITIAL_BACKOFF * 2u32.pow(self.failures.min(5))).min(MAX_BACKOFF);
-        self.failures += 1;
-        tokio::time::sleep(backoff.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
+        let delay = self.backoff.next_delay(role, rand::random());
+        tokio::time::sleep(delay).await;
+    }
+}
+
+/// Returns how soon this daemon has to notice that the store responds again. A daemon that ranks
+/// behind the watchers hears them, as only daemons with recent reports are ranked.
+fn caller_role<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    has_read: bool,
+) -> retry_backoff::CallerRole {
+    let rank = scheduler::own_rank(state, clock::now_ms());
+    match has_read && rank >= watch::WATCHER_COUNT {
+        true => retry_backoff::CallerRole::Follower,
+        false => retry_backoff::CallerRole::Watcher,
     }
 }
 
@@ -73,7 +87,7 @@
 pub async fn run_config<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
 ) {
-    let mut backoff = RetryBackoff::new("config");
+    let mut backoff = StoreBackoff::new("config");
     let mut after = None;
     loop {
         let sent_ms = clock::now_ms();
@@ -112,9 +126,12 @@
             }
             Err(platform::StoreError::HistoryGone) => {
                 after = None;
-                tokio::time::sleep(INITIAL_BACKOFF).await;
+                tokio::time::sleep(HISTORY_GONE_PAUSE).await;
+            }
+            Err(error) => {
+                let role = caller_role(&state, after.is_some());
+                backoff.wait_after(&error, role).await;
             }
-            Err(error) => backoff.wait_after(&error).await,
         }
     }
 }
@@ -123,7 +140,7 @@
 pub async fn run_targets<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
 ) {
-    let mut backoff = RetryBackoff::new("targets");
+    let mut backoff = StoreBackoff::new("targets");
     let mut after = None;
     loop {
         let sent_ms = clock::now_ms();
@@ -155,13 +172,14 @@
             Err(platform::StoreError::HistoryGone) => {
                 log::info!("target_history_gone");
                 after = None;
-                tokio::time::sleep(INITIAL_BACKOFF).await;
+                tokio::time::sleep(HISTORY_GONE_PAUSE).await;
             }
             Err(error) => {
                 if after.is_none() {
                     fetch_peer_targets(&state).await;
                 }
-                backoff.wait_after(&error).await;
+                let role = caller_role(&state, after.is_some());
+                backoff.wait_after(&error, role).await;
             }
         }
     }
@@ -191,7 +209,7 @@
 pub async fn run_hosts<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
 ) {
-    let mut backoff = RetryBackoff::new("hosts");
+    let mut backoff = StoreBackoff::new("hosts");
     let settings = &state.settings;
     let own = platform::HostRegistration {
         name: settings.host.clone(),
@@ -225,7 +243,10 @@
                     is_registered = !wait_for_return(&state).await;
                 }
             }
-            Err(error) => backoff.wait_after(&error).await,
+            Err(error) => {
+                let role = caller_role(&state, is_registered);
+                backoff.wait_after(&error, role).await;
+            }
         }
     }
 }
@@ -264,7 +285,7 @@
         state.newer_config_reported.notified().await;
         if scheduler::own_rank(&state, clock::now_ms()) < watch::WATCHER_COUNT {
             // A watcher usually gets it from the store within this time.
-            tokio::time::sleep(INITIAL_BACKOFF * 4).await;
+            tokio::time::sleep(WATCHER_CONFIG_WAIT).await;
         }
         let newer = state.peers.borrow().newer_config_source(
             &state.config_version(),
