Recognize teams by their API keys

Targets get the team's name and never the key.

Result: the workspace compiles; no test has run yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! assert!(budget.try_spend());
 //! ```
 
+pub mod access;
 pub mod admit;
 pub mod budget;
 pub mod cache;
--- a/crates/relay/src/config/mod.rs
+++ b/crates/relay/src/config/mod.rs
@@ -1,4 +1,8 @@
-//! Configuration set by the operator: routes, services and limits.
+//! Configuration set by the operator: routes, services, teams and limits.
+
+mod teams;
+
+pub use teams::{SharedKey, TeamDirectory, TeamSpec};
 
 use std::collections::{HashMap, HashSet};
 
@@ -46,8 +50,10 @@
     pub timeout_ms: u64,
     /// Time within which a response counts as on time.
     pub target_latency_ms: u64,
-    /// Priority of the requests; 0 is the highest.
+    /// Priority of requests whose team has none; 0 is the highest.
     pub priority: u8,
+    /// Whether requests without an API key are served when the configuration has teams.
+    pub allow_anonymous: bool,
     /// Names of services with their weights.
     pub services: Vec<(String, u32)>,
     /// Maximum number of targets that one attempt of a caller is sent to.
@@ -140,6 +146,8 @@
     pub version: u64,
     routes: HashMap<String, Vec<RouteRule>>,
     services: HashMap<String, ServiceSpec>,
+    /// Teams whose API keys are accepted; `None` if requests need no key.
+    pub teams: Option<TeamDirectory>,
     /// Limits for callers.
     pub limits: CallerLimits,
 }
@@ -150,6 +158,7 @@
         version: u64,
         routes: Vec<RouteRule>,
         services: Vec<ServiceSpec>,
+        teams: Option<TeamDirectory>,
         limits: CallerLimits,
     ) -> Self {
         let mut routes_by_host: HashMap<String, Vec<RouteRule>> = HashMap::new();
@@ -167,6 +176,7 @@
             version,
             routes: routes_by_host,
             services: services.collect(),
+            teams,
             limits,
         }
     }
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -186,12 +186,7 @@
     if !target.admit_request(clock::now_ms()) {
         return Err(AttemptFailure::unavailable());
     }
-    let mut message = http::Request::new(Full::new(request.body.clone()));
-    *message.method_mut() = request.method.clone();
-    *message.uri_mut() = request.uri.clone();
-    let mut headers = request.headers.clone();
-    state.codec.write_request(&mut headers, metadata);
-    *message.headers_mut() = headers;
+    let message = build_message(&state.codec, request, metadata);
     let sent_ms = clock::now_ms();
     let is_run = !matches!(metadata.task, platform::EngineTask::Prefill);
     let sent = is_run.then_some(&request.sent);
@@ -233,6 +228,22 @@
     })
 }
 
+/// Builds the message to a target. Every attempt to run a request or a part of it sends this one, so
+/// that none of them lacks the team or carries the caller's key.
+fn build_message<Codec: platform::MessageCodec>(
+    codec: &Codec,
+    request: &RelayRequest,
+    metadata: &platform::ForwardMetadata<'_>,
+) -> http::Request<Full<Bytes>> {
+    let mut message = http::Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    let mut headers = request.headers.clone();
+    codec.write_request(&mut headers, request.team_name(), metadata);
+    *message.headers_mut() = headers;
+    message
+}
+
 type SentResponse = (http::Response<Incoming>, connection::TargetConnection);
 
 /// Sends a request on an idle connection, or on a new one if there is none. An idle connection that
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -158,7 +158,7 @@
             service: &request.service,
             parts: &request.parts,
             prompt_tokens: request.prompt_tokens(),
-            priority: request.route.priority,
+            priority: request.priority,
             excluded: &progress.excluded,
             zone_hash: state.zone_hash,
         }
--- a/crates/relay/src/dispatch/generate/kv_handle.rs
+++ b/crates/relay/src/dispatch/generate/kv_handle.rs
@@ -78,11 +78,11 @@
     engine: &rc::Rc<target::TargetState>,
     deadline: Instant,
 ) -> Result<KvHandle, AttemptFailure> {
-    let work = plan.start_work(state, &request.parts, request.route.priority, false);
+    let work = plan.start_work(state, &request.parts, request.priority, false);
     let metadata = platform::ForwardMetadata {
         target_id: &engine.entry.id,
         deadline_ms: request.remaining_ms(),
-        urgency: Some(request.route.priority.min(MAX_URGENCY)),
+        urgency: Some(request.priority.min(MAX_URGENCY)),
         task: platform::EngineTask::Prefill,
         fetch_from: plan.source_address(),
         last_event: None,
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -337,16 +337,11 @@
 ) -> Result<StreamStart, AttemptFailure> {
     let deadline = request.deadline;
     let prefill_ms = request.elapsed_ms();
-    let work = plan.start_work(
-        state,
-        &request.parts,
-        request.route.priority,
-        handle.is_some(),
-    );
+    let work = plan.start_work(state, &request.parts, request.priority, handle.is_some());
     let metadata = platform::ForwardMetadata {
         target_id: &plan.decode.entry.id,
         deadline_ms: request.remaining_ms(),
-        urgency: Some(request.route.priority.min(MAX_URGENCY)),
+        urgency: Some(request.priority.min(MAX_URGENCY)),
         task: match handle {
             None => platform::EngineTask::Whole,
             Some(handle) => platform::EngineTask::Decode {
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Handling of a caller's request: routing, attempts at targets, retries and response streams.
 
+mod access;
 mod attempt;
 mod engines;
 mod events;
@@ -50,9 +51,16 @@
         }
     };
     let name = route.name.clone();
+    let team = match access::authenticate(&state, &config, route, request.headers()) {
+        Ok(team) => team,
+        Err(cause) => {
+            unread::discard(request, Some(&config.limits));
+            return RefusalResponse::not_run(cause).into_response(&id, &name);
+        }
+    };
     let mut unanswered = UnansweredGuard::new(&id, &name);
     let answer = async {
-        let read = RelayRequest::read(&state, &config, route, metadata, request);
+        let read = RelayRequest::read(&state, &config, route, team, metadata, request);
         let request = tokio::select! {
             biased;
             request = read => request?,
--- a/crates/relay/src/dispatch/pause.rs
+++ b/crates/relay/src/dispatch/pause.rs
@@ -24,7 +24,7 @@
     if Instant::now() + Duration::from_millis(remaining_ms) <= deadline {
         return Ok(());
     }
-    let priority = request.route.priority;
+    let priority = request.priority;
     let return_ms = target_signal::retry_after_ms(remaining_ms, priority, rand::random());
     let refusal = RefusalResponse::after(RefusalCause::TargetsPaused, progress.verdict);
     Err(RefusalResponse {
--- a/crates/relay/src/dispatch/refusal.rs
+++ b/crates/relay/src/dispatch/refusal.rs
@@ -65,6 +65,7 @@
     pub fn status(&self) -> http::StatusCode {
         match (self.cause, self.verdict) {
             (RefusalCause::NoRoute, _) => http::StatusCode::NOT_FOUND,
+            (RefusalCause::NoKey | RefusalCause::UnknownKey, _) => http::StatusCode::UNAUTHORIZED,
             (RefusalCause::BodyTooLarge, _) => http::StatusCode::PAYLOAD_TOO_LARGE,
             (RefusalCause::BodyIncomplete, _) => http::StatusCode::BAD_REQUEST,
             (_, Verdict::NotRun) => http::StatusCode::SERVICE_UNAVAILABLE,
@@ -99,7 +100,11 @@
 
 fn default_retry_ms(cause: RefusalCause) -> Option<u64> {
     match cause {
-        RefusalCause::NoRoute | RefusalCause::BodyTooLarge | RefusalCause::BodyIncomplete => None,
+        RefusalCause::NoRoute
+        | RefusalCause::NoKey
+        | RefusalCause::UnknownKey
+        | RefusalCause::BodyTooLarge
+        | RefusalCause::BodyIncomplete => None,
         // Jitter spreads the retries of callers that were refused at the same time.
         _ => Some(200 + rand::random::<u64>() % 200),
     }
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -30,6 +30,10 @@
     pub id: String,
     /// Route that covers the request.
     pub route: config::RouteRule,
+    /// Team of the caller; `None` if the configuration has no teams or the caller has no key.
+    pub team: Option<rc::Rc<config::TeamSpec>>,
+    /// Priority of the request, that of its team or else of its route; 0 is the highest.
+    pub priority: u8,
     /// Name of the service that runs it.
     pub service: String,
     /// HTTP method.
@@ -72,6 +76,7 @@
         state: &state::RelayState<Codec, Store>,
         config: &config::RelayConfig,
         route: &config::RouteRule,
+        team: Option<rc::Rc<config::TeamSpec>>,
         metadata: platform::RequestMetadata,
         request: http::Request<Incoming>,
     ) -> Result<Self, RefusalResponse> {
@@ -97,6 +102,10 @@
                 };
                 parts.map(part).collect()
             });
+        let credentials = match config.teams {
+            Some(_) => platform::CredentialUse::Remove,
+            None => platform::CredentialUse::Forward,
+        };
         let mut suspect_keys = vec![fingerprint(&head.method, &head.uri, &body)];
         let shared = prefix::shared_parts(&parts).iter();
         suspect_keys.extend(shared.map(|part| part.key));
@@ -106,11 +115,16 @@
             confirmation: RefCell::default(),
             has_output: Cell::new(false),
             id: metadata.attempt_id.clone().unwrap_or_default(),
+            priority: team
+                .as_ref()
+                .and_then(|team| team.priority)
+                .unwrap_or(route.priority),
+            team,
             service: service.to_owned(),
             route: route.clone(),
             method: head.method,
             uri: head.uri,
-            headers: state.codec.forward_headers(&head.headers),
+            headers: state.codec.forward_headers(&head.headers, credentials),
             body,
             arrival,
             read_at: Instant::now(),
@@ -123,6 +137,11 @@
         })
     }
 
+    /// Returns the name of the caller's team.
+    pub fn team_name(&self) -> Option<&str> {
+        self.team.as_ref().map(|team| team.name.as_str())
+    }
+
     /// Whether an engine generates the response.
     pub fn is_generation(&self) -> bool {
         self.metadata.generation.is_some()
@@ -177,7 +196,7 @@
     pub fn intake_request(&self, progress: &RequestProgress) -> load_shed::IntakeRequest {
         load_shed::IntakeRequest {
             target_latency_ms: self.route.target_latency_ms,
-            priority: self.route.priority,
+            priority: self.priority,
             remaining_ms: self.remaining_ms(),
             is_retry: progress.ledger.has_calls(),
         }
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -36,6 +36,15 @@
     pub parts: Vec<(String, u32)>,
 }
 
+/// What happens to the credentials in a caller's request when it is forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CredentialUse {
+    /// The target receives them.
+    Forward,
+    /// They are for this process and reach no target.
+    Remove,
+}
+
 /// Metadata that is added to a request when it is forwarded to a target.
 #[derive(Clone, Debug, Default)]
 pub struct ForwardMetadata<'a> {
@@ -263,10 +272,16 @@
 
     /// Returns the caller's headers that are forwarded to a target, without those that only this
     /// process sets.
-    fn forward_headers(&self, headers: &HeaderMap) -> HeaderMap;
+    fn forward_headers(&self, headers: &HeaderMap, credentials: CredentialUse) -> HeaderMap;
 
-    /// Adds the metadata for the target to the headers of a forwarded request.
-    fn write_request(&self, headers: &mut HeaderMap, metadata: &ForwardMetadata<'_>);
+    /// Adds the name of the caller's team, if it has one, and the metadata for the target to the
+    /// headers of a forwarded request.
+    fn write_request(
+        &self,
+        headers: &mut HeaderMap,
+        team: Option<&str>,
+        metadata: &ForwardMetadata<'_>,
+    );
 
     /// Reads the metadata of a target's response.
     fn read_response(&self, status: http::StatusCode, headers: &HeaderMap) -> ResponseMetadata;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -7,7 +7,7 @@
 };
 
 use acaciabank_core::{
-    budget, outlier, prefix, prompt_speed, store_version::StoreVersion, suspect,
+    access, budget, outlier, prefix, prompt_speed, store_version::StoreVersion, suspect,
 };
 
 use crate::{config, connection, gossip, platform, scheduler, shutdown, target, trial, watch};
@@ -39,6 +39,8 @@
     pub max_ttl_s: u64,
     /// Retry budget of each service.
     pub budget: budget::BudgetLimits,
+    /// Limits for the age of the configuration by which API keys are accepted and refused.
+    pub access: access::AccessLimits,
     /// Memory of the host, in bytes.
     pub memory_bytes: usize,
     /// Processor capacity of the host, in thousandths of a core.
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -9,6 +9,12 @@
         NotConfigured,
         /// No route matches the host and path of the request.
         NoRoute,
+        /// The request has no API key and needs one.
+        NoKey,
+        /// The API key of the request belongs to no team.
+        UnknownKey,
+        /// The copy of the configuration is too old for a decision about the API key.
+        ConfigStale,
         /// The body exceeds the configured size.
         BodyTooLarge,
         /// The body ended early or did not arrive in time.
@@ -47,6 +53,9 @@
         match self {
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::UnknownKey => "unknown_key",
+            Self::ConfigStale => "config_stale",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
             Self::NoTarget => "no_target",
--- a/crates/relay/src/watch/mod.rs
+++ b/crates/relay/src/watch/mod.rs
@@ -32,6 +32,8 @@
     store_read_ms: Cell<Option<u64>>,
     /// Latest time at which the copy is known to have matched the store.
     fresh_ms: Cell<u64>,
+    /// Whether the copy is known to have matched the store at any time.
+    is_confirmed: Cell<bool>,
     /// Version of the store up to which the copy includes all changes.
     version: Cell<StoreVersion>,
 }
@@ -65,6 +67,13 @@
     /// Records that the copy matches what another daemon read from the store at `fresh_ms`.
     pub fn record_fresh(&self, fresh_ms: u64) {
         self.fresh_ms.set(self.fresh_ms.get().max(fresh_ms));
+        self.is_confirmed.set(true);
+    }
+
+    /// Returns the time since the copy is known to have matched the store; `None` if it never was.
+    pub fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let age_ms = now_ms.saturating_sub(self.fresh_ms.get());
+        self.is_confirmed.get().then_some(age_ms)
     }
 
     /// Records that changes may have been missed, so that the store is read again regardless of
