--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -102,10 +102,11 @@
                 }
                 // The store may have held the request, and its response describes the end of the
                 // wait.
-                state
-                    .watch
-                    .config
-                    .record_store_read(clock::now_ms(), change.version);
+                let now_ms = clock::now_ms();
+                let freshness = &state.watch.config;
+                freshness.record_store_read(now_ms, change.version);
+                // It describes no later time, however late it is read.
+                freshness.record_confirmed(now_ms.min(sent_ms + wait_ms));
                 if state.config.borrow().is_none() {
                     tokio::time::sleep(CHECK_INTERVAL).await;
                 }
--- a/crates/relay/src/dispatch/access.rs
+++ b/crates/relay/src/dispatch/access.rs
@@ -7,6 +7,15 @@
 
 use crate::{clock, config, state, telemetry::RefusalCause};
 
+/// Refusal of a request at its arrival.
+#[derive(Debug)]
+pub struct AccessRefusal {
+    /// Why it is refused.
+    pub cause: RefusalCause,
+    /// Team that has its key, if there is one.
+    pub team: Option<rc::Rc<config::TeamSpec>>,
+}
+
 /// Scheme of the `Authorization` header that carries an API key.
 const KEY_SCHEME: &[u8] = b"bearer";
 
@@ -17,7 +26,7 @@
     config: &config::RelayConfig,
     route: &config::RouteRule,
     headers: &HeaderMap,
-) -> Result<Option<rc::Rc<config::TeamSpec>>, RefusalCause> {
+) -> Result<Option<rc::Rc<config::TeamSpec>>, AccessRefusal> {
     let Some(directory) = &config.teams else {
         return Ok(None);
     };
@@ -27,12 +36,13 @@
         allows_anonymous: route.allow_anonymous,
         copy_age_ms: state.watch.config.confirmed_age_ms(clock::now_ms()),
     };
-    match access::decide(&request, &state.settings.access) {
-        AccessDecision::Serve => Ok(team),
-        AccessDecision::NoKey => Err(RefusalCause::NoKey),
-        AccessDecision::UnknownKey => Err(RefusalCause::UnknownKey),
-        AccessDecision::StaleCopy => Err(RefusalCause::ConfigStale),
-    }
+    let cause = match access::decide(&request, &state.settings.access) {
+        AccessDecision::Serve => return Ok(team),
+        AccessDecision::NoKey => RefusalCause::NoKey,
+        AccessDecision::UnknownKey => RefusalCause::UnknownKey,
+        AccessDecision::StaleCopy => RefusalCause::ConfigStale,
+    };
+    Err(AccessRefusal { cause, team })
 }
 
 /// Looks up the key of a request. Two `Authorization` headers leave open which key counts, so that
--- a/crates/relay/src/dispatch/generate/forwarder.rs
+++ b/crates/relay/src/dispatch/generate/forwarder.rs
@@ -279,6 +279,7 @@
         let first_ms = (self.first_event - request.arrival).as_millis() as u64;
         log::info!(
             id = request.id.as_str(), route = request.route.name.as_str(),
+            team = request.team_label(),
             target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
             placed_by = placed_by, sends = self.progress.sends, prompt = request.prompt_tokens(),
             uncached = estimate.uncached_tokens, fetched = estimate.is_fetched,
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -92,6 +92,7 @@
         StreamStart::ErrorResponse(response, status) => {
             log::info!(
                 id = request.id.as_str(), route = request.route.name.as_str(),
+                team = request.team_label(),
                 status = status.as_u16(), sends = progress.sends,
                 elapsed_ms = request.elapsed_ms();
                 "answered"
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -41,26 +41,39 @@
             state::RelayPhase::Serving => RefusalResponse::not_run(RefusalCause::NotConfigured),
             state::RelayPhase::Draining => stopping::refusal(Verdict::NotRun),
         };
-        return refusal.into_response(&id, "");
+        return refusal.into_response(&id, "", "");
     };
     let route = match find_route(&config, &request) {
         Some(route) => route,
         None => {
             unread::discard(request, Some(&config.limits));
-            return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, "");
+            return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, "", "");
         }
     };
     let name = route.name.clone();
-    let team = match access::authenticate(&state, &config, route, request.headers()) {
-        Ok(team) => team,
-        Err(cause) => {
-            unread::discard(request, Some(&config.limits));
-            return RefusalResponse::not_run(cause).into_response(&id, &name);
+    let access = access::authenticate(&state, &config, route, request.headers());
+    let team = match &access {
+        Ok(team) => team.clone(),
+        Err(refusal) => refusal.team.clone(),
+    };
+    let counters = team.as_ref().map(|team| state.teams.counters(team));
+    if let Some(counters) = &counters {
+        counters.requests.increment(1);
+    }
+    let refuse = |refusal: RefusalResponse| {
+        if let Some(counters) = &counters {
+            counters.refusals.increment(1);
         }
+        let team = team.as_ref().map_or("", |team| team.name.as_str());
+        refusal.into_response(&id, &name, team)
     };
+    if let Err(refusal) = access {
+        unread::discard(request, Some(&config.limits));
+        return refuse(RefusalResponse::not_run(refusal.cause));
+    }
     let mut unanswered = UnansweredGuard::new(&id, &name);
     let answer = async {
-        let read = RelayRequest::read(&state, &config, route, team, metadata, request);
+        let read = RelayRequest::read(&state, &config, route, team.clone(), metadata, request);
         let request = tokio::select! {
             biased;
             request = read => request?,
@@ -75,8 +88,13 @@
     let result = result.unwrap_or_else(|_| Err(RefusalResponse::internal_error()));
     unanswered.close();
     match result {
-        Ok(response) => response,
-        Err(refusal) => refusal.into_response(&id, &name),
+        Ok(response) => {
+            if let Some(counters) = &counters {
+                counters.responses.increment(1);
+            }
+            response
+        }
+        Err(refusal) => refuse(refusal),
     }
 }
 
--- a/crates/relay/src/dispatch/refusal.rs
+++ b/crates/relay/src/dispatch/refusal.rs
@@ -75,17 +75,22 @@
     }
 
     /// Logs and counts the refusal and converts it to an HTTP response.
-    pub fn into_response(self, id: &str, route: &str) -> HttpResponse {
+    pub fn into_response(self, id: &str, route: &str, team: &str) -> HttpResponse {
         telemetry::count_refusal(self.cause, self.verdict);
         let status = self.status();
         log::info!(
-            id = id, route = route, status = status.as_u16(), cause = self.cause.as_str(),
+            id = id, route = route, team = team, status = status.as_u16(), cause = self.cause.as_str(),
             verdict = self.verdict.as_str(), retry_after_ms = self.retry_after_ms.unwrap_or(0);
             "refused"
         );
         let text = format!("{}\n", self.cause.as_str());
         let mut response = http::Response::new(Either::Left(Full::new(Bytes::from(text))));
         *response.status_mut() = status;
+        if status == http::StatusCode::UNAUTHORIZED {
+            let scheme = http::HeaderValue::from_static("Bearer");
+            let headers = response.headers_mut();
+            headers.insert(http::header::WWW_AUTHENTICATE, scheme);
+        }
         if let Some(retry_ms) = self.retry_after_ms {
             let seconds = format!("{:.3}", retry_ms as f64 / 1_000.0);
             if let Ok(value) = http::HeaderValue::from_str(&seconds) {
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -142,6 +142,11 @@
         self.team.as_ref().map(|team| team.name.as_str())
     }
 
+    /// Returns the name of the caller's team for the log; empty without one.
+    pub fn team_label(&self) -> &str {
+        self.team_name().unwrap_or_default()
+    }
+
     /// Whether an engine generates the response.
     pub fn is_generation(&self) -> bool {
         self.metadata.generation.is_some()
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -74,6 +74,7 @@
     is_urgent: bool,
 ) {
     let now_ms = clock::now_ms();
+    state.watch.pauses.observe(now_ms);
     state.peers.borrow_mut().expire(now_ms);
     if state.targets.borrow().has_due_doubts(now_ms) {
         state.watch.targets.record_gap();
@@ -352,6 +353,7 @@
     report: PeerReport,
 ) {
     let now_ms = clock::now_ms();
+    state.watch.pauses.observe(now_ms);
     let mut suspects = state.suspects.borrow_mut();
     suspects.merge_report(&report.suspects, now_ms);
     drop(suspects);
@@ -398,6 +400,9 @@
     if let Some(age_ms) = read_age_ms.filter(|_| is_current) {
         let fresh_ms = now_ms.saturating_sub(age_ms);
         state.watch.config.record_fresh(fresh_ms);
+        if !state.watch.pauses.may_have_waited(now_ms) {
+            state.watch.config.record_confirmed(fresh_ms);
+        }
     }
 }
 
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -10,7 +10,9 @@
     access, budget, outlier, prefix, prompt_speed, store_version::StoreVersion, suspect,
 };
 
-use crate::{config, connection, gossip, platform, scheduler, shutdown, target, trial, watch};
+use crate::{
+    config, connection, gossip, platform, scheduler, shutdown, target, teams, trial, watch,
+};
 
 /// Settings of the process, fixed at startup.
 #[derive(Clone, Debug)]
@@ -136,6 +138,8 @@
     pub shutdown: shutdown::ShutdownState,
     /// Memory for responses that are read completely before they are forwarded.
     pub response_buffers: connection::BufferBudget,
+    /// Counters of the teams.
+    pub teams: teams::TeamState,
 }
 
 /// Share of the host's memory for responses that are being read: a quarter. A buffer takes up to
@@ -206,6 +210,7 @@
             response_buffers: connection::BufferBudget::new(
                 settings.memory_bytes / BUFFER_MEMORY_DIVISOR,
             ),
+            teams: teams::TeamState::default(),
             settings,
         }
     }
@@ -276,6 +281,7 @@
             version = config.version, stored:% = version.stored, source = source;
             "config_in_force"
         );
+        config.teams.iter().for_each(log_shared_keys);
         self.config_version.set(version);
         self.shutdown.retain_routes(&config);
         *self.config_document.borrow_mut() = document.clone();
@@ -451,6 +457,20 @@
     }
 }
 
+/// Pairs of teams with the same API key that are logged of one configuration.
+const MAX_LOGGED_PAIRS: usize = 16;
+
+/// Warns of API keys that several teams list.
+fn log_shared_keys(teams: &config::TeamDirectory) {
+    let shared = teams.shared_keys();
+    for key in shared.iter().take(MAX_LOGGED_PAIRS) {
+        log::warn!(
+            team = key.owner.as_str(), other = key.other.as_str(), shared_keys = shared.len();
+            "api_key_shared"
+        );
+    }
+}
+
 /// Returns the hash that identifies a daemon or an availability zone in messages between daemons.
 pub fn hash_name(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
--- a/crates/relay/src/watch/mod.rs
+++ b/crates/relay/src/watch/mod.rs
@@ -4,6 +4,10 @@
 //! poll it and report changes to the others. A daemon that gets no fresh reports reads the store
 //! itself, and every daemon does so once a minute to correct what lost reports may have left wrong.
 
+mod pauses;
+
+pub use pauses::PauseDetector;
+
 use std::cell::{Cell, RefCell};
 
 use acaciabank_core::store_version::StoreVersion;
@@ -32,8 +36,9 @@
     store_read_ms: Cell<Option<u64>>,
     /// Latest time at which the copy is known to have matched the store.
     fresh_ms: Cell<u64>,
-    /// Whether the copy is known to have matched the store at any time.
-    is_confirmed: Cell<bool>,
+    /// Latest time at which the copy is proven to have matched the store; `None` if it never was.
+    /// Unlike `fresh_ms`, it takes no message for new that waited while this process was paused.
+    confirmed_ms: Cell<Option<u64>>,
     /// Version of the store up to which the copy includes all changes.
     version: Cell<StoreVersion>,
 }
@@ -67,13 +72,18 @@
     /// Records that the copy matches what another daemon read from the store at `fresh_ms`.
     pub fn record_fresh(&self, fresh_ms: u64) {
         self.fresh_ms.set(self.fresh_ms.get().max(fresh_ms));
-        self.is_confirmed.set(true);
     }
 
-    /// Returns the time since the copy is known to have matched the store; `None` if it never was.
+    /// Records that the copy is proven to have matched the store at a time.
+    pub fn record_confirmed(&self, confirmed_ms: u64) {
+        self.confirmed_ms
+            .set(self.confirmed_ms.get().max(Some(confirmed_ms)));
+    }
+
+    /// Returns the time since the copy is proven to have matched the store; `None` if it never was.
     pub fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
-        let age_ms = now_ms.saturating_sub(self.fresh_ms.get());
-        self.is_confirmed.get().then_some(age_ms)
+        let confirmed_ms = self.confirmed_ms.get();
+        confirmed_ms.map(|confirmed_ms| now_ms.saturating_sub(confirmed_ms))
     }
 
     /// Records that changes may have been missed, so that the store is read again regardless of
@@ -107,6 +117,8 @@
     pub config: DataFreshness,
     /// Freshness of the list of targets.
     pub targets: DataFreshness,
+    /// Pauses of this process.
+    pub pauses: PauseDetector,
     retained: RefCell<Vec<RetainedChanges>>,
 }
 
