Make the lease a module of its own and add calls to the platform

Cause: usage reports and capacity orders are the duty of one daemon at a time, and the lease was private to the stage planner, whose rounds delayed its renewal.

--- a/crates/relay/src/connection/write_deadline.rs
+++ b/crates/relay/src/connection/write_deadline.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Returns the deadline at a time by [`crate::clock::now_ms`].
+    pub fn at_boot_ms(boot_ms: u64) -> Self {
+        Self { boot_ms }
+    }
+
     /// Returns the time left until the deadline.
     pub fn remaining(self) -> Duration {
         Duration::from_millis(self.boot_ms.saturating_sub(now_ms()))
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -76,6 +76,8 @@
     pub is_ready: bool,
     /// Whether the daemon is shutting down.
     pub is_draining: bool,
+    /// Whether the daemon holds the lease.
+    pub is_lease_holder: bool,
     /// Configuration that the daemon uses.
     pub config_version: config::ConfigVersion,
     /// Age of the sender's last read of the configuration in the store.
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -180,6 +180,15 @@
         candidates.collect()
     }
 
+    /// Returns the addresses of the daemons that report that they hold the lease: of more than one
+    /// while the last report of a former holder still counts.
+    pub fn lease_holder_addresses(&self, now_ms: u64) -> impl Iterator<Item = net::SocketAddr> {
+        let peers = self.peers.values();
+        let holders =
+            peers.filter(move |peer| peer.report.is_lease_holder && peer.is_alive(now_ms));
+        holders.map(|peer| peer.report.peer_address)
+    }
+
     /// Returns the address of the daemon with the given hash.
     pub fn address_of(&self, daemon_hash: u64) -> Option<net::SocketAddr> {
         let mut peers = self.peers.values();
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -132,7 +132,7 @@
 }
 
 /// Returns the addresses of the schedulers and of their standbys, which get the same reports so
-/// that they can replace them.
+/// that they can replace them, and that of the holder of the lease if it has duties.
 fn scheduler_addresses<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
     now_ms: u64,
@@ -142,9 +142,16 @@
         .iter()
         .take(core_scheduler::informed_count(candidates.len()));
     let peers = state.peers.borrow();
-    schedulers
-        .filter_map(|candidate| peers.address_of(candidate.daemon_hash))
-        .collect()
+    let addresses = schedulers.filter_map(|candidate| peers.address_of(candidate.daemon_hash));
+    let mut addresses: Vec<net::SocketAddr> = addresses.collect();
+    if !state.settings.duties.is_empty() {
+        let holders = peers.lease_holder_addresses(now_ms);
+        let others: Vec<net::SocketAddr> = holders
+            .filter(|address| !addresses.contains(address))
+            .collect();
+        addresses.extend(others);
+    }
+    addresses
 }
 
 /// Returns a hash that assigns an address to a tick of a cycle.
@@ -188,6 +195,7 @@
         caller_address: settings.caller_address,
         is_ready: state.is_ready(),
         is_draining: state.phase.get() == state::RelayPhase::Draining,
+        is_lease_holder: state.lease.grant(now_ms).is_some(),
         config_version: state.config_version(),
         config_age_ms: state.watch.config.store_read_age_ms(now_ms),
         // Other daemons rely only on the watchers for changes of targets.
--- /dev/null
+++ b/crates/relay/src/lease/task.rs
@@ -0,0 +1,92 @@
+//! Task that acquires the lease and renews it.
+
+use std::time::Duration;
+
+use acaciabank_core::lease;
+
+use crate::{clock, platform, scheduler, state};
+
+/// Name of the lease in the store, from the first duty that it was used for.
+const LEASE_NAME: &str = "stages";
+/// Interval at which daemons that do not hold the lease check it; long, as every check reads the
+/// store.
+const CHALLENGE_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Interval between attempts of the holder to renew the lease when the store does not respond.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time by which the second candidate for the lease waits longer than the first.
+const STANDBY_DELAY_MS: u64 = 2_000;
+
+/// Maintains the lease until this daemon stops. Only the first two candidates compete for it.
+pub async fn run<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: state::SharedState<Codec, Store>,
+) {
+    let mut is_holder = false;
+    loop {
+        tokio::time::sleep(next_interval(&state, is_holder)).await;
+        if state.phase.get() == state::RelayPhase::Draining {
+            return;
+        }
+        let rank = scheduler::own_rank(&state, clock::now_ms());
+        if !is_holder && (rank > 1 || state.config().is_none()) {
+            continue;
+        }
+        maintain(&state, rank as u64 * STANDBY_DELAY_MS).await;
+        let may_act = state.lease.grant(clock::now_ms()).is_some();
+        if may_act != is_holder {
+            is_holder = may_act;
+            log::info!(holder = may_act, lease = LEASE_NAME; "lease");
+        }
+        if may_act {
+            state.lease.acquired.notify_waiters();
+        }
+    }
+}
+
+/// Returns the time until the next step. The holder sleeps until the renewal is due.
+fn next_interval<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    is_holder: bool,
+) -> Duration {
+    if !is_holder {
+        return CHALLENGE_INTERVAL;
+    }
+    let now_ms = clock::now_ms();
+    match state.lease.grant(now_ms) {
+        Some(grant) if now_ms < grant.renew_at_ms => {
+            Duration::from_millis(grant.renew_at_ms - now_ms)
+        }
+        _ => RETRY_INTERVAL,
+    }
+}
+
+/// Reads, acquires or renews the lease, whichever is due.
+async fn maintain<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    extra_wait_ms: u64,
+) {
+    let elector = &state.lease.elector;
+    let mut step = elector.borrow().on_tick(clock::now_ms());
+    if step == lease::LeaseStep::Read {
+        let read = state.store.read_lease(LEASE_NAME).await;
+        step = match read {
+            Ok(read) => elector
+                .borrow_mut()
+                .on_read(clock::now_ms(), &read, extra_wait_ms),
+            Err(error) => {
+                log::debug!("cannot read lease {LEASE_NAME}: {error}");
+                lease::LeaseStep::Wait
+            }
+        };
+    }
+    let lease::LeaseStep::Write(write) = step else {
+        return;
+    };
+    let sent_ms = clock::now_ms();
+    let result = match state.store.write_lease(LEASE_NAME, &write).await {
+        Ok(Some(version)) => lease::WriteResult::Committed(version),
+        Ok(None) => lease::WriteResult::Conflict,
+        Err(platform::StoreError::Status(_)) => lease::WriteResult::Unavailable,
+        Err(_) => lease::WriteResult::Unknown,
+    };
+    elector.borrow_mut().on_written(sent_ms, &write, result);
+}
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -1,7 +1,7 @@
 //! The interface to a platform. An implementation only converts between the platform's formats and
 //! the types defined here; it makes no decisions.
 
-use std::{future::Future, net};
+use std::{collections::BTreeMap, future::Future, net};
 
 use acaciabank_core::{lease, placement, store_version::StoreVersion, target_signal};
 use bytes::Bytes;
@@ -117,6 +117,90 @@
     Unknown,
 }
 
+/// Usage of all teams in one window.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct UsageReport {
+    /// Number of the window since the start of 1970.
+    pub window: u64,
+    /// Requests that began to run in the window, by name of the team.
+    pub counts: BTreeMap<String, u64>,
+}
+
+/// An order for a number of engines of a service in an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CapacityOrder {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the availability zone.
+    pub zone: String,
+    /// Number of engines to have, including those that run.
+    pub count: u32,
+    /// Whether the order is for spot engines rather than on-demand ones.
+    pub is_spot: bool,
+}
+
+/// A call to the platform that is the duty of the daemon that holds the lease.
+#[derive(Clone, Copy, Debug)]
+pub enum DutyCall<'a> {
+    /// Reports usage.
+    Usage(&'a UsageReport),
+    /// Orders capacity.
+    Capacity(&'a CapacityOrder),
+}
+
+impl DutyCall<'_> {
+    /// Returns the value used in metric labels.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Usage(_) => "usage",
+            Self::Capacity(_) => "capacity",
+        }
+    }
+}
+
+/// Right by which a daemon makes a call.
+#[derive(Clone, Copy, Debug)]
+pub struct DutyAuthority<'a> {
+    /// Name of the daemon that holds the lease.
+    pub holder: &'a str,
+    /// Fencing token of the lease.
+    pub fencing_token: u64,
+}
+
+/// Result of a call to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DutyResponse {
+    /// The platform has accepted it.
+    Accepted,
+    /// What was ordered is not available now.
+    Unavailable,
+    /// Too many calls; the platform has done nothing.
+    Limited,
+    /// The platform does not accept it.
+    Refused,
+    /// The platform has failed and has done nothing.
+    Failed,
+    /// Nothing was written, or this daemon does not hold the lease.
+    Unsent,
+    /// No usable response; the platform may carry it out now, later or never.
+    Unknown,
+}
+
+impl DutyResponse {
+    /// Returns the value used in log lines and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Unavailable => "unavailable",
+            Self::Limited => "limited",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Unsent => "unsent",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// State that an engine reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineReport {
@@ -301,6 +385,16 @@
     /// Reads the response to a stage order from its status.
     fn read_order_response(&self, status: http::StatusCode) -> OrderResponse;
 
+    /// Encodes a call to the platform.
+    fn write_duty_call(
+        &self,
+        authority: &DutyAuthority<'_>,
+        call: &DutyCall<'_>,
+    ) -> http::Request<Bytes>;
+
+    /// Reads the response to a call to the platform from its status.
+    fn read_duty_response(&self, status: http::StatusCode) -> DutyResponse;
+
     /// Decodes a configuration.
     ///
     /// # Errors
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -12,7 +12,8 @@
 };
 
 use crate::{
-    clock, discovery, gossip, listener, panics, planner, platform, scheduler, state, telemetry,
+    clock, discovery, gossip, lease, listener, panics, planner, platform, scheduler, state,
+    telemetry,
 };
 
 pub use crate::state::RelaySettings;
@@ -175,6 +176,7 @@
     spawn("peer_config", |state, _| {
         discovery::run_peer_config(state).boxed_local()
     });
+    spawn("lease", |state, _| lease::run(state).boxed_local());
     spawn("planner", |state, _| planner::run(state).boxed_local());
     spawn("scheduler", |state, _| scheduler::run(state).boxed_local());
     spawn("warmup", |state, _| {
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -10,7 +10,9 @@
     budget, outlier, prefix, prompt_speed, store_version::StoreVersion, suspect,
 };
 
-use crate::{config, connection, gossip, platform, scheduler, shutdown, target, trial, watch};
+use crate::{
+    config, connection, duty, gossip, lease, platform, scheduler, shutdown, target, trial, watch,
+};
 
 /// Settings of the process, fixed at startup.
 #[derive(Clone, Debug)]
@@ -43,6 +45,12 @@
     pub memory_bytes: usize,
     /// Processor capacity of the host, in thousandths of a core.
     pub capacity_millicores: u32,
+    /// Address of the platform for the calls of the duties; `None` if there are no duties.
+    pub duty_address: Option<net::SocketAddr>,
+    /// Duties of the daemon that holds the lease.
+    pub duties: duty::DutySet,
+    /// Calls per second that the platform accepts from all daemons together.
+    pub duty_calls_per_s: f64,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -116,6 +124,10 @@
     pub daemon_hash: u64,
     /// State of this daemon as a client of schedulers and as a scheduler.
     pub scheduler: scheduler::SchedulerState,
+    /// The lease, as its holder or as a candidate.
+    pub lease: lease::LeaseState,
+    /// Calls to the platform as the holder of the lease.
+    pub duty: duty::DutyState,
     /// Freshness of this daemon's copy of the store, and recent changes to report.
     pub watch: watch::StoreWatch,
     /// Requests and prompt parts suspected of crashing targets.
@@ -174,6 +186,7 @@
 impl<Codec: platform::MessageCodec, Store: platform::PlatformStore> RelayState<Codec, Store> {
     /// Creates the state of a process that has no configuration and knows no targets.
     pub fn new(settings: RelaySettings, codec: Codec, store: Store) -> Self {
+        let boot_id = rand::random();
         Self {
             codec,
             store,
@@ -183,7 +196,7 @@
             targets: RefCell::new(target::TargetRegistry::new(settings.target_silence_ms)),
             peers: RefCell::default(),
             report_now: tokio::sync::Notify::new(),
-            boot_id: rand::random(),
+            boot_id,
             started_ms: crate::clock::now_ms(),
             store_era: Cell::new(0),
             store_returned: tokio::sync::Notify::new(),
@@ -193,6 +206,8 @@
             zone_hash: hash_name(&settings.zone),
             daemon_hash: hash_name(&settings.host),
             scheduler: scheduler::SchedulerState::default(),
+            lease: lease::LeaseState::new(&settings.host, boot_id),
+            duty: duty::DutyState::new(settings.duty_calls_per_s),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::new(suspect::SuspectTable::awaiting_reports()),
             trials: trial::TrialState::default(),
--- a/crates/relay/tests/store_returns/daemon.rs
+++ b/crates/relay/tests/store_returns/daemon.rs
@@ -296,6 +296,7 @@
             caller_address: Self::address(self.rank),
             is_ready: true,
             is_draining: false,
+            is_lease_holder: false,
             config_version: self.config_version(),
             config_age_ms: self.watch.config.store_read_age_ms(now_ms),
             targets_age_ms: targets_age_ms.filter(|_| is_watcher),
