--- a/crates/relay/src/dispatch/refusal.rs
+++ b/crates/relay/src/dispatch/refusal.rs
@@ -65,6 +65,7 @@
     pub fn status(&self) -> http::StatusCode {
         match (self.cause, self.verdict) {
             (RefusalCause::NoRoute, _) => http::StatusCode::NOT_FOUND,
+            (RefusalCause::NoKey | RefusalCause::UnknownKey, _) => http::StatusCode::UNAUTHORIZED,
             (RefusalCause::BodyTooLarge, _) => http::StatusCode::PAYLOAD_TOO_LARGE,
             (RefusalCause::BodyIncomplete, _) => http::StatusCode::BAD_REQUEST,
             (_, Verdict::NotRun) => http::StatusCode::SERVICE_UNAVAILABLE,
@@ -74,17 +75,22 @@
     }
 
     /// Logs and counts the refusal and converts it to an HTTP response.
-    pub fn into_response(self, id: &str, route: &str) -> HttpResponse {
+    pub fn into_response(self, id: &str, route: &str, team: &str) -> HttpResponse {
         telemetry::count_refusal(self.cause, self.verdict);
         let status = self.status();
         log::info!(
-            id = id, route = route, status = status.as_u16(), cause = self.cause.as_str(),
+            id = id, route = route, team = team, status = status.as_u16(), cause = self.cause.as_str(),
             verdict = self.verdict.as_str(), retry_after_ms = self.retry_after_ms.unwrap_or(0);
             "refused"
         );
         let text = format!("{}\n", self.cause.as_str());
         let mut response = http::Response::new(Either::Left(Full::new(Bytes::from(text))));
         *response.status_mut() = status;
+        if status == http::StatusCode::UNAUTHORIZED {
+            let scheme = http::HeaderValue::from_static("Bearer");
+            let headers = response.headers_mut();
+            headers.insert(http::header::WWW_AUTHENTICATE, scheme);
+        }
         if let Some(retry_ms) = self.retry_after_ms {
             let seconds = format!("{:.3}", retry_ms as f64 / 1_000.0);
             if let Ok(value) = http::HeaderValue::from_str(&seconds) {
@@ -99,7 +105,11 @@
 
 fn default_retry_ms(cause: RefusalCause) -> Option<u64> {
     match cause {
-        RefusalCause::NoRoute | RefusalCause::BodyTooLarge | RefusalCause::BodyIncomplete => None,
+        RefusalCause::NoRoute
+        | RefusalCause::NoKey
+        | RefusalCause::UnknownKey
+        | RefusalCause::BodyTooLarge
+        | RefusalCause::BodyIncomplete => None,
         // Jitter spreads the retries of callers that were refused at the same time.
         _ => Some(200 + rand::random::<u64>() % 200),
     }
