Order engines as the holder of the lease

Cause: nothing acts on the decisions of core::capacity, and nothing reports the load of a service to the holder. Change: daemons count prompts, uncached tokens and stream time by service and report the totals to schedulers and the holder; a task plans and sends orders while it holds the lease. Target entries have is_spot and leaves_ms, services have scaling. The stage planner leaves out engines that boot.

--- a/crates/core/src/capacity/load.rs
+++ b/crates/core/src/capacity/load.rs
@@ -28,9 +28,8 @@
     pub prompts: u64,
     /// Prompt tokens that had to be processed: those that were not cached.
     pub prompt_tokens: u64,
-    /// Generated tokens.
-    pub output_tokens: u64,
-    /// Time for which requests generated tokens, summed over the requests.
+    /// Time for which requests generated tokens, summed over the requests. The rate of tokens over
+    /// the speed of a stream is the number of concurrent streams, and so is the rise of this time.
     pub stream_ms: u64,
 }
 
@@ -40,7 +39,6 @@
         Self {
             prompts: self.prompts.saturating_sub(earlier.prompts),
             prompt_tokens: self.prompt_tokens.saturating_sub(earlier.prompt_tokens),
-            output_tokens: self.output_tokens.saturating_sub(earlier.output_tokens),
             stream_ms: self.stream_ms.saturating_sub(earlier.stream_ms),
         }
     }
@@ -48,7 +46,6 @@
     fn add(&mut self, other: &Self) {
         self.prompts += other.prompts;
         self.prompt_tokens += other.prompt_tokens;
-        self.output_tokens += other.output_tokens;
         self.stream_ms += other.stream_ms;
     }
 
--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -107,6 +107,19 @@
     Repeat,
 }
 
+impl OrderReason {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Shortage => "shortage",
+            Self::Spread => "spread",
+            Self::Surplus => "surplus",
+            Self::Replaced => "replaced",
+            Self::Repeat => "repeat",
+        }
+    }
+}
+
 /// An order of an absolute number of engines.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetOrder {
--- a/crates/core/src/capacity/slot.rs
+++ b/crates/core/src/capacity/slot.rs
@@ -59,6 +59,8 @@
 pub(super) struct OrderSlot {
     last: Option<SentOrder>,
     listed: u32,
+    /// Count of the last accepted order.
+    accepted: Option<u32>,
     is_reclaimed: bool,
     unavailable_until_ms: u64,
     /// Time until which no order is sent because one was refused.
@@ -71,6 +73,8 @@
     /// Records the list; returns whether the engines have just begun to be taken away.
     pub(super) fn observe(&mut self, now_ms: u64, listed: u32, is_reclaimed: bool) -> bool {
         self.listed = listed;
+        // Engines that leave because fewer were ordered are no loss.
+        let is_reclaimed = is_reclaimed && self.accepted.is_none_or(|count| listed < count);
         let is_new = is_reclaimed && !self.is_reclaimed;
         self.is_reclaimed = is_reclaimed;
         if is_new {
@@ -215,6 +219,7 @@
             OrderAnswer::Accepted => {
                 let visible_ms = now_ms + settle_ms(boot_ms);
                 order.state = OrderState::Accepted { visible_ms };
+                self.accepted = Some(order.count);
             }
             OrderAnswer::Unknown => order.await_repeat(now_ms),
             OrderAnswer::NotDone if is_open => order.await_repeat(now_ms),
--- a/crates/core/tests/capacity.rs
+++ b/crates/core/tests/capacity.rs
@@ -276,6 +276,49 @@
     );
 }
 
+/// Guards against spot engines that leave because fewer were ordered, and count as a lost zone.
+#[test]
+fn engines_that_leave_after_a_reduction_are_no_loss() {
+    let mut steady = Steady::new();
+    let low = load(10.0, 2.0);
+    let mut orders = Vec::new();
+    while orders.is_empty() {
+        orders = steady.step(&low);
+    }
+    steady.answer_all(&orders, OrderAnswer::Accepted);
+    for order in &orders {
+        assert!(order.kind == EngineKind::Spot && order.count < order.before);
+        let zone = steady.fleet.get_mut(&order.zone).expect("a zone");
+        (zone.spot, zone.reclaimed) = (order.count, order.before - order.count);
+    }
+    steady.run(10_000, &low);
+    assert_eq!(steady.planner.take_lost(), []);
+}
+
+/// Guards against urgent work that depends on a single spot zone.
+#[test]
+fn urgent_work_survives_the_loss_of_the_only_spot_zone() {
+    let scaling = ScalingSpec {
+        zone_prices: [("zone-a".to_owned(), 1.0)].into(),
+        ..scaling()
+    };
+    let mut planner = CapacityPlanner::default();
+    let counts = FleetCounts {
+        on_demand: 18,
+        spot: 40,
+        reclaimed: 0,
+    };
+    let fleet = [("zone-a".to_owned(), counts)].into();
+    let urgent_only = EngineLoad {
+        urgent: 20.0,
+        urgent_now: 16.0,
+        ..load(20.0, 20.0)
+    };
+    let orders = planner.next_orders(0, &scaling, &fleet, Some(&urgent_only));
+    // 20 busy engines at 80 %.
+    assert_eq!(total(&orders, EngineKind::OnDemand), 20, "{orders:?}");
+}
+
 /// Guards against a fleet without replacement when no spot engine is to be had in any zone.
 #[test]
 fn orders_on_demand_engines_where_spot_engines_are_unavailable() {
@@ -359,23 +402,27 @@
 /// Guards against orders against each other while the effect of the first is not visible yet.
 #[test]
 fn gives_no_order_in_the_other_direction_before_the_effect_is_visible() {
-    let mut planner = CapacityPlanner::default();
-    let scaling = scaling();
-    let start = fleet([30; 3], [0; 3]);
-    let first = planner.next_orders(0, &scaling, &start, None);
-    for order in &first {
-        planner.record_answer(0, &scaling, order, OrderAnswer::Accepted);
-    }
-    // The engines that were ordered are listed early; then the load turns out to be very low.
-    let served = fleet([30; 3], [30; 3]);
-    let low = load(1.0, 0.0);
-    for now_ms in (250..SETTLE_MS).step_by(250) {
-        let orders = planner.next_orders(now_ms, &scaling, &served, Some(&low));
-        assert!(
-            orders.iter().all(|order| order.count >= order.before),
-            "{now_ms}: {orders:?}"
-        );
+    let mut steady = Steady::new();
+    let low = load(10.0, 2.0);
+    let mut reduced = Vec::new();
+    while reduced.is_empty() {
+        reduced = steady.step(&low);
+    }
+    steady.answer_all(&reduced, OrderAnswer::Accepted);
+    let answered_ms = steady.now_ms;
+    let is_reduced = |order: &FleetOrder| {
+        let mut all = reduced.iter();
+        all.any(|other| other.zone == order.zone && other.kind == order.kind)
+    };
+    let mut raised_ms = None;
+    while raised_ms.is_none() && steady.now_ms < answered_ms + 20_000 {
+        let orders = steady.step(&load(60.0, 10.0));
+        steady.answer_all(&orders, OrderAnswer::Accepted);
+        if orders.iter().any(is_reduced) {
+            raised_ms = Some(steady.now_ms);
+        }
     }
+    assert_eq!(raised_ms, Some(answered_ms + SETTLE_MS));
 }
 
 /// Guards against a platform that is called at full rate although it is overloaded.
@@ -484,6 +531,10 @@
         let now_ms = step * 250;
         // 250 ms of 10 engines at 50 tokens a millisecond, of which 2 are urgent.
         let sums = totals(1_000_000 + step * 25_000, step * 100_000);
+        if now_ms == 6_000 {
+            // Another daemon becomes known, which has worked for long.
+            meter.record(now_ms, 8, &totals(0, 50_000_000));
+        }
         meter.record(now_ms, 7, &sums);
         meter.record(now_ms, 7, &sums);
         meter.record(now_ms, 7, &totals(1_000_000, 0));
@@ -507,15 +558,15 @@
     let mut sum = 0;
     for step in 0..40_u64 {
         let now_ms = step * 250;
-        let busy = if now_ms < 6_000 { 10 } else { 20 };
+        let busy = if now_ms < 6_000 { 10 } else { 40 };
         sum += busy * 50 * 250;
         meter.record(now_ms, 7, &totals(0, sum));
         meter.sample(now_ms);
         let load = meter.load(now_ms, &SPEEDS, BOOT_MS).unwrap_or_default();
         if now_ms == 7_000 {
-            assert!(load.all > 19.0, "ahead of the rise: {load:?}");
+            assert!(load.all > 39.0, "ahead of the rise: {load:?}");
         }
-        assert!(load.all <= 40.1, "{load:?}");
+        assert!(load.all <= 80.1, "{load:?}");
     }
 }
 
--- a/crates/relay/src/config/mod.rs
+++ b/crates/relay/src/config/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 
+pub use acaciabank_core::capacity::ScalingSpec;
 use acaciabank_core::store_version::StoreVersion;
 use acaciabank_protocol::value_type;
 
@@ -104,6 +105,8 @@
     pub max_connections: u32,
     /// Properties of the engines; `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// How the number of engines follows the load; `None` if the operator sets it.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// Limits for the connections and requests of callers.
--- a/crates/relay/src/dispatch/generate/forwarder.rs
+++ b/crates/relay/src/dispatch/generate/forwarder.rs
@@ -18,6 +18,7 @@
     takeover::{StreamTakeover, TakeoverEnd},
 };
 use crate::{
+    capacity,
     dispatch::{
         attempt::{self, AttemptFailure},
         events::ReadError,
@@ -70,6 +71,8 @@
         let mut guard = InterruptedGuard::new(&self.request, &stream.plan.decode, record);
         self.run_to_end(stream, &mut guard).await;
         guard.close();
+        let (service, priority) = (&self.request.service, self.request.priority);
+        capacity::record_stream(&state, service, priority, self.first_event.elapsed());
     }
 
     async fn run_to_end(
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -28,7 +28,9 @@
     request::{RelayRequest, RequestProgress},
     stopping, suspects,
 };
-use crate::{clock, connection, panics, platform, state, target, telemetry::RefusalCause};
+use crate::{
+    capacity, clock, connection, panics, platform, state, target, telemetry::RefusalCause,
+};
 use kv_handle::KvHandle;
 
 /// Capacity of the channel between engine and caller, in frames. A full channel propagates the
@@ -187,6 +189,8 @@
     failed_response: Option<StreamStart>,
     /// Latency expected by the last plan that included the prefill.
     estimate: LatencyEstimate,
+    /// Whether the prompt has been counted as load.
+    is_counted: bool,
 }
 
 impl StreamStarter {
@@ -204,10 +208,15 @@
             Ok(plan) => plan,
             // The engine with the KV cache may be gone; the others can still run the whole request.
             Err(_) if self.handle.take().is_some() => return Ok(None),
-            Err(refusal) => return Err(refusal),
+            Err(refusal) => {
+                self.count_prompt(state, request, progress, None, true);
+                return Err(refusal);
+            }
         };
         if self.handle.is_none() {
-            check_intake(request, progress, &plan)?;
+            let checked = check_intake(request, progress, &plan);
+            self.count_prompt(state, request, progress, Some(&plan), checked.is_err());
+            checked?;
             self.estimate = LatencyEstimate::of(&plan);
         }
         // Another daemon may have reported a crash since the last call, or during the wait for an
@@ -230,6 +239,27 @@
         }
     }
 
+    /// Counts the prompt of a caller's request as load, once: before its first call, with the tokens
+    /// that the plan does not expect to be cached.
+    fn count_prompt<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+        &mut self,
+        state: &state::RelayState<Codec, Store>,
+        request: &RelayRequest,
+        progress: &RequestProgress,
+        plan: Option<&engines::EnginePlan>,
+        is_refused: bool,
+    ) {
+        if progress.sends > 0 || std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
+        let tokens = plan.map_or(request.prompt_tokens(), |plan| plan.uncached_tokens);
+        let (service, priority) = (&request.service, request.priority);
+        match is_refused {
+            true => capacity::record_refused(state, service, priority, tokens),
+            false => capacity::record_prompt(state, service, priority, tokens),
+        }
+    }
+
     /// Sends the request to the engine that generates the tokens.
     async fn send<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
         &mut self,
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -19,7 +19,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{config, platform};
+use crate::{capacity, config, platform};
 
 /// Load that the sender's requests cause at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +76,8 @@
     pub is_ready: bool,
     /// Whether the daemon is shutting down.
     pub is_draining: bool,
+    /// Work that the sender's callers have caused since its start, for the orders of engines.
+    pub service_loads: Vec<capacity::ServiceLoadEntry>,
     /// Whether the daemon holds the lease.
     pub is_lease_holder: bool,
     /// Configuration that the daemon uses.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -119,6 +119,7 @@
     now_ms: u64,
 ) {
     report.parts.clear();
+    report.service_loads.clear();
     if report.interval_ms > MAX_LOAD_AGE_MS {
         report.loads.clear();
     }
@@ -196,6 +197,7 @@
         caller_address: settings.caller_address,
         is_ready: state.is_ready(),
         is_draining: state.phase.get() == state::RelayPhase::Draining,
+        service_loads: state.capacity.report(),
         is_lease_holder: state.lease.grant(now_ms).is_some(),
         config_version: state.config_version(),
         config_age_ms: state.watch.config.store_read_age_ms(now_ms),
@@ -370,6 +372,7 @@
     }
     apply_stage_changes(state, &report.stage_changes, now_ms);
     apply_parts(state, &report.parts, now_ms);
+    state.capacity.apply_report(&report, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
     leaving::apply_leaving(state, &report.leaving, now_ms);
     let config_version = report.config_version;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert!(!detector.is_available(0));
 //! ```
 
+mod capacity;
 pub mod clock;
 pub mod config;
 pub mod connection;
--- a/crates/relay/src/planner/mod.rs
+++ b/crates/relay/src/planner/mod.rs
@@ -6,7 +6,7 @@
 
 use acaciabank_core::{placement::EngineStage, stage_planner};
 
-use crate::{clock, platform, state, target};
+use crate::{capacity, clock, config, platform, state, target};
 
 /// Interval between planning rounds of the daemon that holds the lease.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
@@ -63,7 +63,7 @@
             let Some(engine) = &spec.engine else {
                 continue;
             };
-            let engines = self.engine_statuses(&spec.name);
+            let engines = self.engine_statuses(spec);
             let planner = self.planners.entry(spec.name.clone()).or_default();
             let changes = planner.next_changes(clock::now_ms(), &engines);
             if self.state.lease.grant(clock::now_ms()).is_none() {
@@ -90,14 +90,18 @@
         }
     }
 
-    /// Returns the engines of a service that neither drain nor leave, with their load from all daemons.
-    fn engine_statuses(&self, service: &str) -> Vec<stage_planner::EngineStatus> {
+    /// Returns the engines of a service that neither boot nor drain nor leave, with their load from
+    /// all daemons.
+    fn engine_statuses(&self, spec: &config::ServiceSpec) -> Vec<stage_planner::EngineStatus> {
         let now_ms = clock::now_ms();
         self.state.peers.borrow_mut().refresh_loads(now_ms);
         let targets = self.state.targets.borrow();
         let peers = self.state.peers.borrow();
-        let active = targets.of_service(service).iter();
-        let active = active.filter(|target| !target.is_draining.get() && !target.is_leaving());
+        let active = targets.of_service(&spec.name).iter();
+        let active = active.filter(|target| {
+            let is_staying = !target.is_draining.get() && !target.is_leaving();
+            is_staying && !capacity::is_booting(spec, &self.state, target)
+        });
         let status = |target: &rc::Rc<target::TargetState>| {
             let peer_load = peers.load_of(target.hash);
             Some(stage_planner::EngineStatus {
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -253,6 +253,11 @@
     pub is_draining: bool,
     /// Stage of an engine; `None` for plain services.
     pub stage: Option<placement::EngineStage>,
+    /// Whether the platform may take it away at any time.
+    pub is_spot: bool,
+    /// Time that the platform states until it is taken away, in milliseconds; `None` unless that has
+    /// been announced.
+    pub leaves_ms: Option<u64>,
 }
 
 /// Changes to the list of targets.
--- a/crates/relay/src/scheduler/server.rs
+++ b/crates/relay/src/scheduler/server.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use acaciabank_core::load_shed;
+use acaciabank_core::{load_shed, outlier};
 
 use super::{
     PeerMessage, PlacedEngines, PlacedWork, PlacementRequest, PlacementResponse, PlacementUpdate,
@@ -113,6 +113,9 @@
     for (hash, outcome) in &update.outcomes {
         if let Some(target) = targets.by_hash(*hash) {
             target.detector.borrow_mut().record(*outcome, now_ms);
+            if *outcome == outlier::TargetOutcome::Answered {
+                target.has_responded.set(true);
+            }
         }
     }
 }
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    config, connection, duty, gossip, lease, platform, scheduler, shutdown, target, teams, trial,
-    watch,
+    capacity, config, connection, duty, gossip, lease, platform, scheduler, shutdown, target,
+    teams, trial, watch,
 };
 
 /// Settings of the process, fixed at startup.
@@ -129,6 +129,8 @@
     pub scheduler: scheduler::SchedulerState,
     /// The lease, as its holder or as a candidate.
     pub lease: lease::LeaseState,
+    /// Work of callers, for the orders of engines.
+    pub capacity: capacity::CapacityState,
     /// Calls to the platform as the holder of the lease.
     pub duty: duty::DutyState,
     /// Freshness of this daemon's copy of the store, and recent changes to report.
@@ -212,6 +214,7 @@
             daemon_hash: hash_name(&settings.host),
             scheduler: scheduler::SchedulerState::default(),
             lease: lease::LeaseState::new(&settings.host, boot_id),
+            capacity: capacity::CapacityState::default(),
             duty: duty::DutyState::new(settings.duty_calls_per_s),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::new(suspect::SuspectTable::awaiting_reports()),
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -41,6 +41,10 @@
     pub last_order_ms: Cell<Option<u64>>,
     /// Whether it accepts no new requests.
     pub is_draining: Cell<bool>,
+    /// Stated time until it is taken away, if that has been announced.
+    pub leaves_ms: Cell<Option<u64>>,
+    /// Whether it has responded to a request that this daemon knows of.
+    pub has_responded: Cell<bool>,
     /// Time until which it accepts no new requests because it is changing its stage.
     pub switching_until_ms: Cell<u64>,
     /// Time until which it is sent no new requests because it has refused one.
@@ -78,6 +82,8 @@
             ordered: Cell::new(None),
             last_order_ms: Cell::new(None),
             is_draining: Cell::new(entry.is_draining),
+            leaves_ms: Cell::new(entry.leaves_ms),
+            has_responded: Cell::new(false),
             switching_until_ms: Cell::new(0),
             backoff_until_ms: Cell::new(0),
             signals: Cell::default(),
--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -190,6 +190,8 @@
         };
         let is_draining = entry.is_draining || (is_new_era && target.is_draining.get());
         set_draining(target, is_draining);
+        let known_leaves_ms = target.leaves_ms.get().filter(|_| is_draining);
+        target.leaves_ms.set(entry.leaves_ms.or(known_leaves_ms));
         if target.listed_stage.get() != entry.stage {
             target.listed_stage.set(entry.stage);
             log::info!(target_id = entry.id.as_str(), stage:? = entry.stage; "target_stage");
@@ -310,6 +312,7 @@
                 .unwrap_or(target.entry.version),
             is_draining: is_draining || target.is_leaving(),
             stage: target.listed_stage.get(),
+            leaves_ms: target.leaves_ms.get(),
             ..target.entry.clone()
         }
     }
@@ -379,6 +382,7 @@
     is_same_run(&target.entry, entry)
         && target.is_draining.get() == entry.is_draining
         && target.listed_stage.get() == entry.stage
+        && target.leaves_ms.get().is_some() == entry.leaves_ms.is_some()
 }
 
 fn set_draining(target: &TargetState, is_draining: bool) {
--- a/crates/relay/src/target/signals.rs
+++ b/crates/relay/src/target/signals.rs
@@ -196,6 +196,7 @@
     metadata: &platform::ResponseMetadata,
     connected_unix_ms: u64,
 ) {
+    target.has_responded.set(true);
     let signals = &metadata.signals;
     if signals.is_empty() {
         return;
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -18,6 +18,8 @@
         slots: 8,
         is_draining: false,
         stage: None,
+        is_spot: false,
+        leaves_ms: None,
     }
 }
 
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -23,6 +23,7 @@
         caller_address: CALLER_ADDRESS.parse().expect("an address"),
         is_ready: true,
         is_draining: false,
+        service_loads: Vec::new(),
         is_lease_holder: false,
         config_version: ConfigVersion {
             number: 1,
--- a/crates/relay/tests/returns.rs
+++ b/crates/relay/tests/returns.rs
@@ -20,6 +20,8 @@
         slots: 8,
         is_draining,
         stage: None,
+        is_spot: false,
+        leaves_ms: None,
     }
 }
 
--- a/crates/relay/tests/store_doubts.rs
+++ b/crates/relay/tests/store_doubts.rs
@@ -21,6 +21,8 @@
         slots: 8,
         is_draining: false,
         stage: None,
+        is_spot: false,
+        leaves_ms: None,
     }
 }
 
--- a/crates/relay/tests/store_returns/daemon.rs
+++ b/crates/relay/tests/store_returns/daemon.rs
@@ -296,6 +296,7 @@
             caller_address: Self::address(self.rank),
             is_ready: true,
             is_draining: false,
+            service_loads: Vec::new(),
             is_lease_holder: false,
             config_version: self.config_version(),
             config_age_ms: self.watch.config.store_read_age_ms(now_ms),
--- a/crates/relay/tests/store_returns/store.rs
+++ b/crates/relay/tests/store_returns/store.rs
@@ -135,6 +135,8 @@
             slots: 8,
             is_draining: record.is_draining,
             stage: record.stage,
+            is_spot: false,
+            leaves_ms: None,
         }
     }
 
--- a/crates/relay/tests/target_signals.rs
+++ b/crates/relay/tests/target_signals.rs
@@ -40,6 +40,8 @@
         slots: 8,
         is_draining: false,
         stage: None,
+        is_spot: false,
+        leaves_ms: None,
     }
 }
 
