Count, settle and report usage by team

Cause: the platform asks for the requests of each team that began to run in each window, once and with the same counts whatever happens to the holder. Change: core::usage decides what is counted, when a window is settled and what is sent next; the relay counts at the first event or response, shares cumulative counts in its reports, writes a checkpoint with each renewal of the lease and settles windows under the condition of the lease's row.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod store_version;
 pub mod suspect;
 pub mod target_signal;
+pub mod usage;
--- a/crates/relay/src/config/teams.rs
+++ b/crates/relay/src/config/teams.rs
@@ -81,6 +81,11 @@
         self.teams.get(&digest(key))
     }
 
+    /// Returns the teams that have keys; a team with several keys is contained more than once.
+    pub fn teams(&self) -> impl Iterator<Item = &TeamSpec> {
+        self.teams.values().map(rc::Rc::as_ref)
+    }
+
     /// Returns the keys that several teams list, by the names of the teams.
     pub fn shared_keys(&self) -> &[SharedKey] {
         &self.shared_keys
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -28,7 +28,7 @@
     request::{RelayRequest, RequestProgress},
     stopping, suspects,
 };
-use crate::{clock, connection, panics, platform, state, target, telemetry::RefusalCause};
+use crate::{clock, connection, panics, platform, state, target, telemetry::RefusalCause, usage};
 use kv_handle::KvHandle;
 
 /// Capacity of the channel between engine and caller, in frames. A full channel propagates the
@@ -362,6 +362,7 @@
     match &mut started {
         Ok(StreamStart::Open(_, stream)) => {
             if stream.first_events.is_some() {
+                usage::record_run(state, request, usage::unix_ms(state));
                 suspects::record_answer(state, request);
             }
             stream.prefill_ms = prefill_ms;
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 
 pub use engines::{PREFILL_OVERHEAD_MS, PromptView, pick_engines};
 pub use refusal::HttpResponse;
+pub use request::RelayRequest;
 
 use std::rc;
 
@@ -25,7 +26,7 @@
 
 use crate::{config, panics, platform, state, telemetry::RefusalCause};
 use refusal::RefusalResponse;
-use request::{RelayRequest, RequestProgress};
+use request::RequestProgress;
 use unanswered::UnansweredGuard;
 
 /// Handles a request from a caller.
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -63,6 +63,8 @@
     pub confirmation: RefCell<Option<JoinHandle<()>>>,
     /// Whether a target has begun to answer it.
     pub has_output: Cell<bool>,
+    /// Whether it is contained in the usage of its team.
+    pub is_counted: Cell<bool>,
     /// Version of the configuration that applies to it.
     pub config_version: u64,
     /// Since when targets may be running it.
@@ -114,6 +116,7 @@
             trial: RefCell::default(),
             confirmation: RefCell::default(),
             has_output: Cell::new(false),
+            is_counted: Cell::new(false),
             id: metadata.attempt_id.clone().unwrap_or_default(),
             priority: team
                 .as_ref()
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -15,7 +15,7 @@
     request::{RelayRequest, RequestProgress},
     selection, stopping, suspects,
 };
-use crate::{clock, connection, platform, state, target, telemetry};
+use crate::{clock, connection, platform, state, target, telemetry, usage};
 
 /// Share of the target latency after which an attempt at a target is abandoned if the request may
 /// be retried and another target accepts it, so that the other one can still respond in time.
@@ -62,6 +62,7 @@
             return failed_response.ok_or(refusal);
         }
         progress.sends += 1;
+        let _counted = usage::PendingRun::start(state, request);
         let result = run_until_replaced(state, request, progress, &target).await;
         attempt::record_call(state, request, progress, kind, &result);
         let failure = match result {
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -15,7 +15,7 @@
 
 use acaciabank_core::{
     placement::EngineStage, prompt_backlog::PromptBacklog, store_version::StoreVersion,
-    suspect::SuspectReport,
+    suspect::SuspectReport, usage,
 };
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +59,28 @@
     pub ordered: Option<(EngineStage, u32)>,
 }
 
+/// Counts of a settled window, from the daemon that holds the lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledEntry {
+    /// Number of the window.
+    pub window: u64,
+    /// Requests by the hash of the team's name.
+    pub counts: Vec<(u64, u64)>,
+}
+
+/// What a daemon reports about usage.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageShare {
+    /// The sender's time of day in Unix milliseconds.
+    pub unix_ms: u64,
+    /// First window that is not settled, if the sender holds the lease.
+    pub settled_before: Option<u64>,
+    /// The sender's counts, for schedulers, their standbys and the holder of the lease.
+    pub counts: Option<usage::DaemonCounts>,
+    /// A settled window, for the same receivers.
+    pub settled: Option<SettledEntry>,
+}
+
 /// State of one daemon at the time of sending.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeerReport {
@@ -91,6 +113,8 @@
     pub leaving: Vec<LeavingEntry>,
     /// Version of the store after which `target_changes` are complete.
     pub changes_after: StoreVersion,
+    /// Usage, in deployments that report it.
+    pub usage: Option<UsageShare>,
     /// Loads that the daemon's requests cause at targets.
     pub loads: Vec<LoadEntry>,
     /// Engines whose stage is being changed or differs from the listed one.
--- a/crates/relay/src/gossip/table.rs
+++ b/crates/relay/src/gossip/table.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::HashMap, net};
 
-use acaciabank_core::{prompt_backlog::PromptBacklog, scheduler::SchedulerCandidate};
+use acaciabank_core::{prompt_backlog::PromptBacklog, scheduler::SchedulerCandidate, usage};
 
-use super::PeerReport;
-use crate::{config, scheduler, state};
+use super::{PeerReport, UsageShare};
+use crate::{clock, config, scheduler, state};
 
 /// Age of a daemon's last report, beyond two of its report intervals, from which it counts as dead:
 /// it is not listed to callers and its loads do not count. One report may be lost, and a host
@@ -28,6 +28,8 @@
     started_ms: i64,
     /// Hash of the daemon's name.
     daemon_hash: u64,
+    /// Difference of the daemon's time of day to that of this host, if it reports usage.
+    clock_difference_ms: Option<i64>,
 }
 
 impl PeerState {
@@ -111,6 +113,7 @@
             received_ms: now_ms,
             started_ms,
             daemon_hash: state::hash_name(&report.host),
+            clock_difference_ms: report.usage.as_ref().map(clock_difference_ms),
             report,
         };
         self.peers.insert(state.report.host.clone(), state);
@@ -180,6 +183,32 @@
         candidates.collect()
     }
 
+    /// Returns the runs of the daemons that are alive.
+    pub fn alive_runs(&self, now_ms: u64) -> impl Iterator<Item = usage::RunKey> {
+        let alive = self
+            .peers
+            .values()
+            .filter(move |peer| peer.is_alive(now_ms));
+        alive.map(|peer| usage::run_key(peer.daemon_hash, peer.report.boot_id))
+    }
+
+    /// Returns the differences of the clocks of the daemons that are alive to that of this host.
+    pub fn clock_differences_ms(&self, now_ms: u64) -> impl Iterator<Item = i64> {
+        let alive = self
+            .peers
+            .values()
+            .filter(move |peer| peer.is_alive(now_ms));
+        alive.filter_map(|peer| peer.clock_difference_ms)
+    }
+
+    /// Returns the longest uptime of the daemons that are alive.
+    pub fn longest_uptime_ms(&self, now_ms: u64) -> u64 {
+        let alive = self.peers.values().filter(|peer| peer.is_alive(now_ms));
+        let uptimes =
+            alive.map(|peer| peer.report.age_ms + now_ms.saturating_sub(peer.received_ms));
+        uptimes.max().unwrap_or(0)
+    }
+
     /// Returns the addresses of the daemons that report that they hold the lease: of more than one
     /// while the last report of a former holder still counts.
     pub fn lease_holder_addresses(&self, now_ms: u64) -> impl Iterator<Item = net::SocketAddr> {
@@ -258,6 +287,13 @@
     }
 }
 
+/// Returns the difference of the sender's time of day to that of this host, less the delay of the
+/// report.
+fn clock_difference_ms(share: &UsageShare) -> i64 {
+    let signed = |ms: u64| i64::try_from(ms).unwrap_or(i64::MAX);
+    signed(share.unix_ms).saturating_sub(signed(clock::unix_ms()))
+}
+
 /// Returns the start of the sender's run on this host's clock, later by the delay of the report.
 fn run_start_ms(report: &PeerReport, now_ms: u64) -> i64 {
     let signed = |ms: u64| i64::try_from(ms).unwrap_or(i64::MAX);
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -2,11 +2,11 @@
 
 use std::{cell::Cell, io, net, rc, time::Duration};
 
-use acaciabank_core::{prefix, scheduler as core_scheduler};
+use acaciabank_core::{prefix, scheduler as core_scheduler, usage as core_usage};
 use tokio::net::UdpSocket;
 
 use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving};
-use crate::{clock, config, platform, scheduler, state, target, trial, watch};
+use crate::{clock, config, platform, scheduler, state, target, trial, usage, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -100,8 +100,9 @@
         }
         let interval = REPORT_INTERVAL * u32::try_from(cycle).unwrap_or(1);
         let mut report = build_report(state, now_ms, interval, rank < watch::WATCHER_COUNT);
-        if !are_schedulers {
-            remove_scheduler_data(state, &mut report, now_ms);
+        match are_schedulers {
+            true => usage::add_settled(state, &mut report),
+            false => remove_scheduler_data(state, &mut report, now_ms),
         }
         let message = scheduler::PeerMessage::Report(Box::new(report));
         match postcard::to_stdvec(&message) {
@@ -119,6 +120,9 @@
     now_ms: u64,
 ) {
     report.parts.clear();
+    if let Some(share) = &mut report.usage {
+        share.counts = None;
+    }
     if report.interval_ms > MAX_LOAD_AGE_MS {
         report.loads.clear();
     }
@@ -210,6 +214,7 @@
         },
         leaving: leaving::leaving_entries(state, now_ms),
         changes_after: recent.after,
+        usage: usage::build_share(state, now_ms),
         loads: loads(state),
         stage_changes: stage_changes(state),
         parts: recent_parts(state, now_ms, interval),
@@ -375,11 +380,16 @@
     let config_version = report.config_version;
     let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
     let (after, version) = (report.changes_after, report.target_changes.version);
+    let run = core_usage::run_key(state::hash_name(&report.host), report.boot_id);
+    let share = report.usage.clone();
     let is_new = state.peers.borrow_mut().apply_report(report, now_ms);
     if !is_new {
         return;
     }
     apply_config_version(state, &config_version, config_age_ms, now_ms);
+    if let Some(share) = &share {
+        usage::apply_share(state, run, share);
+    }
     if let Some(age_ms) = targets_age_ms {
         let fresh_ms = now_ms.saturating_sub(age_ms);
         state
--- a/crates/relay/src/lease/mod.rs
+++ b/crates/relay/src/lease/mod.rs
@@ -8,7 +8,7 @@
 
 pub use task::run;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use acaciabank_core::lease;
 use acaciabank_protocol::ids;
@@ -16,6 +16,8 @@
 
 use crate::clock;
 
+/// Name of the lease in the store, from the first duty that it was used for.
+pub const LEASE_NAME: &str = "stages";
 /// The holder acts for `ttl - margin` after a renewal; a challenger waits `ttl + margin` after it
 /// first saw the row. Orders of two holders are therefore at least two margins apart: more than the
 /// three seconds that engines need if they do not check fencing tokens.
@@ -29,6 +31,8 @@
 #[derive(Debug)]
 pub struct LeaseState {
     elector: RefCell<lease::LeaseElector>,
+    /// Number of times that this run has acquired the lease.
+    tenure: Cell<u64>,
     /// Wakes the tasks of the duties when this daemon has acquired the lease.
     acquired: Notify,
 }
@@ -39,6 +43,7 @@
         let daemon = ids::DaemonId::new(daemon);
         Self {
             elector: RefCell::new(lease::LeaseElector::new(daemon, boot_id, LEASE_TIMERS)),
+            tenure: Cell::new(0),
             acquired: Notify::new(),
         }
     }
@@ -48,6 +53,12 @@
         self.elector.borrow().grant(now_ms)
     }
 
+    /// Returns a number that rises whenever this daemon acquires the lease. While it stays the same,
+    /// no other daemon has held the lease.
+    pub fn tenure(&self) -> u64 {
+        self.tenure.get()
+    }
+
     /// Waits until this daemon holds the lease; returns at once if it does.
     pub async fn wait_held(&self) {
         loop {
--- a/crates/relay/src/lease/task.rs
+++ b/crates/relay/src/lease/task.rs
@@ -4,10 +4,9 @@
 
 use acaciabank_core::lease;
 
-use crate::{clock, platform, scheduler, state};
+use super::LEASE_NAME;
+use crate::{clock, platform, scheduler, state, usage};
 
-/// Name of the lease in the store, from the first duty that it was used for.
-const LEASE_NAME: &str = "stages";
 /// Interval at which daemons that do not hold the lease check it; long, as every check reads the
 /// store.
 const CHALLENGE_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -82,11 +81,19 @@
         return;
     };
     let sent_ms = clock::now_ms();
-    let result = match state.store.write_lease(LEASE_NAME, &write).await {
+    let checkpoint = usage::encode_checkpoint(state, sent_ms);
+    let written = state
+        .store
+        .write_lease(LEASE_NAME, &write, checkpoint.as_deref());
+    let result = match written.await {
         Ok(Some(version)) => lease::WriteResult::Committed(version),
         Ok(None) => lease::WriteResult::Conflict,
         Err(platform::StoreError::Status(_)) => lease::WriteResult::Unavailable,
         Err(_) => lease::WriteResult::Unknown,
     };
+    let had_grant = state.lease.grant(clock::now_ms()).is_some();
     elector.borrow_mut().on_written(sent_ms, &write, result);
+    if !had_grant && state.lease.grant(clock::now_ms()).is_some() {
+        state.lease.tenure.set(state.lease.tenure.get() + 1);
+    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,4 +34,5 @@
 mod teams;
 pub mod telemetry;
 mod trial;
+mod usage;
 pub mod watch;
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -305,6 +305,26 @@
     Unreachable(String),
 }
 
+/// What the store holds about usage.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UsageRows {
+    /// Era of the store at the time of the read.
+    pub era: u64,
+    /// The last checkpoint as it was written; `None` if there is none.
+    pub checkpoint: Option<Bytes>,
+    /// Counts of the settled windows by the names of the teams.
+    pub settled: BTreeMap<u64, BTreeMap<String, u64>>,
+}
+
+/// Condition that a lease has not been written since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseCondition<'a> {
+    /// Name of the lease.
+    pub name: &'a str,
+    /// Version of its row.
+    pub version: StoreVersion,
+}
+
 /// The platform's store of configuration, targets, daemons and leases.
 pub trait PlatformStore: 'static {
     /// Returns the highest era that the store has stated; zero before its first response.
@@ -340,12 +360,27 @@
     /// Reads the row of a lease.
     fn read_lease(&self, name: &str) -> impl Future<Output = Result<lease::LeaseRead, StoreError>>;
 
-    /// Writes the row of a lease if the condition of the write holds. Returns the new version of
-    /// the row, or `None` if the condition does not hold.
+    /// Writes the row of a lease, and with it a checkpoint of the usage if one is given, if the
+    /// condition of the write holds. Returns the new version of the row, or `None` if the condition
+    /// does not hold.
     fn write_lease(
         &self,
         name: &str,
         write: &lease::LeaseWrite,
+        checkpoint: Option<&[u8]>,
+    ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
+
+    /// Reads the checkpoint of the usage and the settled windows.
+    fn read_usage(&self) -> impl Future<Output = Result<UsageRows, StoreError>>;
+
+    /// Writes the counts of windows, of which no row may exist, and deletes the rows of others, if
+    /// the row of the lease has the given version. Returns the version of the rows, or `None` if a
+    /// condition does not hold.
+    fn write_usage(
+        &self,
+        lease: &LeaseCondition<'_>,
+        settled: &[UsageReport],
+        expired: &[u64],
     ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
 }
 
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock, discovery, gossip, lease, listener, panics, planner, platform, scheduler, state,
-    telemetry,
+    telemetry, usage,
 };
 
 pub use crate::state::RelaySettings;
@@ -178,6 +178,7 @@
     });
     spawn("lease", |state, _| lease::run(state).boxed_local());
     spawn("planner", |state, _| planner::run(state).boxed_local());
+    spawn("usage", |state, _| usage::run(state).boxed_local());
     spawn("scheduler", |state, _| scheduler::run(state).boxed_local());
     spawn("warmup", |state, _| {
         scheduler::run_warmup(state).boxed_local()
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     config, connection, duty, gossip, lease, platform, scheduler, shutdown, target, teams, trial,
-    watch,
+    usage, watch,
 };
 
 /// Settings of the process, fixed at startup.
@@ -54,6 +54,8 @@
     pub duties: duty::DutySet,
     /// Calls per second that the platform accepts from all daemons together.
     pub duty_calls_per_s: f64,
+    /// Length of a window of usage.
+    pub usage_window_ms: u64,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -131,6 +133,8 @@
     pub lease: lease::LeaseState,
     /// Calls to the platform as the holder of the lease.
     pub duty: duty::DutyState,
+    /// Usage by team: what this daemon counts, collects and reports.
+    pub usage: usage::UsageState,
     /// Freshness of this daemon's copy of the store, and recent changes to report.
     pub watch: watch::StoreWatch,
     /// Requests and prompt parts suspected of crashing targets.
@@ -213,6 +217,7 @@
             scheduler: scheduler::SchedulerState::default(),
             lease: lease::LeaseState::new(&settings.host, boot_id),
             duty: duty::DutyState::new(settings.duty_calls_per_s),
+            usage: usage::UsageState::new(&settings, boot_id),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::new(suspect::SuspectTable::awaiting_reports()),
             trials: trial::TrialState::default(),
--- a/crates/relay/tests/store_returns/daemon.rs
+++ b/crates/relay/tests/store_returns/daemon.rs
@@ -306,6 +306,7 @@
             },
             leaving: Vec::new(),
             changes_after: recent.after,
+            usage: None,
             loads: Vec::new(),
             stage_changes: Vec::new(),
             parts: Vec::new(),
