--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -29,7 +29,7 @@
     stopping, suspects,
 };
 use crate::{
-    capacity, clock, connection, panics, platform, state, target, telemetry::RefusalCause,
+    capacity, clock, connection, panics, platform, state, target, telemetry::RefusalCause, usage,
 };
 use kv_handle::KvHandle;
 
@@ -392,6 +392,7 @@
     match &mut started {
         Ok(StreamStart::Open(_, stream)) => {
             if stream.first_events.is_some() {
+                usage::record_run(state, request, usage::unix_ms(state));
                 suspects::record_answer(state, request);
             }
             stream.prefill_ms = prefill_ms;
