--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,13 +13,16 @@
 //! assert!(!detector.is_available(0));
 //! ```
 
+mod capacity;
 pub mod clock;
 pub mod config;
 pub mod connection;
 mod discovery;
 mod dispatch;
+pub mod duty;
 pub mod event_stream;
 pub mod gossip;
+mod lease;
 mod listener;
 pub mod panics;
 mod planner;
@@ -32,4 +35,5 @@
 mod teams;
 pub mod telemetry;
 mod trial;
+mod usage;
 pub mod watch;
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -1,7 +1,7 @@
 //! The interface to a platform. An implementation only converts between the platform's formats and
 //! the types defined here; it makes no decisions.
 
-use std::{future::Future, net};
+use std::{collections::BTreeMap, future::Future, net};
 
 use acaciabank_core::{lease, placement, store_version::StoreVersion, target_signal};
 use bytes::Bytes;
@@ -126,6 +126,90 @@
     Unknown,
 }
 
+/// Usage of all teams in one window.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct UsageReport {
+    /// Number of the window since the start of 1970.
+    pub window: u64,
+    /// Requests that began to run in the window, by name of the team.
+    pub counts: BTreeMap<String, u64>,
+}
+
+/// An order for a number of engines of a service in an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CapacityOrder {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the availability zone.
+    pub zone: String,
+    /// Number of engines to have, including those that run.
+    pub count: u32,
+    /// Whether the order is for spot engines rather than on-demand ones.
+    pub is_spot: bool,
+}
+
+/// A call to the platform that is the duty of the daemon that holds the lease.
+#[derive(Clone, Copy, Debug)]
+pub enum DutyCall<'a> {
+    /// Reports usage.
+    Usage(&'a UsageReport),
+    /// Orders capacity.
+    Capacity(&'a CapacityOrder),
+}
+
+impl DutyCall<'_> {
+    /// Returns the value used in metric labels.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Usage(_) => "usage",
+            Self::Capacity(_) => "capacity",
+        }
+    }
+}
+
+/// Right by which a daemon makes a call.
+#[derive(Clone, Copy, Debug)]
+pub struct DutyAuthority<'a> {
+    /// Name of the daemon that holds the lease.
+    pub holder: &'a str,
+    /// Fencing token of the lease.
+    pub fencing_token: u64,
+}
+
+/// Result of a call to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DutyResponse {
+    /// The platform has accepted it.
+    Accepted,
+    /// What was ordered is not available now.
+    Unavailable,
+    /// Too many calls; the platform has done nothing.
+    Limited,
+    /// The platform does not accept it.
+    Refused,
+    /// The platform has failed and has done nothing.
+    Failed,
+    /// Nothing was written, or this daemon does not hold the lease.
+    Unsent,
+    /// No usable response; the platform may carry it out now, later or never.
+    Unknown,
+}
+
+impl DutyResponse {
+    /// Returns the value used in log lines and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Unavailable => "unavailable",
+            Self::Limited => "limited",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Unsent => "unsent",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// State that an engine reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineReport {
@@ -169,6 +253,11 @@
     pub is_draining: bool,
     /// Stage of an engine; `None` for plain services.
     pub stage: Option<placement::EngineStage>,
+    /// Whether the platform may take it away at any time.
+    pub is_spot: bool,
+    /// Time that the platform states until it is taken away, in milliseconds; `None` unless that has
+    /// been announced.
+    pub leaves_ms: Option<u64>,
 }
 
 /// Changes to the list of targets.
@@ -221,6 +310,26 @@
     Unreachable(String),
 }
 
+/// What the store holds about usage.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UsageRows {
+    /// Era of the store at the time of the read.
+    pub era: u64,
+    /// The last checkpoint as it was written; `None` if there is none.
+    pub checkpoint: Option<Bytes>,
+    /// Counts of the settled windows by the names of the teams.
+    pub settled: BTreeMap<u64, BTreeMap<String, u64>>,
+}
+
+/// Condition that a lease has not been written since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseCondition<'a> {
+    /// Name of the lease.
+    pub name: &'a str,
+    /// Version of its row.
+    pub version: StoreVersion,
+}
+
 /// The platform's store of configuration, targets, daemons and leases.
 pub trait PlatformStore: 'static {
     /// Returns the highest era that the store has stated; zero before its first response.
@@ -256,12 +365,27 @@
     /// Reads the row of a lease.
     fn read_lease(&self, name: &str) -> impl Future<Output = Result<lease::LeaseRead, StoreError>>;
 
-    /// Writes the row of a lease if the condition of the write holds. Returns the new version of
-    /// the row, or `None` if the condition does not hold.
+    /// Writes the row of a lease, and with it a checkpoint of the usage if one is given, if the
+    /// condition of the write holds. Returns the new version of the row, or `None` if the condition
+    /// does not hold.
     fn write_lease(
         &self,
         name: &str,
         write: &lease::LeaseWrite,
+        checkpoint: Option<&[u8]>,
+    ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
+
+    /// Reads the checkpoint of the usage and the settled windows.
+    fn read_usage(&self) -> impl Future<Output = Result<UsageRows, StoreError>>;
+
+    /// Writes the counts of windows, of which no row may exist, and deletes the rows of others, if
+    /// the row of the lease has the given version. Returns the version of the rows, or `None` if a
+    /// condition does not hold.
+    fn write_usage(
+        &self,
+        lease: &LeaseCondition<'_>,
+        settled: &[UsageReport],
+        expired: &[u64],
     ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
 }
 
@@ -316,6 +440,16 @@
     /// Reads the response to a stage order from its status.
     fn read_order_response(&self, status: http::StatusCode) -> OrderResponse;
 
+    /// Encodes a call to the platform.
+    fn write_duty_call(
+        &self,
+        authority: &DutyAuthority<'_>,
+        call: &DutyCall<'_>,
+    ) -> http::Request<Bytes>;
+
+    /// Reads the response to a call to the platform from its status.
+    fn read_duty_response(&self, status: http::StatusCode) -> DutyResponse;
+
     /// Decodes a configuration.
     ///
     /// # Errors
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -23,6 +23,8 @@
         caller_address: CALLER_ADDRESS.parse().expect("an address"),
         is_ready: true,
         is_draining: false,
+        service_loads: Vec::new(),
+        is_lease_holder: false,
         config_version: ConfigVersion {
             number: 1,
             ..ConfigVersion::default()
@@ -37,6 +39,7 @@
         },
         leaving: Vec::new(),
         changes_after: StoreVersion::ZERO,
+        usage: None,
         loads: Vec::new(),
         stage_changes: Vec::new(),
         parts: Vec::new(),
