Count the engines that are listed after the first ones into the start of a fleet

Change: until any load is known, the largest listed number of on-demand engines counts, and nothing is reduced before the list has been stable for a boot and its delay. Result: the new test failed before the change.

--- a/crates/core/src/capacity/planner.rs
+++ b/crates/core/src/capacity/planner.rs
@@ -30,11 +30,20 @@
 const PAUSE_MS: u64 = 500;
 const MAX_PAUSE_MS: u64 = 8_000;
 
-/// Engines that were listed when the planner began.
+/// Engines that were listed when the planner began. Targets register one after another when a
+/// deployment starts, so the list grows for some seconds.
 #[derive(Clone, Copy, Debug)]
 struct FleetStart {
+    /// Time at which the list grew last before any load was known.
     at_ms: u64,
-    need: EngineNeed,
+    on_demand: u32,
+    spot: u32,
+}
+
+impl FleetStart {
+    fn need(&self) -> EngineNeed {
+        EngineNeed::initial(self.on_demand, self.spot)
+    }
 }
 
 /// Planner of the engines of one service. Its state is only what its own orders need; a new one
@@ -78,25 +87,14 @@
         let count = |kind: EngineKind| fleet.values().map(|counts| counts.of(kind)).sum();
         let (on_demand, spot): (u32, u32) = (count(EngineKind::OnDemand), count(EngineKind::Spot));
         let zones = u32::try_from(self.slots.len() / EngineKind::ALL.len()).unwrap_or(u32::MAX);
-        let start = match self.start {
-            Some(start) => start,
-            // The list has not been read yet, or the platform has no engines at all.
-            None if on_demand + spot == 0 => return Vec::new(),
-            None => {
-                let need = EngineNeed::initial(on_demand, spot).within(scaling, zones);
-                self.history.record(now_ms, need, scaling.boot_ms);
-                FleetStart {
-                    at_ms: now_ms,
-                    need,
-                }
-            }
+        let Some(start) = self.observe_start(now_ms, on_demand, spot) else {
+            return Vec::new();
         };
-        self.start = Some(start);
         self.has_load |= load.is_some();
         let need = match load {
             Some(load) => EngineNeed::of_load(load, on_demand + spot).within(scaling, zones),
             None if self.has_load => EngineNeed::default().within(scaling, zones),
-            None => start.need,
+            None => start.need().within(scaling, zones),
         };
         let held = self.history.record(now_ms, need, scaling.boot_ms);
         if now_ms < self.paused_until_ms {
@@ -153,6 +151,24 @@
         targets.collect()
     }
 
+    /// Returns the engines that the planner began with; `None` if the list has not been read yet or
+    /// the platform has no engines at all. Spot engines that are listed later are its own.
+    fn observe_start(&mut self, now_ms: u64, on_demand: u32, spot: u32) -> Option<FleetStart> {
+        if self.start.is_none() && on_demand + spot == 0 {
+            return None;
+        }
+        let start = self.start.get_or_insert(FleetStart {
+            at_ms: now_ms,
+            on_demand,
+            spot,
+        });
+        if !self.has_load && on_demand > start.on_demand {
+            start.on_demand = on_demand;
+            start.at_ms = now_ms;
+        }
+        Some(*start)
+    }
+
     /// Records the list of engines in every zone that has a price or an engine.
     fn observe(&mut self, now_ms: u64, scaling: &ScalingSpec, fleet: &FleetView) {
         for zone in scaling.zone_prices.keys().chain(fleet.keys()) {
--- a/crates/core/tests/capacity.rs
+++ b/crates/core/tests/capacity.rs
@@ -134,6 +134,33 @@
     assert!(left + spot >= 90 && left <= 15, "{reduced:?}");
 }
 
+/// Guards against a fleet that shrinks to the few engines that were listed first, as targets register
+/// one after another when a deployment starts.
+#[test]
+fn keeps_the_engines_that_are_listed_after_the_first_ones() {
+    let mut planner = CapacityPlanner::default();
+    let mut spot = [(0, 0); 3];
+    let mut left = [30; 3];
+    for now_ms in (0..20_000).step_by(250) {
+        let listed = u32::try_from(now_ms / 50).unwrap_or(u32::MAX);
+        let on_demand = left.map(|count: u32| count.min(listed.max(4)));
+        let served = spot.map(|(from_ms, count)| if now_ms >= from_ms { count } else { 0 });
+        let orders = planner.next_orders(now_ms, &scaling(), &fleet(on_demand, served), None);
+        for order in orders {
+            planner.record_answer(now_ms, &scaling(), &order, OrderAnswer::Accepted);
+            let zone = ZONES.iter().position(|zone| *zone == order.zone);
+            let zone = zone.expect("a known zone");
+            match order.kind {
+                EngineKind::Spot => spot[zone] = (now_ms + BOOT_MS, order.count),
+                EngineKind::OnDemand => left[zone] = order.count,
+            }
+        }
+    }
+    let engines: u32 = left.iter().sum::<u32>() + spot.iter().map(|(_, count)| count).sum::<u32>();
+    assert!(engines >= 90, "{left:?} and {spot:?}");
+    assert!(left.iter().sum::<u32>() <= 15, "{left:?} on demand");
+}
+
 /// Guards against a fleet that is given up when spot engines are not to be had at the start.
 #[test]
 fn keeps_the_engines_of_the_start_without_spot_engines() {
