Leave an expected rise of the load to spot engines

Ruled out: the base of on-demand engines, which stayed at 9 to 15. Change: on-demand engines follow the present load, and those that stand in for spot engines are kept for three boots; spot engines follow the expected load as before. Result: two new tests, seen failing with the former base and the former time.

--- a/crates/core/src/capacity/load.rs
+++ b/crates/core/src/capacity/load.rs
@@ -105,6 +105,8 @@
 pub struct EngineLoad {
     /// All work, with the rise that is expected while an engine boots.
     pub all: f64,
+    /// All work without an expected rise.
+    pub all_now: f64,
     /// The most urgent work, with its expected rise.
     pub urgent: f64,
     /// The most urgent work without an expected rise.
@@ -189,6 +191,7 @@
         let rising_urgent = expected(urgent, |totals| &totals.urgent);
         Some(EngineLoad {
             all: rising_urgent + expected(other, |totals| &totals.other),
+            all_now: urgent + other,
             urgent: rising_urgent,
             urgent_now: urgent,
             refused_share: recent.refused as f64 / recent.prompts().max(1) as f64,
--- a/crates/core/src/capacity/need.rs
+++ b/crates/core/src/capacity/need.rs
@@ -7,8 +7,8 @@
 /// Share of the spot fleet that the load keeps busy. Half of the fleet is left because one kind of
 /// request may double before an engine has booted, the rest for uneven load of the two stages.
 const SPOT_UTILISATION: f64 = 0.4;
-/// Share of the fleet that is busy where spot engines are not to be had: on-demand engines cost
-/// several times as much, and this still leaves room for a burst.
+/// Share of the fleet that the present load keeps busy where spot engines are not to be had: on-demand
+/// engines cost several times as much. An expected rise is left to spot engines of other zones.
 const ON_DEMAND_UTILISATION: f64 = 0.6;
 /// Share of the remaining engines that urgent work keeps busy after the loss of the largest spot
 /// zone, until others have booted.
@@ -26,6 +26,9 @@
 /// Time for which a need is kept, in boots: the fleet follows the largest of this time, so that a
 /// wave of bursts does not make it shrink and grow.
 const HOLD_BOOTS: u64 = 8;
+/// The same for on-demand engines that stand in for spot engines: they are dear, and are given up
+/// once spot engines serve again.
+const STAND_IN_HOLD_BOOTS: u64 = 3;
 /// The same for the on-demand base, which is small: changing it costs more than keeping it.
 const BASE_HOLD_BOOTS: u64 = 20;
 
@@ -61,7 +64,7 @@
     /// The need of a load while `present` engines serve.
     pub(super) fn of_load(load: &EngineLoad, present: u32) -> Self {
         let total = engines(load.all, SPOT_UTILISATION);
-        let firm = engines(load.all, ON_DEMAND_UTILISATION);
+        let firm = engines(load.all_now, ON_DEMAND_UTILISATION);
         let is_short = load.refused_share > HIGH_REFUSED_SHARE;
         let grown = |need: u32| {
             let limit = share(need, MAX_REFUSED_GROWTH);
@@ -73,8 +76,11 @@
         Self {
             total: grown(total),
             firm: grown(firm),
-            base: engines(load.urgent_now, BASE_UTILISATION).max(share(total, MIN_BASE_SHARE)),
-            survivors: engines(load.urgent, LOSS_UTILISATION),
+            base: engines(load.urgent_now, BASE_UTILISATION).max(share(
+                engines(load.all_now, SPOT_UTILISATION),
+                MIN_BASE_SHARE,
+            )),
+            survivors: engines(load.urgent_now, LOSS_UTILISATION),
         }
     }
 
@@ -117,8 +123,8 @@
 impl NeedHistory {
     /// Records a need and returns the largest of the time that counts.
     pub(super) fn record(&mut self, now_ms: u64, need: EngineNeed, boot_ms: u64) -> EngineNeed {
-        let since_ms = now_ms.saturating_sub(HOLD_BOOTS * boot_ms);
-        let oldest_ms = now_ms.saturating_sub(BASE_HOLD_BOOTS * boot_ms);
+        let since_ms = |boots: u64| now_ms.saturating_sub(boots * boot_ms);
+        let oldest_ms = since_ms(BASE_HOLD_BOOTS);
         self.needs.push_back((now_ms, need));
         while self
             .needs
@@ -127,16 +133,16 @@
         {
             self.needs.pop_front();
         }
-        let counting = self
-            .needs
-            .iter()
-            .map(|(at_ms, need)| match *at_ms >= since_ms {
-                true => *need,
-                false => EngineNeed {
-                    base: need.base,
-                    ..EngineNeed::default()
-                },
-            });
+        let held = |at_ms: u64, boots: u64, count: u32| match at_ms >= since_ms(boots) {
+            true => count,
+            false => 0,
+        };
+        let counting = self.needs.iter().map(|(at_ms, need)| EngineNeed {
+            total: held(*at_ms, HOLD_BOOTS, need.total),
+            firm: held(*at_ms, STAND_IN_HOLD_BOOTS, need.firm),
+            survivors: held(*at_ms, STAND_IN_HOLD_BOOTS, need.survivors),
+            base: need.base,
+        });
         counting.fold(EngineNeed::default(), EngineNeed::max)
     }
 }
--- a/crates/core/tests/capacity.rs
+++ b/crates/core/tests/capacity.rs
@@ -34,6 +34,7 @@
 fn load(all: f64, urgent: f64) -> EngineLoad {
     EngineLoad {
         all,
+        all_now: all,
         urgent,
         urgent_now: urgent,
         refused_share: 0.0,
@@ -49,6 +50,7 @@
 
 const STEADY_LOAD: EngineLoad = EngineLoad {
     all: 20.0,
+    all_now: 20.0,
     urgent: 4.0,
     urgent_now: 4.0,
     refused_share: 0.0,
@@ -750,3 +752,41 @@
     );
     assert!(cost <= 0.35 * 91.5 * 300.0, "{cost}");
 }
+
+/// Guards against on-demand engines for a rise that may not come, at several times the price of the
+/// spot engines of other zones that are ordered for it.
+#[test]
+fn an_expected_rise_orders_spot_engines_alone() {
+    let mut steady = Steady::new();
+    let rising = EngineLoad {
+        all: 40.0,
+        urgent: 8.0,
+        ..STEADY_LOAD
+    };
+    let orders = steady.step(&rising);
+    assert!(!orders.is_empty());
+    assert!(
+        orders.iter().all(|order| order.kind == EngineKind::Spot),
+        "{orders:?}"
+    );
+}
+
+/// Guards against on-demand engines that stay long after the spot engines for which they stood in
+/// serve again.
+#[test]
+fn stand_ins_leave_soon_after_the_spot_engines_are_back() {
+    let mut steady = Steady::new();
+    let burst = load(60.0, 12.0);
+    steady.fleet = fleet([2, 2, 1], [15, 0, 0]);
+    for order in steady.step(&burst) {
+        let answer = match order.kind {
+            EngineKind::Spot => OrderAnswer::Unavailable,
+            EngineKind::OnDemand => OrderAnswer::Accepted,
+        };
+        steady.answer(&order, answer);
+    }
+    steady.fleet = fleet([20, 20, 20], [15, 19, 12]);
+    let orders = steady.run(6 * BOOT_MS, &STEADY_LOAD);
+    let is_replaced = |order: &FleetOrder| order.reason == OrderReason::Replaced;
+    assert!(orders.iter().any(is_replaced), "{orders:?}");
+}
