Test orders of engines with the emulated platform

Cause: nothing shows that orders go out, that ordered engines are used and that a former holder is silent. Change: process tests with the stand-in for duty calls; runners state spot and leaves_ms.

--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -52,6 +52,8 @@
     pub work_ms: u64,
     /// Address of the store.
     pub store: net::SocketAddr,
+    /// Whether the store entry says that the platform may take it away.
+    pub is_spot: bool,
     /// Address in the store entry, if it differs from the one that the runner listens on.
     pub advertised_address: Option<net::SocketAddr>,
     /// Faults at the start of the process.
@@ -82,6 +84,8 @@
     pub retry_after: Option<String>,
     /// Reports the state `draining` in the store entry instead of `ready`.
     pub is_draining: bool,
+    /// Time until it is taken away, in the store entry.
+    pub leaves_ms: Option<u64>,
     /// Ids of prompt parts that end the process when an engine begins to write the answer of a
     /// request that holds one of them in front of its last part.
     pub crash_parts: Vec<String>,
@@ -171,6 +175,12 @@
                 if let Some(stage) = &state.stage {
                     entry["stage"] = stage.as_str().into();
                 }
+                if self.options.is_spot {
+                    entry["spot"] = true.into();
+                }
+                if let Some(leaves_ms) = state.faults.leaves_ms {
+                    entry["leaves_ms"] = leaves_ms.into();
+                }
                 entry.to_string()
             };
             let value = base64_text(entry.as_bytes());
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -2,6 +2,7 @@
 //! the runners and the responses that callers received.
 
 mod call_outcome;
+mod capacity;
 mod crashing_parts;
 mod crashing_requests;
 mod faulty_targets;
