Test usage reports while relays are killed, frozen and refused

Cause: a second report of a window with other counts, or a missing one, would pass every existing test.

--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -18,7 +18,9 @@
 /// Entry point of the `testbed` binary; never returns.
 pub fn main() -> ! {
     run_role_from_args();
-    eprintln!("usage: testbed engine|service|platform|proxy|store|runner|daemon|relay|cli ...");
+    eprintln!(
+        "usage: testbed engine|service|platform|proxy|store|cloud|runner|daemon|relay|cli ..."
+    );
     process::exit(2);
 }
 
@@ -35,6 +37,7 @@
         Some("proxy") => run_proxy(rest),
         Some("daemon") => acaciabank_daemon::run(rest),
         Some("store") => run_store(rest),
+        Some("cloud") => run_cloud(rest),
         Some("runner") => run_runner(rest),
         Some("relay") => run_relay(),
         Some("cli") => acaciabank_cli::run(rest),
@@ -119,6 +122,14 @@
     })
 }
 
+fn run_cloud(arguments: &[ffi::OsString]) -> i32 {
+    let address = parse(listen(), arguments);
+    run_server(address, RUN_TO_COMPLETION, |_| {
+        let cloud = emulator::CloudEmulator::default();
+        Ok(move |request| cloud.clone().handle(request))
+    })
+}
+
 struct RunnerArguments {
     listen: net::SocketAddr,
     journal_file: Option<path::PathBuf>,
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -10,6 +10,8 @@
 pub const TIMEOUT: Duration = Duration::from_secs(30);
 /// Host name of all routes.
 pub const ROUTE_HOST: &str = "host.example";
+/// Length of a window of usage; shorter than that of real deployments, so that tests see several.
+pub const USAGE_WINDOW_MS: u64 = 2_000;
 /// Deadline that requests carry, in milliseconds.
 const REQUEST_DEADLINE_MS: &str = "20000";
 
@@ -33,6 +35,8 @@
     pub store: EmulatorProcess,
     /// Proxy of the links to runners and from relays to the store, if the links are proxied.
     pub proxy: Option<harness::LinkProxy>,
+    /// Interface for duties that the settings of a relay name, if there is one.
+    pub cloud: Option<EmulatorProcess>,
     /// Memory that the settings of a relay state, in megabytes.
     pub relay_memory_mb: u32,
     /// Retries allowed per request that the settings of a relay state.
@@ -59,6 +63,7 @@
             store: EmulatorProcess { process, address },
             launcher,
             proxy: None,
+            cloud: None,
             relay_memory_mb: 160,
             retry_budget_ratio: 10.0,
             runner_arguments: Vec::new(),
@@ -78,6 +83,16 @@
         }
     }
 
+    /// Starts the interface for duties; relays that are started from now on report usage in windows
+    /// of [`USAGE_WINDOW_MS`].
+    pub async fn start_cloud(&mut self) {
+        let address = self.launcher.next_address().expect("address");
+        let arguments = ["--listen".to_owned(), address.to_string()];
+        let process = self.launcher.start_ready("cloud", "cloud", arguments).await;
+        let process = process.expect("cloud");
+        self.cloud = Some(EmulatorProcess { process, address });
+    }
+
     /// Returns the address at which others reach `address`: that of a proxied link, or `address`
     /// itself without a proxy.
     async fn link_address(&self, name: &str, address: net::SocketAddr) -> net::SocketAddr {
@@ -222,6 +237,10 @@
             .iter()
             .map(|seed| seed.caller_address.to_string())
             .collect();
+        let cloud = self.cloud.as_ref().map_or(String::new(), |cloud| {
+            let address = cloud.address;
+            format!("[cloud]\naddress = \"{address}\"\nduties = [\"metering\"]\n")
+        });
         let settings = format!(
             r#"node = "{name}"
 ip = "{ip}"
@@ -242,9 +261,11 @@
 retry_budget_ratio = {budget_ratio:.2}
 budget_window_s = 10
 budget_extra = 0
+usage_window_s = {window_s}
 [platform]
 address = "{store}"
-"#,
+{cloud}"#,
+            window_s = USAGE_WINDOW_MS as f64 / 1_000.0,
             peer = self.peer_port,
             memory_mb = self.relay_memory_mb,
             budget_ratio = self.retry_budget_ratio,
