Test teams and API keys

Cause: the access of requests, the head of every send and the withdrawal of keys had no tests.

Change: unit tests of the decision, the directory, the parser's errors and the settings; process tests over every kind of send, anonymous routes, keys that move or are withdrawn, a store that refuses or comes back, and a relay that was paused. The emulated runner records headers on request.

--- a/crates/relay/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -116,3 +116,30 @@
     let recent = store.recent_changes(1_510);
     assert_eq!((recent.after, recent.is_truncated), (at(5), false));
 }
+
+/// Guards against a copy that counts as confirmed although it never was, and against an older
+/// confirmation that replaces a newer one.
+#[test]
+fn the_latest_confirmation_counts() {
+    let freshness = watch::DataFreshness::default();
+    freshness.record_fresh(900);
+    assert_eq!(freshness.confirmed_age_ms(1_000), None);
+    freshness.record_confirmed(800);
+    freshness.record_confirmed(500);
+    assert_eq!(freshness.confirmed_age_ms(1_000), Some(200));
+}
+
+/// Guards against reports that waited while the process was paused and are taken for new ones, and
+/// against a process that trusts no report after a busy moment.
+#[test]
+fn messages_are_distrusted_only_after_a_pause() {
+    let pauses = watch::PauseDetector::default();
+    pauses.observe(10_000);
+    assert!(!pauses.may_have_waited(10_000), "the first observation");
+    pauses.observe(10_999);
+    assert!(!pauses.may_have_waited(10_999), "a busy moment");
+    pauses.observe(12_000);
+    pauses.observe(12_010);
+    assert!(pauses.may_have_waited(12_249));
+    assert!(!pauses.may_have_waited(12_250));
+}
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -54,6 +54,8 @@
     pub store: net::SocketAddr,
     /// Address in the store entry, if it differs from the one that the runner listens on.
     pub advertised_address: Option<net::SocketAddr>,
+    /// Whether the journal records the headers of each request of a caller.
+    pub records_headers: bool,
     /// Faults at the start of the process.
     pub initial_faults: RunnerFaults,
 }
@@ -230,6 +232,14 @@
             _ => {}
         }
         let attempt = header("x-acaciabank-attempt-id");
+        if self.options.records_headers {
+            let fields = head.headers.iter();
+            let fields: Vec<_> = fields
+                .map(|(name, value)| (name.as_str(), String::from_utf8_lossy(value.as_bytes())))
+                .collect();
+            self.journal
+                .record(json!({"received": attempt, "headers": fields}));
+        }
         let expected_id = header("x-acaciabank-expect-instance");
         if expected_id != self.options.id {
             return Ok(self.refusal(StatusCode::MISDIRECTED_REQUEST, &attempt));
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -148,6 +148,7 @@
     let work_ms = argument("work-ms", 5);
     let store = long("store").argument("ADDRESS");
     let advertised_address = long("advertise").argument("ADDRESS").optional();
+    let records_headers = long("record-headers").switch();
     let initial_faults = initial_faults();
     let options = construct!(emulator::RunnerOptions {
         id,
@@ -157,6 +158,7 @@
         work_ms,
         store,
         advertised_address,
+        records_headers,
         initial_faults,
     });
     let (listen, journal_file) = (listen(), journal_file());
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -37,6 +37,8 @@
     pub relay_memory_mb: u32,
     /// Retries allowed per request that the settings of a relay state.
     pub retry_budget_ratio: f64,
+    /// Further lines in the section `bounds` of the settings of relays that are started from now on.
+    pub relay_bounds: String,
     /// Further arguments of the runners that are started from now on.
     pub runner_arguments: Vec<String>,
     /// Whether links added from now on refuse connections while their upstream does. Other links
@@ -61,6 +63,7 @@
             proxy: None,
             relay_memory_mb: 160,
             retry_budget_ratio: 10.0,
+            relay_bounds: String::new(),
             runner_arguments: Vec::new(),
             shows_crashes: false,
             peer_port,
@@ -242,12 +245,14 @@
 retry_budget_ratio = {budget_ratio:.2}
 budget_window_s = 10
 budget_extra = 0
+{bounds}
 [platform]
 address = "{store}"
 "#,
             peer = self.peer_port,
             memory_mb = self.relay_memory_mb,
             budget_ratio = self.retry_budget_ratio,
+            bounds = self.relay_bounds,
         );
         let path = self.launcher.folder().join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -21,3 +21,4 @@
 mod stops;
 mod streams;
 mod target_signals;
+mod teams;
--- a/crates/testbed/tests/relay/returns/mod.rs
+++ b/crates/testbed/tests/relay/returns/mod.rs
@@ -35,7 +35,7 @@
 /// Half of the pause around the moment of a copy: a control request may take this long.
 const COPY_MARGIN: Duration = Duration::from_millis(500);
 /// Delay after which the operator writes its lost rows again, for tests in which it does not.
-const NO_REWRITE_MS: u64 = 3_600_000;
+pub const NO_REWRITE_MS: u64 = 3_600_000;
 /// Versions that other writers use up, so that the versions that relays know are not reached again
 /// during a test.
 const LOST_VERSIONS: usize = 300;
@@ -90,7 +90,7 @@
 }
 
 /// Returns the moment of a copy, with pauses around it in which the test writes nothing.
-async fn mark_copy() -> Instant {
+pub async fn mark_copy() -> Instant {
     tokio::time::sleep(COPY_MARGIN).await;
     let copied_at = Instant::now();
     tokio::time::sleep(COPY_MARGIN).await;
@@ -98,7 +98,7 @@
 }
 
 /// Has the store return from a copy of the given moment.
-async fn restore(fixture: &Fixture, copied_at: Instant, rewrite_delay_ms: u64) {
+pub async fn restore(fixture: &Fixture, copied_at: Instant, rewrite_delay_ms: u64) {
     let age_ms = copied_at.elapsed().as_millis() as u64;
     let action = json!({"age_ms": age_ms, "rewrite_delay_ms": rewrite_delay_ms});
     fixture.store.control(json!({"restore": action})).await;
