--- a/crates/relay/src/process/shutdown.rs
+++ b/crates/relay/src/process/shutdown.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::shutdown;
 use tokio::{net::UdpSocket, time::Instant};
 
-use crate::{gossip, listener, platform, state};
+use crate::{gossip, listener, platform, state, usage};
 
 /// Time for which some callers cache the addresses of daemons, as a multiple of the TTL.
 const ADDRESS_CACHE_FACTOR: u64 = 3;
@@ -54,6 +54,10 @@
         state.shutdown.end();
         wait_idle(state, Instant::now() + RESPONSE_TIME).await;
     }
+    if usage::is_active(state) {
+        // What was counted since the last report.
+        gossip::announce(state, socket).await;
+    }
     log::info!(
         active = state.active.get(), interrupted = state.shutdown.interrupted();
         "stopped"
--- a/crates/relay/src/usage/report.rs
+++ b/crates/relay/src/usage/report.rs
@@ -11,6 +11,8 @@
 const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time between two rounds of the holder, which notice a lost lease and a new era.
 const MAX_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Shortest time between two log lines about late counts.
+const LATE_LOG_INTERVAL_MS: u64 = 1_000;
 /// Time after a failed call of the store until the next one.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -293,8 +295,18 @@
     }
 }
 
-/// Counts requests that began to run in a window that was settled without them.
-pub fn count_late(requests: u64) {
+/// Counts requests that began to run in a window that was settled without them, and logs them at
+/// most once per [`LATE_LOG_INTERVAL_MS`].
+pub fn count_late<Codec, Store>(state: &state::RelayState<Codec, Store>, requests: u64) {
     metrics::counter!("acaciabank_usage_late_counts_total").increment(requests);
-    log::warn!(requests = requests; "usage_late");
+    let local = &state.usage;
+    local
+        .late_requests
+        .set(local.late_requests.get() + requests);
+    let now_ms = clock::now_ms();
+    if now_ms >= local.next_late_log_ms.get() {
+        local.next_late_log_ms.set(now_ms + LATE_LOG_INTERVAL_MS);
+        let requests = local.late_requests.take();
+        log::warn!(requests = requests; "usage_late");
+    }
 }
--- a/crates/relay/src/usage/sharing.rs
+++ b/crates/relay/src/usage/sharing.rs
@@ -84,7 +84,7 @@
     if let Some(counts) = &share.counts {
         let late = local.collector.borrow_mut().apply(run, counts);
         if is_holder && late > 0 {
-            super::report::count_late(late);
+            super::report::count_late(state, late);
         }
     }
 }
--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -21,4 +21,5 @@
 mod stops;
 mod streams;
 mod target_signals;
+mod teams;
 mod usage;
--- a/crates/testbed/tests/relay/usage.rs
+++ b/crates/testbed/tests/relay/usage.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     fixture::{EmulatorProcess, Fixture, ROUTE_HOST, Relay, USAGE_WINDOW_MS},
-    handover,
+    handover, returns,
 };
 
 /// Time within which a window is reported after its end in these tests: a change of the holder takes
@@ -175,26 +175,27 @@
     call.body["window"].as_u64().expect("a window")
 }
 
-/// Checks the reports that every deployment relies on: no window has two different ones, no window
-/// between the first and the last is missing, and tokens and holders follow each other in order.
-fn check_calls(calls: &[ReceivedCall]) -> BTreeMap<u64, serde_json::Value> {
+/// Checks that no window between the first and the last is missing.
+fn check_complete(calls: &[ReceivedCall]) {
+    let accepted = calls.iter().filter(|call| call.is_accepted);
+    let accepted: BTreeSet<u64> = accepted.map(window_of).collect();
+    let expected: BTreeSet<u64> = match (accepted.first(), accepted.last()) {
+        (Some(first), Some(last)) => (*first..=*last).collect(),
+        _ => panic!("no window was accepted"),
+    };
+    assert_eq!(accepted, expected, "windows that are missing");
+}
+
+/// Checks what holds whatever is lost: no window has two different reports, and tokens and holders
+/// follow each other in order. Returns the counts by window.
+fn check_order(calls: &[ReceivedCall]) -> BTreeMap<u64, serde_json::Value> {
     let mut windows = BTreeMap::new();
-    let mut accepted = BTreeSet::new();
     for call in calls {
         let counts = windows
             .entry(window_of(call))
             .or_insert_with(|| call.body["counts"].clone());
         assert_eq!(*counts, call.body["counts"], "window {}", window_of(call));
-        if call.is_accepted {
-            accepted.insert(window_of(call));
-        }
     }
-    let (first, last) = (accepted.first(), accepted.last());
-    let expected: BTreeSet<u64> = match (first, last) {
-        (Some(first), Some(last)) => (*first..=*last).collect(),
-        _ => panic!("no window was accepted"),
-    };
-    assert_eq!(accepted, expected, "windows that are missing");
     for pair in calls.windows(2) {
         let [earlier, later] = pair else { continue };
         assert!(later.token >= earlier.token, "{earlier:?} before {later:?}");
@@ -237,7 +238,8 @@
     // The load ends in a window that is not compared.
     fleet.wait_next_window().await;
     let calls = fleet.calls().await;
-    let windows = check_calls(&calls);
+    check_complete(&calls);
+    let windows = check_order(&calls);
     let holders: BTreeSet<&str> = calls.iter().map(|call| call.holder.as_str()).collect();
     assert!(holders.len() >= 2, "{holders:?}");
     let truth = fleet.true_counts();
@@ -293,7 +295,8 @@
     fleet.wait_next_window().await;
     fleet.end_load();
     let calls = fleet.calls().await;
-    check_calls(&calls);
+    check_complete(&calls);
+    check_order(&calls);
     let repeated = calls
         .iter()
         .any(|call| call.holder != name && call.is_accepted && window_of(call) == unanswered);
@@ -326,9 +329,84 @@
     fleet.wait_next_window().await;
     fleet.end_load();
     let calls = fleet.calls().await;
-    check_calls(&calls);
+    check_complete(&calls);
+    check_order(&calls);
     let late = calls
         .iter()
         .find(|call| call.holder == former && call.unix_ms >= resumed_ms);
     assert!(late.is_none(), "{late:?}");
 }
+
+/// Guards against windows that the holder reports again with other counts, or leaves out, when the
+/// store has returned from a copy without their rows; and against a successor that settles windows
+/// which the former holder may have reported.
+#[tokio::test]
+async fn a_return_of_the_store_changes_no_report() {
+    let mut fleet = UsageFleet::start(3).await;
+    let holder = handover::wait_holder(&fleet.relays).await;
+    fleet.wait_next_window().await;
+    fleet.start_load();
+    let copied_at = returns::mark_copy().await;
+    fleet.wait_next_window().await;
+    returns::restore(&fleet.fixture, copied_at, 0).await;
+    fleet.wait_next_window().await;
+    fleet.wait_next_window().await;
+    let calls = fleet.calls().await;
+    check_complete(&calls);
+    check_order(&calls);
+    let copied_at = returns::mark_copy().await;
+    fleet.wait_next_window().await;
+    fleet.kill(holder);
+    returns::restore(&fleet.fixture, copied_at, 0).await;
+    fleet.wait_next_window().await;
+    fleet.end_load();
+    check_order(&fleet.calls().await);
+}
+
+/// Guards against refused requests that are charged, and against a request that is counted once for
+/// each engine that it was sent to.
+#[tokio::test]
+async fn a_request_is_counted_once_and_only_if_it_begins_to_run() {
+    let fleet = UsageFleet::start(1).await;
+    let engines = fleet.fixture.start_runners(&["d-1", "d-2"]).await;
+    let relay = &fleet.relays[0];
+    let stream = async |attempt: &str, key: &str| {
+        let authorization = format!("Bearer {key}");
+        let headers = [
+            ("authorization", authorization.as_str()),
+            ("x-acaciabank-model", "m"),
+            ("x-acaciabank-token-count", "2000,12"),
+        ];
+        let sent = relay.send("POST", "/resumable/a", attempt, &headers, "prompt");
+        sent.await.map_or(0, |response| response.status)
+    };
+    harness::wait_until(REPORT_TIMEOUT, "streams", async || {
+        stream("probe", "north").await == 200
+    })
+    .await;
+    // The probes are counted for the other team and in earlier windows only.
+    fleet.wait_next_window().await;
+    engines[0].control(json!({"breaks_after": 3})).await;
+    for number in 0..5 {
+        assert_eq!(stream(&format!("broken-{number}"), "south").await, 200);
+        assert_eq!(stream(&format!("unknown-{number}"), "other").await, 401);
+    }
+    fleet.wait_next_window().await;
+    let calls = fleet.calls().await;
+    let windows = check_order(&calls);
+    let counts = windows
+        .values()
+        .filter_map(|counts| counts["south"].as_u64());
+    assert_eq!(counts.sum::<u64>(), 5);
+    let mut runs = 0;
+    for engine in &engines {
+        for number in 0..5 {
+            runs += engine.run_count(&format!("broken-{number}")).await;
+        }
+    }
+    assert!(runs > 5, "no stream was continued: {runs} runs");
+    let teams = windows.values().filter_map(|counts| counts.as_object());
+    let teams: BTreeSet<&String> = teams.flat_map(|counts| counts.keys()).collect();
+    let expected: BTreeSet<String> = TEAMS.map(str::to_owned).into();
+    assert_eq!(teams, expected.iter().collect());
+}
