--- a/crates/testbed/tests/relay/usage.rs
+++ b/crates/testbed/tests/relay/usage.rs
@@ -368,7 +368,9 @@
 #[tokio::test]
 async fn a_request_is_counted_once_and_only_if_it_begins_to_run() {
     let fleet = UsageFleet::start(1).await;
-    let engines = fleet.fixture.start_runners(&["d-1", "d-2"]).await;
+    // The numbers that the stage planner keeps.
+    let ids = ["p-1", "p-2", "p-3", "d-1", "d-2"];
+    let engines = fleet.fixture.start_runners(&ids).await;
     let relay = &fleet.relays[0];
     let stream = async |attempt: &str, key: &str| {
         let authorization = format!("Bearer {key}");
@@ -386,7 +388,7 @@
     .await;
     // The probes are counted for the other team and in earlier windows only.
     fleet.wait_next_window().await;
-    engines[0].control(json!({"breaks_after": 3})).await;
+    engines[3].control(json!({"breaks_after": 3})).await;
     for number in 0..5 {
         assert_eq!(stream(&format!("broken-{number}"), "south").await, 200);
         assert_eq!(stream(&format!("unknown-{number}"), "other").await, 401);
