--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -160,6 +160,7 @@
     let store = long("store").argument("ADDRESS");
     let is_spot = long("spot").switch();
     let advertised_address = long("advertise").argument("ADDRESS").optional();
+    let records_headers = long("record-headers").switch();
     let initial_faults = initial_faults();
     let options = construct!(emulator::RunnerOptions {
         id,
@@ -170,6 +171,7 @@
         store,
         is_spot,
         advertised_address,
+        records_headers,
         initial_faults,
     });
     let (listen, journal_file) = (listen(), journal_file());
