--- a/crates/relay/src/usage/counting.rs
+++ b/crates/relay/src/usage/counting.rs
@@ -19,8 +19,10 @@
         return;
     }
     let mut counter = state.usage.counter.borrow_mut();
-    if !counter.record(begun_unix_ms, team.hash) {
-        super::report::count_late(1);
+    let is_late = !counter.record(begun_unix_ms, team.hash);
+    drop(counter);
+    if is_late {
+        super::report::count_late(state, 1);
     }
 }
 
--- a/crates/relay/src/usage/mod.rs
+++ b/crates/relay/src/usage/mod.rs
@@ -39,6 +39,10 @@
     loaded: Cell<Option<LoadedState>>,
     /// Whether a transaction met rows that the ledger does not hold.
     must_read: Cell<bool>,
+    /// Late counts since the last log line about them.
+    late_requests: Cell<u64>,
+    /// Time from which late counts are logged again.
+    next_late_log_ms: Cell<u64>,
     /// Correction of the time of day.
     correction_ms: Cell<i64>,
     /// Names of teams by their hashes.
@@ -67,6 +71,8 @@
             ledger: RefCell::new(usage::ReportLedger::new(window_ms)),
             loaded: Cell::new(None),
             must_read: Cell::new(false),
+            late_requests: Cell::new(0),
+            next_late_log_ms: Cell::new(0),
             correction_ms: Cell::new(0),
             names: RefCell::default(),
             settled: Notify::new(),
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -52,8 +52,12 @@
     pub work_ms: u64,
     /// Address of the store.
     pub store: net::SocketAddr,
+    /// Whether the store entry says that the platform may take it away.
+    pub is_spot: bool,
     /// Address in the store entry, if it differs from the one that the runner listens on.
     pub advertised_address: Option<net::SocketAddr>,
+    /// Whether the journal records the headers of each request of a caller.
+    pub records_headers: bool,
     /// Faults at the start of the process.
     pub initial_faults: RunnerFaults,
 }
@@ -82,6 +86,8 @@
     pub retry_after: Option<String>,
     /// Reports the state `draining` in the store entry instead of `ready`.
     pub is_draining: bool,
+    /// Time until it is taken away, in the store entry.
+    pub leaves_ms: Option<u64>,
     /// Ids of prompt parts that end the process when an engine begins to write the answer of a
     /// request that holds one of them in front of its last part.
     pub crash_parts: Vec<String>,
@@ -171,6 +177,12 @@
                 if let Some(stage) = &state.stage {
                     entry["stage"] = stage.as_str().into();
                 }
+                if self.options.is_spot {
+                    entry["spot"] = true.into();
+                }
+                if let Some(leaves_ms) = state.faults.leaves_ms {
+                    entry["leaves_ms"] = leaves_ms.into();
+                }
                 entry.to_string()
             };
             let value = base64_text(entry.as_bytes());
@@ -230,6 +242,14 @@
             _ => {}
         }
         let attempt = header("x-acaciabank-attempt-id");
+        if self.options.records_headers {
+            let fields = head.headers.iter();
+            let fields: Vec<_> = fields
+                .map(|(name, value)| (name.as_str(), String::from_utf8_lossy(value.as_bytes())))
+                .collect();
+            self.journal
+                .record(json!({"received": attempt, "headers": fields}));
+        }
         let expected_id = header("x-acaciabank-expect-instance");
         if expected_id != self.options.id {
             return Ok(self.refusal(StatusCode::MISDIRECTED_REQUEST, &attempt));
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -10,6 +10,8 @@
 pub const TIMEOUT: Duration = Duration::from_secs(30);
 /// Host name of all routes.
 pub const ROUTE_HOST: &str = "host.example";
+/// Length of a window of usage; shorter than that of real deployments, so that tests see several.
+pub const USAGE_WINDOW_MS: u64 = 2_000;
 /// Deadline that requests carry, in milliseconds.
 const REQUEST_DEADLINE_MS: &str = "20000";
 
@@ -33,10 +35,14 @@
     pub store: EmulatorProcess,
     /// Proxy of the links to runners and from relays to the store, if the links are proxied.
     pub proxy: Option<harness::LinkProxy>,
+    /// Interface for duties that the settings of a relay name, if there is one.
+    pub cloud: Option<EmulatorProcess>,
     /// Memory that the settings of a relay state, in megabytes.
     pub relay_memory_mb: u32,
     /// Retries allowed per request that the settings of a relay state.
     pub retry_budget_ratio: f64,
+    /// Further lines in the section `bounds` of the settings of relays that are started from now on.
+    pub relay_bounds: String,
     /// Further arguments of the runners that are started from now on.
     pub runner_arguments: Vec<String>,
     /// Whether links added from now on refuse connections while their upstream does. Other links
@@ -59,8 +65,10 @@
             store: EmulatorProcess { process, address },
             launcher,
             proxy: None,
+            cloud: None,
             relay_memory_mb: 160,
             retry_budget_ratio: 10.0,
+            relay_bounds: String::new(),
             runner_arguments: Vec::new(),
             shows_crashes: false,
             peer_port,
@@ -78,6 +86,16 @@
         }
     }
 
+    /// Starts the interface for duties; relays that are started from now on report usage in windows
+    /// of [`USAGE_WINDOW_MS`].
+    pub async fn start_cloud(&mut self) {
+        let address = self.launcher.next_address().expect("address");
+        let arguments = ["--listen".to_owned(), address.to_string()];
+        let process = self.launcher.start_ready("cloud", "cloud", arguments).await;
+        let process = process.expect("cloud");
+        self.cloud = Some(EmulatorProcess { process, address });
+    }
+
     /// Returns the address at which others reach `address`: that of a proxied link, or `address`
     /// itself without a proxy.
     async fn link_address(&self, name: &str, address: net::SocketAddr) -> net::SocketAddr {
@@ -222,6 +240,10 @@
             .iter()
             .map(|seed| seed.caller_address.to_string())
             .collect();
+        let cloud = self.cloud.as_ref().map_or(String::new(), |cloud| {
+            let address = cloud.address;
+            format!("[cloud]\naddress = \"{address}\"\nduties = [\"metering\", \"autoscale\"]\n")
+        });
         let settings = format!(
             r#"node = "{name}"
 ip = "{ip}"
@@ -242,12 +264,16 @@
 retry_budget_ratio = {budget_ratio:.2}
 budget_window_s = 10
 budget_extra = 0
+usage_window_s = {window_s}
+{bounds}
 [platform]
 address = "{store}"
-"#,
+{cloud}"#,
+            window_s = USAGE_WINDOW_MS as f64 / 1_000.0,
             peer = self.peer_port,
             memory_mb = self.relay_memory_mb,
             budget_ratio = self.retry_budget_ratio,
+            bounds = self.relay_bounds,
         );
         let path = self.launcher.folder().join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
