Wait for the change in the log in the test of withdrawn keys

Cause: the probe for the change was accepted before it and hung at the paused runners until its deadline, so that the request of the test got 504 in one of two runs.

Change: the test waits for the line config_in_force.

--- a/crates/testbed/tests/relay/teams/access.rs
+++ b/crates/testbed/tests/relay/teams/access.rs
@@ -148,7 +148,12 @@
         fixture
             .write_config(2, |config| config["tenants"] = only_south.clone())
             .await;
-        wait_status(&relay, Some(NORTH_KEY), 401).await;
+        // A request that probes for the change could hang at the paused runners.
+        harness::wait_until(TIMEOUT, "the change is in force", async || {
+            let lines = log_lines(&relay, "config_in_force");
+            lines.iter().any(|line| line["version"] == 2)
+        })
+        .await;
         // The attempt at the first runner is given up for one at the other.
         tokio::time::sleep(Duration::from_millis(2_500)).await;
         runner.process.resume();
