--- a/crates/relay/src/planner/order.rs
+++ b/crates/relay/src/planner/order.rs
@@ -32,7 +32,7 @@
     let Ok(mut connection) = target.open(CALL_TIMEOUT).await else {
         return platform::OrderResponse::Unsent;
     };
-    if target.is_blocked(clock::now_ms()) {
+    if target.is_blocked(clock::now_ms()) || target.is_draining.get() {
         return platform::OrderResponse::Unsent;
     }
     let mut request = http::Request::new(Full::new(Bytes::from(state.codec.write_order(order))));
