--- a/crates/core/src/lease/elector.rs
+++ b/crates/core/src/lease/elector.rs
@@ -126,6 +126,13 @@
         self.grant(now_ms).is_some()
     }
 
+    /// Returns the time at which a challenger may take over the row that it last read, unless that is
+    /// written again until then.
+    pub fn takeover_ms(&self, extra_wait_ms: u64) -> Option<u64> {
+        let seen = self.seen.as_ref()?;
+        Some(seen.since_ms + self.timers.ttl_ms + self.timers.margin_ms + extra_wait_ms)
+    }
+
     /// Returns the step that is due at the given time: a renewal for a holder, a read for a
     /// challenger or after a write that conflicted or whose result is unknown.
     pub fn on_tick(&self, now_ms: u64) -> LeaseStep {
--- a/crates/core/src/usage/collector.rs
+++ b/crates/core/src/usage/collector.rs
@@ -6,6 +6,10 @@
 
 use super::{DaemonCounts, MAX_WINDOWS, RunKey};
 
+/// Number of windows that are kept: the settled ones that tell which counts are late, and those that
+/// daemons keep while no window is settled.
+const MAX_COLLECTED: usize = 2 * MAX_WINDOWS;
+
 /// Counts of one window in a checkpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CheckpointWindow {
@@ -42,12 +46,15 @@
 
 impl UsageCollector {
     /// Takes over the counts of a run; returns how many of them are for settled windows and new, and
-    /// therefore dropped.
-    pub fn apply(&mut self, run: RunKey, counts: &DaemonCounts) -> u64 {
+    /// therefore dropped. Windows after the one that follows `current` are ignored: the sender's
+    /// clock is wrong.
+    pub fn apply(&mut self, run: RunKey, counts: &DaemonCounts, current: u64) -> u64 {
         let open_from = self.open_from.entry(run).or_default();
         *open_from = (*open_from).max(counts.open_from);
         let mut late = 0;
-        for counts in &counts.windows {
+        let last = current.saturating_add(1);
+        let windows = counts.windows.iter();
+        for counts in windows.filter(|counts| counts.window <= last) {
             let is_settled = counts.window < self.settled_before;
             let runs = match (self.windows.get_mut(&counts.window), is_settled) {
                 (Some(runs), _) => runs,
@@ -64,6 +71,9 @@
                 *known = (*known).max(*count);
             }
         }
+        while self.windows.len() > MAX_COLLECTED {
+            self.windows.pop_first();
+        }
         late
     }
 
@@ -147,7 +157,7 @@
                         teams: teams.collect(),
                     }],
                 };
-                self.apply(*run, &counts);
+                self.apply(*run, &counts, saved.window);
             }
         }
     }
--- a/crates/core/src/usage/mod.rs
+++ b/crates/core/src/usage/mod.rs
@@ -11,8 +11,8 @@
 //! counter.record(12_000, 7);
 //! let mut collector = UsageCollector::default();
 //! let counts = counter.report(12_100, 100);
-//! collector.apply(1, &counts);
-//! collector.apply(1, &counts);
+//! collector.apply(1, &counts, 2);
+//! collector.apply(1, &counts, 2);
 //! assert_eq!(collector.totals(2).get(&7), Some(&1));
 //! ```
 
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -110,9 +110,13 @@
     for order in orders {
         let mut collector = UsageCollector::default();
         for index in order {
-            assert_eq!(collector.apply(RUN_A, &reports[*index]), 0);
+            assert_eq!(collector.apply(RUN_A, &reports[*index], FIRST + 1), 0);
         }
-        collector.apply(RUN_B, &counts(FIRST + 1, &[(FIRST, &[(NORTH, 3)])]));
+        collector.apply(
+            RUN_B,
+            &counts(FIRST + 1, &[(FIRST, &[(NORTH, 3)])]),
+            FIRST + 1,
+        );
         let totals = BTreeMap::from([(NORTH, 12), (SOUTH, 2)]);
         assert_eq!(collector.totals(FIRST), totals, "{order:?}");
         assert!(collector.is_complete(FIRST, &[RUN_A, RUN_B]), "{order:?}");
@@ -124,15 +128,23 @@
 #[test]
 fn counts_of_a_killed_daemon_are_kept() {
     let mut collector = UsageCollector::default();
-    collector.apply(RUN_A, &counts(FIRST, &[(FIRST, &[(NORTH, 7)])]));
-    collector.apply(RUN_B, &counts(FIRST + 1, &[(FIRST, &[(NORTH, 2)])]));
+    collector.apply(RUN_A, &counts(FIRST, &[(FIRST, &[(NORTH, 7)])]), FIRST + 1);
+    collector.apply(
+        RUN_B,
+        &counts(FIRST + 1, &[(FIRST, &[(NORTH, 2)])]),
+        FIRST + 1,
+    );
     // The killed run no longer holds the window open, and the next run counts from zero.
     collector.retain_runs(&[RUN_B]);
     assert!(collector.is_complete(FIRST, &[RUN_B]));
     assert_eq!(collector.totals(FIRST), BTreeMap::from([(NORTH, 9)]));
     // A successor begins with the checkpoint and the reports of those that are alive.
     let mut successor = UsageCollector::default();
-    successor.apply(RUN_B, &counts(FIRST + 1, &[(FIRST, &[(NORTH, 3)])]));
+    successor.apply(
+        RUN_B,
+        &counts(FIRST + 1, &[(FIRST, &[(NORTH, 3)])]),
+        FIRST + 1,
+    );
     successor.restore(&collector.checkpoint());
     assert_eq!(successor.totals(FIRST), BTreeMap::from([(NORTH, 10)]));
 }
@@ -156,11 +168,11 @@
 fn late_counts_are_dropped_and_counted() {
     let mut collector = UsageCollector::default();
     collector.settle_before(FIRST);
-    collector.apply(RUN_A, &counts(FIRST, &[(FIRST, &[(NORTH, 7)])]));
+    collector.apply(RUN_A, &counts(FIRST, &[(FIRST, &[(NORTH, 7)])]), FIRST + 1);
     collector.settle_before(FIRST + 1);
     let late = counts(FIRST + 1, &[(FIRST, &[(NORTH, 9), (SOUTH, 1)])]);
-    assert_eq!(collector.apply(RUN_A, &late), 3);
-    assert_eq!(collector.apply(RUN_A, &late), 0, "counted once");
+    assert_eq!(collector.apply(RUN_A, &late, FIRST + 1), 3);
+    assert_eq!(collector.apply(RUN_A, &late, FIRST + 1), 0, "counted once");
     assert!(collector.checkpoint().windows.is_empty());
 }
 
@@ -205,12 +217,22 @@
     };
     assert!((1_600..=2_300).contains(&retry_ms), "{retry_ms}");
     assert_eq!(ledger.counts(FIRST), Some(&named(&[("north", 4)])));
+    // A window that was never sent goes before one that is due again.
+    ledger.record_stored(FIRST + 2, BTreeMap::new());
+    let next_ms = end_ms(FIRST + 2) + 500;
+    assert_eq!(
+        ledger.next_step(9_000, next_ms),
+        ReportStep::Send(FIRST + 2)
+    );
+    ledger.record_sent(FIRST + 2, 9_000, true, 0);
     let expired_ms = end_ms(FIRST) + 60_000;
     assert_eq!(ledger.next_step(9_000, expired_ms), ReportStep::Wait);
     assert_eq!(ledger.expire(expired_ms), [FIRST]);
     assert!(ledger.expire(expired_ms).is_empty(), "given up once");
     ledger.expire(end_ms(FIRST + 1) + 120_000);
     assert_eq!(ledger.expired(), [FIRST, FIRST + 1]);
+    ledger.record_deleted(&[FIRST, FIRST + 1]);
+    assert!(ledger.expired().is_empty());
 }
 
 /// Guards against a successor that settles a window again, skips one, or reports what the platform
@@ -352,3 +374,18 @@
     assert_eq!(clock_correction_ms([3_000]), 0);
     assert_eq!(clock_correction_ms([]), 0);
 }
+
+/// Guards against counts that fill the memory of a collector while nothing is settled, and against a
+/// daemon with a wrong clock whose windows displace the real ones.
+#[test]
+fn a_collector_keeps_a_bounded_number_of_windows() {
+    let mut collector = UsageCollector::default();
+    for window in FIRST..FIRST + 40 {
+        collector.apply(RUN_A, &counts(window, &[(window, &[(NORTH, 1)])]), window);
+        let ahead = counts(window, &[(window + 100, &[(NORTH, 1)])]);
+        collector.apply(RUN_B, &ahead, window);
+    }
+    let windows = collector.checkpoint().windows;
+    let kept: Vec<u64> = windows.iter().map(|saved| saved.window).collect();
+    assert_eq!(kept, Vec::from_iter(FIRST + 24..FIRST + 40));
+}
--- a/crates/relay/src/lease/task.rs
+++ b/crates/relay/src/lease/task.rs
@@ -12,6 +12,9 @@
 const CHALLENGE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval between attempts of the holder to renew the lease when the store does not respond.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time by which a renewal is later if there are no duties, and so no checkpoint that it carries:
+/// each one is a call of the store.
+const RENEWAL_DELAY_MS: u64 = 300;
 /// Time by which the second candidate for the lease waits longer than the first.
 const STANDBY_DELAY_MS: u64 = 2_000;
 
@@ -20,8 +23,9 @@
     state: state::SharedState<Codec, Store>,
 ) {
     let mut is_holder = false;
+    let mut extra_wait_ms = 0;
     loop {
-        tokio::time::sleep(next_interval(&state, is_holder)).await;
+        tokio::time::sleep(next_interval(&state, is_holder, extra_wait_ms)).await;
         if state.phase.get() == state::RelayPhase::Draining {
             return;
         }
@@ -29,7 +33,8 @@
         if !is_holder && (rank > 1 || state.config().is_none()) {
             continue;
         }
-        maintain(&state, rank as u64 * STANDBY_DELAY_MS).await;
+        extra_wait_ms = rank as u64 * STANDBY_DELAY_MS;
+        maintain(&state, extra_wait_ms).await;
         let may_act = state.lease.grant(clock::now_ms()).is_some();
         if may_act != is_holder {
             is_holder = may_act;
@@ -41,18 +46,31 @@
     }
 }
 
-/// Returns the time until the next step. The holder sleeps until the renewal is due.
+/// Returns the time until the next step. The holder sleeps until the renewal is due, a challenger
+/// until it may take over, if that is sooner than its next look at the row.
 fn next_interval<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     is_holder: bool,
+    extra_wait_ms: u64,
 ) -> Duration {
+    let now_ms = clock::now_ms();
     if !is_holder {
-        return CHALLENGE_INTERVAL;
+        let takeover_ms = state.lease.elector.borrow().takeover_ms(extra_wait_ms);
+        let remaining_ms = takeover_ms.and_then(|takeover_ms| takeover_ms.checked_sub(now_ms));
+        return match remaining_ms {
+            Some(remaining_ms) if remaining_ms > 0 => {
+                CHALLENGE_INTERVAL.min(Duration::from_millis(remaining_ms))
+            }
+            _ => CHALLENGE_INTERVAL,
+        };
     }
-    let now_ms = clock::now_ms();
+    let delay_ms = match state.settings.duties.is_empty() {
+        true => RENEWAL_DELAY_MS,
+        false => 0,
+    };
     match state.lease.grant(now_ms) {
         Some(grant) if now_ms < grant.renew_at_ms => {
-            Duration::from_millis(grant.renew_at_ms - now_ms)
+            Duration::from_millis(grant.renew_at_ms + delay_ms - now_ms)
         }
         _ => RETRY_INTERVAL,
     }
--- a/crates/relay/src/usage/report.rs
+++ b/crates/relay/src/usage/report.rs
@@ -67,7 +67,8 @@
     let unix_ms = unix_ms(state);
     let due = {
         let mut collector = local.collector.borrow_mut();
-        collector.apply(local.own_run, &own);
+        let current = usage::window_at(unix_ms, local.window_ms);
+        collector.apply(local.own_run, &own, current);
         collector.retain_runs(&runs);
         let ledger = local.ledger.borrow();
         ledger.due(unix_ms, |window| collector.is_complete(window, &runs))
--- a/crates/relay/src/usage/sharing.rs
+++ b/crates/relay/src/usage/sharing.rs
@@ -82,7 +82,8 @@
         learn_settled(state, settled);
     }
     if let Some(counts) = &share.counts {
-        let late = local.collector.borrow_mut().apply(run, counts);
+        let current = usage::window_at(unix_ms(state), local.window_ms);
+        let late = local.collector.borrow_mut().apply(run, counts, current);
         if is_holder && late > 0 {
             super::report::count_late(state, late);
         }
--- a/crates/testbed/tests/relay/usage.rs
+++ b/crates/testbed/tests/relay/usage.rs
@@ -348,6 +348,9 @@
     fleet.start_load();
     let copied_at = returns::mark_copy().await;
     fleet.wait_next_window().await;
+    // Between the end of a window and its settling.
+    let elapsed_ms = journal::unix_ms() % USAGE_WINDOW_MS;
+    tokio::time::sleep(Duration::from_millis(USAGE_WINDOW_MS + 100 - elapsed_ms)).await;
     returns::restore(&fleet.fixture, copied_at, 0).await;
     fleet.wait_next_window().await;
     fleet.wait_next_window().await;
