--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,7 +29,7 @@
 mod shutdown;
 mod state;
 pub mod target;
-mod teams;
+pub mod teams;
 pub mod telemetry;
 mod trial;
 pub mod watch;
