--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,7 +32,7 @@
 mod shutdown;
 mod state;
 pub mod target;
-mod teams;
+pub mod teams;
 pub mod telemetry;
 mod trial;
 mod usage;
