Add tests of clients outside the limits at both request paths

Cause: a crowd of 60 clients that send large bodies of legal size, chunks of one byte or bodies over the limit, or that read nothing, takes a process past the memory of its host; idle connections may take all its descriptors. Change: crowds as a module of the test bed, and the program 'overload' with the same cases for the relay and the daemon. They check that the process lives, its peak of memory, its descriptors, and that one ordinary request is answered beside the crowd and afterwards. The relay's bounds are the memory and descriptors of its settings; the daemon's settings state no memory, so its bound is 48 MiB for the program, the answer buffer and eight largest bodies.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 //! assert_eq!(text.split_whitespace().count(), 2);
 //! ```
 
+pub mod crowd;
 pub mod emulator;
 pub mod engine;
 pub mod harness;
--- a/crates/testbed/src/web/mod.rs
+++ b/crates/testbed/src/web/mod.rs
@@ -220,6 +220,34 @@
     path: &str,
     headers: &[(&str, &str)],
     body: impl Into<Bytes>,
+) -> io::Result<BufferedResponse> {
+    call_with_body(address, method, path, headers, full_body(body)).await
+}
+
+/// Like [`call`], with a body whose length is not announced: it is sent in chunks.
+///
+/// # Errors
+///
+/// Those of [`call`].
+pub async fn call_chunked(
+    address: net::SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> io::Result<BufferedResponse> {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let _ = sender.send(Ok(body.into()));
+    drop(sender);
+    call_with_body(address, method, path, headers, channel_body(receiver)).await
+}
+
+async fn call_with_body(
+    address: net::SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: ResponseBody,
 ) -> io::Result<BufferedResponse> {
     let stream = tokio::net::TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
@@ -233,9 +261,7 @@
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    let request = builder
-        .body(Full::new(body.into()))
-        .map_err(io::Error::other)?;
+    let request = builder.body(body).map_err(io::Error::other)?;
     let response = async {
         let response = sender.send_request(request).await;
         let (head, body) = response.map_err(io::Error::other)?.into_parts();
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -35,6 +35,8 @@
     pub proxy: Option<harness::LinkProxy>,
     /// Memory that the settings of a relay state, in megabytes.
     pub relay_memory_mb: u32,
+    /// Descriptors that the settings of a relay state.
+    pub relay_max_fds: usize,
     /// Retries allowed per request that the settings of a relay state.
     pub retry_budget_ratio: f64,
     /// Further arguments of the runners that are started from now on.
@@ -60,6 +62,7 @@
             launcher,
             proxy: None,
             relay_memory_mb: 160,
+            relay_max_fds: 4_096,
             retry_budget_ratio: 10.0,
             runner_arguments: Vec::new(),
             shows_crashes: false,
@@ -236,6 +239,7 @@
 cpu_share = 0.25
 cores = 1
 memory_mb = {memory_mb}
+max_fds = {max_fds}
 [bounds]
 grace_s = 8
 ttl_max_s = 1
@@ -247,6 +251,7 @@
 "#,
             peer = self.peer_port,
             memory_mb = self.relay_memory_mb,
+            max_fds = self.relay_max_fds,
             budget_ratio = self.retry_budget_ratio,
         );
         let path = self.launcher.folder().join(format!("{name}.toml"));
