--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 pub mod admit;
+pub mod body_memory;
 pub mod budget;
 pub mod cache;
 pub mod idempotency;
