Bound the kernel's receive buffer of accepted connections

Cause: bytes that have been received and not read count as memory of the process, and the kernel lets the buffer of a connection grow to megabytes. Change: listeners set SO_RCVBUF to 32 KiB, which accepted connections inherit.

--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -21,6 +21,10 @@
 /// Size of the kernel's send buffer of a connection; the kernel doubles it. Without a limit it grows
 /// to megabytes, which a stream has to fill before it is noticed that its caller reads nothing.
 const SEND_BUFFER_BYTES: u32 = 256 << 10;
+/// Size of the kernel's receive buffer of a connection; the kernel doubles it. Bytes that have been
+/// received and not read count as memory of the process. With a round trip of 3 ms, half of the
+/// buffer carries 80 Mbit/s on one connection.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Idle timeout of connections until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Multiple of the configured idle time after which a connection is closed. Callers reuse
@@ -59,8 +63,9 @@
     let bound = || {
         let socket = tokio::net::TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
-        // Accepted connections inherit it.
+        // Accepted connections inherit both sizes.
         socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
     };
