Draw the bodies of requests and responses from one memory budget

Cause: request bodies were collected without a common bound, as slices of hyper's read buffers, and held until their deadline; a refused body was read on for 10 s and max_body_bytes; responses were charged by length and only while they were read. Change: bodies are copied into one buffer that is charged by capacity to a budget of a quarter of memory_mb each for requests and responses, until the last copy is dropped. Bodies that announce too much are refused unread (413, 503), bodies without progress with 408, and a refused body is read on for at most 2 s and up to 1 MiB over max_body_bytes, 32 at a time. Counter acaciabank_overload_total and one log line a second by reason.

--- a/crates/relay/src/config/mod.rs
+++ b/crates/relay/src/config/mod.rs
@@ -107,6 +107,8 @@
     pub max_header_bytes: usize,
     /// Largest size of a request's body.
     pub max_body_bytes: usize,
+    /// Time for which no byte of a request's body may arrive.
+    pub header_timeout_ms: u64,
     /// Time for which a connection may stay idle.
     pub idle_timeout_ms: u64,
 }
--- a/crates/relay/src/connection/body.rs
+++ b/crates/relay/src/connection/body.rs
@@ -1,14 +1,13 @@
 //! Reads bodies into memory with limits on their size and time. A faulty sender may send bytes
 //! without end.
 
-use std::{
-    sync::atomic::{AtomicUsize, Ordering},
-    time::Instant,
-};
+use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+
+use crate::memory::{BodyBuffer, BufferError, MemoryBudget, MemoryPart};
 
 /// Maximum size of a document from the store, a target or another daemon. A page of the
 /// store's rows has at most 1 MB before its values are encoded as base64; a list of more than a
@@ -32,30 +31,13 @@
     Timeout,
 }
 
-/// Memory for the bodies that are being read at the same time.
-#[derive(Debug)]
-pub struct BufferBudget {
-    free: AtomicUsize,
-}
-
-impl BufferBudget {
-    /// Creates a budget of `max_bytes`.
-    pub fn new(max_bytes: usize) -> Self {
-        Self {
-            free: AtomicUsize::new(max_bytes),
+impl From<BufferError> for BodyError {
+    fn from(error: BufferError) -> Self {
+        match error {
+            BufferError::TooLarge(max_bytes) => Self::TooLarge(max_bytes),
+            BufferError::NoRoom | BufferError::Evicted => Self::OutOfMemory,
         }
     }
-
-    fn try_take(&self, bytes: usize) -> bool {
-        let take = |free: usize| free.checked_sub(bytes);
-        self.free
-            .try_update(Ordering::AcqRel, Ordering::Acquire, take)
-            .is_ok()
-    }
-
-    fn give_back(&self, bytes: usize) {
-        self.free.fetch_add(bytes, Ordering::AcqRel);
-    }
 }
 
 /// Limits on the memory that one body takes.
@@ -64,7 +46,7 @@
     /// Maximum size of the body.
     pub max_bytes: usize,
     /// Budget that the body shares with others, if any.
-    pub budget: Option<&'a BufferBudget>,
+    pub budget: Option<&'a MemoryBudget>,
 }
 
 impl BodyLimits<'static> {
@@ -75,44 +57,7 @@
     };
 }
 
-/// A body that is being read, with its share of the budget.
-struct BodyBuffer<'a> {
-    limits: BodyLimits<'a>,
-    bytes: BytesMut,
-    /// Bytes taken from the budget.
-    taken: usize,
-}
-
-impl BodyBuffer<'_> {
-    fn push(&mut self, part: &Bytes) -> Result<(), BodyError> {
-        let max_bytes = self.limits.max_bytes;
-        if self.bytes.len() + part.len() > max_bytes {
-            return Err(BodyError::TooLarge(max_bytes));
-        }
-        let budget = self.limits.budget;
-        if budget.is_some_and(|budget| !budget.try_take(part.len())) {
-            return Err(BodyError::OutOfMemory);
-        }
-        self.taken += part.len();
-        self.bytes.extend_from_slice(part);
-        Ok(())
-    }
-
-    /// Returns the body. Its share of the budget is given back.
-    fn close(mut self) -> Bytes {
-        std::mem::take(&mut self.bytes).freeze()
-    }
-}
-
-impl Drop for BodyBuffer<'_> {
-    fn drop(&mut self) {
-        if let Some(budget) = self.limits.budget {
-            budget.give_back(self.taken);
-        }
-    }
-}
-
-/// Reads a body to its end.
+/// Reads the body of a response or a document to its end.
 ///
 /// # Errors
 ///
@@ -122,15 +67,19 @@
     limits: BodyLimits<'_>,
     deadline: Instant,
 ) -> Result<Bytes, BodyError> {
-    let mut buffer = BodyBuffer {
-        limits,
-        bytes: BytesMut::new(),
-        taken: 0,
-    };
+    let reservation = limits
+        .budget
+        .map(|budget| budget.open(MemoryPart::Responses));
+    let mut buffer = BodyBuffer::new(limits.max_bytes, reservation);
+    if let Some(announced) = body.size_hint().exact()
+        && limits.budget.is_some()
+    {
+        buffer.allocate(usize::try_from(announced).unwrap_or(usize::MAX))?;
+    }
     loop {
         let frame = tokio::time::timeout_at(deadline.into(), body.frame()).await;
         let Some(frame) = frame.map_err(|_| BodyError::Timeout)? else {
-            return Ok(buffer.close());
+            return Ok(buffer.into_bytes()?);
         };
         if let Ok(part) = frame?.into_data() {
             buffer.push(&part)?;
@@ -141,17 +90,3 @@
         }
     }
 }
-
-/// Reads a body that nobody needs, so that the connection can carry the next request. Reading ends
-/// with the body, after `max_bytes` or at the deadline; the connection is closed unless the body
-/// has ended.
-pub async fn discard_body(mut body: Incoming, max_bytes: usize, deadline: Instant) {
-    let mut left = max_bytes;
-    while let Ok(Some(Ok(frame))) = tokio::time::timeout_at(deadline.into(), body.frame()).await {
-        let length = frame.data_ref().map_or(0, Bytes::len);
-        match left.checked_sub(length) {
-            Some(rest) if Instant::now() < deadline => left = rest,
-            _ => return,
-        }
-    }
-}
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -21,15 +21,19 @@
 
 mod accepted;
 mod body;
+mod drain;
 mod hop_headers;
+mod request_body;
 mod write_deadline;
 
 pub use accepted::{
     AcceptedStream, BodyGuard, HeadProgress, accept_pending, wait_between_requests,
     wait_idle_timeout,
 };
-pub use body::{BodyError, BodyLimits, BufferBudget, MAX_DOCUMENT_BYTES, discard_body, read_body};
+pub use body::{BodyError, BodyLimits, MAX_DOCUMENT_BYTES, read_body};
+pub use drain::{DrainSlot, DrainSlots, discard_body};
 pub use hop_headers::remove_hop_headers;
+pub use request_body::{RequestBodyError, RequestBodyFailure, RequestLimits, read_request_body};
 pub use write_deadline::WriteDeadline;
 
 use write_deadline::DeadlineCell;
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -17,7 +17,7 @@
     selection, stopping, suspects,
 };
 use crate::{
-    clock, connection, platform, state, target,
+    clock, connection, memory, platform, state, target,
     telemetry::{self, RefusalCause},
 };
 
@@ -135,12 +135,12 @@
     /// that breaks a limit is closed.
     pub async fn collect(
         self,
-        buffers: &connection::BufferBudget,
+        memory: &memory::MemoryBudget,
         deadline: Instant,
     ) -> Result<(http::response::Parts, Bytes), connection::BodyError> {
         let limits = connection::BodyLimits {
             max_bytes: MAX_RESPONSE_BYTES,
-            budget: Some(buffers),
+            budget: Some(memory),
         };
         let body = connection::read_body(self.body, limits, deadline).await?;
         let keep_alive = self.metadata.keep_alive_s.map(Duration::from_secs);
--- a/crates/relay/src/dispatch/generate/kv_handle.rs
+++ b/crates/relay/src/dispatch/generate/kv_handle.rs
@@ -103,7 +103,7 @@
         has_retry: false,
         message: message.to_owned(),
     };
-    match response.collect(&state.response_buffers, deadline).await {
+    match response.collect(&state.memory, deadline).await {
         Ok((head, body)) if head.status == http::StatusCode::OK => {
             work.end_prefill(state, &request.parts);
             record(outlier::TargetOutcome::Answered);
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -419,10 +419,7 @@
     let record = |outcome| state.record_outcome(&plan.decode, outcome);
     let status = response.head.status;
     if !status.is_success() {
-        return match response
-            .collect(&state.response_buffers, request.deadline)
-            .await
-        {
+        return match response.collect(&state.memory, request.deadline).await {
             Ok((head, body)) => {
                 let mut response = http::Response::from_parts(head, Either::Left(Full::new(body)));
                 connection::remove_hop_headers(response.headers_mut());
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -35,7 +35,7 @@
     let metadata = state.codec.read_request(request.headers());
     let id = metadata.attempt_id.clone().unwrap_or_default();
     let Some(config) = state.config() else {
-        unread::discard(request, None);
+        unread::discard(&state, request, None);
         let refusal = match state.phase.get() {
             state::RelayPhase::Serving => RefusalResponse::not_run(RefusalCause::NotConfigured),
             state::RelayPhase::Draining => stopping::refusal(Verdict::NotRun),
@@ -45,7 +45,7 @@
     let route = match find_route(&config, &request) {
         Some(route) => route,
         None => {
-            unread::discard(request, Some(&config.limits));
+            unread::discard(&state, request, Some(&config.limits));
             return RefusalResponse::not_run(RefusalCause::NoRoute).into_response(&id, "");
         }
     };
--- a/crates/relay/src/dispatch/refusal.rs
+++ b/crates/relay/src/dispatch/refusal.rs
@@ -60,13 +60,17 @@
         }
     }
 
-    /// Returns the HTTP status. 429 and 503 guarantee that the request has not run; 502 and 504 do
-    /// not.
+    /// Returns the HTTP status. 408, 429 and 503 guarantee that the request has not run; 502 and 504
+    /// do not.
     pub fn status(&self) -> http::StatusCode {
         match (self.cause, self.verdict) {
             (RefusalCause::NoRoute, _) => http::StatusCode::NOT_FOUND,
             (RefusalCause::BodyTooLarge, _) => http::StatusCode::PAYLOAD_TOO_LARGE,
             (RefusalCause::BodyIncomplete, _) => http::StatusCode::BAD_REQUEST,
+            // A body is read before any target is sent the request.
+            (RefusalCause::BodyStalled | RefusalCause::BodyLate, _) => {
+                http::StatusCode::REQUEST_TIMEOUT
+            }
             (_, Verdict::NotRun) => http::StatusCode::SERVICE_UNAVAILABLE,
             (RefusalCause::DeadlinePassed, _) => http::StatusCode::GATEWAY_TIMEOUT,
             _ => http::StatusCode::BAD_GATEWAY,
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -9,13 +9,19 @@
 use acaciabank_core::{budget, load_shed, prefix};
 use acaciabank_protocol::verdict::Verdict;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::{sync::watch, task::JoinHandle};
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{refusal::RefusalResponse, unread};
-use crate::{config, connection, platform, state, telemetry::RefusalCause, trial};
+use crate::{
+    config,
+    connection::{self, RequestBodyError},
+    memory::BufferError,
+    platform, state,
+    telemetry::{self, OverloadReason, RefusalCause},
+    trial,
+};
 
 /// Time before the caller's deadline at which the final response is sent, for its way to the
 /// caller.
@@ -83,8 +89,11 @@
         let deadline =
             timeout.min(caller_deadline - RESPONSE_MARGIN.min(caller_deadline - arrival));
         let (mut head, body) = request.into_parts();
-        let guard = head.extensions.remove();
-        let body = read_body(body, guard, &config.limits, deadline).await?;
+        let unread = UnreadState {
+            guard: head.extensions.remove(),
+            is_awaited: head.headers.contains_key(http::header::EXPECT),
+        };
+        let body = read_body(state, body, unread, &config.limits, deadline).await?;
         let service = route.pick_service(rand::random());
         let service = service.ok_or(RefusalResponse::not_run(RefusalCause::NoTarget))?;
         let parts = metadata
@@ -189,28 +198,53 @@
     }
 }
 
-async fn read_body(
+/// Reads the body of a request. No target is sent the request before its body is complete.
+async fn read_body<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
     mut body: Incoming,
-    guard: Option<connection::BodyGuard>,
+    unread: UnreadState,
     limits: &config::CallerLimits,
     deadline: Instant,
 ) -> Result<Bytes, RefusalResponse> {
-    let collect = Limited::new(&mut body, limits.max_body_bytes).collect();
-    match tokio::time::timeout_at(deadline.into(), collect).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            unread::discard_rest(body, guard, Some(limits));
-            Err(RefusalResponse::not_run(RefusalCause::BodyTooLarge))
+    let request_limits = connection::RequestLimits {
+        budget: &state.memory,
+        max_bytes: limits.max_body_bytes,
+        stall_timeout: Duration::from_millis(limits.header_timeout_ms),
+        deadline,
+    };
+    let failure = match connection::read_request_body(&mut body, request_limits).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(failure) => failure,
+    };
+    let (cause, reason) = match failure.error {
+        RequestBodyError::Memory(BufferError::TooLarge(_)) => {
+            (RefusalCause::BodyTooLarge, OverloadReason::BodyTooLarge)
         }
-        Ok(Err(error)) => {
-            log::debug!("cannot read the request body: {error}");
-            Err(RefusalResponse::not_run(RefusalCause::BodyIncomplete))
+        RequestBodyError::Memory(BufferError::NoRoom) => {
+            (RefusalCause::NoMemory, OverloadReason::NoMemory)
+        }
+        RequestBodyError::Memory(BufferError::Evicted) | RequestBodyError::Stalled => {
+            (RefusalCause::BodyStalled, OverloadReason::BodyStalled)
         }
-        Err(_) => {
-            unread::discard_rest(body, guard, Some(limits));
-            Err(RefusalResponse::not_run(RefusalCause::DeadlinePassed))
+        RequestBodyError::Late => (RefusalCause::BodyLate, OverloadReason::BodyLate),
+        RequestBodyError::Broken(error) => {
+            log::debug!("cannot read the request body: {error}");
+            return Err(RefusalResponse::not_run(RefusalCause::BodyIncomplete));
         }
+    };
+    telemetry::count_overload(reason, 1);
+    // A caller that waits for a 100 sends no body after a refusal.
+    if failure.read_bytes > 0 || !unread.is_awaited {
+        unread::discard_rest(state, body, unread.guard, Some(limits), failure.read_bytes);
     }
+    Err(RefusalResponse::not_run(cause))
+}
+
+/// What is needed to discard a body that is refused.
+struct UnreadState {
+    guard: Option<connection::BodyGuard>,
+    /// Whether the caller sends the body only after a response with status 100.
+    is_awaited: bool,
 }
 
 fn fingerprint(method: &http::Method, uri: &http::Uri, body: &[u8]) -> u64 {
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -119,7 +119,7 @@
     let sent_ms = clock::now_ms();
     let response = attempt::exchange(state, request, target, &metadata, deadline).await?;
     let is_signed = response.metadata.signed;
-    let collected = response.collect(&state.response_buffers, deadline).await;
+    let collected = response.collect(&state.memory, deadline).await;
     let record = |outcome| state.record_outcome(target, outcome);
     match collected {
         Ok((head, _)) if head.status.is_success() && !is_signed => {
@@ -138,7 +138,10 @@
             Err(AttemptFailure::timeout(request))
         }
         // Other responses take this daemon's memory, which says nothing about the target.
-        Err(error @ connection::BodyError::OutOfMemory) => Err(AttemptFailure::broken(error)),
+        Err(error @ connection::BodyError::OutOfMemory) => {
+            telemetry::count_overload(telemetry::OverloadReason::ResponseNoMemory, 1);
+            Err(AttemptFailure::broken(error))
+        }
         Err(error) => {
             record(outlier::TargetOutcome::Failed);
             suspects::confirm_crash(state, request, target, sent_ms);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod event_stream;
 pub mod gossip;
 mod listener;
+pub mod memory;
 pub mod panics;
 mod planner;
 pub mod platform;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -10,7 +10,9 @@
     budget, outlier, prefix, prompt_speed, store_version::StoreVersion, suspect,
 };
 
-use crate::{config, connection, gossip, platform, scheduler, shutdown, target, trial, watch};
+use crate::{
+    config, connection, gossip, memory, platform, scheduler, shutdown, target, trial, watch,
+};
 
 /// Settings of the process, fixed at startup.
 #[derive(Clone, Debug)]
@@ -41,6 +43,8 @@
     pub budget: budget::BudgetLimits,
     /// Memory of the host, in bytes.
     pub memory_bytes: usize,
+    /// Descriptors that the process may open.
+    pub max_descriptors: usize,
     /// Processor capacity of the host, in thousandths of a core.
     pub capacity_millicores: u32,
     /// Least severe level that is logged.
@@ -132,14 +136,13 @@
     pub active: rc::Rc<Cell<u32>>,
     /// The stop of the daemon.
     pub shutdown: shutdown::ShutdownState,
-    /// Memory for responses that are read completely before they are forwarded.
-    pub response_buffers: connection::BufferBudget,
+    /// Memory for the bodies of requests, and of responses that are read completely before they are
+    /// forwarded.
+    pub memory: memory::MemoryBudget,
+    /// Bodies of refused requests that are being drained.
+    pub drains: connection::DrainSlots,
 }
 
-/// Share of the host's memory for responses that are being read: a quarter. A buffer takes up to
-/// twice its content while it grows, so that half of the memory is left for everything else.
-const BUFFER_MEMORY_DIVISOR: usize = 4;
-
 /// When the parts of a prompt can be fetched from an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartsReady {
@@ -201,9 +204,8 @@
             phase: Cell::new(RelayPhase::Serving),
             active: rc::Rc::default(),
             shutdown: shutdown::ShutdownState::default(),
-            response_buffers: connection::BufferBudget::new(
-                settings.memory_bytes / BUFFER_MEMORY_DIVISOR,
-            ),
+            memory: memory::MemoryBudget::new(memory::MemoryLimits::of_host(settings.memory_bytes)),
+            drains: connection::DrainSlots::default(),
             settings,
         }
     }
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -11,8 +11,14 @@
         NoRoute,
         /// The body exceeds the configured size.
         BodyTooLarge,
-        /// The body ended early or did not arrive in time.
+        /// The body ended early.
         BodyIncomplete,
+        /// The body made no progress for too long.
+        BodyStalled,
+        /// The body was not complete at the deadline of the request.
+        BodyLate,
+        /// Other bodies take the memory for bodies.
+        NoMemory,
         /// No target accepts requests.
         NoTarget,
         /// All targets want no requests for now.
@@ -49,6 +55,9 @@
             Self::NoRoute => "no_route",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
+            Self::BodyStalled => "body_stalled",
+            Self::BodyLate => "body_deadline_passed",
+            Self::NoMemory => "no_memory",
             Self::NoTarget => "no_target",
             Self::TargetsPaused => "targets_paused",
             Self::TooLate => "too_late",
--- a/crates/relay/src/telemetry/mod.rs
+++ b/crates/relay/src/telemetry/mod.rs
@@ -2,9 +2,11 @@
 
 mod events;
 mod logging;
+mod overload;
 
 pub use events::{RefusalCause, count_interrupted, count_refusal, count_retry, record_latency};
 pub use logging::{flush as flush_log, install as install_log};
+pub use overload::{OverloadReason, count_overload};
 
 use std::sync;
 
