Close connections whose callers read nothing of a response

Cause: a response that is read completely before it is forwarded keeps its memory, and its connection, for as long as its caller reads nothing. The time of the last activity is that of a byte that was written, not of an attempt.

--- a/crates/relay/src/connection/accepted.rs
+++ b/crates/relay/src/connection/accepted.rs
@@ -43,6 +43,9 @@
     /// Time of the last byte that was written, of the first byte of a head, or of the end of a
     /// request, by [`clock::now_ms`].
     active_ms: AtomicU64,
+    /// Time since which the kernel has taken no byte of a response, by [`clock::now_ms`]; 0 while it
+    /// takes them.
+    blocked_ms: AtomicU64,
 }
 
 impl Default for HeadProgress {
@@ -54,6 +57,7 @@
             buffered_responses: AtomicU32::new(0),
             changed: Notify::new(),
             active_ms: AtomicU64::new(clock::now_ms()),
+            blocked_ms: AtomicU64::new(0),
         }
     }
 }
@@ -113,8 +117,33 @@
         self.active_ms.store(clock::now_ms(), Ordering::Release);
     }
 
+    /// Records the outcome of a write.
+    fn record_write(&self, result: &Poll<io::Result<usize>>) {
+        match result {
+            Poll::Ready(Ok(_)) => {
+                self.blocked_ms.store(0, Ordering::Release);
+                self.record_activity();
+            }
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => {
+                let (order, failure) = (Ordering::AcqRel, Ordering::Acquire);
+                let now_ms = clock::now_ms();
+                // An earlier time stays.
+                let _ = self.blocked_ms.compare_exchange(0, now_ms, order, failure);
+            }
+        }
+    }
+
+    /// Returns for how long the caller has read nothing of a response that fills the buffers; `None`
+    /// if it reads.
+    pub fn blocked_time(&self) -> Option<Duration> {
+        let blocked_ms = self.blocked_ms.load(Ordering::Acquire);
+        let blocked_for = clock::now_ms().saturating_sub(blocked_ms);
+        (blocked_ms > 0).then(|| Duration::from_millis(blocked_for))
+    }
+
     /// Returns how long the connection has waited for a request; `None` while one is handled.
-    fn idle_time(&self) -> Option<Duration> {
+    pub fn idle_time(&self) -> Option<Duration> {
         if self.is_in_request() {
             return None;
         }
@@ -244,14 +273,15 @@
     let _ = tokio::time::timeout(MAX_HEAD_WAIT, progress.wait_not_partial()).await;
 }
 
-/// Waits until a connection has been idle, or has waited for the rest of a head, for the time that
-/// `timeout` returns. It never returns while a request is handled or its response is written.
-/// `timeout` is asked again each time, so that a changed timeout applies to connections
-/// that are open.
+/// Waits until a connection has been idle, or has waited for the rest of a head or for its caller to
+/// read, for the time that `timeout` returns. It never returns while a request is handled or its
+/// response is read. `timeout` is asked again each time, so that a changed timeout applies to
+/// connections that are open.
 pub async fn wait_idle_timeout(progress: &HeadProgress, timeout: impl Fn() -> Duration) {
     loop {
         let timeout = timeout().max(MIN_IDLE_TIMEOUT);
-        let idle_time = progress.idle_time().unwrap_or_default();
+        let idle_time = progress.idle_time().or_else(|| progress.blocked_time());
+        let idle_time = idle_time.unwrap_or_default();
         match timeout.checked_sub(idle_time) {
             Some(left) if !left.is_zero() => tokio::time::sleep(left).await,
             _ => return,
@@ -280,8 +310,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.progress.record_activity();
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.progress.record_write(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -289,8 +320,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.progress.record_activity();
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.progress.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -162,6 +162,10 @@
         biased;
         result = connection.as_mut() => result,
         () = idle_timeout => match progress.is_partial() {
+            _ if progress.blocked_time().is_some() => {
+                telemetry::count_overload(telemetry::OverloadReason::ResponseUnread, 1);
+                Ok(())
+            }
             true => Ok(()),
             false => {
                 connection.as_mut().graceful_shutdown();
