Bound the connections of callers

Cause: callers could open connections until the process had no descriptor left, and each takes a read buffer and a receive buffer. Change: callers have half of limits.max_fds less 200 descriptors, less four for connections that are accepted and then closed, and a quarter of the memory at 96 KiB each. Beyond that the connection that has been idle for the longest time is closed; if there is none, the new one is.

--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -1,5 +1,7 @@
 //! Listeners for callers, address discovery, readiness checks, other daemons and metrics.
 
+mod slots;
+
 use std::{cell, convert::Infallible, net, rc, time::Duration};
 
 use bytes::Bytes;
@@ -88,9 +90,21 @@
     role: ListenerRole,
     stop: StopSignals,
 ) {
-    let spawn = |stream| {
-        let state = rc::Rc::clone(&state);
-        tokio::task::spawn_local(serve_connection(state, stream, role, stop.finish.clone()));
+    let settings = &state.settings;
+    // Only callers are not under the operator's control.
+    let max_connections = match role {
+        ListenerRole::Callers => {
+            slots::max_connections(settings.max_descriptors, settings.memory_bytes)
+        }
+        ListenerRole::Directory | ListenerRole::Peers | ListenerRole::Metrics => usize::MAX,
+    };
+    let slots = slots::ConnectionSlots::new(max_connections);
+    let spawn = async |stream| {
+        if let Some(slot) = slots.take().await {
+            let state = rc::Rc::clone(&state);
+            let stop = stop.finish.clone();
+            tokio::task::spawn_local(serve_connection(state, stream, role, stop, slot));
+        }
     };
     loop {
         let accepted = tokio::select! {
@@ -98,16 +112,16 @@
             () = stop.close.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => spawn(stream),
+            Ok((stream, _)) => spawn(stream).await,
             Err(error) => {
                 log::warn!(error:% = error; "accept_failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    connection::accept_pending(listener)
-        .into_iter()
-        .for_each(spawn);
+    for stream in connection::accept_pending(listener) {
+        spawn(stream).await;
+    }
 }
 
 async fn serve_connection<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -115,6 +129,7 @@
     stream: TcpStream,
     role: ListenerRole,
     stop: CancellationToken,
+    slot: slots::ConnectionSlot,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on an accepted connection: {error}");
@@ -123,7 +138,7 @@
     let max_header_bytes = state.config().map_or(DEFAULT_MAX_HEADER_BYTES, |config| {
         config.limits.max_header_bytes
     });
-    let progress = std::sync::Arc::new(connection::HeadProgress::default());
+    let progress = std::sync::Arc::clone(slot.progress());
     // Held until the connection has ended: the process does not end before the last response on a
     // stopping connection has been written.
     let unwritten = cell::RefCell::new(None);
@@ -172,6 +187,7 @@
                 connection.await
             }
         },
+        () = slot.wait_close() => Ok(()),
         () = stop.cancelled(), if !is_after_stop => {
             // The process does not end while a request is being read.
             unwritten.replace(Some(state::ActiveGuard::start(&state.active)));
