Check that refusals of stalled bodies and bodies without room are true

Cause: no test of the relay showed that a request refused with 408 or 503 because of its body has not run; an evicted body was counted twice.

--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -217,22 +217,25 @@
         Err(failure) => failure,
     };
     let (cause, reason) = match failure.error {
-        RequestBodyError::Memory(BufferError::TooLarge(_)) => {
-            (RefusalCause::BodyTooLarge, OverloadReason::BodyTooLarge)
-        }
+        RequestBodyError::Memory(BufferError::TooLarge(_)) => (
+            RefusalCause::BodyTooLarge,
+            Some(OverloadReason::BodyTooLarge),
+        ),
         RequestBodyError::Memory(BufferError::NoRoom) => {
-            (RefusalCause::NoMemory, OverloadReason::NoMemory)
-        }
-        RequestBodyError::Memory(BufferError::Evicted) | RequestBodyError::Stalled => {
-            (RefusalCause::BodyStalled, OverloadReason::BodyStalled)
+            (RefusalCause::NoMemory, Some(OverloadReason::NoMemory))
         }
-        RequestBodyError::Late => (RefusalCause::BodyLate, OverloadReason::BodyLate),
+        // The budget has counted the eviction.
+        RequestBodyError::Memory(BufferError::Evicted) => (RefusalCause::BodyStalled, None),
+        RequestBodyError::Stalled => (RefusalCause::BodyStalled, Some(OverloadReason::BodyStalled)),
+        RequestBodyError::Late => (RefusalCause::BodyLate, Some(OverloadReason::BodyLate)),
         RequestBodyError::Broken(error) => {
             log::debug!("cannot read the request body: {error}");
             return Err(RefusalResponse::not_run(RefusalCause::BodyIncomplete));
         }
     };
-    telemetry::count_overload(reason, 1);
+    if let Some(reason) = reason {
+        telemetry::count_overload(reason, 1);
+    }
     // A caller that waits for a 100 sends no body after a refusal.
     if failure.read_bytes > 0 || !unread.is_awaited {
         unread::discard_rest(state, body, unread.guard, Some(limits), failure.read_bytes);
--- a/crates/testbed/tests/relay/losses/early_refusals.rs
+++ b/crates/testbed/tests/relay/losses/early_refusals.rs
@@ -107,3 +107,53 @@
     caller.write_all(next.as_bytes()).await.expect("a write");
     read_until(&mut caller, "next:notice").await;
 }
+
+/// Guards against a body that makes no progress and is waited for until its deadline, and against a
+/// refusal of it that does not promise "not run", or breaks that promise.
+#[tokio::test]
+async fn a_body_without_progress_is_refused_with_408_and_has_not_run() {
+    let (fixture, runner, relay) = start_serving().await;
+    let adjust = |config: &mut serde_json::Value| {
+        config["limits"]["header_timeout_ms"] = 300.into();
+    };
+    fixture.write_config(2, adjust).await;
+    wait_config(&relay, 2).await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let start = request_text("/once/a", "stalled", "content-length: 6") + "not";
+    caller.write_all(start.as_bytes()).await.expect("a write");
+    let response = read_until(&mut caller, "body_stalled").await;
+    assert!(response.contains(" 408 "), "{response}");
+    // The rest arrives after the refusal and must not run either.
+    caller.write_all(b"ice").await.expect("a write");
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+    assert_eq!(runner.run_count("stalled").await, 0);
+}
+
+/// Guards against a body that finds no room and is read all the same, and against a refusal of it
+/// that gives no time to retry, or breaks its promise that the request has not run.
+#[tokio::test]
+async fn a_body_without_room_is_refused_with_503_and_has_not_run() {
+    let mut fixture = Fixture::start().await;
+    // A quarter of the memory is for requests, and three quarters of that for large bodies.
+    fixture.relay_memory_mb = 4;
+    fixture.write_config(1, |_| {}).await;
+    let runner = fixture.start_runner("r-1", "ledger", None).await;
+    let relay = fixture.start_relay(&[]).await;
+    relay.wait_serving("/safe/a").await;
+    let connected = TcpStream::connect(relay.caller_address).await;
+    let mut caller = connected.expect("a connection");
+    let head = request_text("/once/a", "large", "content-length: 900000");
+    caller.write_all(head.as_bytes()).await.expect("a write");
+    let response = read_until(&mut caller, "no_memory").await;
+    assert!(response.contains(" 503 "), "{response}");
+    assert!(response.contains("retry-after: "), "{response}");
+    let body = vec![b'x'; 900_000];
+    caller.write_all(&body).await.expect("the body is drained");
+    let next = request_text("/once/a", "next", "content-length: 6") + "notice";
+    caller.write_all(next.as_bytes()).await.expect("a write");
+    read_until(&mut caller, "next:notice").await;
+    assert_eq!(runner.run_count("large").await, 0);
+}
