--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod gossip;
 mod lease;
 mod listener;
+pub mod memory;
 pub mod panics;
 mod planner;
 pub mod platform;
--- a/crates/relay/src/listener/mod.rs
+++ b/crates/relay/src/listener/mod.rs
@@ -1,5 +1,7 @@
 //! Listeners for callers, address discovery, readiness checks, other daemons and metrics.
 
+mod slots;
+
 use std::{cell, convert::Infallible, net, rc, time::Duration};
 
 use bytes::Bytes;
@@ -21,6 +23,10 @@
 /// Size of the kernel's send buffer of a connection; the kernel doubles it. Without a limit it grows
 /// to megabytes, which a stream has to fill before it is noticed that its caller reads nothing.
 const SEND_BUFFER_BYTES: u32 = 256 << 10;
+/// Size of the kernel's receive buffer of a connection; the kernel doubles it. Bytes that have been
+/// received and not read count as memory of the process. With a round trip of 3 ms, half of the
+/// buffer carries 80 Mbit/s on one connection.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Idle timeout of connections until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Multiple of the configured idle time after which a connection is closed. Callers reuse
@@ -59,8 +65,9 @@
     let bound = || {
         let socket = tokio::net::TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
-        // Accepted connections inherit it.
+        // Accepted connections inherit both sizes.
         socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
     };
@@ -83,9 +90,21 @@
     role: ListenerRole,
     stop: StopSignals,
 ) {
-    let spawn = |stream| {
-        let state = rc::Rc::clone(&state);
-        tokio::task::spawn_local(serve_connection(state, stream, role, stop.finish.clone()));
+    let settings = &state.settings;
+    // Only callers are not under the operator's control.
+    let max_connections = match role {
+        ListenerRole::Callers => {
+            slots::max_connections(settings.max_descriptors, settings.memory_bytes)
+        }
+        ListenerRole::Directory | ListenerRole::Peers | ListenerRole::Metrics => usize::MAX,
+    };
+    let slots = slots::ConnectionSlots::new(max_connections);
+    let spawn = async |stream| {
+        if let Some(slot) = slots.take().await {
+            let state = rc::Rc::clone(&state);
+            let stop = stop.finish.clone();
+            tokio::task::spawn_local(serve_connection(state, stream, role, stop, slot));
+        }
     };
     loop {
         let accepted = tokio::select! {
@@ -93,16 +112,16 @@
             () = stop.close.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => spawn(stream),
+            Ok((stream, _)) => spawn(stream).await,
             Err(error) => {
                 log::warn!(error:% = error; "accept_failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    connection::accept_pending(listener)
-        .into_iter()
-        .for_each(spawn);
+    for stream in connection::accept_pending(listener) {
+        spawn(stream).await;
+    }
 }
 
 async fn serve_connection<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -110,6 +129,7 @@
     stream: TcpStream,
     role: ListenerRole,
     stop: CancellationToken,
+    slot: slots::ConnectionSlot,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on an accepted connection: {error}");
@@ -118,7 +138,7 @@
     let max_header_bytes = state.config().map_or(DEFAULT_MAX_HEADER_BYTES, |config| {
         config.limits.max_header_bytes
     });
-    let progress = std::sync::Arc::new(connection::HeadProgress::default());
+    let progress = std::sync::Arc::clone(slot.progress());
     // Held until the connection has ended: the process does not end before the last response on a
     // stopping connection has been written.
     let unwritten = cell::RefCell::new(None);
@@ -157,12 +177,17 @@
         biased;
         result = connection.as_mut() => result,
         () = idle_timeout => match progress.is_partial() {
+            _ if progress.blocked_time().is_some() => {
+                telemetry::count_overload(telemetry::OverloadReason::ResponseUnread, 1);
+                Ok(())
+            }
             true => Ok(()),
             false => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
         },
+        () = slot.wait_close() => Ok(()),
         () = stop.cancelled(), if !is_after_stop => {
             // The process does not end while a request is being read.
             unwritten.replace(Some(state::ActiveGuard::start(&state.active)));
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -39,6 +39,8 @@
     pub cloud: Option<EmulatorProcess>,
     /// Memory that the settings of a relay state, in megabytes.
     pub relay_memory_mb: u32,
+    /// Descriptors that the settings of a relay state.
+    pub relay_max_fds: usize,
     /// Retries allowed per request that the settings of a relay state.
     pub retry_budget_ratio: f64,
     /// Further lines in the section `bounds` of the settings of relays that are started from now on.
@@ -67,6 +69,7 @@
             proxy: None,
             cloud: None,
             relay_memory_mb: 160,
+            relay_max_fds: 4_096,
             retry_budget_ratio: 10.0,
             relay_bounds: String::new(),
             runner_arguments: Vec::new(),
@@ -258,6 +261,7 @@
 cpu_share = 0.25
 cores = 1
 memory_mb = {memory_mb}
+max_fds = {max_fds}
 [bounds]
 grace_s = 8
 ttl_max_s = 1
@@ -272,6 +276,7 @@
             window_s = USAGE_WINDOW_MS as f64 / 1_000.0,
             peer = self.peer_port,
             memory_mb = self.relay_memory_mb,
+            max_fds = self.relay_max_fds,
             budget_ratio = self.retry_budget_ratio,
             bounds = self.relay_bounds,
         );
