Test counts that a paused relay reports to a successor

Cause: no test had counts that arrive between the settling of a window and a repetition of its report. Change: a relay is paused with unreported counts before the holder is killed.

--- a/crates/testbed/tests/relay/usage.rs
+++ b/crates/testbed/tests/relay/usage.rs
@@ -36,6 +36,9 @@
 /// its last report, and the requests that it was sending.
 const MAX_KILLED_DIFFERENCE: f64 = 12.0;
 
+/// Requests that a relay runs before it is paused.
+const UNREPORTED_REQUESTS: usize = 20;
+
 /// Relays with an interface for duties, and the load of two teams.
 struct UsageFleet {
     fixture: Fixture,
@@ -277,9 +280,27 @@
     fleet.start_load();
     fleet.wait_next_window().await;
     fleet.cloud.control(json!({"loses_answers": true})).await;
-    let unanswered = fleet.wait_next_window().await;
+    // Another relay is paused with counts that it has not reported, and reports them to the
+    // successor.
+    let paused = (holder + 1) % fleet.relays.len();
+    fleet.stop_calling(paused);
+    let elapsed_ms = journal::unix_ms() % USAGE_WINDOW_MS;
+    tokio::time::sleep(Duration::from_millis(USAGE_WINDOW_MS + 500 - elapsed_ms)).await;
+    let unanswered = journal::unix_ms() / USAGE_WINDOW_MS;
+    for number in 0..UNREPORTED_REQUESTS {
+        let caller = fleet.relays[paused].caller_address;
+        tokio::spawn(async move { send(caller, "north", &format!("north-late-{number}")).await });
+    }
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    fleet.relays[paused].process.pause();
+    fleet
+        .wait_call("a report without an answer", |call| {
+            window_of(call) == unanswered
+        })
+        .await;
     let name = fleet.relays[holder].process.name().to_owned();
     fleet.kill(holder);
+    fleet.relays[paused].process.resume();
     fleet
         .cloud
         .control(json!({"loses_answers": false, "refuses_with": 503}))
