--- a/crates/relay/src/connection/body.rs
+++ b/crates/relay/src/connection/body.rs
@@ -1,7 +1,7 @@
 //! Reads bodies into memory with limits on their size and time. A faulty sender may send bytes
 //! without end.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -14,6 +14,10 @@
 /// thousand targets, each of a few hundred bytes, fits several times.
 pub const MAX_DOCUMENT_BYTES: usize = 4 << 20;
 
+/// Longest time for which a document may keep arriving: a large configuration takes seconds on the
+/// link of a small host that is busy.
+const MAX_DOCUMENT_TIME: Duration = Duration::from_secs(5);
+
 /// Why a body was not read to its end.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyError {
@@ -76,10 +80,36 @@
     {
         buffer.allocate(usize::try_from(announced).unwrap_or(usize::MAX))?;
     }
+    read_frames(&mut body, &mut buffer, deadline, None).await?;
+    Ok(buffer.into_bytes()?)
+}
+
+/// Reads a document to its end for as long as it keeps arriving. A transfer that is given up while it
+/// makes progress would begin again, and take as long.
+///
+/// # Errors
+///
+/// Returns why the document was not read to its end, for example because nothing of it arrived for
+/// `max_idle`.
+pub async fn read_document(mut body: Incoming, max_idle: Duration) -> Result<Bytes, BodyError> {
+    let mut buffer = BodyBuffer::new(MAX_DOCUMENT_BYTES, None);
+    let deadline = Instant::now() + MAX_DOCUMENT_TIME;
+    read_frames(&mut body, &mut buffer, deadline, Some(max_idle)).await?;
+    Ok(buffer.into_bytes()?)
+}
+
+async fn read_frames(
+    body: &mut Incoming,
+    buffer: &mut BodyBuffer,
+    deadline: Instant,
+    max_idle: Option<Duration>,
+) -> Result<(), BodyError> {
     loop {
-        let frame = tokio::time::timeout_at(deadline.into(), body.frame()).await;
+        let idle_end = max_idle.map(|max_idle| Instant::now() + max_idle);
+        let end = idle_end.map_or(deadline, |idle_end| idle_end.min(deadline));
+        let frame = tokio::time::timeout_at(end.into(), body.frame()).await;
         let Some(frame) = frame.map_err(|_| BodyError::Timeout)? else {
-            return Ok(buffer.into_bytes()?);
+            return Ok(());
         };
         if let Ok(part) = frame?.into_data() {
             buffer.push(&part)?;
--- a/crates/relay/src/connection/mod.rs
+++ b/crates/relay/src/connection/mod.rs
@@ -30,7 +30,7 @@
     AcceptedStream, BodyGuard, HeadProgress, accept_pending, wait_between_requests,
     wait_idle_timeout,
 };
-pub use body::{BodyError, BodyLimits, MAX_DOCUMENT_BYTES, read_body};
+pub use body::{BodyError, BodyLimits, MAX_DOCUMENT_BYTES, read_body, read_document};
 pub use drain::{DrainSlot, DrainSlots, discard_body};
 pub use hop_headers::remove_hop_headers;
 pub use request_body::{RequestBodyError, RequestBodyFailure, RequestLimits, read_request_body};
--- a/crates/relay/src/discovery/mod.rs
+++ b/crates/relay/src/discovery/mod.rs
@@ -1,18 +1,11 @@
 //! Tasks that read the configuration, the targets and the other daemons from the platform's store.
 
-use std::{
-    net,
-    time::{Duration, Instant},
-};
+use std::{net, time::Duration};
 
 use acaciabank_core::{retry_backoff, store_version::StoreVersion};
 use bytes::Bytes;
 
-use crate::{
-    clock,
-    connection::{self, BodyLimits},
-    listener, platform, scheduler, state, watch,
-};
+use crate::{clock, connection, listener, platform, scheduler, state, watch};
 
 /// Time for which the store may hold a request for changes of the configuration: short enough to
 /// notice a response lost on a dead connection within the time in which a new configuration must be
@@ -35,7 +28,8 @@
 /// Time in which a watcher usually gets a newer configuration from the store, so that it need not
 /// fetch it from another daemon.
 const WATCHER_CONFIG_WAIT: Duration = Duration::from_millis(200);
-/// Time limit for a call to another daemon.
+/// Time limit for connecting to another daemon, for the head of its response, and for each pause
+/// while its document arrives.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Failures of one kind of read from the store.
@@ -309,27 +303,21 @@
 
 /// Makes a GET request to another daemon and reads the whole body.
 async fn fetch_document(address: net::SocketAddr, path: &str) -> Result<Bytes, String> {
-    let call = async {
-        let mut connection = connection::TargetConnection::connect(address, PEER_TIMEOUT)
-            .await
-            .map_err(|error| error.to_string())?;
-        let request = http::Request::get(path)
-            .header(http::header::HOST, address.to_string())
-            .body(http_body_util::Full::default())
-            .map_err(|error| error.to_string())?;
-        let response = connection
-            .send(request)
-            .await
-            .map_err(|error| error.to_string())?;
-        if response.status() != http::StatusCode::OK {
-            return Err(format!("unexpected status {}", response.status()));
-        }
-        let (limits, deadline) = (BodyLimits::DOCUMENT, Instant::now() + PEER_TIMEOUT);
-        let body = connection::read_body(response.into_body(), limits, deadline).await;
-        body.map_err(|error| error.to_string())
+    // Keeps the connection open while the body is read.
+    let mut connection = connection::TargetConnection::connect(address, PEER_TIMEOUT)
+        .await
+        .map_err(|error| error.to_string())?;
+    let request = http::Request::get(path)
+        .header(http::header::HOST, address.to_string())
+        .body(http_body_util::Full::default())
+        .map_err(|error| error.to_string())?;
+    let response = match tokio::time::timeout(PEER_TIMEOUT, connection.send(request)).await {
+        Ok(response) => response.map_err(|error| error.to_string())?,
+        Err(_) => return Err("no response in time".to_owned()),
     };
-    match tokio::time::timeout(PEER_TIMEOUT, call).await {
-        Ok(result) => result,
-        Err(_) => Err("no response in time".to_owned()),
+    if response.status() != http::StatusCode::OK {
+        return Err(format!("unexpected status {}", response.status()));
     }
+    let body = connection::read_document(response.into_body(), PEER_TIMEOUT).await;
+    body.map_err(|error| error.to_string())
 }
