Decide on fair shares between teams under an excess of work

Cause: load_shed refuses requests without regard to their team. A team that repeats refused requests at once takes each place as it becomes free. Change: fair_share::ShareTable keeps decayed sums of the work that each team has asked for and been placed, and sets a factor of 0.5 to 2 on the allowed wait. A team's part is the larger of the equal part and half of its proportional part.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod admit;
 pub mod budget;
 pub mod cache;
+pub mod fair_share;
 pub mod idempotency;
 pub mod lease;
 pub mod load_shed;
--- a/crates/core/src/load_shed/mod.rs
+++ b/crates/core/src/load_shed/mod.rs
@@ -61,9 +61,21 @@
     wait_ms: f64,
     first_token_ms: f64,
     jitter: f64,
+) -> IntakeDecision {
+    decide_with_factor(request, 1.0, wait_ms, first_token_ms, jitter)
+}
+
+/// Decides like [`decide`], with the allowed wait multiplied by `wait_factor`, which
+/// [`crate::fair_share`] sets by the request's team.
+pub fn decide_with_factor(
+    request: &IntakeRequest,
+    wait_factor: f64,
+    wait_ms: f64,
+    first_token_ms: f64,
+    jitter: f64,
 ) -> IntakeDecision {
     let share = URGENT_WAIT_SHARE * PRIORITY_FACTOR.powi(i32::from(request.priority));
-    let allowed_ms = share * request.target_latency_ms as f64;
+    let allowed_ms = wait_factor * share * request.target_latency_ms as f64;
     let is_late = first_token_ms > request.remaining_ms as f64;
     if is_late || (!request.is_retry && wait_ms > allowed_ms) {
         let retry_after_ms = retry_after_ms(request, wait_ms - allowed_ms, jitter);
