Apply the fair shares between teams where prompts are placed

Cause: the scheduler sees the requests of every team, but decided by load_shed alone. Change: PlacementRequest has the team, and PlacedEngines the factor on the allowed wait, which the requesting daemon applies too. A daemon that places a prompt itself uses its own tables. A counter and a log line, at most one per second, show what the factor changes.

--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -2,7 +2,7 @@
 
 use std::{net, rc};
 
-use acaciabank_core::{load_shed, placement, prefix};
+use acaciabank_core::{fair_share, load_shed, placement, prefix};
 
 use super::{
     pause,
@@ -49,6 +49,8 @@
     pub wait_ms: f64,
     /// Time for which the KV cache transfer to the decode engine occupies its link.
     pub transfer_ms: f64,
+    /// Factor of the caller's team on the wait that load shedding allows.
+    pub wait_factor: f64,
     /// Load counted by the scheduler; `None` if this daemon selected the engines.
     pub assigned: Option<rc::Rc<scheduler::AssignedWork>>,
 }
@@ -88,6 +90,15 @@
         self.source.as_ref().map(|engine| engine.entry.address)
     }
 
+    /// Returns the time that an engine takes for the prompt, without waiting.
+    fn work_ms(&self, prefill_tokens_per_ms: f64) -> f64 {
+        let tokens_per_ms = match self.prefill {
+            Some(_) => prefill_tokens_per_ms,
+            None => prefill_tokens_per_ms * DECODE_PREFILL_SHARE,
+        };
+        self.uncached_tokens as f64 / tokens_per_ms + PREFILL_OVERHEAD_MS
+    }
+
     /// Counts the load of the next call. It is the decode engine's if the prompt has been processed
     /// already or no prefill engine is used.
     pub fn start_work<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -182,12 +193,16 @@
 ) -> Result<EnginePlan, RefusalResponse> {
     let deadline = selection::wait_deadline(request);
     let prompt = PromptView::of(state, request, progress);
+    let team = request.team.as_ref().map(|team| team.hash);
     let intake = request.intake_request(progress);
     loop {
-        if let Some(plan) = scheduled_plan(state, &prompt, intake, prefilled).await {
+        if let Some(plan) = scheduled_plan(state, &prompt, team, intake, prefilled).await {
             return Ok(plan);
         }
-        if let Some(plan) = pick_engines(state, &prompt, prefilled) {
+        if let Some(mut plan) = pick_engines(state, &prompt, prefilled) {
+            if prefilled.is_none() {
+                plan.wait_factor = decide_share(state, &prompt, team, &plan, &intake).wait_factor;
+            }
             return Ok(plan);
         }
         pause::check_pauses(state, request, progress, deadline)?;
@@ -216,6 +231,7 @@
 async fn scheduled_plan<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
     prompt: &PromptView<'_>,
+    team: Option<u64>,
     intake: load_shed::IntakeRequest,
     prefilled: Option<&rc::Rc<target::TargetState>>,
 ) -> Option<EnginePlan> {
@@ -228,6 +244,7 @@
         excluded: excluded_hashes(state, prompt),
         prefilled: prefilled.map(|engine| engine.hash),
         intake,
+        team,
     };
     let (placed, work) = scheduler::request_placement(state, &request, prompt.shared_key()).await?;
     let now_ms = clock::now_ms();
@@ -254,6 +271,7 @@
         prompt_ms: placed.prompt_ms,
         wait_ms: placed.wait_ms,
         transfer_ms: placed.transfer_ms,
+        wait_factor: placed.wait_factor,
         assigned: Some(rc::Rc::new(work)),
     })
 }
@@ -271,6 +289,29 @@
     excluded
 }
 
+/// Decides whether a prompt with these engines is accepted, by the recent work that this daemon has
+/// placed for each team, and counts its work.
+pub fn decide_share<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    prompt: &PromptView<'_>,
+    team: Option<u64>,
+    plan: &EnginePlan,
+    intake: &load_shed::IntakeRequest,
+) -> fair_share::ShareDecision {
+    let planned = scheduler::PlannedPrompt {
+        service: prompt.service,
+        request: fair_share::SharedRequest {
+            team,
+            // The last part belongs to this request alone.
+            prompt_key: prompt.parts.last().map(|part| part.key),
+            work_ms: plan.work_ms(state.prompt_tokens_per_ms(prompt.service)),
+        },
+        wait_ms: plan.wait_ms,
+        first_token_ms: plan.first_token_ms,
+    };
+    state.scheduler.shares.decide(&planned, intake)
+}
+
 /// Selects engines from this daemon's state.
 pub fn pick_engines<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
@@ -309,6 +350,7 @@
         prompt_ms: choice.prompt_ms,
         wait_ms: choice.wait_ms,
         transfer_ms: choice.transfer_ms,
+        wait_factor: 1.0,
         assigned: None,
     })
 }
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_core::{load_shed, outlier};
+use acaciabank_core::{fair_share, load_shed, outlier};
 use acaciabank_protocol::reason::RetryReason;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -206,7 +206,7 @@
             Err(refusal) => return Err(refusal),
         };
         if self.handle.is_none() {
-            check_intake(request, progress, &plan)?;
+            check_intake(state, request, progress, &plan)?;
             self.estimate = LatencyEstimate::of(&plan);
         }
         // Another daemon may have reported a crash since the last call, or during the wait for an
@@ -306,19 +306,34 @@
 const MAX_HANDLE_SENDS: u32 = 1;
 
 /// Refuses a request that the selected engines are not expected to serve in time.
-fn check_intake(
+fn check_intake<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
     progress: &RequestProgress,
     plan: &engines::EnginePlan,
 ) -> Result<(), RefusalResponse> {
     let intake = request.intake_request(progress);
-    let decided = load_shed::decide(&intake, plan.wait_ms, plan.first_token_ms, rand::random());
+    let (wait_ms, first_token_ms) = (plan.wait_ms, plan.first_token_ms);
+    let plain = load_shed::decide(&intake, wait_ms, first_token_ms, rand::random());
+    let decided = match plan.wait_factor == 1.0 {
+        true => plain,
+        false => {
+            let factor = plan.wait_factor;
+            let jitter = rand::random();
+            load_shed::decide_with_factor(&intake, factor, wait_ms, first_token_ms, jitter)
+        }
+    };
+    let effect = fair_share::ShareEffect::of(plain, decided);
+    let team = request.team_name().unwrap_or_default();
+    let shares = &state.scheduler.shares;
+    shares.record_effect(effect, team, plan.wait_factor);
     let load_shed::IntakeDecision::Refuse { retry_after_ms } = decided else {
         return Ok(());
     };
     log::info!(
         id = request.id.as_str(), target_id = plan.decode.entry.id.as_str(),
-        wait_ms = plan.wait_ms, expected_ms = plan.first_token_ms, left_ms = intake.remaining_ms;
+        wait_ms = plan.wait_ms, expected_ms = plan.first_token_ms, left_ms = intake.remaining_ms,
+        wait_factor = plan.wait_factor;
         "intake_refused"
     );
     let refusal = RefusalResponse::after(RefusalCause::TooLate, progress.verdict);
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -15,7 +15,7 @@
 mod unanswered;
 mod unread;
 
-pub use engines::{PREFILL_OVERHEAD_MS, PromptView, pick_engines};
+pub use engines::{PREFILL_OVERHEAD_MS, PromptView, decide_share, pick_engines};
 pub use refusal::HttpResponse;
 
 use std::rc;
--- a/crates/relay/src/scheduler/message.rs
+++ b/crates/relay/src/scheduler/message.rs
@@ -24,6 +24,8 @@
     pub prefilled: Option<u64>,
     /// Properties that decide whether the request is refused because of load.
     pub intake: load_shed::IntakeRequest,
+    /// Hash of the name of the caller's team, if any.
+    pub team: Option<u64>,
 }
 
 /// Hashes of the engines chosen for a prompt, and the times expected there.
@@ -45,6 +47,8 @@
     pub wait_ms: f64,
     /// Time for which the KV cache transfer to the engine that generates occupies its link.
     pub transfer_ms: f64,
+    /// Factor of the caller's team on the allowed wait.
+    pub wait_factor: f64,
 }
 
 /// Response to a [`PlacementRequest`].
--- a/crates/relay/src/scheduler/mod.rs
+++ b/crates/relay/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod message;
 mod server;
+mod shares;
 mod warmup;
 
 pub use client::{AssignedWork, receive_response, request_placement};
@@ -15,6 +16,7 @@
     PeerMessage, PlacedEngines, PlacementRequest, PlacementResponse, PlacementUpdate,
 };
 pub use server::{apply_update, handle_request};
+pub use shares::{PlannedPrompt, ShareState};
 pub use warmup::run as run_warmup;
 
 use std::{
@@ -68,6 +70,8 @@
     updates: rc::Rc<UpdateQueue>,
     /// Work that this daemon has placed for others, by the id of the request.
     placed: RefCell<HashMap<u64, PlacedWork>>,
+    /// Fair shares between teams at the engines for which this daemon places prompts.
+    pub shares: ShareState,
 }
 
 /// Work that this daemon has placed for another one.
--- a/crates/relay/src/scheduler/server.rs
+++ b/crates/relay/src/scheduler/server.rs
@@ -57,10 +57,18 @@
         excluded: &request.excluded,
         zone_hash: request.zone_hash,
     };
-    let plan = dispatch::pick_engines(state, &prompt, prefilled.as_ref())?;
-    let decision = load_shed::decide(&request.intake, plan.wait_ms, plan.first_token_ms, 0.0);
+    let mut plan = dispatch::pick_engines(state, &prompt, prefilled.as_ref())?;
+    let is_placed = match prefilled {
+        Some(_) => true,
+        None => {
+            let team = request.team;
+            let decided = dispatch::decide_share(state, &prompt, team, &plan, &request.intake);
+            plan.wait_factor = decided.wait_factor;
+            decided.decision == load_shed::IntakeDecision::Accept
+        }
+    };
     // A request that the other daemon will refuse is not counted as load.
-    if prefilled.is_some() || decision == load_shed::IntakeDecision::Accept {
+    if is_placed {
         let work = plan.reserve(
             state,
             &request.parts,
@@ -87,6 +95,7 @@
         prompt_ms: plan.prompt_ms,
         wait_ms: plan.wait_ms,
         transfer_ms: plan.transfer_ms,
+        wait_factor: plan.wait_factor,
     })
 }
 
