--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod access;
 pub mod admit;
+pub mod body_memory;
 pub mod budget;
 pub mod cache;
 pub mod fair_share;
