Draw the bodies of requests at the daemon from the memory budget

Cause: each body was collected as slices of the read buffer, without a bound over all bodies. 60 bodies of 4 MiB took 211 to 305 MiB. Change: process.limits.memory_bytes sizes the relay's memory budget in the daemon; bodies are copied into it, announced ones are refused before they are read, stalled ones after process.timers.body_timeout_ms or when a small one needs room (408), and the rest of a refused body is drained. The parsed form of a completion is charged by an estimate of its values, as 2 MiB of zeros in an array take 32 times their text. Tests construct the state by ProcessState::new.

--- a/crates/daemon/benches/choice.rs
+++ b/crates/daemon/benches/choice.rs
@@ -11,7 +11,7 @@
 };
 
 use acaciabank_core::route;
-use acaciabank_daemon::{config, dispatch, idempotency, peer, process, table, target};
+use acaciabank_daemon::{config, dispatch, process};
 use acaciabank_protocol::{ids, settings, wire};
 use criterion::{Criterion, criterion_group, criterion_main};
 use serde_json::json;
@@ -41,16 +41,8 @@
     }))
     .expect("settings");
     let state = process::ProcessState {
-        table: table::TableClient::new(process.table.clone()),
-        settings: process,
         boot_ids: process::BootIds::new(1),
-        phase: process::PhaseCell::default(),
-        shutdown: process::ShutdownState::default(),
-        config: config::ConfigStore::default(),
-        targets: target::TargetRegistry::default(),
-        peers: peer::PeerHandle::default(),
-        idempotency: idempotency::KeyCoordinator::default(),
-        responses: dispatch::ResponseBuffer::default(),
+        ..process::ProcessState::new(process)
     };
     state.targets.apply(&deployment, &state.settings.zone);
     state.config.apply(config::ConfigVersion {
@@ -71,6 +63,7 @@
         idempotent: true,
         write_deadline: None,
         fingerprint: 1,
+        memory: [].into(),
         work: dispatch::RequestWork::Completion {
             model: ids::ModelId::new("drafter"),
             path: "/v1/completions",
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -25,6 +25,8 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
+use acaciabank_relay::memory::MemoryReservation;
+
 pub use acaciabank_relay::connection::WriteDeadline;
 pub use placement::choose_target;
 pub use response_buffer::{BufferedResponse, ResponseBuffer};
@@ -51,6 +53,8 @@
     pub fingerprint: u64,
     /// What the request runs.
     pub work: RequestWork,
+    /// Memory that the parsed body takes, reserved until the request ends.
+    pub memory: std::sync::Arc<[MemoryReservation]>,
     /// Configuration version that the request uses.
     pub config: std::sync::Arc<config::ConfigVersion>,
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod access;
 pub mod addresses;
+mod body;
 mod lookup;
 pub mod parse;
 pub mod response;
@@ -15,6 +16,7 @@
     ids,
     reason::{Refusal, RefusalReason},
 };
+use acaciabank_relay::connection;
 use arc_swap::ArcSwapOption;
 use hyper::{Method, Request, body::Incoming, header};
 
@@ -30,6 +32,8 @@
     /// Requests that are running.
     pub running: sync::Arc<running::RunningRegistry>,
     access: ArcSwapOption<access::AccessTable>,
+    /// Bodies of refused requests that are being drained.
+    drains: connection::DrainSlots,
 }
 
 impl EntryState {
@@ -39,6 +43,7 @@
             state,
             running: sync::Arc::default(),
             access: ArcSwapOption::empty(),
+            drains: connection::DrainSlots::default(),
         }
     }
 
--- a/crates/daemon/src/entry/parse.rs
+++ b/crates/daemon/src/entry/parse.rs
@@ -63,6 +63,30 @@
     Err(Refusal::not_run(RefusalReason::HeadersTooLarge, message))
 }
 
+/// Returns an upper estimate of the memory that a body takes when it is parsed: the copies of its
+/// text, and the values, of which a short body may have millions.
+pub fn parsed_bytes(body: &[u8]) -> usize {
+    /// Copies of the text: the parsed form, the prompt and the body for the engine.
+    const TEXT_COPIES: usize = 3;
+    /// A value in an array, while the array grows.
+    const VALUE_BYTES: usize = 3 * std::mem::size_of::<Value>();
+    /// The first node of an object, which has room for eleven members.
+    const OBJECT_BYTES: usize = 11 * (std::mem::size_of::<(String, Value)>()) + 32;
+    let mut bytes = TEXT_COPIES * body.len();
+    let (mut is_text, mut is_escaped) = (false, false);
+    for byte in body {
+        match (is_text, byte) {
+            (true, _) if is_escaped => is_escaped = false,
+            (true, b'\\') => is_escaped = true,
+            (_, b'"') => is_text = !is_text,
+            (false, b'[' | b',' | b':') => bytes += VALUE_BYTES,
+            (false, b'{') => bytes += OBJECT_BYTES,
+            _ => {}
+        }
+    }
+    bytes
+}
+
 /// Parses the body of a completion.
 ///
 /// # Errors
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -4,24 +4,23 @@
 
 use acaciabank_protocol::{
     reason::{Refusal, RefusalReason},
-    verdict::Verdict,
     wire::Priority,
 };
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use acaciabank_relay::memory::MemoryReservation;
 use hyper::{HeaderMap, Method, Request, body::Incoming, header};
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
     EntryState, RequestScope,
     access::RuleSubject,
+    body::{self, UnreadBody},
     parse, response,
     response::StreamErrorMode,
     running::{RunningGuard, RunningRequest},
 };
 use crate::{
     dispatch::{self, CallerRequest, RequestWork},
-    idempotency, process,
+    idempotency,
     process::listener::HttpResponse,
     telemetry::names,
 };
@@ -51,13 +50,16 @@
     path: &'static str,
     request: Request<Incoming>,
 ) -> Result<HttpResponse, Refusal> {
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let body = UnreadBody::new(&mut head, body);
     let metadata = RequestMetadata::parse(entry, &scope, &head.headers)?;
     let guard = register_running(entry, &scope, &metadata, head.uri.path());
-    let bytes = read_body(entry, &metadata, &head.headers, body).await?;
+    let bytes = body.read(entry, metadata.deadline).await?;
+    let memory = body::reserve_parsed(entry, &bytes)?;
     let fields = parse::parse_completion(path, &bytes)?;
     let model = scope.access.model(&fields.model)?;
     let fingerprint = fingerprint(&Method::POST, path, &bytes);
+    drop(bytes);
     let error_mode = match fields.stream {
         true => StreamErrorMode::ErrorEvent,
         false => StreamErrorMode::Abort,
@@ -81,6 +83,7 @@
         work,
         error_mode,
         guard,
+        memory,
     };
     accepted.dispatch(entry).await
 }
@@ -91,7 +94,8 @@
     scope: RequestScope,
     request: Request<Incoming>,
 ) -> Result<HttpResponse, Refusal> {
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let body = UnreadBody::new(&mut head, body);
     let metadata = RequestMetadata::parse(entry, &scope, &head.headers)?;
     let guard = register_running(entry, &scope, &metadata, head.uri.path());
     let Some((service, path)) = parse::split_service_path(head.uri.path()) else {
@@ -106,7 +110,7 @@
         path,
     };
     let priority = check_rules(&scope, &metadata, subject)?;
-    let bytes = read_body(entry, &metadata, &head.headers, body).await?;
+    let bytes = body.read(entry, metadata.deadline).await?;
     let path_and_query = match head.uri.query() {
         Some(query) => format!("{path}?{query}"),
         None => path.to_owned(),
@@ -130,6 +134,7 @@
         work,
         error_mode,
         guard,
+        memory: Vec::new(),
     };
     accepted.dispatch(entry).await
 }
@@ -161,6 +166,7 @@
     work: RequestWork,
     error_mode: StreamErrorMode,
     guard: RunningGuard,
+    memory: Vec<MemoryReservation>,
 }
 
 impl AcceptedRequest {
@@ -178,6 +184,7 @@
             write_deadline: None,
             fingerprint: self.fingerprint,
             work: self.work,
+            memory: self.memory.into(),
             config: sync::Arc::clone(&scope.access.config),
         };
         let response = match self.metadata.idempotency_key {
@@ -226,44 +233,6 @@
     value.and_then(|value| value.to_str().ok()).unwrap_or("")
 }
 
-/// Reads a body of at most `max_body_bytes` before the request's deadline.
-async fn read_body(
-    entry: &EntryState,
-    metadata: &RequestMetadata,
-    headers: &HeaderMap,
-    body: Incoming,
-) -> Result<Bytes, Refusal> {
-    let max_bytes = entry.state.settings.limits.max_body_bytes;
-    let too_large = || {
-        let message = format!("body is over the limit of {max_bytes} bytes");
-        Refusal::not_run(RefusalReason::BodyTooLarge, message)
-    };
-    let content_length = headers.get(header::CONTENT_LENGTH);
-    let content_length = content_length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    if content_length.is_some_and(|length| length > max_bytes as u64) {
-        return Err(too_large());
-    }
-    let collect = Limited::new(body, max_bytes).collect();
-    let collect = tokio::time::timeout_at(metadata.deadline.into(), collect);
-    let collected = tokio::select! {
-        biased;
-        collected = collect => collected,
-        () = entry.state.shutdown.wait_end() => {
-            let message = "the daemon shut down before the body was complete";
-            return Err(process::shutdown_refusal(Verdict::NotRun, message));
-        }
-    };
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => Err(parse::bad_request(format!("body: {error}"))),
-        Err(_) => Err(Refusal::not_run(
-            RefusalReason::DeadlinePassed,
-            "the deadline passed before the body was complete",
-        )),
-    }
-}
-
 /// Hashes method, path and body. The length of each is hashed too, so that requests that divide
 /// the same bytes differently have different fingerprints.
 fn fingerprint(method: &Method, path: &str, body: &[u8]) -> u64 {
--- a/crates/daemon/src/process/listener.rs
+++ b/crates/daemon/src/process/listener.rs
@@ -123,8 +123,9 @@
     ResponseFuture: Future<Output = HttpResponse> + Send + 'static,
 {
     let progress = sync::Arc::new(connection::HeadProgress::default());
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
         let (body_guard, response_guard) = connection::HeadProgress::begin_request(&progress);
+        request.extensions_mut().insert(body_guard.clone());
         let response = handler(request);
         async move {
             let response = response.await;
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -13,6 +13,7 @@
 };
 
 use acaciabank_protocol::settings;
+use acaciabank_relay::memory;
 
 use crate::{config, dispatch, idempotency, peer, table, target};
 
@@ -42,6 +43,8 @@
     pub idempotency: idempotency::KeyCoordinator,
     /// Responses kept for callers that ask for them by request id.
     pub responses: dispatch::ResponseBuffer,
+    /// Memory for the bodies of requests and responses.
+    pub memory: memory::MemoryBudget,
 }
 
 impl ProcessState {
@@ -60,11 +63,34 @@
                 settings.limits.answer_buffer_bytes,
                 settings.timers.answer_lifetime_ms,
             ),
+            memory: memory::MemoryBudget::new(memory_limits(&settings.limits)),
             settings,
         }
     }
 }
 
+/// Copies of the largest completion that there is room for: the body, its parsed form, the prompt
+/// and the body for the engine.
+const COMPLETION_COPIES: usize = 4;
+
+/// Returns the memory for bodies. One request of the largest size always has room, however small
+/// the memory.
+fn memory_limits(limits: &settings::LimitSettings) -> memory::MemoryLimits {
+    let of_host = memory::MemoryLimits::of_host(limits.memory_bytes);
+    // Large bodies may take three quarters of the part.
+    let largest_bytes = (limits.max_body_bytes * COMPLETION_COPIES).div_ceil(3) * 4;
+    memory::MemoryLimits {
+        request_bytes: of_host.request_bytes.max(largest_bytes),
+        ..of_host
+    }
+}
+
+/// Returns the largest memory of the parsed form of a body, for which there is room beside the body
+/// itself.
+pub fn max_parsed_bytes(limits: &settings::LimitSettings) -> usize {
+    memory_limits(limits).request_bytes / 4 * 3 - limits.max_body_bytes
+}
+
 /// Phase of the process. Phases follow each other in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time::Duration, time::Instant};
 
-use acaciabank_daemon::{config, dispatch, idempotency, peer, process, table, target};
+use acaciabank_daemon::{peer, process};
 use acaciabank_protocol::settings;
 use serde_json::json;
 
@@ -86,15 +86,7 @@
     .expect("settings");
     let state = sync::Arc::new(process::ProcessState {
         boot_ids: process::BootIds::new(boot_id),
-        phase: process::PhaseCell::default(),
-        shutdown: process::ShutdownState::default(),
-        config: config::ConfigStore::default(),
-        targets: target::TargetRegistry::default(),
-        peers: peer::PeerHandle::default(),
-        table: table::TableClient::new(settings.table.clone()),
-        idempotency: idempotency::KeyCoordinator::default(),
-        responses: dispatch::ResponseBuffer::default(),
-        settings,
+        ..process::ProcessState::new(settings)
     });
     peer::start(sync::Arc::clone(&state), listener);
     TestDaemon {
--- a/crates/daemon/tests/dispatch.rs
+++ b/crates/daemon/tests/dispatch.rs
@@ -10,7 +10,7 @@
 };
 
 use acaciabank_core::shutdown::ShutdownTimes;
-use acaciabank_daemon::{config, dispatch, idempotency, peer, process, table, target};
+use acaciabank_daemon::{config, dispatch, process};
 use acaciabank_protocol::{ids, reason, settings, verdict::Verdict, wire};
 use bytes::Bytes;
 use serde_json::json;
@@ -227,16 +227,8 @@
     }))
     .unwrap();
     let state = process::ProcessState {
-        table: table::TableClient::new(process.table.clone()),
-        settings: process,
         boot_ids: process::BootIds::new(1),
-        phase: process::PhaseCell::default(),
-        shutdown: process::ShutdownState::default(),
-        config: config::ConfigStore::default(),
-        targets: target::TargetRegistry::default(),
-        peers: peer::PeerHandle::default(),
-        idempotency: idempotency::KeyCoordinator::default(),
-        responses: dispatch::ResponseBuffer::default(),
+        ..process::ProcessState::new(process)
     };
     state.targets.apply(&deployment, &state.settings.zone);
     state.config.apply(config::ConfigVersion {
@@ -257,6 +249,7 @@
         idempotent,
         write_deadline: None,
         fingerprint: 1,
+        memory: [].into(),
         work: dispatch::RequestWork::Completion {
             model: ids::ModelId::new("drafter"),
             path: "/v1/completions",
--- a/crates/daemon/tests/entry_input.rs
+++ b/crates/daemon/tests/entry_input.rs
@@ -117,3 +117,16 @@
     let max_timeout = time::Duration::from_millis(parse::MAX_TIMEOUT_MS);
     assert_eq!(deadline, arrival + max_timeout);
 }
+
+/// Guards against short bodies of many values, of which each takes many times its text, and against
+/// long prompts that are counted as such.
+#[test]
+fn the_memory_of_a_parsed_body_is_estimated_by_its_values() {
+    let zeros = format!("{{\"a\":[{}0]}}", "0,".repeat(1 << 20));
+    assert!(parse::parsed_bytes(zeros.as_bytes()) > 32 << 20);
+    let objects = format!("[{}{{}}]", "{\"a\":0},".repeat(1 << 16));
+    assert!(parse::parsed_bytes(objects.as_bytes()) > 40 << 20);
+    let prompt = "[{,:\\\"".repeat(1 << 16);
+    let text = format!("{{\"prompt\":\"{prompt}\"}}");
+    assert!(parse::parsed_bytes(text.as_bytes()) < 3 * text.len() + 2_000);
+}
--- a/crates/daemon/tests/idempotency.rs
+++ b/crates/daemon/tests/idempotency.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use acaciabank_daemon::{config, dispatch, idempotency, peer, process, table, target};
+use acaciabank_daemon::{config, dispatch, idempotency, peer, process};
 use acaciabank_protocol::{ids, reason, settings, verdict, wire};
 
 fn new_state() -> process::SharedState {
@@ -17,16 +17,8 @@
     }))
     .expect("settings");
     Arc::new(process::ProcessState {
-        table: table::TableClient::new(settings.table.clone()),
-        settings,
         boot_ids: process::BootIds::new(7),
-        phase: process::PhaseCell::default(),
-        shutdown: process::ShutdownState::default(),
-        config: config::ConfigStore::default(),
-        targets: target::TargetRegistry::default(),
-        peers: peer::PeerHandle::default(),
-        idempotency: idempotency::KeyCoordinator::default(),
-        responses: dispatch::ResponseBuffer::default(),
+        ..process::ProcessState::new(settings)
     })
 }
 
@@ -42,6 +34,7 @@
         idempotent: true,
         write_deadline: None,
         fingerprint: 1,
+        memory: [].into(),
         work: dispatch::RequestWork::Service {
             service: ids::ServiceId::from("ledger"),
             method: http::Method::POST,
--- a/crates/daemon/tests/target.rs
+++ b/crates/daemon/tests/target.rs
@@ -10,7 +10,7 @@
 
 use acaciabank_core::member::TargetLoad;
 use acaciabank_daemon::{
-    config, dispatch, idempotency, peer, process, table,
+    config, process,
     target::{PieceDelta, ReportAge, TargetRegistry, WithdrawalCause, run},
 };
 use acaciabank_protocol::{ids, settings};
@@ -162,16 +162,8 @@
     }))
     .unwrap();
     let state = Arc::new(process::ProcessState {
-        table: table::TableClient::new(settings.table.clone()),
-        settings,
         boot_ids: process::BootIds::new(1),
-        phase: process::PhaseCell::default(),
-        shutdown: process::ShutdownState::default(),
-        config: config::ConfigStore::default(),
-        targets: TargetRegistry::default(),
-        peers: peer::PeerHandle::default(),
-        idempotency: idempotency::KeyCoordinator::default(),
-        responses: dispatch::ResponseBuffer::default(),
+        ..process::ProcessState::new(settings)
     });
     tokio::spawn(run(Arc::clone(&state)));
     state.config.apply(config::ConfigVersion {
--- a/crates/protocol/src/reason/mod.rs
+++ b/crates/protocol/src/reason/mod.rs
@@ -47,6 +47,8 @@
     BadRequest => "bad_request", 400, false;
     /// The body is larger than `max_body_bytes`.
     BodyTooLarge => "body_too_large", 413, false;
+    /// The body did not arrive in time.
+    BodyTimeout => "body_timeout", 408, true;
     /// The head is larger than `max_header_bytes`.
     HeadersTooLarge => "headers_too_large", 431, false;
     /// No such model in the inventory.
@@ -75,7 +77,7 @@
     DeadlinePassed => "deadline_passed", 504, true;
     /// The team exceeds its fair share while targets are saturated.
     TeamOverShare => "team_over_share", 429, true;
-    /// The queue is full.
+    /// The queue or the memory for bodies is full.
     Overloaded => "overloaded", 503, true;
     /// The daemon's retry budget is exhausted.
     RetryBudgetSpent => "retry_budget_spent", 503, true;
--- a/crates/protocol/src/settings/process.rs
+++ b/crates/protocol/src/settings/process.rs
@@ -125,6 +125,10 @@
         pub retry_percent: u32,
         /// Maximum total size of the responses kept for callers that fetch them later, in bytes.
         pub answer_buffer_bytes: usize,
+        /// Memory of the process, in bytes. Bodies of requests may take a quarter of it, or as much
+        /// as one completion of `max_body_bytes` needs. Bodies of responses may take another quarter until
+        /// their callers have read them.
+        pub memory_bytes: usize,
         /// Worker threads that handle requests; 0 means one per core.
         pub worker_threads: usize,
     }
@@ -140,6 +144,7 @@
             max_attempts: 4,
             retry_percent: 10,
             answer_buffer_bytes: 32 << 20,
+            memory_bytes: 128 << 20,
             worker_threads: 4,
         }
     }
@@ -175,6 +180,8 @@
         pub first_byte_timeout_ms: u64,
         /// Longest allowed time between two reads of a response from a target.
         pub idle_timeout_ms: u64,
+        /// Longest allowed time between two reads of the body of a request.
+        pub body_timeout_ms: u64,
         /// Timeout of a request that sets none.
         pub default_request_timeout_ms: u64,
         /// Time for which callers may cache the list of daemon addresses.
@@ -202,6 +209,7 @@
             connect_timeout_ms: 500,
             first_byte_timeout_ms: 60_000,
             idle_timeout_ms: 20_000,
+            body_timeout_ms: 10_000,
             default_request_timeout_ms: 120_000,
             address_lifetime_ms: 5_000,
             answer_lifetime_ms: 60_000,
--- a/crates/protocol/src/settings/ranges.rs
+++ b/crates/protocol/src/settings/ranges.rs
@@ -41,6 +41,7 @@
     range("process.limits", "max_attempts", 1, 16),
     range("process.limits", "retry_percent", 0, 100),
     range("process.limits", "answer_buffer_bytes", 0, 1 << 34),
+    range("process.limits", "memory_bytes", 16 << 20, 1 << 40),
     range("process.limits", "worker_threads", 0, 256),
     range("process.timers", "gossip_interval_ms", 1, MAX_INTERVAL_MS),
     range("process.timers", "suspect_after_ms", 1, MAX_INTERVAL_MS),
@@ -60,6 +61,7 @@
         MAX_INTERVAL_MS,
     ),
     range("process.timers", "idle_timeout_ms", 1, MAX_INTERVAL_MS),
+    range("process.timers", "body_timeout_ms", 1, MAX_INTERVAL_MS),
     range(
         "process.timers",
         "default_request_timeout_ms",
