Charge responses that callers have not read to the memory budget

Cause: each running response was copied up to answer_buffer_bytes, and 64 parts waited for its caller, each a slice that keeps a read buffer. Change: the copy and the queued parts are charged by what is allocated. Without room, the copy is given up, and a part waits until the caller has read all others.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod placement;
 mod pool;
 mod response_buffer;
+mod response_memory;
 mod retry;
 mod service;
 mod sink;
--- a/crates/daemon/src/dispatch/sink.rs
+++ b/crates/daemon/src/dispatch/sink.rs
@@ -1,16 +1,18 @@
 //! Delivery of a response to the caller's channel and to the response buffer.
 
 use acaciabank_protocol::{ids, reason, wire};
-use bytes::{Bytes, BytesMut};
+use acaciabank_relay::telemetry::{OverloadReason, count_overload};
+use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{CallerRequest, CallerResponse};
+use super::{CallerRequest, CallerResponse, response_memory};
 use crate::process;
 
 /// Maximum number of body parts queued for a slow caller; beyond that the request waits for the
 /// caller.
 const MAX_QUEUED_PARTS: usize = 64;
 
+type PartSender = mpsc::Sender<Result<Bytes, reason::Refusal>>;
 type HeadSender = oneshot::Sender<Result<CallerResponse, reason::Refusal>>;
 
 /// Destination of one response. Dropping it before `finish` or `fail` removes the response from the
@@ -19,11 +21,11 @@
     state: process::SharedState,
     request: ids::RequestId,
     head: Option<HeadSender>,
-    parts: Option<mpsc::Sender<Result<Bytes, reason::Refusal>>>,
+    parts: Option<PartSender>,
     part_count: u64,
     status: u16,
     content_type: String,
-    buffered: Option<BytesMut>,
+    buffered: Option<response_memory::ResponseCopy>,
     idempotent: bool,
     finished: bool,
 }
@@ -43,7 +45,10 @@
             part_count: 0,
             status: 0,
             content_type: String::new(),
-            buffered: Some(BytesMut::new()),
+            buffered: Some(response_memory::ResponseCopy::new(
+                &state.memory,
+                state.responses.max_bytes(),
+            )),
             idempotent: request.idempotent,
             finished: false,
         }
@@ -99,14 +104,13 @@
     /// Sends a part of the body to the caller and to the buffer.
     pub(super) async fn send_part(&mut self, part: Bytes) {
         self.part_count += 1;
-        if let Some(buffered) = &mut self.buffered {
-            match buffered.len() + part.len() <= self.state.responses.max_bytes() {
-                true => buffered.extend_from_slice(&part),
-                false => self.buffered = None,
-            }
+        if let Some(buffered) = &mut self.buffered
+            && !buffered.push(&part)
+        {
+            self.buffered = None;
         }
         if let Some(parts) = &self.parts
-            && parts.send(Ok(part)).await.is_err()
+            && queue_part(&self.state, parts, part).await.is_err()
         {
             self.parts = None;
         }
@@ -114,7 +118,10 @@
 
     /// Completes the response, which makes it available to callers that reconnect.
     pub(super) fn finish(mut self) {
-        let buffered = self.buffered.take().map(BytesMut::freeze);
+        let buffered = self
+            .buffered
+            .take()
+            .map(response_memory::ResponseCopy::into_bytes);
         let response = buffered.map(|body| (self.status, self.content_type.clone(), body));
         self.state.responses.finish(&self.request, response);
         self.finished = true;
@@ -134,6 +141,28 @@
     }
 }
 
+/// The caller has disconnected.
+struct CallerGone;
+
+/// Queues a part for the caller. If the memory for responses is exhausted, the part waits until the
+/// caller has read all others, so that each response has at most one that is not charged.
+async fn queue_part(
+    state: &process::SharedState,
+    parts: &PartSender,
+    part: Bytes,
+) -> Result<(), CallerGone> {
+    let part = match response_memory::charge_part(&state.memory, &part) {
+        Some(charged) => charged,
+        None => {
+            count_overload(OverloadReason::ResponseNoMemory, 1);
+            let emptied = parts.reserve_many(MAX_QUEUED_PARTS).await;
+            emptied.map_err(|_| CallerGone)?;
+            part
+        }
+    };
+    parts.send(Ok(part)).await.map_err(|_| CallerGone)
+}
+
 impl Drop for CallerSink {
     fn drop(&mut self) {
         if !self.finished {
