Bound the kernel's receive buffer of the daemon's connections

Cause: bytes that were received and not read count as memory of the process, and the kernel lets the buffer grow to several MiB. Change: listeners set SO_RCVBUF, which accepted connections inherit.

--- a/crates/daemon/src/process/listener.rs
+++ b/crates/daemon/src/process/listener.rs
@@ -7,6 +7,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpListener,
@@ -27,6 +28,9 @@
 const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
+/// Receive buffer of an accepted connection, which the kernel doubles. At a round trip of 10 ms it
+/// lets a caller send 6 MB per second.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// The smallest read buffer that hyper allows.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -57,6 +61,12 @@
     ResponseFuture: Future<Output = HttpResponse> + Send + 'static,
 {
     let tracker = TaskTracker::new();
+    // Accepted connections inherit the size. Bytes that the kernel has received count as memory of
+    // the process.
+    let receive_buffer = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    if let Err(error) = receive_buffer {
+        log::warn!(listener = options.name; "setting the receive buffer failed: {error}");
+    }
     let spawn = |stream: tokio::net::TcpStream| {
         if tracker.len() >= options.max_connections {
             metrics::counter!(names::CONNECTIONS_REFUSED, "listener" => options.name).increment(1);
