--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod shutdown;
 mod state;
 pub mod target;
+pub mod teams;
 pub mod telemetry;
 mod trial;
 pub mod watch;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    config, connection, gossip, memory, platform, scheduler, shutdown, target, trial, watch,
+    config, connection, gossip, memory, platform, scheduler, shutdown, target, teams, trial, watch,
 };
 
 /// Settings of the process, fixed at startup.
@@ -143,6 +143,8 @@
     pub memory: memory::MemoryBudget,
     /// Bodies of refused requests that are being drained.
     pub drains: connection::DrainSlots,
+    /// Counters of the teams.
+    pub teams: teams::TeamState,
 }
 
 /// When the parts of a prompt can be fetched from an engine.
@@ -208,6 +210,7 @@
             shutdown: shutdown::ShutdownState::default(),
             memory: memory::MemoryBudget::new(memory::MemoryLimits::of_host(settings.memory_bytes)),
             drains: connection::DrainSlots::default(),
+            teams: teams::TeamState::default(),
             settings,
         }
     }
@@ -278,6 +281,7 @@
             version = config.version, stored:% = version.stored, source = source;
             "config_in_force"
         );
+        config.teams.iter().for_each(log_shared_keys);
         self.config_version.set(version);
         self.shutdown.retain_routes(&config);
         *self.config_document.borrow_mut() = document.clone();
@@ -453,6 +457,20 @@
     }
 }
 
+/// Pairs of teams with the same API key that are logged of one configuration.
+const MAX_LOGGED_PAIRS: usize = 16;
+
+/// Warns of API keys that several teams list.
+fn log_shared_keys(teams: &config::TeamDirectory) {
+    let shared = teams.shared_keys();
+    for key in shared.iter().take(MAX_LOGGED_PAIRS) {
+        log::warn!(
+            team = key.owner.as_str(), other = key.other.as_str(), shared_keys = shared.len();
+            "api_key_shared"
+        );
+    }
+}
+
 /// Returns the hash that identifies a daemon or an availability zone in messages between daemons.
 pub fn hash_name(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -39,6 +39,8 @@
     pub relay_max_fds: usize,
     /// Retries allowed per request that the settings of a relay state.
     pub retry_budget_ratio: f64,
+    /// Further lines in the section `bounds` of the settings of relays that are started from now on.
+    pub relay_bounds: String,
     /// Further arguments of the runners that are started from now on.
     pub runner_arguments: Vec<String>,
     /// Whether links added from now on refuse connections while their upstream does. Other links
@@ -64,6 +66,7 @@
             relay_memory_mb: 160,
             relay_max_fds: 4_096,
             retry_budget_ratio: 10.0,
+            relay_bounds: String::new(),
             runner_arguments: Vec::new(),
             shows_crashes: false,
             peer_port,
@@ -246,6 +249,7 @@
 retry_budget_ratio = {budget_ratio:.2}
 budget_window_s = 10
 budget_extra = 0
+{bounds}
 [platform]
 address = "{store}"
 "#,
@@ -253,6 +257,7 @@
             memory_mb = self.relay_memory_mb,
             max_fds = self.relay_max_fds,
             budget_ratio = self.retry_budget_ratio,
+            bounds = self.relay_bounds,
         );
         let path = self.launcher.folder().join(format!("{name}.toml"));
         fs::write(&path, settings).expect("settings file");
