Test that the relay's decision uses the team of a request

Cause: the wiring of fair shares in crates/relay had no test. Change: with its engine paused, one team fills the queue; a request of another team is let in and answered.

--- a/crates/testbed/tests/relay/teams/mod.rs
+++ b/crates/testbed/tests/relay/teams/mod.rs
@@ -4,6 +4,7 @@
 mod confidentiality;
 mod revocation;
 mod sends;
+mod shares;
 
 use std::fs;
 
