--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod cache;
 pub mod capacity;
 pub mod duty;
+pub mod fair_share;
 pub mod idempotency;
 pub mod lease;
 pub mod load_shed;
