--- a/crates/core/src/duty/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -3,7 +3,7 @@
 //! # Example
 //!
 //! ```
-//! use acaciabank_core::duty::{CallOutcome, CallPacer};
+//! use acaciabank_core::control::{CallOutcome, CallPacer};
 //!
 //! let mut pacer = CallPacer::new(50.0);
 //! assert_eq!(pacer.reserve(1_000), 1_000);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod budget;
 pub mod cache;
 pub mod capacity;
-pub mod duty;
+pub mod control;
 pub mod fair_share;
 pub mod idempotency;
 pub mod lease;
--- a/crates/core/tests/duty.rs
+++ b/crates/core/tests/control.rs
@@ -1,6 +1,6 @@
 //! Pace of the calls to the platform.
 
-use acaciabank_core::duty::{CallOutcome, CallPacer};
+use acaciabank_core::control::{CallOutcome, CallPacer};
 
 const PLATFORM_CALLS_PER_S: f64 = 50.0;
 
--- a/crates/relay/src/capacity/mod.rs
+++ b/crates/relay/src/capacity/mod.rs
@@ -82,14 +82,14 @@
     }
 }
 
-/// Returns how the engines of a service are scaled, if this daemon's settings give that duty to the
+/// Returns how the engines of a service are scaled, if this daemon's settings give that task to the
 /// holder of the lease.
 fn scaling<'a, Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     config: &'a config::RelayConfig,
     service: &str,
 ) -> Option<&'a config::ScalingSpec> {
-    if !state.settings.duties.capacity || state.settings.duty_address.is_none() {
+    if !state.settings.control_tasks.capacity || state.settings.control_address.is_none() {
         return None;
     }
     config.service(service)?.scaling.as_ref()
@@ -156,7 +156,7 @@
     let Some(scaling) = spec
         .scaling
         .as_ref()
-        .filter(|_| state.settings.duties.capacity)
+        .filter(|_| state.settings.control_tasks.capacity)
     else {
         return false;
     };
--- a/crates/relay/src/capacity/task.rs
+++ b/crates/relay/src/capacity/task.rs
@@ -8,17 +8,17 @@
 use futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 
 use super::fleet;
-use crate::{clock, config, dispatch, duty, platform, state};
+use crate::{clock, config, control, dispatch, platform, state};
 
 /// Interval between planning rounds: that of the daemons' reports.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Plans and sends orders whenever this daemon holds the lease, until it stops. Does nothing if the
-/// settings do not name the duty.
+/// settings do not name the task.
 pub async fn run<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
 ) {
-    if !state.settings.duties.capacity || state.settings.duty_address.is_none() {
+    if !state.settings.control_tasks.capacity || state.settings.control_address.is_none() {
         return;
     }
     loop {
@@ -39,7 +39,7 @@
 struct AnsweredOrder {
     service: String,
     order: FleetOrder,
-    response: platform::DutyResponse,
+    response: platform::ControlResponse,
 }
 
 /// State of one term as the holder of the lease. The next holder continues from the list of
@@ -198,8 +198,8 @@
         count: order.count,
         is_spot: order.kind == EngineKind::Spot,
     };
-    let call = platform::DutyCall::Capacity(&capacity_order);
-    let response = duty::call(state, &call).await;
+    let call = platform::ControlCall::Capacity(&capacity_order);
+    let response = control::call(state, &call).await;
     AnsweredOrder {
         service,
         order,
@@ -207,15 +207,15 @@
     }
 }
 
-fn order_answer(response: platform::DutyResponse) -> OrderAnswer {
+fn order_answer(response: platform::ControlResponse) -> OrderAnswer {
     match response {
-        platform::DutyResponse::Accepted => OrderAnswer::Accepted,
-        platform::DutyResponse::Unavailable => OrderAnswer::Unavailable,
-        platform::DutyResponse::Refused => OrderAnswer::Refused,
-        platform::DutyResponse::Limited
-        | platform::DutyResponse::Failed
-        | platform::DutyResponse::Unsent => OrderAnswer::NotDone,
-        platform::DutyResponse::Unknown => OrderAnswer::Unknown,
+        platform::ControlResponse::Accepted => OrderAnswer::Accepted,
+        platform::ControlResponse::Unavailable => OrderAnswer::Unavailable,
+        platform::ControlResponse::Refused => OrderAnswer::Refused,
+        platform::ControlResponse::Limited
+        | platform::ControlResponse::Failed
+        | platform::ControlResponse::Unsent => OrderAnswer::NotDone,
+        platform::ControlResponse::Unknown => OrderAnswer::Unknown,
     }
 }
 
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -138,7 +138,7 @@
 }
 
 /// Returns the addresses of the schedulers and of their standbys, which get the same reports so
-/// that they can replace them, and that of the holder of the lease if it has duties.
+/// that they can replace them, and that of the holder of the lease if it has tasks.
 fn scheduler_addresses<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
     now_ms: u64,
@@ -150,7 +150,7 @@
     let peers = state.peers.borrow();
     let addresses = schedulers.filter_map(|candidate| peers.address_of(candidate.daemon_hash));
     let mut addresses: Vec<net::SocketAddr> = addresses.collect();
-    if !state.settings.duties.is_empty() {
+    if !state.settings.control_tasks.is_empty() {
         let holders = peers.lease_holder_addresses(now_ms);
         let others: Vec<net::SocketAddr> = holders
             .filter(|address| !addresses.contains(address))
--- a/crates/relay/src/lease/mod.rs
+++ b/crates/relay/src/lease/mod.rs
@@ -1,8 +1,8 @@
 //! The lease that gives one daemon at a time the right to order stage changes and to call the
 //! platform.
 //!
-//! One task acquires and renews it. The tasks of the duties ask for the grant immediately before
-//! each write; none of them waits for the store, so that no duty delays a renewal.
+//! One task acquires and renews it. The tasks of the holder ask for the grant immediately before
+//! each write; none of them waits for the store, so that none of them delays a renewal.
 
 mod task;
 
@@ -16,7 +16,7 @@
 
 use crate::clock;
 
-/// Name of the lease in the store, from the first duty that it was used for.
+/// Name of the lease in the store, from the first task that it was used for.
 pub const LEASE_NAME: &str = "stages";
 /// The holder acts for `ttl - margin` after a renewal; a challenger waits `ttl + margin` after it
 /// first saw the row. Orders of two holders are therefore at least two margins apart: more than the
@@ -33,7 +33,7 @@
     elector: RefCell<lease::LeaseElector>,
     /// Number of times that this run has acquired the lease.
     tenure: Cell<u64>,
-    /// Wakes the tasks of the duties when this daemon has acquired the lease.
+    /// Wakes the tasks of the holder when this daemon has acquired the lease.
     acquired: Notify,
 }
 
--- a/crates/relay/src/lease/task.rs
+++ b/crates/relay/src/lease/task.rs
@@ -12,7 +12,7 @@
 const CHALLENGE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval between attempts of the holder to renew the lease when the store does not respond.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
-/// Time by which a renewal is later if there are no duties, and so no checkpoint that it carries:
+/// Time by which a renewal is later if there are no control tasks, and so no checkpoint that it carries:
 /// each one is a call of the store.
 const RENEWAL_DELAY_MS: u64 = 300;
 /// Time by which the second candidate for the lease waits longer than the first.
@@ -64,7 +64,7 @@
             _ => CHALLENGE_INTERVAL,
         };
     }
-    let delay_ms = match state.settings.duties.is_empty() {
+    let delay_ms = match state.settings.control_tasks.is_empty() {
         true => RENEWAL_DELAY_MS,
         false => 0,
     };
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -148,16 +148,16 @@
     pub is_spot: bool,
 }
 
-/// A call to the platform that is the duty of the daemon that holds the lease.
+/// A call to the platform that only the daemon that holds the lease makes.
 #[derive(Clone, Copy, Debug)]
-pub enum DutyCall<'a> {
+pub enum ControlCall<'a> {
     /// Reports usage.
     Usage(&'a UsageReport),
     /// Orders capacity.
     Capacity(&'a CapacityOrder),
 }
 
-impl DutyCall<'_> {
+impl ControlCall<'_> {
     /// Returns the value used in metric labels.
     pub fn as_str(&self) -> &'static str {
         match self {
@@ -169,7 +169,7 @@
 
 /// Right by which a daemon makes a call.
 #[derive(Clone, Copy, Debug)]
-pub struct DutyAuthority<'a> {
+pub struct ControlAuthority<'a> {
     /// Name of the daemon that holds the lease.
     pub holder: &'a str,
     /// Fencing token of the lease.
@@ -178,7 +178,7 @@
 
 /// Result of a call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DutyResponse {
+pub enum ControlResponse {
     /// The platform has accepted it.
     Accepted,
     /// What was ordered is not available now.
@@ -195,7 +195,7 @@
     Unknown,
 }
 
-impl DutyResponse {
+impl ControlResponse {
     /// Returns the value used in log lines and metric labels.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -441,14 +441,14 @@
     fn read_order_response(&self, status: http::StatusCode) -> OrderResponse;
 
     /// Encodes a call to the platform.
-    fn write_duty_call(
+    fn write_control_call(
         &self,
-        authority: &DutyAuthority<'_>,
-        call: &DutyCall<'_>,
+        authority: &ControlAuthority<'_>,
+        call: &ControlCall<'_>,
     ) -> http::Request<Bytes>;
 
     /// Reads the response to a call to the platform from its status.
-    fn read_duty_response(&self, status: http::StatusCode) -> DutyResponse;
+    fn read_control_response(&self, status: http::StatusCode) -> ControlResponse;
 
     /// Decodes a configuration.
     ///
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    capacity, config, connection, duty, gossip, lease, memory, platform, scheduler, shutdown,
+    capacity, config, connection, control, gossip, lease, memory, platform, scheduler, shutdown,
     target, teams, trial, usage, watch,
 };
 
@@ -50,12 +50,12 @@
     pub max_descriptors: usize,
     /// Processor capacity of the host, in thousandths of a core.
     pub capacity_millicores: u32,
-    /// Address of the platform for the calls of the duties; `None` if there are no duties.
-    pub duty_address: Option<net::SocketAddr>,
-    /// Duties of the daemon that holds the lease.
-    pub duties: duty::DutySet,
+    /// Address of the platform for the calls of the lease holder; `None` if it makes none.
+    pub control_address: Option<net::SocketAddr>,
+    /// Tasks of the daemon that holds the lease.
+    pub control_tasks: control::ControlTasks,
     /// Calls per second that the platform accepts from all daemons together.
-    pub duty_calls_per_s: f64,
+    pub control_calls_per_s: f64,
     /// Length of a window of usage.
     pub usage_window_ms: u64,
     /// Least severe level that is logged.
@@ -136,7 +136,7 @@
     /// Work of callers, for the orders of engines.
     pub capacity: capacity::CapacityState,
     /// Calls to the platform as the holder of the lease.
-    pub duty: duty::DutyState,
+    pub control: control::ControlState,
     /// Usage by team: what this daemon counts, collects and reports.
     pub usage: usage::UsageState,
     /// Freshness of this daemon's copy of the store, and recent changes to report.
@@ -220,7 +220,7 @@
             scheduler: scheduler::SchedulerState::default(),
             lease: lease::LeaseState::new(&settings.host, boot_id),
             capacity: capacity::CapacityState::default(),
-            duty: duty::DutyState::new(settings.duty_calls_per_s),
+            control: control::ControlState::new(settings.control_calls_per_s),
             usage: usage::UsageState::new(&settings, boot_id),
             watch: watch::StoreWatch::default(),
             suspects: RefCell::new(suspect::SuspectTable::awaiting_reports()),
--- a/crates/relay/src/usage/mod.rs
+++ b/crates/relay/src/usage/mod.rs
@@ -63,7 +63,7 @@
     pub fn new(settings: &state::RelaySettings, boot_id: u64) -> Self {
         let window_ms = settings.usage_window_ms.max(1);
         Self {
-            is_enabled: settings.duties.usage && settings.duty_address.is_some(),
+            is_enabled: settings.control_tasks.usage && settings.control_address.is_some(),
             window_ms,
             own_run: usage::run_key(state::hash_name(&settings.host), boot_id),
             counter: RefCell::new(usage::WindowCounter::new(window_ms)),
--- a/crates/relay/src/usage/report.rs
+++ b/crates/relay/src/usage/report.rs
@@ -5,7 +5,7 @@
 use acaciabank_core::usage;
 
 use super::{LoadedState, NamedCounts, is_active, sharing, unix_ms};
-use crate::{clock, duty, lease, platform, state};
+use crate::{clock, control, lease, platform, state};
 
 /// Interval at which the holder checks whether the counts of a window are complete.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -277,8 +277,8 @@
         return;
     };
     let report = platform::UsageReport { window, counts };
-    let response = duty::call(state, &platform::DutyCall::Usage(&report)).await;
-    let is_accepted = response == platform::DutyResponse::Accepted;
+    let response = control::call(state, &platform::ControlCall::Usage(&report)).await;
+    let is_accepted = response == platform::ControlResponse::Accepted;
     let mut ledger = local.ledger.borrow_mut();
     let now_ms = clock::now_ms();
     let is_repeated = ledger.record_sent(window, now_ms, is_accepted, rand::random());
--- a/crates/testbed/src/emulator/cloud.rs
+++ b/crates/testbed/src/emulator/cloud.rs
@@ -1,4 +1,4 @@
-//! Emulates the platform's interface for duties: accepts the calls of the holder of the lease and
+//! Emulates the platform's control interface: accepts the calls of the holder of the lease and
 //! records them. `/control` sets its faults and `/calls` returns what it has received.
 
 use std::{
--- a/crates/testbed/src/emulator/mod.rs
+++ b/crates/testbed/src/emulator/mod.rs
@@ -1,4 +1,4 @@
-//! Emulates the platform that the relay runs on: its store, its interface for duties, and runners that register there and
+//! Emulates the platform that the relay runs on: its store, its control interface, and runners that register there and
 //! follow its published protocol. Faults are set through `/control`, which the real platform does
 //! not have.
 //!
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Starts the interface for duties; relays that are started from now on report usage in windows
+    /// Starts the control interface; relays that are started from now on report usage in windows
     /// of [`USAGE_WINDOW_MS`].
     pub async fn start_cloud(&mut self) {
         let address = self.launcher.next_address().expect("address");
--- a/crates/testbed/tests/relay/usage.rs
+++ b/crates/testbed/tests/relay/usage.rs
@@ -39,7 +39,7 @@
 /// Requests that a relay runs before it is paused.
 const UNREPORTED_REQUESTS: usize = 20;
 
-/// Relays with an interface for duties, and the load of two teams.
+/// Relays with an control interface, and the load of two teams.
 struct UsageFleet {
     fixture: Fixture,
     cloud: EmulatorProcess,
