--- a/review/stand-ins-2/src/callers.rs
+++ b/review/stand-ins-2/src/callers.rs
@@ -102,7 +102,8 @@
                 }
             }
             on_connection += 1;
-            thread::sleep(Duration::from_millis(30));
+            // The callers keep no common step.
+            thread::sleep(Duration::from_millis(10 + 7 * number as u64 % 30));
         }
     }
 }
--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -3,7 +3,7 @@
 
 use std::{
     env, fs,
-    io::{self, BufRead, BufReader, Write},
+    io::{self, Write},
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -18,6 +18,7 @@
 use crate::{
     http,
     runner::{self, Runner},
+    store::Store,
 };
 
 /// Memory and descriptors of a machine of the small site.
@@ -26,6 +27,9 @@
 pub const HOST: &str = "ficu95.example";
 /// A service of the configuration to which no route leads.
 pub const OTHER_SERVICE: &str = "puzo12c";
+/// Attempts to start a daemon, and the time after which one counts as started.
+const START_TRIES: usize = 3;
+const START_TIME: Duration = Duration::from_millis(100);
 const PEER_PORTS: [u16; 2] = [7_380, 7_395];
 
 /// Descriptors of a daemon: those of the site, or fewer if this system allows no more.
@@ -81,7 +85,6 @@
     pub runners: Vec<Arc<Runner>>,
     pub daemons: Vec<Arc<Daemon>>,
     net: String,
-    store_process: Child,
 }
 
 /// Settings of a run that differ between the cases.
@@ -101,21 +104,7 @@
         let id = std::process::id();
         // A loopback network of its own: the metrics port of a daemon is fixed.
         let net = format!("127.{}.{}", 64 + id / 200 % 120, 1 + id % 200);
-        let store_ip = format!("{net}.1");
-        let mut store_process = Command::new("target/release/testbed")
-            .args(["store", "--listen", &format!("{store_ip}:0")])
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()?;
-        let mut line = String::new();
-        if let Some(out) = store_process.stdout.take() {
-            BufReader::new(out).read_line(&mut line)?;
-        }
-        let address = line.split("\"address\":\"").nth(1);
-        let address = address.and_then(|rest| rest.split('"').next());
-        let store: SocketAddr = address
-            .and_then(|address| address.parse().ok())
-            .ok_or(io::Error::other("the store has not started"))?;
+        let store = Store::start(&format!("{net}.1"))?.address;
         let mut deployment = Self {
             record,
             folder,
@@ -123,9 +112,7 @@
             runners: Vec::new(),
             daemons: Vec::new(),
             net,
-            store_process,
         };
-        deployment.note_process(deployment.store_process.id());
         if !runner::write_row(store, "op", "", "config", &config(7, "wuno96b")) {
             return Err(io::Error::other(
                 "the store has not accepted the configuration",
@@ -146,7 +133,14 @@
             }
         }
         for number in 0..shape.daemons {
-            deployment.start_daemon(number)?;
+            // A port may have been taken meanwhile.
+            let mut tries = 0;
+            while !deployment.start_daemon(number)? {
+                tries += 1;
+                if tries == START_TRIES {
+                    return Err(io::Error::other("a daemon does not start"));
+                }
+            }
         }
         deployment.record.line(&format!(
             "started: {} daemons, {} engines, {} servers of a plain service",
@@ -167,11 +161,20 @@
         }
     }
 
-    fn start_daemon(&mut self, number: usize) -> io::Result<()> {
+    /// Starts a daemon; returns whether it has not ended at once.
+    fn start_daemon(&mut self, number: usize) -> io::Result<bool> {
         let ip = format!("{}.{}", self.net, 11 + number);
-        let free =
-            || -> io::Result<SocketAddr> { TcpListener::bind(format!("{ip}:0"))?.local_addr() };
-        let (front, ready, control, directory) = (free()?, free()?, free()?, free()?);
+        // Held together, so that no port is given out twice.
+        let listeners: io::Result<Vec<TcpListener>> = (0..4)
+            .map(|_| TcpListener::bind(format!("{ip}:0")))
+            .collect();
+        let listeners = listeners?;
+        let addresses: io::Result<Vec<SocketAddr>> =
+            listeners.iter().map(TcpListener::local_addr).collect();
+        drop(listeners);
+        let addresses = addresses?;
+        let (front, ready, control, directory) =
+            (addresses[0], addresses[1], addresses[2], addresses[3]);
         let name = format!("front-perth-a-{}", number + 1);
         let seeds: Vec<String> = (0..3)
             .map(|seed| format!("\"{}.{}:8144\"", self.net, 11 + seed))
@@ -256,7 +259,7 @@
         fs::write(&path, settings)?;
         let log = fs::File::create(self.folder.join(format!("{name}.log")))?;
         // The command of the deploy file.
-        let child = Command::new("target/release/acaciabankd")
+        let mut child = Command::new("target/release/acaciabankd")
             .arg("platform")
             .env("ACACIABANK_SETTINGS", &path)
             .stdin(Stdio::null())
@@ -264,6 +267,15 @@
             .stderr(log)
             .spawn()?;
         self.note_process(child.id());
+        thread::sleep(START_TIME);
+        if let Some(status) = child.try_wait()? {
+            let log = fs::read_to_string(self.folder.join(format!("{name}.log")));
+            let log = log.unwrap_or_default();
+            let last = log.lines().last().unwrap_or_default();
+            self.record
+                .line(&format!("{name} has not started: {status}, {last}"));
+            return Ok(false);
+        }
         let daemon = Arc::new(Daemon {
             name,
             front,
@@ -278,7 +290,7 @@
         self.daemons.push(Arc::clone(&daemon));
         let record = Arc::clone(&self.record);
         thread::spawn(move || daemon.watch(&record));
-        Ok(())
+        Ok(true)
     }
 
     /// Waits until every daemon is ready and serves both services.
@@ -344,8 +356,6 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let _ = self.store_process.kill();
-        let _ = self.store_process.wait();
         if env::var_os("KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
@@ -411,12 +421,21 @@
 /// The operator's configuration, like that of the small site. `notices` is the service to which the
 /// notices go.
 pub fn config(version: u32, notices: &str) -> String {
+    write_config(version, notices, false)
+}
+
+/// The same with a route `/added/` to the second plain service.
+pub fn config_with_added(version: u32) -> String {
+    write_config(version, "wuno96b", true)
+}
+
+fn write_config(version: u32, notices: &str, has_added: bool) -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u32, target: u32, extra: &str| {
         format!(
             r#"{{"name":"r-{name}","host":"{HOST}","prefix":"/{name}/","kind":"{kind}","timeout_ms":{timeout},"target_latency_ms":{target},"priority":1,"service":"{service}"{extra}}}"#
         )
     };
-    let routes = [
+    let mut routes = vec![
         route(
             "arrears",
             "stream",
@@ -442,6 +461,17 @@
             r#","max_attempts":2"#,
         ),
     ];
+    if has_added {
+        let extra = r#","max_attempts":2"#;
+        routes.push(route(
+            "added",
+            "idempotent",
+            OTHER_SERVICE,
+            1_500,
+            300,
+            extra,
+        ));
+    }
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"huvo11a","health_path":"/health","max_conns":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_token_capacity":491264,"token_kv_bytes":327680,"link_mbps":3200000.0,"moves":true,"backups":true,"stride":6,"most":12,"handle_ttl_s":5.0,"stage_switch_s":3.0,"pin_ms":4000.0,"hold_ms":2000.0,"models":[{{"name":"m"}}]}}}},{{"name":"wuno96b","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}},{{"name":"{OTHER_SERVICE}","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
         routes.join(",")
--- a/review/stand-ins-2/src/entries.rs
+++ b/review/stand-ins-2/src/entries.rs
@@ -14,7 +14,7 @@
 use crate::{
     CaseResult,
     deployment::{Deployment, Record, Shape, plain_request},
-    http::{self, Connection},
+    http::Connection,
     runner,
 };
 
@@ -64,14 +64,6 @@
         })
         .collect();
     thread::sleep(ENTRY_AT);
-    // The store removes the entries of silent writers, as the platform's does.
-    let expiry = br#"{"expires_targets":true}"#;
-    let request = format!(
-        "POST /control HTTP/1.1\r\nHost: store\r\nContent-Length: {}\r\n\r\n{}",
-        expiry.len(),
-        String::from_utf8_lossy(expiry)
-    );
-    http::call_once(deployment.store, request.as_bytes(), Duration::from_secs(2))?;
     if has_trouble {
         // No `slots`, `version`, `cold_remaining_ms` and `seq`.
         let entry = format!(
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -138,12 +138,16 @@
         Ok(Vec::new())
     }
 
+    pub fn send(&mut self, request: &[u8]) -> io::Result<()> {
+        self.stream.write_all(request)
+    }
+
     /// Sends a request and reads the whole response.
     pub fn call(&mut self, request: &[u8], deadline: Instant) -> io::Result<Message> {
         let left = deadline.saturating_duration_since(Instant::now());
         self.stream
             .set_write_timeout(Some(left.max(Duration::from_millis(1))))?;
-        self.stream.write_all(request)?;
+        self.send(request)?;
         let head = self.read_head(Some(deadline))?;
         let head = head.ok_or(io::Error::from(io::ErrorKind::UnexpectedEof))?;
         let body = self.read_body(&head, true, Some(deadline))?;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,10 +6,11 @@
 mod directory;
 mod drafts;
 mod entries;
-mod failures;
 mod http;
+mod json;
 mod parts;
 mod runner;
+mod store;
 
 use std::{env, path::PathBuf, process, sync::Arc};
 
@@ -41,7 +42,6 @@
     let result = match case.as_str() {
         "parts" => parts::run(&record, has_trouble),
         "drafts" => drafts::run(&record, has_trouble),
-        "failures" => failures::run(&record, has_trouble),
         "entries" => entries::run(&record, has_trouble),
         "directory" => directory::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/stand-ins-2/src/parts.rs
+++ b/review/stand-ins-2/src/parts.rs
@@ -25,7 +25,7 @@
 /// Ordinary callers.
 const CALLERS: usize = 24;
 /// Number of daemons whose end is waited for.
-const ENDS: usize = 2;
+const ENDS: usize = 3;
 
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> CaseResult {
     let shape = Shape {
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -27,7 +27,7 @@
 /// Time for which a plain request runs, that of the site's sheet.
 const WORK: Duration = Duration::from_millis(60);
 /// Interval between two heartbeats, `heartbeat_ms` of the settings.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 pub struct Runner {
     pub id: String,
@@ -43,11 +43,6 @@
     /// Requests that began to run.
     pub runs: AtomicU64,
     is_ended: AtomicBool,
-    /// Whether it fails two in five of its requests of plain services after it has run them: it
-    /// answers 503 of its own, without `X-Acaciabank-Not-Executed`.
-    pub is_grey: AtomicBool,
-    /// Requests that it has run and failed so.
-    pub failed: AtomicU64,
 }
 
 impl Runner {
@@ -74,8 +69,6 @@
             handles: AtomicU64::new(0),
             runs: AtomicU64::new(0),
             is_ended: AtomicBool::new(false),
-            is_grey: AtomicBool::new(false),
-            failed: AtomicU64::new(0),
         });
         let accepting = Arc::clone(&runner);
         thread::spawn(move || {
@@ -201,7 +194,7 @@
             let headers = format!("{ids}Content-Type: application/json\r\n");
             return Ok(text("200 OK", &headers, &body));
         }
-        let number = self.runs.fetch_add(1, Ordering::AcqRel);
+        self.runs.fetch_add(1, Ordering::AcqRel);
         let signed = format!("{ids}X-Acaciabank-Response-Signature: 1.{attempt}\r\n");
         if stage.is_none() {
             RAN.lock()
@@ -209,11 +202,6 @@
                 .get_or_insert_default()
                 .insert(attempt.to_owned());
             thread::sleep(WORK);
-            if self.is_grey.load(Ordering::Acquire) && number % 5 < 2 {
-                self.failed.fetch_add(1, Ordering::AcqRel);
-                let body = "the entry is written, its index is not";
-                return Ok(text("503 Service Unavailable", &signed, body));
-            }
             return Ok(text("200 OK", &signed, &"x".repeat(800)));
         }
         if head.get("x-acaciabank-kv-source").is_none() {
