--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! held and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod callers;
+mod deadlines;
 mod deployment;
 mod directory;
 mod drafts;
@@ -41,6 +42,7 @@
     };
     let result = match case.as_str() {
         "parts" => parts::run(&record, has_trouble),
+        "deadlines" => deadlines::run(&record, has_trouble),
         "drafts" => drafts::run(&record, has_trouble),
         "entries" => entries::run(&record, has_trouble),
         "directory" => directory::run(&record, has_trouble),
