--- a/review/stand-ins-2/src/directory.rs
+++ b/review/stand-ins-2/src/directory.rs
@@ -62,11 +62,11 @@
         .collect();
     threads.extend(kept);
     let mut ready = callers::ReadyCheck::new(target.ready);
-    let mut crowd = Vec::new();
+    let mut crowd = Crowd::default();
     let start = Instant::now();
     let mut longest = Duration::ZERO;
     while start.elapsed() < LENGTH && !target.has_ended() {
-        if crowd.is_empty() && has_trouble && start.elapsed() > Duration::from_secs(2) {
+        if crowd.0.is_empty() && has_trouble && start.elapsed() > Duration::from_secs(2) {
             record.line(&format!(
                 "{} clients connect to the directory address of {}, with {} bytes of a head each",
                 CROWDS * crowd_size(),
@@ -74,7 +74,7 @@
                 HEAD_BYTES
             ));
             for _ in 0..CROWDS {
-                crowd.push(start_crowd(target.directory)?);
+                crowd.0.push(start_crowd(target.directory)?);
             }
         }
         thread::sleep(Duration::from_secs(1));
@@ -96,10 +96,7 @@
     thread::sleep(Duration::from_secs(2));
     seen.stop.store(true, Ordering::Release);
     stop.store(true, Ordering::Release);
-    for mut crowd in crowd {
-        let _ = crowd.kill();
-        let _ = crowd.wait();
-    }
+    drop(crowd);
     threads.into_iter().for_each(|thread| {
         let _ = thread.join();
     });
@@ -161,6 +158,19 @@
     START.get_or_init(Instant::now).elapsed().as_millis() as u64
 }
 
+/// The processes of the crowd, which end with it.
+#[derive(Default)]
+struct Crowd(Vec<Child>);
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        for process in &mut self.0 {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
 fn start_crowd(address: SocketAddr) -> io::Result<Child> {
     let child = Command::new(env::current_exe()?)
         .args(["crowd", &address.to_string()])
