Log and count the rate limits that targets name

Cause: nothing said that a target names a limit, which hosts it has told, or what they send it, so that the three hypotheses of the incident could not be told apart. Change: the header is read into TargetSignals, a LimitTable orders what responses say (late ones overtake each other), lines target_limit and target_limit_ended, the counter of sends to such targets; the emulator's runners can name a limit. No request is placed differently.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod prefix;
 pub mod prompt_backlog;
 pub mod prompt_speed;
+pub mod rate_limit;
 pub mod retry_backoff;
 pub mod role_planner;
 pub mod route;
--- /dev/null
+++ b/crates/core/src/rate_limit/mod.rs
@@ -0,0 +1,52 @@
+//! Rate limits that targets name in their responses: how many requests a second a target takes from
+//! all daemons together, for as long as it says so.
+//!
+//! A [`LimitTable`] holds what is known of the limits.
+
+mod table;
+
+pub use table::{AnswerTimes, LimitChange, LimitRecord, LimitTable};
+
+use acaciabank_protocol::value_type;
+
+use crate::target_signal::SignalFault;
+
+/// Longest text of a limit: enough for every limit that a target can mean.
+const MAX_LIMIT_DIGITS: usize = 24;
+/// Thousandths of a request in a request.
+const UNITS_PER_REQUEST: f64 = 1_000.0;
+
+value_type!(
+    /// Requests a second that a target takes from all daemons together, in thousandths of a request.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub struct RateLimit(u64);
+);
+
+impl RateLimit {
+    /// Reads a decimal number of requests a second. Fractions of a thousandth are dropped, so that
+    /// the limit is not exceeded.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the text is not a plain decimal number.
+    pub fn parse(text: &str) -> Result<Self, SignalFault> {
+        let text = text.trim();
+        if text.is_empty() {
+            return Err(SignalFault::Empty);
+        }
+        let is_decimal = text.starts_with(|first: char| first.is_ascii_digit())
+            && text
+                .bytes()
+                .all(|byte| byte.is_ascii_digit() || byte == b'.');
+        if !is_decimal || text.len() > MAX_LIMIT_DIGITS {
+            return Err(SignalFault::Unreadable);
+        }
+        let per_s: f64 = text.parse().map_err(|_| SignalFault::Unreadable)?;
+        Ok(Self((per_s * UNITS_PER_REQUEST) as u64))
+    }
+
+    /// Returns the requests a second.
+    pub fn per_s(self) -> f64 {
+        self.0 as f64 / UNITS_PER_REQUEST
+    }
+}
--- a/crates/core/src/target_signal/mod.rs
+++ b/crates/core/src/target_signal/mod.rs
@@ -1,5 +1,5 @@
-//! Signals that targets give in their responses: that they leave, and that they want no requests
-//! for a while.
+//! Signals that targets give in their responses: that they leave, that they want no requests for a
+//! while, and how many requests they take (see [`crate::rate_limit`]).
 //!
 //! A leaving mark belongs to one incarnation of a target and is never taken back. A pause ends at a
 //! deadline; the first requests after it are spread over [`RESUME_WINDOW_MS`], so that what was
@@ -16,6 +16,8 @@
 //! assert!(!state.is_blocked(12_000));
 //! ```
 
+use crate::rate_limit::RateLimit;
+
 /// Longest pause that one response can ask for. It covers the overload and the restarts that
 /// targets ask pauses for; a target that wants a longer one asks again with its next refusal, while
 /// one incorrect value puts it out of use for a minute at most.
@@ -67,6 +69,8 @@
     pub is_leaving: bool,
     /// Time for which the target wants no requests, at most [`MAX_PAUSE_MS`].
     pub pause_ms: Option<u64>,
+    /// Requests a second that the target takes from all daemons together.
+    pub limit: Option<RateLimit>,
     /// What is wrong with a signal of the response.
     pub fault: Option<SignalFault>,
 }
@@ -93,6 +97,22 @@
         self.pause_ms = self.pause_ms.max(Some(pause_ms));
     }
 
+    /// Adds the value of one header that names a rate limit. If there are several, the lowest one
+    /// counts. An unreadable value names none.
+    pub fn add_limit(&mut self, value: &str) {
+        match RateLimit::parse(value) {
+            Ok(limit) => {
+                if let Some(known) = self.limit {
+                    self.fault = Some(SignalFault::Repeated);
+                    self.limit = Some(known.min(limit));
+                } else {
+                    self.limit = Some(limit);
+                }
+            }
+            Err(fault) => self.fault = Some(fault),
+        }
+    }
+
     /// Adds the value of one header that states whether the target leaves. An unreadable value
     /// does not mark the target, because the mark is never taken back.
     pub fn add_leaving(&mut self, value: &str) {
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -186,6 +186,9 @@
     if !target.admit_request(clock::now_ms()) {
         return Err(AttemptFailure::unavailable());
     }
+    if state.rate_limits.limit_of(target.hash).is_some() {
+        metrics::counter!("acaciabank_limited_sends_total").increment(1);
+    }
     let message = build_message(&state.codec, request, metadata);
     let sent_ms = clock::now_ms();
     let is_run = !matches!(metadata.task, platform::EngineTask::Prefill);
@@ -209,13 +212,13 @@
     };
     let (head, body) = response.into_parts();
     let response_metadata = state.codec.read_response(head.status, &head.headers);
-    target::record_response(
-        state,
-        target,
-        &response_metadata,
-        connection.connected_unix_ms(),
-    );
     let echoed_id = response_metadata.attempt_id.as_deref();
+    let origin = target::ResponseOrigin {
+        connected_unix_ms: connection.connected_unix_ms(),
+        sent_ms,
+        is_answer: echoed_id.is_some_and(|id| id == request.id),
+    };
+    target::record_response(state, target, &response_metadata, origin);
     let is_plausible = request.id.is_empty() || connection.record_echo(echoed_id.is_some());
     let is_own = is_plausible && echoed_id.is_none_or(|id| id == request.id);
     check_response(state, target, &head, &response_metadata, is_own)?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod planner;
 pub mod platform;
 pub mod process;
+mod rate_limit;
 mod scheduler;
 mod shutdown;
 mod state;
--- a/crates/relay/src/planner/order.rs
+++ b/crates/relay/src/planner/order.rs
@@ -49,12 +49,18 @@
         Duration::from_millis(remaining_ms),
     )));
     let written_before = connection.bytes_written();
+    let sent_ms = clock::now_ms();
     let sent = tokio::time::timeout(CALL_TIMEOUT, connection.send(request)).await;
     match sent {
         Ok(Ok(response)) => {
             let status = response.status();
             let metadata = state.codec.read_response(status, response.headers());
-            target::record_response(state, target, &metadata, connection.connected_unix_ms());
+            let origin = target::ResponseOrigin {
+                connected_unix_ms: connection.connected_unix_ms(),
+                sent_ms,
+                is_answer: false,
+            };
+            target::record_response(state, target, &metadata, origin);
             let limits = connection::BodyLimits::DOCUMENT;
             let deadline = Instant::now() + CALL_TIMEOUT;
             let body = connection::read_body(response.into_body(), limits, deadline).await;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    capacity, config, connection, control, gossip, lease, memory, platform, scheduler, shutdown,
-    target, teams, trial, usage, watch,
+    capacity, config, connection, control, gossip, lease, memory, platform, rate_limit, scheduler,
+    shutdown, target, teams, trial, usage, watch,
 };
 
 /// Settings of the process, fixed at startup.
@@ -145,6 +145,8 @@
     pub suspects: RefCell<suspect::SuspectTable>,
     /// Trials of suspects, as a daemon that asks for them and as the one that grants them.
     pub trials: trial::TrialState,
+    /// Rate limits of targets.
+    pub rate_limits: rate_limit::RateLimitState,
     /// Estimated speeds of the prefill engines by service.
     pub prompt_speeds: RefCell<HashMap<String, prompt_speed::SpeedEstimate>>,
     /// Retry budgets by service.
@@ -225,6 +227,7 @@
             watch: watch::StoreWatch::default(),
             suspects: RefCell::new(suspect::SuspectTable::awaiting_reports()),
             trials: trial::TrialState::default(),
+            rate_limits: rate_limit::RateLimitState::default(),
             prompt_speeds: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
--- a/crates/relay/src/target/call.rs
+++ b/crates/relay/src/target/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 
-use super::{TargetState, record_response};
+use super::{ResponseOrigin, TargetState, record_response};
 use crate::{clock, connection, platform, state};
 
 /// Sends a request without a body to a target and returns the body of the response, whatever its
@@ -46,6 +46,7 @@
         .header(http::header::HOST, target.entry.address.to_string())
         .body(Full::default())
         .map_err(|error| error.to_string())?;
+    let sent_ms = clock::now_ms();
     let response = connection
         .send(message)
         .await
@@ -53,7 +54,12 @@
     let metadata = state
         .codec
         .read_response(response.status(), response.headers());
-    record_response(state, target, &metadata, connection.connected_unix_ms());
+    let origin = ResponseOrigin {
+        connected_unix_ms: connection.connected_unix_ms(),
+        sent_ms,
+        is_answer: false,
+    };
+    record_response(state, target, &metadata, origin);
     let (limits, deadline) = (connection::BodyLimits::DOCUMENT, Instant::now() + timeout);
     let body = connection::read_body(response.into_body(), limits, deadline).await;
     let body = body.map_err(|error| error.to_string())?;
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -8,7 +8,7 @@
 pub use call::call;
 pub use registry::TargetRegistry;
 pub(crate) use signals::log_leaving;
-pub use signals::record_response;
+pub use signals::{ResponseOrigin, record_response};
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/relay/src/target/signals.rs
+++ b/crates/relay/src/target/signals.rs
@@ -2,7 +2,10 @@
 
 use std::net;
 
-use acaciabank_core::target_signal::{LeavingMark, LeavingSource, SignalState};
+use acaciabank_core::{
+    rate_limit::{AnswerTimes, LimitChange},
+    target_signal::{LeavingMark, LeavingSource, SignalState},
+};
 
 use super::{TargetRegistry, TargetState};
 use crate::{clock, platform, state};
@@ -188,21 +191,33 @@
     }
 }
 
-/// Records the signals of a response that was received on a connection to `target`, which was opened
-/// at the time of day `connected_unix_ms`.
+/// Where and when a response of a target was received.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseOrigin {
+    /// Time of day at which its connection was opened.
+    pub connected_unix_ms: u64,
+    /// Time at which its request was sent.
+    pub sent_ms: u64,
+    /// Whether it is the target's response to the caller's request that was sent. Others may lack a
+    /// limit that the target names.
+    pub is_answer: bool,
+}
+
+/// Records the signals of a response that was received on a connection to `target`.
 pub fn record_response<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     target: &TargetState,
     metadata: &platform::ResponseMetadata,
-    connected_unix_ms: u64,
+    received: ResponseOrigin,
 ) {
     target.has_responded.set(true);
     let signals = &metadata.signals;
-    if signals.is_empty() {
+    if signals.is_empty() && state.rate_limits.is_empty() {
         return;
     }
     log_fault(target, metadata);
     let now_ms = clock::now_ms();
+    let connected_unix_ms = received.connected_unix_ms;
     let instance = metadata.instance.as_deref();
     let mut registry = state.targets.borrow_mut();
     let Some((hash, id)) = registry
@@ -211,6 +226,25 @@
     else {
         return;
     };
+    let states_limit = match signals.limit {
+        Some(_) => true,
+        // An unreadable limit does not say that there is none.
+        None => received.is_answer && signals.fault.is_none(),
+    };
+    if states_limit {
+        let times = AnswerTimes {
+            sent_ms: received.sent_ms,
+            received_ms: now_ms,
+        };
+        let change = state.rate_limits.record_answer(hash, signals.limit, times);
+        log_limit(&id, change, LeavingSource::Response, 0);
+        if change != LimitChange::Unchanged {
+            state.report_now.notify_one();
+        }
+    }
+    if signals.is_empty() {
+        return;
+    }
     if signals.is_leaving {
         let (source, since_ms) = (LeavingSource::Response, now_ms);
         if registry.record_leaving(hash, LeavingMark { source, since_ms }, now_ms) {
@@ -245,6 +279,27 @@
     log::info!(target_id = id, cause = source.as_str(), age_ms = age_ms; "target_leaving");
 }
 
+/// Logs and counts that a target names another limit than before, as it has stated `age_ms` ago.
+fn log_limit(id: &str, change: LimitChange, source: LeavingSource, age_ms: u64) {
+    let limit = match change {
+        LimitChange::Unchanged => return,
+        LimitChange::Named(limit) | LimitChange::Changed(limit) => limit,
+        LimitChange::Ended => {
+            count_signal("limit_ended", source);
+            log::info!(
+                target_id = id, cause = source.as_str(), age_ms = age_ms;
+                "target_limit_ended"
+            );
+            return;
+        }
+    };
+    count_signal("limit", source);
+    log::info!(
+        target_id = id, cause = source.as_str(), per_s = limit.per_s(), age_ms = age_ms;
+        "target_limit"
+    );
+}
+
 fn count_signal(signal: &'static str, source: LeavingSource) {
     metrics::counter!(
         "acaciabank_target_signals_total",
@@ -263,7 +318,8 @@
     if !target.has_logged_fault.replace(true) {
         log::warn!(
             target_id = target.entry.id.as_str(), fault = fault.as_str(),
-            pause_ms = metadata.signals.pause_ms;
+            pause_ms = metadata.signals.pause_ms,
+            per_s = metadata.signals.limit.map(|limit| limit.per_s());
             "target_signal_malformed"
         );
     }
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -84,6 +84,8 @@
     pub is_leaving: bool,
     /// Value of `retry-after` in all responses with status 503.
     pub retry_after: Option<String>,
+    /// Value of `server-limit` in all responses.
+    pub server_limit: Option<String>,
     /// Reports the state `draining` in the store entry instead of `ready`.
     pub is_draining: bool,
     /// Time until it is taken away, in the store entry.
@@ -407,6 +409,9 @@
         if state.faults.is_leaving {
             set_header(response, "server-leaving", "1");
         }
+        if let Some(limit) = &state.faults.server_limit {
+            set_header(response, "server-limit", limit);
+        }
         if response.status() == StatusCode::SERVICE_UNAVAILABLE
             && let Some(retry_after) = &state.faults.retry_after
         {
