--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod lifecycle;
 mod losses;
 mod peers;
+mod rate_limits;
 mod raw_request;
 mod restarts;
 mod returns;
--- /dev/null
+++ b/crates/testbed/tests/relay/rate_limits.rs
@@ -0,0 +1,213 @@
+//! Targets that name in their responses how many requests a second they take from all relays.
+
+use std::time::{Duration, Instant};
+
+use acaciabank_testbed::journal;
+use serde_json::{Value, json};
+
+use crate::fixture::{EmulatorProcess, Fixture, Relay};
+
+/// Time after the first statement from which a limit has to hold, in milliseconds (`contact_ms` of
+/// the users' rule).
+const CONTACT_MS: u64 = 3_000;
+/// Length of the windows in which requests are counted, in milliseconds (users' rule).
+const WINDOW_MS: u64 = 4_000;
+/// Factor on what a limit allows in a window (users' rule).
+const ALLOWED_FACTOR: f64 = 1.5;
+/// Requests in a window beyond that (users' rule).
+const ALLOWED_EXTRA: f64 = 5.0;
+/// Time for which a test sends requests after its targets have named their limits.
+const TEST_TIME: Duration = Duration::from_secs(12);
+/// Interval between two requests of a test: 60 a second.
+const SEND_INTERVAL: Duration = Duration::from_micros(16_667);
+
+/// Returns the times at which requests reached a target: those run, refused and prefilled.
+pub(crate) fn arrival_times(entries: &[Value]) -> Vec<u64> {
+    let is_arrival = |entry: &&Value| {
+        let members = ["ran", "refused", "prefilled"];
+        members.iter().any(|member| !entry[*member].is_null())
+    };
+    let arrivals = entries.iter().filter(is_arrival);
+    let mut times: Vec<u64> = arrivals
+        .filter_map(|entry| entry["unix_ms"].as_u64())
+        .collect();
+    times.sort_unstable();
+    times
+}
+
+/// Returns the largest number of times in a window that begins at `from_ms` or later.
+pub(crate) fn worst_window(times: &[u64], from_ms: u64) -> usize {
+    let times = &times[times.partition_point(|time| *time < from_ms)..];
+    let windows = times.iter().enumerate().map(|(first, start_ms)| {
+        times.partition_point(|time| *time < start_ms + WINDOW_MS) - first
+    });
+    windows.max().unwrap_or(0)
+}
+
+/// Returns the largest number of requests that a limit allows in a window.
+pub(crate) fn allowed(per_s: f64) -> f64 {
+    ALLOWED_FACTOR * per_s * (WINDOW_MS as f64 / 1_000.0) + ALLOWED_EXTRA
+}
+
+/// What callers got.
+struct SentRequest {
+    status: u16,
+    retry_after_s: Option<f64>,
+    elapsed: Duration,
+}
+
+/// Sends plain requests at a steady rate, half of them to the first relay.
+async fn send_steadily(relays: &[Relay], time: Duration) -> Vec<SentRequest> {
+    let started_at = Instant::now();
+    let sends = (0u32..).take_while(|number| SEND_INTERVAL * *number < time);
+    let calls = sends.map(|number| async move {
+        tokio::time::sleep_until((started_at + SEND_INTERVAL * number).into()).await;
+        let index = match number % 2 {
+            0 => 0,
+            _ => number as usize / 2 % relays.len(),
+        };
+        let sent_at = Instant::now();
+        let attempt = format!("steady-{number}");
+        let response = relays[index].response("GET", "/safe/a", &attempt, &[], "");
+        let response = response.await;
+        let retry_after = response.headers.get("retry-after");
+        let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+        SentRequest {
+            status: response.status,
+            retry_after_s: retry_after,
+            elapsed: sent_at.elapsed(),
+        }
+    });
+    futures::future::join_all(calls).await
+}
+
+/// Three relays, and plain runners with limits.
+struct PlainFixture {
+    _fixture: Fixture,
+    _engines: Vec<EmulatorProcess>,
+    runners: Vec<EmulatorProcess>,
+    relays: Vec<Relay>,
+}
+
+async fn start_plain(limits: &[Option<&str>]) -> PlainFixture {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let engines = fixture
+        .start_runners(&["p-1", "p-2", "p-3", "d-1", "d-2"])
+        .await;
+    let mut runners = Vec::new();
+    for number in 0..limits.len() {
+        let id = format!("r-{number}");
+        runners.push(fixture.start_runner(&id, "ledger", None).await);
+    }
+    let relays = fixture.start_relays(3).await;
+    for (runner, limit) in runners.iter().zip(limits) {
+        runner.control(json!({"server_limit": limit})).await;
+    }
+    PlainFixture {
+        _fixture: fixture,
+        _engines: engines,
+        runners,
+        relays,
+    }
+}
+
+async fn assert_limits_hold(runners: &[EmulatorProcess], limits: &[Option<&str>], named_ms: u64) {
+    for (runner, limit) in runners.iter().zip(limits) {
+        let Some(limit) = limit else {
+            continue;
+        };
+        let per_s: f64 = limit.parse().expect("a number");
+        let times = arrival_times(&runner.journal().await);
+        let worst = worst_window(&times, named_ms + CONTACT_MS);
+        let allowed = allowed(per_s);
+        assert!(
+            worst as f64 <= allowed,
+            "{worst} requests in 4 s at a target that names {limit} a second; allowed {allowed}"
+        );
+    }
+}
+
+/// Guards against a target that gets more requests than it takes, and against refusals while other
+/// targets have room.
+#[tokio::test]
+async fn a_target_gets_no_more_requests_than_it_takes() {
+    let limits = [Some("4.8"), None, None];
+    let fixture = start_plain(&limits).await;
+    let named_ms = journal::unix_ms();
+    let sent = send_steadily(&fixture.relays, TEST_TIME).await;
+    assert!(sent.iter().all(|sent| sent.status == 200));
+    assert_limits_hold(&fixture.runners, &limits, named_ms).await;
+}
+
+/// Guards against limits that are kept by each relay alone, for which a share of a low limit is less
+/// than one request.
+#[tokio::test]
+async fn low_limits_hold_over_all_relays() {
+    let limits = [Some("0.4"), Some("1.3"), None];
+    let fixture = start_plain(&limits).await;
+    let named_ms = journal::unix_ms();
+    let sent = send_steadily(&fixture.relays, TEST_TIME).await;
+    assert!(sent.iter().all(|sent| sent.status == 200));
+    assert_limits_hold(&fixture.runners, &limits, named_ms).await;
+}
+
+/// Guards against limits that are exceeded, or used in part only, when all targets of a service name
+/// one, and against callers that wait in vain or are not told when to return.
+#[tokio::test]
+async fn what_all_targets_together_take_is_used_and_the_rest_refused_at_once() {
+    let limits = [Some("5"), Some("3.1"), Some("8")];
+    let fixture = start_plain(&limits).await;
+    let named_ms = journal::unix_ms();
+    let sent = send_steadily(&fixture.relays, TEST_TIME).await;
+    assert_limits_hold(&fixture.runners, &limits, named_ms).await;
+    let taken: f64 = 5.0 + 3.1 + 8.0;
+    let from_ms = named_ms + CONTACT_MS;
+    let mut used = 0;
+    for runner in &fixture.runners {
+        let times = arrival_times(&runner.journal().await);
+        used += times.iter().filter(|time| **time >= from_ms).count();
+    }
+    let seconds = TEST_TIME.as_secs_f64() - CONTACT_MS as f64 / 1_000.0;
+    assert!(used as f64 >= 0.7 * taken * seconds, "{used} requests used");
+    let refused = sent.iter().filter(|sent| sent.status == 503);
+    for refused in refused {
+        assert!(refused.retry_after_s.is_some_and(|time| time > 0.0));
+        assert!(
+            refused.elapsed < Duration::from_millis(900),
+            "{:?}",
+            refused.elapsed
+        );
+    }
+}
+
+/// Guards against prompts and streams beyond what an engine takes: its prefill calls, streams and
+/// resumptions count alike.
+#[tokio::test]
+async fn engines_get_no_more_prompts_and_streams_than_they_take() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let ids = ["p-1", "p-2", "p-3", "p-4", "p-5", "d-1", "d-2"];
+    let engines = fixture.start_runners(&ids).await;
+    let _ledger = fixture.start_runners(&["r-1"]).await;
+    let relays = fixture.start_relays(3).await;
+    let limits = [Some("2.5"), None, None, None, None, Some("1.5"), None];
+    for (engine, limit) in engines.iter().zip(limits) {
+        engine.control(json!({"server_limit": limit})).await;
+    }
+    let named_ms = journal::unix_ms();
+    let started_at = Instant::now();
+    let calls = (0u32..).take_while(|number| SEND_INTERVAL * *number < TEST_TIME);
+    let calls = calls.map(|number| {
+        let relay = &relays[number as usize % relays.len()];
+        async move {
+            tokio::time::sleep_until((started_at + SEND_INTERVAL * number).into()).await;
+            let attempt = format!("stream-{number}");
+            let response = relay.request_stream("/resumable/a", &attempt, 2).await;
+            response.expect("a response").status
+        }
+    });
+    let statuses = futures::future::join_all(calls).await;
+    assert!(statuses.iter().all(|status| *status == 200));
+    assert_limits_hold(&engines, &limits, named_ms).await;
+}
