Design and decisions of fleet-wide rate limits of targets

Cause: a limit that a target names holds for the sum over all daemons, for which a share of each daemon is too coarse: 0.4 a second over 300 daemons. Nothing uses it yet.

--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -1,10 +1,30 @@
 //! Rate limits that targets name in their responses: how many requests a second a target takes from
 //! all daemons together, for as long as it says so.
 //!
-//! A [`LimitTable`] holds what is known of the limits.
+//! A [`LimitTable`] holds what is known of the limits. One daemon grants the requests to targets with
+//! a limit, so that the sum over the fleet keeps it however the load is spread; its [`GrantTable`]
+//! holds a token bucket for each of these targets.
+//!
+//! # Example
+//!
+//! ```
+//! use acaciabank_core::rate_limit::{GrantAnswer, GrantRequest, GrantTable, RateLimit};
+//!
+//! let limit = RateLimit::parse("2").unwrap();
+//! let mut table = GrantTable::default();
+//! let mut ask = |id, now_ms| {
+//!     let request = GrantRequest { id, target_hash: 7, priority: 0, team: None };
+//!     table.decide(&request, limit, 1.0, now_ms)
+//! };
+//! assert!(matches!(ask(1, 0), GrantAnswer::Denied { open_in_ms: 500, .. }));
+//! assert_eq!(ask(2, 500), GrantAnswer::Granted);
+//! ```
 
+mod grant;
 mod table;
+mod teams;
 
+pub use grant::{GrantAnswer, GrantRequest, GrantTable};
 pub use table::{AnswerTimes, LimitChange, LimitRecord, LimitTable};
 
 use acaciabank_protocol::value_type;
