Keep the rate limits that targets name over the whole fleet

What callers saw: nothing yet; a target in need got two to ten times the requests that it said it takes, and would have failed next. Cause: no daemon read the limit. The class: a signal of a target that is known to the daemon that hears it alone, or to none, where the rule is on the sum over all of them. Change: one daemon grants each request to a target with a limit, asked in one datagram; without a grant nothing is sent. Reports spread limits and their ends. Placement leaves a target out until it may have a grant, a request is refused at once with targets_limited when all are closed, and prompts are processed only once the decode engine has granted.

--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 
 use super::{
+    limits,
     refusal::RefusalResponse,
     request::{RelayRequest, RequestProgress, SentSignal},
     selection, stopping, suspects,
@@ -186,14 +187,20 @@
     if !target.admit_request(clock::now_ms()) {
         return Err(AttemptFailure::unavailable());
     }
-    if state.rate_limits.limit_of(target.hash).is_some() {
-        metrics::counter!("acaciabank_limited_sends_total").increment(1);
+    let was_limited = state.rate_limits.limit_of(target.hash).is_some();
+    if !limits::take_grant(state, request, target.hash) {
+        return Err(AttemptFailure::unavailable());
     }
+    // The target may name a limit, leave or ask for a pause while this request waits for a connection.
+    let may_write = || {
+        let is_limited = state.rate_limits.limit_of(target.hash).is_some();
+        target.allows_write(clock::now_ms()) && (was_limited || !is_limited)
+    };
     let message = build_message(&state.codec, request, metadata);
     let sent_ms = clock::now_ms();
     let is_run = !matches!(metadata.task, platform::EngineTask::Prefill);
     let sent = is_run.then_some(&request.sent);
-    let result = send(target, message, deadline, sent).await;
+    let result = send(target, message, deadline, sent, may_write).await;
     let (response, mut connection) = match result {
         Ok(sent) => sent,
         Err(failure) => {
@@ -250,15 +257,21 @@
 type SentResponse = (http::Response<Incoming>, connection::TargetConnection);
 
 /// Sends a request on an idle connection, or on a new one if there is none. An idle connection that
-/// fails before a byte was written is replaced by the next one.
+/// fails before a byte was written is replaced by the next one. `may_write` tells, once there is a
+/// connection, whether the target still accepts the request.
 async fn send(
     target: &rc::Rc<target::TargetState>,
     message: http::Request<Full<Bytes>>,
     deadline: Instant,
     sent: Option<&SentSignal>,
+    may_write: impl Fn() -> bool,
 ) -> Result<SentResponse, AttemptFailure> {
+    let check_write = || match may_write() {
+        true => Ok(()),
+        false => Err(AttemptFailure::unavailable()),
+    };
     while let Some(connection) = target.pool.take() {
-        check_write(target)?;
+        check_write()?;
         match send_on(connection, message.clone(), deadline, sent).await {
             Err(failure) if failure.retry == RetryReason::NotWritten => {
                 sent.inspect(|sent| sent.end(Verdict::NotRun));
@@ -270,19 +283,10 @@
     let connected = connection::TargetConnection::connect(target.entry.address, timeout).await;
     let connection =
         connected.map_err(|error| AttemptFailure::unsent(RetryReason::ConnectFailed, error))?;
-    check_write(target)?;
+    check_write()?;
     send_on(connection, message, deadline, sent).await
 }
 
-/// Checks that the target still accepts requests: a response to another request may have stated the
-/// opposite while this one waited for a connection.
-fn check_write(target: &target::TargetState) -> Result<(), AttemptFailure> {
-    match target.allows_write(clock::now_ms()) {
-        true => Ok(()),
-        false => Err(AttemptFailure::unavailable()),
-    }
-}
-
 async fn send_on(
     mut connection: connection::TargetConnection,
     message: http::Request<Full<Bytes>>,
--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -191,7 +191,7 @@
     progress: &RequestProgress,
     prefilled: Option<&rc::Rc<target::TargetState>>,
 ) -> Result<EnginePlan, RefusalResponse> {
-    let deadline = selection::wait_deadline(request);
+    let deadline = selection::wait_deadline(request, progress);
     let prompt = PromptView::of(state, request, progress);
     let team = request.team.as_ref().map(|team| team.hash);
     let intake = request.intake_request(progress);
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -24,6 +24,7 @@
     attempt::{self, AttemptFailure},
     engines,
     events::{EventReader, ReadError},
+    limits,
     refusal::{HttpResponse, RefusalResponse},
     request::{RelayRequest, RequestProgress},
     stopping, suspects,
@@ -204,7 +205,7 @@
     ) -> Result<Option<StreamStart>, RefusalResponse> {
         suspects::wait_turn(state, request, progress.verdict).await?;
         let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
-        let plan = match engines::plan_engines(state, request, progress, prefilled).await {
+        let mut plan = match engines::plan_engines(state, request, progress, prefilled).await {
             Ok(plan) => plan,
             // The engine with the KV cache may be gone; the others can still run the whole request.
             Err(_) if self.handle.take().is_some() => return Ok(None),
@@ -219,6 +220,13 @@
             checked?;
             self.estimate = LatencyEstimate::of(&plan);
         }
+        if self.handle.is_some() {
+            limits::prefer_granted(state, request, &mut plan);
+        }
+        let is_prefilled = self.handle.is_some();
+        if !limits::admit_plan(state, request, progress, &plan, is_prefilled).await? {
+            return Ok(None);
+        }
         // Another daemon may have reported a crash since the last call, or during the wait for an
         // engine.
         if !suspects::check(state, request, progress.verdict)? {
--- /dev/null
+++ b/crates/relay/src/dispatch/limits.rs
@@ -0,0 +1,120 @@
+//! Grants for requests to targets that name a rate limit.
+
+use acaciabank_core::placement;
+
+use super::{
+    engines::EnginePlan,
+    pause,
+    refusal::RefusalResponse,
+    request::{RelayRequest, RequestProgress},
+    selection,
+};
+use crate::{clock, platform, rate_limit, state, target};
+
+/// Number of targets without a grant after which a request is refused.
+const MAX_DENIALS: u32 = 6;
+
+/// Gets a grant for a request to a target if it names a limit; returns whether the request may be sent.
+/// A target without a grant is not selected again before it may have one.
+pub async fn admit<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &mut RequestProgress,
+    target: &target::TargetState,
+) -> Result<bool, RefusalResponse> {
+    if !needs_grant(state, request, target.hash) {
+        return Ok(true);
+    }
+    let team = request.team.as_ref().map(|team| team.hash);
+    let granted = rate_limit::admit(state, target, request.priority, team).await;
+    if let Some(grant) = granted {
+        request.grants.borrow_mut().push(grant);
+        return Ok(true);
+    }
+    log::debug!(id = request.id.as_str(), target_id = target.entry.id.as_str(); "rate_denied");
+    progress.denials += 1;
+    progress.wait_until = Some(selection::wait_deadline(request, progress));
+    match progress.denials > MAX_DENIALS {
+        true => Err(pause::refuse_limited(state, request, progress)),
+        false => Ok(false),
+    }
+}
+
+/// Gets grants for the engines of a plan that are called next, so that no prompt is processed for a
+/// decode engine that will not take it.
+pub async fn admit_plan<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::SharedState<Codec, Store>,
+    request: &RelayRequest,
+    progress: &mut RequestProgress,
+    plan: &EnginePlan,
+    is_prefilled: bool,
+) -> Result<bool, RefusalResponse> {
+    if !admit(state, request, progress, &plan.decode).await? {
+        return Ok(false);
+    }
+    match &plan.prefill {
+        Some(engine) if !is_prefilled => admit(state, request, progress, engine).await,
+        _ => Ok(true),
+    }
+}
+
+/// Replaces the decode engine of a plan for a processed prompt by one for which the request has a
+/// grant, if it would need another one.
+pub fn prefer_granted<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    plan: &mut EnginePlan,
+) {
+    if !needs_grant(state, request, plan.decode.hash) {
+        return;
+    }
+    let now_ms = clock::now_ms();
+    let targets = state.targets.borrow();
+    let grants = request.grants.borrow();
+    let hashes = grants.iter().map(|grant| grant.target_hash);
+    let mut engines = hashes.filter_map(|hash| targets.by_hash(hash));
+    let engine = engines.find(|engine| {
+        engine.is_accepting(now_ms)
+            && engine.stage(now_ms) == Some(placement::EngineStage::Decode)
+            && !needs_grant(state, request, engine.hash)
+    });
+    if let Some(engine) = engine {
+        plan.decode = std::rc::Rc::clone(engine);
+    }
+}
+
+/// Takes the grant for a request that is about to be sent to a target; returns whether it may be.
+pub fn take_grant<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    target_hash: u64,
+) -> bool {
+    if state.rate_limits.limit_of(target_hash).is_none() {
+        return true;
+    }
+    let now_ms = clock::now_ms();
+    let mut grants = request.grants.borrow_mut();
+    let mut positions = grants.iter();
+    let position = positions.position(|grant| grant.permits(target_hash, now_ms));
+    if let Some(position) = position {
+        grants.swap_remove(position);
+        metrics::counter!("acaciabank_limited_sends_total").increment(1);
+    }
+    position.is_some()
+}
+
+/// Whether a target names a limit and the request has no grant for it.
+fn needs_grant<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    request: &RelayRequest,
+    target_hash: u64,
+) -> bool {
+    if state.rate_limits.limit_of(target_hash).is_none() {
+        return false;
+    }
+    let now_ms = clock::now_ms();
+    let grants = request.grants.borrow();
+    !grants
+        .iter()
+        .any(|grant| grant.permits(target_hash, now_ms))
+}
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod engines;
 mod events;
 mod generate;
+mod limits;
 mod pause;
 mod refusal;
 mod request;
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -18,7 +18,7 @@
     config,
     connection::{self, RequestBodyError},
     memory::BufferError,
-    platform, state,
+    platform, rate_limit, state,
     telemetry::{self, OverloadReason, RefusalCause},
     trial,
 };
@@ -65,6 +65,8 @@
     pub suspect_keys: Vec<u64>,
     /// Permission to run it as a crash suspect.
     pub trial: RefCell<Option<rc::Rc<trial::TrialPermit>>>,
+    /// Permissions to send it to targets that name a rate limit.
+    pub grants: RefCell<Vec<rate_limit::SendGrant>>,
     /// The task that finds out whether the target of the last attempt has crashed.
     pub confirmation: RefCell<Option<JoinHandle<()>>>,
     /// Whether a target has begun to answer it.
@@ -123,6 +125,7 @@
         Ok(Self {
             suspect_keys,
             trial: RefCell::default(),
+            grants: RefCell::default(),
             confirmation: RefCell::default(),
             has_output: Cell::new(false),
             is_counted: Cell::new(false),
@@ -369,6 +372,10 @@
     /// Number of calls that were made for takeovers and ran nothing, after which the silent engine
     /// was kept. They are not part of `sends`.
     pub takeover_sends: u32,
+    /// Number of targets that their rate limits kept it from, so far.
+    pub denials: u32,
+    /// Time until which it waits for a target, once a rate limit has kept it from one.
+    pub wait_until: Option<Instant>,
     /// Calls that count against the retry budget.
     pub ledger: budget::CallLedger,
     /// Hashes of the targets that failed the request and are not selected again.
@@ -401,6 +408,8 @@
             runs: 0,
             sends: 0,
             takeover_sends: 0,
+            denials: 0,
+            wait_until: None,
             ledger: budget::CallLedger::default(),
             excluded: Vec::new(),
             refused: Vec::new(),
--- a/crates/relay/src/dispatch/selection.rs
+++ b/crates/relay/src/dispatch/selection.rs
@@ -27,7 +27,7 @@
     request: &RelayRequest,
     progress: &RequestProgress,
 ) -> Result<rc::Rc<target::TargetState>, RefusalResponse> {
-    let deadline = wait_deadline(request);
+    let deadline = wait_deadline(request, progress);
     loop {
         if let Some(target) = pick_service_target(state, request, progress) {
             return Ok(target);
@@ -37,12 +37,13 @@
     }
 }
 
-/// Returns the time until which a request waits for a target.
-pub fn wait_deadline(request: &RelayRequest) -> Instant {
+/// Returns the time until which a request waits for a target. Targets that open and are taken by
+/// others do not prolong it.
+pub fn wait_deadline(request: &RelayRequest, progress: &RequestProgress) -> Instant {
     let wait_ms = request.route.target_latency_ms as f64 * MAX_WAIT_SHARE;
-    request
-        .deadline
-        .min(Instant::now() + Duration::from_millis(wait_ms as u64))
+    let until = Instant::now() + Duration::from_millis(wait_ms as u64);
+    let until = progress.wait_until.unwrap_or(until).min(until);
+    request.deadline.min(until)
 }
 
 /// Waits for one poll interval; refuses the request once `deadline` has passed.
@@ -87,7 +88,7 @@
     log::info!(
         id = request.id.as_str(), service = request.service.as_str(), listed = targets.len(),
         accepting = count(Availability::Accepting), decode = decode.count(),
-        leaving = count(Availability::Leaving), paused = count(Availability::Paused), switching = count(Availability::Switching),
+        leaving = count(Availability::Leaving), paused = count(Availability::Paused), limited = count(Availability::Limited), switching = count(Availability::Switching),
         backing_off = count(Availability::BackingOff), ejected = count(Availability::Ejected),
         excluded = progress.excluded.len();
         "targets_unavailable"
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -11,6 +11,7 @@
 
 use super::{
     attempt::{self, AttemptFailure},
+    limits,
     refusal::{HttpResponse, RefusalResponse},
     request::{RelayRequest, RequestProgress},
     selection, stopping, suspects,
@@ -47,6 +48,11 @@
             Ok(target) => target,
             Err(refusal) => return failed_response.ok_or(refusal),
         };
+        match limits::admit(state, request, progress, &target).await {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err(refusal) => return failed_response.ok_or(refusal),
+        }
         let kind = attempt::CallKind::Run;
         // Another daemon may have reported a crash during the wait for a target.
         match suspects::check(state, request, progress.verdict) {
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -19,7 +19,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{capacity, config, platform};
+use crate::{capacity, config, platform, rate_limit};
 
 /// Load that the sender's requests cause at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -113,6 +113,8 @@
     pub target_changes: platform::TargetChanges,
     /// Targets that have stated that they leave.
     pub leaving: Vec<LeavingEntry>,
+    /// What targets have stated to the sender about their rate limits.
+    pub limits: Vec<rate_limit::LimitEntry>,
     /// Version of the store after which `target_changes` are complete.
     pub changes_after: StoreVersion,
     /// Usage, in deployments that report it.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving};
-use crate::{clock, config, platform, scheduler, state, target, trial, usage, watch};
+use crate::{clock, config, platform, rate_limit, scheduler, state, target, trial, usage, watch};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -80,6 +80,7 @@
         state.watch.targets.record_gap();
     }
     state.scheduler.expire(now_ms);
+    rate_limit::expire(state, now_ms);
     let rank = scheduler::own_rank(state, now_ms);
     let (mut same_zone, mut other_zones) = state.peers.borrow().contacts_by_zone(state.zone_hash);
     let schedulers = scheduler_addresses(state, now_ms);
@@ -215,6 +216,7 @@
             false => platform::TargetChanges::default(),
         },
         leaving: leaving::leaving_entries(state, now_ms),
+        limits: rate_limit::limit_entries(state, now_ms),
         changes_after: recent.after,
         usage: usage::build_share(state, now_ms),
         loads: loads(state),
@@ -357,6 +359,12 @@
             trial::receive_response(state, response);
         }
         Ok(scheduler::PeerMessage::TrialEnd(end)) => trial::handle_end(state, &end),
+        Ok(scheduler::PeerMessage::GrantRequest(question)) => {
+            rate_limit::handle_request(state, &question, sender);
+        }
+        Ok(scheduler::PeerMessage::GrantResponse(response)) => {
+            rate_limit::receive_response(state, response);
+        }
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "peer_message_unreadable");
         }
@@ -380,6 +388,7 @@
     state.capacity.apply_report(&report, now_ms);
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
     leaving::apply_leaving(state, &report.leaving, now_ms);
+    rate_limit::apply_limits(state, &report.limits, now_ms);
     let config_version = report.config_version;
     let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
     let (after, version) = (report.changes_after, report.target_changes.version);
--- a/crates/relay/src/rate_limit/mod.rs
+++ b/crates/relay/src/rate_limit/mod.rs
@@ -1,13 +1,39 @@
-//! Rate limits that targets name in their responses.
+//! Rate limits that targets name in their responses, and the grants by which the fleet keeps them.
+//!
+//! The daemon of the first rank grants the requests to all targets with a limit. A daemon asks it in
+//! one datagram and gets the answer in another. Without a grant it sends nothing to the target.
 
-use std::cell::RefCell;
+mod client;
+mod report;
+mod server;
 
-use acaciabank_core::rate_limit::{AnswerTimes, LimitChange, LimitTable, RateLimit};
+pub use client::{SendGrant, admit, receive_response};
+pub use report::{LimitEntry, apply_limits, limit_entries};
+pub use server::{Question, Response, handle_request};
 
-/// What this daemon knows of the limits of targets.
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+};
+
+use acaciabank_core::rate_limit::{
+    AnswerTimes, GrantAnswer, GrantTable, LimitChange, LimitRecord, LimitTable, RateLimit,
+};
+use tokio::sync::oneshot;
+
+use crate::state;
+
+/// What this daemon knows of the limits of targets, as one that asks for grants and as the one that
+/// gives them.
 #[derive(Debug, Default)]
 pub struct RateLimitState {
     known: RefCell<LimitTable>,
+    /// Buckets of the targets for which this daemon grants requests.
+    granted: RefCell<GrantTable>,
+    /// Questions of this daemon that wait for a response, by id.
+    pending: RefCell<HashMap<u64, oneshot::Sender<GrantAnswer>>>,
+    /// Whether this daemon gave the last answer as the granter.
+    is_granter: Cell<bool>,
 }
 
 impl RateLimitState {
@@ -31,4 +57,19 @@
         let mut known = self.known.borrow_mut();
         known.record_answer(target_hash, limit, times)
     }
+
+    /// Adopts what another daemon says about a target's limit if that is newer.
+    fn merge(&self, target_hash: u64, record: LimitRecord) -> LimitChange {
+        self.known.borrow_mut().merge(target_hash, record)
+    }
+}
+
+/// Forgets limits that are over.
+pub fn expire<Codec, Store>(state: &state::RelayState<Codec, Store>, now_ms: u64) {
+    let mut known = state.rate_limits.known.borrow_mut();
+    if known.is_empty() {
+        return;
+    }
+    let targets = state.targets.borrow();
+    known.expire(now_ms, |hash| targets.by_hash(hash).is_some());
 }
--- a/crates/relay/src/scheduler/message.rs
+++ b/crates/relay/src/scheduler/message.rs
@@ -3,7 +3,7 @@
 use acaciabank_core::{load_shed, outlier, prefix};
 use serde::{Deserialize, Serialize};
 
-use crate::{gossip, trial};
+use crate::{gossip, rate_limit, trial};
 
 /// A request to choose the engines for a prompt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -88,4 +88,8 @@
     TrialResponse(trial::TrialResponse),
     /// See [`trial::TrialEnd`].
     TrialEnd(trial::TrialEnd),
+    /// See [`rate_limit::Question`].
+    GrantRequest(rate_limit::Question),
+    /// See [`rate_limit::Response`].
+    GrantResponse(rate_limit::Response),
 }
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -2,13 +2,15 @@
 
 mod call;
 mod doubts;
+mod held;
 mod registry;
 mod signals;
 
 pub use call::call;
+pub use held::{ClosedCause, ClosedTarget, HeldTarget};
 pub use registry::TargetRegistry;
-pub(crate) use signals::log_leaving;
 pub use signals::{ResponseOrigin, record_response};
+pub(crate) use signals::{log_leaving, log_limit};
 
 use std::{
     cell::{Cell, RefCell},
@@ -51,6 +53,8 @@
     pub backoff_until_ms: Cell<u64>,
     /// What it has signalled in its responses.
     signals: Cell<SignalState>,
+    /// Until when it is left out because its rate limit leaves no request.
+    held: Cell<Option<HeldTarget>>,
     /// Requests sent since its last pause, until they are no longer spread.
     resumed_sends: Cell<Option<u32>>,
     /// Whether a malformed signal was logged: one line for each incarnation is enough.
@@ -87,6 +91,7 @@
             switching_until_ms: Cell::new(0),
             backoff_until_ms: Cell::new(0),
             signals: Cell::default(),
+            held: Cell::default(),
             resumed_sends: Cell::default(),
             has_logged_fault: Cell::new(false),
             is_replaced: Cell::new(false),
@@ -141,6 +146,9 @@
         if !self.allows_request(now_ms) {
             return TargetAvailability::Paused;
         }
+        if self.is_held_back(now_ms) {
+            return TargetAvailability::Limited;
+        }
         if now_ms < self.switching_until_ms.get() {
             return TargetAvailability::Switching;
         }
@@ -164,6 +172,8 @@
     Leaving,
     /// It has asked for a pause.
     Paused,
+    /// Its rate limit leaves no request.
+    Limited,
     /// It is changing its stage.
     Switching,
     /// It has just refused a request.
--- a/crates/relay/src/target/signals.rs
+++ b/crates/relay/src/target/signals.rs
@@ -125,6 +125,17 @@
         })
     }
 
+    /// Applies that a target names another limit than before. The first requests after the end of a
+    /// limit are spread like those after a pause. `jitter` is a random number between 0 and 1.
+    pub fn apply_limit_change(&mut self, hash: u64, change: LimitChange, now_ms: u64, jitter: f64) {
+        if let Some(target) = self.by_hash.get(&hash) {
+            target.release_held(change);
+        }
+        if change == LimitChange::Ended {
+            self.record_pause(hash, 0, now_ms, jitter);
+        }
+    }
+
     /// Returns the marks of all incarnations that leave, by hash.
     pub fn leaving_marks(&self) -> impl Iterator<Item = (u64, LeavingMark)> {
         let marks = self.signals.iter();
@@ -134,11 +145,10 @@
     /// Returns the hashes of a service's targets to which nothing may be sent because of their
     /// signals.
     pub fn blocked_hashes(&self, service: &str, now_ms: u64) -> impl Iterator<Item = u64> {
-        let blocked = self.signals.iter();
-        let blocked = blocked.filter(move |(_, signals)| signals.is_blocked(now_ms));
-        let listed = blocked.filter_map(|(hash, _)| self.by_hash.get(hash));
-        let of_service = listed.filter(move |target| target.entry.service == service);
-        of_service.map(|target| target.hash)
+        let targets = self.of_service(service).iter();
+        let blocked =
+            targets.filter(move |target| target.is_blocked(now_ms) || target.is_held_back(now_ms));
+        blocked.map(|target| target.hash)
     }
 
     /// Returns the listed target that has sent a response on a connection to `target`: another one
@@ -237,8 +247,9 @@
             received_ms: now_ms,
         };
         let change = state.rate_limits.record_answer(hash, signals.limit, times);
-        log_limit(&id, change, LeavingSource::Response, 0);
         if change != LimitChange::Unchanged {
+            registry.apply_limit_change(hash, change, now_ms, rand::random());
+            log_limit(&id, change, LeavingSource::Response, 0);
             state.report_now.notify_one();
         }
     }
@@ -280,7 +291,7 @@
 }
 
 /// Logs and counts that a target names another limit than before, as it has stated `age_ms` ago.
-fn log_limit(id: &str, change: LimitChange, source: LeavingSource, age_ms: u64) {
+pub(crate) fn log_limit(id: &str, change: LimitChange, source: LeavingSource, age_ms: u64) {
     let limit = match change {
         LimitChange::Unchanged => return,
         LimitChange::Named(limit) | LimitChange::Changed(limit) => limit,
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -29,6 +29,8 @@
         NoTarget,
         /// All targets want no requests for now.
         TargetsPaused,
+        /// The rate limits of all targets leave no request for now.
+        TargetsLimited,
         /// The response is not expected before the deadline.
         TooLate,
         /// The daemon stops before the request could finish.
@@ -69,6 +71,7 @@
             Self::NoMemory => "no_memory",
             Self::NoTarget => "no_target",
             Self::TargetsPaused => "targets_paused",
+            Self::TargetsLimited => "targets_limited",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
             Self::DeadlinePassed => "deadline_passed",
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -38,6 +38,7 @@
             version: StoreVersion::ZERO,
         },
         leaving: Vec::new(),
+        limits: Vec::new(),
         changes_after: StoreVersion::ZERO,
         usage: None,
         loads: Vec::new(),
--- a/crates/relay/tests/store_returns/daemon.rs
+++ b/crates/relay/tests/store_returns/daemon.rs
@@ -306,6 +306,7 @@
                 false => platform::TargetChanges::default(),
             },
             leaving: Vec::new(),
+            limits: Vec::new(),
             changes_after: recent.after,
             usage: None,
             loads: Vec::new(),
--- a/crates/testbed/tests/relay/rate_limits.rs
+++ b/crates/testbed/tests/relay/rate_limits.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use acaciabank_testbed::journal;
+use acaciabank_testbed::{journal, web};
 use serde_json::{Value, json};
 
-use crate::fixture::{EmulatorProcess, Fixture, Relay};
+use crate::fixture::{self, EmulatorProcess, Fixture, Relay};
 
 /// Time after the first statement from which a limit has to hold, in milliseconds (`contact_ms` of
 /// the users' rule).
@@ -181,6 +181,73 @@
     }
 }
 
+/// Guards against limits that are exceeded when the relay that grants requests is killed and comes
+/// back, and against relays that send nothing for good.
+#[tokio::test]
+async fn limits_hold_while_relays_are_killed_in_turn() {
+    let limits = [Some("4.8"), Some("1.3"), Some("0.4")];
+    let mut fixture = start_plain(&limits).await;
+    let named_ms = journal::unix_ms();
+    let addresses: Vec<_> = fixture
+        .relays
+        .iter()
+        .map(|relay| relay.caller_address)
+        .collect();
+    let started_at = Instant::now();
+    let time = Duration::from_secs(16);
+    let callers = (0u32..).take_while(|number| SEND_INTERVAL * *number < time);
+    let callers = callers.map(|number| {
+        let address = addresses[number as usize % addresses.len()];
+        async move {
+            tokio::time::sleep_until((started_at + SEND_INTERVAL * number).into()).await;
+            // Relays that are down refuse connections.
+            let _ = send_plain(address, &format!("kill-{number}")).await;
+        }
+    });
+    let kills = async {
+        for relay in &mut fixture.relays {
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            relay.process.kill();
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            relay.process.restart().expect("the process restarts");
+        }
+    };
+    tokio::join!(futures::future::join_all(callers), kills);
+    assert_limits_hold(&fixture.runners, &limits, named_ms).await;
+    let times = arrival_times(&fixture.runners[0].journal().await);
+    let last_ms = named_ms + 14_000;
+    assert!(times.iter().any(|time| *time > last_ms), "not used again");
+}
+
+/// Sends a plain request; the response does not matter.
+async fn send_plain(address: std::net::SocketAddr, attempt: &str) -> std::io::Result<()> {
+    let headers = [
+        ("host", fixture::ROUTE_HOST),
+        ("x-acaciabank-attempt-id", attempt),
+        ("x-acaciabank-deadline-ms", "3000"),
+    ];
+    web::call(address, "GET", "/safe/a", &headers, "").await?;
+    Ok(())
+}
+
+/// Guards against a limit that outlasts its target's statement, for the relay that hears of the end
+/// and for the others.
+#[tokio::test]
+async fn a_target_that_names_no_limit_any_more_is_used_as_before() {
+    let limits = [Some("1"), None, None];
+    let fixture = start_plain(&limits).await;
+    send_steadily(&fixture.relays, Duration::from_secs(3)).await;
+    let limited = &fixture.runners[0];
+    limited.control(json!({"server_limit": null})).await;
+    let ended_ms = journal::unix_ms();
+    send_steadily(&fixture.relays, Duration::from_secs(6)).await;
+    let times = arrival_times(&limited.journal().await);
+    let later = times.iter().filter(|time| **time > ended_ms + 3_000);
+    let later = later.count();
+    // A third of 60 a second for three seconds is 60.
+    assert!(later > 30, "{later} requests");
+}
+
 /// Guards against prompts and streams beyond what an engine takes: its prefill calls, streams and
 /// resumptions count alike.
 #[tokio::test]
--- a/crates/testbed/tests/relay/soak/checks.rs
+++ b/crates/testbed/tests/relay/soak/checks.rs
@@ -6,10 +6,10 @@
 
 use super::{
     callers::{CallRecord, EVENT_COUNT},
-    fixture::DrainRecord,
+    fixture::{DrainRecord, NamedLimit},
 };
 
-use crate::fixture::event_ids;
+use crate::{fixture::event_ids, rate_limits};
 
 /// Time after the store's acknowledgement from which a draining runner gets no request, in
 /// milliseconds (users' rule).
@@ -172,6 +172,26 @@
         .collect()
 }
 
+/// Checks that a runner got no more requests than its limit allows, from [`CONTACT_MS`] after the
+/// first one that it answered with the limit.
+pub(super) fn find_limit_violations(limit: &NamedLimit, entries: &[Value]) -> Vec<String> {
+    let times = rate_limits::arrival_times(entries);
+    let of_limit = times.iter().copied();
+    let of_limit = of_limit.filter(|time| (limit.named_ms..limit.ended_ms).contains(time));
+    let of_limit: Vec<u64> = of_limit.collect();
+    let Some(first_ms) = of_limit.first() else {
+        return Vec::new();
+    };
+    let worst = rate_limits::worst_window(&of_limit, first_ms + CONTACT_MS);
+    let allowed = rate_limits::allowed(limit.per_s);
+    match worst as f64 <= allowed {
+        true => Vec::new(),
+        false => vec![format!(
+            "{worst} requests in 4 s, allowed {allowed}: {limit:?}"
+        )],
+    }
+}
+
 /// Returns how many crashing requests engines ran later than [`CONTACT_MS`] after the fifth crash,
 /// from the times of all crashes and of all runs of such requests.
 pub(super) fn late_request_count(crash_times: &[u64], run_times: &[u64]) -> usize {
--- a/crates/testbed/tests/relay/soak/fixture.rs
+++ b/crates/testbed/tests/relay/soak/fixture.rs
@@ -38,6 +38,7 @@
     pub(super) is_crashing: Arc<atomic::AtomicBool>,
     pub(super) config_version: u64,
     pub(super) drains: Vec<DrainRecord>,
+    pub(super) limits: Vec<NamedLimit>,
 }
 
 /// A drain of a runner; times are those of the journals.
@@ -49,6 +50,17 @@
     pub(super) ended_ms: u64,
 }
 
+/// A limit that a run of a runner named; times are those of the journals.
+#[derive(Clone, Debug)]
+pub(super) struct NamedLimit {
+    pub(super) runner: usize,
+    /// Requests a second.
+    pub(super) per_s: f64,
+    pub(super) named_ms: u64,
+    /// Time at which the runner was killed or named no limit any more.
+    pub(super) ended_ms: u64,
+}
+
 impl SoakFixture {
     pub(super) async fn start(shows_crashes: bool) -> Self {
         let mut fixture = Fixture::start_proxied().await;
@@ -65,6 +77,7 @@
             is_crashing: Arc::default(),
             config_version: 1,
             drains: Vec::new(),
+            limits: Vec::new(),
         }
     }
 
@@ -99,7 +112,7 @@
                 self.fixture.store.control(patch.clone()).await;
             }
             SoakFault::Runner(runner, patch) => self.control_runner(*runner, patch.clone()).await,
-            SoakFault::KillRunner(runner) => self.runners[*runner].process.kill(),
+            SoakFault::KillRunner(runner) => self.kill_runner(*runner),
             SoakFault::Link(name, kind) => self.set_link_fault(name, *kind).await,
             SoakFault::Configure => self.write_config().await,
             SoakFault::LeaveRunner(runner) => self.control_runner(*runner, leaving_patch()).await,
@@ -122,6 +135,7 @@
             SoakFault::RestoreStore { .. } => {
                 self.fixture.store.control(json!({"is_silent": true})).await;
             }
+            SoakFault::LimitRunner { runner, per_s } => self.name_limit(*runner, per_s).await,
             SoakFault::DrainRunner(runner) => self.start_drain(*runner).await,
         }
     }
@@ -142,6 +156,32 @@
         });
     }
 
+    /// Has a runner name a limit.
+    pub(super) async fn name_limit(&mut self, runner: usize, per_s: &str) {
+        let named_ms = journal::unix_ms();
+        self.control_runner(runner, json!({"server_limit": per_s}))
+            .await;
+        let is_running = self.runners[runner].process.id().is_some();
+        self.limits.extend(is_running.then(|| NamedLimit {
+            runner,
+            per_s: per_s.parse().expect("a number"),
+            named_ms,
+            ended_ms: u64::MAX,
+        }));
+    }
+
+    /// Records that a runner names no limit any more.
+    fn end_limits(&mut self, runner: usize) {
+        let open = self.limits.iter_mut();
+        let open = open.filter(|limit| limit.runner == runner && limit.ended_ms == u64::MAX);
+        open.for_each(|limit| limit.ended_ms = journal::unix_ms());
+    }
+
+    fn kill_runner(&mut self, runner: usize) {
+        self.end_limits(runner);
+        self.runners[runner].process.kill();
+    }
+
     /// Waits until a time and starts runners again that have crashed meanwhile.
     pub(super) async fn restart_runners_until(&mut self, end: Instant) {
         loop {
@@ -158,6 +198,7 @@
     /// end of its fault.
     pub(super) fn restart_crashed_runners(&mut self) {
         let now = Instant::now();
+        let mut restarted = Vec::new();
         for (index, runner) in self.runners.iter_mut().enumerate() {
             if runner.process.exit_status().is_none() {
                 self.restarts.remove(&index);
@@ -166,8 +207,12 @@
             let restart_at = self.restarts.entry(index).or_insert(now + RESTART_DELAY);
             if now >= *restart_at {
                 runner.process.restart().expect("the process restarts");
+                restarted.push(index);
             }
         }
+        for runner in restarted {
+            self.end_limits(runner);
+        }
     }
 
     /// Changes the faults of a runner unless it is killed or has crashed.
@@ -290,6 +335,11 @@
                 let patch = json!({"is_silent": false, "restore": restore});
                 self.fixture.store.control(patch).await;
             }
+            SoakFault::LimitRunner { runner, .. } => {
+                self.end_limits(*runner);
+                self.control_runner(*runner, json!({"server_limit": null}))
+                    .await;
+            }
             SoakFault::DrainRunner(runner) => {
                 let mut drains = self.drains.iter_mut().rev();
                 let drain = drains.find(|drain| drain.runner == *runner);
@@ -328,7 +378,7 @@
 impl SoakFixture {
     /// Kills a runner and starts it with its former id and address.
     pub(super) async fn restart_runner(&mut self, runner: usize) {
-        self.runners[runner].process.kill();
+        self.kill_runner(runner);
         self.start_killed_runner(runner).await;
     }
 
--- a/crates/testbed/tests/relay/soak/mod.rs
+++ b/crates/testbed/tests/relay/soak/mod.rs
@@ -21,11 +21,14 @@
 use self::{
     callers::{CALLER_COUNT, CallRecord, CallerState, send_crashing_requests, send_requests},
     checks::{
-        MAX_LATE_REQUESTS, find_drain_violations, find_shared_fences, find_signal_violations,
-        find_violations, late_request_count,
+        MAX_LATE_REQUESTS, find_drain_violations, find_limit_violations, find_shared_fences,
+        find_signal_violations, find_violations, late_request_count,
+    },
+    fixture::{DrainRecord, NamedLimit, RESTART_DELAY, SoakFixture},
+    schedule::{
+        PlannedFault, SoakFault, schedule, schedule_with_crashes, schedule_with_limits,
+        schedule_with_returns,
     },
-    fixture::{DrainRecord, RESTART_DELAY, SoakFixture},
-    schedule::{PlannedFault, SoakFault, schedule, schedule_with_crashes, schedule_with_returns},
 };
 
 /// Seeds that run by default. A seed that has failed is added here with a comment on the cause.
@@ -35,6 +38,8 @@
 /// Seeds that run by default with returns of the store; kept like [`FIXED_SEEDS`].
 /// 4 and 9: relays that ignored the versions after a return sent requests to a draining runner.
 const RETURN_SEEDS: [u64; 2] = [4, 9];
+/// Seeds that run by default with limits of runners; kept like [`FIXED_SEEDS`].
+const LIMIT_SEEDS: [u64; 2] = [1, 2];
 
 async fn run_seed(seed: u64, planned: &[PlannedFault]) {
     let has_crashes = planned
@@ -92,6 +97,8 @@
         let of_runner = runner.full_journal(&soak.fixture.launcher);
         let drains = soak.drains.iter().filter(|drain| drain.runner == index);
         violations.extend(drains.flat_map(|drain| find_drain_violations(drain, &of_runner)));
+        let limits = soak.limits.iter().filter(|limit| limit.runner == index);
+        violations.extend(limits.flat_map(|limit| find_limit_violations(limit, &of_runner)));
         for entry in of_runner {
             if let Some(attempt) = entry["ran"].as_str() {
                 *runs.entry(attempt.to_owned()).or_default() += 1;
@@ -175,6 +182,34 @@
     }
 }
 
+/// Guards against targets that get more requests than the limit that they name, beside other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_beside_limits_of_targets() {
+    for seed in seeds(&LIMIT_SEEDS) {
+        run_seed(seed, &schedule_with_limits(seed)).await;
+    }
+}
+
+/// Guards against a check that misses requests beyond a limit, or that reports those that are allowed.
+#[test]
+fn the_check_finds_requests_beyond_a_limit() {
+    let limit = NamedLimit {
+        runner: 0,
+        per_s: 1.0,
+        named_ms: 1_000,
+        ended_ms: 20_000,
+    };
+    let entries = |count: u64, from_ms: u64| -> Vec<serde_json::Value> {
+        let first = json!({"ran": "first", "unix_ms": 1_000});
+        let others = (0..count).map(|number| json!({"ran": "a", "unix_ms": from_ms + number}));
+        std::iter::once(first).chain(others).collect()
+    };
+    assert!(find_limit_violations(&limit, &entries(11, 4_000)).is_empty());
+    assert_eq!(find_limit_violations(&limit, &entries(12, 4_000)).len(), 1);
+    assert!(find_limit_violations(&limit, &entries(12, 3_980)).is_empty());
+    assert!(find_limit_violations(&limit, &entries(12, 20_000)).is_empty());
+}
+
 /// Guards against a fault schedule that cannot be reproduced from its seed, and against returns
 /// that change the faults of a seed.
 #[test]
--- a/crates/testbed/tests/relay/soak/schedule.rs
+++ b/crates/testbed/tests/relay/soak/schedule.rs
@@ -9,6 +9,13 @@
 /// Changes a seed so that the returns of the store are drawn from other numbers than the faults and
 /// the crashing requests.
 pub(super) const RETURN_SALT: u64 = 0x7265_7475_726e;
+/// Changes a seed so that the limits of targets are drawn from other numbers than the faults.
+pub(super) const LIMIT_SALT: u64 = 0x6c69_6d69_7473;
+/// Limits that targets name, in requests a second.
+pub(super) const LIMITS: [&str; 5] = ["0.4", "1.3", "3.1", "4.8", "8"];
+/// Time for which a target names a limit: longer than all faults last, so that the limit is checked
+/// beside them and after them.
+pub(super) const LIMIT_TIME: Duration = Duration::from_secs(11);
 /// Ages of the copies that the store returns from, in milliseconds.
 pub(super) const COPY_AGES_MS: std::ops::Range<u64> = 1_000..6_000;
 /// Longest time after a return until the operator writes again what was lost, in milliseconds.
@@ -62,6 +69,11 @@
         age_ms: u64,
         rewrite_delay_ms: u64,
     },
+    /// A runner names how many requests a second it takes.
+    LimitRunner {
+        runner: usize,
+        per_s: &'static str,
+    },
     /// A runner drains while nothing else fails, so that it gets no request from the bound on.
     DrainRunner(usize),
 }
@@ -174,6 +186,25 @@
     planned
 }
 
+/// Adds limits of runners to the schedule of a seed, without a change of its faults.
+pub(super) fn schedule_with_limits(seed: u64) -> Vec<PlannedFault> {
+    let mut rng = rngs::StdRng::seed_from_u64(seed ^ LIMIT_SALT);
+    let mut planned = schedule(seed);
+    for runner in 0..RUNNER_IDS.len() {
+        if rng.random_range(0..2) == 0 {
+            continue;
+        }
+        let start = Duration::from_millis(rng.random_range(100..4_000));
+        let per_s = LIMITS[rng.random_range(0..LIMITS.len())];
+        planned.push(PlannedFault {
+            start,
+            end: start + LIMIT_TIME,
+            fault: SoakFault::LimitRunner { runner, per_s },
+        });
+    }
+    planned
+}
+
 pub(super) fn leaving_patch() -> Value {
     json!({"is_leaving": true})
 }
