--- a/crates/relay/src/dispatch/generate/forwarder.rs
+++ b/crates/relay/src/dispatch/generate/forwarder.rs
@@ -207,7 +207,7 @@
         telemetry::count_retry(RetryReason::StreamResumed);
         log::info!(
             id = self.request.id.as_str(), last_event = last_event.unwrap_or(0),
-            target_id = stream.plan.decode.entry.id.as_str();
+            target_id = stream.plan.decode.entry.id.as_str(), software = stream.plan.decode.entry.software.as_str();
             "stream_resumed"
         );
     }
@@ -283,7 +283,7 @@
         log::info!(
             id = request.id.as_str(), route = request.route.name.as_str(),
             team = request.team_label(),
-            target_id = plan.decode.entry.id.as_str(), prefill_id = prefill,
+            target_id = plan.decode.entry.id.as_str(), software = plan.decode.entry.software.as_str(), prefill_id = prefill,
             placed_by = placed_by, sends = self.progress.sends, prompt = request.prompt_tokens(),
             uncached = estimate.uncached_tokens, fetched = estimate.is_fetched,
             expected_ms = estimate.first_token_ms, wait_ms = estimate.wait_ms,
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -91,6 +91,13 @@
     mut progress: RequestProgress,
 ) -> Result<HttpResponse, RefusalResponse> {
     let last_event = request.metadata.last_event;
+    if let Some(last_event) = last_event {
+        log::info!(
+            id = request.id.as_str(), last_event = last_event,
+            resumes = request.metadata.resumes.as_deref();
+            "stream_taken_up"
+        );
+    }
     let (head, stream) = match start_stream(state, &request, &mut progress, last_event).await? {
         StreamStart::ErrorResponse(response, status) => {
             log::info!(
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -20,6 +20,8 @@
     pub generation: Option<GenerationParams>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of a stream which the caller resumes.
+    pub resumes: Option<String>,
 }
 
 /// Parameters of a generation request.
@@ -247,6 +249,8 @@
     pub address: net::SocketAddr,
     /// Availability zone that it runs in.
     pub zone: String,
+    /// Version of its software. Streams of one version do not go on at another.
+    pub software: String,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts no new requests because it is about to stop.
--- a/crates/relay/src/target/registry.rs
+++ b/crates/relay/src/target/registry.rs
@@ -341,7 +341,7 @@
         self.remove(&entry.id, entry.version);
         log::info!(
             target_id = entry.id.as_str(), address:% = entry.address, zone = entry.zone.as_str(),
-            service = entry.service.as_str(), draining = entry.is_draining;
+            service = entry.service.as_str(), software = entry.software.as_str(), draining = entry.is_draining;
             "target_listed"
         );
         let target = rc::Rc::new(TargetState::new(entry.clone(), kv_tokens));
--- a/crates/relay/tests/returns.rs
+++ b/crates/relay/tests/returns.rs
@@ -17,6 +17,7 @@
         service: SERVICE.to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "zone-a".to_owned(),
+        software: "v1".to_owned(),
         slots: 8,
         is_draining,
         stage: None,
--- a/crates/relay/tests/store_doubts.rs
+++ b/crates/relay/tests/store_doubts.rs
@@ -18,6 +18,7 @@
         service: SERVICE.to_owned(),
         address: ([127, 0, 0, 1], 9).into(),
         zone: "zone-a".to_owned(),
+        software: "v1".to_owned(),
         slots: 8,
         is_draining: false,
         stage: None,
--- a/crates/relay/tests/store_returns/store.rs
+++ b/crates/relay/tests/store_returns/store.rs
@@ -132,6 +132,7 @@
             service: SERVICE.to_owned(),
             address: ([127, 0, 0, 1], record.port).into(),
             zone: "zone-a".to_owned(),
+            software: "v1".to_owned(),
             slots: 8,
             is_draining: record.is_draining,
             stage: record.stage,
--- a/crates/relay/tests/target_signals.rs
+++ b/crates/relay/tests/target_signals.rs
@@ -37,6 +37,7 @@
         service: SERVICE.to_owned(),
         address: ([127, 0, 0, 1], port).into(),
         zone: "zone-a".to_owned(),
+        software: "v1".to_owned(),
         slots: 8,
         is_draining: false,
         stage: None,
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -47,6 +47,8 @@
     pub zone: String,
     /// Initial stage of an engine; `None` for a plain service.
     pub stage: Option<String>,
+    /// Version of its software, in the store entry and in each event.
+    pub version: String,
     /// Duration of a request to a plain service and time between two events of a stream, in
     /// milliseconds.
     pub work_ms: u64,
@@ -173,6 +175,7 @@
                     "service": self.options.service,
                     "address": self.options.advertised_address.unwrap_or(self.address),
                     "zone": self.options.zone, "slots": 8, "seq": sequence,
+                    "version": self.options.version,
                     "born": self.started_at_ms,
                     "state": if state.faults.is_draining { "draining" } else { "ready" },
                 });
@@ -459,6 +462,7 @@
         let event_interval = Duration::from_millis(self.options.work_ms);
         let first_event_delay = Duration::from_millis(faults.first_event_delay_ms);
         let breaks_after = faults.breaks_after;
+        let version = self.options.version.clone();
         let (journal, crashed_attempt) = (Arc::clone(&self.journal), attempt.to_owned());
         tokio::spawn(async move {
             tokio::time::sleep(first_event_delay).await;
@@ -468,7 +472,7 @@
                     journal.record(json!({"crashed": crashed_attempt}));
                     process::exit(CRASH_STATUS);
                 }
-                let event = format!("id: {number}\ndata: token {number}\n\n");
+                let event = format!("id: {number}\ndata: {version} token {number}\n\n");
                 if breaks_after.is_some_and(|limit| number >= range.first + limit) {
                     // Sends half of an event and then breaks the connection.
                     let half = event[..event.len() / 2].to_owned();
--- a/crates/testbed/src/multicall/mod.rs
+++ b/crates/testbed/src/multicall/mod.rs
@@ -156,6 +156,7 @@
     let service = argument("service", "service".to_owned());
     let zone = argument("zone", "zone-a".to_owned());
     let stage = long("stage").argument::<String>("NAME").optional();
+    let version = argument("software", "v1".to_owned());
     let work_ms = argument("work-ms", 5);
     let store = long("store").argument("ADDRESS");
     let is_spot = long("spot").switch();
@@ -167,6 +168,7 @@
         service,
         zone,
         stage,
+        version,
         work_ms,
         store,
         is_spot,
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -162,7 +162,7 @@
     ) {
         let mut entry = json!({
             "service": service, "address": address, "zone": "zone-a", "slots": 64, "seq": 1,
-            "born": 1, "state": "ready",
+            "born": 1, "state": "ready", "version": "v1",
         });
         if let Some(stage) = stage {
             entry["stage"] = stage.into();
--- a/crates/testbed/tests/relay/returns/mod.rs
+++ b/crates/testbed/tests/relay/returns/mod.rs
@@ -194,6 +194,7 @@
         self.sequence.set(self.sequence.get() + 1);
         let entry = json!({
             "service": "ledger", "address": self.target.address, "zone": "zone-a", "slots": 64,
+            "version": "v1",
             "seq": self.sequence.get(), "born": self.born_ms.get(), "state": state,
         });
         let value = base64::engine::general_purpose::STANDARD.encode(entry.to_string());
