--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -18,6 +18,7 @@
 mod returns;
 mod silences;
 mod soak;
+mod software_versions;
 mod stop_deadlines;
 mod stop_soak;
 mod stops;
