Design and decisions of streams that go on at the version that began them

Cause: after a kill of all daemons nobody knows at which version a stream began, and a record of every stream is a call to the store on the path of each. Nothing uses it yet. Ruled out: a take-up without a read of the record while only the base is listed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod shutdown;
 pub mod stage_planner;
 pub mod store_version;
+pub mod stream_version;
 pub mod suspect;
 pub mod target_signal;
 pub mod usage;
