Let streams go on only at the software version that began them

What callers saw: text joined from two versions, with status 200 and to its end, after a take-up at any host and after the system's own resumption. Cause: nothing looked at versions, neither within a response nor across a caller's attempts. The class: the identity of what continues work was taken for that of the service; any target would do. Change: the engine that sends the first event fixes the version of its request for resumptions, takeovers and placements by schedulers. A stream that begins at another version than the base is recorded in the store before its first event goes out; a take-up reads the record of the attempt that it names, and is refused at once if the version is gone or cannot be known.

--- a/crates/relay/src/dispatch/engines.rs
+++ b/crates/relay/src/dispatch/engines.rs
@@ -154,6 +154,8 @@
     pub priority: u8,
     /// Hashes of engines that failed the request and are not selected again.
     pub excluded: &'a [u64],
+    /// Hash of the software version that the engine which generates must have, if any.
+    pub software: Option<u64>,
     /// Hash of the availability zone of the daemon that handles the request.
     pub zone_hash: u64,
 }
@@ -171,10 +173,18 @@
             prompt_tokens: request.prompt_tokens(),
             priority: request.priority,
             excluded: &progress.excluded,
+            software: request.software.get(),
             zone_hash: state.zone_hash,
         }
     }
 
+    /// Whether an engine may do its part: one that generates needs the version of the stream.
+    fn may_run(&self, engine: &target::TargetState, now_ms: u64) -> bool {
+        let is_prefill = engine.stage(now_ms) == Some(placement::EngineStage::Prefill);
+        let mut versions = self.software.iter();
+        is_prefill || versions.all(|software| *software == engine.software_hash)
+    }
+
     /// Returns the key of the last part that other requests share; 0 if there is none.
     fn shared_key(&self) -> u64 {
         let shared = prefix::shared_parts(self.parts).last();
@@ -243,6 +253,7 @@
         parts: prompt.parts.to_vec(),
         excluded: excluded_hashes(state, prompt),
         prefilled: prefilled.map(|engine| engine.hash),
+        software: prompt.software,
         intake,
         team,
     };
@@ -251,7 +262,9 @@
     let targets = state.targets.borrow();
     let accepting = |hash: u64, stage: placement::EngineStage| {
         let target = targets.by_hash(hash)?;
-        let is_available = target.is_accepting(now_ms) && target.stage(now_ms) == Some(stage);
+        let is_available = target.is_accepting(now_ms)
+            && target.stage(now_ms) == Some(stage)
+            && prompt.may_run(target, now_ms);
         (is_available && !prompt.excluded.contains(&hash)).then(|| rc::Rc::clone(target))
     };
     let prefill = match placed.prefill {
@@ -370,7 +383,9 @@
         let mut backlog = target.backlog.get();
         backlog.merge(&peer_load.backlog);
         placement::EngineCandidate {
-            is_available: target.is_accepting(now_ms) && !prompt.excluded.contains(&target.hash),
+            is_available: target.is_accepting(now_ms)
+                && !prompt.excluded.contains(&target.hash)
+                && prompt.may_run(target, now_ms),
             stage: target
                 .stage(now_ms)
                 .unwrap_or(placement::EngineStage::Decode),
--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -31,6 +31,7 @@
 };
 use crate::{
     capacity, clock, connection, panics, platform, state, target, telemetry::RefusalCause, usage,
+    versions,
 };
 use kv_handle::KvHandle;
 
@@ -98,6 +99,7 @@
             "stream_taken_up"
         );
     }
+    versions::prepare(state, &request).await?;
     let (head, stream) = match start_stream(state, &request, &mut progress, last_event).await? {
         StreamStart::ErrorResponse(response, status) => {
             log::info!(
@@ -111,6 +113,7 @@
         }
         StreamStart::Open(head, stream) => (head, stream),
     };
+    versions::record_start(state, &request, &stream.plan.decode).await?;
     let route = &request.route.name;
     state
         .shutdown
--- a/crates/relay/src/dispatch/limits.rs
+++ b/crates/relay/src/dispatch/limits.rs
@@ -76,6 +76,10 @@
     let engine = engines.find(|engine| {
         engine.is_accepting(now_ms)
             && engine.stage(now_ms) == Some(placement::EngineStage::Decode)
+            && request
+                .software
+                .get()
+                .is_none_or(|software| software == engine.software_hash)
             && !needs_grant(state, request, engine.hash)
     });
     if let Some(engine) = engine {
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 mod unread;
 
 pub use engines::{PREFILL_OVERHEAD_MS, PromptView, decide_share, pick_engines};
-pub use refusal::HttpResponse;
+pub use refusal::{HttpResponse, RefusalResponse};
 pub use request::RelayRequest;
 
 use std::rc;
@@ -26,7 +26,6 @@
 use hyper::body::Incoming;
 
 use crate::{config, panics, platform, state, telemetry::RefusalCause};
-use refusal::RefusalResponse;
 use request::RequestProgress;
 use unanswered::UnansweredGuard;
 
--- a/crates/relay/src/dispatch/refusal.rs
+++ b/crates/relay/src/dispatch/refusal.rs
@@ -113,7 +113,8 @@
         | RefusalCause::NoKey
         | RefusalCause::UnknownKey
         | RefusalCause::BodyTooLarge
-        | RefusalCause::BodyIncomplete => None,
+        | RefusalCause::BodyIncomplete
+        | RefusalCause::VersionGone => None,
         // Jitter spreads the retries of callers that were refused at the same time.
         _ => Some(200 + rand::random::<u64>() % 200),
     }
--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -65,6 +65,8 @@
     pub suspect_keys: Vec<u64>,
     /// Permission to run it as a crash suspect.
     pub trial: RefCell<Option<rc::Rc<trial::TrialPermit>>>,
+    /// Hash of the software version that it has to run at: the one that began its stream.
+    pub software: Cell<Option<u64>>,
     /// Permissions to send it to targets that name a rate limit.
     pub grants: RefCell<Vec<rate_limit::SendGrant>>,
     /// The task that finds out whether the target of the last attempt has crashed.
@@ -125,6 +127,7 @@
         Ok(Self {
             suspect_keys,
             trial: RefCell::default(),
+            software: Cell::default(),
             grants: RefCell::default(),
             confirmation: RefCell::default(),
             has_output: Cell::new(false),
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -19,7 +19,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{capacity, config, platform, rate_limit};
+use crate::{capacity, config, platform, rate_limit, versions};
 
 /// Load that the sender's requests cause at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -115,6 +115,8 @@
     pub leaving: Vec<LeavingEntry>,
     /// What targets have stated to the sender about their rate limits.
     pub limits: Vec<rate_limit::LimitEntry>,
+    /// Bases of services; `None` if the sender does not know those in the store.
+    pub bases: Option<Vec<versions::BaseEntry>>,
     /// Version of the store after which `target_changes` are complete.
     pub changes_after: StoreVersion,
     /// Usage, in deployments that report it.
--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -6,7 +6,9 @@
 use tokio::net::UdpSocket;
 
 use super::{LoadEntry, PartEntry, PeerReport, StageChangeEntry, leaving};
-use crate::{clock, config, platform, rate_limit, scheduler, state, target, trial, usage, watch};
+use crate::{
+    clock, config, platform, rate_limit, scheduler, state, target, trial, usage, versions, watch,
+};
 
 /// Interval between reports, as loads change within a few hundred milliseconds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -217,6 +219,7 @@
         },
         leaving: leaving::leaving_entries(state, now_ms),
         limits: rate_limit::limit_entries(state, now_ms),
+        bases: versions::base_entries(state),
         changes_after: recent.after,
         usage: usage::build_share(state, now_ms),
         loads: loads(state),
@@ -389,6 +392,7 @@
     state.apply_targets(report.target_changes.clone(), state::ChangeSource::Peer);
     leaving::apply_leaving(state, &report.leaving, now_ms);
     rate_limit::apply_limits(state, &report.limits, now_ms);
+    versions::apply_bases(state, report.bases.as_deref());
     let config_version = report.config_version;
     let (config_age_ms, targets_age_ms) = (report.config_age_ms, report.targets_age_ms);
     let (after, version) = (report.changes_after, report.target_changes.version);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod telemetry;
 mod trial;
 mod usage;
+mod versions;
 pub mod watch;
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -325,6 +325,17 @@
     pub settled: BTreeMap<u64, BTreeMap<String, u64>>,
 }
 
+/// The base of a service's software versions; see [`acaciabank_core::stream_version`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BaseRow {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the version.
+    pub software: String,
+    /// Version of the row.
+    pub stored: StoreVersion,
+}
+
 /// Condition that a lease has not been written since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseCondition<'a> {
@@ -391,6 +402,38 @@
         settled: &[UsageReport],
         expired: &[u64],
     ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
+
+    /// Reads the bases of all services.
+    fn read_base_versions(&self) -> impl Future<Output = Result<Vec<BaseRow>, StoreError>>;
+
+    /// Writes the base of a service if its row has the given version, or does not exist for `None`.
+    /// Returns the new version of the row, or `None` if the condition does not hold.
+    fn write_base_version(
+        &self,
+        service: &str,
+        software: &str,
+        condition: Option<StoreVersion>,
+    ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
+
+    /// Records the software version at which a stream began, and when.
+    fn write_stream_version(
+        &self,
+        stream_key: u64,
+        software: &str,
+        begun_unix_ms: u64,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Returns the recorded software version of a stream.
+    fn read_stream_version(
+        &self,
+        stream_key: u64,
+    ) -> impl Future<Output = Result<Option<String>, StoreError>>;
+
+    /// Removes the records of streams that began before a time; returns their number.
+    fn remove_stream_versions(
+        &self,
+        before_unix_ms: u64,
+    ) -> impl Future<Output = Result<usize, StoreError>>;
 }
 
 /// Encodes and decodes the messages of callers, targets and operators.
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     capacity, clock, discovery, gossip, lease, listener, panics, planner, platform, scheduler,
-    state, telemetry, usage,
+    state, telemetry, usage, versions,
 };
 
 pub use crate::state::RelaySettings;
@@ -180,6 +180,7 @@
     spawn("planner", |state, _| planner::run(state).boxed_local());
     spawn("capacity", |state, _| capacity::run(state).boxed_local());
     spawn("usage", |state, _| usage::run(state).boxed_local());
+    spawn("versions", |state, _| versions::run(state).boxed_local());
     spawn("scheduler", |state, _| scheduler::run(state).boxed_local());
     spawn("warmup", |state, _| {
         scheduler::run_warmup(state).boxed_local()
--- a/crates/relay/src/scheduler/message.rs
+++ b/crates/relay/src/scheduler/message.rs
@@ -22,6 +22,8 @@
     pub excluded: Vec<u64>,
     /// Hash of the engine that has processed the prompt already, if any.
     pub prefilled: Option<u64>,
+    /// Hash of the software version that the engine which generates must have, if any.
+    pub software: Option<u64>,
     /// Properties that decide whether the request is refused because of load.
     pub intake: load_shed::IntakeRequest,
     /// Hash of the name of the caller's team, if any.
--- a/crates/relay/src/scheduler/server.rs
+++ b/crates/relay/src/scheduler/server.rs
@@ -55,6 +55,7 @@
         prompt_tokens: request.prompt_tokens,
         priority: request.intake.priority,
         excluded: &request.excluded,
+        software: request.software,
         zone_hash: request.zone_hash,
     };
     let mut plan = dispatch::pick_engines(state, &prompt, prefilled.as_ref())?;
--- a/crates/relay/src/state/mod.rs
+++ b/crates/relay/src/state/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     capacity, config, connection, control, gossip, lease, memory, platform, rate_limit, scheduler,
-    shutdown, target, teams, trial, usage, watch,
+    shutdown, target, teams, trial, usage, versions, watch,
 };
 
 /// Settings of the process, fixed at startup.
@@ -147,6 +147,8 @@
     pub trials: trial::TrialState,
     /// Rate limits of targets.
     pub rate_limits: rate_limit::RateLimitState,
+    /// Software versions of targets and streams.
+    pub versions: versions::VersionState,
     /// Estimated speeds of the prefill engines by service.
     pub prompt_speeds: RefCell<HashMap<String, prompt_speed::SpeedEstimate>>,
     /// Retry budgets by service.
@@ -228,6 +230,7 @@
             suspects: RefCell::new(suspect::SuspectTable::awaiting_reports()),
             trials: trial::TrialState::default(),
             rate_limits: rate_limit::RateLimitState::default(),
+            versions: versions::VersionState::default(),
             prompt_speeds: RefCell::default(),
             budgets: RefCell::default(),
             phase: Cell::new(RelayPhase::Serving),
@@ -264,6 +267,7 @@
         }
         log::warn!(era = era, known = known; "store_returned");
         metrics::counter!("acaciabank_store_returns_total").increment(era - known);
+        self.versions.record_return(crate::clock::now_ms());
         self.store_returned.notify_one();
     }
 
--- a/crates/relay/src/target/mod.rs
+++ b/crates/relay/src/target/mod.rs
@@ -22,7 +22,7 @@
     outlier, placement, prefix, prompt_backlog::PromptBacklog, target_signal::SignalState,
 };
 
-use crate::{connection, platform};
+use crate::{connection, platform, state};
 
 /// An incarnation of a target. It is kept until the platform no longer lists it and its last
 /// request has ended.
@@ -35,6 +35,8 @@
     pub hash: u64,
     /// Hash of the name of its availability zone.
     pub zone_hash: u64,
+    /// Hash of the version of its software.
+    pub software_hash: u64,
     /// Stage in the platform's list.
     pub listed_stage: Cell<Option<placement::EngineStage>>,
     /// Stage that a daemon has ordered; it overrides the listed stage until the list has caught up.
@@ -82,6 +84,7 @@
         Self {
             hash: incarnation_hash(&entry),
             zone_hash: xxhash_rust::xxh3::xxh3_64(entry.zone.as_bytes()),
+            software_hash: state::hash_name(&entry.software),
             listed_stage: Cell::new(entry.stage),
             ordered: Cell::new(None),
             last_order_ms: Cell::new(None),
--- a/crates/relay/src/telemetry/events.rs
+++ b/crates/relay/src/telemetry/events.rs
@@ -33,6 +33,12 @@
         TargetsLimited,
         /// The response is not expected before the deadline.
         TooLate,
+        /// No target has the software version that began the stream.
+        VersionGone,
+        /// At which software version the stream began is not known.
+        VersionUnknown,
+        /// The software version at which the stream begins could not be recorded.
+        StreamUnrecorded,
         /// The daemon stops before the request could finish.
         Stopping,
         /// The deadline of the request has passed.
@@ -73,6 +79,9 @@
             Self::TargetsPaused => "targets_paused",
             Self::TargetsLimited => "targets_limited",
             Self::TooLate => "too_late",
+            Self::VersionGone => "version_gone",
+            Self::VersionUnknown => "version_unknown",
+            Self::StreamUnrecorded => "stream_unrecorded",
             Self::Stopping => "stopping",
             Self::DeadlinePassed => "deadline_passed",
             Self::CrashSuspect => "crash_suspect",
--- a/crates/relay/tests/reports.rs
+++ b/crates/relay/tests/reports.rs
@@ -39,6 +39,7 @@
         },
         leaving: Vec::new(),
         limits: Vec::new(),
+        bases: None,
         changes_after: StoreVersion::ZERO,
         usage: None,
         loads: Vec::new(),
--- a/crates/relay/tests/store_returns/daemon.rs
+++ b/crates/relay/tests/store_returns/daemon.rs
@@ -307,6 +307,7 @@
             },
             leaving: Vec::new(),
             limits: Vec::new(),
+            bases: None,
             changes_after: recent.after,
             usage: None,
             loads: Vec::new(),
--- a/crates/testbed/tests/relay/soak/checks.rs
+++ b/crates/testbed/tests/relay/soak/checks.rs
@@ -9,7 +9,7 @@
     fixture::{DrainRecord, NamedLimit},
 };
 
-use crate::{fixture::event_ids, rate_limits};
+use crate::{fixture::event_ids, rate_limits, software_versions};
 
 /// Time after the store's acknowledgement from which a draining runner gets no request, in
 /// milliseconds (users' rule).
@@ -50,6 +50,10 @@
             "once" | "safe" => *body == format!("{0}:{0}", record.attempt).into_bytes(),
             _ => event_ids(body) == (0..u64::from(EVENT_COUNT)).collect::<Vec<_>>(),
         };
+        let text = String::from_utf8_lossy(body);
+        if software_versions::versions(&text).len() > 1 {
+            violations.push(format!("{} holds two versions: {text}", record.attempt));
+        }
         if !is_complete {
             let text = String::from_utf8_lossy(body).into_owned();
             violations.push(format!(
--- a/crates/testbed/tests/relay/soak/fixture.rs
+++ b/crates/testbed/tests/relay/soak/fixture.rs
@@ -67,7 +67,12 @@
         fixture.shows_crashes = shows_crashes;
         fixture.write_config(1, |_| {}).await;
         fixture.runner_arguments = vec!["--crash-part".to_owned(), CRASH_PART.to_owned()];
-        let runners = fixture.start_runners(&RUNNER_IDS).await;
+        let (last, others) = RUNNER_IDS.split_last().expect("runners");
+        let mut runners = fixture.start_runners(others).await;
+        // The decode engines have different software versions.
+        let version = ["--software".to_owned(), "v2".to_owned()];
+        fixture.runner_arguments.extend(version);
+        runners.extend(fixture.start_runners(&[last]).await);
         let relays = fixture.start_relays(RELAY_COUNT).await;
         Self {
             fixture,
--- a/crates/testbed/tests/relay/soak/mod.rs
+++ b/crates/testbed/tests/relay/soak/mod.rs
@@ -19,7 +19,9 @@
 use serde_json::json;
 
 use self::{
-    callers::{CALLER_COUNT, CallRecord, CallerState, send_crashing_requests, send_requests},
+    callers::{
+        CALLER_COUNT, CallRecord, CallerState, EVENT_COUNT, send_crashing_requests, send_requests,
+    },
     checks::{
         MAX_LATE_REQUESTS, find_drain_violations, find_limit_violations, find_shared_fences,
         find_signal_violations, find_violations, late_request_count,
@@ -264,20 +266,23 @@
         attempt: attempt.to_owned(),
         response: Some((status, body.as_bytes().to_vec())),
     };
+    let event = |number: u32| format!("id: {number}\ndata: v{} token {number}\n\n", number / 4);
+    let two_versions: String = (0..EVENT_COUNT).map(event).collect();
     let records = [
         record("once", "a", 200, "a:a"),
         record("once", "b", 503, "refused"),
         record("safe", "c", 200, "c:"),
         record("stream", "d", 200, "id: 0\n\nid: 2\n\n"),
         record("safe", "e", 200, "e:e"),
+        record("resumable", "f", 200, &two_versions),
     ];
-    let runs = [("a", 2), ("b", 1), ("c", 2), ("d", 1), ("e", 2)];
+    let runs = [("a", 2), ("b", 1), ("c", 2), ("d", 1), ("e", 2), ("f", 2)];
     let runs = runs
         .iter()
         .map(|(attempt, runs)| ((*attempt).to_owned(), *runs))
         .collect();
     let violations = find_violations(&records, &runs);
-    assert_eq!(violations.len(), 4, "{violations:?}");
+    assert_eq!(violations.len(), 5, "{violations:?}");
 }
 
 /// Guards against a check that misses requests to runners that leave or are paused, or that reports
--- a/crates/testbed/tests/relay/software_versions.rs
+++ b/crates/testbed/tests/relay/software_versions.rs
@@ -18,7 +18,7 @@
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 /// Returns the versions that occur in the events of a stream, each once.
-fn versions(text: &str) -> Vec<String> {
+pub(crate) fn versions(text: &str) -> Vec<String> {
     let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
     let mut versions: Vec<String> = events
         .filter_map(|event| event.split_once(" token "))
@@ -32,7 +32,7 @@
 /// Relays and engines: prefill engines of version v1, and decode engines of both versions.
 struct VersionFixture {
     fixture: Fixture,
-    _prefill_engines: Vec<EmulatorProcess>,
+    prefill_engines: Vec<EmulatorProcess>,
     /// Decode engines of version v1.
     old: Vec<EmulatorProcess>,
     /// Decode engines of version v2.
@@ -53,7 +53,7 @@
         let new = fixture.start_runners(&["d-3", "d-4"]).await;
         let version_fixture = Self {
             fixture,
-            _prefill_engines: prefill_engines,
+            prefill_engines,
             old,
             _new: new,
             relays,
@@ -254,10 +254,10 @@
     let begun = begin_all(&fixture.relays, "left").await;
     let of_old = begun.iter().filter(|stream| stream.version == "v1").count();
     assert!(of_old > 0 && of_old < STREAMS, "{of_old}");
-    for engine in &mut fixture.old {
+    let old = fixture.old.iter_mut().chain(&mut fixture.prefill_engines);
+    for engine in old {
         engine.process.kill();
-    }
-    for id in ["d-1", "d-2"] {
+        let id = engine.process.name();
         fixture.fixture.deregister_target(id).await;
     }
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -297,7 +297,7 @@
     let relays = fixture.start_relays(2).await;
     let mut version_fixture = VersionFixture {
         fixture,
-        _prefill_engines: engines,
+        prefill_engines: engines,
         old: Vec::new(),
         _new: Vec::new(),
         relays,
