Tests: answers that break off during the upload, and statuses that are none

Cause: on other systems a part of a 200 without a length was taken for the whole of it when its connection was reset while the upload was still being written, and an answer with the status 000 was passed on. Change: three tests of plain requests and streams with uploads of 900 kB; resets at once, after 1, 5 and 30 ms and after 40 kB were read; the statuses 000, 099, 1000 and 20. Nothing is changed in the relay.

--- a/crates/testbed/tests/relay/main.rs
+++ b/crates/testbed/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod crashing_parts;
 mod crashing_requests;
+mod early_answers;
 mod faulty_targets;
 mod fixture;
 mod guarantees;
