One type for questions to other daemons that wait for an answer

Cause: schedulers, trials and grants each had the same map of senders, guard and wait; the limits and pauses of targets the same test for a decimal number. Change: reply::PendingReplies and target_signal::decimal_text; no behaviour.

--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -29,7 +29,7 @@
 
 use acaciabank_protocol::value_type;
 
-use crate::target_signal::SignalFault;
+use crate::target_signal::{self, SignalFault};
 
 /// Longest text of a limit: enough for every limit that a target can mean.
 const MAX_LIMIT_DIGITS: usize = 24;
@@ -50,15 +50,8 @@
     ///
     /// Returns a fault if the text is not a plain decimal number.
     pub fn parse(text: &str) -> Result<Self, SignalFault> {
-        let text = text.trim();
-        if text.is_empty() {
-            return Err(SignalFault::Empty);
-        }
-        let is_decimal = text.starts_with(|first: char| first.is_ascii_digit())
-            && text
-                .bytes()
-                .all(|byte| byte.is_ascii_digit() || byte == b'.');
-        if !is_decimal || text.len() > MAX_LIMIT_DIGITS {
+        let text = target_signal::decimal_text(text)?;
+        if text.len() > MAX_LIMIT_DIGITS {
             return Err(SignalFault::Unreadable);
         }
         let per_s: f64 = text.parse().map_err(|_| SignalFault::Unreadable)?;
--- a/crates/core/src/target_signal/mod.rs
+++ b/crates/core/src/target_signal/mod.rs
@@ -132,17 +132,7 @@
 ///
 /// Returns a fault if the text is not a plain decimal number or exceeds [`MAX_PAUSE_MS`].
 pub fn parse_pause(text: &str) -> Result<u64, SignalFault> {
-    let text = text.trim();
-    if text.is_empty() {
-        return Err(SignalFault::Empty);
-    }
-    let is_decimal = text.starts_with(|first: char| first.is_ascii_digit())
-        && text
-            .bytes()
-            .all(|byte| byte.is_ascii_digit() || byte == b'.');
-    if !is_decimal {
-        return Err(SignalFault::Unreadable);
-    }
+    let text = decimal_text(text)?;
     if text.len() > MAX_SECONDS_DIGITS {
         return Err(SignalFault::TooLong);
     }
@@ -154,6 +144,20 @@
     }
 }
 
+/// Returns the text of a plain decimal number, without spaces around it.
+pub(crate) fn decimal_text(text: &str) -> Result<&str, SignalFault> {
+    let text = text.trim();
+    if text.is_empty() {
+        return Err(SignalFault::Empty);
+    }
+    let is_digit = |byte: u8| byte.is_ascii_digit() || byte == b'.';
+    let is_decimal = text.starts_with(|first: char| first.is_ascii_digit());
+    match is_decimal && text.bytes().all(is_digit) {
+        true => Ok(text),
+        false => Err(SignalFault::Unreadable),
+    }
+}
+
 /// Returns the pause that follows from a faulty value.
 fn bounded_pause_ms(fault: SignalFault) -> u64 {
     match fault {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod platform;
 pub mod process;
 mod rate_limit;
+mod reply;
 mod scheduler;
 mod shutdown;
 mod state;
--- a/crates/relay/src/rate_limit/client.rs
+++ b/crates/relay/src/rate_limit/client.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use acaciabank_core::rate_limit::{GrantAnswer, GrantRequest};
-use tokio::sync::oneshot;
 
-use super::{LimitEntry, Question, RateLimitState, Response, server};
+use super::{LimitEntry, Question, Response, server};
 use crate::{
     clock, platform,
     scheduler::{self, PeerMessage},
@@ -107,18 +106,6 @@
     last_answer
 }
 
-/// Removes a question from the pending ones when dropped.
-struct PendingQuestion<'a> {
-    limits: &'a RateLimitState,
-    id: u64,
-}
-
-impl Drop for PendingQuestion<'_> {
-    fn drop(&mut self) {
-        self.limits.pending.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Asks one daemon; returns `None` without an answer in time.
 async fn ask<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
@@ -128,9 +115,7 @@
     let address = state.peers.borrow().address_of(granter)?;
     let limits = &state.rate_limits;
     let id = request.id;
-    let (sender, mut receiver) = oneshot::channel();
-    limits.pending.borrow_mut().insert(id, sender);
-    let _pending = PendingQuestion { limits, id };
+    let mut reply = limits.pending.open(id);
     let record = limits.known.borrow().record_of(request.target_hash);
     let now_ms = clock::now_ms();
     let message = PeerMessage::GrantRequest(Question {
@@ -139,18 +124,16 @@
     });
     for _ in 0..MAX_QUESTIONS {
         state.scheduler.send(&message, address);
-        if let Ok(answer) = tokio::time::timeout(ANSWER_TIMEOUT, &mut receiver).await {
-            return answer.ok();
+        let answer = reply.wait(ANSWER_TIMEOUT).await;
+        if answer.is_some() {
+            return answer;
         }
     }
     None
 }
 
-/// Passes a response to the task that waits for it; a late one is ignored.
+/// Passes a response to the task that waits for it.
 pub fn receive_response<Codec, Store>(state: &state::RelayState<Codec, Store>, response: Response) {
-    let sender = state.rate_limits.pending.borrow_mut().remove(&response.id);
-    if let Some(sender) = sender {
-        // The question may have just timed out.
-        let _: Result<(), GrantAnswer> = sender.send(response.answer);
-    }
+    let pending = &state.rate_limits.pending;
+    pending.resolve(response.id, response.answer);
 }
--- a/crates/relay/src/rate_limit/mod.rs
+++ b/crates/relay/src/rate_limit/mod.rs
@@ -11,17 +11,12 @@
 pub use report::{LimitEntry, apply_limits, limit_entries};
 pub use server::{Question, Response, handle_request};
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-};
+use std::cell::{Cell, RefCell};
 
+use crate::{reply, state};
 use acaciabank_core::rate_limit::{
     AnswerTimes, GrantAnswer, GrantTable, LimitChange, LimitRecord, LimitTable, RateLimit,
 };
-use tokio::sync::oneshot;
-
-use crate::state;
 
 /// What this daemon knows of the limits of targets, as one that asks for grants and as the one that
 /// gives them.
@@ -31,7 +26,7 @@
     /// Buckets of the targets for which this daemon grants requests.
     granted: RefCell<GrantTable>,
     /// Questions of this daemon that wait for a response, by id.
-    pending: RefCell<HashMap<u64, oneshot::Sender<GrantAnswer>>>,
+    pending: reply::PendingReplies<GrantAnswer>,
     /// Whether this daemon gave the last answer as the granter.
     is_granter: Cell<bool>,
 }
--- a/crates/relay/src/scheduler/client.rs
+++ b/crates/relay/src/scheduler/client.rs
@@ -3,7 +3,6 @@
 use std::{net, rc};
 
 use acaciabank_core::scheduler;
-use tokio::sync::oneshot;
 
 use super::{
     PLACEMENT_TIMEOUT, PeerMessage, PlacedEngines, PlacementRequest, PlacementResponse, UpdateQueue,
@@ -36,18 +35,6 @@
     }
 }
 
-/// Removes a request from the pending ones when dropped.
-struct PendingRequest<'a> {
-    state: &'a super::SchedulerState,
-    id: u64,
-}
-
-impl Drop for PendingRequest<'_> {
-    fn drop(&mut self) {
-        self.state.pending.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Requests engines for a prompt from its schedulers. Returns `None` when none of them places it
 /// and this daemon has to. `shared_key` is the key of the prompt's shared part.
 pub async fn request_placement<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
@@ -87,12 +74,7 @@
 ) -> Option<Option<(PlacedEngines, AssignedWork)>> {
     let scheduler = &state.scheduler;
     let id = rand::random();
-    let (sender, receiver) = oneshot::channel();
-    scheduler.pending.borrow_mut().insert(id, sender);
-    let pending = PendingRequest {
-        state: scheduler,
-        id,
-    };
+    let mut reply = scheduler.pending.open(id);
     // If there is no response in time, dropping this tells the scheduler to discard the placement.
     let work = AssignedWork {
         id,
@@ -104,17 +86,17 @@
         ..request.clone()
     };
     scheduler.send(&PeerMessage::Request(request), address);
-    let response = tokio::time::timeout(PLACEMENT_TIMEOUT, receiver).await;
-    drop(pending);
+    let response = reply.wait(PLACEMENT_TIMEOUT).await;
+    drop(reply);
     let mut health = scheduler.health.borrow_mut();
     match response {
-        Ok(Ok(response)) => {
+        Some(response) => {
             if health.record_response(daemon_hash) {
                 log::info!(scheduler:% = address; "scheduler_regained");
             }
             Some(response.engines.map(|engines| (engines, work)))
         }
-        _ => {
+        None => {
             if health.record_timeout(daemon_hash, clock::now_ms()) {
                 log::info!(scheduler:% = address; "scheduler_lost");
             }
@@ -123,14 +105,11 @@
     }
 }
 
-/// Passes a scheduler's response to the task that waits for it; a late response is ignored.
+/// Passes a scheduler's response to the task that waits for it.
 pub fn receive_response<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     response: PlacementResponse,
 ) {
-    let sender = state.scheduler.pending.borrow_mut().remove(&response.id);
-    if let Some(sender) = sender {
-        // The request may have just timed out.
-        let _: Result<(), PlacementResponse> = sender.send(response);
-    }
+    let pending = &state.scheduler.pending;
+    pending.resolve(response.id, response);
 }
--- a/crates/relay/src/scheduler/mod.rs
+++ b/crates/relay/src/scheduler/mod.rs
@@ -27,12 +27,9 @@
 };
 
 use acaciabank_core::{outlier, prefix, scheduler};
-use tokio::{
-    net::UdpSocket,
-    sync::{Notify, oneshot},
-};
+use tokio::{net::UdpSocket, sync::Notify};
 
-use crate::{clock, platform, state, target};
+use crate::{clock, platform, reply, state, target};
 
 /// Time limit for a placement response: a round trip between availability zones, and the time that
 /// other tasks take on a small host.
@@ -64,7 +61,7 @@
     /// UDP socket for messages between daemons.
     pub socket: OnceCell<rc::Rc<UdpSocket>>,
     /// Requests of this daemon that wait for a response, by id.
-    pending: RefCell<HashMap<u64, oneshot::Sender<PlacementResponse>>>,
+    pending: reply::PendingReplies<PlacementResponse>,
     /// Which schedulers respond to this daemon.
     health: RefCell<scheduler::SchedulerHealth>,
     updates: rc::Rc<UpdateQueue>,
--- a/crates/relay/src/trial/client.rs
+++ b/crates/relay/src/trial/client.rs
@@ -3,7 +3,6 @@
 use std::{cell::Cell, fmt, net, rc, time::Duration};
 
 use acaciabank_core::suspect::{self, TrialAnswer};
-use tokio::sync::oneshot;
 
 use super::{TrialEnd, TrialRequest, TrialResponse, server};
 use crate::{
@@ -154,18 +153,6 @@
     })
 }
 
-/// Removes a question from the pending ones when dropped.
-struct PendingQuestion<'a> {
-    trials: &'a super::TrialState,
-    id: u64,
-}
-
-impl Drop for PendingQuestion<'_> {
-    fn drop(&mut self) {
-        self.trials.pending.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Asks one daemon; returns `None` without an answer in time.
 async fn ask<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
@@ -174,9 +161,7 @@
     granter: net::SocketAddr,
 ) -> Option<TrialAnswer> {
     let trials = &state.trials;
-    let (sender, mut receiver) = oneshot::channel();
-    trials.pending.borrow_mut().insert(id, sender);
-    let _pending = PendingQuestion { trials, id };
+    let mut reply = trials.pending.open(id);
     let message = PeerMessage::TrialRequest(TrialRequest {
         id,
         keys: keys.to_vec(),
@@ -184,21 +169,19 @@
     });
     for _ in 0..MAX_QUESTIONS {
         state.scheduler.send(&message, granter);
-        if let Ok(answer) = tokio::time::timeout(ANSWER_TIMEOUT, &mut receiver).await {
-            return answer.ok();
+        let answer = reply.wait(ANSWER_TIMEOUT).await;
+        if answer.is_some() {
+            return answer;
         }
     }
     None
 }
 
-/// Passes an answer to the task that waits for it; a late answer is ignored.
+/// Passes an answer to the task that waits for it.
 pub fn receive_response<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
     response: TrialResponse,
 ) {
-    let sender = state.trials.pending.borrow_mut().remove(&response.id);
-    if let Some(sender) = sender {
-        // The question may have just timed out.
-        let _: Result<(), TrialAnswer> = sender.send(response.answer);
-    }
+    let pending = &state.trials.pending;
+    pending.resolve(response.id, response.answer);
 }
--- a/crates/relay/src/trial/mod.rs
+++ b/crates/relay/src/trial/mod.rs
@@ -18,7 +18,9 @@
 
 use acaciabank_core::suspect;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
+
+use crate::reply;
 
 /// Shortest interval between two questions of this daemon about trials of a key.
 const ASK_INTERVAL_MS: u64 = 40;
@@ -64,7 +66,7 @@
     /// Trials that this daemon has granted.
     granted: RefCell<suspect::TrialTable>,
     /// Questions of this daemon that wait for a response, by id.
-    pending: RefCell<HashMap<u64, oneshot::Sender<suspect::TrialAnswer>>>,
+    pending: reply::PendingReplies<suspect::TrialAnswer>,
     /// Time of the last question by key.
     asked_ms: RefCell<HashMap<u64, u64>>,
     waiting: Cell<usize>,
