Write the records of streams for all daemons in one place

Change: the first daemon by rank collects the records of 20 ms into one transaction and confirms them; without its answer a daemon writes itself.

--- a/crates/relay/src/gossip/task.rs
+++ b/crates/relay/src/gossip/task.rs
@@ -368,6 +368,12 @@
         Ok(scheduler::PeerMessage::GrantResponse(response)) => {
             rate_limit::receive_response(state, response);
         }
+        Ok(scheduler::PeerMessage::RecordRequest(request)) => {
+            versions::handle_request(state, request, sender);
+        }
+        Ok(scheduler::PeerMessage::RecordResponse(response)) => {
+            versions::receive_response(state, response);
+        }
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "peer_message_unreadable");
         }
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -336,6 +336,17 @@
     pub stored: StoreVersion,
 }
 
+/// At which software version a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StreamRecord {
+    /// Hash of the id of the attempt that brought the first event.
+    pub stream_key: u64,
+    /// Name of the version.
+    pub software: String,
+    /// Time of the first event, in Unix milliseconds.
+    pub begun_unix_ms: u64,
+}
+
 /// Condition that a lease has not been written since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseCondition<'a> {
@@ -415,12 +426,10 @@
         condition: Option<StoreVersion>,
     ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
 
-    /// Records the software version at which a stream began, and when.
-    fn write_stream_version(
+    /// Records at which software versions streams began, at most a hundred.
+    fn write_stream_versions(
         &self,
-        stream_key: u64,
-        software: &str,
-        begun_unix_ms: u64,
+        records: &[StreamRecord],
     ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Returns the recorded software version of a stream.
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -181,6 +181,9 @@
     spawn("capacity", |state, _| capacity::run(state).boxed_local());
     spawn("usage", |state, _| usage::run(state).boxed_local());
     spawn("versions", |state, _| versions::run(state).boxed_local());
+    spawn("stream_records", |state, _| {
+        versions::run_recorder(state).boxed_local()
+    });
     spawn("scheduler", |state, _| scheduler::run(state).boxed_local());
     spawn("warmup", |state, _| {
         scheduler::run_warmup(state).boxed_local()
--- a/crates/relay/src/scheduler/message.rs
+++ b/crates/relay/src/scheduler/message.rs
@@ -3,7 +3,7 @@
 use acaciabank_core::{load_shed, outlier, prefix};
 use serde::{Deserialize, Serialize};
 
-use crate::{gossip, rate_limit, trial};
+use crate::{gossip, rate_limit, trial, versions};
 
 /// A request to choose the engines for a prompt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -94,4 +94,8 @@
     GrantRequest(rate_limit::Question),
     /// See [`rate_limit::Response`].
     GrantResponse(rate_limit::Response),
+    /// See [`versions::RecordRequest`].
+    RecordRequest(versions::RecordRequest),
+    /// See [`versions::RecordResponse`].
+    RecordResponse(versions::RecordResponse),
 }
--- a/crates/relay/src/versions/mod.rs
+++ b/crates/relay/src/versions/mod.rs
@@ -3,10 +3,14 @@
 //! A stream that begins at another version than the base of its service is recorded in the platform's
 //! store before its first event goes out. See [`acaciabank_core::stream_version`].
 
+mod recorder;
 mod report;
 mod streams;
 mod task;
 
+pub use recorder::{
+    RecordRequest, RecordResponse, handle_request, receive_response, run as run_recorder,
+};
 pub use report::{BaseEntry, apply_bases, base_entries};
 pub use streams::{prepare, record_start};
 pub use task::run;
@@ -36,6 +40,8 @@
     is_read: Cell<bool>,
     /// Streams that began at this daemon, by the hash of their attempt's id.
     begun: RefCell<HashMap<u64, BegunStream>>,
+    /// Records that wait to be written.
+    records: recorder::RecordQueue,
     /// Time until which no stream can be recorded, as the store has just failed to.
     unrecorded_until_ms: Cell<u64>,
     /// Time of the last return of the store from an older copy.
--- a/crates/relay/src/versions/streams.rs
+++ b/crates/relay/src/versions/streams.rs
@@ -4,7 +4,7 @@
 
 use acaciabank_protocol::verdict::Verdict;
 
-use super::{count, task, with_history};
+use super::{count, recorder, task, with_history};
 use crate::{
     clock, config,
     dispatch::{RefusalResponse, RelayRequest},
@@ -12,7 +12,7 @@
     telemetry::RefusalCause,
 };
 
-/// Time limit for a read of a record, or for its write.
+/// Time limit for a read of a record.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after a failed write in which streams begin at versions that need no record.
 const UNRECORDED_MS: u64 = 1_000;
@@ -136,16 +136,14 @@
         return Ok(());
     }
     let software = engine.entry.software.as_str();
-    let write = state
-        .store
-        .write_stream_version(key, software, clock::steady_unix_ms());
-    let error = match tokio::time::timeout(RECORD_TIMEOUT, write).await {
-        Ok(Ok(())) => {
-            count("recorded");
-            return Ok(());
-        }
-        Ok(Err(error)) => error.to_string(),
-        Err(_) => "no response in time".to_owned(),
+    let record = platform::StreamRecord {
+        stream_key: key,
+        software: software.to_owned(),
+        begun_unix_ms: clock::steady_unix_ms(),
+    };
+    let Err(error) = recorder::write(state, record).await else {
+        count("recorded");
+        return Ok(());
     };
     count("unrecorded");
     log::info!(id = request.id.as_str(), software = software, error = error.as_str(); "stream_unrecorded");
