--- a/crates/relay/src/versions/recorder.rs
+++ b/crates/relay/src/versions/recorder.rs
@@ -13,7 +13,7 @@
 };
 
 /// Time for which records are collected into one transaction.
-const COLLECT_TIME: Duration = Duration::from_millis(20);
+const COLLECT_TIME: Duration = Duration::from_millis(40);
 /// Time limit for the answer of the daemon that writes, after which this one writes itself.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 /// Time limit for a write.
