Names of the messages about grants; no read of the bases before a new stream

Cause: two types had one-word names; while the store is away at the start of a daemon, each new stream would have waited up to 300 ms for the bases, which only take-ups need.

--- a/crates/core/src/rate_limit/teams.rs
+++ b/crates/core/src/rate_limit/teams.rs
@@ -33,7 +33,7 @@
             return false;
         }
         self.uses.entry(team).or_default().asked += 1.0;
-        let total: f64 = self.uses.values().map(|use_| use_.granted).sum();
+        let total: f64 = self.uses.values().map(|team| team.granted).sum();
         let part = total / self.uses.len() as f64;
         let own = self.uses.get(&team).copied().unwrap_or_default();
         self.uses.len() > 1 && own.granted > part + PART_SLACK
--- a/crates/relay/src/rate_limit/client.rs
+++ b/crates/relay/src/rate_limit/client.rs
@@ -4,7 +4,7 @@
 
 use acaciabank_core::rate_limit::{GrantAnswer, GrantRequest};
 
-use super::{LimitEntry, Question, Response, server};
+use super::{GrantQuestion, GrantReply, LimitEntry, server};
 use crate::{
     clock, platform,
     scheduler::{self, PeerMessage},
@@ -118,7 +118,7 @@
     let mut reply = limits.pending.open(id);
     let record = limits.known.borrow().record_of(request.target_hash);
     let now_ms = clock::now_ms();
-    let message = PeerMessage::GrantRequest(Question {
+    let message = PeerMessage::GrantRequest(GrantQuestion {
         request: *request,
         limit: record.map(|record| LimitEntry::new(request.target_hash, record, now_ms)),
     });
@@ -133,7 +133,10 @@
 }
 
 /// Passes a response to the task that waits for it.
-pub fn receive_response<Codec, Store>(state: &state::RelayState<Codec, Store>, response: Response) {
+pub fn receive_response<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    response: GrantReply,
+) {
     let pending = &state.rate_limits.pending;
     pending.resolve(response.id, response.answer);
 }
--- a/crates/relay/src/rate_limit/mod.rs
+++ b/crates/relay/src/rate_limit/mod.rs
@@ -9,7 +9,7 @@
 
 pub use client::{SendGrant, admit, receive_response};
 pub use report::{LimitEntry, apply_limits, limit_entries};
-pub use server::{Question, Response, handle_request};
+pub use server::{GrantQuestion, GrantReply, handle_request};
 
 use std::cell::{Cell, RefCell};
 
--- a/crates/relay/src/rate_limit/server.rs
+++ b/crates/relay/src/rate_limit/server.rs
@@ -17,16 +17,16 @@
 
 /// A question whether a request may be sent to a target with a limit.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Question {
+pub struct GrantQuestion {
     /// The request.
     pub request: GrantRequest,
     /// What the asking daemon knows of the limit: it may have heard of it first.
     pub limit: Option<LimitEntry>,
 }
 
-/// Response to a [`Question`].
+/// GrantReply to a [`GrantQuestion`].
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Response {
+pub struct GrantReply {
     /// Id of the request.
     pub id: u64,
     /// Whether it may be sent.
@@ -36,11 +36,11 @@
 /// Decides on a request of another daemon, and sends the response.
 pub fn handle_request<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::SharedState<Codec, Store>,
-    question: &Question,
+    question: &GrantQuestion,
     sender: net::SocketAddr,
 ) {
     apply_limits(state, question.limit.as_slice(), clock::now_ms());
-    let response = Response {
+    let response = GrantReply {
         id: question.request.id,
         answer: decide(state, &question.request),
     };
--- a/crates/relay/src/scheduler/message.rs
+++ b/crates/relay/src/scheduler/message.rs
@@ -90,10 +90,10 @@
     TrialResponse(trial::TrialResponse),
     /// See [`trial::TrialEnd`].
     TrialEnd(trial::TrialEnd),
-    /// See [`rate_limit::Question`].
-    GrantRequest(rate_limit::Question),
-    /// See [`rate_limit::Response`].
-    GrantResponse(rate_limit::Response),
+    /// See [`rate_limit::GrantQuestion`].
+    GrantRequest(rate_limit::GrantQuestion),
+    /// See [`rate_limit::GrantReply`].
+    GrantResponse(rate_limit::GrantReply),
     /// See [`versions::RecordRequest`].
     RecordRequest(versions::RecordRequest),
     /// See [`versions::RecordResponse`].
--- a/crates/relay/src/versions/streams.rs
+++ b/crates/relay/src/versions/streams.rs
@@ -30,9 +30,6 @@
     if request.route.kind != config::RouteKind::ResumableStream {
         return Ok(());
     }
-    if !state.versions.is_read.get() {
-        task::read_bases(state).await;
-    }
     if request.metadata.last_event.is_none() {
         let is_unrecorded = clock::now_ms() < state.versions.unrecorded_until_ms.get();
         if is_unrecorded {
@@ -62,6 +59,9 @@
         count("remembered");
         return Ok(software);
     }
+    if !state.versions.is_read.get() {
+        task::read_bases(state).await;
+    }
     let now_ms = clock::now_ms();
     let take_up = with_history(state, &request.service, |history| history.take_up(now_ms));
     let take_up = take_up.ok_or(RefusalResponse::not_run(RefusalCause::NoTarget))?;
