Test of counted streams: the engine that breaks off is the one that gets them

Equal engines get a stream in the order in which they were listed. The order of the rows is that of their last heartbeats; the relay is not at fault. Change: a last probe tells which of the two engines gets the streams; that one breaks them off. All checks stay.

--- a/crates/testbed/tests/relay/usage.rs
+++ b/crates/testbed/tests/relay/usage.rs
@@ -412,7 +412,13 @@
     .await;
     // The probes are counted for the other team and in earlier windows only.
     fleet.wait_next_window().await;
-    engines[3].control(json!({"breaks_after": 3})).await;
+    // Of engines that are equal in all else, the one that was listed first gets the streams.
+    assert_eq!(stream("last-probe", "north").await, 200);
+    let first = match engines[3].run_count("last-probe").await {
+        0 => &engines[4],
+        _ => &engines[3],
+    };
+    first.control(json!({"breaks_after": 3})).await;
     for number in 0..5 {
         assert_eq!(stream(&format!("broken-{number}"), "south").await, 200);
         assert_eq!(stream(&format!("unknown-{number}"), "other").await, 401);
