Bases of versions outlast a return of the store and a gap between two versions

Cause, by reading the change again. A store that came back from an older copy had lost the row of a base for good: daemons keep it, those that start later take the oldest listed version for it, and a stream without a record is joined. If the old version had left before the new one was listed, no row was written at all. Both need a kill of all daemons to show. Also: the bases were read every 5 s and records looked for every 15 s for ever after one change; while the store was away, streams were bound to a base that only drained, and one more request was lost each second; requests without an id shared one record. Change: a missing row is written again from memory, and a base also if it is not listed beside the other version; reads at the start, after a failed condition and after a return; removal ends 90 s after the last version besides the base; failures of writes double the pause up to 4 s.

--- a/crates/core/src/stream_version/mod.rs
+++ b/crates/core/src/stream_version/mod.rs
@@ -69,6 +69,8 @@
     stored: Option<BaseVersion>,
     /// The base without a row in the store.
     assumed: Option<u64>,
+    /// The base whose row the store has lost.
+    lost: Option<u64>,
 }
 
 impl VersionHistory {
@@ -97,6 +99,15 @@
     pub fn adopt(&mut self, base: BaseVersion) {
         if self.stored.is_none_or(|known| known.stored < base.stored) {
             self.stored = Some(base);
+            self.lost = None;
+        }
+    }
+
+    /// Records that the store had no row at a version of it. It has lost a row that was written before.
+    pub fn record_absent(&mut self, version: StoreVersion) {
+        let lost = self.stored.take_if(|known| known.stored < version);
+        if let Some(lost) = lost {
+            self.lost = Some(lost.version);
         }
     }
 
@@ -108,7 +119,7 @@
     /// Returns the base.
     pub fn base(&self) -> Option<u64> {
         let stored = self.stored.map(|stored| stored.version);
-        stored.or(self.assumed)
+        stored.or(self.lost).or(self.assumed)
     }
 
     /// Whether a version is listed.
@@ -121,39 +132,38 @@
         self.base() != Some(version)
     }
 
-    /// Whether streams may have records.
-    pub fn may_have_records(&self) -> bool {
-        self.listed.len() > 1 || self.stored.is_some()
-    }
-
-    /// Returns the version that streams must begin at while none can be recorded; `None` if they may
-    /// begin at all: without a listed base, a stream without a record never goes on.
-    pub fn unrecorded_version(&self) -> Option<u64> {
-        self.base().filter(|base| self.is_listed(*base))
+    /// Whether streams that may be alive may have records.
+    pub fn may_have_records(&self, now_ms: u64) -> bool {
+        !self.is_base_alone() || (self.stored.is_some() && !self.has_watched(now_ms))
     }
 
     /// Returns the base that has to be written to the store, if any.
     pub fn next_base(&self, now_ms: u64) -> Option<u64> {
-        let Some(stored) = self.stored else {
-            return self.base().filter(|_| self.listed.len() > 1);
-        };
-        let has_watched = self.has_watched(now_ms);
-        let is_alive = self.last_listed_ms.contains_key(&stored.version);
-        let successor = self.listed.first().map(|oldest| oldest.version);
-        successor.filter(|_| has_watched && !is_alive)
+        let base = self.base()?;
+        if self.has_watched(now_ms) && !self.last_listed_ms.contains_key(&base) {
+            return self.listed.first().map(|oldest| oldest.version);
+        }
+        let is_needed = self.lost.is_some() || !self.is_base_alone();
+        (self.stored.is_none() && is_needed).then_some(base)
     }
 
     /// Tells at which version a stream goes on that a caller takes up; `None` if no version is known.
     pub fn take_up(&self, now_ms: u64) -> Option<TakeUp> {
         let base = self.base()?;
-        let is_alone = self.last_listed_ms.keys().all(|version| *version == base);
-        let is_known_past = self.stored.is_none() || self.has_watched(now_ms);
+        let is_certain = !self.may_have_records(now_ms);
         Some(TakeUp {
             without_record: base,
-            unread: (is_alone && is_known_past).then_some(base),
+            unread: is_certain.then_some(base),
         })
     }
 
+    /// Whether no other version than the base has been listed for as long as streams last.
+    fn is_base_alone(&self) -> bool {
+        let base = self.base();
+        let mut versions = self.last_listed_ms.keys();
+        versions.all(|version| Some(*version) == base)
+    }
+
     /// Whether this daemon has seen all versions of streams that may be alive.
     fn has_watched(&self, now_ms: u64) -> bool {
         let since_ms = self.since_ms.unwrap_or(now_ms);
--- a/crates/core/tests/stream_version.rs
+++ b/crates/core/tests/stream_version.rs
@@ -41,7 +41,7 @@
         assert!(!history.needs_record(1));
         assert_eq!(history.take_up(now_ms), Some(certain(1)));
         assert_eq!(history.next_base(now_ms), None);
-        assert!(!history.may_have_records());
+        assert!(!history.may_have_records(now_ms));
     }
 }
 
@@ -87,7 +87,52 @@
     assert_eq!(history.next_base(5_000), None);
     // Streams of the former base are refused without a record.
     assert!(!history.is_listed(1));
-    assert_eq!(history.unrecorded_version(), None);
+}
+
+/// Guards against a service whose old version has left before the new one came, so that no base was
+/// written while both were listed.
+#[test]
+fn a_base_that_left_before_the_next_version_came_is_written() {
+    let mut history = VersionHistory::default();
+    history.observe(&listed(&[(1, 10)]), 0);
+    history.observe(&[], 1_000);
+    assert_eq!(history.next_base(1_000), None);
+    history.observe(&listed(&[(2, 900)]), 2_000);
+    assert_eq!(history.next_base(2_000), Some(1));
+    assert!(history.needs_record(2));
+}
+
+/// Guards against a base that is forgotten with its row, when the store comes back from an older copy.
+#[test]
+fn a_base_whose_row_is_lost_is_written_again() {
+    let mut history = VersionHistory::default();
+    history.observe(&listed(&[(2, 900)]), 0);
+    history.adopt(base(1, 5));
+    // A read from before the row was written says nothing.
+    history.record_absent(StoreVersion::new(1, 4));
+    assert_eq!(history.stored(), Some(base(1, 5)));
+    history.record_absent(StoreVersion::new(2, 3));
+    assert_eq!((history.stored(), history.base()), (None, Some(1)));
+    assert_eq!(history.next_base(500), Some(1));
+    let again = BaseVersion {
+        version: 1,
+        stored: StoreVersion::new(2, 4),
+    };
+    history.adopt(again);
+    assert_eq!((history.base(), history.next_base(500)), (Some(1), None));
+}
+
+/// Guards against rows that are read and removed for ever after one change of versions.
+#[test]
+fn records_end_with_their_streams() {
+    let mut history = VersionHistory::default();
+    history.observe(&listed(&[(1, 10), (2, 900)]), 0);
+    history.adopt(base(1, 5));
+    assert!(history.may_have_records(0));
+    for now_ms in (500..=STREAM_LIFETIME_MS).step_by(500) {
+        history.observe(&listed(&[(1, 10)]), now_ms);
+    }
+    assert!(!history.may_have_records(STREAM_LIFETIME_MS));
 }
 
 /// Guards against daemons that assume different bases before the first row is written.
@@ -96,7 +141,6 @@
     let mut history = VersionHistory::default();
     history.observe(&listed(&[(2, 900), (1, 10)]), 0);
     assert_eq!(history.base(), Some(1));
-    assert_eq!(history.unrecorded_version(), Some(1));
     let mut watching = VersionHistory::default();
     watching.observe(&listed(&[(1, 10)]), 0);
     watching.observe(&listed(&[(2, 5), (1, 10)]), 500);
@@ -110,6 +154,7 @@
     daemons: Vec<VersionHistory>,
     row: Option<BaseVersion>,
     row_number: u64,
+    era: u64,
     records: HashMap<u64, u64>,
     /// Version and time of each stream.
     streams: HashMap<u64, (u64, u64)>,
@@ -131,10 +176,21 @@
             && self.daemons[0].stored() == self.row
         {
             self.row_number += 1;
-            self.row = Some(base(version, self.row_number));
+            self.row = Some(BaseVersion {
+                version,
+                stored: StoreVersion::new(self.era, self.row_number),
+            });
         }
     }
 
+    /// Has the store come back from a copy without the row; the daemon that writes notices it.
+    fn lose_row(&mut self) {
+        self.era += 1;
+        self.row = None;
+        self.daemons[0].record_absent(StoreVersion::new(self.era, self.row_number));
+        self.row_number += 1;
+    }
+
     fn kill_all(&mut self) {
         for daemon in &mut self.daemons {
             *daemon = VersionHistory::default();
@@ -168,7 +224,7 @@
 }
 
 /// Guards against streams that go on at another version, or not at all, over random changes of the
-/// versions, daemons that lag and kills of all daemons.
+/// versions, daemons that lag, a lost row of the base and kills of all daemons.
 #[test]
 fn no_stream_goes_on_at_another_version() {
     let (mut possible, mut gone_on) = (0, 0);
@@ -179,6 +235,7 @@
             daemons: vec![VersionHistory::default(); 4],
             row: None,
             row_number: 0,
+            era: 1,
             records: HashMap::new(),
             streams: HashMap::new(),
         };
@@ -197,6 +254,11 @@
                 model.step(&versions(&serving));
             }
             model.step(&versions(&serving));
+            if step > 10 && model.rng.random_range(0..60) == 0 {
+                model.lose_row();
+                model.step(&versions(&serving));
+                model.step(&versions(&serving));
+            }
             if step > 10 && model.rng.random_range(0..40) == 0 {
                 model.kill_all();
                 let listed = versions(&serving);
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -336,6 +336,15 @@
     pub stored: StoreVersion,
 }
 
+/// Bases of all services as of one version of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BaseRows {
+    /// The version.
+    pub version: StoreVersion,
+    /// The rows.
+    pub rows: Vec<BaseRow>,
+}
+
 /// At which software version a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct StreamRecord {
@@ -415,7 +424,7 @@
     ) -> impl Future<Output = Result<Option<StoreVersion>, StoreError>>;
 
     /// Reads the bases of all services.
-    fn read_base_versions(&self) -> impl Future<Output = Result<Vec<BaseRow>, StoreError>>;
+    fn read_base_versions(&self) -> impl Future<Output = Result<BaseRows, StoreError>>;
 
     /// Writes the base of a service if its row has the given version, or does not exist for `None`.
     /// Returns the new version of the row, or `None` if the condition does not hold.
--- a/crates/relay/src/versions/mod.rs
+++ b/crates/relay/src/versions/mod.rs
@@ -24,6 +24,12 @@
 
 use crate::{clock, state, target};
 
+/// Time after a failed write in which streams begin at versions that need no record. It doubles with
+/// each further failure, since a request is lost at each try.
+const MIN_UNRECORDED_MS: u64 = 1_000;
+/// Largest number of times that it doubles.
+const MAX_DOUBLINGS: u32 = 2;
+
 /// A stream that began at this daemon.
 #[derive(Clone, Copy, Debug)]
 struct BegunStream {
@@ -42,7 +48,13 @@
     begun: RefCell<HashMap<u64, BegunStream>>,
     /// Records that wait to be written.
     records: recorder::RecordQueue,
-    /// Time until which no stream can be recorded, as the store has just failed to.
+    /// Names of versions by their hash.
+    names: RefCell<HashMap<u64, String>>,
+    /// Whether the rows of bases have to be read, as the store may have lost some.
+    is_read_due: Cell<bool>,
+    /// Records that the store has failed to write since the last one that it wrote.
+    failures: Cell<u32>,
+    /// Time until which no stream is recorded, as the store has just failed to.
     unrecorded_until_ms: Cell<u64>,
     /// Time of the last return of the store from an older copy.
     returned_ms: Cell<Option<u64>>,
@@ -52,6 +64,7 @@
     /// Records that the store has come back from an older copy, which may lack records of streams.
     pub fn record_return(&self, now_ms: u64) {
         self.returned_ms.set(Some(now_ms));
+        self.is_read_due.set(true);
     }
 
     /// Whether records of streams that may be alive may be lost.
@@ -60,6 +73,14 @@
         self.returned_ms.get().is_some_and(is_recent)
     }
 
+    /// Records that a stream could not be recorded.
+    fn record_failure(&self, now_ms: u64) {
+        let failures = self.failures.get();
+        self.failures.set(failures.saturating_add(1));
+        let pause_ms = MIN_UNRECORDED_MS << failures.min(MAX_DOUBLINGS);
+        self.unrecorded_until_ms.set(now_ms + pause_ms);
+    }
+
     fn record_begun(&self, stream_key: u64, software_hash: u64, now_ms: u64) {
         let begun = BegunStream {
             software_hash,
--- a/crates/relay/src/versions/streams.rs
+++ b/crates/relay/src/versions/streams.rs
@@ -14,8 +14,6 @@
 
 /// Time limit for a read of a record.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after a failed write in which streams begin at versions that need no record.
-const UNRECORDED_MS: u64 = 1_000;
 
 /// Restricts a request to the version that it has to run at, if any: that of the stream that it takes
 /// up, or the base while streams cannot be recorded.
@@ -33,10 +31,9 @@
     if request.metadata.last_event.is_none() {
         let is_unrecorded = clock::now_ms() < state.versions.unrecorded_until_ms.get();
         if is_unrecorded {
-            let base = with_history(state, &request.service, |history| {
-                history.unrecorded_version()
-            });
-            request.software.set(base);
+            request
+                .software
+                .set(unrecorded_version(state, &request.service));
         }
         return Ok(());
     }
@@ -54,7 +51,8 @@
     state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
 ) -> Result<u64, RefusalResponse> {
-    let named = request.metadata.resumes.as_deref().map(state::hash_name);
+    let named = request.metadata.resumes.as_deref();
+    let named = named.filter(|id| !id.is_empty()).map(state::hash_name);
     if let Some(software) = named.and_then(|key| state.versions.begun_at(key)) {
         count("remembered");
         return Ok(software);
@@ -94,6 +92,16 @@
     }
 }
 
+/// Returns the version that streams must begin at while none can be recorded; `None` if they may begin
+/// at all: while nobody serves the base, a stream without a record never goes on.
+fn unrecorded_version<Codec, Store>(
+    state: &state::RelayState<Codec, Store>,
+    service: &str,
+) -> Option<u64> {
+    let base = with_history(state, service, |history| history.base());
+    base.filter(|base| is_served(state, service, *base))
+}
+
 /// Whether a target of a version takes requests, now or after a pause.
 fn is_served<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
@@ -121,16 +129,17 @@
 ) -> Result<(), RefusalResponse> {
     request.software.set(Some(engine.software_hash));
     let is_new = request.metadata.last_event.is_none();
-    if !is_new || request.route.kind != config::RouteKind::ResumableStream {
+    let is_resumable = request.route.kind == config::RouteKind::ResumableStream;
+    // Nobody can name a request without an id.
+    if !is_new || !is_resumable || request.id.is_empty() {
         return Ok(());
     }
     let key = state::hash_name(&request.id);
     state
         .versions
         .record_begun(key, engine.software_hash, clock::now_ms());
-    let (needs_record, unrecorded) = with_history(state, &request.service, |history| {
-        let needs_record = history.needs_record(engine.software_hash);
-        (needs_record, history.unrecorded_version())
+    let needs_record = with_history(state, &request.service, |history| {
+        history.needs_record(engine.software_hash)
     });
     if !needs_record {
         return Ok(());
@@ -143,14 +152,14 @@
     };
     let Err(error) = recorder::write(state, record).await else {
         count("recorded");
+        state.versions.failures.set(0);
         return Ok(());
     };
     count("unrecorded");
     log::info!(id = request.id.as_str(), software = software, error = error.as_str(); "stream_unrecorded");
-    let until_ms = clock::now_ms() + UNRECORDED_MS;
-    state.versions.unrecorded_until_ms.set(until_ms);
-    match unrecorded {
-        // A stream without a record is taken for one of the base, which is not listed.
+    state.versions.record_failure(clock::now_ms());
+    match unrecorded_version(state, &request.service) {
+        // A stream without a record is taken for one of the base, which nobody serves.
         None => Ok(()),
         Some(_) => Err(RefusalResponse::after(
             RefusalCause::StreamUnrecorded,
--- a/crates/relay/src/versions/task.rs
+++ b/crates/relay/src/versions/task.rs
@@ -9,9 +9,6 @@
 
 /// Interval at which the listed versions are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between reads of the bases by the daemons that write them, while there may be several
-/// versions.
-const READ_INTERVAL_MS: u64 = 5_000;
 /// Interval between removals of old records.
 const REMOVAL_INTERVAL_MS: u64 = 15_000;
 /// Age from which a record is removed: far longer than streams last, as clocks of hosts differ.
@@ -23,26 +20,23 @@
 pub async fn run<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: state::SharedState<Codec, Store>,
 ) {
-    let (mut read_ms, mut removed_ms) = (0, clock::now_ms());
+    let mut removal = RecordRemoval::default();
     loop {
         let now_ms = clock::now_ms();
         let rank = scheduler::own_rank(&state, now_ms);
-        let has_several = observe_all(&state);
-        let is_due = now_ms.saturating_sub(read_ms) >= READ_INTERVAL_MS;
+        let versions = &state.versions;
+        removal.observe(observe_all(&state), now_ms);
         let is_writer = rank < watch::WATCHER_COUNT;
-        if !state.versions.is_read.get() || (is_writer && has_several && is_due) {
+        if !versions.is_read.get() || (is_writer && versions.is_read_due.get()) {
             read_bases(&state).await;
-            read_ms = now_ms;
         }
-        if is_writer && state.versions.is_read.get() {
+        if is_writer && versions.is_read.get() && !versions.is_read_due.get() {
             write_bases(&state).await;
         }
-        let is_due = now_ms.saturating_sub(removed_ms) >= REMOVAL_INTERVAL_MS;
-        if rank == 0 && has_several && is_due {
+        if rank == 0 && removal.is_due(now_ms) {
             remove_records(&state).await;
-            removed_ms = now_ms;
         }
-        state.versions.expire(now_ms);
+        versions.expire(now_ms);
         tokio::time::sleep(CHECK_INTERVAL).await;
         if state.phase.get() == state::RelayPhase::Draining {
             return;
@@ -50,13 +44,52 @@
     }
 }
 
+/// When old records are removed.
+#[derive(Debug, Default)]
+struct RecordRemoval {
+    /// Time from which there are no records.
+    until_ms: u64,
+    /// Time of the next removal.
+    next_ms: u64,
+}
+
+impl RecordRemoval {
+    fn observe(&mut self, may_have_records: bool, now_ms: u64) {
+        if may_have_records {
+            self.until_ms = now_ms + RECORD_TTL_MS + 2 * REMOVAL_INTERVAL_MS;
+        }
+    }
+
+    /// Whether a removal is due; the next one is due an interval later.
+    fn is_due(&mut self, now_ms: u64) -> bool {
+        let is_due = now_ms < self.until_ms && now_ms >= self.next_ms;
+        if is_due {
+            self.next_ms = now_ms + REMOVAL_INTERVAL_MS;
+        }
+        is_due
+    }
+}
+
 /// Observes the versions of all services; returns whether streams of one may have records.
 fn observe_all<Codec, Store>(state: &state::RelayState<Codec, Store>) -> bool {
-    let mut has_several = false;
+    learn_names(state);
+    let now_ms = clock::now_ms();
+    let mut may_have_records = false;
     for service in services(state) {
-        has_several |= with_history(state, &service, |history| history.may_have_records());
+        may_have_records |=
+            with_history(state, &service, |history| history.may_have_records(now_ms));
+    }
+    may_have_records
+}
+
+/// Keeps the names of listed versions, which may have to be written when they are no longer listed.
+fn learn_names<Codec, Store>(state: &state::RelayState<Codec, Store>) {
+    let targets = state.targets.borrow();
+    let mut names = state.versions.names.borrow_mut();
+    for target in targets.iter() {
+        let name = names.entry(target.software_hash);
+        name.or_insert_with(|| target.entry.software.clone());
     }
-    has_several
 }
 
 fn services<Codec, Store>(state: &state::RelayState<Codec, Store>) -> Vec<String> {
@@ -78,8 +111,16 @@
         Ok(Err(error)) => return log::info!(error:% = error; "base_versions_unread"),
         Err(_) => return log::info!(error = "no response in time"; "base_versions_unread"),
     };
-    state.versions.is_read.set(true);
-    for row in &rows {
+    let versions = &state.versions;
+    versions.is_read.set(true);
+    versions.is_read_due.set(false);
+    for (service_hash, history) in versions.histories.borrow_mut().iter_mut() {
+        let mut services = rows.rows.iter().map(|row| state::hash_name(&row.service));
+        if services.all(|listed| listed != *service_hash) {
+            history.record_absent(rows.version);
+        }
+    }
+    for row in &rows.rows {
         adopt(state, &row.service, &row.software, row.stored);
     }
 }
@@ -92,10 +133,10 @@
 ) {
     let mut histories = state.versions.histories.borrow_mut();
     let history = histories.entry(state::hash_name(service)).or_default();
-    history.adopt(BaseVersion {
-        version: state::hash_name(software),
-        stored,
-    });
+    let version = state::hash_name(software);
+    history.adopt(BaseVersion { version, stored });
+    let mut names = state.versions.names.borrow_mut();
+    names.entry(version).or_insert_with(|| software.to_owned());
 }
 
 /// Writes the bases that have to be written.
@@ -107,8 +148,12 @@
         let (next, known) = with_history(state, &service, |history| {
             (history.next_base(now_ms), history.stored())
         });
-        let software = next.and_then(|version| software_name(state, &service, version));
+        let Some(next) = next else {
+            continue;
+        };
+        let software = state.versions.names.borrow().get(&next).cloned();
         let Some(software) = software else {
+            log::info!(service = service.as_str(), error = "unknown name"; "base_version_failed");
             continue;
         };
         let condition = known.map(|known| known.stored);
@@ -133,17 +178,6 @@
     }
 }
 
-fn software_name<Codec, Store>(
-    state: &state::RelayState<Codec, Store>,
-    service: &str,
-    software_hash: u64,
-) -> Option<String> {
-    let targets = state.targets.borrow();
-    let mut targets = targets.of_service(service).iter();
-    let target = targets.find(|target| target.software_hash == software_hash)?;
-    Some(target.entry.software.clone())
-}
-
 async fn remove_records<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
     state: &state::RelayState<Codec, Store>,
 ) {
