--- a/crates/testbed/tests/relay/software_versions.rs
+++ b/crates/testbed/tests/relay/software_versions.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     fixture::{EmulatorProcess, Fixture, Relay, TIMEOUT},
-    raw_request,
+    raw_request, returns,
 };
 
 /// Events of a stream that lasts for some seconds.
@@ -31,17 +31,24 @@
 
 /// Relays and engines: prefill engines of version v1, and decode engines of both versions.
 struct VersionFixture {
-    _fixture: Fixture,
+    fixture: Fixture,
     prefill_engines: Vec<EmulatorProcess>,
     /// Decode engines of version v1.
     old: Vec<EmulatorProcess>,
     /// Decode engines of version v2.
-    _new: Vec<EmulatorProcess>,
+    new: Vec<EmulatorProcess>,
     relays: Vec<Relay>,
 }
 
 impl VersionFixture {
     async fn start(relay_count: usize) -> Self {
+        let mut fixture = Self::start_old(relay_count).await;
+        fixture.add_new().await;
+        fixture
+    }
+
+    /// Starts all but the decode engines of version v2.
+    async fn start_old(relay_count: usize) -> Self {
         let mut fixture = Fixture::start().await;
         fixture.write_config(1, |_| {}).await;
         let ids = ["p-1", "p-2", "p-3", "p-4", "p-5", "p-6", "p-7"];
@@ -49,17 +56,31 @@
         let old = fixture.start_runners(&["d-1", "d-2"]).await;
         let _ledger = fixture.start_runners(&["r-1"]).await;
         let relays = fixture.start_relays(relay_count).await;
-        fixture.runner_arguments = vec!["--software".to_owned(), "v2".to_owned()];
-        let new = fixture.start_runners(&["d-3", "d-4"]).await;
-        let version_fixture = Self {
-            _fixture: fixture,
+        Self {
+            fixture,
             prefill_engines,
             old,
-            _new: new,
+            new: Vec::new(),
             relays,
-        };
-        version_fixture.wait_both_versions().await;
-        version_fixture
+        }
+    }
+
+    /// Starts the decode engines of version v2 and waits until both versions serve.
+    async fn add_new(&mut self) {
+        self.fixture.runner_arguments = vec!["--software".to_owned(), "v2".to_owned()];
+        self.new = self.fixture.start_runners(&["d-3", "d-4"]).await;
+        self.wait_both_versions().await;
+    }
+
+    /// Has all engines of version v1 drain, and waits until that is known. Engines that were killed
+    /// would look as if the streams had crashed them.
+    async fn drain_old(&self) {
+        for engine in self.old.iter().chain(&self.prefill_engines) {
+            engine
+                .control(serde_json::json!({"is_draining": true}))
+                .await;
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
     }
 
     /// Waits until each relay uses engines of both versions.
@@ -178,6 +199,13 @@
     }
 }
 
+/// Checks that no stream was joined from two versions, and that half of them went on at least.
+fn check_half_goes_on(taken_up: &[TakenUpStream]) {
+    let gone_on = count_gone_on(taken_up);
+    let all = taken_up.len();
+    assert!(2 * gone_on >= all, "only {gone_on} of {all} went on");
+}
+
 /// Checks that no stream was joined from two versions; returns how many went on.
 fn count_gone_on(taken_up: &[TakenUpStream]) -> usize {
     for stream in taken_up {
@@ -224,11 +252,7 @@
     // The next relay takes each stream up.
     begun.rotate_left(1);
     let taken_up = fixture.take_up_all(&begun).await;
-    let gone_on = count_gone_on(&taken_up);
-    assert!(
-        2 * gone_on >= STREAMS,
-        "only {gone_on} of {STREAMS} went on"
-    );
+    check_half_goes_on(&taken_up);
 }
 
 /// Guards against streams of two versions joined after all relays were killed at once, as nobody
@@ -239,11 +263,7 @@
     let begun = begin_all(&fixture.relays, "kill").await;
     fixture.restart_relays().await;
     let taken_up = fixture.take_up_all(&begun).await;
-    let gone_on = count_gone_on(&taken_up);
-    assert!(
-        2 * gone_on >= STREAMS,
-        "only {gone_on} of {STREAMS} went on"
-    );
+    check_half_goes_on(&taken_up);
 }
 
 /// Guards against streams of a version that has just left which go on at the one that is left, with
@@ -254,13 +274,7 @@
     let begun = begin_all(&fixture.relays, "left").await;
     let of_old = begun.iter().filter(|stream| stream.version == "v1").count();
     assert!(of_old > 0 && of_old < STREAMS, "{of_old}");
-    // Engines that were killed would look as if the streams had crashed them.
-    for engine in fixture.old.iter().chain(&fixture.prefill_engines) {
-        engine
-            .control(serde_json::json!({"is_draining": true}))
-            .await;
-    }
-    tokio::time::sleep(Duration::from_secs(2)).await;
+    fixture.drain_old().await;
     for is_killed in [false, true] {
         if is_killed {
             fixture.restart_relays().await;
@@ -287,6 +301,82 @@
     }
 }
 
+/// Guards against streams that begin without a record while the store is away, and against callers
+/// that get none for as long.
+#[tokio::test]
+async fn streams_that_cannot_be_recorded_begin_at_the_base() {
+    let fixture = VersionFixture::start(1).await;
+    let relay = &fixture.relays[0];
+    let refusing = serde_json::json!({"refuses": true});
+    fixture.fixture.store.control(refusing).await;
+    for round in 0..6 {
+        let calls = (0..8).map(|number| async move {
+            let attempt = format!("away-{round}-{number}");
+            relay.request_stream("/resumable/a", &attempt, 8).await
+        });
+        let mut complete = 0;
+        for response in futures::future::join_all(calls).await.into_iter().flatten() {
+            let text = String::from_utf8_lossy(&response.body);
+            match response.status {
+                200 => assert_eq!(versions(&text), ["v1"]),
+                status => assert_eq!(status, 502),
+            }
+            complete += usize::from(response.status == 200);
+        }
+        // Those that begin before the first failure is known are lost.
+        assert!(round == 0 || complete == 8, "{complete} in round {round}");
+    }
+}
+
+/// Guards against streams that have no record because the relay that writes them was killed.
+#[tokio::test]
+async fn streams_are_recorded_while_relays_are_killed_in_turn() {
+    let mut fixture = VersionFixture::start(3).await;
+    let mut begun = Vec::new();
+    for killed in 0..fixture.relays.len() {
+        fixture.relays[killed].process.kill();
+        let others = [(killed + 1) % 3, (killed + 2) % 3];
+        let streams = (0..STREAMS).map(|number| {
+            let address = fixture.relays[others[number % 2]].caller_address;
+            begin(address, format!("turn-{killed}-{number}"))
+        });
+        begun.extend(futures::future::join_all(streams).await);
+        let process = &mut fixture.relays[killed].process;
+        process.restart().expect("the process restarts");
+        let path = "/stream/a";
+        fixture.relays[killed].wait_streaming(path, 2).await;
+    }
+    fixture.restart_relays().await;
+    // The last ones: the others may have ended meanwhile.
+    let last = begun.split_off(2 * STREAMS);
+    check_half_goes_on(&fixture.take_up_all(&last).await);
+    count_gone_on(&fixture.take_up_all(&begun).await);
+}
+
+/// Guards against a base that is forgotten when the store comes back from a copy that lacks its row:
+/// streams of the version that has left would go on at the other one.
+#[tokio::test]
+async fn the_base_outlasts_a_return_of_the_store() {
+    let mut fixture = VersionFixture::start_old(2).await;
+    let copied_at = returns::mark_copy().await;
+    fixture.add_new().await;
+    let begun = begin_all(&fixture.relays, "return").await;
+    fixture.drain_old().await;
+    returns::restore(&fixture.fixture, copied_at, 0).await;
+    let is_logged = |relay: &Relay| {
+        let log = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+        let lines = log.lines().filter(|line| line.contains("\"base_version\""));
+        lines.count()
+    };
+    harness::wait_until(TIMEOUT, "the base is written again", async || {
+        let writes = fixture.relays.iter().map(is_logged);
+        writes.sum::<usize>() >= 2
+    })
+    .await;
+    fixture.restart_relays().await;
+    count_gone_on(&fixture.take_up_all(&begun).await);
+}
+
 /// Guards against streams that do not go on during a deployment without a change of versions.
 #[tokio::test]
 async fn all_streams_go_on_while_one_version_serves() {
@@ -296,10 +386,10 @@
     let engines = fixture.start_runners(&ids).await;
     let relays = fixture.start_relays(2).await;
     let mut version_fixture = VersionFixture {
-        _fixture: fixture,
+        fixture,
         prefill_engines: engines,
         old: Vec::new(),
-        _new: Vec::new(),
+        new: Vec::new(),
         relays,
     };
     let begun = begin_all(&version_fixture.relays, "single").await;
