Check the grant of a request where it is written

Cause, by reading the change again: the grant was checked before the connection was opened, up to 0.4 s before the write, and was good for 1.5 s, so that together with two granters that overlap the bound did not follow for limits above eight a second. Two halves of a fleet of equal size both granted whole limits. The share of a part of the fleet, what other relays hear of a limit, the spread after its end, and a limit of less than one a second over more than three daemons had no test. Change: a grant is good for 1 s and checked at the write; a part grants whole limits only if it is more than half; granted_share is in the core. One PendingReplies::ask in place of two loops; the emulator's fault is called rate_limit.

--- a/crates/core/src/rate_limit/grant.rs
+++ b/crates/core/src/rate_limit/grant.rs
@@ -6,6 +6,11 @@
 
 use super::{RateLimit, teams::TeamUses};
 
+/// Time from which a grant is too old to be used: its request would reach the target together with
+/// those of later ones.
+pub const GRANT_TTL_MS: u64 = 1_000;
+/// Share of the registered daemons above which a part of the fleet grants whole limits.
+const MAJORITY_SHARE: f64 = 0.5;
 /// Lowest rate at which requests are granted, in requests a second. A target that takes none says in
 /// a response alone that it takes some again.
 const MIN_RATE_PER_S: f64 = 0.1;
@@ -127,6 +132,16 @@
     (seconds * 1_000.0).ceil().clamp(1.0, MAX_ANSWER_MS) as u32
 }
 
+/// Returns the share of the limits that the granter of `known` daemons grants, itself among them: the
+/// others of the `registered` ones may be cut off from it and have a granter of their own.
+pub fn granted_share(known: usize, registered: usize) -> f64 {
+    let share = known as f64 / registered.max(known).max(1) as f64;
+    match share > MAJORITY_SHARE {
+        true => 1.0,
+        false => share,
+    }
+}
+
 /// Token buckets by hash of the target's incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct GrantTable {
--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -24,7 +24,7 @@
 mod table;
 mod teams;
 
-pub use grant::{GrantAnswer, GrantRequest, GrantTable};
+pub use grant::{GRANT_TTL_MS, GrantAnswer, GrantRequest, GrantTable, granted_share};
 pub use table::{AnswerTimes, LimitChange, LimitRecord, LimitTable};
 
 use acaciabank_protocol::value_type;
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -2,8 +2,8 @@
 
 use acaciabank_core::{
     rate_limit::{
-        AnswerTimes, GrantAnswer, GrantRequest, GrantTable, LimitChange, LimitRecord, LimitTable,
-        RateLimit,
+        AnswerTimes, GRANT_TTL_MS, GrantAnswer, GrantRequest, GrantTable, LimitChange, LimitRecord,
+        LimitTable, RateLimit, granted_share,
     },
     target_signal::{SignalFault, TargetSignals},
 };
@@ -192,9 +192,9 @@
     1.5 * per_s * (WINDOW_MS as f64 / 1_000.0) + 5.0
 }
 
-/// Guards against a sum over the fleet that exceeds the limit, with idle times, crowds and two daemons
-/// that grant at the same time for as long as a report takes; and against limits that are used in
-/// part only.
+/// Guards against a sum over the fleet that exceeds the limit, with idle times, crowds, requests that
+/// are written as late as their grant allows, and two daemons that grant at the same time for as long
+/// as a report takes; and against limits that are used in part only.
 #[test]
 fn grants_keep_the_limit_and_use_it() {
     for seed in 0..200 {
@@ -219,6 +219,10 @@
                 }
             }
         }
+        for time in &mut fleet.granted {
+            *time += rng.random_range(0..GRANT_TTL_MS);
+        }
+        fleet.granted.sort_unstable();
         let worst = fleet.worst_window();
         let allowed = allowed(per_s);
         assert!(
@@ -234,6 +238,22 @@
     }
 }
 
+/// Guards against two parts of a fleet that both grant whole limits, and against a fleet with hosts
+/// that are gone for good which does not use its limits.
+#[test]
+fn a_part_of_the_fleet_grants_its_share() {
+    assert_eq!(granted_share(9, 9), 1.0);
+    assert_eq!(granted_share(5, 9), 1.0);
+    assert_eq!(granted_share(3, 9), 3.0 / 9.0);
+    // A daemon that has just started may not have read the list.
+    assert_eq!(granted_share(7, 1), 1.0);
+    for registered in 2..300 {
+        let smaller = granted_share(registered / 2, registered);
+        let larger = granted_share(registered - registered / 2, registered);
+        assert!(smaller + larger <= 1.5, "{registered}");
+    }
+}
+
 /// Guards against a repeated question that takes a second grant.
 #[test]
 fn a_repeated_question_gets_the_same_answer() {
--- a/crates/relay/src/dispatch/attempt.rs
+++ b/crates/relay/src/dispatch/attempt.rs
@@ -187,15 +187,16 @@
     if !target.admit_request(clock::now_ms()) {
         return Err(AttemptFailure::unavailable());
     }
-    let was_limited = state.rate_limits.limit_of(target.hash).is_some();
-    if !limits::take_grant(state, request, target.hash) {
-        return Err(AttemptFailure::unavailable());
-    }
-    // The target may name a limit, leave or ask for a pause while this request waits for a connection.
+    let grant = limits::take_grant(request, target.hash);
+    // A response to another request may have stated the opposite, and the grant may have expired, while
+    // this one waited for a connection.
     let may_write = || {
-        let is_limited = state.rate_limits.limit_of(target.hash).is_some();
-        target.allows_write(clock::now_ms()) && (was_limited || !is_limited)
+        target.allows_write(clock::now_ms())
+            && limits::allows_write(state, target.hash, grant.as_ref())
     };
+    if !may_write() {
+        return Err(AttemptFailure::unavailable());
+    }
     let message = build_message(&state.codec, request, metadata);
     let sent_ms = clock::now_ms();
     let is_run = !matches!(metadata.task, platform::EngineTask::Prefill);
--- a/crates/relay/src/dispatch/limits.rs
+++ b/crates/relay/src/dispatch/limits.rs
@@ -87,24 +87,25 @@
     }
 }
 
-/// Takes the grant for a request that is about to be sent to a target; returns whether it may be.
-pub fn take_grant<Codec, Store>(
+/// Takes the grant of a request for a target, if it has one.
+pub fn take_grant(request: &RelayRequest, target_hash: u64) -> Option<rate_limit::SendGrant> {
+    let now_ms = clock::now_ms();
+    let mut grants = request.grants.borrow_mut();
+    let mut positions = grants.iter();
+    let position = positions.position(|grant| grant.permits(target_hash, now_ms))?;
+    metrics::counter!("acaciabank_limited_sends_total").increment(1);
+    Some(grants.swap_remove(position))
+}
+
+/// Whether a request may be written to a target now, by the target's limit and the grant that was taken.
+pub fn allows_write<Codec, Store>(
     state: &state::RelayState<Codec, Store>,
-    request: &RelayRequest,
     target_hash: u64,
+    grant: Option<&rate_limit::SendGrant>,
 ) -> bool {
-    if state.rate_limits.limit_of(target_hash).is_none() {
-        return true;
-    }
     let now_ms = clock::now_ms();
-    let mut grants = request.grants.borrow_mut();
-    let mut positions = grants.iter();
-    let position = positions.position(|grant| grant.permits(target_hash, now_ms));
-    if let Some(position) = position {
-        grants.swap_remove(position);
-        metrics::counter!("acaciabank_limited_sends_total").increment(1);
-    }
-    position.is_some()
+    let is_granted = grant.is_some_and(|grant| grant.permits(target_hash, now_ms));
+    is_granted || state.rate_limits.limit_of(target_hash).is_none()
 }
 
 /// Whether a target names a limit and the request has no grant for it.
--- a/crates/relay/src/rate_limit/client.rs
+++ b/crates/relay/src/rate_limit/client.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use acaciabank_core::rate_limit::{GrantAnswer, GrantRequest};
+use acaciabank_core::rate_limit::{GRANT_TTL_MS, GrantAnswer, GrantRequest};
 
 use super::{GrantQuestion, GrantReply, LimitEntry, server};
 use crate::{
@@ -14,21 +14,17 @@
 /// Time limit for the answer to a question: a round trip between availability zones, and the time
 /// that other tasks take on a small host.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
-/// Questions to one daemon, as a datagram may be lost.
-const MAX_QUESTIONS: usize = 2;
 /// Daemons that are asked.
 const MAX_GRANTERS: usize = 2;
 /// Time for which a target is left out if no daemon grants requests to it.
 const UNANSWERED_PAUSE_MS: u32 = 250;
-/// Time from which a grant is too old: it would reach the target together with later ones.
-const GRANT_TTL_MS: u64 = 1_500;
 
-/// Permission to send one request to a target.
+/// Permission to write one request to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendGrant {
     /// Hash of the target's incarnation.
     pub target_hash: u64,
-    /// Time until which the request may be sent.
+    /// Time until which the request may be written.
     until_ms: u64,
 }
 
@@ -115,21 +111,14 @@
     let address = state.peers.borrow().address_of(granter)?;
     let limits = &state.rate_limits;
     let id = request.id;
-    let mut reply = limits.pending.open(id);
     let record = limits.known.borrow().record_of(request.target_hash);
     let now_ms = clock::now_ms();
     let message = PeerMessage::GrantRequest(GrantQuestion {
         request: *request,
         limit: record.map(|record| LimitEntry::new(request.target_hash, record, now_ms)),
     });
-    for _ in 0..MAX_QUESTIONS {
-        state.scheduler.send(&message, address);
-        let answer = reply.wait(ANSWER_TIMEOUT).await;
-        if answer.is_some() {
-            return answer;
-        }
-    }
-    None
+    let send = || state.scheduler.send(&message, address);
+    limits.pending.ask(id, ANSWER_TIMEOUT, send).await
 }
 
 /// Passes a response to the task that waits for it.
--- a/crates/relay/src/rate_limit/server.rs
+++ b/crates/relay/src/rate_limit/server.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use acaciabank_core::rate_limit::{GrantAnswer, GrantRequest};
+use acaciabank_core::rate_limit::{self, GrantAnswer, GrantRequest};
 use serde::{Deserialize, Serialize};
 
 use super::{LimitEntry, apply_limits};
@@ -12,9 +12,6 @@
     state,
 };
 
-/// Share of the registered daemons from which a part of the fleet grants whole limits.
-const MAJORITY_SHARE: f64 = 0.5;
-
 /// A question whether a request may be sent to a target with a limit.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct GrantQuestion {
@@ -70,19 +67,8 @@
     let Some(limit) = limits.limit_of(request.target_hash) else {
         return GrantAnswer::Granted;
     };
-    let share = fleet_share(state);
+    let known = state.peers.borrow().member_count() + 1;
+    let share = rate_limit::granted_share(known, state.registered_hosts.get() + 1);
     let mut granted = limits.granted.borrow_mut();
     granted.decide(request, limit, share, now_ms)
 }
-
-/// Returns the share of the limits that this daemon grants: all of it, unless most of the daemons are
-/// not known, as they may have a granter of their own.
-fn fleet_share<Codec, Store>(state: &state::RelayState<Codec, Store>) -> f64 {
-    let known = state.peers.borrow().member_count() + 1;
-    let registered = state.registered_hosts.get() + 1;
-    let share = known as f64 / registered as f64;
-    match share < MAJORITY_SHARE {
-        true => share,
-        false => 1.0,
-    }
-}
--- a/crates/relay/src/reply/mod.rs
+++ b/crates/relay/src/reply/mod.rs
@@ -4,6 +4,9 @@
 
 use tokio::sync::oneshot;
 
+/// How often a question is asked at most.
+const MAX_QUESTIONS: usize = 2;
+
 /// Questions that wait for an answer, by their id.
 #[derive(Debug)]
 pub struct PendingReplies<Answer>(RefCell<HashMap<u64, oneshot::Sender<Answer>>>);
@@ -26,6 +29,20 @@
         }
     }
 
+    /// Asks a question, which `send` sends, and waits for its answer. It is asked again once, as a
+    /// datagram may be lost; `None` if there is no answer within `timeout` of either.
+    pub async fn ask(&self, id: u64, timeout: Duration, send: impl Fn()) -> Option<Answer> {
+        let mut reply = self.open(id);
+        for _ in 0..MAX_QUESTIONS {
+            send();
+            let answer = reply.wait(timeout).await;
+            if answer.is_some() {
+                return answer;
+            }
+        }
+        None
+    }
+
     /// Passes an answer to the task that waits for it; a late one is ignored.
     pub fn resolve(&self, id: u64, answer: Answer) {
         let sender = self.0.borrow_mut().remove(&id);
--- a/crates/relay/src/trial/client.rs
+++ b/crates/relay/src/trial/client.rs
@@ -14,8 +14,6 @@
 /// Time limit for the answer to a question: a round trip between availability zones, and the time
 /// that other tasks take on a small host.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
-/// Questions to one daemon, as a datagram may be lost.
-const MAX_QUESTIONS: usize = 2;
 /// Daemons that are asked before this one decides itself.
 const MAX_GRANTERS: usize = 2;
 /// Reports of the end of a trial, as a datagram may be lost.
@@ -161,20 +159,13 @@
     granter: net::SocketAddr,
 ) -> Option<TrialAnswer> {
     let trials = &state.trials;
-    let mut reply = trials.pending.open(id);
     let message = PeerMessage::TrialRequest(TrialRequest {
         id,
         keys: keys.to_vec(),
         suspects: known_suspects(state, keys),
     });
-    for _ in 0..MAX_QUESTIONS {
-        state.scheduler.send(&message, granter);
-        let answer = reply.wait(ANSWER_TIMEOUT).await;
-        if answer.is_some() {
-            return answer;
-        }
-    }
-    None
+    let send = || state.scheduler.send(&message, granter);
+    trials.pending.ask(id, ANSWER_TIMEOUT, send).await
 }
 
 /// Passes an answer to the task that waits for it.
--- a/crates/relay/tests/target_signals.rs
+++ b/crates/relay/tests/target_signals.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use acaciabank_core::{
+    rate_limit::LimitChange,
     store_version::StoreVersion,
     target_signal::{LeavingMark, LeavingSource, MARK_TTL_MS},
 };
@@ -287,3 +288,23 @@
         }
     }
 }
+
+/// Guards against a crowd at a target that has just taken its limit back.
+#[test]
+fn the_first_requests_after_the_end_of_a_limit_are_spread() {
+    let mut registry = TargetRegistry::default();
+    let present = vec![entry("t-0", 1, 1, PORTS[0])];
+    let changes = platform::TargetChanges {
+        present,
+        ..platform::TargetChanges::default()
+    };
+    registry.apply(changes, NOW_MS, |_| 0);
+    let hash = registry.of_service(SERVICE)[0].hash;
+    let ended_ms = 10_000;
+    registry.apply_limit_change(hash, LimitChange::Ended, ended_ms, 0.0);
+    let target = &registry.of_service(SERVICE)[0];
+    let sends = (0..100).filter(|number| target.admit_request(ended_ms + number));
+    assert!((1..=5).contains(&sends.count()));
+    let sends = (0..100).filter(|number| target.admit_request(ended_ms + REUSE_MS + number));
+    assert_eq!(sends.count(), 100);
+}
--- a/crates/testbed/src/emulator/runner.rs
+++ b/crates/testbed/src/emulator/runner.rs
@@ -87,7 +87,7 @@
     /// Value of `retry-after` in all responses with status 503.
     pub retry_after: Option<String>,
     /// Value of `server-limit` in all responses.
-    pub server_limit: Option<String>,
+    pub rate_limit: Option<String>,
     /// Reports the state `draining` in the store entry instead of `ready`.
     pub is_draining: bool,
     /// Time until it is taken away, in the store entry.
@@ -412,7 +412,7 @@
         if state.faults.is_leaving {
             set_header(response, "server-leaving", "1");
         }
-        if let Some(limit) = &state.faults.server_limit {
+        if let Some(limit) = &state.faults.rate_limit {
             set_header(response, "server-limit", limit);
         }
         if response.status() == StatusCode::SERVICE_UNAVAILABLE
--- a/crates/testbed/tests/relay/rate_limits.rs
+++ b/crates/testbed/tests/relay/rate_limits.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use acaciabank_testbed::{journal, web};
+use acaciabank_testbed::{harness, journal, web};
 use serde_json::{Value, json};
 
-use crate::fixture::{self, EmulatorProcess, Fixture, Relay};
+use crate::fixture::{self, EmulatorProcess, Fixture, Relay, TIMEOUT};
 
 /// Time after the first statement from which a limit has to hold, in milliseconds (`contact_ms` of
 /// the users' rule).
@@ -90,6 +90,10 @@
 }
 
 async fn start_plain(limits: &[Option<&str>]) -> PlainFixture {
+    start_relays(3, limits).await
+}
+
+async fn start_relays(count: usize, limits: &[Option<&str>]) -> PlainFixture {
     let mut fixture = Fixture::start().await;
     fixture.write_config(1, |_| {}).await;
     let engines = fixture
@@ -100,9 +104,9 @@
         let id = format!("r-{number}");
         runners.push(fixture.start_runner(&id, "ledger", None).await);
     }
-    let relays = fixture.start_relays(3).await;
+    let relays = fixture.start_relays(count).await;
     for (runner, limit) in runners.iter().zip(limits) {
-        runner.control(json!({"server_limit": limit})).await;
+        runner.control(json!({"rate_limit": limit})).await;
     }
     PlainFixture {
         _fixture: fixture,
@@ -132,8 +136,12 @@
 /// targets have room.
 #[tokio::test]
 async fn a_target_gets_no_more_requests_than_it_takes() {
-    let limits = [Some("4.8"), None, None];
-    let fixture = start_plain(&limits).await;
+    check_beside_others(3, [Some("4.8"), None, None]).await;
+}
+
+/// Runs relays and targets of which some name limits; every request must be served by the others.
+async fn check_beside_others(relay_count: usize, limits: [Option<&str>; 3]) {
+    let fixture = start_relays(relay_count, &limits).await;
     let named_ms = journal::unix_ms();
     let sent = send_steadily(&fixture.relays, TEST_TIME).await;
     assert!(sent.iter().all(|sent| sent.status == 200));
@@ -144,12 +152,40 @@
 /// than one request.
 #[tokio::test]
 async fn low_limits_hold_over_all_relays() {
-    let limits = [Some("0.4"), Some("1.3"), None];
-    let fixture = start_plain(&limits).await;
-    let named_ms = journal::unix_ms();
-    let sent = send_steadily(&fixture.relays, TEST_TIME).await;
-    assert!(sent.iter().all(|sent| sent.status == 200));
-    assert_limits_hold(&fixture.runners, &limits, named_ms).await;
+    check_beside_others(3, [Some("0.4"), Some("1.3"), None]).await;
+}
+
+/// Guards against a limit below one a second that a dozen relays may each use at once.
+#[tokio::test]
+async fn a_low_limit_holds_over_many_relays() {
+    check_beside_others(12, [Some("0.4"), None, None]).await;
+}
+
+/// Guards against a limit that only the relay knows that was told.
+#[tokio::test]
+async fn other_relays_know_a_limit_and_its_end() {
+    let fixture = start_plain(&[Some("2"), None, None]).await;
+    let (told, others) = fixture.relays.split_first().expect("relays");
+    for (event, limit) in [("target_limit", Some("2")), ("target_limit_ended", None)] {
+        fixture.runners[0]
+            .control(json!({"rate_limit": limit}))
+            .await;
+        send_steadily(std::slice::from_ref(told), Duration::from_secs(2)).await;
+        for relay in others {
+            harness::wait_until(TIMEOUT, "another relay knows", async || {
+                has_heard(relay, event)
+            })
+            .await;
+        }
+    }
+}
+
+/// Whether a relay has logged an event about a limit that it knows from another relay.
+fn has_heard(relay: &Relay, event: &str) -> bool {
+    let log = std::fs::read_to_string(relay.process.output_file()).unwrap_or_default();
+    let lines = log.lines().map(serde_json::from_str::<Value>);
+    let mut lines = lines.flatten();
+    lines.any(|line| line["event"] == event && line["cause"] == "peer")
 }
 
 /// Guards against limits that are exceeded, or used in part only, when all targets of a service name
@@ -238,7 +274,7 @@
     let fixture = start_plain(&limits).await;
     send_steadily(&fixture.relays, Duration::from_secs(3)).await;
     let limited = &fixture.runners[0];
-    limited.control(json!({"server_limit": null})).await;
+    limited.control(json!({"rate_limit": null})).await;
     let ended_ms = journal::unix_ms();
     send_steadily(&fixture.relays, Duration::from_secs(6)).await;
     let times = arrival_times(&limited.journal().await);
@@ -260,7 +296,7 @@
     let relays = fixture.start_relays(3).await;
     let limits = [Some("2.5"), None, None, None, None, Some("1.5"), None];
     for (engine, limit) in engines.iter().zip(limits) {
-        engine.control(json!({"server_limit": limit})).await;
+        engine.control(json!({"rate_limit": limit})).await;
     }
     let named_ms = journal::unix_ms();
     let started_at = Instant::now();
--- a/crates/testbed/tests/relay/soak/fixture.rs
+++ b/crates/testbed/tests/relay/soak/fixture.rs
@@ -164,7 +164,7 @@
     /// Has a runner name a limit.
     pub(super) async fn name_limit(&mut self, runner: usize, per_s: &str) {
         let named_ms = journal::unix_ms();
-        self.control_runner(runner, json!({"server_limit": per_s}))
+        self.control_runner(runner, json!({"rate_limit": per_s}))
             .await;
         let is_running = self.runners[runner].process.id().is_some();
         self.limits.extend(is_running.then(|| NamedLimit {
@@ -342,7 +342,7 @@
             }
             SoakFault::LimitRunner { runner, .. } => {
                 self.end_limits(*runner);
-                self.control_runner(*runner, json!({"server_limit": null}))
+                self.control_runner(*runner, json!({"rate_limit": null}))
                     .await;
             }
             SoakFault::DrainRunner(runner) => {
