A stream that is taken up goes to the service that began it

What callers see: on a route with two services of engines, about half of the streams that were taken up went to the other service: refused, as their version is not there, or, without a record, taken for streams of that service's base. The service of each attempt was drawn at random. Change: the id of the attempt that began the stream draws the service.

--- a/crates/relay/src/dispatch/request.rs
+++ b/crates/relay/src/dispatch/request.rs
@@ -105,7 +105,7 @@
             is_awaited: head.headers.contains_key(http::header::EXPECT),
         };
         let body = read_body(state, body, unread, &config.limits, deadline).await?;
-        let service = route.pick_service(rand::random());
+        let service = route.pick_service(service_draw(&metadata));
         let service = service.ok_or(RefusalResponse::not_run(RefusalCause::NoTarget))?;
         let parts = metadata
             .generation
@@ -283,6 +283,13 @@
     is_awaited: bool,
 }
 
+/// Returns the number by which one of a route's services is picked. A stream that is taken up draws the
+/// number of the attempt that began it, so that it goes on at the same service.
+fn service_draw(metadata: &platform::RequestMetadata) -> u64 {
+    let id = metadata.stream_id().or(metadata.attempt_id.as_deref());
+    id.map_or_else(rand::random, state::hash_name)
+}
+
 fn fingerprint(method: &http::Method, uri: &http::Uri, body: &[u8]) -> u64 {
     let mut hasher = Xxh3::new();
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/relay/src/platform/mod.rs
+++ b/crates/relay/src/platform/mod.rs
@@ -24,6 +24,13 @@
     pub resumes: Option<String>,
 }
 
+impl RequestMetadata {
+    /// Returns the id of the attempt that began the stream which the caller resumes, if it names one.
+    pub fn stream_id(&self) -> Option<&str> {
+        self.resumes.as_deref().filter(|id| !id.is_empty())
+    }
+}
+
 /// Parameters of a generation request.
 #[derive(Clone, Debug, Default)]
 pub struct GenerationParams {
--- a/crates/relay/src/versions/streams.rs
+++ b/crates/relay/src/versions/streams.rs
@@ -51,8 +51,7 @@
     state: &state::RelayState<Codec, Store>,
     request: &RelayRequest,
 ) -> Result<u64, RefusalResponse> {
-    let named = request.metadata.resumes.as_deref();
-    let named = named.filter(|id| !id.is_empty()).map(state::hash_name);
+    let named = request.metadata.stream_id().map(state::hash_name);
     if let Some(software) = named.and_then(|key| state.versions.begun_at(key)) {
         count("remembered");
         return Ok(software);
--- a/crates/testbed/tests/relay/software_versions.rs
+++ b/crates/testbed/tests/relay/software_versions.rs
@@ -353,6 +353,39 @@
     count_gone_on(&fixture.take_up_all(&begun).await);
 }
 
+/// Guards against streams of a route with two services that go on at the other one, whose version nobody
+/// has recorded for it.
+#[tokio::test]
+async fn a_stream_goes_on_at_the_service_that_began_it() {
+    let mut fixture = VersionFixture::start_old(2).await;
+    fixture.fixture.runner_arguments = vec!["--software".to_owned(), "v9".to_owned()];
+    for id in ["o-1", "o-2"] {
+        let stage = Some("decode");
+        let engine = fixture.fixture.start_runner(id, "others", stage).await;
+        fixture.new.push(engine);
+    }
+    let split = serde_json::json!([
+        {"service": "models", "weight": 50}, {"service": "others", "weight": 50},
+    ]);
+    fixture
+        .fixture
+        .write_config(2, |config| {
+            let mut others = config["services"][1].clone();
+            others["name"] = "others".into();
+            let services = config["services"].as_array_mut().expect("services");
+            services.push(others);
+            config["routes"][2]["traffic_split"] = split.clone();
+        })
+        .await;
+    fixture.wait_both_versions().await;
+    let begun = begin_all(&fixture.relays, "split").await;
+    check_half_goes_on(&fixture.take_up_all(&begun).await);
+    fixture.restart_relays().await;
+    let begun = begin_all(&fixture.relays, "again-split").await;
+    fixture.restart_relays().await;
+    check_half_goes_on(&fixture.take_up_all(&begun).await);
+}
+
 /// Guards against a base that is forgotten when the store comes back from a copy that lacks its row:
 /// streams of the version that has left would go on at the other one.
 #[tokio::test]
