Log how many targets a rate limit kept a request from; count records that a full queue refuses

Cause: a request that was served elsewhere because of a limit left no trace at the default log level, and a record that found the queue full none at all.

--- a/crates/relay/src/dispatch/generate/forwarder.rs
+++ b/crates/relay/src/dispatch/generate/forwarder.rs
@@ -284,7 +284,7 @@
             id = request.id.as_str(), route = request.route.name.as_str(),
             team = request.team_label(),
             target_id = plan.decode.entry.id.as_str(), software = plan.decode.entry.software.as_str(), prefill_id = prefill,
-            placed_by = placed_by, sends = self.progress.sends, prompt = request.prompt_tokens(),
+            placed_by = placed_by, sends = self.progress.sends, denials = self.progress.denials, prompt = request.prompt_tokens(),
             uncached = estimate.uncached_tokens, fetched = estimate.is_fetched,
             expected_ms = estimate.first_token_ms, wait_ms = estimate.wait_ms,
             prefill_ms = stream.prefill_ms, first_ms = first_ms, last_event = stream.reader.last_id().unwrap_or(0),
--- a/crates/relay/src/dispatch/service.rs
+++ b/crates/relay/src/dispatch/service.rs
@@ -193,7 +193,7 @@
     log::info!(
         id = request.id.as_str(), route = request.route.name.as_str(),
         team = request.team_label(),
-        target_id = target.entry.id.as_str(), status = status.as_u16(), sends = progress.sends,
+        target_id = target.entry.id.as_str(), status = status.as_u16(), sends = progress.sends, denials = progress.denials,
         config = request.config_version, elapsed_ms = request.elapsed_ms();
         "answered"
     );
--- a/crates/relay/src/versions/recorder.rs
+++ b/crates/relay/src/versions/recorder.rs
@@ -59,10 +59,11 @@
 impl RecordQueue {
     fn add(&self, request: RecordRequest, sender: Option<net::SocketAddr>) {
         let mut waiting = self.waiting.borrow_mut();
-        if waiting.len() < MAX_WAITING {
-            waiting.push(WaitingRecord { request, sender });
-            self.changed.notify_one();
+        if waiting.len() >= MAX_WAITING {
+            return super::count("queue_full");
         }
+        waiting.push(WaitingRecord { request, sender });
+        self.changed.notify_one();
     }
 }
 
