A prompt that was processed goes to the decode engine that has granted it

What callers see: with limits at all decode engines, more than half of the processed prompts were in vain, and half of what the engines take was not used. Cause: a denial to one request leaves the engine out for all requests of the daemon, also for one that had its grant and came back from the prefill engine. Change: the plan is followed further while its grant is good; that replaces the special case that changed the decode engine of a new plan. Exactly one of three relays grants, none right after it was killed, then one.

--- a/crates/relay/src/dispatch/generate/mod.rs
+++ b/crates/relay/src/dispatch/generate/mod.rs
@@ -196,6 +196,9 @@
 struct StreamStarter {
     /// KV cache of the prompt, once a prefill engine has processed it.
     handle: Option<KvHandle>,
+    /// Plan by which the prompt was processed. It is followed further if its decode engine has a rate
+    /// limit and has granted the request.
+    granted_plan: Option<engines::EnginePlan>,
     /// Error response of an engine, which is passed on if no other attempt succeeds.
     failed_response: Option<StreamStart>,
     /// Latency expected by the last plan that included the prefill.
@@ -215,7 +218,13 @@
     ) -> Result<Option<StreamStart>, RefusalResponse> {
         suspects::wait_turn(state, request, progress.verdict).await?;
         let prefilled = self.handle.as_ref().map(|handle| &handle.engine);
-        let mut plan = match engines::plan_engines(state, request, progress, prefilled).await {
+        let granted = self.granted_plan.take();
+        let granted = granted.filter(|plan| limits::is_granted(request, progress, &plan.decode));
+        let planned = match granted {
+            Some(plan) => Ok(plan),
+            None => engines::plan_engines(state, request, progress, prefilled).await,
+        };
+        let plan = match planned {
             Ok(plan) => plan,
             // The engine with the KV cache may be gone; the others can still run the whole request.
             Err(_) if self.handle.take().is_some() => return Ok(None),
@@ -230,9 +239,6 @@
             checked?;
             self.estimate = LatencyEstimate::of(&plan);
         }
-        if self.handle.is_some() {
-            limits::prefer_granted(state, request, &mut plan);
-        }
         let is_prefilled = self.handle.is_some();
         if !limits::admit_plan(state, request, progress, &plan, is_prefilled).await? {
             return Ok(None);
@@ -251,6 +257,7 @@
             Some(engine) if self.handle.is_none() => {
                 let handle = prefill(state, request, progress, &plan, engine).await?;
                 self.handle = handle;
+                self.granted_plan = self.handle.is_some().then_some(plan);
                 Ok(None)
             }
             _ => self.send(state, request, progress, &plan, last_event).await,
--- a/crates/relay/src/dispatch/limits.rs
+++ b/crates/relay/src/dispatch/limits.rs
@@ -1,7 +1,5 @@
 //! Grants for requests to targets that name a rate limit.
 
-use acaciabank_core::placement;
-
 use super::{
     engines::EnginePlan,
     pause,
@@ -58,33 +56,19 @@
     }
 }
 
-/// Replaces the decode engine of a plan for a processed prompt by one for which the request has a
-/// grant, if it would need another one.
-pub fn prefer_granted<Codec: platform::MessageCodec, Store: platform::PlatformStore>(
-    state: &state::RelayState<Codec, Store>,
+/// Whether a request has a grant for a target that still takes it. What the target's limit leaves to
+/// other requests does not matter.
+pub fn is_granted(
     request: &RelayRequest,
-    plan: &mut EnginePlan,
-) {
-    if !needs_grant(state, request, plan.decode.hash) {
-        return;
-    }
+    progress: &RequestProgress,
+    target: &target::TargetState,
+) -> bool {
     let now_ms = clock::now_ms();
-    let targets = state.targets.borrow();
     let grants = request.grants.borrow();
-    let hashes = grants.iter().map(|grant| grant.target_hash);
-    let mut engines = hashes.filter_map(|hash| targets.by_hash(hash));
-    let engine = engines.find(|engine| {
-        engine.is_accepting(now_ms)
-            && engine.stage(now_ms) == Some(placement::EngineStage::Decode)
-            && request
-                .software
-                .get()
-                .is_none_or(|software| software == engine.software_hash)
-            && !needs_grant(state, request, engine.hash)
-    });
-    if let Some(engine) = engine {
-        plan.decode = std::rc::Rc::clone(engine);
-    }
+    let mut grants = grants.iter();
+    grants.any(|grant| grant.permits(target.hash, now_ms))
+        && target.takes_granted(now_ms)
+        && !progress.excluded.contains(&target.hash)
 }
 
 /// Takes the grant of a request for a target, if it has one.
--- a/crates/relay/src/target/held.rs
+++ b/crates/relay/src/target/held.rs
@@ -2,7 +2,7 @@
 
 use acaciabank_core::rate_limit::LimitChange;
 
-use super::TargetState;
+use super::{TargetAvailability, TargetState};
 
 /// Until when a target without a grant is left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +44,18 @@
         self.held.get().is_some_and(|held| now_ms < held.open_ms)
     }
 
+    /// Whether it takes a request that has been granted.
+    pub fn takes_granted(&self, now_ms: u64) -> bool {
+        match self.availability(now_ms) {
+            TargetAvailability::Accepting | TargetAvailability::Limited => true,
+            TargetAvailability::Leaving
+            | TargetAvailability::Paused
+            | TargetAvailability::Switching
+            | TargetAvailability::BackingOff
+            | TargetAvailability::Ejected => false,
+        }
+    }
+
     /// Returns until when it takes no request; `None` if it takes some.
     pub fn closed(&self, now_ms: u64) -> Option<ClosedTarget> {
         if let Some(until_ms) = self.paused_until_ms(now_ms) {
--- a/crates/testbed/tests/relay/fixture.rs
+++ b/crates/testbed/tests/relay/fixture.rs
@@ -152,6 +152,11 @@
         relays
     }
 
+    /// Returns the address on which a relay serves others.
+    pub fn peer_address(&self, relay: &Relay) -> net::SocketAddr {
+        net::SocketAddr::from((relay.caller_address.ip(), self.peer_port))
+    }
+
     /// Writes the entry of a target that does not register itself to the store.
     pub async fn register_target(
         &self,
--- a/crates/testbed/tests/relay/rate_limits.rs
+++ b/crates/testbed/tests/relay/rate_limits.rs
@@ -2,8 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+use acaciabank_core::rate_limit::{GrantAnswer, GrantRequest, RateLimit};
+use acaciabank_relay::{
+    rate_limit::{GrantQuestion, LimitEntry},
+    scheduler::PeerMessage,
+};
 use acaciabank_testbed::{harness, journal, web};
 use serde_json::{Value, json};
+use tokio::net::UdpSocket;
 
 use crate::fixture::{self, EmulatorProcess, Fixture, Relay, TIMEOUT};
 
@@ -83,7 +89,7 @@
 
 /// Three relays, and plain runners with limits.
 struct PlainFixture {
-    _fixture: Fixture,
+    fixture: Fixture,
     _engines: Vec<EmulatorProcess>,
     runners: Vec<EmulatorProcess>,
     relays: Vec<Relay>,
@@ -109,7 +115,7 @@
         runner.control(json!({"rate_limit": limit})).await;
     }
     PlainFixture {
-        _fixture: fixture,
+        fixture,
         _engines: engines,
         runners,
         relays,
@@ -217,6 +223,69 @@
     }
 }
 
+/// Asks a relay whether a request may be sent to some target with a limit.
+async fn ask(peer: std::net::SocketAddr) -> GrantAnswer {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let (id, target_hash) = (rand::random(), 7);
+    let question = GrantQuestion {
+        request: GrantRequest {
+            id,
+            target_hash,
+            priority: 0,
+            team: None,
+        },
+        limit: Some(LimitEntry {
+            target_hash,
+            limit: Some(RateLimit::parse("1").expect("a limit")),
+            age_ms: 0,
+        }),
+    };
+    let datagram = postcard::to_stdvec(&PeerMessage::GrantRequest(question));
+    let datagram = datagram.expect("a datagram");
+    socket.send_to(&datagram, peer).await.expect("a question");
+    let mut buffer = [0; 1_024];
+    let received = tokio::time::timeout(TIMEOUT, socket.recv(&mut buffer)).await;
+    let length = received.expect("an answer in time").expect("an answer");
+    match postcard::from_bytes(&buffer[..length]).expect("a message") {
+        PeerMessage::GrantResponse(reply) if reply.id == id => reply.answer,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Returns the peers that grant requests.
+async fn granters(peers: &[std::net::SocketAddr]) -> Vec<std::net::SocketAddr> {
+    let mut granters = Vec::new();
+    for peer in peers {
+        granters.extend((ask(*peer).await != GrantAnswer::NotGranter).then_some(*peer));
+    }
+    granters
+}
+
+/// Guards against two relays that grant requests at the same time, and against none that does after the
+/// one that did was killed.
+#[tokio::test]
+async fn one_relay_grants_requests_and_the_next_one_only_after_it() {
+    let mut fixture = start_plain(&[None, None, None]).await;
+    let relays = fixture.relays.iter();
+    let mut peers: Vec<_> = relays
+        .map(|relay| fixture.fixture.peer_address(relay))
+        .collect();
+    harness::wait_until(TIMEOUT, "the relays know each other", async || {
+        granters(&peers).await.len() == 1
+    })
+    .await;
+    let first = granters(&peers).await[0];
+    let position = peers.iter().position(|peer| *peer == first);
+    let position = position.expect("the granter is a peer");
+    fixture.relays[position].process.kill();
+    peers.remove(position);
+    assert!(granters(&peers).await.is_empty());
+    harness::wait_until(TIMEOUT, "the next relay grants", async || {
+        granters(&peers).await.len() == 1
+    })
+    .await;
+}
+
 /// Guards against limits that are exceeded when the relay that grants requests is killed and comes
 /// back, and against relays that send nothing for good.
 #[tokio::test]
@@ -284,6 +353,54 @@
     assert!(later > 30, "{later} requests");
 }
 
+/// Guards against prompts that are processed in vain, for decode engines that take no stream.
+#[tokio::test]
+async fn prompts_are_processed_for_engines_that_take_their_streams() {
+    let mut fixture = Fixture::start().await;
+    fixture.write_config(1, |_| {}).await;
+    let ids = ["p-1", "p-2", "p-3", "p-4", "p-5", "d-1", "d-2"];
+    let engines = fixture.start_runners(&ids).await;
+    let _ledger = fixture.start_runners(&["r-1"]).await;
+    let relays = fixture.start_relays(3).await;
+    for engine in &engines[5..] {
+        engine.control(json!({"rate_limit": "1"})).await;
+    }
+    // The relays hear of the limits.
+    for relay in &relays {
+        for number in 0..4 {
+            let attempt = format!("told-{}-{number}", relay.process.name());
+            let told = relay.request_stream("/resumable/a", &attempt, 2).await;
+            told.expect("a response");
+        }
+    }
+    let started_at = Instant::now();
+    let calls = (0u32..300).map(|number| {
+        let relay = &relays[number as usize % relays.len()];
+        async move {
+            tokio::time::sleep_until((started_at + SEND_INTERVAL * number).into()).await;
+            let attempt = format!("vain-{number}");
+            let response = relay.request_stream("/resumable/a", &attempt, 2).await;
+            response.expect("a response").status
+        }
+    });
+    let statuses = futures::future::join_all(calls).await;
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(statuses.iter().all(|status| matches!(status, 200 | 503)));
+    let mut processed = 0;
+    for engine in &engines[..5] {
+        let entries = engine.journal().await;
+        let prompts = entries
+            .iter()
+            .filter_map(|entry| entry["prefilled"].as_str());
+        processed += prompts.filter(|id| id.starts_with("vain-")).count();
+    }
+    assert!(served > 0);
+    assert!(
+        processed <= served,
+        "{processed} prompts for {served} streams"
+    );
+}
+
 /// Guards against prompts and streams beyond what an engine takes: its prefill calls, streams and
 /// resumptions count alike.
 #[tokio::test]
