--- a/crates/testbed/tests/relay/rate_limits.rs
+++ b/crates/testbed/tests/relay/rate_limits.rs
@@ -394,7 +394,8 @@
             .filter_map(|entry| entry["prefilled"].as_str());
         processed += prompts.filter(|id| id.starts_with("vain-")).count();
     }
-    assert!(served > 0);
+    // Both engines take one a second for five seconds.
+    assert!(served >= 5, "only {served} streams");
     assert!(
         processed <= served,
         "{processed} prompts for {served} streams"
